--- /dev/null
+++ b/internal/app/path_test.go
@@ -0,0 +1,297 @@
+package app
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go"
+	"github.com/openai/openai-go/option"
+
+	"github.com/damaskrudder/damaskrudder/internal/api"
+	"github.com/damaskrudder/damaskrudder/internal/demo"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/standin"
+)
+
+// world starts daemons and stand-ins on loopback and ends them with the test.
+func world(t *testing.T, daemons int) *demo.World {
+	t.Helper()
+	w, err := demo.NewWorld(daemons, startForDemo)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	return w
+}
+
+// until polls a condition that other goroutines bring about.
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for range 1000 {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// post sends a request as a workspace and returns the status, headers and body.
+func post(t *testing.T, address, path, key string, header http.Header, body string) (int, http.Header, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header, string(data)
+}
+
+const lookup = `{"model":"bib-lookup","messages":[{"role":"user","content":"status of bib 7"}]}`
+
+func TestOfficialClient(t *testing.T) {
+	w := world(t, 1)
+	c := openai.NewClient(option.WithBaseURL("http://"+w.Addresses[0]+"/v1/"), option.WithAPIKey(demo.Key(demo.Largada)))
+	params := openai.ChatCompletionNewParams{
+		Model:    "bib-lookup",
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("status of bib 7")},
+	}
+	plain, err := c.Chat.Completions.New(t.Context(), params)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if plain.Choices[0].FinishReason != "stop" || plain.Usage.CompletionTokens != int64(demo.EngineModel.AnswerTokens) {
+		t.Fatalf("plain answer: %+v", plain)
+	}
+	stream := c.Chat.Completions.NewStreaming(t.Context(), params)
+	acc := openai.ChatCompletionAccumulator{}
+	for stream.Next() {
+		acc.AddChunk(stream.Current())
+	}
+	if err := stream.Err(); err != nil {
+		t.Fatal(err)
+	}
+	if acc.Choices[0].Message.Content != plain.Choices[0].Message.Content {
+		t.Fatalf("streamed %q, plain %q", acc.Choices[0].Message.Content, plain.Choices[0].Message.Content)
+	}
+	models, err := c.Models.List(t.Context())
+	if err != nil || len(models.Data) != 3 {
+		t.Fatalf("models: %v, %v", models, err)
+	}
+}
+
+// Symptom: an operator's change vanished although it had been accepted.
+// Sequence: two operators write against number 1; both send.
+// Cause: a patch against a stale number must lose, and say what moved.
+func TestStalePatchIsRefused(t *testing.T) {
+	w := world(t, 2)
+	send := func(address, id, body string) (int, api.PatchRefusal, fleet.Outcome) {
+		status, _, data := post(t, address, "/operator/v1/patches", demo.Secrets.OperatorKey, nil, `{"patch_id":"`+id+`","base":1,"author":"`+id+`","patch":`+body+`}`)
+		var r api.PatchRefusal
+		var o fleet.Outcome
+		_ = json.Unmarshal([]byte(data), &r)
+		_ = json.Unmarshal([]byte(data), &o)
+		return status, r, o
+	}
+	if status, _, o := send(w.Addresses[0], "ana", `{"workspaces":{"largada-sul":{"priority":3}}}`); status != http.StatusOK || o.Number != 2 {
+		t.Fatalf("first patch: %d %+v", status, o)
+	}
+	status, r, _ := send(w.Addresses[1], "bea", `{"workspaces":{"largada-sul":{"priority":5}}}`)
+	if status != http.StatusConflict || r.Error.Code != fault.BaseStale || r.InForce != 2 || len(r.Moved) != 1 || r.Moved[0].Author != "ana" {
+		t.Fatalf("stale patch: %d %+v", status, r)
+	}
+	if status, _, o := send(w.Addresses[0], "ana", `{"workspaces":{"largada-sul":{"priority":3}}}`); status != http.StatusOK || o.Number != 2 {
+		t.Fatalf("the same patch again: %d %+v", status, o)
+	}
+}
+
+// Symptom: engines stay busy with answers nobody reads.
+// Sequence: a caller starts a stream, reads one piece and closes.
+// Cause: the run must be cancelled on its engine when its caller leaves.
+func TestCallerLeavingCancelsTheRun(t *testing.T) {
+	w := world(t, 1)
+	for _, e := range w.Engines {
+		e.SetBehaviour("bib-lookup@v1", standin.Behaviour{Slow: 100})
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	body := strings.Replace(lookup, "{", `{"stream":true,`, 1)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.Addresses[0]+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+demo.Key(demo.Largada))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := resp.Body.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	leave()
+	_ = resp.Body.Close()
+	until(t, "the run is cancelled", func() bool {
+		n := 0
+		for _, e := range w.Engines {
+			n += e.Canceled()
+		}
+		return n == 1
+	})
+}
+
+// Symptom: callers get answers of a version that operators have withdrawn.
+// Sequence: a session is pinned to v1; v1 is withdrawn with successor v2; the
+// session asks again through another daemon.
+// Cause: the pin must yield to the withdrawal, at every daemon the same way.
+func TestWithdrawnVersionGetsNoNewWork(t *testing.T) {
+	w := world(t, 2)
+	key := demo.Key(demo.Goldfields)
+	status, h, _ := post(t, w.Addresses[0], "/v1/chat/completions", key, nil, lookup)
+	if status != http.StatusOK || h.Get("X-Model-Version") != "bib-lookup@v1" {
+		t.Fatalf("before: %d %v", status, h)
+	}
+	pin := http.Header{api.HeaderSession: {h.Get(api.HeaderSession)}}
+	err := w.Apply(fleet.Patch{Models: map[string]json.RawMessage{
+		"bib-lookup": json.RawMessage(`{"stable":"v2","versions":{"v1":{"state":"withdrawn","successor":"v2"}}}`),
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := startedOn(w, "bib-lookup@v1")
+	status, h, _ = post(t, w.Addresses[1], "/v1/chat/completions", key, pin, lookup)
+	if status != http.StatusOK || h.Get("X-Model-Version") != "bib-lookup@v2" {
+		t.Fatalf("after: %d %v", status, h)
+	}
+	explicit := strings.Replace(lookup, "bib-lookup", "bib-lookup@v1", 1)
+	status, h, _ = post(t, w.Addresses[1], "/v1/chat/completions", key, nil, explicit)
+	if status != http.StatusGone || h.Get(api.HeaderRan) != "not_run" {
+		t.Fatalf("explicit: %d %v", status, h)
+	}
+	if after := startedOn(w, "bib-lookup@v1"); after != before {
+		t.Fatalf("%d runs started on the withdrawn version", after-before)
+	}
+}
+
+func startedOn(w *demo.World, version string) int {
+	n := 0
+	for _, e := range w.Engines {
+		for _, v := range e.Runs() {
+			if v == version {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestBadInputIsRefusedAndChangesNothing(t *testing.T) {
+	w := world(t, 1)
+	key, operator := demo.Key(demo.Largada), demo.Secrets.OperatorKey
+	chat, patches := "/v1/chat/completions", "/operator/v1/patches"
+	cases := []struct {
+		name, path, key string
+		header          http.Header
+		body            string
+		status          int
+		kind            fault.Kind
+	}{
+		{"broken JSON", chat, key, nil, `{"model":`, 400, fault.BadRequest},
+		{"no messages", chat, key, nil, `{"model":"bib-lookup"}`, 400, fault.BadRequest},
+		{"unknown model", chat, key, nil, strings.Replace(lookup, "bib-lookup", "no-such", 1), 404, fault.UnknownModel},
+		{"unknown version", chat, key, nil, strings.Replace(lookup, "bib-lookup", "bib-lookup@v9", 1), 404, fault.UnknownModel},
+		{"negative tokens", chat, key, nil, strings.Replace(lookup, "{", `{"max_tokens":-5,`, 1), 400, fault.BadRequest},
+		{"two choices", chat, key, nil, strings.Replace(lookup, "{", `{"n":2,`, 1), 400, fault.BadRequest},
+		{"wrong key", chat, "no-such-key", nil, lookup, 401, fault.Unauthorized},
+		{"oversize body", chat, key, nil, `{"model":"` + strings.Repeat("x", 1<<20) + `"}`, 413, fault.TooLarge},
+		{"session with blanks", chat, key, http.Header{"X-Session-Id": {"a b"}}, lookup, 400, fault.BadRequest},
+		{"forged session", chat, key, http.Header{"X-Session-Id": {"s1.k1.abc.def"}}, lookup, 403, fault.SessionRefused},
+		{"forged minted key", chat, key, http.Header{"Idempotency-Key": {"dk1.k1.abc.def"}}, lookup, 400, fault.BadRequest},
+		{"service without key", "/v1/services/confirm", key, nil, `{}`, 400, fault.BadRequest},
+		{"unknown service", "/v1/services/none", key, nil, `{}`, 404, fault.UnknownModel},
+		{"service body", "/v1/services/confirm", key, http.Header{"Idempotency-Key": {"k"}}, `{`, 400, fault.BadRequest},
+		{"unknown path", "/v1/none", key, nil, `{}`, 404, fault.NotFound},
+		{"caller as operator", patches, key, nil, `{}`, 401, fault.Unauthorized},
+		{"unknown patch field", patches, operator, nil, `{"patch_id":"a","base":1,"patch":{"pool":{}}}`, 422, fault.InvalidPatch},
+		{"unknown entity field", patches, operator, nil, `{"patch_id":"b","base":1,"patch":{"workspaces":{"x":{"prio":1}}}}`, 422, fault.InvalidPatch},
+		{"negative limit", patches, operator, nil, `{"patch_id":"c","base":1,"patch":{"workspaces":{"x":{"tokens_per_minute":-1}}}}`, 422, fault.InvalidPatch},
+		{"no patch id", patches, operator, nil, `{"base":1,"patch":{}}`, 400, fault.BadRequest},
+		{"a checkpoint", patches, operator, nil, `{"patch_id":"d","base":1,"checkpoint":{"config":null,"through":1,"recent":null}}`, 400, fault.BadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			status, h, data := post(t, w.Addresses[0], c.path, c.key, c.header, c.body)
+			var r api.PatchRefusal
+			if err := json.Unmarshal([]byte(data), &r); err != nil {
+				t.Fatalf("%d %q: %v", status, data, err)
+			}
+			if status != c.status || r.Error.Code != c.kind || r.Error.Ran != fault.NotRun || r.Error.RequestID == "" || h.Get(api.HeaderRequestID) != r.Error.RequestID {
+				t.Fatalf("got %d %s", status, data)
+			}
+		})
+	}
+	var cfg fleet.Config
+	if err := w.Operator(http.MethodGet, "/config", nil, &cfg); err != nil || cfg.Number != 1 {
+		t.Fatalf("configuration %d, %v", cfg.Number, err)
+	}
+	if n := startedOn(w, "bib-lookup@v1"); n != 0 {
+		t.Fatalf("%d runs were started", n)
+	}
+}
+
+// Symptom: callers lose requests whenever daemons are replaced.
+// Sequence: all daemons stop one after the other and start anew at the same
+// address while callers, who hold endpoint answers for their whole time, go on.
+// Cause: a stopping daemon must leave the endpoint answers first and serve on
+// until the last of them has run out.
+func TestRollingRestartCutsNothing(t *testing.T) {
+	w := world(t, 3)
+	traffic := demo.NewTraffic(w)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); traffic.Run(ctx, 6, 1) }()
+	until(t, "traffic flows", func() bool { return traffic.Answered() > 20 })
+	for i := range w.Nodes {
+		if err := w.Restart(t.Context(), i); err != nil {
+			t.Errorf("daemon %d: %v", i, err)
+		}
+	}
+	stop()
+	<-done
+	if refused := traffic.Refused(); len(refused) > 0 {
+		t.Fatalf("not answered: %v", refused)
+	}
+}
+
+func TestMetricsAreReadable(t *testing.T) {
+	w := world(t, 1)
+	if status, _, _ := post(t, w.Addresses[0], "/v1/chat/completions", demo.Key(demo.Largada), nil, lookup); status != http.StatusOK {
+		t.Fatal(status)
+	}
+	until(t, "the request is counted", func() bool {
+		resp, err := http.Get("http://" + w.Addresses[0] + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		data, _ := io.ReadAll(resp.Body)
+		return bytes.Contains(data, []byte("damaskrudder_answered 1\n"))
+	})
+}
--- /dev/null
+++ b/internal/arch/arch_test.go
@@ -0,0 +1,98 @@
+// Package arch_test holds rules on the layout of the code.
+package arch_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// pure are the decision packages: typed inputs in, typed decisions out.
+var pure = []string{"fault", "fleet", "routing", "cascade", "rollout", "session", "request", "quota", "billing", "membership", "lease", "slo", "invariant"}
+
+// forbidden imports would bring I/O, or randomness and time from nowhere.
+var forbidden = []string{"net", "os", "io/fs", "syscall", "context", "sync", "crypto/rand", "github.com/charmbracelet/log"}
+
+// allowed are exceptions with their reason.
+var allowed = map[string]string{
+	"fault net/http":  "names of status codes",
+	"fleet net/netip": "parsing of addresses, no I/O",
+}
+
+func TestDecisionPackagesArePure(t *testing.T) {
+	files := 0
+	for _, pkg := range pure {
+		matches, err := filepath.Glob(filepath.Join("..", pkg, "*.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range matches {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			files++
+			checkFile(t, pkg, file)
+		}
+	}
+	if files < len(pure) {
+		t.Fatalf("only %d files were read", files)
+	}
+}
+
+func checkFile(t *testing.T, pkg, file string) {
+	t.Helper()
+	src, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, problem := range problems(t, pkg, file, string(src)) {
+		t.Errorf("%s: %s", file, problem)
+	}
+}
+
+func problems(t *testing.T, pkg, name, src string) []string {
+	t.Helper()
+	f, err := parser.ParseFile(token.NewFileSet(), name, src, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, imp := range f.Imports {
+		path, _ := strconv.Unquote(imp.Path.Value)
+		for _, bad := range forbidden {
+			if (path == bad || strings.HasPrefix(path, bad+"/")) && allowed[pkg+" "+path] == "" {
+				out = append(out, "imports "+path)
+			}
+		}
+	}
+	ast.Inspect(f, func(n ast.Node) bool {
+		sel, ok := n.(*ast.SelectorExpr)
+		if !ok {
+			return true
+		}
+		id, ok := sel.X.(*ast.Ident)
+		if !ok {
+			return true
+		}
+		switch {
+		case id.Name == "time" && (sel.Sel.Name == "Now" || sel.Sel.Name == "Since" || sel.Sel.Name == "Until" || sel.Sel.Name == "Sleep"):
+			out = append(out, "reads the clock with time."+sel.Sel.Name)
+		case id.Name == "rand" && sel.Sel.Name != "Rand" && sel.Sel.Name != "New" && sel.Sel.Name != "NewPCG":
+			out = append(out, "uses the global random source rand."+sel.Sel.Name)
+		}
+		return true
+	})
+	return out
+}
+
+func TestTheRuleFindsBreaches(t *testing.T) {
+	src := "package x\nimport (\"net/http\"; \"time\"; \"math/rand/v2\")\nvar _ = http.Get\nvar _ = time.Now()\nvar _ = rand.IntN(3)\n"
+	if got := problems(t, "routing", "x.go", src); len(got) != 3 {
+		t.Fatalf("found %v", got)
+	}
+}
--- /dev/null
+++ b/internal/cascade/cascade.go
@@ -0,0 +1,216 @@
+// Package cascade decides which model of a cascade answers first and whether
+// its answer is good enough, from late ratings of a sample. It does no I/O.
+package cascade
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	// ConfidenceBands is how finely the cheap model's own confidence is told apart.
+	ConfidenceBands = 8
+	// memory is how many ratings of one band count; older ones fade, so that a
+	// drift of the model's quality shows within about as many ratings.
+	memory = 60
+	// prior is the weight, in ratings, of the belief before the first rating.
+	prior = 2
+	// caution is the number of standard errors taken off a band's pass rate.
+	caution = 0.5
+)
+
+// Rate is a fading estimate of the fraction of good answers.
+type Rate struct {
+	Good  float64
+	Total float64
+}
+
+// Observe counts one rating.
+func (r *Rate) Observe(good bool) {
+	fade := 1 - 1.0/memory
+	r.Good *= fade
+	r.Total *= fade
+	r.Total++
+	if good {
+		r.Good++
+	}
+}
+
+// Mean returns the estimate, drawn towards believed when ratings are few.
+func (r Rate) Mean(believed float64) float64 {
+	return (r.Good + prior*believed) / (r.Total + prior)
+}
+
+// Low returns a cautious estimate.
+func (r Rate) Low(believed float64) float64 {
+	m := r.Mean(believed)
+	return m - caution*math.Sqrt(m*(1-m)/(r.Total+prior))
+}
+
+// Band returns the band of a confidence in [0, 1].
+func Band(confidence float64) int {
+	return min(max(int(confidence*ConfidenceBands), 0), ConfidenceBands-1)
+}
+
+// Class is the evidence for one request class of one workspace.
+type Class struct {
+	// Share counts recent requests by band of the cheap model's confidence.
+	Share [ConfidenceBands]float64
+	// Cheap is how often the cheap model's answers of a band are good.
+	Cheap [ConfidenceBands]Rate
+	// Dear is how often the dear model's answers are good.
+	Dear Rate
+}
+
+// Saw counts a cheap answer of some confidence.
+func (c *Class) Saw(confidence float64) {
+	fade := 1 - 1.0/(memory*ConfidenceBands)
+	for i := range c.Share {
+		c.Share[i] *= fade
+	}
+	c.Share[Band(confidence)]++
+}
+
+// Rated counts a rating of a cheap answer.
+func (c *Class) Rated(confidence float64, good bool) { c.Cheap[Band(confidence)].Observe(good) }
+
+// RatedDear counts a rating of a dear answer.
+func (c *Class) RatedDear(good bool) { c.Dear.Observe(good) }
+
+// Reset forgets what was learned of the cheap model, for a new version of it.
+func (c *Class) Reset() {
+	c.Cheap = [ConfidenceBands]Rate{}
+	c.Share = [ConfidenceBands]float64{}
+}
+
+// Costs are the prices of one answer in micros.
+type Costs struct{ Cheap, Dear float64 }
+
+// Plan says how to answer the requests of each class.
+type Plan struct {
+	// CheapFirst lists the classes whose requests go to the cheap model first.
+	CheapFirst map[string]bool
+	// Accept gives, by class and band, whether a cheap answer may stand.
+	Accept map[string][ConfidenceBands]bool
+	// Quality and Cost are the expected values per request.
+	Quality, Cost float64
+}
+
+const (
+	// believedCheap is assumed of the cheap model before ratings, at full and
+	// at no confidence.
+	believedCheapHigh, believedCheapLow = 0.85, 0.30
+	// believedDear is assumed of the dear model before ratings.
+	believedDear = 0.95
+)
+
+// believedCheap is the pass rate assumed for a band before its first rating: a
+// confident answer is more likely good.
+func believedCheap(band int) float64 {
+	f := (float64(band) + 0.5) / ConfidenceBands
+	return believedCheapLow + f*(believedCheapHigh-believedCheapLow)
+}
+
+type option struct {
+	class string
+	band  int
+	mass  float64
+	loss  float64
+}
+
+// Make plans a cascade: it accepts cheap answers where that costs the least
+// quality, over all classes together, as long as the expected quality stays at
+// the target. A class most of whose cheap answers would be thrown away goes to
+// the dear model at once, since the cheap run would only add cost and delay.
+func Make(classes map[string]*Class, costs Costs, target float64) Plan {
+	p := Plan{CheapFirst: map[string]bool{}, Accept: map[string][ConfidenceBands]bool{}}
+	options, total, quality := gather(classes)
+	if total == 0 {
+		return p
+	}
+	for _, o := range options {
+		if quality-o.mass*o.loss/total < target {
+			continue
+		}
+		quality -= o.mass * o.loss / total
+		a := p.Accept[o.class]
+		a[o.band] = true
+		p.Accept[o.class] = a
+	}
+	p.Quality = quality
+	p.prune(classes, costs, total)
+	return p
+}
+
+// gather lists every band of every class, least loss of quality first, with the
+// quality of answering all by the dear model.
+func gather(classes map[string]*Class) (options []option, total, quality float64) {
+	names := make([]string, 0, len(classes))
+	for n := range classes {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		c := classes[name]
+		dear := c.Dear.Mean(believedDear)
+		for band, mass := range c.Share {
+			if mass == 0 {
+				continue
+			}
+			total += mass
+			quality += mass * dear
+			options = append(options, option{name, band, mass, dear - c.Cheap[band].Low(believedCheap(band))})
+		}
+	}
+	slices.SortStableFunc(options, func(a, b option) int {
+		switch {
+		case a.loss < b.loss:
+			return -1
+		case a.loss > b.loss:
+			return 1
+		}
+		return 0
+	})
+	if total > 0 {
+		quality /= total
+	}
+	return options, total, quality
+}
+
+func (p *Plan) prune(classes map[string]*Class, costs Costs, total float64) {
+	for name, c := range classes {
+		var accepted, all float64
+		for band, mass := range c.Share {
+			all += mass
+			if p.Accept[name][band] {
+				accepted += mass
+			}
+		}
+		if all == 0 {
+			continue
+		}
+		viaCheap := costs.Cheap + (1-accepted/all)*costs.Dear
+		if viaCheap < costs.Dear {
+			p.CheapFirst[name] = true
+			p.Cost += all / total * viaCheap
+			continue
+		}
+		p.Cost += all / total * costs.Dear
+	}
+}
+
+// exploreShare is the fraction of a dear-first class that still asks the cheap
+// model, so that an improvement of it can show.
+const exploreShare = 0.02
+
+// First reports whether a request of a class goes to the cheap model first. A
+// class not planned yet does: nothing is known of it and the cheap answer is
+// judged before it stands. Coin is uniform in [0, 1).
+func (p Plan) First(class string, known bool, coin float64) bool {
+	return !known || p.CheapFirst[class] || coin < exploreShare
+}
+
+// Accepts reports whether a cheap answer of some confidence may stand.
+func (p Plan) Accepts(class string, confidence float64) bool {
+	return p.Accept[class][Band(confidence)]
+}
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,121 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/api"
+	"github.com/damaskrudder/damaskrudder/internal/cli"
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+)
+
+// client talks to the first daemon that answers.
+type client struct {
+	addresses []string
+	key       string
+	http      *http.Client
+}
+
+const callTimeout = 15 * time.Second
+
+func newClient(addresses, key string) (*client, error) {
+	if addresses == "" {
+		return nil, cli.Usage(errors.New("-address is needed, or RUDDERCTL_ADDRESS"))
+	}
+	if key == "" {
+		return nil, cli.Usage(errors.New("-key is needed, or RUDDERCTL_KEY"))
+	}
+	return &client{strings.Split(addresses, ","), key, &http.Client{Timeout: callTimeout}}, nil
+}
+
+func (c *client) base(address string) string {
+	if strings.Contains(address, "://") {
+		return address
+	}
+	return "http://" + address
+}
+
+// do calls the first daemon that can be reached.
+func (c *client) do(ctx context.Context, method, path string, in, out any) error {
+	var last error
+	for _, a := range c.addresses {
+		status, data, err := c.once(ctx, a, method, path, in)
+		if err != nil {
+			last = err
+			continue
+		}
+		if status >= http.StatusBadRequest {
+			return refusal(status, data)
+		}
+		return json.Unmarshal(data, out)
+	}
+	return &cli.Error{Code: cli.ExitUnreachable, Err: fmt.Errorf("no daemon answered: %w", last)}
+}
+
+func (c *client) once(ctx context.Context, address, method, path string, in any) (int, []byte, error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return 0, nil, err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base(address)+path, body)
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, data, err
+}
+
+// refusal turns a daemon's refusal into an error with its exit code.
+func refusal(status int, data []byte) error {
+	var r api.PatchRefusal
+	_ = json.Unmarshal(data, &r)
+	if r.Error.Message == "" {
+		return fmt.Errorf("the daemon answered %d: %s", status, bytes.TrimSpace(data))
+	}
+	err := fmt.Errorf("%s: %s (%s, request %s)", r.Error.Code, r.Error.Message, r.Error.Ran, r.Error.RequestID)
+	if status != http.StatusConflict {
+		return err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%v\nin force: %d; changed since your base:", err, r.InForce)
+	for _, m := range r.Moved {
+		fmt.Fprintf(&b, "\n  %d by %s: %s", m.Number, orDash(m.Author), strings.Join(m.Touched, " "))
+	}
+	return &cli.Error{Code: cli.ExitConflict, Err: errors.New(b.String())}
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func (c *client) config(ctx context.Context) (*fleet.Config, error) {
+	cfg := fleet.Empty()
+	err := c.do(ctx, http.MethodGet, "/operator/v1/config", nil, cfg)
+	return cfg, err
+}
+
+func (c *client) patch(ctx context.Context, r fleet.Record) (fleet.Outcome, error) {
+	var o fleet.Outcome
+	err := c.do(ctx, http.MethodPost, "/operator/v1/patches", r, &o)
+	return o, err
+}
--- /dev/null
+++ b/internal/ctl/declare.go
@@ -0,0 +1,112 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+)
+
+// loadDeclarations reads the wanted configuration from a directory: every .json
+// and .jsonc file holds sections of it.
+func loadDeclarations(dir string) (*fleet.Config, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.json*"))
+	if err != nil {
+		return nil, err
+	}
+	if len(files) == 0 {
+		return nil, fmt.Errorf("%s holds no .json or .jsonc file", dir)
+	}
+	slices.Sort(files)
+	wanted := fleet.Empty()
+	for _, f := range files {
+		if err := addFile(wanted, f); err != nil {
+			return nil, fmt.Errorf("%s: %w", f, err)
+		}
+	}
+	return wanted, wanted.Validate()
+}
+
+func addFile(wanted *fleet.Config, file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	plain, err := hujson.Standardize(data)
+	if err != nil {
+		return err
+	}
+	var part fleet.Config
+	if err := fleet.DecodeStrict(plain, &part); err != nil {
+		return err
+	}
+	if part.Number != 0 {
+		return fmt.Errorf("number: is the system's to set")
+	}
+	return wanted.Merge(&part)
+}
+
+// printChanges shows each changed entity, and what it means for whom.
+func printChanges(out io.Writer, c *fleet.Config, changes []fleet.Change) {
+	for _, ch := range changes {
+		mark := "~"
+		switch {
+		case ch.Old == nil:
+			mark = "+"
+		case ch.New == nil:
+			mark = "-"
+		}
+		fmt.Fprintf(out, "%s %s %s\n", mark, ch.Path, ch.Patch)
+		if touched := touches(c, ch.Path); len(touched) > 0 {
+			fmt.Fprintf(out, "    touches workspaces: %s\n", strings.Join(touched, " "))
+		}
+	}
+}
+
+// touches lists the workspaces in force that use an entity.
+func touches(c *fleet.Config, path string) []string {
+	section, name, _ := strings.Cut(path, "/")
+	var out []string
+	for ws, w := range c.Workspaces {
+		uses := false
+		switch section {
+		case "workspaces":
+			uses = ws == name
+		case "cascades":
+			uses = slices.Contains(w.Cascades, name)
+		case "services":
+			uses = slices.Contains(w.Services, name)
+		case "models", "rollouts":
+			uses = slices.ContainsFunc(w.Models, func(e string) bool { return e == name || strings.HasPrefix(e, name+"@") })
+		case "pools":
+			uses = usesPool(c, w, name)
+		}
+		if uses {
+			out = append(out, ws)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func usesPool(c *fleet.Config, w fleet.Workspace, pool string) bool {
+	for _, s := range w.Services {
+		if c.Services[s].Pool == pool {
+			return true
+		}
+	}
+	for mn, m := range c.Models {
+		for vn, v := range m.Versions {
+			if v.Pool == pool && w.Allows(mn, vn) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/ctl/views.go
@@ -0,0 +1,194 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/api"
+	"github.com/damaskrudder/damaskrudder/internal/billing"
+	"github.com/damaskrudder/damaskrudder/internal/cli"
+	"github.com/damaskrudder/damaskrudder/internal/daemon"
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/slo"
+)
+
+func (t *tool) status(ctx context.Context, c *client, _ []string) error {
+	var s api.Status
+	if err := c.do(ctx, http.MethodGet, "/operator/v1/status", nil, &s); err != nil {
+		return err
+	}
+	if t.json {
+		return t.printJSON(s)
+	}
+	fmt.Fprintf(t.out, "as %s sees it: configuration %d, ready %v\n", s.ID, s.Number, s.Ready)
+	var rows []string
+	for _, m := range s.Members {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%v\t%dms", m.ID, m.Address, m.FailureDomain, m.State, m.Number, m.InFlight, m.Leaving, m.LogAgeMillis))
+	}
+	return t.table("DAEMON\tADDRESS\tFAILURE DOMAIN\tSTATE\tNUMBER\tIN FLIGHT\tLEAVING\tLOG AGE", rows)
+}
+
+func (t *tool) servers(ctx context.Context, c *client, _ []string) error {
+	var all []daemon.ServerView
+	if err := c.do(ctx, http.MethodGet, "/operator/v1/servers", nil, &all); err != nil {
+		return err
+	}
+	if t.json {
+		return t.printJSON(all)
+	}
+	var rows []string
+	for _, s := range all {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%d\t%.1f\t%.3f\t%v\t%v\t%v", s.Pool, s.ID, s.FailureDomain, s.InFlight, s.OthersInFlight, s.ErrorRate, s.Leaving, s.Suspect, s.Versions))
+	}
+	return t.table("POOL\tSERVER\tFAILURE DOMAIN\tOWN\tOTHERS\tERRORS\tLEAVING\tSUSPECT\tVERSIONS", rows)
+}
+
+func (t *tool) rollout(ctx context.Context, c *client, args []string) error {
+	if len(args) == 0 || args[0] == "show" {
+		return t.showRollouts(ctx, c)
+	}
+	if len(args) != 2 {
+		return cli.Usage(errors.New("rollout needs show, or hold, resume or withdraw and a model"))
+	}
+	cfg, err := c.config(ctx)
+	if err != nil {
+		return err
+	}
+	ro, ok := cfg.Rollouts[args[1]]
+	if !ok {
+		return cli.Usage(fmt.Errorf("model %q has no roll-out", args[1]))
+	}
+	if t.base < 0 {
+		t.base = int64(cfg.Number)
+	}
+	change := map[string]any{}
+	switch args[0] {
+	case "hold":
+		change["rollouts"] = map[string]any{ro.Model: map[string]any{"state": fleet.Held}}
+	case "resume":
+		change["rollouts"] = map[string]any{ro.Model: map[string]any{"state": fleet.Running}}
+	case "withdraw":
+		gone := map[string]any{"state": fleet.Withdrawn, "successor": cfg.Models[ro.Model].Stable}
+		change["rollouts"] = map[string]any{ro.Model: map[string]any{"state": fleet.RolledBack}}
+		change["models"] = map[string]any{ro.Model: map[string]any{"versions": map[string]any{ro.To: gone}}}
+	default:
+		return cli.Usage(fmt.Errorf("rollout knows show, hold, resume and withdraw, not %q", args[0]))
+	}
+	return t.send(ctx, c, change)
+}
+
+func (t *tool) showRollouts(ctx context.Context, c *client) error {
+	var all []daemon.RolloutView
+	if err := c.do(ctx, http.MethodGet, "/operator/v1/rollouts", nil, &all); err != nil {
+		return err
+	}
+	if t.json {
+		return t.printJSON(all)
+	}
+	var rows []string
+	for _, r := range all {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%.1f%%\t%d/%d\t%d/%d\t%s\t%s", r.Model, r.To, r.State, r.Percent,
+			r.Fresh.Errors, r.Fresh.Requests, r.Running.Errors, r.Running.Requests, orDash(r.Home), orDash(r.Reason)))
+	}
+	return t.table("MODEL\tTO\tSTATE\tSHARE\tNEW ERRORS\tRUNNING ERRORS\tHOME\tREASON", rows)
+}
+
+func (t *tool) endpoints(ctx context.Context, c *client, _ []string) error {
+	var r struct {
+		Endpoints  []string `json:"endpoints"`
+		TTLSeconds float64  `json:"ttl_seconds"`
+	}
+	if err := c.do(ctx, http.MethodGet, "/v1/endpoints", nil, &r); err != nil {
+		return err
+	}
+	if t.json {
+		return t.printJSON(r)
+	}
+	fmt.Fprintf(t.out, "for %gs: %v\n", r.TTLSeconds, r.Endpoints)
+	return nil
+}
+
+func (t *tool) usage(ctx context.Context, c *client, _ []string) error {
+	var r struct {
+		Bills      int            `json:"bills"`
+		Duplicates int            `json:"duplicates"`
+		Doubtful   []string       `json:"doubtful"`
+		Lines      []billing.Line `json:"lines"`
+	}
+	if err := c.do(ctx, http.MethodGet, "/operator/v1/usage", nil, &r); err != nil {
+		return err
+	}
+	if t.json {
+		return t.printJSON(r)
+	}
+	var rows []string
+	for _, l := range r.Lines {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%.6f", l.Workspace, l.Model, orDash(l.Version), l.Requests, l.Cut, l.Tokens, float64(l.Micros)/1e6))
+	}
+	if err := t.table("WORKSPACE\tMODEL\tVERSION\tREQUESTS\tCUT\tTOKENS\tPRICE", rows); err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "%d bills, %d duplicate records folded, %d doubtful\n", r.Bills, r.Duplicates, len(r.Doubtful))
+	for _, id := range r.Doubtful {
+		fmt.Fprintln(t.out, "doubtful:", id)
+	}
+	return nil
+}
+
+func (t *tool) burn(ctx context.Context, c *client, _ []string) error {
+	var r struct {
+		Lines   []slo.Line `json:"lines"`
+		Missing []string   `json:"missing"`
+	}
+	if err := c.do(ctx, http.MethodGet, "/operator/v1/burn", nil, &r); err != nil {
+		return err
+	}
+	if t.json {
+		return t.printJSON(r)
+	}
+	var rows []string
+	for _, l := range r.Lines {
+		end := "-"
+		if l.Exhausted > 0 {
+			end = l.Exhausted.Round(time.Minute).String()
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%.2f\t%.0f%%\t%s\t%s", l.Workspace, l.Objective, l.Window, l.Requests, l.Bad, l.Burn, 100*l.Left, end, orDash(l.Worst)))
+	}
+	if err := t.table("WORKSPACE\tOBJECTIVE\tWINDOW\tREQUESTS\tBAD\tBURN\tLEFT\tEXHAUSTED IN\tMOST FROM", rows); err != nil {
+		return err
+	}
+	if len(r.Missing) > 0 {
+		fmt.Fprintf(t.out, "without the counters of %v\n", r.Missing)
+	}
+	return nil
+}
+
+func (t *tool) explain(ctx context.Context, c *client, args []string) error {
+	if len(args) < 2 || len(args) > 3 {
+		return cli.Usage(errors.New("explain needs a workspace and a model, and takes a session"))
+	}
+	in := map[string]string{"workspace": args[0], "model": args[1]}
+	if len(args) == 3 {
+		in["session"] = args[2]
+	}
+	var e daemon.Explanation
+	if err := c.do(ctx, http.MethodPost, "/operator/v1/explain", in, &e); err != nil {
+		return err
+	}
+	if t.json {
+		return t.printJSON(e)
+	}
+	fmt.Fprintf(t.out, "configuration %d: %s@%s (%s), pool %s, server %s\n", e.Number, e.Model, e.Version, e.Why, e.Pool, orDash(e.Chosen))
+	var rows []string
+	for _, r := range e.Reasons {
+		word := r.Cost.String()
+		if !r.Kept {
+			word = "out"
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s", r.Server, r.Rule, word))
+	}
+	return t.table("SERVER\tRULE\tWORD", rows)
+}
--- /dev/null
+++ b/internal/daemon/call.go
@@ -0,0 +1,148 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/billing"
+	"github.com/damaskrudder/damaskrudder/internal/engine"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/request"
+	"github.com/damaskrudder/damaskrudder/internal/routing"
+)
+
+// ServiceCall is a checked call of a plain service.
+type ServiceCall struct {
+	Workspace string
+	Service   string
+	Body      []byte
+	// Key is the Idempotency-Key, required for non-repeatable services.
+	Key string
+}
+
+// ServiceAnswer is a plain service's reply.
+type ServiceAnswer struct {
+	Status   int
+	Body     []byte
+	Replayed bool
+}
+
+// Call answers a plain service call. Its error is always a *fault.Error.
+func (d *Daemon) Call(ctx context.Context, id string, q ServiceCall) (*ServiceAnswer, error) {
+	done, err := d.enter()
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	began := time.Now()
+	st := &served{model: "service " + q.Service}
+	a, err := d.call(ctx, id, q, st)
+	d.account(q.Workspace, st, began, err)
+	return a, err
+}
+
+func (d *Daemon) call(ctx context.Context, id string, q ServiceCall, st *served) (*ServiceAnswer, error) {
+	c := d.config.current()
+	w := c.Workspaces[q.Workspace]
+	svc, ok := c.Services[q.Service]
+	if !ok {
+		return nil, fault.Field(fault.UnknownModel, "service", "no service %q", q.Service)
+	}
+	if !slices.Contains(w.Services, q.Service) {
+		return nil, fault.Field(fault.NotEntitled, "service", "the workspace may not call %q", q.Service)
+	}
+	if svc.NonRepeatable && q.Key == "" {
+		return nil, fault.Field(fault.BadRequest, "Idempotency-Key", "service %q needs a key: its calls may not be repeated", q.Service)
+	}
+	res, err := d.limits.reserve(ctx, q.Workspace, w, 0)
+	if err != nil {
+		return nil, err
+	}
+	defer res.settle(0)
+	if err := d.usage.reserve(); err != nil {
+		return nil, err
+	}
+	a, ran, err := d.callOnce(ctx, id, q, svc, w)
+	if !ran {
+		d.usage.cancel()
+		return a, err
+	}
+	outcome := billing.Complete
+	if err != nil {
+		outcome = billing.Cut
+	}
+	d.usage.add(ctx, billing.Usage{
+		RequestID: id, Workspace: q.Workspace, Model: q.Service, Micros: svc.Micros,
+		Outcome: outcome, UnixMillis: time.Now().UnixMilli(), Daemon: d.settings.ID,
+		FirstTokenMillis: st.firstToken.Milliseconds(),
+	})
+	return a, err
+}
+
+// callOnce claims the key, if there is one, and sends the call. Ran says
+// whether a server answered or may have run it.
+func (d *Daemon) callOnce(ctx context.Context, id string, q ServiceCall, svc fleet.Service, w fleet.Workspace) (a *ServiceAnswer, ran bool, err error) {
+	var t *ticket
+	if q.Key != "" {
+		var replay *request.Verdict
+		t, replay, err = d.claims.acquire(ctx, q.Workspace, q.Key, q.Body, id)
+		if err != nil {
+			return nil, false, err
+		}
+		if replay != nil {
+			return &ServiceAnswer{replay.Status, replay.Answer, true}, false, nil
+		}
+	}
+	a, err = d.send(ctx, id, q, svc, w)
+	if err != nil {
+		state := fault.From(err).State()
+		t.finish(state, 0, nil)
+		return nil, state != fault.NotRun, err
+	}
+	t.finish(fault.Ran, a.Status, a.Body)
+	return a, true, nil
+}
+
+// send tries servers until one answers or the call may have run.
+func (d *Daemon) send(ctx context.Context, id string, q ServiceCall, svc fleet.Service, w fleet.Workspace) (*ServiceAnswer, error) {
+	limit := defaultDeadline
+	if w.DeadlineMillis > 0 {
+		limit = time.Duration(w.DeadlineMillis) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	life := &request.Life{Repeatable: q.Key == "", Deadline: time.Now().Add(limit)}
+	d.retries.earn()
+	var tried []string
+	for {
+		c := d.config.current()
+		if !slices.Contains(c.Workspaces[q.Workspace].Services, q.Service) {
+			d.metrics.lastCheck.Inc(1)
+			return nil, fault.New(fault.NotEntitled, "service %s is no longer allowed", q.Service).With(life.State())
+		}
+		ch, err := d.pools.pick(c, svc.Pool, "", &routing.Request{}, tried)
+		if err != nil {
+			return nil, fault.From(err).With(life.State())
+		}
+		tried = append(tried, ch.candidate.ID)
+		life.Began()
+		d.metrics.attempts.Inc(1)
+		began := time.Now()
+		status, body, err := d.engine.Call(ctx, ch.candidate.Address, id, q.Body)
+		d.pools.completed(ch, time.Since(began), err != nil || status >= http.StatusInternalServerError)
+		if err == nil {
+			return &ServiceAnswer{Status: status, Body: body}, nil
+		}
+		event := request.RunGone
+		if errors.Is(err, engine.ErrNotConnected) {
+			event = request.ConnectFailed
+		}
+		if dec := d.decide(life, event); dec.Action != request.TryAnother {
+			return nil, dec.Error
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/config.go
@@ -0,0 +1,314 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
+	"github.com/damaskrudder/damaskrudder/internal/peer"
+	"github.com/damaskrudder/damaskrudder/internal/platform"
+)
+
+const (
+	// configStream is the log stream of the configuration.
+	configStream = "config"
+	// readLimit bounds one read of the log in records.
+	readLimit = 500
+	// readWait is how long a read waits for news.
+	readWait = time.Second
+	// readRetry is the pause after a failed read.
+	readRetry = 250 * time.Millisecond
+	// readersPerDomain is how many daemons of a failure domain read the log all
+	// the time; the others hear from them and look for themselves rarely.
+	readersPerDomain = 2
+	// rareRead is the period of a daemon that is no reader.
+	rareRead = 8 * time.Second
+	// tailKept is how many raw records are kept for peers.
+	tailKept = 1024
+	// checkpointEvery is the number of records between two checkpoints.
+	checkpointEvery = 200
+	// patchTimeout bounds the wait for a submitted patch to be folded.
+	patchTimeout = 5 * time.Second
+	// peerCallTimeout bounds a call to another daemon.
+	peerCallTimeout = 1500 * time.Millisecond
+	// settledDomains is how many failure domains a fresh daemon without the log
+	// must have heard before it serves by its peers' word.
+	settledDomains = 2
+)
+
+// configuration follows the configuration stream, from the log or from peers.
+type configuration struct {
+	d   *Daemon
+	now atomic.Pointer[fleet.Config]
+
+	mu        sync.Mutex
+	fold      *fleet.Fold
+	tail      []platform.Record
+	logHeard  time.Time
+	peerHeard time.Time
+	loaded    bool
+	domains   map[string]bool
+	changed   chan struct{}
+	sinceMark int
+}
+
+func newConfiguration(d *Daemon) *configuration {
+	c := &configuration{d: d, fold: fleet.NewFold(), domains: map[string]bool{}, changed: make(chan struct{})}
+	c.now.Store(c.fold.Config())
+	return c
+}
+
+func (c *configuration) register(s *peer.Server) {
+	peer.Handle(s, "config", func(_ context.Context, _ string, q peer.FetchConfig) (peer.ConfigTail, error) {
+		return c.serveTail(q.From)
+	})
+}
+
+func (c *configuration) current() *fleet.Config { return c.now.Load() }
+
+func (c *configuration) heard() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.logHeard
+}
+
+// sight gathers what decides whether the daemon may serve.
+func (c *configuration) sight(m *members) membership.Sight {
+	most := m.hearsMost()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if most {
+		c.peerHeard = time.Now()
+	}
+	return membership.Sight{LogHeard: c.logHeard, PeersHeard: c.peerHeard, Loaded: c.loaded}
+}
+
+func (c *configuration) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !c.reader() && !pause(ctx, rareRead) {
+			return
+		}
+		if err := c.read(ctx); err != nil && ctx.Err() == nil {
+			c.d.metrics.logErrors.Inc(1)
+			pause(ctx, readRetry)
+		}
+	}
+}
+
+// reader reports whether this daemon reads the log all the time. A daemon that
+// has no configuration yet does.
+func (c *configuration) reader() bool {
+	c.mu.Lock()
+	loaded := c.loaded
+	c.mu.Unlock()
+	return !loaded || c.d.members.isHomeIn(configStream, readersPerDomain)
+}
+
+func (c *configuration) read(ctx context.Context) error {
+	c.mu.Lock()
+	from := c.fold.Next()
+	c.mu.Unlock()
+	b, err := c.d.ports.Log.Read(ctx, configStream, from, readLimit, readWait)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.logHeard = time.Now()
+	c.mu.Unlock()
+	c.apply(b.Records)
+	c.mu.Lock()
+	caughtUp := c.fold.Next() >= b.Next && c.fold.Anchored()
+	c.loaded = c.loaded || caughtUp
+	mark := c.sinceMark >= checkpointEvery && caughtUp
+	c.mu.Unlock()
+	if mark && c.d.members.isHome("checkpoint") {
+		c.checkpoint(ctx)
+	}
+	return nil
+}
+
+func (c *configuration) apply(records []platform.Record) {
+	if len(records) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range records {
+		if r.Offset >= c.fold.Next() {
+			c.tail = append(c.tail, r)
+			c.sinceMark++
+		}
+		c.fold.Apply(r.Offset, r.Data)
+	}
+	if len(c.tail) > 2*tailKept {
+		c.tail = append([]platform.Record(nil), c.tail[len(c.tail)-tailKept:]...)
+	}
+	c.publish()
+}
+
+// publish makes the fold's configuration the one in force. Callers hold mu.
+func (c *configuration) publish() {
+	next := c.fold.Config()
+	if next.Number != c.now.Load().Number {
+		c.now.Store(next)
+		c.d.metrics.configNumber.Update(float64(next.Number))
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// checkpoint appends the state again before its records age out. Two daemons
+// that both do so are harmless: an anchored fold ignores checkpoints.
+func (c *configuration) checkpoint(ctx context.Context) {
+	c.mu.Lock()
+	c.sinceMark = 0
+	data, err := json.Marshal(fleet.Record{Checkpoint: c.fold.Checkpoint()})
+	c.mu.Unlock()
+	if err == nil {
+		c.d.metrics.logAppends.Inc(1)
+		_, err = c.d.ports.Log.Append(ctx, configStream, [][]byte{data})
+	}
+	if err != nil {
+		c.d.metrics.logErrors.Inc(1)
+	}
+}
+
+func (c *configuration) serveTail(from uint64) (peer.ConfigTail, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.fold.Anchored() || from >= c.fold.Next() {
+		return peer.ConfigTail{}, nil
+	}
+	if len(c.tail) > 0 && c.tail[0].Offset <= from {
+		return peer.ConfigTail{Records: append([]platform.Record(nil), c.tail[from-c.tail[0].Offset:]...)}, nil
+	}
+	data, err := json.Marshal(c.fold.Checkpoint())
+	return peer.ConfigTail{Checkpoint: data}, oops.In("config").Wrap(err)
+}
+
+func (c *configuration) next() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fold.Next()
+}
+
+// peerAhead is called when a heartbeat shows a peer's position.
+func (c *configuration) peerAhead(ctx context.Context, from membership.Beat, theirs uint64) {
+	c.mu.Lock()
+	ours, anchored := c.fold.Next(), c.fold.Anchored()
+	c.mu.Unlock()
+	if theirs > ours || !anchored {
+		c.fetch(ctx, from.PeerAddress, ours)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loaded || c.fold.Next() < theirs || theirs == 0 {
+		return
+	}
+	c.domains[from.FailureDomain] = true
+	c.loaded = len(c.domains) >= settledDomains
+}
+
+func (c *configuration) fetch(ctx context.Context, address string, from uint64) {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	t, err := peer.Call[peer.FetchConfig, peer.ConfigTail](ctx, c.d.links, address, "config", peer.FetchConfig{From: from})
+	if err != nil {
+		return
+	}
+	if len(t.Checkpoint) > 0 {
+		var cp fleet.Checkpoint
+		if json.Unmarshal(t.Checkpoint, &cp) != nil {
+			return
+		}
+		c.mu.Lock()
+		if c.fold.Adopt(&cp) {
+			c.tail = nil
+			c.publish()
+		}
+		c.mu.Unlock()
+		return
+	}
+	c.apply(t.Records)
+}
+
+// Submit appends a patch and waits until the fold has judged it. When the reply
+// of the append is lost, the patch is looked for by its id and never appended
+// again here: a caller who repeats it sends the same id.
+func (d *Daemon) Submit(ctx context.Context, r fleet.Record) (fleet.Outcome, error) {
+	if r.PatchID == "" {
+		return fleet.Outcome{}, fault.Field(fault.BadRequest, "patch_id", "must not be empty")
+	}
+	if o, known := d.config.outcome(r.PatchID); known {
+		return o, nil
+	}
+	cfg := d.config.current()
+	if r.Base == cfg.Number {
+		if _, _, err := cfg.Apply(r.Patch); err != nil {
+			return fleet.Outcome{}, fault.New(fault.InvalidPatch, "%v", err)
+		}
+	}
+	data, err := json.Marshal(r)
+	if err != nil {
+		return fleet.Outcome{}, oops.In("config").Wrap(err)
+	}
+	d.metrics.logAppends.Inc(1)
+	_, appendErr := d.ports.Log.Append(ctx, configStream, [][]byte{data})
+	if appendErr != nil {
+		d.metrics.logErrors.Inc(1)
+	}
+	return d.config.await(ctx, r.PatchID, appendErr)
+}
+
+func (c *configuration) outcome(id string) (fleet.Outcome, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fold.Lookup(id)
+}
+
+func (c *configuration) await(ctx context.Context, id string, appendErr error) (fleet.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, patchTimeout)
+	defer cancel()
+	for {
+		c.mu.Lock()
+		o, known := c.fold.Lookup(id)
+		changed := c.changed
+		c.mu.Unlock()
+		if known {
+			return o, nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(readRetry):
+			_ = c.readOnce(ctx)
+		case <-ctx.Done():
+			unknown := fault.New(fault.LogUnavailable, "patch %s was sent and is not confirmed; send it again with the same id", id)
+			return fleet.Outcome{}, unknown.With(fault.Unknown).Because(appendErr)
+		}
+	}
+}
+
+// readOnce catches up now, for a daemon that is no reader.
+func (c *configuration) readOnce(ctx context.Context) error {
+	if c.reader() {
+		return nil
+	}
+	return c.read(ctx)
+}
+
+// Config returns the configuration in force.
+func (d *Daemon) Config() *fleet.Config { return d.config.current() }
+
+// History returns the newest patch outcomes, oldest first.
+func (d *Daemon) History() []fleet.Outcome {
+	d.config.mu.Lock()
+	defer d.config.mu.Unlock()
+	return d.config.fold.History()
+}
--- /dev/null
+++ b/internal/daemon/dispatch.go
@@ -0,0 +1,241 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/engine"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/request"
+	"github.com/damaskrudder/damaskrudder/internal/routing"
+)
+
+// step is one model's turn to answer a request.
+type step struct {
+	requestID string
+	workspace string
+	model     string
+	version   string
+	// fallback is the version for a further attempt when a run failed: the
+	// running one, for a session that a roll-out moved and that has no answer
+	// yet. Empty keeps the version.
+	fallback string
+	priority int
+	prompt   string
+	body     map[string]json.RawMessage
+	life     *request.Life
+	deadline time.Time
+	// deliver gets each piece of the answer; its error means the caller left.
+	deliver func(text string) error
+}
+
+// stepResult is what a step gave.
+type stepResult struct {
+	text       strings.Builder
+	usage      engine.Usage
+	firstToken time.Duration
+	choice     choice
+	finish     string
+	complete   bool
+}
+
+// run drives the attempts of a step until its answer is whole or it fails.
+func (d *Daemon) run(ctx context.Context, s *step) (*stepResult, error) {
+	res := &stepResult{}
+	var tried []string
+	d.retries.earn()
+	rr := routing.Request{PromptTokens: (len(s.prompt) + 3) / 4, BlockTokens: routing.BlockTokens}
+	rr.Blocks = routing.Blocks(nil, s.model+"@"+s.version, s.prompt)
+	for {
+		if s.life.Attempts() > 0 && s.fallback != "" {
+			s.version = s.fallback
+			rr.Blocks = routing.Blocks(rr.Blocks[:0], s.model+"@"+s.version, s.prompt)
+		}
+		c := d.config.current()
+		v, ok := c.Version(s.model, s.version)
+		if !ok || !c.MayDispatch(s.workspace, s.model, s.version) {
+			return res, d.lastCheck(s)
+		}
+		rr.Budget = time.Until(s.deadline)
+		ch, err := d.pools.pick(c, v.Pool, s.model+"@"+s.version, &rr, tried)
+		if err != nil {
+			return res, fault.From(err).With(s.life.State())
+		}
+		tried = append(tried, ch.candidate.ID)
+		s.life.Began()
+		if s.life.Attempts() > 1 {
+			d.metrics.retries.Inc(1)
+		}
+		dec := d.attempt(ctx, s, res, ch)
+		if res.complete {
+			return res, nil
+		}
+		if dec.Action != request.TryAnother {
+			return res, dec.Error
+		}
+	}
+}
+
+// lastCheck refuses an attempt whose version lost its permission while the
+// request was queued, retried or escalated.
+func (d *Daemon) lastCheck(s *step) error {
+	d.metrics.lastCheck.Inc(1)
+	return fault.New(fault.VersionWithdrawn, "%s@%s is no longer allowed", s.model, s.version).With(s.life.State())
+}
+
+// attempt runs once on one server, resuming its stream as often as needed.
+func (d *Daemon) attempt(ctx context.Context, s *step, res *stepResult, ch choice) request.Decision {
+	began := time.Now()
+	res.text.Reset()
+	runID := fmt.Sprintf("%s-%d", s.requestID, s.life.Attempts())
+	asm := request.NewAssembler(runID)
+	d.metrics.attempts.Inc(1)
+	failed := true
+	defer func() { d.finishAttempt(s, ch, began, res, failed) }()
+	// The configuration may have changed since the pick; this check is the last
+	// thing before the request leaves.
+	if !d.config.current().MayDispatch(s.workspace, s.model, s.version) {
+		failed = false
+		return request.Decision{Action: request.Fail, Error: fault.From(d.lastCheck(s))}
+	}
+	stream, err := d.engine.Start(ctx, ch.candidate.Address, engine.Run{
+		ID: runID, Version: s.model + "@" + s.version, Priority: s.priority, Body: s.body,
+	})
+	for {
+		event := d.pump(s, res, ch, asm, stream, err, began)
+		if res.complete {
+			failed = false
+			return request.Decision{}
+		}
+		if ctx.Err() != nil {
+			event = request.CallerGone
+		}
+		if event == request.Refused {
+			d.pools.lacks(ch, s.model+"@"+s.version)
+		}
+		dec := d.decide(s.life, event)
+		if dec.Action != request.Resume {
+			d.abandonRun(ch, runID, event)
+			failed = event != request.CallerGone
+			return dec
+		}
+		d.metrics.resumes.Inc(1)
+		stream, err = d.engine.Resume(ctx, ch.candidate.Address, runID, asm.Last())
+	}
+}
+
+func (d *Daemon) decide(life *request.Life, e request.Event) request.Decision {
+	d.retries.mu.Lock()
+	defer d.retries.mu.Unlock()
+	return life.After(e, time.Now(), d.retries.budget)
+}
+
+// retries is the retry budget of all requests of this daemon.
+type retries struct {
+	mu     sync.Mutex
+	budget *request.RetryBudget
+}
+
+func (r *retries) earn() {
+	r.mu.Lock()
+	r.budget.Earn()
+	r.mu.Unlock()
+}
+
+// abandonRun cancels a run that will not be resumed. A run nobody waits for
+// would hold a slot, and its answer could not be billed.
+func (d *Daemon) abandonRun(ch choice, runID string, e request.Event) {
+	if e == request.Refused || e == request.ConnectFailed || e == request.RunFailed || e == request.RunGone {
+		return
+	}
+	go func() { _ = d.engine.Cancel(ch.candidate.Address, runID) }()
+}
+
+func (d *Daemon) finishAttempt(s *step, ch choice, began time.Time, res *stepResult, failed bool) {
+	d.pools.completed(ch, time.Since(began), failed)
+	if !res.complete {
+		return
+	}
+	res.choice = ch
+}
+
+// pump passes the frames of one connection on until the answer is whole or the
+// connection is of no more use.
+func (d *Daemon) pump(s *step, res *stepResult, ch choice, asm *request.Assembler, stream *engine.Stream, err error, began time.Time) request.Event {
+	if err != nil {
+		return startEvent(err)
+	}
+	defer stream.Close()
+	s.life.Started()
+	for {
+		f, err := stream.Next()
+		if err != nil {
+			d.pools.silent(ch)
+			return request.Broken
+		}
+		switch asm.Accept(f.Frame) {
+		case request.Deliver:
+		case request.Gap:
+			d.metrics.framesDropped.Inc(1)
+			return request.Broken
+		default:
+			d.metrics.framesDropped.Inc(1)
+			continue
+		}
+		if f.Failed {
+			d.observeRun(s, ch, true, res.firstToken)
+			return request.RunFailed
+		}
+		if err := d.take(s, res, ch, f, began); err != nil {
+			return request.CallerGone
+		}
+		if res.complete {
+			return request.Broken
+		}
+	}
+}
+
+func startEvent(err error) request.Event {
+	switch {
+	case errors.Is(err, engine.ErrNotStarted):
+		return request.Refused
+	case errors.Is(err, engine.ErrNotConnected):
+		return request.ConnectFailed
+	case errors.Is(err, engine.ErrRunGone):
+		return request.RunGone
+	}
+	return request.Broken
+}
+
+// take books a delivered frame and hands its text to the caller.
+func (d *Daemon) take(s *step, res *stepResult, ch choice, f engine.Frame, began time.Time) error {
+	if res.firstToken == 0 {
+		res.firstToken = time.Since(began)
+		d.pools.firstToken(ch, res.firstToken)
+		d.metrics.firstToken.RecordDuration(res.firstToken)
+	}
+	if f.End {
+		res.complete, res.usage, res.finish = true, f.Usage, f.Finish
+		d.observeRun(s, ch, false, res.firstToken)
+		return nil
+	}
+	res.text.WriteString(f.Delta)
+	if s.deliver == nil || f.Delta == "" {
+		return nil
+	}
+	s.life.Delivered()
+	return s.deliver(f.Delta)
+}
+
+func (d *Daemon) observeRun(s *step, ch choice, failed bool, first time.Duration) {
+	slow := first > slowRun*ch.expected && first > slowFloor
+	d.rollouts.observe(observation{
+		model: s.model, version: s.version, server: ch.candidate.ID, domain: ch.candidate.FailureDomain,
+		failed: failed, timed: !failed && ch.spare, slow: slow,
+	})
+}
--- /dev/null
+++ b/internal/daemon/limits.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/peer"
+	"github.com/damaskrudder/damaskrudder/internal/quota"
+)
+
+// leaseTimeout bounds the wait for a meter's home.
+const leaseTimeout = 300 * time.Millisecond
+
+// limits spends leased shares of workspace limits, and leases as home.
+type limits struct {
+	d      *Daemon
+	mu     sync.Mutex
+	shares map[string]*share
+	home   *quota.Home
+}
+
+type share struct {
+	*quota.Share
+	// asking is held while one request fetches a lease for all.
+	asking sync.Mutex
+}
+
+func newLimits(d *Daemon) *limits {
+	return &limits{d: d, shares: map[string]*share{}, home: quota.NewHome(d.incarnation)}
+}
+
+func (l *limits) register(s *peer.Server) {
+	peer.Handle(s, "lease", func(_ context.Context, _ string, q peer.AskLease) (quota.Lease, error) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.home.Grant(time.Now(), q.Ask), nil
+	})
+}
+
+// reservation is what a request took from its workspace's limits.
+type reservation struct {
+	limits *limits
+	meter  string
+	tokens int64
+}
+
+// reserve takes one request and an upper bound of its tokens.
+func (l *limits) reserve(ctx context.Context, workspace string, w fleet.Workspace, tokens int64) (*reservation, error) {
+	if err := l.spend(ctx, workspace+"/requests", 1, w.RequestsPerMinute); err != nil {
+		return nil, err
+	}
+	if err := l.spend(ctx, workspace+"/tokens", tokens, w.TokensPerMinute); err != nil {
+		l.settle(workspace+"/requests", 1, 0)
+		return nil, err
+	}
+	r := &reservation{limits: l}
+	if w.TokensPerMinute > 0 {
+		r.meter, r.tokens = workspace+"/tokens", tokens
+	}
+	return r, nil
+}
+
+// settle gives back what was reserved and not used.
+func (r *reservation) settle(used int64) {
+	if r != nil && r.meter != "" {
+		r.limits.settle(r.meter, r.tokens, used)
+	}
+}
+
+func (l *limits) settle(meter string, reserved, used int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.shares[meter]; s != nil {
+		s.Settle(time.Now(), reserved, used)
+	}
+}
+
+func (l *limits) spend(ctx context.Context, meter string, n, limit int64) error {
+	if limit == 0 {
+		return nil
+	}
+	if n > limit {
+		return fault.New(fault.RateLimited, "%d exceeds the whole limit of %d a minute for %s", n, limit, meter)
+	}
+	s, ok := l.try(meter, n)
+	if ok {
+		return nil
+	}
+	s.asking.Lock()
+	defer s.asking.Unlock()
+	if _, ok := l.try(meter, n); ok {
+		return nil
+	}
+	retry := l.fetch(ctx, s, meter, n, limit)
+	if _, ok := l.try(meter, n); ok {
+		return nil
+	}
+	return fault.New(fault.RateLimited, "the limit of %d a minute for %s is used up", limit, meter).After(max(retry, time.Second))
+}
+
+func (l *limits) try(meter string, n int64) (*share, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.shares[meter]
+	if s == nil {
+		s = &share{Share: quota.NewShare(meter)}
+		l.shares[meter] = s
+	}
+	return s, s.TrySpend(time.Now(), n)
+}
+
+// fetch asks the meter's home for a lease.
+func (l *limits) fetch(ctx context.Context, s *share, meter string, need, limit int64) time.Duration {
+	homes := l.d.members.homes(meter, 1)
+	now := time.Now()
+	if len(homes) == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	ask := s.Ask(now, need, limit, homes[0].Incarnation)
+	if homes[0].ID == l.d.settings.ID {
+		lease := l.home.Grant(now, ask)
+		s.Granted(now, lease)
+		l.mu.Unlock()
+		return lease.RetryAfter
+	}
+	l.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	lease, err := peer.Call[peer.AskLease, quota.Lease](callCtx, l.d.links, homes[0].PeerAddress, "lease", peer.AskLease{Ask: ask})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.d.metrics.limitsHomeless.Inc(1)
+		s.HomeLost(now)
+		return 0
+	}
+	s.Granted(now, lease)
+	return lease.RetryAfter
+}
--- /dev/null
+++ b/internal/daemon/pools.go
@@ -0,0 +1,270 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/platform"
+	"github.com/damaskrudder/damaskrudder/internal/routing"
+)
+
+const (
+	// probeEvery is the pause between two load probes of a daemon; probes walk
+	// through the servers, so their rate does not grow with the pool.
+	probeEvery = 250 * time.Millisecond
+	// vmListEvery is the period of reading the list of VMs.
+	vmListEvery = time.Second
+)
+
+// pools keeps the picture of each pool's servers.
+type pools struct {
+	d       *Daemon
+	mu      sync.Mutex
+	number  uint64
+	byName  map[string]*pool
+	leaving map[string]bool
+	turn    int
+	rng     *rand.Rand
+}
+
+type pool struct {
+	picture *routing.Picture
+	// holds tells the versions each server reported; a server without a report
+	// is tried.
+	holds map[string][]string
+}
+
+func newPools(d *Daemon) *pools {
+	return &pools{
+		d: d, byName: map[string]*pool{}, leaving: map[string]bool{},
+		rng: rand.New(rand.NewPCG(d.incarnation, uint64(len(d.settings.ID)))),
+	}
+}
+
+func (p *pools) loop(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { every(ctx, probeEvery, p.probe) })
+	if p.d.ports.VMs != nil {
+		wg.Go(func() { every(ctx, vmListEvery, p.listVMs) })
+	}
+	wg.Wait()
+}
+
+// sync brings the pictures to the configuration in force. Callers hold mu.
+func (p *pools) sync(c *fleet.Config) {
+	if p.number == c.Number && len(p.byName) > 0 {
+		return
+	}
+	p.number = c.Number
+	for name, cp := range c.Pools {
+		if len(p.d.settings.Pools) > 0 && !slices.Contains(p.d.settings.Pools, name) {
+			continue
+		}
+		st := p.byName[name]
+		if st == nil {
+			st = &pool{picture: routing.NewPicture(), holds: map[string][]string{}}
+			p.byName[name] = st
+		}
+		members := make([]routing.Member, len(cp.Servers))
+		for i, s := range cp.Servers {
+			members[i] = routing.Member{ID: s.ID, Address: s.Address, FailureDomain: s.FailureDomain, Slots: s.Slots}
+		}
+		st.picture.Update(routing.Subset(p.d.settings.ID, members, p.d.settings.Subset))
+		for id := range p.leaving {
+			st.picture.Leaving(id, true)
+		}
+	}
+	for name := range p.byName {
+		if _, stays := c.Pools[name]; !stays {
+			delete(p.byName, name)
+		}
+	}
+}
+
+// choice is a picked server and what the picture expects of it.
+type choice struct {
+	pool      string
+	candidate routing.Candidate
+	uncached  int
+	expected  time.Duration
+	// spare says that the server had a free slot, so that its speed speaks for
+	// the version and not for the load.
+	spare bool
+}
+
+// pick chooses a server for a version and marks the attempt as dispatched.
+func (p *pools) pick(c *fleet.Config, poolName, version string, r *routing.Request, tried []string) (choice, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sync(c)
+	st := p.byName[poolName]
+	if st == nil {
+		return choice{}, fault.New(fault.NoServer, "pool %s is not served here", poolName)
+	}
+	var room [routing.MaxCandidates]routing.Candidate
+	candidates := st.picture.Snapshot(room[:0], time.Now())
+	r.Tried = 0
+	for i, cand := range candidates {
+		held, reported := st.holds[cand.ID]
+		if slices.Contains(tried, cand.ID) || reported && version != "" && !slices.Contains(held, version) {
+			r.Tried |= 1 << i
+		}
+	}
+	r.CachedBlocks = [routing.MaxCandidates]uint8{}
+	st.picture.Prefix.Fill(r)
+	dec := routing.Default().Pick(r, candidates, p.rng)
+	if dec.Index < 0 {
+		return choice{}, refusal(dec, poolName)
+	}
+	chosen := candidates[dec.Index]
+	st.picture.Dispatched(chosen.ID, r.Blocks)
+	return choice{
+		pool: poolName, candidate: chosen, expected: dec.Expected,
+		uncached: max(0, r.PromptTokens-int(r.CachedBlocks[dec.Index])*r.BlockTokens),
+		spare:    float64(chosen.InFlight)+chosen.OthersInFlight < float64(chosen.Slots),
+	}, nil
+}
+
+func refusal(dec routing.Decision, pool string) *fault.Error {
+	if dec.Refusal == routing.TooLate {
+		return fault.New(fault.Overloaded, "pool %s would answer in %s, after the deadline", pool, dec.Expected.Round(time.Millisecond)).After(max(time.Second, dec.Expected/2))
+	}
+	return fault.New(fault.NoServer, "no live server of pool %s is left", pool)
+}
+
+func (p *pools) with(name string, f func(*pool)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if st := p.byName[name]; st != nil {
+		f(st)
+	}
+}
+
+func (p *pools) firstToken(c choice, took time.Duration) {
+	p.with(c.pool, func(st *pool) { st.picture.FirstToken(c.candidate.ID, took, c.uncached) })
+}
+
+func (p *pools) completed(c choice, took time.Duration, failed bool) {
+	p.with(c.pool, func(st *pool) { st.picture.Completed(c.candidate.ID, took, failed, time.Now()) })
+}
+
+func (p *pools) silent(c choice) {
+	p.with(c.pool, func(st *pool) { st.picture.Silent(c.candidate.ID, time.Now()) })
+}
+
+// lacks records that a server refused a version it was thought to hold.
+func (p *pools) lacks(c choice, version string) {
+	p.with(c.pool, func(st *pool) {
+		held := slices.Clone(st.holds[c.candidate.ID])
+		st.holds[c.candidate.ID] = slices.DeleteFunc(held, func(v string) bool { return v == version })
+	})
+}
+
+// probe asks the next server for its load.
+func (p *pools) probe(ctx context.Context) {
+	name, cand, ok := p.nextToProbe()
+	if !ok {
+		return
+	}
+	l, err := p.d.engine.Load(ctx, cand.Address)
+	if err != nil {
+		return
+	}
+	p.with(name, func(st *pool) {
+		st.picture.Reported(cand.ID, l.Running+l.Waiting, time.Now())
+		if l.Versions != nil {
+			st.holds[cand.ID] = l.Versions
+		}
+		st.picture.Leaving(cand.ID, l.Draining || p.leaving[cand.ID])
+	})
+}
+
+func (p *pools) nextToProbe() (string, routing.Candidate, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sync(p.d.config.current())
+	names := make([]string, 0, len(p.byName))
+	for n := range p.byName {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	type target struct {
+		pool string
+		c    routing.Candidate
+	}
+	var all []target
+	for _, n := range names {
+		for _, c := range p.byName[n].picture.Snapshot(nil, time.Now()) {
+			if c.ID != "" {
+				all = append(all, target{n, c})
+			}
+		}
+	}
+	if len(all) == 0 {
+		return "", routing.Candidate{}, false
+	}
+	p.turn++
+	t := all[p.turn%len(all)]
+	return t.pool, t.c, true
+}
+
+// listVMs takes the platform's word on leaving servers. While the list is down
+// the last word stands.
+func (p *pools) listVMs(ctx context.Context) {
+	vms, err := p.d.ports.VMs.List(ctx)
+	if err != nil {
+		return
+	}
+	now := map[string]bool{}
+	for _, vm := range vms {
+		if vm.State == platform.Leaving {
+			now[vm.ID] = true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, st := range p.byName {
+		for id := range p.leaving {
+			if !now[id] {
+				st.picture.Leaving(id, false)
+			}
+		}
+		for id := range now {
+			st.picture.Leaving(id, true)
+		}
+	}
+	p.leaving = now
+}
+
+// ServerView is a server as this daemon sees it.
+type ServerView struct {
+	Pool string `json:"pool"`
+	routing.Candidate
+	Versions []string `json:"versions"`
+}
+
+// Servers returns the daemon's view of its servers.
+func (d *Daemon) Servers() []ServerView {
+	d.pools.mu.Lock()
+	defer d.pools.mu.Unlock()
+	var out []ServerView
+	for name, st := range d.pools.byName {
+		for _, c := range st.picture.Snapshot(nil, time.Now()) {
+			if c.ID != "" {
+				out = append(out, ServerView{name, c, st.holds[c.ID]})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b ServerView) int {
+		if a.Pool+a.ID < b.Pool+b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,437 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/damaskrudder/damaskrudder/internal/billing"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/platform"
+	"github.com/damaskrudder/damaskrudder/internal/request"
+	"github.com/damaskrudder/damaskrudder/internal/session"
+	"github.com/damaskrudder/damaskrudder/internal/slo"
+)
+
+const (
+	// defaultDeadline bounds the wait for the first token of workspaces that
+	// state none.
+	defaultDeadline = 10 * time.Second
+	// defaultAnswerTokens is reserved of the token limit when max_tokens is absent.
+	defaultAnswerTokens = 512
+	// bytesPerToken estimates the tokens of a text.
+	bytesPerToken = 4
+	// defaultClass is the class of requests that name none.
+	defaultClass = "default"
+)
+
+// Chat is a checked chat request.
+type Chat struct {
+	Workspace string
+	// Model names a model, "model@version" or a cascade.
+	Model string
+	// Body is the request as the caller sent it.
+	Body map[string]json.RawMessage
+	// Raw is the body's bytes, for comparing repeats of an idempotency key.
+	Raw []byte
+	// Prompt is the text of all messages.
+	Prompt    string
+	MaxTokens int64
+	// Session is a session token of ours, a name of the caller's, or empty.
+	Session string
+	// Class groups requests whose difficulty is alike; default "default".
+	Class string
+	// Key is the Idempotency-Key; a request that has one runs at most once.
+	Key string
+	// Deliver gets the answer piece by piece. It is nil for plain answers.
+	Deliver func(text string) error
+	// Begin is called once before the first piece with what is known by then:
+	// the model, the version and the session token.
+	Begin func(a *Answer)
+}
+
+// Answer is a complete answer.
+type Answer struct {
+	RequestID string `json:"request_id"`
+	Model     string `json:"model"`
+	Version   string `json:"version"`
+	Text      string `json:"text"`
+	Finish    string `json:"finish"`
+	// Session is the token that keeps the session on its version.
+	Session      string `json:"session"`
+	PromptTokens int64  `json:"prompt_tokens"`
+	AnswerTokens int64  `json:"answer_tokens"`
+	// Replayed says that the answer is that of an earlier request with the same key.
+	Replayed bool `json:"-"`
+}
+
+func newID(prefix string) string { return prefix + ulid.Make().String() }
+
+// NewRequestID returns the id under which a request is answered and billed.
+func NewRequestID() string { return newID("req_") }
+
+// Chat answers a chat request. Its error is always a *fault.Error that says
+// truthfully whether the request ran.
+func (d *Daemon) Chat(ctx context.Context, id string, q Chat) (*Answer, error) {
+	done, err := d.enter()
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	began := time.Now()
+	a, st, err := d.chat(ctx, id, &q)
+	d.account(q.Workspace, st, began, err)
+	return a, err
+}
+
+// enter admits a request to a running daemon that may serve.
+func (d *Daemon) enter() (func(), error) {
+	select {
+	case <-d.stopping:
+		return nil, fault.New(fault.ShuttingDown, "the daemon is stopping")
+	default:
+	}
+	if !d.Ready() {
+		return nil, fault.New(fault.ConfigurationStale, "neither the log nor most daemons were heard lately")
+	}
+	d.running.Add(1)
+	d.metrics.requests.Inc(1)
+	d.metrics.inFlight.Update(float64(d.inFlight.Add(1)))
+	return func() {
+		d.metrics.inFlight.Update(float64(d.inFlight.Add(-1)))
+		d.running.Done()
+	}, nil
+}
+
+// served says what a request ran on, for its bill and the burn report.
+type served struct {
+	model, version, domain string
+	firstToken             time.Duration
+	steps                  []billedStep
+	complete               bool
+}
+
+type billedStep struct {
+	model, version      string
+	prompt, answer      int64
+	microsPerKiloTokens int64
+}
+
+func (d *Daemon) account(workspace string, st *served, began time.Time, err error) {
+	if err == nil {
+		d.metrics.answered.Inc(1)
+	}
+	refused := err != nil && fault.From(err).State() == fault.NotRun && !fault.Is(err, fault.Overloaded) && !fault.Is(err, fault.NoServer)
+	if refused || st == nil {
+		return
+	}
+	n := slo.Counts{Requests: 1}
+	if err != nil && !fault.Is(err, fault.CallerLeft) {
+		n.Failed = 1
+	}
+	limit := time.Duration(d.config.current().Workspaces[workspace].Objectives.FirstTokenMillis) * time.Millisecond
+	if limit > 0 && (st.firstToken > limit || st.firstToken == 0 && time.Since(began) > limit) {
+		n.Late = 1
+	}
+	d.burn.observe(slo.Key{Workspace: workspace, Model: st.model, Version: st.version, FailureDomain: st.domain}, n)
+}
+
+func (d *Daemon) chat(ctx context.Context, id string, q *Chat) (*Answer, *served, error) {
+	c := d.config.current()
+	w, ok := c.Workspaces[q.Workspace]
+	if !ok {
+		return nil, nil, fault.New(fault.Unauthorized, "the workspace does not exist")
+	}
+	models, err := entitled(c, w, q.Model)
+	if err != nil {
+		return nil, nil, err
+	}
+	pin, err := d.pin(q.Workspace, q.Session)
+	if err != nil {
+		return nil, nil, err
+	}
+	st := &served{model: models[0]}
+	res, err := d.limits.reserve(ctx, q.Workspace, w, reserveTokens(q))
+	if err != nil {
+		return nil, st, err
+	}
+	defer func() { res.settle(st.tokens()) }()
+	if err := d.usage.reserve(); err != nil {
+		return nil, st, err
+	}
+	a, err := d.once(ctx, id, q, func() (*Answer, error) {
+		return d.answer(ctx, id, q, w, models, pin, st)
+	})
+	d.bill(ctx, id, q.Workspace, st)
+	return a, st, err
+}
+
+func reserveTokens(q *Chat) int64 {
+	answer := q.MaxTokens
+	if answer == 0 {
+		answer = defaultAnswerTokens
+	}
+	return int64(len(q.Prompt)/bytesPerToken) + answer
+}
+
+func (st *served) tokens() int64 {
+	var n int64
+	for _, s := range st.steps {
+		n += s.prompt + s.answer
+	}
+	return n
+}
+
+// entitled resolves the named model or cascade to the models to ask.
+func entitled(c *fleet.Config, w fleet.Workspace, name string) ([]string, error) {
+	if k, ok := c.Cascades[name]; ok {
+		if !slices.Contains(w.Cascades, name) {
+			return nil, fault.Field(fault.NotEntitled, "model", "the workspace may not use cascade %q", name)
+		}
+		return k.Steps, nil
+	}
+	model, version, pinned := strings.Cut(name, "@")
+	if _, ok := c.Models[model]; !ok {
+		return nil, fault.Field(fault.UnknownModel, "model", "%q is neither a model nor a cascade", name)
+	}
+	if pinned {
+		v, ok := c.Version(model, version)
+		switch {
+		case !ok:
+			return nil, fault.Field(fault.UnknownModel, "model", "model %q has no version %q", model, version)
+		case !w.Allows(model, version):
+			return nil, fault.Field(fault.NotEntitled, "model", "the workspace may not use %q", name)
+		case v.State == fleet.Withdrawn:
+			return nil, fault.Field(fault.VersionWithdrawn, "model", "%q is withdrawn", name)
+		}
+		return []string{name}, nil
+	}
+	if !slices.ContainsFunc(w.Models, func(e string) bool { return e == model || strings.HasPrefix(e, model+"@") }) {
+		return nil, fault.Field(fault.NotEntitled, "model", "the workspace may not use model %q", model)
+	}
+	return []string{model}, nil
+}
+
+func (d *Daemon) pin(workspace, header string) (session.Pin, error) {
+	if session.IsToken(header) {
+		return session.Parse(d.ring.Load(), workspace, header)
+	}
+	if header == "" {
+		return session.Pin{Workspace: workspace, Name: newID("")}, nil
+	}
+	if err := session.CheckName(header); err != nil {
+		return session.Pin{}, err
+	}
+	return session.Pin{Workspace: workspace, Name: header}, nil
+}
+
+// version chooses the version of a model for a session.
+func (d *Daemon) version(c *fleet.Config, w fleet.Workspace, name string, pin session.Pin) (model, version string, err error) {
+	model, version, explicit := strings.Cut(name, "@")
+	if explicit {
+		return model, version, nil
+	}
+	if pin.Model == "" {
+		if ro, ok := c.RolloutFor(model); ok && d.rollouts.avoided(model, ro.To) {
+			version, ok := c.Successor(w, model, c.Models[model].Stable)
+			if ok {
+				return model, version, nil
+			}
+		}
+	}
+	version, err = session.Resolve(c, w, model, pin)
+	if err == nil && pin.Model == model && version != pin.Version {
+		d.metrics.pinsMoved.Inc(1)
+	}
+	return model, version, err
+}
+
+// once runs f at most once for a request that has an idempotency key.
+func (d *Daemon) once(ctx context.Context, id string, q *Chat, f func() (*Answer, error)) (*Answer, error) {
+	if q.Key == "" {
+		return f()
+	}
+	t, replay, err := d.claims.acquire(ctx, q.Workspace, q.Key, q.Raw, id)
+	if err != nil {
+		return nil, err
+	}
+	if replay != nil {
+		return replayed(replay, q)
+	}
+	a, err := f()
+	if err != nil {
+		t.finish(fault.From(err).State(), 0, nil)
+		return nil, err
+	}
+	data, encodeErr := json.Marshal(a)
+	if encodeErr == nil {
+		t.finish(fault.Ran, 200, data)
+	}
+	return a, nil
+}
+
+func replayed(v *request.Verdict, q *Chat) (*Answer, error) {
+	var a Answer
+	if json.Unmarshal(v.Answer, &a) != nil {
+		return nil, fault.New(fault.AnswerUnavailable, "the stored answer cannot be read").With(fault.Ran)
+	}
+	a.Replayed = true
+	if q.Deliver != nil {
+		if err := q.Deliver(a.Text); err != nil {
+			return nil, fault.New(fault.CallerLeft, "the caller left").With(fault.Ran)
+		}
+	}
+	return &a, nil
+}
+
+// answer asks the models in turn: one model, or the steps of a cascade.
+func (d *Daemon) answer(ctx context.Context, id string, q *Chat, w fleet.Workspace, models []string, pin session.Pin, st *served) (*Answer, error) {
+	began := time.Now()
+	deadline := defaultDeadline
+	if w.DeadlineMillis > 0 {
+		deadline = time.Duration(w.DeadlineMillis) * time.Millisecond
+	}
+	class := q.Class
+	if class == "" {
+		class = defaultClass
+	}
+	key := q.Workspace + "/" + q.Model
+	first := 0
+	if len(models) > 1 {
+		c := d.config.current()
+		if !d.cascades.cheapFirst(key, class, models[0]+"@"+c.Models[models[0]].Stable) {
+			first = len(models) - 1
+		}
+	}
+	for i := first; ; i++ {
+		last := i == len(models)-1
+		s := &step{requestID: id, workspace: q.Workspace, priority: w.Priority, prompt: q.Prompt, body: q.Body, deadline: began.Add(deadline)}
+		if i > 0 {
+			s.requestID = id + "-" + models[i]
+		}
+		s.life = &request.Life{Repeatable: q.Key == "", Deadline: s.deadline}
+		if last {
+			s.deliver = d.deliverer(q, s, pin)
+		}
+		r, err := d.ask(ctx, s, models[i], w, pin, st, began)
+		if err != nil {
+			return nil, err
+		}
+		confidence := 1.0
+		if r.usage.Confidence != nil {
+			confidence = *r.usage.Confidence
+		}
+		if len(models) > 1 {
+			d.offerSample(id, q, key, class, s, r, confidence, i > 0)
+		} else {
+			d.offerSample(id, q, "", class, s, r, confidence, false)
+		}
+		if !last && !d.cascades.accepts(key, class, confidence) {
+			d.metrics.escalations.Inc(1)
+			continue
+		}
+		return d.finish(id, q, s, r, pin, last)
+	}
+}
+
+// deliverer passes pieces on to the caller, after Begin.
+func (d *Daemon) deliverer(q *Chat, s *step, pin session.Pin) func(string) error {
+	if q.Deliver == nil {
+		return nil
+	}
+	begun := false
+	return func(text string) error {
+		if !begun && q.Begin != nil {
+			q.Begin(d.heading(s, pin))
+		}
+		begun = true
+		return q.Deliver(text)
+	}
+}
+
+// heading is what is known of an answer before its first piece.
+func (d *Daemon) heading(s *step, pin session.Pin) *Answer {
+	pin.Model, pin.Version = s.model, s.version
+	return &Answer{Model: s.model, Version: s.version, Session: pin.Token(d.ring.Load())}
+}
+
+// ask runs one step and books what it cost.
+func (d *Daemon) ask(ctx context.Context, s *step, name string, w fleet.Workspace, pin session.Pin, st *served, began time.Time) (*stepResult, error) {
+	c := d.config.current()
+	var err error
+	if s.model, s.version, err = d.version(c, w, name, pin); err != nil {
+		return nil, err
+	}
+	if ro, ok := c.RolloutFor(s.model); ok && pin.Model == "" && s.version == ro.To {
+		s.fallback, _ = c.Successor(w, s.model, c.Models[s.model].Stable)
+	}
+	offset := time.Since(began)
+	r, err := d.run(ctx, s)
+	st.model, st.version = s.model, s.version
+	v, _ := c.Version(s.model, s.version)
+	b := billedStep{model: s.model, version: s.version, microsPerKiloTokens: v.MicrosPerKiloToken}
+	if r.firstToken > 0 {
+		st.firstToken = offset + r.firstToken
+	}
+	switch {
+	case err == nil:
+		b.prompt, b.answer = r.usage.PromptTokens, r.usage.AnswerTokens
+		st.domain, st.complete = r.choice.candidate.FailureDomain, true
+		st.steps = append(st.steps, b)
+	case r.text.Len() > 0:
+		st.complete = false
+		b.prompt = int64(len(s.prompt) / bytesPerToken)
+		b.answer = int64(max(1, r.text.Len()/bytesPerToken))
+		st.steps = append(st.steps, b)
+	}
+	return r, err
+}
+
+func (d *Daemon) offerSample(id string, q *Chat, key, class string, s *step, r *stepResult, confidence float64, dear bool) {
+	d.cascades.sample(sampleInfo{key, class, confidence, dear}, platform.Sample{
+		RequestID: id, Daemon: d.raterID(), Workspace: q.Workspace, Class: class,
+		Model: s.model, Version: s.version, Server: r.choice.candidate.ID, Answer: r.text.String(),
+	})
+}
+
+// finish hands over a buffered answer and pins the session.
+func (d *Daemon) finish(id string, q *Chat, s *step, r *stepResult, pin session.Pin, streamed bool) (*Answer, error) {
+	a := d.heading(s, pin)
+	a.RequestID, a.Text, a.Finish = id, r.text.String(), r.finish
+	a.PromptTokens, a.AnswerTokens = r.usage.PromptTokens, r.usage.AnswerTokens
+	if streamed || q.Deliver == nil {
+		return a, nil
+	}
+	if err := d.deliverer(q, s, pin)(a.Text); err != nil {
+		return nil, fault.New(fault.CallerLeft, "the caller left").With(fault.Ran)
+	}
+	return a, nil
+}
+
+// bill writes the one usage record of a request, over all its steps. A request
+// that delivered nothing and finished no step costs nothing.
+func (d *Daemon) bill(ctx context.Context, id, workspace string, st *served) {
+	if len(st.steps) == 0 {
+		d.usage.cancel()
+		return
+	}
+	u := billing.Usage{
+		RequestID: id, Workspace: workspace, Outcome: billing.Cut, UnixMillis: time.Now().UnixMilli(),
+		Daemon: d.settings.ID, FirstTokenMillis: st.firstToken.Milliseconds(), FailureDomain: st.domain,
+	}
+	if st.complete {
+		u.Outcome = billing.Complete
+	}
+	for _, s := range st.steps {
+		u.Model, u.Version = s.model, s.version
+		u.PromptTokens += s.prompt
+		u.AnswerTokens += s.answer
+		u.Micros += billing.Price(s.prompt+s.answer, s.microsPerKiloTokens)
+	}
+	d.usage.add(ctx, u)
+}
--- /dev/null
+++ b/internal/daemon/usage.go
@@ -0,0 +1,270 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/damaskrudder/damaskrudder/internal/billing"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
+	"github.com/damaskrudder/damaskrudder/internal/peer"
+)
+
+const (
+	// UsageStream is the log stream of usage records.
+	UsageStream = "usage"
+	// flushLeast is the shortest time between two appends of one daemon.
+	flushLeast = 100 * time.Millisecond
+	// appendsPerSecond is what all daemons together spend on usage records; the
+	// flush period grows with their number. Keepers, not the flush, protect a
+	// record in the meantime.
+	appendsPerSecond = 150
+	// flushBatch bounds one append in records.
+	flushBatch = 2000
+	// protectTimeout bounds the wait for a keeper before the log is waited for.
+	protectTimeout = time.Second
+	// adoptAfter is how long a keeper waits for a confirmation before it appends
+	// the records itself.
+	adoptAfter = 30 * time.Second
+)
+
+// usage writes the usage records of this daemon and keeps copies for others.
+type usage struct {
+	d         *Daemon
+	mu        sync.Mutex
+	buffer    *billing.Buffer
+	confirmed chan struct{}
+	kept      map[string]keptRecord
+	// keptAt lists, by keeper address, the own records it holds.
+	keptAt map[string][]string
+}
+
+type keptRecord struct {
+	owner string
+	usage billing.Usage
+	at    time.Time
+}
+
+func newUsage(d *Daemon) *usage {
+	return &usage{d: d, buffer: billing.NewBuffer(d.settings.BillingBuffer), confirmed: make(chan struct{}), kept: map[string]keptRecord{}, keptAt: map[string][]string{}}
+}
+
+func (u *usage) register(s *peer.Server) {
+	peer.Handle(s, "store_usage", func(_ context.Context, _ string, q peer.StoreUsage) (peer.Done, error) {
+		return peer.Done{}, u.keep(q)
+	})
+	peer.Handle(s, "confirm_usage", func(_ context.Context, _ string, q peer.ConfirmUsage) (peer.Done, error) {
+		u.release(q)
+		return peer.Done{}, nil
+	})
+}
+
+func (u *usage) reserve() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.buffer.Reserve()
+}
+
+func (u *usage) cancel() {
+	u.mu.Lock()
+	u.buffer.Release()
+	u.mu.Unlock()
+}
+
+// add stores a record and returns once it would survive the loss of this VM:
+// a keeper in another failure domain, or the log, has it.
+func (u *usage) add(ctx context.Context, rec billing.Usage) {
+	u.mu.Lock()
+	u.buffer.Add(rec)
+	pending, wait := u.buffer.Len(), u.confirmed
+	u.mu.Unlock()
+	u.d.metrics.billed.Inc(1)
+	u.d.metrics.usagePending.Update(float64(pending))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), protectTimeout)
+	defer cancel()
+	if u.protect(ctx, rec) {
+		return
+	}
+	select {
+	case <-wait:
+	case <-ctx.Done():
+		u.d.metrics.unprotected.Inc(1)
+	}
+}
+
+func (u *usage) protect(ctx context.Context, rec billing.Usage) bool {
+	for _, k := range u.d.members.keepers(2) {
+		_, err := peer.Call[peer.StoreUsage, peer.Done](ctx, u.d.links, k.PeerAddress, "store_usage",
+			peer.StoreUsage{Owner: u.d.settings.ID, Records: []billing.Usage{rec}})
+		if err != nil {
+			continue
+		}
+		u.mu.Lock()
+		u.keptAt[k.PeerAddress] = append(u.keptAt[k.PeerAddress], rec.RequestID)
+		u.mu.Unlock()
+		return true
+	}
+	return false
+}
+
+func (u *usage) keep(q peer.StoreUsage) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.kept)+len(q.Records) > u.d.settings.BillingBuffer {
+		return fault.New(fault.BillingBacklog, "%d copies are kept already", len(u.kept))
+	}
+	for _, r := range q.Records {
+		u.kept[r.RequestID] = keptRecord{q.Owner, r, time.Now()}
+	}
+	return nil
+}
+
+func (u *usage) release(q peer.ConfirmUsage) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, id := range q.Requests {
+		if u.kept[id].owner == q.Owner {
+			delete(u.kept, id)
+		}
+	}
+}
+
+func (u *usage) loop(ctx context.Context) {
+	for pause(ctx, u.period()) {
+		u.flush(ctx)
+		u.adopt(ctx)
+	}
+}
+
+func (u *usage) period() time.Duration {
+	u.d.members.mu.Lock()
+	n := len(u.d.members.table.Members())
+	u.d.members.mu.Unlock()
+	return max(flushLeast, time.Duration(n)*time.Second/appendsPerSecond)
+}
+
+// flush appends what is buffered. A lost reply leaves the records in the
+// buffer; their second copy folds away.
+func (u *usage) flush(ctx context.Context) {
+	u.mu.Lock()
+	batch := u.buffer.Batch(flushBatch)
+	u.mu.Unlock()
+	if len(batch) == 0 {
+		return
+	}
+	err := u.append(ctx, batch)
+	u.mu.Lock()
+	if err != nil {
+		u.buffer.Retry()
+		u.mu.Unlock()
+		return
+	}
+	u.buffer.Confirm()
+	close(u.confirmed)
+	u.confirmed = make(chan struct{})
+	keepers := u.keptAt
+	u.keptAt = map[string][]string{}
+	pending := u.buffer.Len()
+	u.mu.Unlock()
+	u.d.metrics.usagePending.Update(float64(pending))
+	u.confirm(ctx, keepers, batch)
+}
+
+func (u *usage) append(ctx context.Context, batch []billing.Usage) error {
+	data, err := cbor.Marshal(batch)
+	if err != nil {
+		return err
+	}
+	u.d.metrics.logAppends.Inc(1)
+	if _, err = u.d.ports.Log.Append(ctx, UsageStream, [][]byte{data}); err != nil {
+		u.d.metrics.logErrors.Inc(1)
+	}
+	return err
+}
+
+// confirm tells the keepers which records the log has. Records that were added
+// while the append ran go back to the list for the next time.
+func (u *usage) confirm(ctx context.Context, keepers map[string][]string, batch []billing.Usage) {
+	done := make(map[string]bool, len(batch))
+	for _, b := range batch {
+		done[b.RequestID] = true
+	}
+	for address, ids := range keepers {
+		var now, later []string
+		for _, id := range ids {
+			if done[id] {
+				now = append(now, id)
+			} else {
+				later = append(later, id)
+			}
+		}
+		u.mu.Lock()
+		if len(later) > 0 {
+			u.keptAt[address] = append(later, u.keptAt[address]...)
+		}
+		u.mu.Unlock()
+		if len(now) == 0 {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+		_, _ = peer.Call[peer.ConfirmUsage, peer.Done](callCtx, u.d.links, address, "confirm_usage", peer.ConfirmUsage{Owner: u.d.settings.ID, Requests: now})
+		cancel()
+	}
+}
+
+// adopt appends copies whose owner is gone or has not confirmed for long.
+func (u *usage) adopt(ctx context.Context) {
+	var batch []billing.Usage
+	now := time.Now()
+	u.mu.Lock()
+	for _, k := range u.kept {
+		m, known := u.d.members.find(k.owner)
+		gone := !known || m.State == membership.Gone
+		if gone || now.Sub(k.at) > adoptAfter {
+			batch = append(batch, k.usage)
+		}
+	}
+	u.mu.Unlock()
+	if len(batch) == 0 || u.append(ctx, batch) != nil {
+		return
+	}
+	u.d.metrics.adopted.Inc(int64(len(batch)))
+	u.mu.Lock()
+	for _, b := range batch {
+		delete(u.kept, b.RequestID)
+	}
+	u.mu.Unlock()
+}
+
+func (u *usage) pending() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.buffer.Len()
+}
+
+// Ledger folds the usage stream that the log still keeps.
+func (d *Daemon) Ledger(ctx context.Context) (*billing.Ledger, error) {
+	l := billing.NewLedger()
+	var from uint64
+	for {
+		b, err := d.ports.Log.Read(ctx, UsageStream, from, readLimit, 0)
+		if err != nil {
+			return nil, fault.New(fault.LogUnavailable, "the usage stream cannot be read").Because(err)
+		}
+		for _, r := range b.Records {
+			var batch []billing.Usage
+			if cbor.Unmarshal(r.Data, &batch) == nil {
+				for _, u := range batch {
+					l.Apply(u)
+				}
+			}
+			from = r.Offset + 1
+		}
+		if len(b.Records) == 0 {
+			return l, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,222 @@
+// Package engine speaks to backend servers: model engines with an
+// OpenAI-compatible API, server-sent events that can be resumed, cancellation,
+// load reports and orders; and plain HTTP services.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/damaskrudder/damaskrudder/internal/lease"
+)
+
+// Run is one attempt to execute a request.
+type Run struct {
+	// ID is the attempt's own; a server that sees it twice runs it once.
+	ID string
+	// Version is "model@version".
+	Version string
+	// Priority orders waiting work, 0 first.
+	Priority int
+	// Body is the caller's request; its model is replaced by Version.
+	Body map[string]json.RawMessage
+}
+
+// ErrNotStarted is the server's proof that it did not start the run.
+var ErrNotStarted = errors.New("the server did not start the run")
+
+// ErrNotConnected means that nothing was sent.
+var ErrNotConnected = errors.New("no connection to the server")
+
+// ErrRunGone means that the server knows no such run.
+var ErrRunGone = errors.New("the server knows no such run")
+
+// Client talks to backend servers.
+type Client struct {
+	http *http.Client
+	// fresh never reuses a connection; see Resume.
+	fresh   *http.Client
+	silence time.Duration
+}
+
+const (
+	dialTimeout = 2 * time.Second
+	// controlTimeout bounds a load report, an order or a cancellation.
+	controlTimeout = 2 * time.Second
+	// idlePerHost keeps connections for the usual concurrency on one server.
+	idlePerHost = 64
+	// maxReply bounds a plain service's reply in bytes.
+	maxReply = 1 << 20
+)
+
+// NewClient returns a client that takes a stream for silent after silence.
+func NewClient(silence time.Duration) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	pooled := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: time.Minute}
+	single := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	return &Client{http: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: single}, silence: silence}
+}
+
+// Start sends a run and returns its stream. The error is ErrNotConnected or
+// ErrNotStarted when the run is proven not to have started; any other error
+// leaves that open.
+func (c *Client) Start(ctx context.Context, address string, r Run) (*Stream, error) {
+	body := make(map[string]json.RawMessage, len(r.Body)+2)
+	for k, v := range r.Body {
+		body[k] = v
+	}
+	body["model"], _ = json.Marshal(r.Version)
+	body["stream"] = json.RawMessage("true")
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, oops.In("engine").Wrapf(err, "encode run")
+	}
+	header := http.Header{"X-Run-Id": {r.ID}, "X-Priority": {strconv.Itoa(r.Priority)}, "Content-Type": {"application/json"}}
+	return c.stream(ctx, c.http, http.MethodPost, "http://"+address+"/v1/chat/completions", header, data)
+}
+
+// Resume continues a run after an event. It always opens a new connection: the
+// old one may be one of those that something between the two ends forgot, on
+// which writes succeed and nothing ever comes back.
+func (c *Client) Resume(ctx context.Context, address, run string, after int) (*Stream, error) {
+	header := http.Header{"Last-Event-ID": {strconv.Itoa(after)}}
+	return c.stream(ctx, c.fresh, http.MethodGet, "http://"+address+"/v1/runs/"+url.PathEscape(run)+"/events", header, nil)
+}
+
+func (c *Client) stream(ctx context.Context, client *http.Client, method, target string, header http.Header, body []byte) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, oops.In("engine").Wrapf(err, "build request")
+	}
+	req.Header = header
+	watch := time.AfterFunc(c.silence, cancel)
+	resp, err := client.Do(req)
+	if err != nil {
+		watch.Stop()
+		cancel()
+		return nil, dialError(err)
+	}
+	if err := statusError(resp); err != nil {
+		watch.Stop()
+		_ = resp.Body.Close()
+		cancel()
+		return nil, err
+	}
+	return newStream(resp.Body, cancel, watch, c.silence), nil
+}
+
+func dialError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", ErrNotConnected, err)
+	}
+	return oops.In("engine").Wrap(err)
+}
+
+func statusError(resp *http.Response) error {
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return nil
+	case resp.Header.Get("X-Started") == "false":
+		return fmt.Errorf("%w: %s", ErrNotStarted, resp.Status)
+	case resp.StatusCode == http.StatusNotFound:
+		return ErrRunGone
+	}
+	return oops.In("engine").Errorf("server answered %s", resp.Status)
+}
+
+// Cancel ends a run on its server.
+func (c *Client) Cancel(address, run string) error {
+	return c.control(context.Background(), http.MethodDelete, "http://"+address+"/v1/runs/"+url.PathEscape(run), nil, nil)
+}
+
+// Load is a server's lagged report.
+type Load struct {
+	Running  int      `json:"running"`
+	Waiting  int      `json:"waiting"`
+	Versions []string `json:"versions"`
+	Fence    uint64   `json:"fence"`
+	// Draining is set by a server that wants no new work.
+	Draining bool `json:"draining"`
+}
+
+// Load fetches a server's report.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	var l Load
+	err := c.control(ctx, http.MethodGet, "http://"+address+"/load", nil, &l)
+	return l, err
+}
+
+type orderBody struct {
+	Fence uint64 `json:"fence"`
+	lease.Order
+}
+
+// Order tells a server to load or unload a version under a fencing number.
+func (c *Client) Order(ctx context.Context, address string, fence uint64, o lease.Order) error {
+	return c.control(ctx, http.MethodPost, "http://"+address+"/orders", orderBody{fence, o}, nil)
+}
+
+func (c *Client) control(ctx context.Context, method, target string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return oops.In("engine").Wrapf(err, "encode %s", target)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, body)
+	if err != nil {
+		return oops.In("engine").Wrapf(err, "build %s", target)
+	}
+	resp, err := c.fresh.Do(req)
+	if err != nil {
+		return oops.In("engine").Wrapf(err, "%s %s", method, target)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return oops.In("engine").With("status", resp.StatusCode).Errorf("%s %s answered %s", method, target, resp.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	return oops.In("engine").Wrapf(json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(out), "decode %s", target)
+}
+
+// Call sends a plain service call and returns its status and body. The error is
+// ErrNotConnected when nothing was sent.
+func (c *Client) Call(ctx context.Context, address, run string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/call", bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, oops.In("engine").Wrapf(err, "build call")
+	}
+	req.Header.Set("X-Run-Id", run)
+	req.Header.Set("Content-Type", "application/json")
+	// A transport repeats a request on a connection that was closed under it
+	// when it takes the request for idempotent. GetBody unset prevents that: a
+	// payment would run twice.
+	req.GetBody = nil
+	resp, err := c.fresh.Do(req)
+	if err != nil {
+		return 0, nil, dialError(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	return resp.StatusCode, data, oops.In("engine").Wrapf(err, "read reply")
+}
--- /dev/null
+++ b/internal/peer/messages.go
@@ -0,0 +1,68 @@
+// Package peer carries typed calls between daemons over WebSocket with CBOR.
+package peer
+
+import (
+	"github.com/damaskrudder/damaskrudder/internal/billing"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
+	"github.com/damaskrudder/damaskrudder/internal/platform"
+	"github.com/damaskrudder/damaskrudder/internal/quota"
+	"github.com/damaskrudder/damaskrudder/internal/rollout"
+	"github.com/damaskrudder/damaskrudder/internal/slo"
+)
+
+// Heartbeat tells of the sender and of some others; the answer has the same form.
+type Heartbeat struct {
+	Self membership.Beat   `cbor:"1,keyasint"`
+	Rows []membership.Beat `cbor:"2,keyasint"`
+	// ConfigNext is the offset of the next configuration record to fold.
+	ConfigNext uint64 `cbor:"3,keyasint"`
+}
+
+// FetchConfig asks for configuration records from an offset on.
+type FetchConfig struct {
+	From uint64 `cbor:"1,keyasint"`
+}
+
+// ConfigTail is the answer: records, or a checkpoint when they are gone.
+type ConfigTail struct {
+	Records []platform.Record `cbor:"1,keyasint"`
+	// Checkpoint is a JSON fleet.Checkpoint.
+	Checkpoint []byte `cbor:"2,keyasint"`
+}
+
+// StoreUsage hands copies of usage records to a keeper until the log has them.
+type StoreUsage struct {
+	Owner   string          `cbor:"1,keyasint"`
+	Records []billing.Usage `cbor:"2,keyasint"`
+}
+
+// ConfirmUsage tells a keeper that the log has an owner's records.
+type ConfirmUsage struct {
+	Owner    string   `cbor:"1,keyasint"`
+	Requests []string `cbor:"2,keyasint"`
+}
+
+// AskLease asks the home of a meter for a lease.
+type AskLease struct {
+	Ask quota.Ask `cbor:"1,keyasint"`
+}
+
+// ReportEvidence sends one daemon's evidence of a roll-out's stage to its home.
+type ReportEvidence struct {
+	Daemon string `cbor:"1,keyasint"`
+	Model  string `cbor:"2,keyasint"`
+	// Stage identifies the version and stage the evidence belongs to.
+	Stage string           `cbor:"3,keyasint"`
+	Cells rollout.Evidence `cbor:"4,keyasint"`
+}
+
+// AskBurn asks for a daemon's service-level counters.
+type AskBurn struct{}
+
+// BurnCells is the answer to AskBurn.
+type BurnCells struct {
+	Cells []slo.Cell `cbor:"1,keyasint"`
+}
+
+// Done is the answer to a call that returns nothing.
+type Done struct{}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+)
+
+// Server accepts calls from other daemons.
+type Server struct {
+	key      string
+	handlers map[string]func(ctx context.Context, from string, body []byte) ([]byte, error)
+	// Refused counts connections without the right key.
+	Refused func()
+	// Bytes counts what was sent and received.
+	Bytes func(n int)
+}
+
+// NewServer returns a server that admits holders of the peer key.
+func NewServer(key string) *Server {
+	return &Server{key: key, handlers: map[string]func(context.Context, string, []byte) ([]byte, error){}, Refused: func() {}, Bytes: func(int) {}}
+}
+
+// Handle registers the handler of one kind of call.
+func Handle[Q, A any](s *Server, kind string, h func(ctx context.Context, from string, q Q) (A, error)) {
+	s.handlers[kind] = func(ctx context.Context, from string, body []byte) ([]byte, error) {
+		var q Q
+		if err := decoder.Unmarshal(body, &q); err != nil {
+			return nil, fault.New(fault.BadRequest, "undecodable %s", kind)
+		}
+		a, err := h(ctx, from, q)
+		if err != nil {
+			return nil, err
+		}
+		return cbor.Marshal(a)
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	from, ok := verify(s.key, r.Header.Get("Authorization"), time.Now())
+	if !ok || r.URL.Path != path {
+		s.Refused()
+		http.Error(w, "unauthorized", http.StatusUnauthorized)
+		return
+	}
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(maxMessage)
+	s.serve(r.Context(), from, conn)
+}
+
+func (s *Server) serve(ctx context.Context, from string, conn *websocket.Conn) {
+	var writing sync.Mutex
+	for {
+		_, data, err := conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		s.Bytes(len(data))
+		var e envelope
+		if decoder.Unmarshal(data, &e) != nil {
+			return
+		}
+		go func() {
+			reply := s.answer(ctx, from, e)
+			writing.Lock()
+			defer writing.Unlock()
+			if conn.Write(ctx, websocket.MessageBinary, reply) == nil {
+				s.Bytes(len(reply))
+			}
+		}()
+	}
+}
+
+func (s *Server) answer(ctx context.Context, from string, e envelope) []byte {
+	out := envelope{Seq: e.Seq}
+	h := s.handlers[e.Kind]
+	if h == nil {
+		out.Error = "unknown call " + e.Kind
+	} else if body, err := h(ctx, from, e.Body); err != nil {
+		out.Error = err.Error()
+	} else {
+		out.Body = body
+	}
+	data, err := cbor.Marshal(out)
+	if err != nil {
+		return nil
+	}
+	return data
+}
--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,123 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// maxReply bounds a platform reply in bytes, so that a broken service cannot
+// exhaust our memory.
+const maxReply = 16 << 20
+
+// Client speaks the platform's HTTP protocol. It implements Log, VMList, Rater
+// and WeightStore.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client for a service at base, such as http://10.0.0.9:7000.
+// Each call ends after timeout.
+func NewClient(base string, timeout time.Duration) *Client {
+	return &Client{base: base, http: &http.Client{Timeout: timeout}}
+}
+
+type appendRequest struct {
+	Records [][]byte `json:"records"`
+}
+
+type appendReply struct {
+	First uint64 `json:"first"`
+}
+
+// Append implements Log.
+func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (uint64, error) {
+	var reply appendReply
+	err := c.call(ctx, http.MethodPost, "/streams/"+url.PathEscape(stream), appendRequest{records}, &reply)
+	return reply.First, err
+}
+
+// Read implements Log.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Batch, error) {
+	q := url.Values{
+		"from":    {strconv.FormatUint(from, 10)},
+		"limit":   {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	var b Batch
+	err := c.call(ctx, http.MethodGet, "/streams/"+url.PathEscape(stream)+"?"+q.Encode(), nil, &b)
+	return b, err
+}
+
+// List implements VMList.
+func (c *Client) List(ctx context.Context) ([]VM, error) {
+	var vms []VM
+	err := c.call(ctx, http.MethodGet, "/vms", nil, &vms)
+	return vms, err
+}
+
+// Submit implements Rater.
+func (c *Client) Submit(ctx context.Context, s Sample) error {
+	return c.call(ctx, http.MethodPost, "/samples", s, nil)
+}
+
+type collectReply struct {
+	Ratings []Rating `json:"ratings"`
+	Next    int      `json:"next"`
+}
+
+// Collect implements Rater.
+func (c *Client) Collect(ctx context.Context, daemon string, from int) ([]Rating, int, error) {
+	var r collectReply
+	q := url.Values{"daemon": {daemon}, "from": {strconv.Itoa(from)}}
+	err := c.call(ctx, http.MethodGet, "/ratings?"+q.Encode(), nil, &r)
+	return r.Ratings, r.Next, err
+}
+
+// Reserve implements WeightStore.
+func (c *Client) Reserve(ctx context.Context, model, version string) (bool, error) {
+	var granted bool
+	path := "/weights/" + url.PathEscape(model) + "/" + url.PathEscape(version)
+	err := c.call(ctx, http.MethodPost, path, nil, &granted)
+	return granted, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return oops.In("platform").Wrapf(err, "encode %s %s", method, path)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return oops.In("platform").Wrapf(err, "build %s %s", method, path)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return oops.In("platform").Wrapf(err, "%s %s", method, path)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return oops.In("platform").Wrapf(err, "read %s %s", method, path)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return oops.In("platform").With("status", resp.StatusCode).Wrap(fmt.Errorf("%s %s answered %s", method, path, resp.Status))
+	}
+	if out == nil {
+		return nil
+	}
+	return oops.In("platform").Wrapf(json.Unmarshal(data, out), "decode %s %s", method, path)
+}
--- /dev/null
+++ b/internal/request/life.go
@@ -0,0 +1,163 @@
+package request
+
+import (
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+)
+
+// Event is something that happened to an attempt.
+type Event uint8
+
+const (
+	// Refused means the backend server proved that it did not start the run.
+	Refused Event = iota
+	// ConnectFailed means no connection was made, so nothing was sent.
+	ConnectFailed
+	// Broken means the connection ended or went silent after the request was sent.
+	Broken
+	// RunGone means a resume was answered: the server knows no such run.
+	RunGone
+	// RunFailed means the server reported that the run failed.
+	RunFailed
+	// CallerGone means the caller closed its connection.
+	CallerGone
+)
+
+// Action is what to do next.
+type Action uint8
+
+const (
+	// TryAnother starts a new attempt on another server.
+	TryAnother Action = iota
+	// Resume reconnects to the same run.
+	Resume
+	// Cancel cancels the run and ends the request.
+	Cancel
+	// Fail answers the caller with Decision.Error.
+	Fail
+)
+
+// Decision is the outcome of one event.
+type Decision struct {
+	Action Action
+	Error  *fault.Error
+}
+
+const (
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts = 3
+	// MaxResumes bounds the reconnections of one attempt.
+	MaxResumes = 4
+)
+
+// Life decides what follows each event of one request.
+type Life struct {
+	// Repeatable requests may run again after a run was lost.
+	Repeatable bool
+	// Deadline ends the request; zero is none.
+	Deadline time.Time
+
+	attempts  int
+	resumes   int
+	delivered bool
+	ran       bool
+	doubt     bool
+}
+
+// Began records a new attempt.
+func (l *Life) Began() { l.attempts++; l.resumes = 0 }
+
+// Attempts returns how many attempts began.
+func (l *Life) Attempts() int { return l.attempts }
+
+// Delivered records that the caller has seen part of the answer. From then on
+// another run cannot continue it, since its words would differ.
+func (l *Life) Delivered() { l.delivered, l.ran = true, true }
+
+// Started records proof that the server runs the attempt.
+func (l *Life) Started() { l.ran = true }
+
+// State returns what may truthfully be said about execution.
+func (l *Life) State() fault.Run {
+	switch {
+	case l.ran:
+		return fault.Ran
+	case l.doubt:
+		return fault.Unknown
+	}
+	return fault.NotRun
+}
+
+// After decides. Budget allows or denies a further attempt.
+func (l *Life) After(e Event, now time.Time, budget *RetryBudget) Decision {
+	switch e {
+	case CallerGone:
+		return Decision{Cancel, fault.New(fault.CallerLeft, "the caller left").With(l.State())}
+	case Refused, ConnectFailed:
+		return l.again(fault.NoServer, e, now, budget)
+	case Broken:
+		l.doubt = true
+		if l.resumes < MaxResumes && !l.expired(now) {
+			l.resumes++
+			return Decision{Action: Resume}
+		}
+		return l.again(fault.EngineFailed, e, now, budget)
+	case RunGone:
+		l.doubt = true
+		return l.again(fault.EngineFailed, e, now, budget)
+	}
+	l.ran = true
+	return l.again(fault.EngineFailed, e, now, budget)
+}
+
+func (l *Life) again(k fault.Kind, e Event, now time.Time, budget *RetryBudget) Decision {
+	proven := e == Refused || e == ConnectFailed
+	switch {
+	case l.expired(now):
+		return l.fail(fault.DeadlineExceeded, "the deadline passed")
+	case l.delivered:
+		return l.fail(k, "the run was lost after part of the answer was delivered")
+	case !proven && !l.Repeatable:
+		return l.fail(k, "the request may not be repeated")
+	case l.attempts >= MaxAttempts:
+		return l.fail(k, "every attempt failed")
+	case !budget.Take():
+		return l.fail(k, "the retry budget is used up")
+	}
+	return Decision{Action: TryAnother}
+}
+
+func (l *Life) expired(now time.Time) bool { return !l.Deadline.IsZero() && !now.Before(l.Deadline) }
+
+func (l *Life) fail(k fault.Kind, detail string) Decision {
+	return Decision{Fail, fault.New(k, "%s", detail).With(l.State())}
+}
+
+// RetryBudget keeps retries below a fraction of first attempts, so that they
+// never multiply an overload. It is owned by one goroutine or its owner's lock.
+type RetryBudget struct {
+	tokens float64
+}
+
+const (
+	// retryRatio is the retries earned by one first attempt.
+	retryRatio = 0.1
+	// retryReserve caps the saved-up retries, and is the budget at start.
+	retryReserve = 10
+)
+
+// NewRetryBudget returns a full budget.
+func NewRetryBudget() *RetryBudget { return &RetryBudget{tokens: retryReserve} }
+
+// Earn records a first attempt.
+func (b *RetryBudget) Earn() { b.tokens = min(retryReserve, b.tokens+retryRatio) }
+
+// Take spends one retry if there is one. A nil budget denies.
+func (b *RetryBudget) Take() bool {
+	if b == nil || b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/routing/picture.go
@@ -0,0 +1,259 @@
+package routing
+
+import (
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+func trailingZeros(v uint64) int { return bits.TrailingZeros64(v) }
+
+const (
+	// initialServiceTime is assumed before the first completion.
+	initialServiceTime = 500 * time.Millisecond
+	// initialPrefill is assumed before the first first-token time, per token.
+	initialPrefill = 200 * time.Microsecond
+	// smoothing is the weight of a new sample in the moving averages: about
+	// the last 20 samples count.
+	smoothing = 0.1
+	// errorHalfLife halves the remembered error rate without new attempts, so
+	// that a mended server gets work again.
+	errorHalfLife = 5 * time.Second
+	// reportHalfLife ages a load report: after this time half of the foreign
+	// work it told of is assumed to be done.
+	reportHalfLife = 2 * time.Second
+	// silenceLimit is the number of silent attempts in a row that make a
+	// server suspect.
+	silenceLimit = 2
+	// suspectFor is how long a suspect server gets no work before one request
+	// may try it again.
+	suspectFor = 3 * time.Second
+)
+
+// Member is a server as the configuration or the VM list names it.
+type Member struct {
+	ID            string
+	Address       string
+	FailureDomain string
+	Slots         int
+}
+
+// Picture is a daemon's knowledge of the servers of one pool. It is owned by
+// one goroutine or guarded by its owner's lock.
+type Picture struct {
+	servers []state
+	index   map[string]int
+	Prefix  *PrefixIndex
+}
+
+type state struct {
+	Candidate
+	used         bool
+	silent       int
+	suspectUntil time.Time
+	errorAt      time.Time
+	report       float64
+	reportAt     time.Time
+}
+
+// NewPicture returns an empty picture.
+func NewPicture() *Picture {
+	return &Picture{index: map[string]int{}, Prefix: NewPrefixIndex()}
+}
+
+// Subset chooses up to MaxCandidates of members for one daemon by rendezvous
+// hashing, so that a changed member moves few others and daemons differ.
+func Subset(daemon string, members []Member, size int) []Member {
+	size = min(size, MaxCandidates)
+	if len(members) <= size {
+		return members
+	}
+	type ranked struct {
+		weight uint64
+		m      Member
+	}
+	all := make([]ranked, len(members))
+	for i, m := range members {
+		all[i] = ranked{xxhash.Sum64String(daemon + "\x00" + m.ID), m}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		if a.weight != b.weight {
+			if a.weight > b.weight {
+				return -1
+			}
+			return 1
+		}
+		if a.m.ID < b.m.ID {
+			return -1
+		}
+		return 1
+	})
+	out := make([]Member, size)
+	for i := range size {
+		out[i] = all[i].m
+	}
+	return out
+}
+
+// Update sets the members. A server keeps its slot and its averages as long as
+// it stays; one replaced at the same id but another address starts anew.
+func (p *Picture) Update(members []Member) {
+	wanted := make(map[string]Member, len(members))
+	for _, m := range members {
+		wanted[m.ID] = m
+	}
+	for id, i := range p.index {
+		m, stays := wanted[id]
+		if stays && m.Address == p.servers[i].Address {
+			p.servers[i].Slots, p.servers[i].FailureDomain = slotsOf(m), m.FailureDomain
+			continue
+		}
+		p.remove(id, i)
+	}
+	for _, m := range members {
+		if _, known := p.index[m.ID]; !known {
+			p.add(m)
+		}
+	}
+}
+
+func slotsOf(m Member) int {
+	if m.Slots > 0 {
+		return m.Slots
+	}
+	return defaultSlots
+}
+
+// defaultSlots is the batch width of a server that states none.
+const defaultSlots = 8
+
+func (p *Picture) remove(id string, i int) {
+	delete(p.index, id)
+	p.servers[i] = state{Candidate: Candidate{Leaving: true}}
+	p.Prefix.Forget(i)
+}
+
+func (p *Picture) add(m Member) {
+	fresh := state{used: true, Candidate: Candidate{
+		ID: m.ID, Address: m.Address, FailureDomain: m.FailureDomain, Slots: slotsOf(m),
+		ServiceTime: initialServiceTime, PrefillPerToken: initialPrefill,
+	}}
+	for i := range p.servers {
+		if !p.servers[i].used {
+			p.servers[i], p.index[m.ID] = fresh, i
+			return
+		}
+	}
+	if len(p.servers) == MaxCandidates {
+		return
+	}
+	p.servers = append(p.servers, fresh)
+	p.index[m.ID] = len(p.servers) - 1
+}
+
+// Snapshot appends the candidates at a time to dst. Index i is slot i.
+func (p *Picture) Snapshot(dst []Candidate, now time.Time) []Candidate {
+	for i := range p.servers {
+		s := &p.servers[i]
+		c := s.Candidate
+		c.OthersInFlight = s.report * decay(now.Sub(s.reportAt), reportHalfLife)
+		c.ErrorRate *= decay(now.Sub(s.errorAt), errorHalfLife)
+		c.Suspect = now.Before(s.suspectUntil)
+		dst = append(dst, c)
+	}
+	return dst
+}
+
+func decay(age, halfLife time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
+
+func (p *Picture) find(id string) *state {
+	i, ok := p.index[id]
+	if !ok {
+		return nil
+	}
+	return &p.servers[i]
+}
+
+// Dispatched records an attempt sent to a server.
+func (p *Picture) Dispatched(id string, blocks []uint64) {
+	s := p.find(id)
+	if s == nil {
+		return
+	}
+	s.InFlight++
+	p.Prefix.Sent(p.index[id], blocks)
+}
+
+// FirstToken records the time to the first token of an attempt whose uncached
+// prompt was estimated at some tokens.
+func (p *Picture) FirstToken(id string, took time.Duration, uncached int) {
+	s := p.find(id)
+	if s == nil {
+		return
+	}
+	s.silent, s.suspectUntil = 0, time.Time{}
+	if uncached <= 0 || s.InFlight > s.Slots {
+		return
+	}
+	s.PrefillPerToken = average(s.PrefillPerToken, took/time.Duration(uncached))
+}
+
+// Completed records the end of an attempt. Failed attempts raise the error rate.
+func (p *Picture) Completed(id string, took time.Duration, failed bool, now time.Time) {
+	s := p.find(id)
+	if s == nil {
+		return
+	}
+	s.InFlight = max(0, s.InFlight-1)
+	old := s.ErrorRate * decay(now.Sub(s.errorAt), errorHalfLife)
+	s.errorAt = now
+	if failed {
+		s.ErrorRate = old + smoothing*(1-old)
+		return
+	}
+	s.ErrorRate = old * (1 - smoothing)
+	s.ServiceTime = average(s.ServiceTime, took)
+}
+
+// Silent records an attempt on which nothing came back in time. New connections
+// often work while old ones hang, so one silence is no verdict on the server.
+func (p *Picture) Silent(id string, now time.Time) {
+	s := p.find(id)
+	if s == nil {
+		return
+	}
+	s.silent++
+	if s.silent >= silenceLimit {
+		s.suspectUntil = now.Add(suspectFor)
+	}
+}
+
+// Reported takes a server's own load report of a given age. Work that this
+// daemon has there itself is not counted twice.
+func (p *Picture) Reported(id string, inFlight int, at time.Time) {
+	s := p.find(id)
+	if s == nil {
+		return
+	}
+	s.report = float64(max(0, inFlight-s.InFlight))
+	s.reportAt = at
+}
+
+// Leaving marks a server that gets no new work, or takes the mark back.
+func (p *Picture) Leaving(id string, leaving bool) {
+	if s := p.find(id); s != nil {
+		s.Candidate.Leaving = leaving
+	}
+}
+
+func average(old, sample time.Duration) time.Duration {
+	return old + time.Duration(smoothing*float64(sample-old))
+}
--- /dev/null
+++ b/internal/routing/pipeline.go
@@ -0,0 +1,120 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Pipeline is the ordered set of rules. The zero value keeps and scores nothing;
+// use Default.
+type Pipeline struct {
+	Filters []Filter
+	Scorers []Scorer
+	// TieWindow is how much worse than the best a candidate may be to share in
+	// the random choice. Daemons see the same lagged reports, so a strict
+	// minimum sends them all to one server at once.
+	TieWindow time.Duration
+}
+
+const (
+	// defaultTieWindow is below the noise of the estimates.
+	defaultTieWindow = 2 * time.Millisecond
+	// defaultSharing is the added delay per request in a batch.
+	defaultSharing = 2 * time.Millisecond
+	// defaultRetryCost is one lost attempt.
+	defaultRetryCost = 500 * time.Millisecond
+)
+
+// Default returns the pipeline that the daemon uses.
+func Default() Pipeline {
+	return Pipeline{
+		Filters: []Filter{Live{}, Untried{}},
+		Scorers: []Scorer{
+			Queue{}, Prefill{}, Network{},
+			Sharing{PerRequest: defaultSharing},
+			Reliability{RetryCost: defaultRetryCost},
+		},
+		TieWindow: defaultTieWindow,
+	}
+}
+
+// Pick chooses among candidates. A request whose best expected time exceeds its
+// budget is refused at once, because queueing it would only delay the refusal.
+func (p Pipeline) Pick(r *Request, candidates []Candidate, rng *rand.Rand) Decision {
+	var costs [MaxCandidates]time.Duration
+	best := time.Duration(-1)
+	n := min(len(candidates), MaxCandidates)
+	for i := range n {
+		costs[i] = -1
+		if !p.keep(r, &candidates[i], i) {
+			continue
+		}
+		costs[i] = p.cost(r, &candidates[i], i)
+		if best < 0 || costs[i] < best {
+			best = costs[i]
+		}
+	}
+	if best < 0 {
+		return Decision{Index: -1, Refusal: NoCandidate}
+	}
+	if r.Budget > 0 && best > r.Budget {
+		return Decision{Index: -1, Expected: best, Refusal: TooLate}
+	}
+	chosen := pickWithin(costs[:n], best+p.TieWindow, rng)
+	return Decision{Index: chosen, Expected: costs[chosen]}
+}
+
+func (p Pipeline) keep(r *Request, c *Candidate, index int) bool {
+	for _, f := range p.Filters {
+		if !f.Keep(r, c, index) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p Pipeline) cost(r *Request, c *Candidate, index int) time.Duration {
+	var sum time.Duration
+	for _, s := range p.Scorers {
+		sum += s.Cost(r, c, index)
+	}
+	return sum
+}
+
+// pickWithin chooses uniformly among costs in [0, limit] by reservoir sampling.
+func pickWithin(costs []time.Duration, limit time.Duration, rng *rand.Rand) int {
+	chosen, seen := -1, 0
+	for i, c := range costs {
+		if c < 0 || c > limit {
+			continue
+		}
+		seen++
+		if rng.IntN(seen) == 0 {
+			chosen = i
+		}
+	}
+	return chosen
+}
+
+// Reason is one rule's word on one candidate.
+type Reason struct {
+	Server string        `json:"server"`
+	Rule   string        `json:"rule"`
+	Kept   bool          `json:"kept"`
+	Cost   time.Duration `json:"cost_ns"`
+}
+
+// Explain returns every rule's word on every candidate.
+func (p Pipeline) Explain(r *Request, candidates []Candidate) []Reason {
+	var out []Reason
+	for i := range min(len(candidates), MaxCandidates) {
+		c := &candidates[i]
+		for _, f := range p.Filters {
+			out = append(out, Reason{Server: c.ID, Rule: f.Name(), Kept: f.Keep(r, c, i)})
+		}
+		for _, s := range p.Scorers {
+			out = append(out, Reason{Server: c.ID, Rule: s.Name(), Kept: true, Cost: s.Cost(r, c, i)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/routing/prefix.go
@@ -0,0 +1,84 @@
+package routing
+
+import "github.com/cespare/xxhash/v2"
+
+const (
+	// BlockBytes is the prompt length hashed into one block.
+	BlockBytes = 256
+	// BlockTokens approximates the tokens of one block at 4 bytes a token.
+	BlockTokens = BlockBytes / 4
+	// MaxBlocks bounds the blocks of one prompt; longer prompts share a prefix
+	// of 8 KiB at most in our estimate.
+	MaxBlocks = 32
+	// chainMultiplier is the odd 64-bit golden ratio; it keeps block order
+	// significant in the chain.
+	chainMultiplier = 0x9E3779B97F4A7C15
+	// prefixCapacity bounds the remembered blocks of one pool and version.
+	prefixCapacity = 1 << 14
+)
+
+// Blocks returns the chained hashes of a prompt's whole leading blocks, appended
+// to dst. Equal values mean equal prompts up to that block for the same seed;
+// the seed names the model and version, whose caches share nothing.
+func Blocks(dst []uint64, seed, prompt string) []uint64 {
+	chain := xxhash.Sum64String(seed)
+	for len(prompt) >= BlockBytes && len(dst) < MaxBlocks {
+		chain = chain*chainMultiplier + xxhash.Sum64String(prompt[:BlockBytes])
+		dst = append(dst, chain)
+		prompt = prompt[BlockBytes:]
+	}
+	return dst
+}
+
+// PrefixIndex remembers which servers were sent which prefix blocks. What this
+// daemon routed is a fresher sign of what is cached than the engines' own cache
+// events, which come late and with gaps. Two generations bound the memory: the
+// older one is forgotten when the newer one is full.
+type PrefixIndex struct {
+	young, old map[uint64]uint64
+	capacity   int
+}
+
+// NewPrefixIndex returns an empty index.
+func NewPrefixIndex() *PrefixIndex {
+	return &PrefixIndex{young: map[uint64]uint64{}, old: map[uint64]uint64{}, capacity: prefixCapacity / 2}
+}
+
+// Sent records that a server (by candidate slot) got a prompt.
+func (p *PrefixIndex) Sent(slot int, blocks []uint64) {
+	for _, b := range blocks {
+		p.young[b] |= p.old[b] | 1<<slot
+	}
+	if len(p.young) >= p.capacity {
+		p.old, p.young = p.young, make(map[uint64]uint64, p.capacity)
+	}
+}
+
+// Evicted records that a server dropped a block.
+func (p *PrefixIndex) Evicted(slot int, block uint64) {
+	p.young[block] &^= 1 << slot
+	p.old[block] &^= 1 << slot
+}
+
+// Forget drops all knowledge of a slot, for a server that was replaced.
+func (p *PrefixIndex) Forget(slot int) {
+	for _, m := range []map[uint64]uint64{p.young, p.old} {
+		for b := range m {
+			m[b] &^= 1 << slot
+		}
+	}
+}
+
+// Fill sets CachedBlocks of r for every slot.
+func (p *PrefixIndex) Fill(r *Request) {
+	alive := ^uint64(0)
+	for i, b := range r.Blocks {
+		alive &= p.young[b] | p.old[b]
+		if alive == 0 {
+			return
+		}
+		for rest := alive; rest != 0; rest &= rest - 1 {
+			r.CachedBlocks[trailingZeros(rest)] = uint8(i + 1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/snapshot.go
@@ -0,0 +1,77 @@
+// Package routing picks a backend server for one attempt: filter, score, pick,
+// over a snapshot of the servers that hold the wanted version.
+//
+// All decisions are pure: the snapshot, the time and the random numbers are
+// arguments. Picture, which keeps the load estimates behind a snapshot, takes
+// the time with every event.
+package routing
+
+import "time"
+
+// MaxCandidates bounds the servers of one snapshot, because prefix knowledge is
+// a bit per server in a uint64. A daemon that knows more servers of a pool
+// works on a subset.
+const MaxCandidates = 64
+
+// Candidate is what is known of one backend server at one moment.
+type Candidate struct {
+	ID            string
+	Address       string
+	FailureDomain string
+	// Slots is how many requests the server runs at once.
+	Slots int
+	// InFlight is the work this daemon has there.
+	InFlight int
+	// OthersInFlight estimates the work of other daemons from the server's
+	// own report, aged.
+	OthersInFlight float64
+	// ServiceTime is the recent mean time a request holds a slot.
+	ServiceTime time.Duration
+	// PrefillPerToken is the recent prefill time per uncached prompt token.
+	PrefillPerToken time.Duration
+	// Network is the recent round trip to the server.
+	Network time.Duration
+	// ErrorRate is the recent fraction of failed attempts, 0 to 1.
+	ErrorRate float64
+	// Leaving servers finish their work and get none.
+	Leaving bool
+	// Suspect servers have gone silent and get none until a probe answers.
+	Suspect bool
+}
+
+// Request is what the pipeline knows of one attempt.
+type Request struct {
+	PromptTokens int
+	// Blocks are the chained hashes of the prompt's prefix blocks.
+	Blocks []uint64
+	// BlockTokens is how many tokens one block spans.
+	BlockTokens int
+	// CachedBlocks gives, per candidate index, the leading blocks believed cached.
+	CachedBlocks [MaxCandidates]uint8
+	// Tried marks, by candidate index, the servers of earlier attempts.
+	Tried uint64
+	// Budget is the time left to the first token; zero is unbounded.
+	Budget time.Duration
+}
+
+// Decision is the outcome of one pick.
+type Decision struct {
+	// Index is the chosen candidate, or -1.
+	Index int
+	// Expected is the expected time to the first token at the chosen server.
+	Expected time.Duration
+	// Refusal says why nothing was chosen.
+	Refusal Refusal
+}
+
+// Refusal is a reason not to dispatch.
+type Refusal uint8
+
+const (
+	// None means a server was chosen.
+	None Refusal = iota
+	// NoCandidate means every server was filtered out.
+	NoCandidate
+	// TooLate means no server can start within the budget.
+	TooLate
+)
--- /dev/null
+++ b/internal/session/session.go
@@ -0,0 +1,111 @@
+// Package session pins a caller's session to a version. The pin rides in a
+// signed token that the caller returns, so that any daemon can read it and no
+// store is needed.
+package session
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"slices"
+	"strings"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+)
+
+// Keyring signs with its current key and verifies with any of its keys. During
+// a rotation every daemon first learns the new key and only then signs with it.
+type Keyring struct {
+	// Current is the id of the signing key.
+	Current string
+	// Keys maps ids to secrets.
+	Keys map[string][]byte
+}
+
+// Sign returns payload with a key id and a MAC.
+func (k *Keyring) Sign(payload string) string {
+	body := base64.RawURLEncoding.EncodeToString([]byte(payload))
+	return k.Current + "." + body + "." + k.mac(k.Current, body)
+}
+
+// Verify returns the payload of a signed token.
+func (k *Keyring) Verify(token string) (string, bool) {
+	id, rest, ok := strings.Cut(token, ".")
+	body, mac, ok2 := strings.Cut(rest, ".")
+	if _, known := k.Keys[id]; !ok || !ok2 || !known {
+		return "", false
+	}
+	if !hmac.Equal([]byte(mac), []byte(k.mac(id, body))) {
+		return "", false
+	}
+	payload, err := base64.RawURLEncoding.DecodeString(body)
+	return string(payload), err == nil
+}
+
+func (k *Keyring) mac(id, body string) string {
+	m := hmac.New(sha256.New, k.Keys[id])
+	m.Write([]byte(body))
+	return base64.RawURLEncoding.EncodeToString(m.Sum(nil))
+}
+
+// Pin says which version a session of a workspace uses for one model.
+type Pin struct {
+	Workspace string
+	// Name is the session's own name, which places it in a roll-out.
+	Name    string
+	Model   string
+	Version string
+}
+
+const tokenPrefix = "s1."
+
+// IsToken reports whether a session header claims to be a signed token.
+func IsToken(s string) bool { return strings.HasPrefix(s, tokenPrefix) }
+
+// Token signs the pin.
+func (p Pin) Token(ring *Keyring) string {
+	return tokenPrefix + ring.Sign(strings.Join([]string{p.Workspace, p.Name, p.Model, p.Version}, "\n"))
+}
+
+// Parse verifies a token for a workspace.
+func Parse(ring *Keyring, workspace, token string) (Pin, error) {
+	payload, ok := ring.Verify(strings.TrimPrefix(token, tokenPrefix))
+	parts := strings.Split(payload, "\n")
+	if !ok || len(parts) != 4 {
+		return Pin{}, fault.Field(fault.SessionRefused, "X-Session-Id", "the signature is wrong or its key has been retired")
+	}
+	if parts[0] != workspace {
+		return Pin{}, fault.Field(fault.SessionRefused, "X-Session-Id", "the session belongs to another workspace")
+	}
+	return Pin{parts[0], parts[1], parts[2], parts[3]}, nil
+}
+
+// maxNameLength bounds a caller's own session name in bytes.
+const maxNameLength = 128
+
+// CheckName validates a caller's own session name.
+func CheckName(name string) error {
+	bad := func(r rune) bool { return r <= ' ' || r > '~' }
+	if len(name) > maxNameLength || slices.ContainsFunc([]rune(name), bad) {
+		return fault.Field(fault.BadRequest, "X-Session-Id", "a session name has 1 to %d printable ASCII characters", maxNameLength)
+	}
+	return nil
+}
+
+// Resolve chooses the version for a session. A pinned version that is serving
+// and allowed stays, whatever a roll-out does. A withdrawn one moves to its
+// successor, the same at every daemon of one configuration number. A session
+// without a pin gets the version its name falls to.
+func Resolve(c *fleet.Config, w fleet.Workspace, model string, pin Pin) (string, error) {
+	if pin.Model == model && pin.Version != "" {
+		if v, ok := c.Successor(w, model, pin.Version); ok {
+			return v, nil
+		}
+		return "", fault.New(fault.VersionWithdrawn, "version %s of %s is withdrawn and has no successor for this workspace", pin.Version, model)
+	}
+	if v, ok := c.VersionFor(w, model, pin.Name); ok {
+		return v, nil
+	}
+	return "", fault.New(fault.NotEntitled, "no serving version of %s is allowed for this workspace", model)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,229 @@
+// Package settings reads a daemon's settings: JSON with comments, every field
+// checked, errors naming the file, the line or field, and the value.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Duration is a time.Duration written as a string such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var s string
+	if err := json.Unmarshal(data, &s); err != nil {
+		return fmt.Errorf("a duration is a string such as \"1.5s\", not %s", data)
+	}
+	v, err := time.ParseDuration(s)
+	*d = Duration(v)
+	return err
+}
+
+// MarshalJSON implements json.Marshaler.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	// ID names the daemon; it stays the same over restarts. Required.
+	ID string `json:"id"`
+	// Region is where the failure domain lies. Required.
+	Region string `json:"region"`
+	// FailureDomain is where the VM runs. Required.
+	FailureDomain string `json:"failure_domain"`
+	// Listen is the ip:port for callers and operators. Required.
+	Listen string `json:"listen"`
+	// PeerListen is the ip:port for other daemons. Required.
+	PeerListen string `json:"peer_listen"`
+	// Peers are peer addresses to join through. Default: none.
+	Peers []string `json:"peers"`
+	// Log is the base URL of the append-only log service. Required.
+	Log string `json:"log"`
+	// VMList is the base URL of the list of VMs. Default: not used.
+	VMList string `json:"vm_list"`
+	// Rating is the base URL of the rating service. Default: not used.
+	Rating string `json:"rating"`
+	// Weights is the base URL of the weight store. Default: loads are not limited.
+	Weights string `json:"weights"`
+	// Pools are the pools this daemon routes to. Default: all.
+	Pools []string `json:"pools"`
+	// SecretsFile holds the keys as JSON. Default: the environment variable
+	// DAMASKRUDDER_SECRETS holds them.
+	SecretsFile string `json:"secrets_file"`
+	// MaxBodyBytes bounds a request's body in bytes. Default 1,048,576.
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// Subset is how many servers of a pool the daemon works with, 1 to 64.
+	// Default 24.
+	Subset int `json:"subset"`
+	// EndpointTTL is how long callers may keep an answer of /v1/endpoints.
+	// Default "5s".
+	EndpointTTL Duration `json:"endpoint_ttl"`
+	// DrainGrace is how long after EndpointTTL a stopping daemon still accepts
+	// requests. It covers the spread of the leaving mark to daemons that just
+	// started and missed the announcement, so it is at least "2s". Default "3s".
+	DrainGrace Duration `json:"drain_grace"`
+	// DrainLimit bounds the wait for running requests. Default "2m".
+	DrainLimit Duration `json:"drain_limit"`
+	// Silence is how long an answer stream may stay silent before it is resumed
+	// on a new connection. Default "3s".
+	Silence Duration `json:"silence"`
+	// BillingBuffer bounds the usage records awaiting the log. Default 20,000,
+	// about 8 MB.
+	BillingBuffer int `json:"billing_buffer"`
+	// RatingShare is the fraction of answers handed to the rating service, 0 to
+	// 1. Default 0.05.
+	RatingShare float64 `json:"rating_share"`
+	// LogLevel is debug, info, warn or error. Default "info".
+	LogLevel string `json:"log_level"`
+	// TLS holds the files for encrypted listeners and links. Default: plain.
+	TLS *TLS `json:"tls"`
+}
+
+// TLS names certificate files; they are read again when they change.
+type TLS struct {
+	// CertFile is the daemon's certificate chain, PEM.
+	CertFile string `json:"cert_file"`
+	// KeyFile is its private key, PEM.
+	KeyFile string `json:"key_file"`
+	// CAFile holds the authorities that other daemons' certificates must be
+	// signed by, PEM.
+	CAFile string `json:"ca_file"`
+}
+
+// Defaults returns settings with every default filled in.
+func Defaults() Settings {
+	return Settings{
+		MaxBodyBytes:  1 << 20,
+		Subset:        24,
+		EndpointTTL:   Duration(5 * time.Second),
+		DrainGrace:    Duration(3 * time.Second),
+		DrainLimit:    Duration(2 * time.Minute),
+		Silence:       Duration(3 * time.Second),
+		BillingBuffer: 20000,
+		RatingShare:   0.05,
+		LogLevel:      "info",
+	}
+}
+
+// Load reads and checks a settings file.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, err
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%s: %w", file, err)
+	}
+	return s, nil
+}
+
+// Parse decodes and checks settings.
+func Parse(data []byte) (Settings, error) {
+	s := Defaults()
+	plain, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return s, err
+	}
+	d := json.NewDecoder(bytes.NewReader(plain))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return s, located(plain, err)
+	}
+	return s, s.Validate()
+}
+
+// located adds the line of the offending field to a decoding error.
+func located(data []byte, err error) error {
+	var bad *json.UnmarshalTypeError
+	if errors.As(err, &bad) {
+		return fmt.Errorf("line %d: %s: a JSON %s does not fit", lineAt(data, int(bad.Offset)), bad.Field, bad.Value)
+	}
+	if _, field, ok := strings.Cut(err.Error(), "unknown field "); ok {
+		return fmt.Errorf("line %d: unknown field %s", lineAt(data, bytes.Index(data, []byte(field))), field)
+	}
+	return err
+}
+
+func lineAt(data []byte, offset int) int {
+	return 1 + bytes.Count(data[:min(max(offset, 0), len(data))], []byte("\n"))
+}
+
+// Validate checks every field.
+func (s *Settings) Validate() error {
+	for _, f := range []struct{ name, value string }{{"id", s.ID}, {"region", s.Region}, {"failure_domain", s.FailureDomain}} {
+		if f.value == "" {
+			return fmt.Errorf("%s: must not be empty", f.name)
+		}
+	}
+	if err := s.validateAddresses(); err != nil {
+		return err
+	}
+	return s.validateNumbers()
+}
+
+func (s *Settings) validateAddresses() error {
+	addresses := map[string]string{"listen": s.Listen, "peer_listen": s.PeerListen}
+	for i, p := range s.Peers {
+		addresses[fmt.Sprintf("peers[%d]", i)] = p
+	}
+	for field, value := range addresses {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			return fmt.Errorf("%s: %q is not ip:port", field, value)
+		}
+	}
+	if s.Log == "" {
+		return errors.New("log: must not be empty")
+	}
+	for _, f := range []struct{ name, value string }{{"log", s.Log}, {"vm_list", s.VMList}, {"rating", s.Rating}, {"weights", s.Weights}} {
+		u, err := url.Parse(f.value)
+		if f.value != "" && (err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "") {
+			return fmt.Errorf("%s: %q is not an http or https URL", f.name, f.value)
+		}
+	}
+	return nil
+}
+
+const (
+	maxSubset = 64
+	// minDrainGrace is two rounds of heartbeats.
+	minDrainGrace = Duration(2 * time.Second)
+)
+
+func (s *Settings) validateNumbers() error {
+	for _, f := range []struct {
+		name  string
+		value Duration
+	}{{"endpoint_ttl", s.EndpointTTL}, {"drain_grace", s.DrainGrace}, {"drain_limit", s.DrainLimit}, {"silence", s.Silence}} {
+		if f.value <= 0 {
+			return fmt.Errorf("%s: %s must be above zero", f.name, time.Duration(f.value))
+		}
+	}
+	switch {
+	case s.MaxBodyBytes <= 0:
+		return fmt.Errorf("max_body_bytes: %d must be above zero", s.MaxBodyBytes)
+	case s.Subset < 1 || s.Subset > maxSubset:
+		return fmt.Errorf("subset: %d is out of 1..%d", s.Subset, maxSubset)
+	case s.DrainGrace < minDrainGrace:
+		return fmt.Errorf("drain_grace: %s must be at least %s", time.Duration(s.DrainGrace), time.Duration(minDrainGrace))
+	case s.BillingBuffer < 1:
+		return fmt.Errorf("billing_buffer: %d must be above zero", s.BillingBuffer)
+	case s.RatingShare < 0 || s.RatingShare > 1:
+		return fmt.Errorf("rating_share: %v is out of 0..1", s.RatingShare)
+	case !strings.Contains(" debug info warn error ", " "+s.LogLevel+" "):
+		return fmt.Errorf("log_level: %q is not debug, info, warn or error", s.LogLevel)
+	case s.TLS != nil && (s.TLS.CertFile == "" || s.TLS.KeyFile == "" || s.TLS.CAFile == ""):
+		return errors.New("tls: cert_file, key_file and ca_file are all needed")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/services.go
@@ -0,0 +1,174 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/damaskrudder/damaskrudder/internal/platform"
+)
+
+// WrongMark is the word in a model stand-in's answer that the rating stand-in
+// takes for a bad one.
+const WrongMark = "wrong"
+
+// VMList is the platform's list of VMs; changes show after a lag.
+type VMList struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	changes []vmChange
+}
+
+type vmChange struct {
+	at time.Time
+	vm platform.VM
+}
+
+// NewVMList returns an empty list whose changes show after lag.
+func NewVMList(lag time.Duration) *VMList { return &VMList{lag: lag} }
+
+// Set changes a row.
+func (l *VMList) Set(vm platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changes = append(l.changes, vmChange{time.Now(), vm})
+}
+
+// ServeHTTP implements http.Handler.
+func (l *VMList) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	shown := map[string]platform.VM{}
+	for _, c := range l.changes {
+		if time.Since(c.at) >= l.lag {
+			shown[c.vm.ID] = c.vm
+		}
+	}
+	list := make([]platform.VM, 0, len(shown))
+	for _, vm := range shown {
+		list = append(list, vm)
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+// Rater is the rating service: it rates a sample good unless the answer holds
+// WrongMark, and says so after a delay.
+type Rater struct {
+	mu      sync.Mutex
+	delay   time.Duration
+	ratings map[string][]timedRating
+}
+
+type timedRating struct {
+	at     time.Time
+	rating platform.Rating
+}
+
+// NewRater returns a rating service that answers after delay.
+func NewRater(delay time.Duration) *Rater {
+	return &Rater{delay: delay, ratings: map[string][]timedRating{}}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Rater) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Method == http.MethodPost {
+		var in platform.Sample
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		good := !strings.Contains(in.Answer, WrongMark)
+		in.Answer = ""
+		s.ratings[in.Daemon] = append(s.ratings[in.Daemon], timedRating{time.Now().Add(s.delay), platform.Rating{Sample: in, Good: good}})
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
+	s.collect(w, r)
+}
+
+func (s *Rater) collect(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.FormValue("from"))
+	all := s.ratings[r.FormValue("daemon")]
+	due := []platform.Rating{}
+	next := min(max(from, 0), len(all))
+	for next < len(all) && !time.Now().Before(all[next].at) {
+		due = append(due, all[next].rating)
+		next++
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"ratings": due, "next": next})
+}
+
+// WeightStore grants loads at a limited rate.
+type WeightStore struct{ limit *rate.Limiter }
+
+// NewWeightStore allows perSecond loads a second.
+func NewWeightStore(perSecond float64) *WeightStore {
+	return &WeightStore{limit: rate.NewLimiter(rate.Limit(perSecond), 1)}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *WeightStore) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.limit.Allow())
+}
+
+// Plain is a plain service. It counts what it really ran, by run id.
+type Plain struct {
+	mu    sync.Mutex
+	runs  map[string]int
+	texts map[string]string
+	// Delay is the service time.
+	Delay time.Duration
+}
+
+// NewPlain returns a service that answers at once.
+func NewPlain() *Plain { return &Plain{runs: map[string]int{}, texts: map[string]string{}} }
+
+// Runs returns how often each run id was executed.
+func (s *Plain) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
+// Texts returns the reply by run id.
+func (s *Plain) Texts() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.texts)
+}
+
+// maxPlainBody bounds a call's body in bytes.
+const maxPlainBody = 1 << 20
+
+// ServeHTTP implements http.Handler.
+func (s *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxPlainBody))
+	if err != nil {
+		return
+	}
+	run := r.Header.Get("X-Run-Id")
+	s.mu.Lock()
+	s.runs[run]++
+	n := s.runs[run]
+	s.mu.Unlock()
+	time.Sleep(s.Delay)
+	h := fnv.New32a()
+	_, _ = h.Write(body)
+	text := fmt.Sprintf(`{"confirmation":"%s-%08x-%d"}`, run, h.Sum32(), n)
+	s.mu.Lock()
+	s.texts[run] = text
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, text)
+}
