Membership whose cost does not grow with the fleet

Change: probes and rumors (two probes a round, only changes travel, a suspect refutes) in place of gossiped rows; a whole table is fetched at the start and every five minutes. The VM list is read by two daemons of a failure domain and passed on. Usage copies are confirmed by place in place of by id. A record that no keeper holds is flushed at once, and the wait for the log counts the record's own batch: it could end with an earlier one.

--- a/internal/billing/billing.go
+++ b/internal/billing/billing.go
@@ -52,6 +52,8 @@
 	inFlight int
 	// reserved counts requests that run and will need a place.
 	reserved int
+	// added and confirmed count records over the buffer's life.
+	added, confirmed uint64
 }
 
 // NewBuffer returns a buffer for up to limit records.
@@ -69,15 +71,25 @@
 // Release gives a reserved place back unused.
 func (b *Buffer) Release() { b.reserved = max(0, b.reserved-1) }
 
-// Add stores a record in a reserved place.
-func (b *Buffer) Add(u Usage) {
+// Add stores a record in a reserved place and returns its place in the order
+// of confirmation.
+func (b *Buffer) Add(u Usage) uint64 {
 	b.Release()
 	b.records = append(b.records, u)
+	b.added++
+	return b.added
 }
 
+// Confirmed reports whether the log has the record of a place. A batch that was
+// under way when the record was added does not hold it.
+func (b *Buffer) Confirmed(place uint64) bool { return place <= b.confirmed }
+
 // Len returns the number of unconfirmed records.
 func (b *Buffer) Len() int { return len(b.records) }
 
+// Through returns the place up to which the log has the records.
+func (b *Buffer) Through() uint64 { return b.confirmed }
+
 // Batch returns up to most records to append, or none while a batch is in
 // flight. The records stay until Confirm.
 func (b *Buffer) Batch(most int) []Usage {
@@ -91,6 +103,7 @@
 // Confirm drops the batch in flight.
 func (b *Buffer) Confirm() {
 	b.records = append([]Usage(nil), b.records[b.inFlight:]...)
+	b.confirmed += uint64(b.inFlight)
 	b.inFlight = 0
 }
 
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -87,7 +87,7 @@
 	if most {
 		c.peerHeard = time.Now()
 	}
-	return membership.Sight{LogHeard: c.logHeard, PeersHeard: c.peerHeard, Loaded: c.loaded}
+	return membership.Sight{LogHeard: c.logHeard, PeersHeard: c.peerHeard, Loaded: c.loaded, NeedsLog: c.d.settings.WithoutLog == "refuse"}
 }
 
 func (c *configuration) loop(ctx context.Context) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -200,8 +200,8 @@
 func (d *Daemon) self() membership.Beat {
 	return membership.Beat{
 		ID: d.settings.ID, Address: d.settings.Listen, PeerAddress: d.settings.PeerListen,
-		FailureDomain: d.settings.FailureDomain, Region: d.settings.Region,
-		Incarnation: d.incarnation, Number: d.config.current().Number,
+		FailureDomain: d.settings.FailureDomain,
+		Incarnation:   d.incarnation, Number: d.config.current().Number,
 		Leaving: d.leaving.Load(), InFlight: int(d.inFlight.Load()),
 		LogAgeMillis: time.Since(d.config.heard()).Milliseconds(),
 	}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -15,14 +16,18 @@
 
 // members exchanges heartbeats with other daemons.
 type members struct {
-	d        *Daemon
-	mu       sync.Mutex
-	table    *membership.Table
-	sequence uint64
+	d     *Daemon
+	mu    sync.Mutex
+	table *membership.Table
+	// synced is when another daemon's whole table was last adopted. A daemon
+	// that just started knows its seeds only: the others are no news any more,
+	// so no rumor would tell it of them.
+	synced time.Time
 }
 
 func newMembers(d *Daemon) *members {
-	return &members{d: d, table: membership.NewTable(d.self())}
+	rng := rand.New(rand.NewPCG(d.incarnation, 0))
+	return &members{d: d, table: membership.NewTable(d.self(), rng)}
 }
 
 func (m *members) register(s *peer.Server) {
@@ -31,7 +36,16 @@
 		if q.ConfigNext > m.d.config.next() {
 			go m.d.config.peerAhead(context.WithoutCancel(ctx), q.Self, q.ConfigNext)
 		}
-		return m.beat(), nil
+		reply := m.beat()
+		if at, ids := m.d.pools.leavingWord(); at > q.VMsAt {
+			reply.Leaving = ids
+		}
+		return reply, nil
+	})
+	peer.Handle(s, "members", func(context.Context, string, peer.AskMembers) (peer.MemberRows, error) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return peer.MemberRows{Rows: m.table.Sync()}, nil
 	})
 }
 
@@ -41,70 +55,99 @@
 
 func (m *members) round(ctx context.Context) {
 	m.mu.Lock()
-	changed := m.table.Tick(time.Now())
+	gone := m.table.Tick(time.Now())
 	targets := m.table.Targets()
-	alive := 0
-	for _, row := range m.table.Members() {
-		if row.State == membership.Alive {
-			alive++
-		}
-	}
+	alive, known := m.table.Len(), m.table.Members()
 	m.mu.Unlock()
 	m.d.metrics.membersAlive.Update(float64(alive))
-	for _, c := range changed {
-		m.d.log.Info("member changed", "member", c.ID, "state", c.State)
+	for _, g := range gone {
+		m.d.log.Info("member is gone", "member", g.ID, "failure_domain", g.FailureDomain)
 	}
-	var addresses []string
 	for _, t := range targets {
-		addresses = append(addresses, t.PeerAddress)
+		go m.probe(ctx, t.ID, t.PeerAddress)
 	}
 	for _, seed := range m.d.settings.Peers {
-		if seed != m.d.settings.PeerListen && !slices.Contains(addresses, seed) && len(addresses) < membership.Fanout {
-			addresses = append(addresses, seed)
+		knows := func(k membership.Member) bool { return k.PeerAddress == seed }
+		if !slices.ContainsFunc(known, knows) {
+			go m.probe(ctx, "", seed)
 		}
 	}
-	for _, a := range addresses {
-		go m.exchange(ctx, a)
+}
+
+// probe exchanges heartbeats with a daemon. A failed call is tried once more on
+// a new connection before it counts: an open connection may have gone silent
+// while the daemon is well.
+func (m *members) probe(ctx context.Context, id, address string) {
+	err := m.exchange(ctx, address)
+	if err != nil {
+		err = m.exchange(ctx, address)
+	}
+	if id == "" || ctx.Err() != nil {
+		return
 	}
+	m.mu.Lock()
+	m.table.Probed(id, err == nil, time.Now())
+	m.mu.Unlock()
 }
 
-func (m *members) exchange(ctx context.Context, address string) {
+func (m *members) exchange(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	m.d.metrics.peerCalls.Inc(1)
 	reply, err := peer.Call[peer.Heartbeat, peer.Heartbeat](ctx, m.d.links, address, "heartbeat", m.beat())
 	if err != nil {
-		return
+		return err
 	}
 	m.take(reply)
+	m.d.pools.takeLeaving(reply.VMsAt, reply.Leaving)
 	m.d.config.peerAhead(ctx, reply.Self, reply.ConfigNext)
+	m.sync(ctx, address)
+	return nil
+}
+
+// sync adopts a daemon's whole table when the last one is old.
+func (m *members) sync(ctx context.Context, address string) {
+	m.mu.Lock()
+	due := time.Since(m.synced) >= membership.SyncEvery
+	m.mu.Unlock()
+	if !due {
+		return
+	}
+	r, err := peer.Call[peer.AskMembers, peer.MemberRows](ctx, m.d.links, address, "members", peer.AskMembers{})
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.synced = time.Now()
+	m.table.Adopt(r.Rows, m.synced)
 }
 
 func (m *members) beat() peer.Heartbeat {
 	self, next := m.d.self(), m.d.config.next()
+	at, _ := m.d.pools.leavingWord()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.sequence++
-	self.Sequence = m.sequence
-	m.table.SetSelf(self, time.Now())
-	return peer.Heartbeat{Self: self, Rows: m.table.Gossip(), ConfigNext: next}
+	m.table.SetSelf(self)
+	return peer.Heartbeat{Self: m.table.Self(), Rumors: m.table.Rumors(), ConfigNext: next, VMsAt: at}
 }
 
 func (m *members) take(h peer.Heartbeat) {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.table.Heard(h.Self, now)
-	for _, b := range h.Rows {
-		m.table.Heard(b, now)
+	m.table.Answered(h.Self, now)
+	for _, r := range h.Rumors {
+		m.table.Take(r, now)
 	}
 }
 
 // announce tells every live daemon at once, so that no endpoint answer names
 // this daemon from now on.
 func (m *members) announce() {
-	m.beat()
+	self := m.d.self()
 	m.mu.Lock()
+	m.table.SetSelf(self)
 	rows := m.table.Members()
 	m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
@@ -112,7 +155,7 @@
 	var wg sync.WaitGroup
 	for _, r := range rows {
 		if r.ID != m.d.settings.ID && r.State == membership.Alive {
-			wg.Go(func() { m.exchange(ctx, r.PeerAddress) })
+			wg.Go(func() { _ = m.exchange(ctx, r.PeerAddress) })
 		}
 	}
 	wg.Wait()
@@ -121,7 +164,13 @@
 func (m *members) hearsMost() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.table.HearsMost()
+	return m.table.HearsMost(time.Now())
+}
+
+func (m *members) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Len()
 }
 
 func (m *members) homes(key string, n int) []membership.Member {
@@ -159,16 +208,18 @@
 }
 
 func (m *members) endpoints() []string {
-	m.beat()
+	self := m.d.self()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.table.SetSelf(self)
 	return m.table.Endpoints(endpointCount)
 }
 
 // Members returns the daemon's view of all daemons.
 func (d *Daemon) Members() []membership.Member {
-	d.members.beat()
+	self := d.self()
 	d.members.mu.Lock()
 	defer d.members.mu.Unlock()
+	d.members.table.SetSelf(self)
 	return d.members.table.Members()
 }
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -28,8 +28,10 @@
 	number  uint64
 	byName  map[string]*pool
 	leaving map[string]bool
-	turn    int
-	rng     *rand.Rand
+	// leavingAt is when leaving was read from the platform, in Unix ms.
+	leavingAt int64
+	turn      int
+	rng       *rand.Rand
 }
 
 type pool struct {
@@ -213,21 +215,49 @@
 	return t.pool, t.c, true
 }
 
-// listVMs takes the platform's word on leaving servers. While the list is down
-// the last word stands.
+// listVMs reads the platform's word on leaving servers. Two daemons of each
+// failure domain read it and the others hear it with their heartbeats, since the
+// list names every VM and hundreds of readers would swamp its service. While the
+// list is down the last word stands.
 func (p *pools) listVMs(ctx context.Context) {
+	if !p.d.members.isHomeIn("vm_list", readersPerDomain) {
+		return
+	}
+	at := time.Now().UnixMilli()
 	vms, err := p.d.ports.VMs.List(ctx)
 	if err != nil {
 		return
 	}
-	now := map[string]bool{}
+	var ids []string
 	for _, vm := range vms {
 		if vm.State == platform.Leaving {
-			now[vm.ID] = true
+			ids = append(ids, vm.ID)
 		}
 	}
+	p.takeLeaving(at, ids)
+}
+
+// leavingWord returns the newest word on leaving servers and when it was read.
+func (p *pools) leavingWord() (at int64, ids []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.leaving {
+		ids = append(ids, id)
+	}
+	return p.leavingAt, ids
+}
+
+// takeLeaving applies a word on leaving servers that is newer than the known one.
+func (p *pools) takeLeaving(at int64, ids []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if at <= p.leavingAt {
+		return
+	}
+	now := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		now[id] = true
+	}
 	for _, st := range p.byName {
 		for id := range p.leaving {
 			if !now[id] {
@@ -238,7 +268,7 @@
 			st.picture.Leaving(id, true)
 		}
 	}
-	p.leaving = now
+	p.leaving, p.leavingAt = now, at
 }
 
 // ServerView is a server as this daemon sees it.
--- a/internal/daemon/usage.go
+++ b/internal/daemon/usage.go
@@ -38,18 +38,26 @@
 	buffer    *billing.Buffer
 	confirmed chan struct{}
 	kept      map[string]keptRecord
-	// keptAt lists, by keeper address, the own records it holds.
-	keptAt map[string][]string
+	// keepers are the peer addresses that got own records since the last flush.
+	keepers map[string]bool
+	// hurry asks for a flush at once, for a record that no keeper holds.
+	hurry chan struct{}
 }
 
+// keptRecord is a copy held for another daemon.
 type keptRecord struct {
-	owner string
-	usage billing.Usage
-	at    time.Time
+	owner       string
+	incarnation uint64
+	place       uint64
+	usage       billing.Usage
+	at          time.Time
 }
 
 func newUsage(d *Daemon) *usage {
-	return &usage{d: d, buffer: billing.NewBuffer(d.settings.BillingBuffer), confirmed: make(chan struct{}), kept: map[string]keptRecord{}, keptAt: map[string][]string{}}
+	return &usage{
+		d: d, buffer: billing.NewBuffer(d.settings.BillingBuffer), confirmed: make(chan struct{}),
+		kept: map[string]keptRecord{}, keepers: map[string]bool{}, hurry: make(chan struct{}, 1),
+	}
 }
 
 func (u *usage) register(s *peer.Server) {
@@ -78,32 +86,50 @@
 // a keeper in another failure domain, or the log, has it.
 func (u *usage) add(ctx context.Context, rec billing.Usage) {
 	u.mu.Lock()
-	u.buffer.Add(rec)
-	pending, wait := u.buffer.Len(), u.confirmed
+	place, pending := u.buffer.Add(rec), u.buffer.Len()
 	u.mu.Unlock()
 	u.d.metrics.billed.Inc(1)
 	u.d.metrics.usagePending.Update(float64(pending))
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), protectTimeout)
 	defer cancel()
-	if u.protect(ctx, rec) {
+	if u.protect(ctx, place, rec) {
 		return
 	}
 	select {
-	case <-wait:
-	case <-ctx.Done():
+	case u.hurry <- struct{}{}:
+	default:
+	}
+	if !u.await(ctx, place) {
 		u.d.metrics.unprotected.Inc(1)
 	}
 }
 
-func (u *usage) protect(ctx context.Context, rec billing.Usage) bool {
+// await waits until the log has the record of a place.
+func (u *usage) await(ctx context.Context, place uint64) bool {
+	for {
+		u.mu.Lock()
+		done, changed := u.buffer.Confirmed(place), u.confirmed
+		u.mu.Unlock()
+		if done {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (u *usage) protect(ctx context.Context, place uint64, rec billing.Usage) bool {
 	for _, k := range u.d.members.keepers(2) {
 		_, err := peer.Call[peer.StoreUsage, peer.Done](ctx, u.d.links, k.PeerAddress, "store_usage",
-			peer.StoreUsage{Owner: u.d.settings.ID, Records: []billing.Usage{rec}})
+			peer.StoreUsage{Owner: u.d.settings.ID, Incarnation: u.d.incarnation, Place: place, Records: []billing.Usage{rec}})
 		if err != nil {
 			continue
 		}
 		u.mu.Lock()
-		u.keptAt[k.PeerAddress] = append(u.keptAt[k.PeerAddress], rec.RequestID)
+		u.keepers[k.PeerAddress] = true
 		u.mu.Unlock()
 		return true
 	}
@@ -116,8 +142,8 @@
 	if len(u.kept)+len(q.Records) > u.d.settings.BillingBuffer {
 		return fault.New(fault.BillingBacklog, "%d copies are kept already", len(u.kept))
 	}
-	for _, r := range q.Records {
-		u.kept[r.RequestID] = keptRecord{q.Owner, r, time.Now()}
+	for i, r := range q.Records {
+		u.kept[r.RequestID] = keptRecord{q.Owner, q.Incarnation, q.Place + uint64(i), r, time.Now()}
 	}
 	return nil
 }
@@ -125,25 +151,31 @@
 func (u *usage) release(q peer.ConfirmUsage) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, id := range q.Requests {
-		if u.kept[id].owner == q.Owner {
+	for id, k := range u.kept {
+		if k.owner == q.Owner && k.incarnation == q.Incarnation && k.place <= q.Through {
 			delete(u.kept, id)
 		}
 	}
 }
 
 func (u *usage) loop(ctx context.Context) {
-	for pause(ctx, u.period()) {
+	for {
+		timer := time.NewTimer(u.period())
+		select {
+		case <-timer.C:
+		case <-u.hurry:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
 		u.flush(ctx)
 		u.adopt(ctx)
 	}
 }
 
 func (u *usage) period() time.Duration {
-	u.d.members.mu.Lock()
-	n := len(u.d.members.table.Members())
-	u.d.members.mu.Unlock()
-	return max(flushLeast, time.Duration(n)*time.Second/appendsPerSecond)
+	return max(flushLeast, time.Duration(u.d.members.size())*time.Second/appendsPerSecond)
 }
 
 // flush appends what is buffered. A lost reply leaves the records in the
@@ -165,12 +197,12 @@
 	u.buffer.Confirm()
 	close(u.confirmed)
 	u.confirmed = make(chan struct{})
-	keepers := u.keptAt
-	u.keptAt = map[string][]string{}
-	pending := u.buffer.Len()
+	keepers := u.keepers
+	u.keepers = map[string]bool{}
+	pending, through := u.buffer.Len(), u.buffer.Through()
 	u.mu.Unlock()
 	u.d.metrics.usagePending.Update(float64(pending))
-	u.confirm(ctx, keepers, batch)
+	u.confirm(ctx, keepers, through)
 }
 
 func (u *usage) append(ctx context.Context, batch []billing.Usage) error {
@@ -185,32 +217,13 @@
 	return err
 }
 
-// confirm tells the keepers which records the log has. Records that were added
-// while the append ran go back to the list for the next time.
-func (u *usage) confirm(ctx context.Context, keepers map[string][]string, batch []billing.Usage) {
-	done := make(map[string]bool, len(batch))
-	for _, b := range batch {
-		done[b.RequestID] = true
-	}
-	for address, ids := range keepers {
-		var now, later []string
-		for _, id := range ids {
-			if done[id] {
-				now = append(now, id)
-			} else {
-				later = append(later, id)
-			}
-		}
-		u.mu.Lock()
-		if len(later) > 0 {
-			u.keptAt[address] = append(later, u.keptAt[address]...)
-		}
-		u.mu.Unlock()
-		if len(now) == 0 {
-			continue
-		}
+// confirm tells the keepers up to which place the log has the records. One that
+// misses it appends its copies again, and they fold away.
+func (u *usage) confirm(ctx context.Context, keepers map[string]bool, through uint64) {
+	msg := peer.ConfirmUsage{Owner: u.d.settings.ID, Incarnation: u.d.incarnation, Through: through}
+	for address := range keepers {
 		callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
-		_, _ = peer.Call[peer.ConfirmUsage, peer.Done](callCtx, u.d.links, address, "confirm_usage", peer.ConfirmUsage{Owner: u.d.settings.ID, Requests: now})
+		_, _ = peer.Call[peer.ConfirmUsage, peer.Done](callCtx, u.d.links, address, "confirm_usage", msg)
 		cancel()
 	}
 }
@@ -222,7 +235,7 @@
 	u.mu.Lock()
 	for _, k := range u.kept {
 		m, known := u.d.members.find(k.owner)
-		gone := !known || m.State == membership.Gone
+		gone := !known || m.State == membership.Gone || m.Incarnation != k.incarnation
 		if gone || now.Sub(k.at) > adoptAfter {
 			batch = append(batch, k.usage)
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -185,18 +185,24 @@
 	if err != nil {
 		return oops.In("engine").Wrapf(err, "build %s", target)
 	}
-	resp, err := c.fresh.Do(req)
+	// A pooled connection that went silent costs one timeout and is closed; the
+	// next call opens a new one.
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return oops.In("engine").Wrapf(err, "%s %s", method, target)
 	}
 	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return oops.In("engine").Wrapf(err, "read %s", target)
+	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return oops.In("engine").With("status", resp.StatusCode).Errorf("%s %s answered %s", method, target, resp.Status)
 	}
 	if out == nil {
 		return nil
 	}
-	return oops.In("engine").Wrapf(json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(out), "decode %s", target)
+	return oops.In("engine").Wrapf(json.Unmarshal(data, out), "decode %s", target)
 }
 
 // Call sends a plain service call and returns its status and body. The error is
--- a/internal/membership/freshness.go
+++ b/internal/membership/freshness.go
@@ -15,38 +15,28 @@
 type Sight struct {
 	// LogHeard is when the log last answered a read.
 	LogHeard time.Time
-	// PeersHeard is when at least half of the other known daemons had been
-	// heard within SuspectAfter.
+	// PeersHeard is when the daemon last was in the larger part of the fleet.
 	PeersHeard time.Time
+	// NeedsLog makes the daemon refuse without the log even among its peers.
+	NeedsLog bool
 	// Loaded says that a configuration was obtained at all.
 	Loaded bool
 }
 
 // Serve decides whether a daemon may dispatch at a time.
 //
-// A log that is down for everyone cannot have changed, so daemons that hear
-// each other go on: a patch accepted through any of them would reach the rest.
-// A daemon that hears neither may be the one that missed a withdrawal; it stops
-// within the time in which the withdrawal must be in force.
+// A log that is down for everyone cannot have changed, so daemons that hear most
+// of the fleet go on. One that hears neither may be the one that missed a
+// withdrawal; it stops within the time in which a withdrawal must be in force.
+// What is left open is a partition with the log on the smaller side: the larger
+// side then serves by its configuration until it heals. Operators who weigh that
+// above a log outage set NeedsLog.
 func (s Sight) Serve(now time.Time) bool {
 	if !s.Loaded {
 		return false
 	}
-	return now.Sub(s.LogHeard) <= LogFresh || now.Sub(s.PeersHeard) <= IsolatedLimit
-}
-
-// HearsMost reports whether the own daemon hears at least half of the others it
-// knew alive lately. A lone daemon hears nobody and relies on the log.
-func (t *Table) HearsMost() bool {
-	heard, all := 0, 0
-	for id, m := range t.rows {
-		if id == t.self {
-			continue
-		}
-		all++
-		if m.State == Alive {
-			heard++
-		}
+	if s.NeedsLog {
+		return now.Sub(s.LogHeard) <= IsolatedLimit
 	}
-	return all > 0 && heard*2 >= all
+	return now.Sub(s.LogHeard) <= LogFresh || now.Sub(s.PeersHeard) <= IsolatedLimit
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,114 +1,155 @@
-// Package membership is a daemon's view of the other daemons: who is alive,
-// suspect, leaving or gone, which roles each holds, and which addresses callers
-// should use. It does no I/O.
 package membership
 
 import (
 	"cmp"
+	"math/bits"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
-
-// State is what one daemon believes of another.
-type State uint8
-
-const (
-	// Alive daemons answered lately.
-	Alive State = iota
-	// Suspect daemons missed heartbeats; they hold no role but are still tried.
-	Suspect
-	// Gone daemons were silent for long, or were replaced.
-	Gone
 )
 
-// String returns the state's name.
-func (s State) String() string { return [...]string{"alive", "suspect", "gone"}[s] }
-
-const (
-	// HeartbeatEvery is the period of heartbeats.
-	HeartbeatEvery = time.Second
-	// SuspectAfter is the silence that makes a daemon suspect.
-	SuspectAfter = 3 * time.Second
-	// GoneAfter is the silence after which a daemon is taken for gone.
-	GoneAfter = 10 * time.Second
-	// ForgetAfter is when a gone daemon's row is dropped.
-	ForgetAfter = 60 * time.Second
-	// Fanout is how many daemons one heartbeat round reaches; at 520 daemons
-	// news reaches all in about log(520)/log(1+Fanout) rounds.
-	Fanout = 5
-	// GossipRows is how many rows of the table ride on one heartbeat.
-	GossipRows = 6
-)
-
-// Beat is what a daemon says of itself, or what others pass on of it.
-type Beat struct {
-	ID            string `cbor:"1,keyasint" json:"id"`
-	Address       string `cbor:"2,keyasint" json:"address"`
-	PeerAddress   string `cbor:"3,keyasint" json:"peer_address"`
-	FailureDomain string `cbor:"4,keyasint" json:"failure_domain"`
-	Region        string `cbor:"5,keyasint" json:"region"`
-	// Incarnation is the daemon's start time in Unix nanoseconds. A higher one
-	// replaces a lower one at the same id or address.
-	Incarnation uint64 `cbor:"6,keyasint" json:"incarnation"`
-	// Sequence rises with every beat of one incarnation.
-	Sequence uint64 `cbor:"7,keyasint" json:"sequence"`
-	// Number is the configuration number in force there.
-	Number  uint64 `cbor:"8,keyasint" json:"number"`
-	Leaving bool   `cbor:"9,keyasint" json:"leaving"`
-	// InFlight is the number of requests there, for spreading callers.
-	InFlight int `cbor:"10,keyasint" json:"in_flight"`
-	// LogAgeMillis is how long ago the daemon heard the log, in ms.
-	LogAgeMillis int64 `cbor:"11,keyasint" json:"log_age_ms"`
-}
-
 // Member is a row of the table.
 type Member struct {
 	Beat
-	State State     `json:"state"`
-	Heard time.Time `json:"heard"`
+	State State `json:"state"`
+	// Since is when the state was taken.
+	Since time.Time `json:"since"`
 }
 
 // Table is one daemon's view. It is owned by one goroutine or its owner's lock.
 type Table struct {
-	self string
-	rows map[string]*Member
-	turn int
+	self     string
+	rows     map[string]*Member
+	rumors   map[string]*rumor
+	order    []string
+	contacts []contact
+	rng      *rand.Rand
 }
 
-// NewTable returns a table that knows only its own daemon.
-func NewTable(self Beat) *Table {
-	t := &Table{self: self.ID, rows: map[string]*Member{}}
-	t.rows[self.ID] = &Member{Beat: self}
-	return t
+type rumor struct {
+	state State
+	sent  int
 }
 
-// SetSelf replaces the own row.
-func (t *Table) SetSelf(b Beat, now time.Time) {
-	t.rows[t.self] = &Member{Beat: b, Heard: now}
+type contact struct {
+	at time.Time
+	ok bool
+}
+
+// NewTable returns a table that knows only its own daemon. The source orders the
+// probes, so that daemons do not all probe the same ones.
+func NewTable(self Beat, rng *rand.Rand) *Table {
+	t := &Table{self: self.ID, rows: map[string]*Member{}, rumors: map[string]*rumor{}, rng: rng}
+	t.rows[self.ID] = &Member{Beat: self}
+	t.spread(self.ID, Alive)
+	return t
 }
 
 // Self returns the own row.
 func (t *Table) Self() Beat { return t.rows[t.self].Beat }
 
-// Heard takes a beat, own or passed on, and reports whether it was news. Older
-// incarnations and sequences are dropped: a beat that wandered long through
-// others must not bring a replaced daemon back to life.
-func (t *Table) Heard(b Beat, now time.Time) bool {
-	if b.ID == t.self || b.ID == "" {
-		return false
+// SetSelf refreshes what the own row says. Starting to leave is news.
+func (t *Table) SetSelf(b Beat) {
+	own := t.rows[t.self]
+	b.Sequence = own.Sequence
+	if b.Leaving != own.Leaving {
+		b.Sequence++
+		t.spread(t.self, Alive)
 	}
-	old := t.rows[b.ID]
-	if old != nil && (b.Incarnation < old.Incarnation || b.Incarnation == old.Incarnation && b.Sequence <= old.Sequence) {
-		return false
+	own.Beat = b
+}
+
+// spread makes the state of a daemon a rumor to pass on.
+func (t *Table) spread(id string, s State) { t.rumors[id] = &rumor{state: s} }
+
+// Answered takes what a daemon said of itself, in a probe or its answer. A
+// daemon that speaks is alive here, whatever others say; whether it is for them
+// is for it to refute.
+func (t *Table) Answered(b Beat, now time.Time) {
+	old, known := t.admit(b)
+	if !known {
+		return
 	}
-	if !t.takesAddress(b) {
-		return false
+	if old == nil || b.newer(old.Beat) {
+		t.set(b, Alive, now)
+		t.spread(b.ID, Alive)
+		return
 	}
-	t.rows[b.ID] = &Member{Beat: b, Heard: now}
-	return true
+	if old.newer(b) {
+		return
+	}
+	old.Beat = b
+	if old.State != Alive {
+		old.State, old.Since = Alive, now
+	}
+}
+
+// admit finds the row of a foreign daemon. It refuses beats without identity,
+// of the own id, and of daemons that were replaced at their address.
+func (t *Table) admit(b Beat) (*Member, bool) {
+	if b.ID == t.self || b.ID == "" || !t.takesAddress(b) {
+		return nil, false
+	}
+	return t.rows[b.ID], true
+}
+
+func (t *Table) set(b Beat, s State, now time.Time) {
+	t.rows[b.ID] = &Member{Beat: b, State: s, Since: now}
+}
+
+// Take applies a rumor and passes it on if it was news. A rumor of lower
+// incarnation or sequence is dropped: one that wandered long through others
+// must not bring a replaced daemon back to life.
+func (t *Table) Take(r Rumor, now time.Time) {
+	if r.Beat.ID == t.self {
+		t.refute(r)
+		return
+	}
+	old, known := t.admit(r.Beat)
+	if !known {
+		return
+	}
+	switch {
+	case old == nil && r.State == Gone:
+		return
+	case old == nil || r.Beat.newer(old.Beat):
+	case old.newer(r.Beat) || r.State <= old.State:
+		return
+	}
+	t.set(r.Beat, r.State, now)
+	t.spread(r.Beat.ID, r.State)
+}
+
+// Adopt takes another daemon's whole table. Its rows are no rumors: whoever has
+// this daemon's news has them too.
+func (t *Table) Adopt(rows []Rumor, now time.Time) {
+	for _, r := range rows {
+		old, known := t.admit(r.Beat)
+		if !known || r.State == Gone || old != nil && !r.Beat.newer(old.Beat) {
+			continue
+		}
+		t.set(r.Beat, r.State, now)
+	}
+}
+
+// Sync returns the whole table for another daemon to adopt.
+func (t *Table) Sync() []Rumor {
+	var out []Rumor
+	for _, m := range t.Members() {
+		out = append(out, Rumor{m.Beat, m.State})
+	}
+	return out
+}
+
+// refute answers a rumor that this daemon is not alive with a higher sequence.
+func (t *Table) refute(r Rumor) {
+	own := t.rows[t.self]
+	if r.State == Alive || r.Beat.Incarnation != own.Incarnation || r.Beat.Sequence < own.Sequence {
+		return
+	}
+	own.Sequence = r.Beat.Sequence + 1
+	t.spread(t.self, Alive)
 }
 
 // takesAddress settles which daemon owns a peer address. A VM replaced at the
@@ -122,34 +163,47 @@
 		if m.Incarnation > b.Incarnation {
 			return false
 		}
-		delete(t.rows, id)
+		t.forget(id)
 	}
 	return true
 }
 
-// Tick ages the rows and returns those whose state changed.
+func (t *Table) forget(id string) {
+	delete(t.rows, id)
+	delete(t.rumors, id)
+}
+
+// Probed records the outcome of a probe. A daemon that did not answer becomes
+// suspect, which is news.
+func (t *Table) Probed(id string, ok bool, now time.Time) {
+	t.contacts = append(t.contacts, contact{now, ok})
+	if over := len(t.contacts) - contactsKept; over > 0 {
+		t.contacts = t.contacts[over:]
+	}
+	m := t.rows[id]
+	if ok || m == nil || id == t.self || m.State != Alive {
+		return
+	}
+	m.State, m.Since = Suspect, now
+	t.spread(id, Suspect)
+}
+
+// Tick ages the rows and returns those that went.
 func (t *Table) Tick(now time.Time) []Member {
-	var changed []Member
+	var gone []Member
 	for id, m := range t.rows {
-		if id == t.self {
-			continue
-		}
-		state := Alive
-		switch silence := now.Sub(m.Heard); {
-		case silence >= ForgetAfter:
-			delete(t.rows, id)
-			continue
-		case silence >= GoneAfter:
-			state = Gone
-		case silence >= SuspectAfter:
-			state = Suspect
-		}
-		if state != m.State {
-			m.State = state
-			changed = append(changed, *m)
+		age := now.Sub(m.Since)
+		switch {
+		case id == t.self:
+		case m.State == Suspect && age >= RefuteTime:
+			m.State, m.Since = Gone, now
+			t.spread(id, Gone)
+			gone = append(gone, *m)
+		case m.State == Gone && (m.Leaving || age >= ForgetAfter):
+			t.forget(id)
 		}
 	}
-	return changed
+	return gone
 }
 
 // Members returns all rows by id.
@@ -162,6 +216,17 @@
 	return out
 }
 
+// Len returns the number of daemons believed alive, the own one included.
+func (t *Table) Len() int {
+	n := 0
+	for _, m := range t.rows {
+		if m.State == Alive {
+			n++
+		}
+	}
+	return n
+}
+
 // Find returns the row of a daemon.
 func (t *Table) Find(id string) (Member, bool) {
 	m := t.rows[id]
@@ -171,104 +236,72 @@
 	return *m, true
 }
 
-// usable rows may hold roles and get callers.
-func usable(m Member) bool { return m.State == Alive && !m.Leaving }
-
-// Targets returns the daemons for the next round of heartbeats. Rounds walk
-// through all rows, gone ones included, so that a healed partition is noticed.
+// Targets returns the daemons to probe in the next round. Each cycle goes
+// through all rows in a new random order, gone ones included, so that every
+// daemon is probed in bounded time and a healed partition is noticed.
 func (t *Table) Targets() []Member {
-	others := slices.DeleteFunc(t.Members(), func(m Member) bool { return m.ID == t.self })
-	return t.window(others, Fanout)
-}
-
-// Gossip returns the rows to pass on with the next heartbeat.
-func (t *Table) Gossip() []Beat {
-	live := slices.DeleteFunc(t.Members(), func(m Member) bool { return m.ID == t.self || m.State != Alive })
-	rows := t.window(live, GossipRows)
-	out := make([]Beat, len(rows))
-	for i, m := range rows {
-		out[i] = m.Beat
+	var out []Member
+	for len(out) < Fanout {
+		if len(t.order) == 0 {
+			if len(out) > 0 || len(t.rows) == 1 {
+				return out
+			}
+			t.shuffle()
+		}
+		id := t.order[0]
+		t.order = t.order[1:]
+		if m := t.rows[id]; m != nil {
+			out = append(out, *m)
+		}
 	}
 	return out
 }
 
-func (t *Table) window(rows []Member, n int) []Member {
-	if len(rows) <= n {
-		return rows
-	}
-	t.turn += n
-	out := make([]Member, n)
-	for i := range n {
-		out[i] = rows[(t.turn+i)%len(rows)]
+func (t *Table) shuffle() {
+	for _, m := range t.Members() {
+		if m.ID != t.self {
+			t.order = append(t.order, m.ID)
+		}
 	}
-	return out
-}
-
-// Homes returns the n best usable daemons for a key by rendezvous hashing, best
-// first, own daemon included.
-func (t *Table) Homes(key string, n int) []Member {
-	return t.ranked(key, n, usable)
+	t.rng.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
 }
 
-// HomesIn returns the n best usable daemons of one failure domain for a key.
-func (t *Table) HomesIn(domain, key string, n int) []Member {
-	return t.ranked(key, n, func(m Member) bool { return usable(m) && m.FailureDomain == domain })
-}
-
-// Keepers returns up to n usable daemons outside the own failure domain that
-// keep copies for the own one.
-func (t *Table) Keepers(n int) []Member {
-	domain := t.Self().FailureDomain
-	away := t.ranked(t.self, n, func(m Member) bool { return usable(m) && m.FailureDomain != domain })
-	if len(away) > 0 {
-		return away
+// Rumors returns the rumors for the next message, the least told first. A rumor
+// is told often enough to reach everybody with near certainty, then dropped.
+func (t *Table) Rumors() []Rumor {
+	ids := make([]string, 0, len(t.rumors))
+	for id := range t.rumors {
+		ids = append(ids, id)
 	}
-	return t.ranked(t.self, n, func(m Member) bool { return usable(m) && m.ID != t.self })
-}
-
-func (t *Table) ranked(key string, n int, keep func(Member) bool) []Member {
-	var rows []Member
-	for _, m := range t.rows {
-		if keep(*m) {
-			rows = append(rows, *m)
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(t.rumors[a].sent, t.rumors[b].sent), strings.Compare(a, b))
+	})
+	limit := rumorFactor * bits.Len(uint(len(t.rows)))
+	var out []Rumor
+	for _, id := range ids[:min(RumorRows, len(ids))] {
+		r := t.rumors[id]
+		out = append(out, Rumor{t.rows[id].Beat, r.state})
+		if r.sent++; r.sent >= limit {
+			delete(t.rumors, id)
 		}
 	}
-	rank := func(m Member) uint64 { return xxhash.Sum64String(key + "\x00" + m.ID) }
-	slices.SortFunc(rows, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(rank(b), rank(a)), strings.Compare(a.ID, b.ID))
-	})
-	return rows[:min(n, len(rows))]
+	return out
 }
 
-// Endpoints returns up to n addresses for a caller: usable daemons, one failure
-// domain after the other, the least loaded of each first. The own daemon's
-// leaving mark counts too, so a leaving daemon never names itself.
-func (t *Table) Endpoints(n int) []string {
-	byDomain := map[string][]Member{}
-	for _, m := range t.Members() {
-		if usable(m) {
-			byDomain[m.FailureDomain] = append(byDomain[m.FailureDomain], m)
-		}
-	}
-	domains := make([]string, 0, len(byDomain))
-	for d, rows := range byDomain {
-		slices.SortStableFunc(rows, func(a, b Member) int { return cmp.Compare(a.InFlight, b.InFlight) })
-		domains = append(domains, d)
-	}
-	slices.SortFunc(domains, func(a, b string) int {
-		return cmp.Or(cmp.Compare(byDomain[a][0].InFlight, byDomain[b][0].InFlight), strings.Compare(a, b))
-	})
-	var out []string
-	for round := 0; len(out) < n; round++ {
-		before := len(out)
-		for _, d := range domains {
-			if round < len(byDomain[d]) && len(out) < n {
-				out = append(out, byDomain[d][round].Address)
-			}
+// HearsMost reports whether the daemon is in the larger part of the fleet: at
+// least half of its newest probes were answered, and at least half of the
+// daemons it knows are alive. A lone daemon hears nobody and relies on the log.
+func (t *Table) HearsMost(now time.Time) bool {
+	answered, asked := 0, 0
+	for _, c := range t.contacts {
+		if now.Sub(c.at) > contactFresh {
+			continue
 		}
-		if len(out) == before {
-			break
+		asked++
+		if c.ok {
+			answered++
 		}
 	}
-	return out
+	others := len(t.rows) - 1
+	return answered > 0 && 2*answered >= asked && 2*(t.Len()-1) >= others
 }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -10,12 +10,25 @@
 	"github.com/damaskrudder/damaskrudder/internal/slo"
 )
 
-// Heartbeat tells of the sender and of some others; the answer has the same form.
+// Heartbeat probes a daemon; the answer has the same form.
 type Heartbeat struct {
-	Self membership.Beat   `cbor:"1,keyasint"`
-	Rows []membership.Beat `cbor:"2,keyasint"`
+	Self   membership.Beat    `cbor:"1,keyasint"`
+	Rumors []membership.Rumor `cbor:"2,keyasint,omitempty"`
 	// ConfigNext is the offset of the next configuration record to fold.
 	ConfigNext uint64 `cbor:"3,keyasint"`
+	// VMsAt is when the sender's word on leaving servers was read, in Unix ms.
+	VMsAt int64 `cbor:"4,keyasint,omitempty"`
+	// Leaving lists the leaving servers. It is left out unless the receiver's
+	// word is older.
+	Leaving []string `cbor:"5,keyasint,omitempty"`
+}
+
+// AskMembers asks for a daemon's whole table.
+type AskMembers struct{}
+
+// MemberRows is the answer to AskMembers.
+type MemberRows struct {
+	Rows []membership.Rumor `cbor:"1,keyasint"`
 }
 
 // FetchConfig asks for configuration records from an offset on.
@@ -32,14 +45,19 @@
 
 // StoreUsage hands copies of usage records to a keeper until the log has them.
 type StoreUsage struct {
-	Owner   string          `cbor:"1,keyasint"`
-	Records []billing.Usage `cbor:"2,keyasint"`
+	Owner string `cbor:"1,keyasint"`
+	// Incarnation tells the places of one run of the owner from those of the next.
+	Incarnation uint64 `cbor:"2,keyasint"`
+	// Place is the first record's place in the owner's order of confirmation.
+	Place   uint64          `cbor:"3,keyasint"`
+	Records []billing.Usage `cbor:"4,keyasint"`
 }
 
-// ConfirmUsage tells a keeper that the log has an owner's records.
+// ConfirmUsage tells a keeper that the log has an owner's records up to a place.
 type ConfirmUsage struct {
-	Owner    string   `cbor:"1,keyasint"`
-	Requests []string `cbor:"2,keyasint"`
+	Owner       string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Through     uint64 `cbor:"3,keyasint"`
 }
 
 // AskLease asks the home of a meter for a lease.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,6 +83,10 @@
 	// RatingShare is the fraction of answers handed to the rating service, 0 to
 	// 1. Default 0.05.
 	RatingShare float64 `json:"rating_share"`
+	// WithoutLog says what to do while the log does not answer: "majority" serves
+	// on among most daemons, "refuse" stops 15 s after the log's last word.
+	// Default "majority".
+	WithoutLog string `json:"without_log"`
 	// LogLevel is debug, info, warn or error. Default "info".
 	LogLevel string `json:"log_level"`
 	// TLS holds the files for encrypted listeners and links. Default: plain.
@@ -111,6 +115,7 @@
 		Silence:       Duration(3 * time.Second),
 		BillingBuffer: 20000,
 		RatingShare:   0.05,
+		WithoutLog:    "majority",
 		LogLevel:      "info",
 	}
 }
@@ -220,6 +225,8 @@
 		return fmt.Errorf("billing_buffer: %d must be above zero", s.BillingBuffer)
 	case s.RatingShare < 0 || s.RatingShare > 1:
 		return fmt.Errorf("rating_share: %v is out of 0..1", s.RatingShare)
+	case s.WithoutLog != "majority" && s.WithoutLog != "refuse":
+		return fmt.Errorf("without_log: %q is neither majority nor refuse", s.WithoutLog)
 	case !strings.Contains(" debug info warn error ", " "+s.LogLevel+" "):
 		return fmt.Errorf("log_level: %q is not debug, info, warn or error", s.LogLevel)
 	case s.TLS != nil && (s.TLS.CertFile == "" || s.TLS.KeyFile == "" || s.TLS.CAFile == ""):
--- /dev/null
+++ b/lab/slopes/fit.go
@@ -0,0 +1,52 @@
+package main
+
+import "math"
+
+// point is what one daemon cost at one size.
+type point struct {
+	size float64
+	// cpu is in percent of a core.
+	cpu float64
+	// heap is in KB.
+	heap float64
+	// bytes is peer traffic in bytes a second, both directions.
+	bytes float64
+	// reads and appends are calls to the log a second.
+	reads, appends float64
+}
+
+type quantity struct {
+	name string
+	of   func(point) float64
+}
+
+var quantities = []quantity{
+	{"CPU %core", func(p point) float64 { return p.cpu }},
+	{"heap KB", func(p point) float64 { return p.heap }},
+	{"peer B/s", func(p point) float64 { return p.bytes }},
+	{"log reads/s", func(p point) float64 { return p.reads }},
+	{"log appends/s", func(p point) float64 { return p.appends }},
+}
+
+// line is a fitted line with its worst relative error over the points.
+type line struct{ base, slope, worst float64 }
+
+// fit returns the least-squares line.
+func fit(points []point, of func(point) float64) line {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(points))
+	for _, p := range points {
+		x, y := p.size, of(p)
+		sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	l := line{slope: (n*sxy - sx*sy) / (n*sxx - sx*sx)}
+	l.base = (sy - l.slope*sx) / n
+	for _, p := range points {
+		y := of(p)
+		if y == 0 {
+			continue
+		}
+		l.worst = math.Max(l.worst, math.Abs(l.base+l.slope*p.size-y)/y)
+	}
+	return l
+}
