Routing that does not chase lagged reports

Cause: in virtual time (10 engines, 6 daemons, reports 2 s late, one server 3 times slower, 80% load) the p99 first token was 7.8 s; without the slow server round robin beat us (0.54 against 2.95 s). A report was taken at its word, the service time held the wait in the queue, and prefill estimates rose with load.

Change: the work of others is a mean over reports; the delay of own first tokens is a signal of its own; the wait follows Sakasegawa's approximation; service times leave the wait out; a server that cannot be reached gets no work at once, with doubling pauses.

--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -140,6 +140,7 @@
 		event := request.RunGone
 		if errors.Is(err, engine.ErrNotConnected) {
 			event = request.ConnectFailed
+			d.pools.unreachable(ch)
 		}
 		if dec := d.decide(life, event); dec.Action != request.TryAnother {
 			return nil, dec.Error
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -39,9 +39,11 @@
 	text       strings.Builder
 	usage      engine.Usage
 	firstToken time.Duration
-	choice     choice
-	finish     string
-	complete   bool
+	// wait is the part of firstToken spent in the server's queue.
+	wait     time.Duration
+	choice   choice
+	finish   string
+	complete bool
 }
 
 // run drives the attempts of a step until its answer is whole or it fails.
@@ -49,7 +51,7 @@
 	res := &stepResult{}
 	var tried []string
 	d.retries.earn()
-	rr := routing.Request{PromptTokens: (len(s.prompt) + 3) / 4, BlockTokens: routing.BlockTokens}
+	rr := routing.Request{PromptTokens: (len(s.prompt) + 3) / 4, BlockTokens: routing.BlockTokens, Urgent: s.priority == 0}
 	rr.Blocks = routing.Blocks(nil, s.model+"@"+s.version, s.prompt)
 	for {
 		if s.life.Attempts() > 0 && s.fallback != "" {
@@ -115,8 +117,11 @@
 		if ctx.Err() != nil {
 			event = request.CallerGone
 		}
-		if event == request.Refused {
+		switch event {
+		case request.Refused:
 			d.pools.lacks(ch, s.model+"@"+s.version)
+		case request.ConnectFailed, request.RunGone:
+			d.pools.unreachable(ch)
 		}
 		dec := d.decide(s.life, event)
 		if dec.Action != request.Resume {
@@ -157,7 +162,7 @@
 }
 
 func (d *Daemon) finishAttempt(s *step, ch choice, began time.Time, res *stepResult, failed bool) {
-	d.pools.completed(ch, time.Since(began), failed)
+	d.pools.completed(ch, max(0, time.Since(began)-res.wait), failed)
 	if !res.complete {
 		return
 	}
@@ -216,7 +221,7 @@
 func (d *Daemon) take(s *step, res *stepResult, ch choice, f engine.Frame, began time.Time) error {
 	if res.firstToken == 0 {
 		res.firstToken = time.Since(began)
-		d.pools.firstToken(ch, res.firstToken)
+		res.wait = d.pools.firstToken(ch, res.firstToken)
 		d.metrics.firstToken.RecordDuration(res.firstToken)
 	}
 	if f.End {
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -96,7 +96,8 @@
 	expected  time.Duration
 	// spare says that the server had a free slot, so that its speed speaks for
 	// the version and not for the load.
-	spare bool
+	spare  bool
+	urgent bool
 }
 
 // pick chooses a server for a version and marks the attempt as dispatched.
@@ -124,9 +125,9 @@
 		return choice{}, refusal(dec, poolName)
 	}
 	chosen := candidates[dec.Index]
-	st.picture.Dispatched(chosen.ID, r.Blocks)
+	st.picture.Dispatched(chosen.ID, r.Blocks, r.Urgent, time.Now())
 	return choice{
-		pool: poolName, candidate: chosen, expected: dec.Expected,
+		pool: poolName, candidate: chosen, expected: dec.Expected, urgent: r.Urgent,
 		uncached: max(0, r.PromptTokens-int(r.CachedBlocks[dec.Index])*r.BlockTokens),
 		spare:    float64(chosen.InFlight)+chosen.OthersInFlight < float64(chosen.Slots),
 	}, nil
@@ -147,18 +148,29 @@
 	}
 }
 
-func (p *pools) firstToken(c choice, took time.Duration) {
-	p.with(c.pool, func(st *pool) { st.picture.FirstToken(c.candidate.ID, took, c.uncached) })
+// firstToken books a first token and returns the part of it that was a wait.
+func (p *pools) firstToken(c choice, took time.Duration) (wait time.Duration) {
+	p.with(c.pool, func(st *pool) {
+		wait = st.picture.FirstToken(c.candidate.ID, took, c.uncached, time.Now())
+	})
+	return wait
 }
 
-func (p *pools) completed(c choice, took time.Duration, failed bool) {
-	p.with(c.pool, func(st *pool) { st.picture.Completed(c.candidate.ID, took, failed, time.Now()) })
+// completed books the end of an attempt that held a slot for some time.
+func (p *pools) completed(c choice, held time.Duration, failed bool) {
+	p.with(c.pool, func(st *pool) {
+		st.picture.Completed(c.candidate.ID, held, failed, c.urgent, time.Now())
+	})
 }
 
 func (p *pools) silent(c choice) {
 	p.with(c.pool, func(st *pool) { st.picture.Silent(c.candidate.ID, time.Now()) })
 }
 
+func (p *pools) unreachable(c choice) {
+	p.with(c.pool, func(st *pool) { st.picture.Unreachable(c.candidate.ID, time.Now()) })
+}
+
 // lacks records that a server refused a version it was thought to hold.
 func (p *pools) lacks(c choice, version string) {
 	p.with(c.pool, func(st *pool) {
--- a/internal/routing/picture.go
+++ b/internal/routing/picture.go
@@ -22,15 +22,25 @@
 	// errorHalfLife halves the remembered error rate without new attempts, so
 	// that a mended server gets work again.
 	errorHalfLife = 5 * time.Second
-	// reportHalfLife ages a load report: after this time half of the foreign
-	// work it told of is assumed to be done.
-	reportHalfLife = 2 * time.Second
+	// reportHalfLife ages what reports told of foreign work when no more come.
+	reportHalfLife = 10 * time.Second
+	// reportWeight is the weight of a new report. Reports lag by seconds, so a
+	// single one tells of load that has moved on; daemons that follow it chase
+	// each other from server to server. Their mean tells which servers are busy.
+	reportWeight = 0.2
+	// waitHalfLife ages the delay of own first tokens.
+	waitHalfLife = time.Second
+	// waitWeight is the weight of a new first token in that delay.
+	waitWeight = 0.4
+	// ownHalfLife smooths the own work that is taken out of a lagged report.
+	ownHalfLife = 2 * time.Second
 	// silenceLimit is the number of silent attempts in a row that make a
 	// server suspect.
 	silenceLimit = 2
-	// suspectFor is how long a suspect server gets no work before one request
-	// may try it again.
-	suspectFor = 3 * time.Second
+	// suspectFor is how long a suspect server gets no work before it is tried
+	// again; it doubles with every failure in a row up to suspectMost.
+	suspectFor  = 3 * time.Second
+	suspectMost = 24 * time.Second
 )
 
 // Member is a server as the configuration or the VM list names it.
@@ -55,8 +65,12 @@
 	silent       int
 	suspectUntil time.Time
 	errorAt      time.Time
-	report       float64
-	reportAt     time.Time
+	others       float64
+	othersAt     time.Time
+	ownMean      float64
+	ownAt        time.Time
+	wait         time.Duration
+	waitAt       time.Time
 }
 
 // NewPicture returns an empty picture.
@@ -159,7 +173,8 @@
 	for i := range p.servers {
 		s := &p.servers[i]
 		c := s.Candidate
-		c.OthersInFlight = s.report * decay(now.Sub(s.reportAt), reportHalfLife)
+		c.OthersInFlight = s.others * decay(now.Sub(s.othersAt), reportHalfLife)
+		c.Wait = time.Duration(float64(s.wait) * decay(now.Sub(s.waitAt), waitHalfLife))
 		c.ErrorRate *= decay(now.Sub(s.errorAt), errorHalfLife)
 		c.Suspect = now.Before(s.suspectUntil)
 		dst = append(dst, c)
@@ -183,36 +198,62 @@
 }
 
 // Dispatched records an attempt sent to a server.
-func (p *Picture) Dispatched(id string, blocks []uint64) {
+func (p *Picture) Dispatched(id string, blocks []uint64, urgent bool, now time.Time) {
 	s := p.find(id)
 	if s == nil {
 		return
 	}
+	s.smoothOwn(now)
 	s.InFlight++
+	if urgent {
+		s.Urgent++
+	}
 	p.Prefix.Sent(p.index[id], blocks)
 }
 
+// smoothOwn moves the mean of the own work up to a time.
+func (s *state) smoothOwn(now time.Time) {
+	keep := decay(now.Sub(s.ownAt), ownHalfLife)
+	s.ownMean = s.ownMean*keep + float64(s.InFlight)*(1-keep)
+	s.ownAt = now
+}
+
 // FirstToken records the time to the first token of an attempt whose uncached
-// prompt was estimated at some tokens.
-func (p *Picture) FirstToken(id string, took time.Duration, uncached int) {
+// prompt was estimated at some tokens, and returns the part of it that was a
+// wait: what exceeds the prefill, which the fastest first tokens tell.
+func (p *Picture) FirstToken(id string, took time.Duration, uncached int, now time.Time) (wait time.Duration) {
 	s := p.find(id)
 	if s == nil {
-		return
+		return 0
 	}
 	s.silent, s.suspectUntil = 0, time.Time{}
-	if uncached <= 0 || s.InFlight > s.Slots {
-		return
+	excess := max(0, took-s.Network-time.Duration(uncached)*s.PrefillPerToken)
+	old := time.Duration(float64(s.wait) * decay(now.Sub(s.waitAt), waitHalfLife))
+	s.wait = old + time.Duration(waitWeight*float64(excess-old))
+	s.waitAt = now
+	if uncached >= minPrefillSample {
+		s.PrefillPerToken = lowAverage(s.PrefillPerToken, took/time.Duration(uncached))
 	}
-	s.PrefillPerToken = average(s.PrefillPerToken, took/time.Duration(uncached))
+	return excess
 }
 
-// Completed records the end of an attempt. Failed attempts raise the error rate.
-func (p *Picture) Completed(id string, took time.Duration, failed bool, now time.Time) {
+// minPrefillSample is the least uncached prompt, in tokens, whose first token
+// says something about the prefill.
+const minPrefillSample = 64
+
+// Completed records the end of an attempt that held a slot for some time, its
+// wait not counted: a service time that grew with the queue would make the queue
+// look longer still. Failed attempts raise the error rate.
+func (p *Picture) Completed(id string, held time.Duration, failed, urgent bool, now time.Time) {
 	s := p.find(id)
 	if s == nil {
 		return
 	}
+	s.smoothOwn(now)
 	s.InFlight = max(0, s.InFlight-1)
+	if urgent {
+		s.Urgent = max(0, s.Urgent-1)
+	}
 	old := s.ErrorRate * decay(now.Sub(s.errorAt), errorHalfLife)
 	s.errorAt = now
 	if failed {
@@ -220,31 +261,52 @@
 		return
 	}
 	s.ErrorRate = old * (1 - smoothing)
-	s.ServiceTime = average(s.ServiceTime, took)
+	s.ServiceTime = average(s.ServiceTime, held)
 }
 
 // Silent records an attempt on which nothing came back in time. New connections
 // often work while old ones hang, so one silence is no verdict on the server.
 func (p *Picture) Silent(id string, now time.Time) {
-	s := p.find(id)
-	if s == nil {
-		return
+	if s := p.find(id); s != nil {
+		if s.silent++; s.silent >= silenceLimit {
+			s.suspect(now)
+		}
 	}
-	s.silent++
-	if s.silent >= silenceLimit {
-		s.suspectUntil = now.Add(suspectFor)
+}
+
+// Unreachable records that no connection could be made, or that the server lost
+// a run: it went away or was restarted. It gets no work for a while at once,
+// since every further attempt there costs a retry.
+func (p *Picture) Unreachable(id string, now time.Time) {
+	if s := p.find(id); s != nil {
+		s.silent = max(s.silent+1, silenceLimit)
+		s.suspect(now)
 	}
 }
 
-// Reported takes a server's own load report of a given age. Work that this
-// daemon has there itself is not counted twice.
-func (p *Picture) Reported(id string, inFlight int, at time.Time) {
+func (s *state) suspect(now time.Time) {
+	span := suspectFor << min(s.silent-silenceLimit, maxDoublings)
+	s.suspectUntil = now.Add(min(span, suspectMost))
+}
+
+// maxDoublings keeps the shift in range; suspectMost is reached before it.
+const maxDoublings = 8
+
+// Reported takes a server's own load report. Work that this daemon had there
+// lately is not counted twice.
+func (p *Picture) Reported(id string, inFlight int, now time.Time) {
 	s := p.find(id)
 	if s == nil {
 		return
 	}
-	s.report = float64(max(0, inFlight-s.InFlight))
-	s.reportAt = at
+	s.smoothOwn(now)
+	foreign := max(0, float64(inFlight)-s.ownMean)
+	if s.othersAt.IsZero() {
+		s.others = foreign
+	} else {
+		s.others += reportWeight * (foreign - s.others)
+	}
+	s.othersAt = now
 }
 
 // Leaving marks a server that gets no new work, or takes the mark back.
@@ -254,6 +316,18 @@
 	}
 }
 
+// lowAverage follows the lower samples: a first token that waited in a queue
+// says little about the prefill, and Wait has it already.
+func lowAverage(old, sample time.Duration) time.Duration {
+	if sample < old {
+		return average(old, sample)
+	}
+	return old + time.Duration(smoothing*riseShare*float64(sample-old))
+}
+
+// riseShare is how much slower lowAverage rises than it falls.
+const riseShare = 0.1
+
 func average(old, sample time.Duration) time.Duration {
 	return old + time.Duration(smoothing*float64(sample-old))
 }
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -19,8 +19,9 @@
 const (
 	// defaultTieWindow is below the noise of the estimates.
 	defaultTieWindow = 2 * time.Millisecond
-	// defaultSharing is the added delay per request in a batch.
-	defaultSharing = 2 * time.Millisecond
+	// defaultSharing is the share of the service time that a request in a batch
+	// adds; docs/design/routing.md has the trials.
+	defaultSharing = 0.08
 	// defaultRetryCost is one lost attempt.
 	defaultRetryCost = 500 * time.Millisecond
 )
@@ -30,8 +31,8 @@
 	return Pipeline{
 		Filters: []Filter{Live{}, Untried{}},
 		Scorers: []Scorer{
-			Queue{}, Prefill{}, Network{},
-			Sharing{PerRequest: defaultSharing},
+			Queue{}, Waiting{}, Prefill{}, Network{},
+			Sharing{Fraction: defaultSharing},
 			Reliability{RetryCost: defaultRetryCost},
 		},
 		TieWindow: defaultTieWindow,
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Scorer gives one part of the expected time to the first token.
 type Scorer interface {
@@ -11,22 +14,42 @@
 }
 
 // Queue is the expected wait for a slot. Own work is known exactly; the work of
-// others comes from an aged report.
+// others is a mean, around which the real number varies, so the wait grows
+// smoothly before the slots are full. The shape is Sakasegawa's approximation
+// for a queue with several servers (Annals of the Institute of Statistical
+// Mathematics 29, 1977). An urgent request waits behind urgent work only.
 type Queue struct{}
 
+// maxUse caps the load at which the approximation is read; beyond the slots the
+// excess is counted as it is.
+const maxUse = 0.95
+
 // Name implements Scorer.
 func (Queue) Name() string { return "queue" }
 
 // Cost implements Scorer.
-func (Queue) Cost(_ *Request, c *Candidate, _ int) time.Duration {
+func (Queue) Cost(r *Request, c *Candidate, _ int) time.Duration {
 	slots := float64(max(c.Slots, 1))
-	ahead := float64(c.InFlight) + c.OthersInFlight + 1 - slots
-	if ahead <= 0 {
-		return 0
+	load := float64(c.InFlight) + c.OthersInFlight
+	use := min(load/slots, maxUse)
+	wait := math.Pow(use, math.Sqrt(2*(slots+1))-1) / (slots * (1 - use))
+	ahead := max(0, load+1-slots)
+	if r.Urgent {
+		wait, ahead = wait/slots, min(ahead, float64(c.Urgent)+1)
 	}
-	return time.Duration(ahead / slots * float64(c.ServiceTime))
+	return time.Duration((wait + ahead/slots) * float64(c.ServiceTime))
 }
 
+// Waiting is the delay that own requests met there lately. Reports lag by
+// seconds; this is as old as the newest first token.
+type Waiting struct{}
+
+// Name implements Scorer.
+func (Waiting) Name() string { return "waiting" }
+
+// Cost implements Scorer.
+func (Waiting) Cost(_ *Request, c *Candidate, _ int) time.Duration { return c.Wait }
+
 // Prefill is the time to compute the part of the prompt that is not cached.
 type Prefill struct{}
 
@@ -48,12 +71,12 @@
 // Cost implements Scorer.
 func (Network) Cost(_ *Request, c *Candidate, _ int) time.Duration { return c.Network }
 
-// Sharing spreads work over servers whose queues look empty: a server that
-// shares its batch with more requests decodes and prefills slower. Without it
-// all work below the slot limit costs the same and piles up on one server.
+// Sharing spreads work over servers whose queues look empty: each request in a
+// batch slows the others. Without it all work below the slot limit costs the
+// same and piles up where a prefix is cached.
 type Sharing struct {
-	// PerRequest is the delay that each request in the batch adds.
-	PerRequest time.Duration
+	// Fraction of the service time that each request in the batch adds.
+	Fraction float64
 }
 
 // Name implements Scorer.
@@ -61,7 +84,7 @@
 
 // Cost implements Scorer.
 func (s Sharing) Cost(_ *Request, c *Candidate, _ int) time.Duration {
-	return time.Duration((float64(c.InFlight) + c.OthersInFlight) * float64(s.PerRequest))
+	return time.Duration((float64(c.InFlight) + c.OthersInFlight) * s.Fraction * float64(c.ServiceTime))
 }
 
 // Reliability charges the expected cost of failing and having to try again.
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -20,11 +20,16 @@
 	FailureDomain string
 	// Slots is how many requests the server runs at once.
 	Slots int
-	// InFlight is the work this daemon has there.
+	// InFlight is the work this daemon has there, and Urgent the part of it that
+	// goes before other work.
 	InFlight int
-	// OthersInFlight estimates the work of other daemons from the server's
-	// own report, aged.
+	Urgent   int
+	// OthersInFlight estimates the mean work of other daemons there, from the
+	// server's lagged reports.
 	OthersInFlight float64
+	// Wait is the recent delay of own first tokens beyond network and prefill,
+	// aged: the freshest sign of a queue.
+	Wait time.Duration
 	// ServiceTime is the recent mean time a request holds a slot.
 	ServiceTime time.Duration
 	// PrefillPerToken is the recent prefill time per uncached prompt token.
@@ -52,6 +57,8 @@
 	Tried uint64
 	// Budget is the time left to the first token; zero is unbounded.
 	Budget time.Duration
+	// Urgent requests go before others in a server's queue.
+	Urgent bool
 }
 
 // Decision is the outcome of one pick.
--- /dev/null
+++ b/lab/experiments/routing.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/routing"
+	"github.com/damaskrudder/damaskrudder/lab/sim"
+)
+
+const (
+	engines     = 10
+	daemons     = 6
+	slots       = 8
+	prefill     = 200 * time.Microsecond
+	perToken    = 15 * time.Millisecond
+	cacheBlocks = 1500
+	reportLag   = 2 * time.Second
+	trialTime   = 120 * time.Second
+	// warmUp is left out of the figures.
+	warmUp = 20 * time.Second
+)
+
+var desk = sim.Workload{Groups: 400, SharedTokens: 1024, OwnTokens: 256, AnswerTokens: 60}
+
+type policy = func(c *sim.Cluster, daemon int, rng *rand.Rand) sim.Policy
+
+func newEngines(c *sim.Clock) []*sim.Engine {
+	var out []*sim.Engine
+	for range engines {
+		e := sim.NewEngine(c, slots, prefill, perToken, cacheBlocks)
+		e.Lag = reportLag
+		out = append(out, e)
+	}
+	return out
+}
+
+type trial struct {
+	seed  uint64
+	load  float64
+	work  sim.Workload
+	setup func(c *sim.Cluster)
+}
+
+func (t trial) run(p policy) *sim.Cluster {
+	clock := &sim.Clock{}
+	c := sim.NewCluster(t.seed, newEngines(clock), clock, daemons, p)
+	if t.setup != nil {
+		t.setup(c)
+	}
+	c.Offer(t.seed, t.work, t.load, trialTime)
+	clock.Run(trialTime + 30*time.Second)
+	return c
+}
+
+func settled(r *sim.Result) bool { return r.Sent > warmUp && r.Sent < trialTime }
+
+// capacity is the rate at which the pool completes desk requests when it is
+// kept busy, with our routing, in requests a second.
+func capacity(seed uint64, work sim.Workload) float64 {
+	work.Deadline = 0
+	c := trial{seed: seed, load: 200, work: work}.run(sim.NewOurs(routing.Default()))
+	done := 0
+	for _, r := range c.Results {
+		if at := r.Sent + r.First; r.First > 0 && at > warmUp && at < trialTime {
+			done++
+		}
+	}
+	return float64(done) / (trialTime - warmUp).Seconds()
+}
+
+func routingTable(out io.Writer, seeds int) {
+	rows := []row{
+		{name: "p99 first token at 80% load, ours / round robin", target: 0.6},
+		{name: "p99 first token at 80% load, ours / least reported", target: 0.8},
+		{name: "  ours, ms"},
+		{name: "  round robin, ms"},
+		{name: "  least reported, ms"},
+		{name: "goodput at 130% load, ours / capacity", target: 0.9, atLeast: true},
+		{name: "  round robin / capacity"},
+		{name: "  least reported / capacity"},
+		{name: "p99 of high priority at 130% load / unloaded", target: 1.3},
+		{name: "attempts per request with a failure domain gone", target: 1.1},
+		{name: "p99 from 5 s after a failure domain went / p99 before", target: 1.3},
+	}
+	writeTable(out, "routing: 10 engines, 6 daemons, reports lag 2 s, shared prefixes, one slow server", collect(seeds, rows, routingTrial))
+}
+
+func routingTrial(seed uint64) []float64 {
+	ours := sim.NewOurs(routing.Default())
+	full := capacity(seed, desk)
+	slow := trial{seed: seed, load: 0.8 * full, work: desk, setup: func(c *sim.Cluster) { c.Engines[3].Slow = 3 }}
+	p99 := func(p policy) float64 {
+		return float64(sim.Quantile(slow.run(p).Results, 0.99, settled)) / float64(time.Millisecond)
+	}
+	a, robin, least := p99(ours), p99(sim.NewRoundRobin), p99(sim.NewLeastReported)
+	out := []float64{a / robin, a / least, a, robin, least}
+	out = append(out, overload(seed, full, ours)...)
+	return append(out, domainLoss(seed, full, ours)...)
+}
+
+// overloadDeadline is the first-token deadline of the overload trials.
+const overloadDeadline = 1500 * time.Millisecond
+
+func overload(seed uint64, full float64, ours policy) []float64 {
+	work := desk
+	work.Deadline, work.UrgentShare = overloadDeadline, 0.1
+	over := trial{seed: seed, load: 1.3 * full, work: work}
+	goodput := func(c *sim.Cluster) float64 {
+		good := 0
+		for _, r := range c.Results {
+			if settled(r) && r.First > 0 && r.First <= overloadDeadline {
+				good++
+			}
+		}
+		return float64(good) / (trialTime - warmUp).Seconds() / full
+	}
+	loaded := over.run(ours)
+	urgent := func(r *sim.Result) bool { return settled(r) && r.Priority == 0 }
+	quiet := trial{seed: seed, load: 0.1 * full, work: work}.run(ours)
+	ratio := float64(sim.Quantile(loaded.Results, 0.99, urgent)) / float64(sim.Quantile(quiet.Results, 0.99, urgent))
+	return []float64{goodput(loaded), goodput(over.run(sim.NewRoundRobin)), goodput(over.run(sim.NewLeastReported)), ratio}
+}
+
+// domainLoss takes two of the ten engines away halfway, at 60% load.
+func domainLoss(seed uint64, full float64, ours policy) []float64 {
+	const lost, recovery = trialTime / 2, 5 * time.Second
+	work := desk
+	work.Deadline = 10 * time.Second
+	c := trial{seed: seed, load: 0.6 * full, work: work, setup: func(c *sim.Cluster) {
+		c.Clock.After(lost, func() {
+			c.Engines[0].SetDown(true)
+			c.Engines[1].SetDown(true)
+		})
+	}}.run(ours)
+	attempts, requests := 0, 0
+	for _, r := range c.Results {
+		if r.Sent > lost {
+			attempts += r.Attempts
+			requests++
+		}
+	}
+	before := sim.Quantile(c.Results, 0.99, func(r *sim.Result) bool { return settled(r) && r.Sent < lost })
+	after := sim.Quantile(c.Results, 0.99, func(r *sim.Result) bool { return settled(r) && r.Sent > lost+recovery })
+	return []float64{float64(attempts) / float64(requests), float64(after) / float64(before)}
+}
--- /dev/null
+++ b/lab/experiments/table.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+)
+
+// row is one measured target over all seeds.
+type row struct {
+	name string
+	// values has one entry a seed.
+	values []float64
+	// target is the bound; atLeast says on which side of it is good.
+	target  float64
+	atLeast bool
+}
+
+func (r row) median() float64 {
+	s := slices.Sorted(slices.Values(r.values))
+	return s[len(s)/2]
+}
+
+func (r row) worst() float64 {
+	if r.atLeast {
+		return slices.Min(r.values)
+	}
+	return slices.Max(r.values)
+}
+
+func (r row) met(v float64) bool {
+	if r.atLeast {
+		return v >= r.target
+	}
+	return v <= r.target
+}
+
+// write prints a row. A row without a target is a figure stated only.
+func (r row) write(out io.Writer) {
+	if r.target == 0 {
+		fmt.Fprintf(out, "%-64s %10.4g %10.4g\n", r.name, r.median(), r.worst())
+		return
+	}
+	sign, word := "<=", "met"
+	if r.atLeast {
+		sign = ">="
+	}
+	switch {
+	case !r.met(r.median()):
+		word = "MISSED"
+	case !r.met(r.worst()):
+		word = "met at the median, missed by the worst seed"
+	}
+	fmt.Fprintf(out, "%-64s %10.4g %10.4g   %s %-6.4g %s\n", r.name, r.median(), r.worst(), sign, r.target, word)
+}
+
+func writeTable(out io.Writer, title string, rows []row) {
+	fmt.Fprintf(out, "\n%s\n%-64s %10s %10s\n", title, "", "median", "worst")
+	for _, r := range rows {
+		r.write(out)
+	}
+}
+
+// collect runs a trial for every seed and gathers its figures by name, in the
+// order of the first trial.
+func collect(seeds int, rows []row, trial func(seed uint64) []float64) []row {
+	for seed := range seeds {
+		for i, v := range trial(uint64(seed + 1)) {
+			rows[i].values = append(rows[i].values, v)
+		}
+	}
+	return rows
+}
