Roll-out, cascade and limits measured against naive rules

Change: a held roll-out is still judged; evidence is stratified by server; half of the rating budget goes to the new version; leases come back to their own bucket and homeless spending is reported; a cumulative sum of likelihood ratios drops a class's evidence.

--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -16,7 +16,7 @@
 	// prior is the weight, in ratings, of the belief before the first rating.
 	prior = 2
 	// caution is the number of standard errors taken off a band's pass rate.
-	caution = 0.5
+	caution = 0.75
 )
 
 // Rate is a fading estimate of the fraction of good answers.
@@ -52,6 +52,39 @@
 	return min(max(int(confidence*ConfidenceBands), 0), ConfidenceBands-1)
 }
 
+// Drift watches the ratings of one class for a drop of the cheap model's quality
+// below what its evidence says: a cumulative sum of likelihood ratios that
+// starts anew whenever it falls to zero. Waiting for a fading mean to follow
+// would let some hundred bad answers stand.
+type Drift struct{ sum float64 }
+
+const (
+	// driftDrop is the drop of the pass rate that is looked for.
+	driftDrop = 0.25
+	// driftAlarm is the likelihood ratio at which the evidence is dropped.
+	driftAlarm = 1000
+	// rateFloor keeps likelihoods off zero and one.
+	rateFloor = 0.02
+)
+
+// Observe takes a rating and the pass rate it was expected to have. It reports
+// a drop.
+func (d *Drift) Observe(good bool, expected float64) bool {
+	was := min(max(expected, rateFloor+driftDrop), 1-rateFloor)
+	now := was - driftDrop
+	if good {
+		d.sum += math.Log(now / was)
+	} else {
+		d.sum += math.Log((1 - now) / (1 - was))
+	}
+	d.sum = max(0, d.sum)
+	if d.sum < math.Log(driftAlarm) {
+		return false
+	}
+	d.sum = 0
+	return true
+}
+
 // Class is the evidence for one request class of one workspace.
 type Class struct {
 	// Share counts recent requests by band of the cheap model's confidence.
@@ -59,7 +92,10 @@
 	// Cheap is how often the cheap model's answers of a band are good.
 	Cheap [ConfidenceBands]Rate
 	// Dear is how often the dear model's answers are good.
-	Dear Rate
+	Dear  Rate
+	drift Drift
+	// distrust lowers the belief in cheap answers after a drop.
+	distrust float64
 }
 
 // Saw counts a cheap answer of some confidence.
@@ -71,16 +107,26 @@
 	c.Share[Band(confidence)]++
 }
 
-// Rated counts a rating of a cheap answer.
-func (c *Class) Rated(confidence float64, good bool) { c.Cheap[Band(confidence)].Observe(good) }
+// Rated counts a rating of a cheap answer. A drop of quality forgets what was
+// learned before it and lowers the belief that takes its place.
+func (c *Class) Rated(confidence float64, good bool) {
+	band := Band(confidence)
+	if c.drift.Observe(good, c.Cheap[band].Mean(c.believed(band))) {
+		c.Cheap = [ConfidenceBands]Rate{}
+		c.distrust = driftDrop
+	}
+	c.Cheap[band].Observe(good)
+}
+
+// believed is the pass rate assumed for a band before its first rating.
+func (c *Class) believed(band int) float64 { return believedCheap(band) - c.distrust }
 
 // RatedDear counts a rating of a dear answer.
 func (c *Class) RatedDear(good bool) { c.Dear.Observe(good) }
 
 // Reset forgets what was learned of the cheap model, for a new version of it.
 func (c *Class) Reset() {
-	c.Cheap = [ConfidenceBands]Rate{}
-	c.Share = [ConfidenceBands]float64{}
+	*c = Class{Dear: c.Dear}
 }
 
 // Costs are the prices of one answer in micros.
@@ -159,7 +205,7 @@
 			}
 			total += mass
 			quality += mass * dear
-			options = append(options, option{name, band, mass, dear - c.Cheap[band].Low(believedCheap(band))})
+			options = append(options, option{name, band, mass, dear - c.Cheap[band].Low(c.believed(band))})
 		}
 	}
 	slices.SortStableFunc(options, func(a, b option) int {
--- a/internal/daemon/cascades.go
+++ b/internal/daemon/cascades.go
@@ -9,6 +9,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/cascade"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
+	"github.com/damaskrudder/damaskrudder/internal/rollout"
 )
 
 const (
@@ -91,7 +92,7 @@
 
 // sample hands an answer to the rating service for a share of requests.
 func (c *cascades) sample(info sampleInfo, s platform.Sample) {
-	if c.d.ports.Rater == nil || rand.Float64() >= c.d.settings.RatingShare {
+	if c.d.ports.Rater == nil || rand.Float64() >= c.ratingShare(s.Model, s.Version) {
 		return
 	}
 	c.mu.Lock()
@@ -106,6 +107,16 @@
 	}()
 }
 
+// ratingShare is the fraction of a version's answers to have rated.
+func (c *cascades) ratingShare(model, version string) float64 {
+	budget := c.d.settings.RatingShare
+	ro, ok := c.d.config.current().RolloutFor(model)
+	if !ok || !rollout.Judged(ro) {
+		return budget
+	}
+	return rollout.RatingShare(budget, ro.Percent(), version == ro.To)
+}
+
 func (c *cascades) loop(ctx context.Context) {
 	every(ctx, planEvery, func(ctx context.Context) {
 		c.collect(ctx)
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,8 +12,12 @@
 	"github.com/damaskrudder/damaskrudder/internal/quota"
 )
 
-// leaseTimeout bounds the wait for a meter's home.
-const leaseTimeout = 300 * time.Millisecond
+const (
+	// leaseTimeout bounds the wait for a meter's home.
+	leaseTimeout = 300 * time.Millisecond
+	// settleEvery is the period of telling homes what was spent without them.
+	settleEvery = time.Second
+)
 
 // limits spends leased shares of workspace limits, and leases as home.
 type limits struct {
@@ -40,6 +45,36 @@
 	})
 }
 
+// loop tells homes what was spent while none answered.
+func (l *limits) loop(ctx context.Context) {
+	every(ctx, settleEvery, func(ctx context.Context) {
+		cfg := l.d.config.current()
+		for _, meter := range l.owing() {
+			workspace, what, _ := strings.Cut(meter, "/")
+			limit := cfg.Workspaces[workspace].TokensPerMinute
+			if what == "requests" {
+				limit = cfg.Workspaces[workspace].RequestsPerMinute
+			}
+			l.mu.Lock()
+			s := l.shares[meter]
+			l.mu.Unlock()
+			l.fetch(ctx, s, meter, 0, limit)
+		}
+	})
+}
+
+func (l *limits) owing() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for meter, s := range l.shares {
+		if s.Owes() {
+			out = append(out, meter)
+		}
+	}
+	return out
+}
+
 // reservation is what a request took from its workspace's limits.
 type reservation struct {
 	limits *limits
@@ -94,9 +129,12 @@
 	if _, ok := l.try(meter, n); ok {
 		return nil
 	}
-	retry := l.fetch(ctx, s, meter, n, limit)
-	if _, ok := l.try(meter, n); ok {
-		return nil
+	retry := time.Duration(0)
+	if !l.denied(s) {
+		retry = l.fetch(ctx, s, meter, n, limit)
+		if _, ok := l.try(meter, n); ok {
+			return nil
+		}
 	}
 	return fault.New(fault.RateLimited, "the limit of %d a minute for %s is used up", limit, meter).After(max(retry, time.Second))
 }
@@ -112,6 +150,12 @@
 	return s, s.TrySpend(time.Now(), n)
 }
 
+func (l *limits) denied(s *share) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return s.Denied(time.Now())
+}
+
 // fetch asks the meter's home for a lease.
 func (l *limits) fetch(ctx context.Context, s *share, meter string, need, limit int64) time.Duration {
 	homes := l.d.members.homes(meter, 1)
@@ -135,7 +179,7 @@
 	defer l.mu.Unlock()
 	if err != nil {
 		l.d.metrics.limitsHomeless.Inc(1)
-		s.HomeLost(now)
+		s.HomeLost(now, ask)
 		return 0
 	}
 	s.Granted(now, lease)
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -90,7 +90,7 @@
 	c := r.d.config.current()
 	ro, active := c.RolloutFor(model)
 	isNew := version == ro.To
-	if !active || ro.State != fleet.Running || !isNew && version != c.Models[model].Stable {
+	if !active || !rollout.Judged(ro) || !isNew && version != c.Models[model].Stable {
 		return
 	}
 	r.mu.Lock()
@@ -121,7 +121,7 @@
 	c := r.d.config.current()
 	r.releaseBrakes(c)
 	for model, ro := range c.Rollouts {
-		if ro.State != fleet.Running {
+		if !rollout.Judged(ro) {
 			continue
 		}
 		homes := r.d.members.homes("rollout/"+model, 1)
--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+)
+
+// bigPatch declares 33 versions of 11 models, 1,600 servers in 20 pools and 200
+// workspaces.
+func bigPatch(tb testing.TB) json.RawMessage {
+	pools, models, workspaces := map[string]Pool{}, map[string]Model{}, map[string]Workspace{}
+	var names []string
+	for p := range 20 {
+		var pool Pool
+		for s := range 80 {
+			pool.Servers = append(pool.Servers, Server{ID: fmt.Sprintf("p%d-s%d", p, s), Address: fmt.Sprintf("10.0.%d.%d:80", p, s), FailureDomain: fmt.Sprint("fd", s%5)})
+		}
+		pools[fmt.Sprint("p", p)] = pool
+	}
+	for m := range 11 {
+		name := fmt.Sprint("m", m)
+		names = append(names, name)
+		model := Model{Stable: "v0", Versions: map[string]Version{}}
+		for v := range 3 {
+			model.Versions[fmt.Sprint("v", v)] = Version{Pool: fmt.Sprint("p", m), MicrosPerKiloToken: 10}
+		}
+		models[name] = model
+	}
+	for w := range 200 {
+		workspaces[fmt.Sprint("w", w)] = Workspace{KeyHashes: []string{HashKey(fmt.Sprint(w))}, Models: names}
+	}
+	data, err := json.Marshal(map[string]any{"pools": pools, "models": models, "workspaces": workspaces})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return data
+}
+
+func record(tb testing.TB, id string, base uint64, patch json.RawMessage) []byte {
+	data, err := json.Marshal(Record{PatchID: id, Base: base, Patch: patch})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return data
+}
+
+// BenchmarkFoldOfADay folds 3,400 patches of the usual kinds onto the full-size
+// configuration.
+func BenchmarkFoldOfADay(b *testing.B) {
+	records := [][]byte{record(b, "first", 0, bigPatch(b))}
+	for i := range 3400 {
+		var patch string
+		switch i % 3 {
+		case 0:
+			patch = fmt.Sprintf(`{"workspaces":{"w%d":{"priority":%d}}}`, i%200, i%9)
+		case 1:
+			patch = fmt.Sprintf(`{"workspaces":{"w%d":{"tokens_per_minute":%d}}}`, i%200, i)
+		default:
+			patch = fmt.Sprintf(`{"models":{"m%d":{"versions":{"v1":{"micros_per_1k_tokens":%d}}}}}`, i%11, i)
+		}
+		records = append(records, record(b, fmt.Sprint("p", i), uint64(i+1), json.RawMessage(patch)))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f := NewFold()
+		for o, r := range records {
+			f.Apply(uint64(o), r)
+		}
+		if f.Config().Number != 3401 {
+			b.Fatalf("number %d, last %+v", f.Config().Number, f.History()[len(f.History())-1])
+		}
+	}
+}
+
+// BenchmarkVersionFor resolves entitlement, roll-out and successor.
+func BenchmarkVersionFor(b *testing.B) {
+	c, _, err := Empty().Apply(bigPatch(b))
+	if err != nil {
+		b.Fatal(err)
+	}
+	w := c.Workspaces["w7"]
+	b.ReportAllocs()
+	for b.Loop() {
+		if v, ok := c.VersionFor(w, "m3", "session-1"); !ok || !c.MayDispatch("w7", "m3", v) {
+			b.Fatal("no version")
+		}
+	}
+}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -137,7 +137,7 @@
 	// Stage indexes Stages.
 	Stage int          `json:"stage"`
 	State RolloutState `json:"state"`
-	// MinRequests is the evidence a stage needs before the next; default 200.
+	// MinRequests is the evidence a stage needs before the next; default 30.
 	MinRequests int64 `json:"min_requests,omitempty"`
 }
 
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -1,18 +1,19 @@
 package quota
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // Ask is a daemon's request for a lease.
 type Ask struct {
 	// Meter names the workspace and what is limited.
 	Meter string `cbor:"1,keyasint"`
 	Want  int64  `cbor:"2,keyasint"`
-	// Unused is the part of earlier leases that was not spent.
-	Unused int64 `cbor:"3,keyasint"`
+	// Unused is the part of the last lease that was not spent, and Bucket the
+	// window's bucket the lease stands in. Taking it out of a later bucket would
+	// free the room twice: now, and when the lease's bucket expires.
+	Unused int64 `cbor:"3,keyasint,omitempty"`
+	Bucket int64 `cbor:"6,keyasint,omitempty"`
+	// Homeless is what was spent without a lease while no home answered.
+	Homeless int64 `cbor:"7,keyasint,omitempty"`
 	// Known is the newest history the daemon heard, for a home that has none.
 	// It is left out once the home's epoch is known to it.
 	Known *History `cbor:"4,keyasint,omitempty"`
@@ -52,9 +53,8 @@
 	if a.Known != nil {
 		w.Merge(now, *a.Known)
 	}
-	if a.Unused > 0 {
-		w.Add(now, -a.Unused)
-	}
+	w.AddAt(now, a.Bucket, -a.Unused)
+	w.Add(now, a.Homeless)
 	free := max(0, a.Limit-w.Sum(now, Span+LeaseTerm))
 	l := Lease{Amount: min(a.Want, free), Epoch: h.epoch}
 	w.Add(now, l.Amount)
@@ -72,13 +72,22 @@
 	amount  int64
 	expires time.Time
 	unused  int64
+	bucket  int64
 	epoch   uint64
 	known   History
-	// homeless caps the window while no home answers.
+	// ceiling caps the own window while no home answers; homeless is what was
+	// spent under it.
+	ceiling  int64
 	homeless int64
 	lost     bool
-	rate     float64
-	rateAt   time.Time
+	// askAgain ends the spending without a lease until the home was asked once
+	// more. Without it a daemon would go on under its ceiling while a new home,
+	// unaware of it, leases the same room to others.
+	askAgain time.Time
+	// deniedUntil is when to ask again after the home had nothing.
+	deniedUntil time.Time
+	rate        float64
+	rateAt      time.Time
 }
 
 // NewShare returns a share with nothing leased.
@@ -91,9 +100,10 @@
 func (s *Share) TrySpend(now time.Time, n int64) bool {
 	s.expire(now)
 	if s.lost {
-		if s.spent.Sum(now, Span)+n > s.homeless {
+		if !now.Before(s.askAgain) || s.spent.Sum(now, Span)+n > s.ceiling {
 			return false
 		}
+		s.homeless += n
 		s.record(now, n)
 		return true
 	}
@@ -132,6 +142,7 @@
 	back := reserved - used
 	s.spent.Add(now, -back)
 	if s.lost {
+		s.homeless -= back
 		return
 	}
 	s.unused += back
@@ -141,8 +152,8 @@
 // rate will use within a lease's term.
 func (s *Share) Ask(now time.Time, need, limit int64, epoch uint64) Ask {
 	s.expire(now)
-	a := Ask{Meter: s.meter, Want: need + int64(s.rate*decay(now.Sub(s.rateAt))), Limit: limit, Unused: max(0, s.unused)}
-	s.unused = min(0, s.unused)
+	a := Ask{Meter: s.meter, Want: need + int64(s.rate*decay(now.Sub(s.rateAt))), Limit: limit, Unused: s.unused, Bucket: s.bucket, Homeless: s.homeless}
+	s.unused, s.homeless = 0, 0
 	if epoch == 0 || epoch != s.epoch {
 		known := s.known
 		a.Known = &known
@@ -150,28 +161,44 @@
 	return a
 }
 
+// denialTerm bounds how long a daemon takes the home's "nothing left" for true
+// without asking. A workspace far over its limit would otherwise cost its home a
+// message for every refused request.
+const denialTerm = 200 * time.Millisecond
+
+// Denied reports whether the home had nothing a moment ago.
+func (s *Share) Denied(now time.Time) bool { return now.Before(s.deniedUntil) }
+
+// Owes reports whether the home must hear of spending without a lease. A daemon
+// with little demand would otherwise tell it much later, and the new home would
+// lease out room that is used up.
+func (s *Share) Owes() bool { return s.homeless != 0 }
+
 // Granted stores a lease that was asked for at a time.
 func (s *Share) Granted(askedAt time.Time, l Lease) {
 	s.amount += l.Amount
 	s.expires = askedAt.Add(LeaseTerm)
 	s.epoch, s.known, s.lost = l.Epoch, l.History, false
+	s.bucket = l.History.Newest
+	if l.Amount == 0 && l.RetryAfter > 0 {
+		s.deniedUntil = askedAt.Add(min(l.RetryAfter, denialTerm))
+	}
 }
 
 // Epoch returns the home incarnation that last answered, or 0.
 func (s *Share) Epoch() uint64 { return s.epoch }
 
-// HomeLost records that no home answers. What was taken back for the home in
-// the failed ask is forgotten: it then counts as spent, which is safe.
-func (s *Share) HomeLost(now time.Time) {
+// HomeLost records that an ask got no answer. What the ask reported was perhaps
+// not heard: the unused part is forgotten, so that it counts as spent, and what
+// was spent without a home is reported again. Both err on the safe side.
+func (s *Share) HomeLost(now time.Time, failed Ask) {
 	s.expire(now)
 	s.unused = 0
+	s.homeless += failed.Homeless
+	s.askAgain = now.Add(LeaseTerm / 2)
 	if s.lost {
 		return
 	}
 	s.lost = true
-	s.homeless = s.spent.Sum(now, Span)
+	s.ceiling = s.spent.Sum(now, Span)
 }
-
-// Rank orders daemons for a meter by rendezvous hashing: the live daemon with
-// the largest value is home.
-func Rank(meter, daemon string) uint64 { return xxhash.Sum64String(meter + "\x00" + daemon) }
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -32,6 +32,15 @@
 	w.buckets[w.newest%int64(bucketCount)] += n
 }
 
+// AddAt counts n in a bucket if the window still holds it.
+func (w *Window) AddAt(now time.Time, bucket, n int64) {
+	w.advance(now)
+	if bucket > w.newest || bucket <= w.newest-int64(bucketCount) || bucket < 0 {
+		return
+	}
+	w.buckets[bucket%int64(bucketCount)] += n
+}
+
 // Sum returns the amount in the span that ends at a time.
 func (w *Window) Sum(now time.Time, span time.Duration) int64 {
 	w.advance(now)
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -107,19 +107,71 @@
 // cause that hits both sides, such as a lost failure domain or a drained pool,
 // gives no evidence. The e-value may be watched after every event without
 // raising the false alarms above 1/threshold (Ville's inequality).
-func LogE(fresh, running Counts, s Signal) float64 {
+//
+// The share is taken server by server where a server ran both versions: a server
+// that fails more, and by chance got more of the new version, would otherwise
+// count against it.
+func (e Evidence) LogE(s Signal, keep func(Cell) bool) float64 {
+	logs := make([]float64, len(oddsRatios))
+	var restNew, restRunning Counts
+	events := int64(0)
+	for _, p := range e.pairs(keep) {
+		if n0, _ := p.running.of(s); n0 == 0 {
+			restNew = restNew.Add(p.fresh)
+			continue
+		}
+		if n1, _ := p.fresh.of(s); n1 == 0 {
+			restRunning = restRunning.Add(p.running)
+			continue
+		}
+		events += addLogs(logs, p.fresh, p.running, s)
+	}
+	events += addLogs(logs, restNew, restRunning, s)
+	if events == 0 {
+		return 0
+	}
+	return logMean(logs)
+}
+
+// addLogs adds one stratum's log-likelihood ratios and returns its bad events of
+// the new version.
+func addLogs(logs []float64, fresh, running Counts, s Signal) int64 {
 	n1, k1 := fresh.of(s)
 	n0, k0 := running.of(s)
-	if n1 == 0 || n0 == 0 || k1 == 0 {
+	if n1 == 0 || n0 == 0 {
 		return 0
 	}
 	share := float64(n1) / float64(n1+n0)
-	logs := make([]float64, len(oddsRatios))
 	for i, ratio := range oddsRatios {
 		norm := math.Log(ratio*share + 1 - share)
-		logs[i] = float64(k1)*(math.Log(ratio)-norm) - float64(k0)*norm
+		logs[i] += float64(k1)*(math.Log(ratio)-norm) - float64(k0)*norm
 	}
-	return logMean(logs)
+	return k1
+}
+
+type pair struct{ fresh, running Counts }
+
+// pairs gathers both versions' counts by server, in the order of the cells.
+func (e Evidence) pairs(keep func(Cell) bool) []pair {
+	at := make(map[string]int, len(e))
+	out := make([]pair, 0, len(e))
+	for _, c := range e {
+		if keep != nil && !keep(c) {
+			continue
+		}
+		i, known := at[c.Server]
+		if !known {
+			i = len(out)
+			at[c.Server] = i
+			out = append(out, pair{})
+		}
+		if c.New {
+			out[i].fresh = out[i].fresh.Add(c.Counts)
+		} else {
+			out[i].running = out[i].running.Add(c.Counts)
+		}
+	}
+	return out
 }
 
 func logMean(logs []float64) float64 {
@@ -136,13 +188,10 @@
 // cannot condemn a version: without it the evidence is gone. It returns 0 when
 // the new version runs on one server only, since then nothing tells them apart.
 func (e Evidence) Robust(s Signal) (least float64, blame string) {
-	fresh, running := e.Totals(nil)
-	all := LogE(fresh, running, s)
-	least = all
+	least = e.LogE(s, nil)
 	servers, domains := e.places()
 	for _, name := range servers {
-		f, r := e.Totals(func(c Cell) bool { return c.Server != name })
-		if l := LogE(f, r, s); l < least {
+		if l := e.LogE(s, func(c Cell) bool { return c.Server != name }); l < least {
 			least, blame = l, "server "+name
 		}
 	}
@@ -150,8 +199,7 @@
 		return least, blame
 	}
 	for _, name := range domains {
-		f, r := e.Totals(func(c Cell) bool { return c.FailureDomain != name })
-		if l := LogE(f, r, s); l < least {
+		if l := e.LogE(s, func(c Cell) bool { return c.FailureDomain != name }); l < least {
 			least, blame = l, "failure domain "+name
 		}
 	}
--- a/internal/routing/picture.go
+++ b/internal/routing/picture.go
@@ -172,12 +172,20 @@
 func (p *Picture) Snapshot(dst []Candidate, now time.Time) []Candidate {
 	for i := range p.servers {
 		s := &p.servers[i]
-		c := s.Candidate
-		c.OthersInFlight = s.others * decay(now.Sub(s.othersAt), reportHalfLife)
-		c.Wait = time.Duration(float64(s.wait) * decay(now.Sub(s.waitAt), waitHalfLife))
-		c.ErrorRate *= decay(now.Sub(s.errorAt), errorHalfLife)
+		dst = append(dst, s.Candidate)
+		c := &dst[len(dst)-1]
 		c.Suspect = now.Before(s.suspectUntil)
-		dst = append(dst, c)
+		// Most values are zero most of the time; ageing them would be most of
+		// the cost of a decision.
+		if s.others > 0 {
+			c.OthersInFlight = s.others * decay(now.Sub(s.othersAt), reportHalfLife)
+		}
+		if s.wait > 0 {
+			c.Wait = time.Duration(float64(s.wait) * decay(now.Sub(s.waitAt), waitHalfLife))
+		}
+		if s.ErrorRate > 0 {
+			c.ErrorRate *= decay(now.Sub(s.errorAt), errorHalfLife)
+		}
 	}
 	return dst
 }
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -24,6 +24,10 @@
 // excess is counted as it is.
 const maxUse = 0.95
 
+// idleUse is the load below which the wait is not worth computing: under a
+// thousandth of the service time with 8 slots.
+const idleUse = 0.25
+
 // Name implements Scorer.
 func (Queue) Name() string { return "queue" }
 
@@ -32,7 +36,10 @@
 	slots := float64(max(c.Slots, 1))
 	load := float64(c.InFlight) + c.OthersInFlight
 	use := min(load/slots, maxUse)
-	wait := math.Pow(use, math.Sqrt(2*(slots+1))-1) / (slots * (1 - use))
+	wait := 0.0
+	if use > idleUse {
+		wait = math.Pow(use, math.Sqrt(2*(slots+1))-1) / (slots * (1 - use))
+	}
 	ahead := max(0, load+1-slots)
 	if r.Urgent {
 		wait, ahead = wait/slots, min(ahead, float64(c.Urgent)+1)
--- a/lab/experiments/main.go
+++ b/lab/experiments/main.go
@@ -20,6 +20,9 @@
 
 var experiments = []experiment{
 	{"routing", routingTable},
+	{"cascade", cascadeTable},
+	{"rollout", rolloutTable},
+	{"limits", limitsTable},
 }
 
 func main() {
