--- a/internal/billing/billing.go
+++ b/internal/billing/billing.go
@@ -52,6 +52,8 @@
 	inFlight int
 	// reserved counts requests that run and will need a place.
 	reserved int
+	// exposed says that a record found no place to survive this VM.
+	exposed bool
 	// added and confirmed count records over the buffer's life.
 	added, confirmed uint64
 }
@@ -61,6 +63,9 @@
 
 // Reserve takes a place for a request before it runs.
 func (b *Buffer) Reserve() error {
+	if b.exposed {
+		return fault.New(fault.UsageUnprotected, "%d usage records exist on this VM only", len(b.records))
+	}
 	if len(b.records)+b.reserved >= b.limit {
 		return fault.New(fault.BillingBacklog, "%d usage records await the log", len(b.records))
 	}
@@ -87,6 +92,10 @@
 // Len returns the number of unconfirmed records.
 func (b *Buffer) Len() int { return len(b.records) }
 
+// Exposed records whether records can be given to the log or to a keeper. While
+// they cannot, new requests are refused: their bills would be lost with this VM.
+func (b *Buffer) Exposed(exposed bool) { b.exposed = exposed }
+
 // Through returns the place up to which the log has the records.
 func (b *Buffer) Through() uint64 { return b.confirmed }
 
@@ -104,6 +113,7 @@
 func (b *Buffer) Confirm() {
 	b.records = append([]Usage(nil), b.records[b.inFlight:]...)
 	b.confirmed += uint64(b.inFlight)
+	b.exposed = false
 	b.inFlight = 0
 }
 
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -75,11 +75,14 @@
 	if err != nil {
 		outcome = billing.Cut
 	}
-	d.usage.add(ctx, billing.Usage{
+	safe := d.usage.add(ctx, billing.Usage{
 		RequestID: id, Workspace: q.Workspace, Model: q.Service, Micros: svc.Micros,
 		Outcome: outcome, UnixMillis: time.Now().UnixMilli(), Daemon: d.settings.ID,
 		FirstTokenMillis: st.firstToken.Milliseconds(),
 	})
+	if !safe && err == nil {
+		return nil, unprotected()
+	}
 	return a, err
 }
 
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -81,13 +81,13 @@
 
 // sight gathers what decides whether the daemon may serve.
 func (c *configuration) sight(m *members) membership.Sight {
-	most := m.hearsMost()
+	most, servers := m.hearsMost(), c.d.pools.serversHeard()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if most {
 		c.peerHeard = time.Now()
 	}
-	return membership.Sight{LogHeard: c.logHeard, PeersHeard: c.peerHeard, Loaded: c.loaded, NeedsLog: c.d.settings.WithoutLog == "refuse"}
+	return membership.Sight{LogHeard: c.logHeard, PeersHeard: c.peerHeard, Loaded: c.loaded, ServersHeard: servers, NeedsLog: c.d.settings.WithoutLog == "refuse"}
 }
 
 func (c *configuration) loop(ctx context.Context) {
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -54,7 +54,7 @@
 		"log_appends":          "Append calls to the log service.",
 		"log_errors":           "Calls to the log service that failed or lost their reply.",
 		"billed":               "Usage records written.",
-		"billing_unprotected":  "Answers ended while neither the log nor a keeper had the usage record.",
+		"billing_unprotected":  "Answers withheld because neither the log nor a keeper took the usage record.",
 		"usage_adopted":        "Usage records of lost daemons appended by their keeper.",
 		"orders_sent":          "Load and unload orders to backend servers.",
 		"session_pins_moved":   "Sessions moved off a withdrawn version.",
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -30,8 +30,10 @@
 	leaving map[string]bool
 	// leavingAt is when leaving was read from the platform, in Unix ms.
 	leavingAt int64
-	turn      int
-	rng       *rand.Rand
+	// heardAt is when the list was last read, heard of, or found to be down.
+	heardAt time.Time
+	turn    int
+	rng     *rand.Rand
 }
 
 type pool struct {
@@ -237,6 +239,7 @@
 	}
 	at := time.Now().UnixMilli()
 	vms, err := p.d.ports.VMs.List(ctx)
+	p.heard()
 	if err != nil {
 		return
 	}
@@ -249,6 +252,22 @@
 	p.takeLeaving(at, ids)
 }
 
+func (p *pools) heard() {
+	p.mu.Lock()
+	p.heardAt = time.Now()
+	p.mu.Unlock()
+}
+
+// serversHeard returns when the daemon last heard which servers leave.
+func (p *pools) serversHeard() time.Time {
+	if p.d.ports.VMs == nil {
+		return time.Now()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heardAt
+}
+
 // leavingWord returns the newest word on leaving servers and when it was read.
 func (p *pools) leavingWord() (at int64, ids []string) {
 	p.mu.Lock()
@@ -263,6 +282,9 @@
 func (p *pools) takeLeaving(at int64, ids []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if at > 0 {
+		p.heardAt = time.Now()
+	}
 	if at <= p.leavingAt {
 		return
 	}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -167,10 +167,18 @@
 	a, err := d.once(ctx, id, q, func() (*Answer, error) {
 		return d.answer(ctx, id, q, w, models, pin, st)
 	})
-	d.bill(ctx, id, q.Workspace, st)
+	if !d.bill(ctx, id, q.Workspace, st) && err == nil {
+		return nil, st, unprotected()
+	}
 	return a, st, err
 }
 
+// unprotected withholds the end of an answer whose usage record would be lost
+// with this VM.
+func unprotected() error {
+	return fault.New(fault.UsageUnprotected, "the usage record could not be stored safely").With(fault.Ran)
+}
+
 func reserveTokens(q *Chat) int64 {
 	answer := q.MaxTokens
 	if answer == 0 {
@@ -413,12 +421,13 @@
 	return a, nil
 }
 
-// bill writes the one usage record of a request, over all its steps. A request
-// that delivered nothing and finished no step costs nothing.
-func (d *Daemon) bill(ctx context.Context, id, workspace string, st *served) {
+// bill writes the one usage record of a request, over all its steps, and reports
+// whether it is safe. A request that delivered nothing and finished no step
+// costs nothing.
+func (d *Daemon) bill(ctx context.Context, id, workspace string, st *served) bool {
 	if len(st.steps) == 0 {
 		d.usage.cancel()
-		return
+		return true
 	}
 	u := billing.Usage{
 		RequestID: id, Workspace: workspace, Outcome: billing.Cut, UnixMillis: time.Now().UnixMilli(),
@@ -433,5 +442,5 @@
 		u.AnswerTokens += s.answer
 		u.Micros += billing.Price(s.prompt+s.answer, s.microsPerKiloTokens)
 	}
-	d.usage.add(ctx, u)
+	return d.usage.add(ctx, u)
 }
--- a/internal/daemon/usage.go
+++ b/internal/daemon/usage.go
@@ -24,8 +24,10 @@
 	appendsPerSecond = 150
 	// flushBatch bounds one append in records.
 	flushBatch = 2000
-	// protectTimeout bounds the wait for a keeper before the log is waited for.
-	protectTimeout = time.Second
+	// keeperTimeout bounds the wait for the keepers before the log is waited for.
+	keeperTimeout = time.Second
+	// protectTimeout bounds the wait for keepers and log together.
+	protectTimeout = 5 * time.Second
 	// adoptAfter is how long a keeper waits for a confirmation before it appends
 	// the records itself.
 	adoptAfter = 30 * time.Second
@@ -82,9 +84,10 @@
 	u.mu.Unlock()
 }
 
-// add stores a record and returns once it would survive the loss of this VM:
-// a keeper in another failure domain, or the log, has it.
-func (u *usage) add(ctx context.Context, rec billing.Usage) {
+// add stores a record and returns once it would survive the loss of this VM: a
+// keeper in another failure domain, or the log, has it. It reports false when
+// neither could be reached; the record stays and is tried on.
+func (u *usage) add(ctx context.Context, rec billing.Usage) bool {
 	u.mu.Lock()
 	place, pending := u.buffer.Add(rec), u.buffer.Len()
 	u.mu.Unlock()
@@ -93,15 +96,24 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), protectTimeout)
 	defer cancel()
 	if u.protect(ctx, place, rec) {
-		return
+		return true
 	}
+	u.exposed(true)
 	select {
 	case u.hurry <- struct{}{}:
 	default:
 	}
-	if !u.await(ctx, place) {
-		u.d.metrics.unprotected.Inc(1)
+	if u.await(ctx, place) {
+		return true
 	}
+	u.d.metrics.unprotected.Inc(1)
+	return false
+}
+
+func (u *usage) exposed(exposed bool) {
+	u.mu.Lock()
+	u.buffer.Exposed(exposed)
+	u.mu.Unlock()
 }
 
 // await waits until the log has the record of a place.
@@ -122,6 +134,8 @@
 }
 
 func (u *usage) protect(ctx context.Context, place uint64, rec billing.Usage) bool {
+	ctx, cancel := context.WithTimeout(ctx, keeperTimeout)
+	defer cancel()
 	for _, k := range u.d.members.keepers(2) {
 		_, err := peer.Call[peer.StoreUsage, peer.Done](ctx, u.d.links, k.PeerAddress, "store_usage",
 			peer.StoreUsage{Owner: u.d.settings.ID, Incarnation: u.d.incarnation, Place: place, Records: []billing.Usage{rec}})
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -47,6 +47,7 @@
 	AnswerUnavailable  Kind = "answer_unavailable"
 	LogUnavailable     Kind = "log_unavailable"
 	BillingBacklog     Kind = "billing_backlog"
+	UsageUnprotected   Kind = "usage_unprotected"
 	EngineRefused      Kind = "engine_refused"
 	EngineFailed       Kind = "engine_failed"
 	CallerLeft         Kind = "caller_left"
@@ -91,6 +92,7 @@
 	{AnswerUnavailable, http.StatusConflict, Unknown, false, 0, "The request with this idempotency key may have executed and its answer cannot be recovered."},
 	{LogUnavailable, http.StatusServiceUnavailable, NotRun, false, 5 * time.Second, "The log service does not answer, so a non-repeatable request cannot be claimed."},
 	{BillingBacklog, http.StatusServiceUnavailable, NotRun, false, 5 * time.Second, "Unconfirmed usage records have reached their memory bound."},
+	{UsageUnprotected, http.StatusServiceUnavailable, NotRun, false, 2 * time.Second, "Neither the log nor another daemon can be given usage records. A request that ran by then is answered without its terminal mark and says ran."},
 	{EngineRefused, http.StatusServiceUnavailable, NotRun, true, time.Second, "The backend server proved that it did not start the request."},
 	{EngineFailed, http.StatusBadGateway, Unknown, false, time.Second, "The backend server failed after the request was sent to it."},
 	{CallerLeft, 499, Unknown, false, 0, "The caller closed its connection."},
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -33,7 +33,8 @@
 	Asked Kind = iota
 	// Started: a backend server began to run Request.
 	Started
-	// Answered: the caller got the terminal mark; Text is the answer it saw.
+	// Answered: the caller got the terminal mark; Text is the answer it saw, of
+	// Version in Session.
 	Answered
 	// Produced: a backend server finished Request; Text is its answer.
 	Produced
@@ -145,6 +146,7 @@
 	case Answered:
 		r := c.request(e.Request)
 		r.answered, r.text = true, e.Text
+		c.pin(e)
 	case Produced:
 		r := c.request(e.Request)
 		r.produced = append(r.produced, e.Text)
@@ -179,7 +181,6 @@
 	if at, ok := c.left[e.Server]; ok && e.At > at+c.limits.Leaving {
 		c.broken(LeavingIdle, "request %s started on %s %s after it was listed", e.Request, e.Server, e.At-at)
 	}
-	c.pin(e)
 	if e.Key == "" {
 		return
 	}
@@ -189,6 +190,8 @@
 	c.keys[e.Key] = e.Request
 }
 
+// pin follows the versions whose answers a session saw. A run whose answer never
+// arrived moved nobody.
 func (c *checker) pin(e Event) {
 	if e.Session == "" {
 		return
--- a/internal/membership/freshness.go
+++ b/internal/membership/freshness.go
@@ -9,6 +9,9 @@
 	// daemons keeps serving. It lies under the 16 s in which a configuration
 	// must be in force everywhere.
 	IsolatedLimit = 15 * time.Second
+	// ServersFresh is the age up to which the word on leaving servers may be
+	// relied on; the platform's list is read every second.
+	ServersFresh = 2500 * time.Millisecond
 )
 
 // Sight is what a daemon knows about how current its configuration is.
@@ -19,6 +22,9 @@
 	PeersHeard time.Time
 	// NeedsLog makes the daemon refuse without the log even among its peers.
 	NeedsLog bool
+	// ServersHeard is when the list of VMs was last read, heard of, or found to
+	// be down. Zero is a daemon that knows nothing of leaving servers yet.
+	ServersHeard time.Time
 	// Loaded says that a configuration was obtained at all.
 	Loaded bool
 }
@@ -31,8 +37,11 @@
 // What is left open is a partition with the log on the smaller side: the larger
 // side then serves by its configuration until it heals. Operators who weigh that
 // above a log outage set NeedsLog.
+//
+// A daemon that just started, or was paused, must first hear which servers leave:
+// it would send them work that they are about to cut.
 func (s Sight) Serve(now time.Time) bool {
-	if !s.Loaded {
+	if !s.Loaded || now.Sub(s.ServersHeard) > ServersFresh {
 		return false
 	}
 	if s.NeedsLog {
--- a/lab/experiments/cascade.go
+++ b/lab/experiments/cascade.go
@@ -82,11 +82,10 @@
 
 // answered is what a rule did with one question.
 type answered struct {
-	cost         float64
-	good         bool
-	cheapRan     bool
-	dearRan      bool
-	acceptedDear bool
+	cost     float64
+	good     bool
+	cheapRan bool
+	dearRan  bool
 }
 
 func answer(q question, cheapFirst bool, accept func() bool) answered {
--- a/lab/experiments/rollout.go
+++ b/lab/experiments/rollout.go
@@ -251,7 +251,6 @@
 	rule             naive.FixedSteps
 	second           int
 	requests, errors int
-	halted           bool
 }
 
 func newFixed() *fixed {
--- /dev/null
+++ b/lab/history/world.go
@@ -0,0 +1,303 @@
+// Package history drives the decision packages through randomised histories in
+// virtual time: six daemons, a log, engines and plain services, callers that
+// retry, operators that race, and two faults at once. Every history is checked
+// against the promises. The same seed gives the same history.
+package history
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/billing"
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/invariant"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
+	"github.com/damaskrudder/damaskrudder/internal/request"
+	"github.com/damaskrudder/damaskrudder/lab/sim"
+)
+
+const (
+	daemonCount  = 6
+	engineCount  = 4
+	length       = 30 * time.Second
+	settleTime   = 45 * time.Second
+	hop          = time.Millisecond
+	readEvery    = 250 * time.Millisecond
+	flushEvery   = 100 * time.Millisecond
+	listEvery    = time.Second
+	requestEvery = 400 * time.Millisecond
+	// unloadAfter is when the lease holder has unloaded a withdrawn version.
+	unloadAfter = 5 * time.Second
+	// adoptAfter is how long a keeper waits for a confirmation.
+	adoptAfter = 30 * time.Second
+	// protectTimeout bounds the wait for the log when no keeper answers.
+	protectTimeout = 5 * time.Second
+)
+
+// Limits are the times that histories are checked against.
+var Limits = invariant.Limits{InForce: 16 * time.Second, Leaving: 3 * time.Second}
+
+// World is one history in the making.
+type World struct {
+	clock   *sim.Clock
+	rng     *rand.Rand
+	log     *eventLog
+	daemons []*node
+	engines []*engine
+	// known is the highest number that any daemon folded.
+	known     uint64
+	withdrawn bool
+	events    []invariant.Event
+	next      int
+	// leaving servers by the platform's list, with the time of the word.
+	leaving map[int]time.Duration
+	stats   Stats
+}
+
+// Stats count what a history held, to show that it tested something.
+type Stats struct {
+	Asked, Answered, RefusedNotRun, Unknown, Lost, Resumed, Retried, Replayed, ClaimsLost, Adopted, Withheld, Duplicates int
+}
+
+// Run makes the history of a seed under some faults and returns it.
+func Run(seed uint64, faults ...Fault) ([]invariant.Event, Stats) {
+	w := &World{clock: &sim.Clock{}, rng: rand.New(rand.NewPCG(seed, 77)), leaving: map[int]time.Duration{}}
+	w.log = &eventLog{w: w, streams: map[string][][]byte{}}
+	for i := range engineCount {
+		w.engines = append(w.engines, &engine{w: w, id: i, runs: map[string]*run{}})
+	}
+	for i := range daemonCount {
+		w.daemons = append(w.daemons, newNode(w, i))
+	}
+	w.configure()
+	for _, d := range w.daemons {
+		d.start()
+	}
+	w.arrivals()
+	w.operators()
+	for _, f := range faults {
+		w.clock.After(2*time.Second+w.duration(20*time.Second), func() { f.do(w) })
+	}
+	w.clock.Run(length)
+	w.clock.Run(length + settleTime)
+	w.bills()
+	return w.events, w.stats
+}
+
+func (w *World) duration(most time.Duration) time.Duration {
+	return time.Duration(w.rng.Int64N(int64(most)))
+}
+
+func (w *World) event(e invariant.Event) {
+	e.At = w.clock.Elapsed()
+	w.events = append(w.events, e)
+}
+
+const workspace = "w"
+
+// configure writes the first patch: a model of three versions and a workspace
+// that may use two of them.
+func (w *World) configure() {
+	var servers []string
+	for i := range engineCount {
+		servers = append(servers, fmt.Sprintf(`{"id":"s%d","address":"10.0.0.%d:80","failure_domain":"fd%d"}`, i, i+1, i%3))
+	}
+	patch := fmt.Sprintf(`{"pools":{"p":{"servers":[%s,%s,%s,%s]}},
+		"models":{"m":{"stable":"v1","versions":{"v1":{"pool":"p","micros_per_1k_tokens":5,"successor":"v2"},"v2":{"pool":"p","micros_per_1k_tokens":5},"v3":{"pool":"p","micros_per_1k_tokens":1}}}},
+		"workspaces":{"w":{"key_hashes":[],"models":["m@v1","m@v2"]}}}`, servers[0], servers[1], servers[2], servers[3])
+	w.log.accept("config", record("first", 0, patch))
+}
+
+func record(id string, base uint64, patch string) []byte {
+	data, err := json.Marshal(fleet.Record{PatchID: id, Base: base, Patch: json.RawMessage(patch)})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// operators race with patches against the same number; one withdraws v1.
+func (w *World) operators() {
+	for i := range 6 {
+		w.clock.After(time.Second+w.duration(length/2), func() {
+			d := w.daemons[w.rng.IntN(daemonCount)]
+			base := d.fold.Config().Number
+			for racer := range 2 {
+				patch := fmt.Sprintf(`{"workspaces":{"w":{"priority":%d}}}`, w.rng.IntN(9))
+				if i == 3 && racer == 0 {
+					patch = `{"models":{"m":{"stable":"v2","versions":{"v1":{"state":"withdrawn"}}}}}`
+				}
+				w.log.append("config", record(fmt.Sprintf("patch-%d-%d", i, racer), base, patch), func(error) {})
+			}
+		})
+	}
+}
+
+// observe notes a configuration that a daemon is the first to fold. From then on
+// an operator may have been told that it is accepted. A record that the log took
+// right before an outage is nobody's knowledge until it can be read.
+func (w *World) observe(c *fleet.Config) {
+	if c.Number <= w.known {
+		return
+	}
+	w.known = c.Number
+	w.event(invariant.Event{Kind: invariant.Accepted, Number: c.Number})
+	if v, _ := c.Version("m", "v1"); v.State != fleet.Withdrawn || w.withdrawn {
+		return
+	}
+	w.withdrawn = true
+	w.event(invariant.Event{Kind: invariant.Withdrew, Model: "m", Version: "v1"})
+	w.clock.After(unloadAfter, func() {
+		for _, e := range w.engines {
+			e.unloaded = "v1"
+		}
+	})
+}
+
+func (w *World) bills() {
+	ledger := billing.NewLedger()
+	for _, data := range w.log.streams["usage"] {
+		var batch []billing.Usage
+		if json.Unmarshal(data, &batch) != nil {
+			continue
+		}
+		for _, u := range batch {
+			ledger.Apply(u)
+		}
+	}
+	w.stats.Duplicates = ledger.Duplicates
+	for _, id := range slices.Sorted(maps.Keys(ledger.All())) {
+		w.event(invariant.Event{Kind: invariant.Billed, Request: id})
+	}
+}
+
+// node is one daemon, driven by the clock.
+type node struct {
+	w           *World
+	id          int
+	incarnation int
+	alive       bool
+	pausedUntil time.Duration
+	// cutFromLog and cutFromPeers are partitions.
+	cutFromLog, cutFromPeers bool
+
+	fold   *fleet.Fold
+	claims *request.Claims
+	sight  membership.Sight
+	buffer *billing.Buffer
+	kept   map[string]copyOf
+	// waiting are answers that await the log's word on their bill.
+	waiting []waitingBill
+	leaving map[int]bool
+	budget  *request.RetryBudget
+}
+
+type copyOf struct {
+	usage billing.Usage
+	owner *node
+	run   int
+	place uint64
+	at    time.Duration
+}
+
+type waitingBill struct {
+	place uint64
+	do    func()
+}
+
+const bufferLimit = 500
+
+func newNode(w *World, id int) *node {
+	d := &node{w: w, id: id}
+	d.reset()
+	return d
+}
+
+// reset forgets everything, as a replaced VM does.
+func (d *node) reset() {
+	d.incarnation++
+	d.alive = true
+	d.fold, d.claims = fleet.NewFold(), request.NewClaims()
+	d.sight = membership.Sight{}
+	d.buffer, d.kept, d.waiting = billing.NewBuffer(bufferLimit), map[string]copyOf{}, nil
+	d.leaving, d.budget = map[int]bool{}, request.NewRetryBudget()
+}
+
+// after schedules work of this incarnation; a pause postpones it, a crash ends it.
+func (d *node) after(t time.Duration, do func()) {
+	run := d.incarnation
+	d.w.clock.After(t, func() { d.resume(run, do) })
+}
+
+func (d *node) resume(run int, do func()) {
+	if !d.alive || d.incarnation != run {
+		return
+	}
+	if wait := d.pausedUntil - d.w.clock.Elapsed(); wait > 0 {
+		d.w.clock.After(wait, func() { d.resume(run, do) })
+		return
+	}
+	do()
+}
+
+func (d *node) every(t time.Duration, do func()) {
+	d.after(t, func() {
+		do()
+		d.every(t, do)
+	})
+}
+
+func (d *node) start() {
+	d.readConfig()
+	d.every(readEvery, d.readConfig)
+	d.every(time.Second, d.hearPeers)
+	d.every(flushEvery, d.flush)
+	d.every(listEvery, d.readList)
+	d.every(time.Second, d.adopt)
+}
+
+func (d *node) now() time.Time { return d.w.clock.Now() }
+
+func (d *node) readConfig() {
+	d.w.log.read(d, "config", int(d.fold.Next()), func(first int, records [][]byte) {
+		d.sight.LogHeard, d.sight.Loaded = d.now(), true
+		for i, r := range records {
+			d.fold.Apply(uint64(first+i), r)
+		}
+		d.w.observe(d.fold.Config())
+	})
+}
+
+// hears reports whether two daemons reach each other.
+func (d *node) hears(o *node) bool {
+	return o.alive && !d.cutFromPeers && !o.cutFromPeers && o.pausedUntil <= d.w.clock.Elapsed()
+}
+
+func (d *node) hearPeers() {
+	heard := 0
+	for _, o := range d.w.daemons {
+		if o == d || !d.hears(o) {
+			continue
+		}
+		heard++
+		if o.fold.Next() > d.fold.Next() {
+			d.fold.Adopt(o.fold.Checkpoint())
+		}
+	}
+	if 2*heard >= daemonCount-1 {
+		d.sight.PeersHeard = d.now()
+	}
+}
+
+func (d *node) readList() {
+	d.sight.ServersHeard = d.now()
+	for s, at := range d.w.leaving {
+		if at <= d.w.clock.Elapsed() {
+			d.leaving[s] = true
+		}
+	}
+}
