--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -26,6 +26,10 @@
 	authSkew = 60 * time.Second
 	// path is where daemons accept each other.
 	path = "/peer"
+	// idleLimit closes a link that was not used for so long. Probes go through
+	// the whole fleet; keeping a link to everybody would cost hundreds of
+	// sockets on both sides for one message in minutes.
+	idleLimit = 30 * time.Second
 )
 
 type envelope struct {
@@ -87,6 +91,7 @@
 	seq     uint64
 	waiting map[uint64]chan envelope
 	broken  bool
+	idle    *time.Timer
 }
 
 // Call sends a message to a peer and decodes its answer. A call that times out
@@ -134,12 +139,14 @@
 	}
 	conn.SetReadLimit(maxMessage)
 	fresh := &link{conn: conn, waiting: map[uint64]chan envelope{}}
+	fresh.idle = time.AfterFunc(idleLimit, func() { l.drop(address, fresh) })
 	l.mu.Lock()
 	if c = l.links[address]; c == nil {
 		l.links[address] = fresh
 	}
 	l.mu.Unlock()
 	if c != nil {
+		fresh.idle.Stop()
 		_ = conn.CloseNow()
 		return c, nil
 	}
@@ -176,6 +183,7 @@
 		delete(l.links, address)
 	}
 	l.mu.Unlock()
+	c.idle.Stop()
 	_ = c.conn.CloseNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -202,6 +210,7 @@
 
 func (c *link) call(ctx context.Context, l *Links, kind string, body []byte) (envelope, error) {
 	ch := make(chan envelope, 1)
+	c.idle.Reset(idleLimit)
 	c.mu.Lock()
 	if c.broken {
 		c.mu.Unlock()
--- /dev/null
+++ b/internal/slo/burn_test.go
@@ -0,0 +1,50 @@
+package slo
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/fleet"
+)
+
+// The figures are worked by hand: a target of 0.99 allows 1 bad request in 100.
+// In the last five minutes 4 of 200 failed: a burn of 2. In the hour 6 of 1,000
+// failed: a burn of 0.6, 40% left, which lasts 40 minutes at that rate.
+func TestBurnOfAHandWorkedHistory(t *testing.T) {
+	c := fleet.Empty()
+	c.Workspaces["w"] = fleet.Workspace{Objectives: fleet.Objectives{Availability: 0.99, FirstTokenMillis: 1500, FirstTokenFraction: 0.9}}
+	now := time.Unix(100*3600, 0)
+	key := Key{"w", "m", "v1", "fd1"}
+	bad := Key{"w", "m", "v2", "fd2"}
+	a, b := NewCounters(), NewCounters()
+	a.Observe(now.Add(-30*time.Minute), key, Counts{Requests: 800, Failed: 2, Late: 50})
+	a.Observe(now.Add(-time.Minute), key, Counts{Requests: 150, Failed: 1})
+	b.Observe(now, bad, Counts{Requests: 50, Failed: 3, Late: 50})
+	a.Observe(now.Add(-7*time.Hour), key, Counts{Requests: 1e6, Failed: 1e6})
+	cells := append(a.Cells(now), b.Cells(now)...)
+	find := func(objective string, w time.Duration) Line {
+		for _, l := range Report(c, cells) {
+			if l.Objective == objective && l.Window == w {
+				return l
+			}
+		}
+		t.Fatalf("no line %s %s", objective, w)
+		return Line{}
+	}
+	near := func(name string, got, want float64) {
+		if math.Abs(got-want) > 1e-9 {
+			t.Errorf("%s: %v, want %v", name, got, want)
+		}
+	}
+	fast, hour := find("availability", 5*time.Minute), find("availability", time.Hour)
+	near("fast burn", fast.Burn, 2)
+	near("fast left", fast.Left, -1)
+	near("hour burn", hour.Burn, 0.6)
+	near("hour left", hour.Left, 0.4)
+	near("hour exhausted", hour.Exhausted.Minutes(), 40)
+	near("late burn", find("first_token", time.Hour).Burn, 1)
+	if fast.Worst != "m@v2 in fd2" || fast.Requests != 200 || hour.Requests != 1000 || fast.Exhausted != 0 {
+		t.Errorf("fast %+v, hour %+v", fast, hour)
+	}
+}
--- a/lab/slopes/fleet.go
+++ b/lab/slopes/fleet.go
@@ -217,6 +217,8 @@
 
 func heapKB() float64 {
 	var m runtime.MemStats
+	// The second collection frees what finalizers of the first let go.
+	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc+m.StackInuse) / 1024
@@ -234,6 +236,7 @@
 
 // observe runs one size and returns the mean cost of a daemon.
 func observe(s shape, window time.Duration) (point, error) {
+	time.Sleep(settle / 4)
 	before := heapKB()
 	r, err := start(s)
 	if err != nil {
