Tests of routing, membership, peers and decoders; pages made from the code

Found by them: the cost of sharing a batch counted requests that wait in the queue (4.2 s instead of 1.0 s expected at 40 requests on 8 slots), so urgent requests were refused that would have started in time.

--- /dev/null
+++ b/internal/arch/docs_test.go
@@ -0,0 +1,135 @@
+package arch_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"maps"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/daemon"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/settings"
+)
+
+var update = flag.Bool("update", false, "write the pages that are made from the code")
+
+// page compares a page of docs with what the code says, or writes it.
+func page(t *testing.T, name, want string) {
+	t.Helper()
+	file := filepath.Join("..", "..", "docs", name)
+	if *update {
+		if err := os.WriteFile(file, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != want {
+		t.Errorf("%s does not fit the code; run go test ./internal/arch -update", name)
+	}
+}
+
+func TestErrorsPage(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Errors\n\nEvery refusal has one of these kinds. `ran` says whether the request was executed:\n`not_run` is always true; an error may carry a less certain word than the table's.\nMade from the table in `internal/fault`.\n\n| kind | status | ran | advice | meaning |\n|---|---|---|---|---|\n")
+	for _, a := range fault.Answers() {
+		advice := "-"
+		if a.RetryAfter > 0 {
+			advice = "after " + a.RetryAfter.String()
+		}
+		fmt.Fprintf(&b, "| `%s` | %d | %s | %s | %s |\n", a.Kind, a.Status, a.Run, advice, a.Meaning)
+	}
+	page(t, "ERRORS.md", b.String())
+}
+
+func TestMetricsPage(t *testing.T) {
+	names := daemon.MetricNames()
+	var b strings.Builder
+	b.WriteString("# Metrics\n\nServed at `/metrics` in Prometheus' text form, each with the prefix `damaskrudder_`.\nMade from the list in `internal/daemon`.\n\n| name | meaning |\n|---|---|\n")
+	for _, n := range slices.Sorted(maps.Keys(names)) {
+		fmt.Fprintf(&b, "| `%s` | %s |\n", n, names[n])
+	}
+	page(t, "METRICS.md", b.String())
+	src, err := os.ReadFile(filepath.Join("..", "daemon", "metrics.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range names {
+		if !strings.Contains(string(src), `("`+n+`"`) {
+			t.Errorf("%s is listed and not in use", n)
+		}
+	}
+	if used := strings.Count(string(src), `Counter("`) + strings.Count(string(src), `Gauge("`) + strings.Count(string(src), `Histogram("`); used != len(names) {
+		t.Errorf("%d metrics are in use, %d are listed", used, len(names))
+	}
+}
+
+func TestSettingsPage(t *testing.T) {
+	f, err := parser.ParseFile(token.NewFileSet(), filepath.Join("..", "settings", "settings.go"), nil, parser.ParseComments)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	b.WriteString("# Settings\n\nJSON with comments; an unknown field is an error. [settings.sample.jsonc](settings.sample.jsonc)\nhas every field with its default. Made from the types in `internal/settings`.\n")
+	for _, s := range []struct{ typ, title string }{{"Settings", "Daemon"}, {"TLS", "tls"}} {
+		fmt.Fprintf(&b, "\n## %s\n\n| field | meaning |\n|---|---|\n", s.title)
+		fields(f, s.typ, func(name, doc string) { fmt.Fprintf(&b, "| `%s` | %s |\n", name, doc) })
+	}
+	page(t, "SETTINGS.md", b.String())
+}
+
+// fields calls f with the JSON name and the comment of every field of a type.
+func fields(f *ast.File, typ string, each func(name, doc string)) {
+	ast.Inspect(f, func(n ast.Node) bool {
+		ts, ok := n.(*ast.TypeSpec)
+		if !ok || ts.Name.Name != typ {
+			return true
+		}
+		for _, field := range ts.Type.(*ast.StructType).Fields.List {
+			tag := reflect.StructTag(strings.Trim(field.Tag.Value, "`")).Get("json")
+			each(tag, strings.Join(strings.Fields(field.Doc.Text()), " "))
+		}
+		return false
+	})
+}
+
+// The sample shows every field, and the defaults that the code has.
+func TestSampleShowsTheDefaults(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("..", "..", "docs", "settings.sample.jsonc"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := settings.Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := settings.Defaults()
+	d.ID, d.Region, d.FailureDomain, d.Listen, d.PeerListen, d.Peers, d.Log, d.Pools = s.ID, s.Region, s.FailureDomain, s.Listen, s.PeerListen, s.Peers, s.Log, s.Pools
+	got, _ := json.Marshal(s)
+	want, _ := json.Marshal(d)
+	if string(got) != string(want) {
+		t.Errorf("sample\n%s\ndefaults\n%s", got, want)
+	}
+	var all map[string]any
+	_ = json.Unmarshal(want, &all)
+	for field := range all {
+		if field != "tls" && !strings.Contains(string(data), `"`+field+`"`) {
+			t.Errorf("the sample lacks %s", field)
+		}
+	}
+	if time.Duration(s.Silence) <= 0 {
+		t.Error("silence was not read")
+	}
+}
--- /dev/null
+++ b/internal/engine/stream_test.go
@@ -0,0 +1,38 @@
+package engine
+
+import "testing"
+
+func TestDecodeEvent(t *testing.T) {
+	f, err := DecodeEvent(3, []byte(`{"run":"r","choices":[{"delta":{"content":"é"}}]}`))
+	if err != nil || f.Run != "r" || f.Offset != 3 || f.Delta != "é" || f.End || f.Failed {
+		t.Errorf("%+v %v", f, err)
+	}
+	f, err = DecodeEvent(4, []byte(`{"run":"r","choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":2,"completion_tokens":5}}`))
+	if err != nil || !f.End || f.Usage.AnswerTokens != 5 {
+		t.Errorf("%+v %v", f, err)
+	}
+	f, err = DecodeEvent(5, []byte(`{"run":"r","error":{"message":"no"}}`))
+	if err != nil || !f.Failed || f.End {
+		t.Errorf("%+v %v", f, err)
+	}
+	for _, bad := range []string{"", "[DONE]", `{"run":`, `{"run":"r","usage":{"prompt_tokens":-1}}`} {
+		if _, err := DecodeEvent(1, []byte(bad)); err == nil {
+			t.Errorf("%q gave a frame", bad)
+		}
+	}
+	if _, err := DecodeEvent(0, []byte(`{"run":"r"}`)); err == nil {
+		t.Error("an event without id gave a frame")
+	}
+}
+
+func FuzzDecodeEvent(f *testing.F) {
+	f.Add(1, []byte(`{"run":"r","choices":[{"delta":{"content":"x"}}]}`))
+	f.Add(2, []byte(`{"run":"r","choices":[{"finish_reason":"stop"}],"usage":{"confidence":2}}`))
+	f.Add(-1, []byte("[DONE]"))
+	f.Fuzz(func(t *testing.T, id int, data []byte) {
+		fr, err := DecodeEvent(id, data)
+		if err == nil && (fr.Offset <= 0 || fr.Usage.AnswerTokens < 0 || fr.Usage.PromptTokens < 0) {
+			t.Fatalf("%+v", fr)
+		}
+	})
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -156,6 +156,9 @@
 // same address shows up under a new id; keeping both rows would send the old
 // one's share of work to a daemon that knows nothing of it.
 func (t *Table) takesAddress(b Beat) bool {
+	if old := t.rows[b.ID]; old != nil && old.PeerAddress == b.PeerAddress {
+		return true
+	}
 	for id, m := range t.rows {
 		if id == b.ID || id == t.self || m.PeerAddress != b.PeerAddress {
 			continue
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -80,7 +80,8 @@
 
 // Sharing spreads work over servers whose queues look empty: each request in a
 // batch slows the others. Without it all work below the slot limit costs the
-// same and piles up where a prefix is cached.
+// same and piles up where a prefix is cached. What waits in the queue is in no
+// batch yet and is Queue's to count.
 type Sharing struct {
 	// Fraction of the service time that each request in the batch adds.
 	Fraction float64
@@ -91,7 +92,8 @@
 
 // Cost implements Scorer.
 func (s Sharing) Cost(_ *Request, c *Candidate, _ int) time.Duration {
-	return time.Duration((float64(c.InFlight) + c.OthersInFlight) * s.Fraction * float64(c.ServiceTime))
+	batch := min(float64(c.InFlight)+c.OthersInFlight, float64(c.Slots))
+	return time.Duration(batch * s.Fraction * float64(c.ServiceTime))
 }
 
 // Reliability charges the expected cost of failing and having to try again.
