A starting daemon is not named to callers and holds no role

Cause: one request of a rolling restart was refused as configuration_stale: the new daemon was alive for the others, and so in their endpoint answers, before it had read the configuration.

Change: a daemon says whether it serves; roles and endpoint answers need it. Keeping copies does not.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -21,6 +21,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/api"
 	"github.com/damaskrudder/damaskrudder/internal/daemon"
+	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
 	"github.com/damaskrudder/damaskrudder/internal/settings"
 )
@@ -42,6 +43,7 @@
 	log     *log.Logger
 	callers *http.Server
 	peers   *http.Server
+	peering *peer.Server
 	stop    context.CancelFunc
 	done    chan struct{}
 	closers []io.Closer
@@ -96,7 +98,8 @@
 	}
 	n.Daemon = daemon.New(s, secrets, ports)
 	n.callers = serve(callers, api.New(n.Daemon, l, handler))
-	n.peers = serve(peers, n.Daemon.PeerServer())
+	n.peering = n.Daemon.PeerServer()
+	n.peers = serve(peers, n.peering)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go func() {
@@ -143,6 +146,7 @@
 func (n *Node) end() {
 	_ = n.callers.Close()
 	_ = n.peers.Close()
+	n.peering.Close()
 	n.stop()
 	<-n.done
 	for _, c := range n.closers {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -197,12 +197,20 @@
 // incarnation, because the cursor into them is lost with it.
 func (d *Daemon) raterID() string { return d.owner() }
 
-func (d *Daemon) self() membership.Beat {
+// identity is what never changes about this incarnation.
+func (d *Daemon) identity() membership.Beat {
 	return membership.Beat{
 		ID: d.settings.ID, Address: d.settings.Listen, PeerAddress: d.settings.PeerListen,
-		FailureDomain: d.settings.FailureDomain,
-		Incarnation:   d.incarnation, Number: d.config.current().Number,
-		Leaving: d.leaving.Load(), InFlight: int(d.inFlight.Load()),
-		LogAgeMillis: time.Since(d.config.heard()).Milliseconds(),
+		FailureDomain: d.settings.FailureDomain, Incarnation: d.incarnation,
 	}
 }
+
+// self is what this daemon says of itself now.
+func (d *Daemon) self() membership.Beat {
+	b := d.identity()
+	b.Number = d.config.current().Number
+	b.Serving, b.Leaving = d.Ready(), d.leaving.Load()
+	b.InFlight = int(d.inFlight.Load())
+	b.LogAgeMillis = time.Since(d.config.heard()).Milliseconds()
+	return b
+}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -27,7 +27,7 @@
 
 func newMembers(d *Daemon) *members {
 	rng := rand.New(rand.NewPCG(d.incarnation, 0))
-	return &members{d: d, table: membership.NewTable(d.self(), rng)}
+	return &members{d: d, table: membership.NewTable(d.identity(), rng)}
 }
 
 func (m *members) register(s *peer.Server) {
@@ -124,12 +124,11 @@
 }
 
 func (m *members) beat() peer.Heartbeat {
-	self, next := m.d.self(), m.d.config.next()
+	next := m.d.config.next()
 	at, _ := m.d.pools.leavingWord()
-	m.mu.Lock()
+	table := m.current()
 	defer m.mu.Unlock()
-	m.table.SetSelf(self)
-	return peer.Heartbeat{Self: m.table.Self(), Rumors: m.table.Rumors(), ConfigNext: next, VMsAt: at}
+	return peer.Heartbeat{Self: table.Self(), Rumors: table.Rumors(), ConfigNext: next, VMsAt: at}
 }
 
 func (m *members) take(h peer.Heartbeat) {
@@ -145,10 +144,7 @@
 // announce tells every live daemon at once, so that no endpoint answer names
 // this daemon from now on.
 func (m *members) announce() {
-	self := m.d.self()
-	m.mu.Lock()
-	m.table.SetSelf(self)
-	rows := m.table.Members()
+	rows := m.current().Members()
 	m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
@@ -173,8 +169,18 @@
 	return m.table.Len()
 }
 
-func (m *members) homes(key string, n int) []membership.Member {
+// current locks the table with the own row brought up to date. Rows of others
+// come with their messages; the own one would be stale between heartbeats, and a
+// daemon without peers sends none.
+func (m *members) current() *membership.Table {
+	self := m.d.self()
 	m.mu.Lock()
+	m.table.SetSelf(self)
+	return m.table
+}
+
+func (m *members) homes(key string, n int) []membership.Member {
+	m.current()
 	defer m.mu.Unlock()
 	return m.table.Homes(key, n)
 }
@@ -184,15 +190,19 @@
 	return len(h) > 0 && h[0].ID == m.d.settings.ID
 }
 
+// isHomeIn reports whether this daemon is one of the n homes of a key in its
+// failure domain. One that holds no role, because it starts or leaves, does for
+// itself what homes do for others.
 func (m *members) isHomeIn(key string, n int) bool {
-	m.mu.Lock()
+	m.current()
 	defer m.mu.Unlock()
 	for _, h := range m.table.HomesIn(m.d.settings.FailureDomain, key, n) {
 		if h.ID == m.d.settings.ID {
 			return true
 		}
 	}
-	return m.table.Self().Leaving
+	self := m.table.Self()
+	return self.Leaving || !self.Serving
 }
 
 func (m *members) keepers(n int) []membership.Member {
@@ -208,18 +218,14 @@
 }
 
 func (m *members) endpoints() []string {
-	self := m.d.self()
-	m.mu.Lock()
+	table := m.current()
 	defer m.mu.Unlock()
-	m.table.SetSelf(self)
-	return m.table.Endpoints(endpointCount)
+	return table.Endpoints(endpointCount)
 }
 
 // Members returns the daemon's view of all daemons.
 func (d *Daemon) Members() []membership.Member {
-	self := d.self()
-	d.members.mu.Lock()
+	table := d.members.current()
 	defer d.members.mu.Unlock()
-	d.members.table.SetSelf(self)
-	return d.members.table.Members()
+	return table.Members()
 }
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -62,11 +62,15 @@
 	// Incarnation is the daemon's start time in Unix nanoseconds. A higher one
 	// replaces a lower one at the same id or address.
 	Incarnation uint64 `cbor:"6,keyasint" json:"incarnation"`
-	// Sequence rises when the daemon refutes a suspicion or starts to leave.
+	// Sequence rises when the daemon refutes a suspicion, starts to serve, stops
+	// serving or starts to leave.
 	Sequence uint64 `cbor:"7,keyasint" json:"sequence"`
 	// Number is the configuration number in force there.
 	Number  uint64 `cbor:"8,keyasint,omitempty" json:"number"`
 	Leaving bool   `cbor:"9,keyasint,omitempty" json:"leaving"`
+	// Serving says that the daemon dispatches requests. One that just started has
+	// no configuration yet; naming it to callers would earn them refusals.
+	Serving bool `cbor:"12,keyasint,omitempty" json:"serving"`
 	// InFlight is the number of requests there, for spreading callers.
 	InFlight int `cbor:"10,keyasint,omitempty" json:"in_flight"`
 	// LogAgeMillis is how long ago the daemon heard the log, in ms.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -49,11 +49,12 @@
 // Self returns the own row.
 func (t *Table) Self() Beat { return t.rows[t.self].Beat }
 
-// SetSelf refreshes what the own row says. Starting to leave is news.
+// SetSelf refreshes what the own row says. Starting to leave, to serve or to
+// refuse is news.
 func (t *Table) SetSelf(b Beat) {
 	own := t.rows[t.self]
 	b.Sequence = own.Sequence
-	if b.Leaving != own.Leaving {
+	if b.Leaving != own.Leaving || b.Serving != own.Serving {
 		b.Sequence++
 		t.spread(t.self, Alive)
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -20,7 +20,7 @@
 
 func beatOf(i, incarnation int) Beat {
 	return Beat{ID: fmt.Sprintf("d%03d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), PeerAddress: fmt.Sprintf("10.0.0.%d:81", i),
-		FailureDomain: fmt.Sprint("fd", i%5), Incarnation: uint64(incarnation)}
+		FailureDomain: fmt.Sprint("fd", i%5), Incarnation: uint64(incarnation), Serving: true}
 }
 
 func newFleet(n int) *fleet {
@@ -189,11 +189,14 @@
 	leaving := beatOf(5, 1)
 	leaving.Sequence, leaving.Leaving = 1, true
 	table.Answered(leaving, f.now)
+	starting := beatOf(6, 1)
+	starting.Sequence, starting.Serving = 1, false
+	table.Answered(starting, f.now)
 	got := table.Endpoints(4)
 	domains := map[byte]bool{}
 	for _, a := range got {
-		if a == self.Address || a == leaving.Address {
-			t.Errorf("a leaving daemon is named: %v", got)
+		if a == self.Address || a == leaving.Address || a == starting.Address {
+			t.Errorf("a leaving or starting daemon is named: %v", got)
 		}
 		domains[(a[len(a)-4]-'0')%5] = true
 	}
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -9,7 +9,7 @@
 )
 
 // usable rows may hold roles and get callers.
-func usable(m Member) bool { return m.State == Alive && !m.Leaving }
+func usable(m Member) bool { return m.State == Alive && m.Serving && !m.Leaving }
 
 // Homes returns the n best usable daemons for a key by rendezvous hashing, best
 // first, own daemon included.
@@ -22,15 +22,17 @@
 	return t.ranked(key, n, func(m Member) bool { return usable(m) && m.FailureDomain == domain })
 }
 
-// Keepers returns up to n usable daemons outside the own failure domain that
-// keep copies for the own one; where there is none, others of the own domain.
+// Keepers returns up to n daemons outside the own failure domain that keep copies
+// for the own one; where there is none, others of the own domain. A keeper need
+// not serve requests.
 func (t *Table) Keepers(n int) []Member {
 	domain := t.Self().FailureDomain
-	away := t.ranked(t.self, n, func(m Member) bool { return usable(m) && m.FailureDomain != domain })
+	stays := func(m Member) bool { return m.State == Alive && !m.Leaving && m.ID != t.self }
+	away := t.ranked(t.self, n, func(m Member) bool { return stays(m) && m.FailureDomain != domain })
 	if len(away) > 0 {
 		return away
 	}
-	return t.ranked(t.self, n, func(m Member) bool { return usable(m) && m.ID != t.self })
+	return t.ranked(t.self, n, stays)
 }
 
 // ranked keeps the n best in one pass: a fleet of 520 is ranked for every bill,
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,11 +20,37 @@
 	Refused func()
 	// Bytes counts what was sent and received.
 	Bytes func(n int)
+
+	mu     sync.Mutex
+	conns  map[*websocket.Conn]bool
+	closed bool
 }
 
 // NewServer returns a server that admits holders of the peer key.
 func NewServer(key string) *Server {
-	return &Server{key: key, handlers: map[string]func(context.Context, string, []byte) ([]byte, error){}, Refused: func() {}, Bytes: func(int) {}}
+	return &Server{key: key, handlers: map[string]func(context.Context, string, []byte) ([]byte, error){}, Refused: func() {}, Bytes: func(int) {}, conns: map[*websocket.Conn]bool{}}
+}
+
+// Close ends every connection. The HTTP server does not: it no longer knows those
+// that were upgraded, and a closed daemon would go on to answer probes on them.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.conns {
+		_ = c.CloseNow()
+	}
+}
+
+func (s *Server) track(c *websocket.Conn, open bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !open {
+		delete(s.conns, c)
+	} else if !s.closed {
+		s.conns[c] = true
+	}
+	return !s.closed
 }
 
 // Handle registers the handler of one kind of call.
@@ -55,6 +81,10 @@
 		return
 	}
 	defer func() { _ = conn.CloseNow() }()
+	defer s.track(conn, false)
+	if !s.track(conn, true) {
+		return
+	}
 	conn.SetReadLimit(maxMessage)
 	s.serve(r.Context(), from, conn)
 }
