--- a/lab/experiments/limits.go
+++ b/lab/experiments/limits.go
@@ -29,10 +29,11 @@
 			{name: "undershoot of the mean use", target: 0.05},
 			{name: "  undershoot with fixed shares of 1/n"},
 			{name: "asks of the home a second"},
+			{name: "  overshoot when tokens are counted at the end of requests of 5 s"},
 		}
 		collect(seeds, rows, func(seed uint64) []float64 {
 			over, under, asks := leased(seed, n, limit)
-			return []float64{over, under, fixedShares(seed, n, limit), asks}
+			return []float64{over, under, fixedShares(seed, n, limit), asks, countedLate(seed, n, limit)}
 		})
 		writeTable(out, fmt.Sprintf("limits: %d daemons, 600,000 tokens a minute, demand 1.5 of it, skewed, home lost for 3 s", n), rows)
 	}
@@ -131,3 +132,27 @@
 	}), limit)
 	return under
 }
+
+// countedLate spends from one exact window that knows of a request's tokens only
+// when it ends, as a limiter without reservations does.
+func countedLate(seed uint64, n int, limit int64) float64 {
+	const takes = 5 * time.Second
+	type end struct {
+		at     time.Duration
+		tokens int64
+	}
+	var window quota.Window
+	var running []end
+	over, _ := judge(spend(seed, n, limit, func(now time.Time, at time.Duration, _ int) bool {
+		for len(running) > 0 && running[0].at <= at {
+			window.Add(now, running[0].tokens)
+			running = running[1:]
+		}
+		if window.Sum(now, quota.Span)+tokensPerRequest > limit {
+			return false
+		}
+		running = append(running, end{at + takes, tokensPerRequest})
+		return true
+	}), limit)
+	return over
+}
