--- a/internal/routing/picture.go
+++ b/internal/routing/picture.go
@@ -28,6 +28,12 @@
 	// single one tells of load that has moved on; daemons that follow it chase
 	// each other from server to server. Their mean tells which servers are busy.
 	reportWeight = 0.2
+	// surgeHalfLife is the age of what the mean of reports tells.
+	surgeHalfLife = 5 * time.Second
+	// surgeLeast is the least mean work for which a surge is told from noise.
+	surgeLeast = 2
+	// surgeMost bounds the surge that is believed.
+	surgeMost = 4
 	// waitHalfLife ages the delay of own first tokens.
 	waitHalfLife = time.Second
 	// waitWeight is the weight of a new first token in that delay.
@@ -57,6 +63,36 @@
 	servers []state
 	index   map[string]int
 	Prefix  *PrefixIndex
+	total   loadMean
+}
+
+// loadMean is this daemon's work on all servers, now and as a slow mean.
+type loadMean struct {
+	now  int
+	mean float64
+	at   time.Time
+}
+
+func (l *loadMean) add(n int, at time.Time) {
+	l.mean = l.meanAt(at)
+	l.at = at
+	l.now = max(0, l.now+n)
+}
+
+func (l *loadMean) meanAt(at time.Time) float64 {
+	keep := decay(at.Sub(l.at), surgeHalfLife)
+	return l.mean*keep + float64(l.now)*(1-keep)
+}
+
+// surge is how much more work this daemon has than when the reports were made.
+// Callers spread over all daemons, so the others have about as much more. The
+// usual spread of a count is taken off, or noise would look like a surge.
+func (l *loadMean) surge(at time.Time) float64 {
+	mean := l.meanAt(at)
+	if mean < surgeLeast {
+		return 1
+	}
+	return min(max((float64(l.now)-math.Sqrt(float64(l.now)))/mean, 1), surgeMost)
 }
 
 type state struct {
@@ -146,6 +182,7 @@
 
 func (p *Picture) remove(id string, i int) {
 	delete(p.index, id)
+	p.total.now = max(0, p.total.now-p.servers[i].InFlight)
 	p.servers[i] = state{Candidate: Candidate{Leaving: true}}
 	p.Prefix.Forget(i)
 }
@@ -170,6 +207,8 @@
 
 // Snapshot appends the candidates at a time to dst. Index i is slot i.
 func (p *Picture) Snapshot(dst []Candidate, now time.Time) []Candidate {
+	first := len(dst)
+	others := 0.0
 	for i := range p.servers {
 		s := &p.servers[i]
 		dst = append(dst, s.Candidate)
@@ -179,6 +218,7 @@
 		// the cost of a decision.
 		if s.others > 0 {
 			c.OthersInFlight = s.others * decay(now.Sub(s.othersAt), reportHalfLife)
+			others += c.OthersInFlight
 		}
 		if s.wait > 0 {
 			c.Wait = time.Duration(float64(s.wait) * decay(now.Sub(s.waitAt), waitHalfLife))
@@ -187,9 +227,24 @@
 			c.ErrorRate *= decay(now.Sub(s.errorAt), errorHalfLife)
 		}
 	}
+	p.addSurge(dst[first:], others, now)
 	return dst
 }
 
+// addSurge adds the work that a surge brought the others, alike to all servers:
+// scaling each server's estimate would scale its noise too, and send the daemons
+// after the servers that look best by chance.
+func (p *Picture) addSurge(candidates []Candidate, others float64, now time.Time) {
+	surge := p.total.surge(now)
+	if surge <= 1 || len(candidates) == 0 {
+		return
+	}
+	more := (surge - 1) * others / float64(len(candidates))
+	for i := range candidates {
+		candidates[i].OthersInFlight += more
+	}
+}
+
 func decay(age, halfLife time.Duration) float64 {
 	if age <= 0 {
 		return 1
@@ -212,6 +267,7 @@
 		return
 	}
 	s.smoothOwn(now)
+	p.total.add(1, now)
 	s.InFlight++
 	if urgent {
 		s.Urgent++
@@ -258,6 +314,7 @@
 		return
 	}
 	s.smoothOwn(now)
+	p.total.add(-1, now)
 	s.InFlight = max(0, s.InFlight-1)
 	if urgent {
 		s.Urgent = max(0, s.Urgent-1)
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -31,7 +31,7 @@
 	return Pipeline{
 		Filters: []Filter{Live{}, Untried{}},
 		Scorers: []Scorer{
-			Queue{}, Waiting{}, Prefill{}, Network{},
+			Queue{}, Prefill{}, Network{},
 			Sharing{Fraction: defaultSharing},
 			Reliability{RetryCost: defaultRetryCost},
 		},
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -18,6 +18,10 @@
 // smoothly before the slots are full. The shape is Sakasegawa's approximation
 // for a queue with several servers (Annals of the Institute of Statistical
 // Mathematics 29, 1977). An urgent request waits behind urgent work only.
+//
+// Reports lag by seconds; the delay that own requests met there lately is as old
+// as the newest first token. Both tell of one queue, so the larger counts: their
+// sum would refuse requests that could start in time.
 type Queue struct{}
 
 // maxUse caps the load at which the approximation is read; beyond the slots the
@@ -44,19 +48,13 @@
 	if r.Urgent {
 		wait, ahead = wait/slots, min(ahead, float64(c.Urgent)+1)
 	}
-	return time.Duration((wait + ahead/slots) * float64(c.ServiceTime))
+	estimate := time.Duration((wait + ahead/slots) * float64(c.ServiceTime))
+	if r.Urgent {
+		return estimate
+	}
+	return max(estimate, c.Wait)
 }
 
-// Waiting is the delay that own requests met there lately. Reports lag by
-// seconds; this is as old as the newest first token.
-type Waiting struct{}
-
-// Name implements Scorer.
-func (Waiting) Name() string { return "waiting" }
-
-// Cost implements Scorer.
-func (Waiting) Cost(_ *Request, c *Candidate, _ int) time.Duration { return c.Wait }
-
 // Prefill is the time to compute the part of the prompt that is not cached.
 type Prefill struct{}
 
