--- a/internal/billing/billing_test.go
+++ b/internal/billing/billing_test.go
@@ -27,8 +27,10 @@
 
 func TestBufferIsBounded(t *testing.T) {
 	b := NewBuffer(2)
-	if b.Reserve() != nil || b.Reserve() != nil {
-		t.Fatal("two places refused")
+	for place := range 2 {
+		if err := b.Reserve(); err != nil {
+			t.Fatalf("place %d: %v", place, err)
+		}
 	}
 	if err := b.Reserve(); !fault.Is(err, fault.BillingBacklog) {
 		t.Fatalf("a third place: %v", err)
