Histories roll a version out; a test for late spending of a lease

Change: operators of the histories start and advance a roll-out; a test spends a lease at the end of its term.

--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -39,6 +39,23 @@
 	}
 }
 
+// Symptom: a sliding minute holds twice the limit.
+// Sequence: the whole limit is leased at 0:00 and spent at the end of the lease's
+// term; at 1:00.8 it is leased and spent again.
+// Cause: a lease is spent up to a term after the home counted it, so the home
+// must remember it for the minute and the term.
+func TestLateSpendingOfALeaseCounts(t *testing.T) {
+	home, share := NewHome(1), NewShare("m")
+	share.Granted(start, home.Grant(start, share.Ask(start, 100, 100, 1)))
+	if !share.TrySpend(start.Add(950*time.Millisecond), 100) {
+		t.Fatal("the lease ended early")
+	}
+	again := start.Add(60800 * time.Millisecond)
+	if l := home.Grant(again, share.Ask(again, 100, 100, 1)); l.Amount != 0 {
+		t.Fatalf("%d leased again", l.Amount)
+	}
+}
+
 // Daemons spend, return, lose their home and get a new one that knows nothing;
 // the home's answers are lost at times. No sliding minute ever holds more than
 // the limit and the little that the new home could not know yet.
--- a/lab/history/world.go
+++ b/lab/history/world.go
@@ -122,19 +122,25 @@
 	return data
 }
 
-// operators race with patches against the same number; one withdraws v1.
+// patches are what operators do in turn, each against a racing one: a roll-out
+// that moves sessions without a pin, and the withdrawal of v1.
+var patches = []string{
+	`{"rollouts":{"m":{"model":"m","to":"v2","stages":[50,100],"stage":0,"state":"running"}}}`,
+	`{"workspaces":{"w":{"priority":3}}}`,
+	`{"rollouts":{"m":{"stage":1}}}`,
+	`{"models":{"m":{"stable":"v2","versions":{"v1":{"state":"withdrawn"}}}}}`,
+	`{"workspaces":{"w":{"priority":4}}}`,
+}
+
+// operators race with patches against the same number.
 func (w *World) operators() {
-	for i := range 6 {
-		w.clock.After(time.Second+w.duration(length/2), func() {
-			d := w.daemons[w.rng.IntN(daemonCount)]
-			base := d.fold.Config().Number
-			for racer := range 2 {
-				patch := fmt.Sprintf(`{"workspaces":{"w":{"priority":%d}}}`, w.rng.IntN(9))
-				if i == 3 && racer == 0 {
-					patch = `{"models":{"m":{"stable":"v2","versions":{"v1":{"state":"withdrawn"}}}}}`
-				}
-				w.log.append("config", record(fmt.Sprintf("patch-%d-%d", i, racer), base, patch), func(error) {})
-			}
+	for i, patch := range patches {
+		at := length * time.Duration(i+1) / time.Duration(len(patches)+2)
+		w.clock.After(at+w.duration(time.Second), func() {
+			base := w.daemons[w.rng.IntN(daemonCount)].fold.Config().Number
+			racer := fmt.Sprintf(`{"workspaces":{"w":{"priority":%d}}}`, w.rng.IntN(9))
+			w.log.append("config", record(fmt.Sprint("patch-", i), base, patch), func(error) {})
+			w.log.append("config", record(fmt.Sprint("racer-", i), base, racer), func(error) {})
 		})
 	}
 }
