--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -16,6 +16,9 @@
 const (
 	// judgeEvery is the period of reporting evidence and judging it.
 	judgeEvery = time.Second
+	// reportsPerSecond bounds the reports that a roll-out's home gets; daemons of
+	// a large fleet report less often, and brake by themselves meanwhile.
+	reportsPerSecond = 50
 	// slowRun is the speed, against what the picture expected, from which a run
 	// counts as slow.
 	slowRun = 3
@@ -31,6 +34,8 @@
 	own    map[string]*stageEvidence
 	fleet  map[string]*fleetEvidence
 	braked map[string]bool
+	// reported is when this daemon last sent its evidence.
+	reported time.Time
 }
 
 type stageEvidence struct {
@@ -120,6 +125,10 @@
 func (r *rollouts) round(ctx context.Context) {
 	c := r.d.config.current()
 	r.releaseBrakes(c)
+	due := time.Since(r.reported) >= time.Duration(r.d.members.size())*time.Second/reportsPerSecond
+	if due {
+		r.reported = time.Now()
+	}
 	for model, ro := range c.Rollouts {
 		if !rollout.Judged(ro) {
 			continue
@@ -130,7 +139,7 @@
 		}
 		report := r.report(model, ro)
 		if homes[0].ID != r.d.settings.ID {
-			if len(report.Cells) > 0 {
+			if due && len(report.Cells) > 0 {
 				callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 				_, _ = peer.Call[peer.ReportEvidence, peer.Done](callCtx, r.d.links, homes[0].PeerAddress, "evidence", report)
 				cancel()
--- a/lab/slopes/main.go
+++ b/lab/slopes/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	window := flag.Duration("window", 5*time.Second, "how long each size is measured")
-	only := flag.String("only", "", "measure one slope only: daemons, servers, workspaces, changes or requests")
+	only := flag.String("only", "", "measure one slope only: daemons, servers, workspaces, changes, requests or spread")
 	flag.Parse()
 	if err := run(*window, *only); err != nil {
 		fmt.Fprintln(os.Stderr, "slopes:", err)
@@ -46,9 +46,15 @@
 			return fmt.Errorf("%s: %w", s.name, err)
 		}
 	}
+	if only == "" || only == "spread" {
+		reportSpread()
+	}
 	return nil
 }
 
+// now is any time; the spread does not depend on it.
+var now = time.Unix(1000, 0)
+
 func (s series) measure(window time.Duration) error {
 	fmt.Printf("\n%s: per daemon\n%8s %12s %12s %12s %14s %14s\n", s.name, "size", "CPU %core", "heap KB", "peer B/s", "log reads/s", "log appends/s")
 	var points []point
