Time to force measured in histories; rudderctl trusts a given authority

Cause: the time in which a change is in force had no figure under faults, and rudderctl could not reach daemons with certificates of an authority of their own.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -25,14 +28,32 @@
 
 const callTimeout = 15 * time.Second
 
-func newClient(addresses, key string) (*client, error) {
+// newClient returns a client. A ca file names the authorities of https addresses
+// beside the system's own.
+func newClient(addresses, key, ca string) (*client, error) {
 	if addresses == "" {
 		return nil, cli.Usage(errors.New("-address is needed, or RUDDERCTL_ADDRESS"))
 	}
 	if key == "" {
 		return nil, cli.Usage(errors.New("-key is needed, or RUDDERCTL_KEY"))
 	}
-	return &client{strings.Split(addresses, ","), key, &http.Client{Timeout: callTimeout}}, nil
+	c := &client{strings.Split(addresses, ","), key, &http.Client{Timeout: callTimeout}}
+	if ca == "" {
+		return c, nil
+	}
+	data, err := os.ReadFile(ca)
+	if err != nil {
+		return nil, cli.Usage(err)
+	}
+	pool, err := x509.SystemCertPool()
+	if err != nil {
+		pool = x509.NewCertPool()
+	}
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, cli.Usage(fmt.Errorf("-ca: %s holds no certificate", ca))
+	}
+	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	return c, nil
 }
 
 func (c *client) base(address string) string {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -25,6 +25,7 @@
 	out     io.Writer
 	address string
 	key     string
+	ca      string
 	json    bool
 	base    int64
 	author  string
@@ -41,6 +42,7 @@
 	return cli.Flags(name, nil, func(f *flag.FlagSet) {
 		f.StringVar(&t.address, "address", "", "addresses of daemons, comma-separated; the first that answers is used")
 		f.StringVar(&t.key, "key", "", "operator key; better set RUDDERCTL_KEY")
+		f.StringVar(&t.ca, "ca", "", "authorities for https:// addresses, PEM, beside the system's own")
 		f.BoolVar(&t.json, "json", false, "print JSON")
 		if more != nil {
 			more(f)
@@ -61,7 +63,7 @@
 			LongHelp: "Example:\n  " + example + "\n\nExit codes: 0 done, 1 failed, 2 wrong use, 3 stale base, 4 no daemon answers.",
 			Flags:    t.flags(name, more),
 			Exec: func(ctx context.Context, args []string) error {
-				c, err := newClient(t.address, t.key)
+				c, err := newClient(t.address, t.key, t.ca)
 				if err != nil {
 					return err
 				}
--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -135,6 +135,23 @@
 	t.endpoints = t.world.Addresses
 }
 
+// send posts a request and books what is no answer. The caller closes the body of
+// a response it gets.
+func (t *Traffic) send(ws, path string, header http.Header, body []byte) (resp *http.Response, id string, ok bool) {
+	resp, err := t.post(ws, path, header, body)
+	if err != nil {
+		t.lost("connection")
+		return nil, "", false
+	}
+	id = resp.Header.Get(api.HeaderRequestID)
+	if resp.StatusCode != http.StatusOK {
+		t.refuse(id, resp)
+		_ = resp.Body.Close()
+		return nil, "", false
+	}
+	return resp, id, true
+}
+
 func (t *Traffic) post(ws, path string, header http.Header, body []byte) (*http.Response, error) {
 	address := t.endpoint()
 	t.mu.Lock()
@@ -152,17 +169,11 @@
 func (t *Traffic) chat(ws, model, session, prompt string) {
 	body := raw(map[string]any{"model": model, "stream": true, "messages": []any{map[string]string{"role": "user", "content": prompt}}})
 	sent := time.Now()
-	resp, err := t.post(ws, "/v1/chat/completions", http.Header{api.HeaderSession: {session}}, body)
-	if err != nil {
-		t.lost("connection")
+	resp, id, ok := t.send(ws, "/v1/chat/completions", http.Header{api.HeaderSession: {session}}, body)
+	if !ok {
 		return
 	}
 	defer resp.Body.Close()
-	id := resp.Header.Get(api.HeaderRequestID)
-	if resp.StatusCode != http.StatusOK {
-		t.refuse(id, resp)
-		return
-	}
 	text, first, whole := readStream(resp.Body)
 	if !whole {
 		t.lost("cut")
@@ -214,17 +225,11 @@
 
 func (t *Traffic) confirm(ws, key string) {
 	header := http.Header{api.HeaderKey: {key}}
-	resp, err := t.post(ws, "/v1/services/confirm", header, raw(map[string]string{"lot": key}))
-	if err != nil {
-		t.lost("connection")
+	resp, id, ok := t.send(ws, "/v1/services/confirm", header, raw(map[string]string{"lot": key}))
+	if !ok {
 		return
 	}
 	defer resp.Body.Close()
-	id := resp.Header.Get(api.HeaderRequestID)
-	if resp.StatusCode != http.StatusOK {
-		t.refuse(id, resp)
-		return
-	}
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
 		t.lost("cut")
--- a/lab/history/history_test.go
+++ b/lab/history/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/invariant"
 )
@@ -60,12 +61,36 @@
 }
 
 func add(sum *Stats, s Stats) {
+	s.SlowestChange = max(0, s.SlowestChange-sum.SlowestChange)
 	v, o := reflect.ValueOf(sum).Elem(), reflect.ValueOf(s)
 	for i := range v.NumField() {
 		v.Field(i).SetInt(v.Field(i).Int() + o.Field(i).Int())
 	}
 }
 
+// A change is in force at all six daemons within 2 s of the log's taking it when
+// the log is healthy. The times under faults are logged for the design note; what
+// bounds them is the checker, by what daemons dispatch.
+func TestChangesAreInForceInTime(t *testing.T) {
+	slowest := func(faults ...Fault) time.Duration {
+		worst := time.Duration(0)
+		for seed := range uint64(40) {
+			_, s := Run(seed, faults...)
+			worst = max(worst, s.SlowestChange)
+		}
+		return worst
+	}
+	healthy := slowest()
+	t.Logf("no fault: %s", healthy.Round(10*time.Millisecond))
+	if healthy > 2*time.Second {
+		t.Errorf("with a healthy log a change takes %s", healthy)
+	}
+	for _, f := range Faults[:8] {
+		d := slowest(f)
+		t.Logf("%s: %s", f.Name, d.Round(10*time.Millisecond))
+	}
+}
+
 func TestSameSeedSameHistory(t *testing.T) {
 	a, _ := Run(7, Faults[0], Faults[4])
 	b, _ := Run(7, Faults[0], Faults[4])
--- a/lab/history/log.go
+++ b/lab/history/log.go
@@ -22,6 +22,14 @@
 
 func (l *eventLog) accept(stream string, data []byte) {
 	l.streams[stream] = append(l.streams[stream], data)
+	if stream != "config" {
+		return
+	}
+	before := l.w.truth.Config().Number
+	l.w.truth.Apply(uint64(len(l.streams[stream])-1), data)
+	if n := l.w.truth.Config().Number; n != before {
+		l.w.takenAt[n] = l.w.clock.Elapsed()
+	}
 }
 
 // append adds a record after the network's and the log's delay. A slow append
--- a/lab/history/world.go
+++ b/lab/history/world.go
@@ -53,8 +53,12 @@
 	// known is the highest number that any daemon folded.
 	known     uint64
 	withdrawn bool
-	events    []invariant.Event
-	next      int
+	// truth folds the configuration as the log has it, and takenAt is when the
+	// log took the record that led to a number.
+	truth   *fleet.Fold
+	takenAt map[uint64]time.Duration
+	events  []invariant.Event
+	next    int
 	// leaving servers by the platform's list, with the time of the word.
 	leaving map[int]time.Duration
 	stats   Stats
@@ -63,11 +67,14 @@
 // Stats count what a history held, to show that it tested something.
 type Stats struct {
 	Asked, Answered, RefusedNotRun, Unknown, Lost, Resumed, Retried, Replayed, ClaimsLost, Adopted, Withheld, Duplicates int
+	// SlowestChange is the longest time from the log's taking a change to its
+	// being in force at a daemon that was running then.
+	SlowestChange time.Duration
 }
 
 // Run makes the history of a seed under some faults and returns it.
 func Run(seed uint64, faults ...Fault) ([]invariant.Event, Stats) {
-	w := &World{clock: &sim.Clock{}, rng: rand.New(rand.NewPCG(seed, 77)), leaving: map[int]time.Duration{}}
+	w := &World{clock: &sim.Clock{}, rng: rand.New(rand.NewPCG(seed, 77)), takenAt: map[uint64]time.Duration{}, truth: fleet.NewFold(), leaving: map[int]time.Duration{}}
 	w.log = &eventLog{w: w, streams: map[string][][]byte{}}
 	for i := range engineCount {
 		w.engines = append(w.engines, &engine{w: w, id: i, runs: map[string]*run{}})
@@ -77,7 +84,7 @@
 	}
 	w.configure()
 	for _, d := range w.daemons {
-		d.start()
+		d.after(w.duration(readEvery), d.start)
 	}
 	w.arrivals()
 	w.operators()
@@ -268,15 +275,26 @@
 	d.every(time.Second, d.adopt)
 }
 
+// reached notes how long after the log took a number this daemon got to it.
+func (d *node) reached(before uint64) {
+	n := d.fold.Config().Number
+	if n == before {
+		return
+	}
+	d.w.observe(d.fold.Config())
+	d.w.stats.SlowestChange = max(d.w.stats.SlowestChange, d.w.clock.Elapsed()-d.w.takenAt[n])
+}
+
 func (d *node) now() time.Time { return d.w.clock.Now() }
 
 func (d *node) readConfig() {
 	d.w.log.read(d, "config", int(d.fold.Next()), func(first int, records [][]byte) {
 		d.sight.LogHeard, d.sight.Loaded = d.now(), true
+		before := d.fold.Config().Number
 		for i, r := range records {
 			d.fold.Apply(uint64(first+i), r)
 		}
-		d.w.observe(d.fold.Config())
+		d.reached(before)
 	})
 }
 
@@ -293,7 +311,9 @@
 		}
 		heard++
 		if o.fold.Next() > d.fold.Next() {
+			before := d.fold.Config().Number
 			d.fold.Adopt(o.fold.Checkpoint())
+			d.reached(before)
 		}
 	}
 	if 2*heard >= daemonCount-1 {
