A session keeps the version of every model that answered it

Cause: reading the code again: a pin held one model, so a cascade's session that went from the cheap model to the dear one and back had lost its cheap version and could be moved by a roll-out.

--- a/internal/daemon/explain.go
+++ b/internal/daemon/explain.go
@@ -40,7 +40,7 @@
 	v, _ := c.Version(model, version)
 	e := &Explanation{Number: c.Number, Model: model, Version: version, Pool: v.Pool, Why: "the stable version"}
 	switch ro, moving := c.RolloutFor(model); {
-	case pin.Model == model:
+	case pin.For(model) != "":
 		e.Why = "the session is pinned"
 	case moving && version == ro.To:
 		e.Why = "the roll-out's share"
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -244,7 +244,7 @@
 	if explicit {
 		return model, version, nil
 	}
-	if pin.Model == "" {
+	if pin.For(model) == "" {
 		if ro, ok := c.RolloutFor(model); ok && d.rollouts.avoided(model, ro.To) {
 			version, ok := c.Successor(w, model, c.Models[model].Stable)
 			if ok {
@@ -253,7 +253,7 @@
 		}
 	}
 	version, err = session.Resolve(c, w, model, pin)
-	if err == nil && pin.Model == model && version != pin.Version {
+	if old := pin.For(model); err == nil && old != "" && version != old {
 		d.metrics.pinsMoved.Inc(1)
 	}
 	return model, version, err
@@ -364,7 +364,7 @@
 
 // heading is what is known of an answer before its first piece.
 func (d *Daemon) heading(s *step, pin session.Pin) *Answer {
-	pin.Model, pin.Version = s.model, s.version
+	pin = pin.With(s.model, s.version)
 	return &Answer{Model: s.model, Version: s.version, Session: pin.Token(d.ring.Load())}
 }
 
@@ -375,7 +375,7 @@
 	if s.model, s.version, err = d.version(c, w, name, pin); err != nil {
 		return nil, err
 	}
-	if ro, ok := c.RolloutFor(s.model); ok && pin.Model == "" && s.version == ro.To {
+	if ro, ok := c.RolloutFor(s.model); ok && pin.For(s.model) == "" && s.version == ro.To {
 		s.fallback, _ = c.Successor(w, s.model, c.Models[s.model].Stable)
 	}
 	offset := time.Since(began)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -50,15 +50,50 @@
 	return base64.RawURLEncoding.EncodeToString(m.Sum(nil))
 }
 
-// Pin says which version a session of a workspace uses for one model.
+// Pin says which versions a session of a workspace uses.
 type Pin struct {
 	Workspace string
 	// Name is the session's own name, which places it in a roll-out.
-	Name    string
+	Name string
+	// Model and Version are of the newest answer.
 	Model   string
 	Version string
+	// Others lists the "model@version" of earlier answers by other models, newest
+	// first, separated by blanks. A cascade's session goes back and forth between
+	// models and keeps the version of each.
+	Others string
 }
 
+// maxOthers bounds Others; a session that uses more models forgets the oldest.
+const maxOthers = 8
+
+// For returns the version the session uses of a model, or "".
+func (p Pin) For(model string) string {
+	if p.Model == model {
+		return p.Version
+	}
+	for _, o := range strings.Fields(p.Others) {
+		if m, v, _ := strings.Cut(o, "@"); m == model {
+			return v
+		}
+	}
+	return ""
+}
+
+// With returns the pin after an answer of a model's version.
+func (p Pin) With(model, version string) Pin {
+	others := slices.DeleteFunc(strings.Fields(p.Others), func(o string) bool { return strings.HasPrefix(o, model+"@") })
+	if p.Model != "" && p.Model != model {
+		others = slices.Insert(others, 0, p.Model+"@"+p.Version)
+	}
+	p.Others = strings.Join(others[:min(len(others), maxOthers)], " ")
+	p.Model, p.Version = model, version
+	return p
+}
+
+// pinParts is the number of a pin's fields in a token.
+const pinParts = 5
+
 // tokenPurpose marks session tokens of this form.
 const tokenPurpose = "s1"
 
@@ -67,20 +102,20 @@
 
 // Token signs the pin.
 func (p Pin) Token(ring *Keyring) string {
-	return ring.Sign(tokenPurpose, strings.Join([]string{p.Workspace, p.Name, p.Model, p.Version}, "\n"))
+	return ring.Sign(tokenPurpose, strings.Join([]string{p.Workspace, p.Name, p.Model, p.Version, p.Others}, "\n"))
 }
 
 // Parse verifies a token for a workspace.
 func Parse(ring *Keyring, workspace, token string) (Pin, error) {
 	payload, ok := ring.Verify(tokenPurpose, token)
 	parts := strings.Split(payload, "\n")
-	if !ok || len(parts) != 4 {
+	if !ok || len(parts) != pinParts {
 		return Pin{}, fault.Field(fault.SessionRefused, "X-Session-Id", "the signature is wrong or its key has been retired")
 	}
 	if parts[0] != workspace {
 		return Pin{}, fault.Field(fault.SessionRefused, "X-Session-Id", "the session belongs to another workspace")
 	}
-	return Pin{parts[0], parts[1], parts[2], parts[3]}, nil
+	return Pin{parts[0], parts[1], parts[2], parts[3], parts[4]}, nil
 }
 
 // maxNameLength bounds a caller's own session name in bytes.
@@ -100,11 +135,11 @@
 // successor, the same at every daemon of one configuration number. A session
 // without a pin gets the version its name falls to.
 func Resolve(c *fleet.Config, w fleet.Workspace, model string, pin Pin) (string, error) {
-	if pin.Model == model && pin.Version != "" {
-		if v, ok := c.Successor(w, model, pin.Version); ok {
+	if pinned := pin.For(model); pinned != "" {
+		if v, ok := c.Successor(w, model, pinned); ok {
 			return v, nil
 		}
-		return "", fault.New(fault.VersionWithdrawn, "version %s of %s is withdrawn and has no successor for this workspace", pin.Version, model)
+		return "", fault.New(fault.VersionWithdrawn, "version %s of %s is withdrawn and has no successor for this workspace", pinned, model)
 	}
 	if v, ok := c.VersionFor(w, model, pin.Name); ok {
 		return v, nil
--- a/lab/history/serve.go
+++ b/lab/history/serve.go
@@ -136,7 +136,7 @@
 		return
 	}
 	d.w.event(invariant.Event{Kind: invariant.InForce, Daemon: fmt.Sprintf("d%d/%d", d.id, d.incarnation), Number: cfg.Number})
-	c.pin.Model, c.pin.Version = "m", version
+	c.pin = c.pin.With("m", version)
 	c.life.Began()
 	if c.life.Attempts() > 1 {
 		d.w.stats.Retried++
