--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -3,19 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/oklog/ulid/v2"
 
-	"github.com/damaskrudder/damaskrudder/internal/billing"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/session"
-	"github.com/damaskrudder/damaskrudder/internal/slo"
 )
 
 const (
@@ -108,39 +104,6 @@
 	}, nil
 }
 
-// served says what a request ran on, for its bill and the burn report.
-type served struct {
-	model, version, domain string
-	firstToken             time.Duration
-	steps                  []billedStep
-	complete               bool
-}
-
-type billedStep struct {
-	model, version      string
-	prompt, answer      int64
-	microsPerKiloTokens int64
-}
-
-func (d *Daemon) account(workspace string, st *served, began time.Time, err error) {
-	if err == nil {
-		d.metrics.answered.Inc(1)
-	}
-	refused := err != nil && fault.From(err).State() == fault.NotRun && !fault.Is(err, fault.Overloaded) && !fault.Is(err, fault.NoServer)
-	if refused || st == nil {
-		return
-	}
-	n := slo.Counts{Requests: 1}
-	if err != nil && !fault.Is(err, fault.CallerLeft) {
-		n.Failed = 1
-	}
-	limit := time.Duration(d.config.current().Workspaces[workspace].Objectives.FirstTokenMillis) * time.Millisecond
-	if limit > 0 && (st.firstToken > limit || st.firstToken == 0 && time.Since(began) > limit) {
-		n.Late = 1
-	}
-	d.burn.observe(slo.Key{Workspace: workspace, Model: st.model, Version: st.version, FailureDomain: st.domain}, n)
-}
-
 func (d *Daemon) chat(ctx context.Context, id string, q *Chat) (*Answer, *served, error) {
 	c := d.config.current()
 	w, ok := c.Workspaces[q.Workspace]
@@ -173,92 +136,6 @@
 	return a, st, err
 }
 
-// unprotected withholds the end of an answer whose usage record would be lost
-// with this VM.
-func unprotected() error {
-	return fault.New(fault.UsageUnprotected, "the usage record could not be stored safely").With(fault.Ran)
-}
-
-func reserveTokens(q *Chat) int64 {
-	answer := q.MaxTokens
-	if answer == 0 {
-		answer = defaultAnswerTokens
-	}
-	return int64(len(q.Prompt)/bytesPerToken) + answer
-}
-
-func (st *served) tokens() int64 {
-	var n int64
-	for _, s := range st.steps {
-		n += s.prompt + s.answer
-	}
-	return n
-}
-
-// entitled resolves the named model or cascade to the models to ask.
-func entitled(c *fleet.Config, w fleet.Workspace, name string) ([]string, error) {
-	if k, ok := c.Cascades[name]; ok {
-		if !slices.Contains(w.Cascades, name) {
-			return nil, fault.Field(fault.NotEntitled, "model", "the workspace may not use cascade %q", name)
-		}
-		return k.Steps, nil
-	}
-	model, version, pinned := strings.Cut(name, "@")
-	if _, ok := c.Models[model]; !ok {
-		return nil, fault.Field(fault.UnknownModel, "model", "%q is neither a model nor a cascade", name)
-	}
-	if pinned {
-		v, ok := c.Version(model, version)
-		switch {
-		case !ok:
-			return nil, fault.Field(fault.UnknownModel, "model", "model %q has no version %q", model, version)
-		case !w.Allows(model, version):
-			return nil, fault.Field(fault.NotEntitled, "model", "the workspace may not use %q", name)
-		case v.State == fleet.Withdrawn:
-			return nil, fault.Field(fault.VersionWithdrawn, "model", "%q is withdrawn", name)
-		}
-		return []string{name}, nil
-	}
-	if !slices.ContainsFunc(w.Models, func(e string) bool { return e == model || strings.HasPrefix(e, model+"@") }) {
-		return nil, fault.Field(fault.NotEntitled, "model", "the workspace may not use model %q", model)
-	}
-	return []string{model}, nil
-}
-
-func (d *Daemon) pin(workspace, header string) (session.Pin, error) {
-	if session.IsToken(header) {
-		return session.Parse(d.ring.Load(), workspace, header)
-	}
-	if header == "" {
-		return session.Pin{Workspace: workspace, Name: newID("")}, nil
-	}
-	if err := session.CheckName(header); err != nil {
-		return session.Pin{}, err
-	}
-	return session.Pin{Workspace: workspace, Name: header}, nil
-}
-
-// version chooses the version of a model for a session.
-func (d *Daemon) version(c *fleet.Config, w fleet.Workspace, name string, pin session.Pin) (model, version string, err error) {
-	model, version, explicit := strings.Cut(name, "@")
-	if explicit {
-		return model, version, nil
-	}
-	if pin.For(model) == "" {
-		if ro, ok := c.RolloutFor(model); ok && d.rollouts.avoided(model, ro.To) {
-			version, ok := c.Successor(w, model, c.Models[model].Stable)
-			if ok {
-				return model, version, nil
-			}
-		}
-	}
-	version, err = session.Resolve(c, w, model, pin)
-	if old := pin.For(model); err == nil && old != "" && version != old {
-		d.metrics.pinsMoved.Inc(1)
-	}
-	return model, version, err
-}
-
 // once runs f at most once for a request that has an idempotency key.
 func (d *Daemon) once(ctx context.Context, id string, q *Chat, f func() (*Answer, error)) (*Answer, error) {
 	if q.Key == "" {
@@ -420,27 +297,3 @@
 	}
 	return a, nil
 }
-
-// bill writes the one usage record of a request, over all its steps, and reports
-// whether it is safe. A request that delivered nothing and finished no step
-// costs nothing.
-func (d *Daemon) bill(ctx context.Context, id, workspace string, st *served) bool {
-	if len(st.steps) == 0 {
-		d.usage.cancel()
-		return true
-	}
-	u := billing.Usage{
-		RequestID: id, Workspace: workspace, Outcome: billing.Cut, UnixMillis: time.Now().UnixMilli(),
-		Daemon: d.settings.ID, FirstTokenMillis: st.firstToken.Milliseconds(), FailureDomain: st.domain,
-	}
-	if st.complete {
-		u.Outcome = billing.Complete
-	}
-	for _, s := range st.steps {
-		u.Model, u.Version = s.model, s.version
-		u.PromptTokens += s.prompt
-		u.AnswerTokens += s.answer
-		u.Micros += billing.Price(s.prompt+s.answer, s.microsPerKiloTokens)
-	}
-	return d.usage.add(ctx, u)
-}
