--- a/internal/ctl/views.go
+++ b/internal/ctl/views.go
@@ -12,6 +12,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/cli"
 	"github.com/damaskrudder/damaskrudder/internal/daemon"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/slo"
 )
 
@@ -26,9 +27,13 @@
 	fmt.Fprintf(t.out, "as %s sees it: configuration %d, ready %v\n", s.ID, s.Number, s.Ready)
 	var rows []string
 	for _, m := range s.Members {
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%v\t%dms", m.ID, m.Address, m.FailureDomain, m.State, m.Number, m.InFlight, m.Leaving, m.LogAgeMillis))
+		age := "never"
+		if m.LogAgeMillis != membership.NeverHeard {
+			age = (time.Duration(m.LogAgeMillis) * time.Millisecond).String()
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%v\t%d\t%d\t%v\t%s", m.ID, m.Address, m.FailureDomain, m.State, m.Serving, m.Number, m.InFlight, m.Leaving, age))
 	}
-	return t.table("DAEMON\tADDRESS\tFAILURE DOMAIN\tSTATE\tNUMBER\tIN FLIGHT\tLEAVING\tLOG AGE", rows)
+	return t.table("DAEMON\tADDRESS\tFAILURE DOMAIN\tSTATE\tSERVING\tNUMBER\tIN FLIGHT\tLEAVING\tLOG AGE", rows)
 }
 
 func (t *tool) servers(ctx context.Context, c *client, _ []string) error {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -211,6 +211,9 @@
 	b.Number = d.config.current().Number
 	b.Serving, b.Leaving = d.Ready(), d.leaving.Load()
 	b.InFlight = int(d.inFlight.Load())
-	b.LogAgeMillis = time.Since(d.config.heard()).Milliseconds()
+	b.LogAgeMillis = membership.NeverHeard
+	if heard := d.config.heard(); !heard.IsZero() {
+		b.LogAgeMillis = time.Since(heard).Milliseconds()
+	}
 	return b
 }
--- a/internal/membership/beat.go
+++ b/internal/membership/beat.go
@@ -73,10 +73,13 @@
 	Serving bool `cbor:"12,keyasint,omitempty" json:"serving"`
 	// InFlight is the number of requests there, for spreading callers.
 	InFlight int `cbor:"10,keyasint,omitempty" json:"in_flight"`
-	// LogAgeMillis is how long ago the daemon heard the log, in ms.
+	// LogAgeMillis is how long ago the daemon heard the log, in ms, or NeverHeard.
 	LogAgeMillis int64 `cbor:"11,keyasint,omitempty" json:"log_age_ms"`
 }
 
+// NeverHeard is the log age of a daemon that has not heard the log yet.
+const NeverHeard = -1
+
 // newer reports whether b says something later than o.
 func (b Beat) newer(o Beat) bool {
 	if b.Incarnation != o.Incarnation {
