Bound two memories that grew for ever

Cause: reading the code again: the claims of losers were never forgotten, and once 20,000 samples had no rating no further one was remembered, so that cascades and roll-outs stopped learning. Change: claims are forgotten by their time; a full memory of samples starts anew. The claims test covers a loser.

--- a/internal/daemon/cascades.go
+++ b/internal/daemon/cascades.go
@@ -96,9 +96,12 @@
 		return
 	}
 	c.mu.Lock()
-	if len(c.samples) < sampleMemory {
-		c.samples[s.RequestID+"/"+s.Model] = info
+	// Ratings that never come would fill the memory for good and end all
+	// learning; forgetting everything costs the ratings under way.
+	if len(c.samples) >= sampleMemory {
+		clear(c.samples)
 	}
+	c.samples[s.RequestID+"/"+s.Model] = info
 	c.mu.Unlock()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
--- a/internal/request/claim.go
+++ b/internal/request/claim.go
@@ -79,13 +79,14 @@
 	next  uint64
 	owner map[string]*claim
 	void  map[string]int64
-	// seen holds claims by request that were folded, winners and losers.
-	seen map[string]bool
+	// seen holds the time of every claim that was folded, winners' and losers', by
+	// request.
+	seen map[string]int64
 }
 
 // NewClaims returns an empty fold.
 func NewClaims() *Claims {
-	return &Claims{owner: map[string]*claim{}, void: map[string]int64{}, seen: map[string]bool{}}
+	return &Claims{owner: map[string]*claim{}, void: map[string]int64{}, seen: map[string]int64{}}
 }
 
 // Next returns the offset of the next record to fold.
@@ -119,7 +120,7 @@
 // key later: it has told its caller "not run" by then, and granting it the key
 // would lock out everybody else.
 func (c *Claims) claim(r ClaimRecord) {
-	c.seen[r.Request] = true
+	c.seen[r.Request] = r.At
 	if _, void := c.void[r.Request]; void {
 		return
 	}
@@ -147,21 +148,24 @@
 }
 
 // Folded reports whether a claimant's own record has been folded.
-func (c *Claims) Folded(request string) bool { return c.seen[request] }
+func (c *Claims) Folded(request string) bool {
+	_, folded := c.seen[request]
+	return folded
+}
 
 // Expire forgets keys, void marks and requests past retention.
 func (c *Claims) Expire(now time.Time) {
 	cut := now.Add(-KeyRetention).Unix()
 	for k, o := range c.owner {
 		if o.at < cut {
-			delete(c.seen, o.request)
 			delete(c.owner, k)
 		}
 	}
-	for r, at := range c.void {
-		if at < cut {
-			delete(c.seen, r)
-			delete(c.void, r)
+	for _, times := range []map[string]int64{c.void, c.seen} {
+		for r, at := range times {
+			if at < cut {
+				delete(times, r)
+			}
 		}
 	}
 }
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -157,12 +157,13 @@
 	}
 	f := NewClaims()
 	f.Apply(0, claimed("a"))
+	f.Apply(1, claimed("a loser"))
 	if v := f.Verdict("k", "other body", "b"); v.Kind != Reused || v.Refusal().Kind != fault.KeyReused {
 		t.Errorf("another body: %+v", v)
 	}
 	f.Expire(time.Unix(1000, 0).Add(KeyRetention + time.Second))
-	if f.Len() != 0 {
-		t.Error("an old key is remembered")
+	if f.Len() != 0 || f.Folded("a") || f.Folded("a loser") {
+		t.Error("an old key or claim is remembered")
 	}
 }
 
