Settings errors show the value; a test for header injection

A value of the wrong JSON type was named by its type only. Raw requests with a bare carriage return, a NUL, two lengths or a blank in a header name are refused with 400 and start nothing.

--- a/internal/app/path_test.go
+++ b/internal/app/path_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -256,6 +258,36 @@
 	}
 }
 
+// Symptom: a caller smuggles a second header, or a second request, into ours.
+// Sequence: raw bytes with a bare carriage return, a NUL, or two lengths arrive.
+// Cause: such a request must be refused as a whole, before it is routed.
+func TestHeaderInjectionIsRefused(t *testing.T) {
+	w := world(t, 1)
+	for name, header := range map[string]string{
+		"a bare carriage return": "X-Session-Id: a\rX-Evil: b",
+		"a NUL":                  "X-Session-Id: a\x00b",
+		"two lengths":            "Content-Length: 5\r\nContent-Length: 6",
+		"a blank in a name":      "X Session: a",
+	} {
+		c, err := net.Dial("tcp", w.Addresses[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nConnection: close\r\n%s\r\n\r\n%s", demo.Key(demo.Largada), header, lookup)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer, err := io.ReadAll(c)
+		if err != nil || !bytes.HasPrefix(answer, []byte("HTTP/1.1 400 ")) {
+			t.Errorf("%s: %q %v", name, answer, err)
+		}
+		_ = c.Close()
+	}
+	if n := startedOn(w, "bib-lookup@v1"); n != 0 {
+		t.Fatalf("%d runs were started", n)
+	}
+}
+
 // Symptom: callers lose requests whenever daemons are replaced.
 // Sequence: all daemons stop one after the other and start anew at the same
 // address while callers, who hold endpoint answers for their whole time, go on.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -152,7 +152,7 @@
 func located(data []byte, err error) error {
 	var bad *json.UnmarshalTypeError
 	if errors.As(err, &bad) {
-		return fmt.Errorf("line %d: %s: a JSON %s does not fit", lineAt(data, int(bad.Offset)), bad.Field, bad.Value)
+		return fmt.Errorf("line %d: %s: %s does not fit (a JSON %s)", lineAt(data, int(bad.Offset)), bad.Field, valueAt(data, int(bad.Offset)), bad.Value)
 	}
 	if _, field, ok := strings.Cut(err.Error(), "unknown field "); ok {
 		return fmt.Errorf("line %d: unknown field %s", lineAt(data, bytes.Index(data, []byte(field))), field)
@@ -160,6 +160,12 @@
 	return err
 }
 
+// valueAt returns the text of the value that ends at an offset.
+func valueAt(data []byte, offset int) string {
+	before := data[:min(max(offset, 0), len(data))]
+	return string(bytes.TrimSpace(before[bytes.LastIndexByte(before, ':')+1:]))
+}
+
 func lineAt(data []byte, offset int) int {
 	return 1 + bytes.Count(data[:min(max(offset, 0), len(data))], []byte("\n"))
 }
