--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -54,12 +54,6 @@
 	}
 }
 
-// Evicted records that a server dropped a block.
-func (p *PrefixIndex) Evicted(slot int, block uint64) {
-	p.young[block] &^= 1 << slot
-	p.old[block] &^= 1 << slot
-}
-
 // Forget drops all knowledge of a slot, for a server that was replaced.
 func (p *PrefixIndex) Forget(slot int) {
 	for _, m := range []map[uint64]uint64{p.young, p.old} {
