--- a/internal/app/command.go
+++ b/internal/app/command.go
@@ -16,6 +16,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/cli"
 	"github.com/damaskrudder/damaskrudder/internal/demo"
 	"github.com/damaskrudder/damaskrudder/internal/settings"
+	"github.com/damaskrudder/damaskrudder/platform"
 )
 
 // Main runs the command line and returns the exit code.
@@ -25,6 +26,7 @@
 
 func command(out, errw io.Writer) *ff.Command {
 	var config string
+	var metricsPort int
 	var options demo.Options
 	configFlag := func(f *flag.FlagSet) { f.StringVar(&config, "config", "", "settings file, JSON with comments") }
 	root := &ff.Command{
@@ -38,6 +40,14 @@
 			Flags:    cli.Flags("run", nil, configFlag),
 			Exec:     func(context.Context, []string) error { return run(config, errw) },
 		},
+		{
+			Name: "platform", Usage: "damaskrudder platform [-metrics-port N]", ShortHelp: "run one daemon on the platform until SIGTERM",
+			LongHelp: "The settings file, in the platform's format, is the one that " + platform.SettingsVariable + " names.\nSIGTERM drains within the grace period; SIGHUP reads the file again.",
+			Flags: cli.Flags("platform", nil, func(f *flag.FlagSet) {
+				f.IntVar(&metricsPort, "metrics-port", 0, "port on the control address's IP for metrics, 0 for none")
+			}),
+			Exec: func(context.Context, []string) error { return platform.Main(metricsPort, out) },
+		},
 		{
 			Name: "check", Usage: "damaskrudder check -config FILE", ShortHelp: "check a settings file",
 			LongHelp: "Example:\n  damaskrudder check -config docs/settings.sample.jsonc",
--- /dev/null
+++ b/internal/cascade/ladder.go
@@ -0,0 +1,64 @@
+package cascade
+
+import "math"
+
+// Ladder decides for streams whose head carries the model's own confidence:
+// which model begins, and whether a larger one is asked before anything is passed
+// on. An answer too hard for its model is worth next to nothing to the caller,
+// and a larger model takes several times the server's time. So the confidence
+// asked for is high while servers have time to spare, and falls as they fill.
+type Ladder struct {
+	pressure float64
+}
+
+const (
+	// calmConfidence is asked for when servers have time to spare. Of fixed
+	// thresholds on a quiet load 70 earned most: 0.815 of what was owed against
+	// 0.807 at 50 and 0.749 at 35.
+	calmConfidence = 70
+	// pressedConfidence is asked for when first events come as late as the route
+	// allows. On heavy loads 50 earned most: 0.740 against 0.709 at 70.
+	pressedConfidence = 45
+	// calmPressure and fullPressure are the parts of the latency target, used
+	// by first events lately, between which the threshold falls.
+	calmPressure = 0.25
+	fullPressure = 0.8
+	// pressureWeight is the weight of a new first event in the pressure: about
+	// the last 20 count, which is two seconds of one daemon's load.
+	pressureWeight = 0.05
+)
+
+// Observed records how much of its latency target a first event used.
+func (l *Ladder) Observed(part float64) {
+	l.pressure += pressureWeight * (math.Min(part, 2) - l.pressure)
+}
+
+// Threshold returns the confidence asked for now, 0 to 100.
+func (l *Ladder) Threshold() float64 {
+	full := (l.pressure - calmPressure) / (fullPressure - calmPressure)
+	full = math.Max(0, math.Min(1, full))
+	return calmConfidence + full*(pressedConfidence-calmConfidence)
+}
+
+// Pressure returns the part of the latency target used lately.
+func (l *Ladder) Pressure() float64 { return l.pressure }
+
+// First returns the index of the model to begin with. A stream that continues
+// after an event goes to the largest: nobody knows which model made its
+// beginning, and one piece by a model it was too hard for spoils the whole.
+func (l *Ladder) First(models int, continued bool) int {
+	if continued {
+		return models - 1
+	}
+	return 0
+}
+
+// Next returns the model to ask after one answered with a confidence, or the
+// same if its answer may stand. The middle sizes are skipped: they are right
+// hardly more often than the smallest. A negative confidence is none stated.
+func (l *Ladder) Next(models, at int, confidence float64) int {
+	if at >= models-1 || confidence < 0 || confidence >= l.Threshold() {
+		return at
+	}
+	return models - 1
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,195 @@
+// Package feed follows a topic of the platform's log in which the newest record
+// of each key counts, and tells how recently the reader was known to be current.
+package feed
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Record is one record of a keyed topic.
+type Record struct {
+	Key string
+	// Value is nil when the key was removed.
+	Value  []byte
+	Offset uint64
+}
+
+// ErrGone says that records from an offset on were deleted.
+var ErrGone = errors.New("the records from this offset on are deleted")
+
+// Conflict says that a topic does not end where a conditional append expected.
+type Conflict struct{ End uint64 }
+
+// Error implements error.
+func (c *Conflict) Error() string { return "the topic ends elsewhere" }
+
+// Log is the platform's log.
+type Log interface {
+	// Newest returns the newest record of each key, and an offset from which
+	// reading on misses nothing.
+	Newest(ctx context.Context, topic string) ([]Record, uint64, error)
+	// Read returns the records from an offset on and the topic's end. Without
+	// records it waits for one for up to a time.
+	Read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]Record, uint64, error)
+	// Append adds a record. If at is not nil, the topic must end there, or the
+	// error is a *Conflict. Any other error leaves open whether it was added.
+	Append(ctx context.Context, topic, key string, value []byte, at *uint64) error
+}
+
+const (
+	// answerLimit bounds the wait for an answer beyond the wait that was asked
+	// for. The store takes milliseconds, under trouble some hundred; a
+	// connection that went silent is given up after it.
+	answerLimit = 900 * time.Millisecond
+	// firstPause and longestPause are between tries while the store does not
+	// answer: short, because what changed meanwhile must be in force within
+	// seconds of its return.
+	firstPause   = 60 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+)
+
+// Follower reads a topic from its newest state on.
+type Follower struct {
+	Log   Log
+	Topic string
+	// Wait is how long a read waits for a record. Zero reads what is there and
+	// then pauses for Every.
+	Wait  time.Duration
+	Every time.Duration
+	// Boot reads a clock that counts while the machine is suspended.
+	Boot func() time.Duration
+	// Apply takes records in the order of the log. Whole says that they are all
+	// keys there are.
+	Apply func(records []Record, whole bool)
+	// Confirmed is told when a read that found the follower current was sent.
+	Confirmed func(sent time.Duration)
+	// Healed is told when the log answers again after it did not, or answered
+	// for the first time.
+	Healed func()
+	Logger *log.Logger
+
+	next   atomic.Uint64
+	loaded bool
+	fails  int
+	kick   chan struct{}
+}
+
+// Init prepares a follower for Kick before Run.
+func (f *Follower) Init() { f.kick = make(chan struct{}, 1) }
+
+// Kick makes a pausing follower read at once.
+func (f *Follower) Kick() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Next returns the offset of the next record to read. A conditional append there
+// succeeds only if the follower has seen all that decided it.
+func (f *Follower) Next() uint64 { return f.next.Load() }
+
+// Run follows the topic until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.Every
+		if err := f.step(ctx); err != nil {
+			pause = f.failed(ctx, err)
+		} else if f.Wait > 0 {
+			pause = 0
+		}
+		f.sleep(ctx, pause)
+	}
+}
+
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-f.kick:
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, err error) time.Duration {
+	if ctx.Err() != nil {
+		return 0
+	}
+	f.fails++
+	if f.fails == 1 {
+		f.Logger.Warn("store lost", "topic", f.Topic, "next", f.next.Load(), "err", err)
+	}
+	return min(firstPause<<min(f.fails-1, 4), longestPause)
+}
+
+// step reads once.
+func (f *Follower) step(ctx context.Context) error {
+	sent := f.Boot()
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+answerLimit)
+	defer cancel()
+	if !f.loaded {
+		return f.load(ctx, sent)
+	}
+	records, end, err := f.Log.Read(ctx, f.Topic, f.next.Load(), f.Wait)
+	if errors.Is(err, ErrGone) {
+		f.Logger.Warn("records are gone, reading the newest of each key", "topic", f.Topic, "next", f.next.Load())
+		f.loaded = false
+		return f.load(ctx, sent)
+	}
+	if err != nil {
+		return err
+	}
+	if end < f.next.Load() {
+		f.Logger.Error("the topic ends before what was read, reading it anew", "topic", f.Topic, "next", f.next.Load(), "end", end)
+		f.loaded = false
+		return nil
+	}
+	f.answered()
+	if len(records) > 0 {
+		f.Apply(records, false)
+		f.next.Store(records[len(records)-1].Offset + 1)
+	}
+	if f.next.Load() >= end {
+		f.Confirmed(sent)
+	}
+	return nil
+}
+
+func (f *Follower) load(ctx context.Context, sent time.Duration) error {
+	records, end, err := f.Log.Newest(ctx, f.Topic)
+	if err != nil {
+		return err
+	}
+	f.answered()
+	f.Apply(records, true)
+	f.next.Store(end)
+	f.loaded = true
+	f.Confirmed(sent)
+	return nil
+}
+
+func (f *Follower) answered() {
+	if f.fails > 0 || !f.loaded {
+		f.Logger.Info("store answers", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails)
+		if f.Healed != nil {
+			f.Healed()
+		}
+	}
+	f.fails = 0
+}
+
+// Put appends a record and waits for the answer for a bounded time.
+func Put(ctx context.Context, l Log, topic, key string, value []byte, at *uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	return l.Append(ctx, topic, key, value, at)
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,259 @@
+// Package gossip lets the daemons of a deployment tell each other that they live,
+// what work they have at backend servers, and what they saw of new versions.
+package gossip
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/damaskrudder/damaskrudder/internal/peer"
+	"github.com/damaskrudder/damaskrudder/internal/relay"
+)
+
+// Pulse is what a daemon tells another.
+type Pulse struct {
+	// Incarnation names one run of one daemon.
+	Incarnation string `cbor:"1,keyasint"`
+	// Name is the daemon's name; it stays the same over restarts.
+	Name string `cbor:"2,keyasint"`
+	// Address is where daemons call it and Front where callers do.
+	Address       string `cbor:"3,keyasint"`
+	Front         string `cbor:"4,keyasint"`
+	FailureDomain string `cbor:"5,keyasint"`
+	// Ready says that callers should be sent there.
+	Ready   bool `cbor:"6,keyasint,omitempty"`
+	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// Version is the configuration in force, and ContactMs how long ago it was
+	// confirmed to be the newest; negative if never.
+	Version   int64               `cbor:"8,keyasint,omitempty"`
+	ContactMs int64               `cbor:"9,keyasint"`
+	Work      []relay.Work        `cbor:"10,keyasint,omitempty"`
+	Orders    []relay.OrderReport `cbor:"11,keyasint,omitempty"`
+	// Known lists addresses of other daemons, so that one that can reach any
+	// daemon finds all.
+	Known []string `cbor:"12,keyasint,omitempty"`
+}
+
+const (
+	// Every is the pause between two rounds. The work of others is known that
+	// late; requests take a second, so it tells of most of them.
+	Every = 250 * time.Millisecond
+	// callLimit bounds one call. Round trips are some milliseconds.
+	callLimit = 700 * time.Millisecond
+	// silentAfter is the silence after which a daemon is taken as gone: several
+	// rounds, so that one lost packet does not take it out of the directory.
+	silentAfter = 1300 * time.Millisecond
+	// forgetAfter drops addresses at which nobody answered for so long.
+	forgetAfter = 60 * time.Second
+	// retryEvery is the pause between calls to an address that does not answer.
+	retryEvery = time.Second
+	// fanOut bounds the daemons called in one round.
+	fanOut = 8
+	// leavingFor is how long the word that a run leaves is kept.
+	leavingFor = 30 * time.Second
+)
+
+// member is one address at which a daemon is or was.
+type member struct {
+	address string
+	pulse   Pulse
+	heard   time.Time
+	added   time.Time
+	tried   time.Time
+	calling bool
+}
+
+// Members are the other daemons, as far as known.
+type Members struct {
+	self  func() Pulse
+	links *peer.Links
+	log   *log.Logger
+	// Heard is told every pulse. SentAt is when the call was made that it
+	// answers, or zero for one that came by itself.
+	Heard func(p Pulse, sentAt time.Time)
+
+	mu    sync.Mutex
+	all   map[string]*member
+	left  map[string]time.Time
+	where string
+	// incarnation names this run, so that word of ourselves is told apart.
+	incarnation string
+	turn        int
+}
+
+// New returns members that know the daemon's own address only.
+func New(address, incarnation string, self func() Pulse, links *peer.Links, l *log.Logger) *Members {
+	return &Members{
+		self: self, links: links, log: l, where: address, incarnation: incarnation, Heard: func(Pulse, time.Time) {},
+		all: map[string]*member{}, left: map[string]time.Time{},
+	}
+}
+
+// Register makes a peer server answer pulses.
+func (m *Members) Register(s *peer.Server) {
+	peer.Handle(s, kind, func(_ context.Context, _ string, p Pulse) (Pulse, error) {
+		m.take(p.Address, p, time.Time{})
+		return m.tell(), nil
+	})
+}
+
+const kind = "pulse"
+
+// Learn adds addresses at which daemons may be.
+func (m *Members) Learn(addresses ...string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range addresses {
+		if a == "" || a == m.where || m.all[a] != nil {
+			continue
+		}
+		m.all[a] = &member{address: a, added: time.Now()}
+	}
+}
+
+func (m *Members) tell() Pulse {
+	p := m.self()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, o := range m.all {
+		if now.Sub(o.heard) < silentAfter {
+			p.Known = append(p.Known, o.address)
+		}
+	}
+	return p
+}
+
+func (m *Members) take(address string, p Pulse, sentAt time.Time) {
+	m.Learn(append(p.Known, address)...)
+	now := time.Now()
+	m.mu.Lock()
+	o := m.all[address]
+	if o == nil || p.Incarnation == m.incarnation {
+		m.mu.Unlock()
+		return
+	}
+	if now.Sub(o.heard) > silentAfter || o.pulse.Incarnation != p.Incarnation {
+		m.log.Info("daemon heard", "daemon", p.Name, "address", address, "incarnation", p.Incarnation, "config", p.Version, "ready", p.Ready)
+	}
+	if p.Leaving && !o.pulse.Leaving {
+		m.log.Info("daemon leaves", "daemon", p.Name, "address", address)
+	}
+	if p.Leaving {
+		m.left[p.Incarnation] = now
+	}
+	if _, gone := m.left[p.Incarnation]; gone {
+		// Pulses may overtake each other; a run that leaves does not come back.
+		p.Leaving, p.Ready = true, false
+	}
+	o.pulse, o.heard = p, now
+	m.mu.Unlock()
+	m.Heard(p, sentAt)
+}
+
+// Run calls the others until the context ends.
+func (m *Members) Run(ctx context.Context) {
+	tick := time.NewTicker(Every)
+	defer tick.Stop()
+	for {
+		m.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// Round tells the others at once, as when this daemon begins to leave.
+func (m *Members) Round(ctx context.Context) { m.round(ctx) }
+
+func (m *Members) round(ctx context.Context) {
+	for _, o := range m.due(time.Now()) {
+		go m.call(ctx, o)
+	}
+}
+
+// due chooses whom to call: some of those that answer, in turn, and now and then
+// those that do not.
+func (m *Members) due(now time.Time) []*member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []*member
+	for a, o := range m.all {
+		lastSign := o.heard
+		if o.added.After(lastSign) {
+			lastSign = o.added
+		}
+		if now.Sub(lastSign) > forgetAfter {
+			delete(m.all, a)
+			continue
+		}
+		quiet := now.Sub(o.heard) > silentAfter
+		if o.calling || quiet && now.Sub(o.tried) < retryEvery {
+			continue
+		}
+		list = append(list, o)
+	}
+	for who, at := range m.left {
+		if now.Sub(at) > leavingFor {
+			delete(m.left, who)
+		}
+	}
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.address, b.address) })
+	if len(list) > fanOut {
+		m.turn = (m.turn + fanOut) % len(list)
+		list = slices.Concat(list[m.turn:], list[:m.turn])[:fanOut]
+	}
+	for _, o := range list {
+		o.calling, o.tried = true, now
+	}
+	return list
+}
+
+func (m *Members) call(ctx context.Context, o *member) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	sentAt := time.Now()
+	p, err := peer.Call[Pulse, Pulse](ctx, m.links, o.address, kind, m.tell())
+	m.mu.Lock()
+	o.calling = false
+	lost := err != nil && !o.heard.IsZero() && time.Since(o.heard) > silentAfter && sentAt.Sub(o.heard) <= silentAfter
+	m.mu.Unlock()
+	if lost {
+		m.log.Warn("daemon lost", "daemon", o.pulse.Name, "address", o.address, "err", err)
+	}
+	if err == nil {
+		m.take(o.address, p, sentAt)
+	}
+}
+
+// Alive returns the newest pulses of the daemons heard lately, by name.
+func (m *Members) Alive() []Pulse {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Pulse
+	for _, o := range m.all {
+		if now.Sub(o.heard) <= silentAfter {
+			out = append(out, o.pulse)
+		}
+	}
+	slices.SortFunc(out, func(a, b Pulse) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Lives reports whether an incarnation was heard lately.
+func (m *Members) Lives(incarnation string) bool {
+	for _, p := range m.Alive() {
+		if p.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -55,11 +55,17 @@
 	return id + " " + stamp + " " + hex.EncodeToString(m.Sum(nil))
 }
 
+// verify returns who signed. Without a key the network itself is trusted, and
+// only the name is read: a signature's time would then lock out daemons whose
+// clocks jumped, and guard nothing.
 func verify(key, header string, now time.Time) (string, bool) {
 	parts := strings.Split(header, " ")
 	if len(parts) != 3 {
 		return "", false
 	}
+	if key == "" {
+		return parts[0], true
+	}
 	stamp, err := strconv.ParseInt(parts[1], 10, 64)
 	if err != nil || now.Sub(time.Unix(stamp, 0)).Abs() > authSkew {
 		return "", false
--- /dev/null
+++ b/internal/relay/answer.go
@@ -0,0 +1,252 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/cascade"
+	"github.com/damaskrudder/damaskrudder/internal/request"
+)
+
+// maxPlain bounds a plain answer that is held until it is whole, in bytes.
+const maxPlain = 8 << 20
+
+// answer is a whole plain answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a *answer) deliver(out Caller) {
+	out.Head(a.status, a.header, int64(len(a.body)))
+	_ = out.Pass(a.body) // a caller that left is noticed by its context
+}
+
+// plain reads an answer whole before it passes on any of it. A server may break
+// off or be reset in the middle; then the request can still go elsewhere, and a
+// part is never taken for the whole.
+func (x *exchange) plain(t *target, reply *Reply, began time.Time, ok bool) (request.Outcome, bool) {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxPlain))
+	if err != nil || reply.Length >= 0 && int64(len(body)) != reply.Length {
+		x.note("answer broke off", t, "status", reply.Status, "bytes", len(body), "err", err)
+		return request.Lost, false
+	}
+	took := time.Since(began)
+	a := &answer{reply.Status, reply.Header, body}
+	failed := reply.Status >= http.StatusInternalServerError
+	x.relay.Rollouts.observe(t, failed, x.slow(t, took))
+	if !failed {
+		x.relay.State.began(t, took)
+	}
+	if failed {
+		x.failure = a
+		if x.journey.Repeatable {
+			x.note("server failed", t, "status", reply.Status)
+			return request.Failed, false
+		}
+	}
+	x.relay.Metrics.Answered(ok).Inc(1)
+	x.relay.Metrics.Latency.RecordDuration(time.Since(x.call.Received))
+	x.note("answered", t, "status", reply.Status, "bytes", len(body))
+	a.deliver(x.out)
+	return request.Failed, true
+}
+
+// slowFactor is how many times the usual time makes an answer slow. Load alone
+// about doubles it; versions that are bad by slowness take several times as long.
+const slowFactor = 3
+
+// slowLeast is the least time that counts as slow: under it, noise of the network
+// is a large part.
+const slowLeast = 150 * time.Millisecond
+
+func (x *exchange) slow(t *target, took time.Duration) bool {
+	first, _ := x.relay.State.typical(t)
+	return first > 0 && took > slowLeast && took.Seconds() > slowFactor*first
+}
+
+// stream passes the events of an answer on as they come.
+func (x *exchange) stream(ctx context.Context, t *target, a *attempt, reply *Reply, began time.Time) (request.Outcome, bool) {
+	if x.escalates(t, reply) {
+		return request.Unconvincing, false
+	}
+	s := &streaming{x: x, t: t, a: a, reply: reply, began: began}
+	err := s.copy()
+	switch {
+	case err == nil:
+		x.streamed(s)
+		return request.Failed, true
+	case errors.Is(err, errCallerLeft):
+		return request.Lost, false
+	}
+	x.relay.Rollouts.observe(t, ctx.Err() == nil, false)
+	x.note("stream broke off", t, "last_event", x.last, "err", err, "cause", context.Cause(ctx))
+	return request.CutShort, false
+}
+
+// escalates decides whether a larger model is asked instead, and changes to it.
+func (x *exchange) escalates(t *target, reply *Reply) bool {
+	n := len(x.route.Models)
+	if n == 0 || x.call.Model != AnyModel || x.headed {
+		return false
+	}
+	next, threshold := x.model, 0.0
+	x.relay.ladder(x.service.Name, func(l *cascade.Ladder) {
+		next, threshold = l.Next(n, x.model, reply.Confidence), l.Threshold()
+	})
+	if next == x.model {
+		return false
+	}
+	if x.journey.RunsLeft() < 1 || !x.relay.mayRepeat(x.service.Name, keepForLoss) {
+		x.note("keeps a doubtful answer", t, "confidence", reply.Confidence, "threshold", threshold, "why", "no attempt or budget left")
+		return false
+	}
+	x.note("asks a larger model", t, "confidence", reply.Confidence, "threshold", threshold, "next", x.route.Models[next])
+	x.relay.Metrics.Escalations.Inc(1)
+	x.model = next
+	x.tried = nil
+	return true
+}
+
+// streamed books a complete stream.
+func (x *exchange) streamed(s *streaming) {
+	x.relay.Metrics.Answered(true).Inc(1)
+	x.note("streamed", s.t, "last_event", x.last, "events", s.events, "first_ms", x.firstEvent.Sub(x.call.Received).Milliseconds())
+	if s.events > 1 {
+		gap := time.Since(s.first) / time.Duration(s.events-1)
+		_, usual := x.relay.State.typical(s.t)
+		slow := usual > 0 && gap.Seconds() > slowFactor*usual && gap > slowGap
+		x.relay.Rollouts.observe(s.t, false, slow || s.slowFirst)
+		x.relay.State.paced(s.t, gap)
+		return
+	}
+	x.relay.Rollouts.observe(s.t, false, s.slowFirst)
+}
+
+// slowGap is the least mean pause between events that counts as slow.
+const slowGap = 60 * time.Millisecond
+
+// streaming is the passing on of one server's stream.
+type streaming struct {
+	x         *exchange
+	t         *target
+	a         *attempt
+	reply     *Reply
+	began     time.Time
+	first     time.Time
+	events    int
+	slowFirst bool
+	reader    eventReader
+	batch     []byte
+}
+
+var (
+	errCallerLeft = errors.New("the caller left")
+	errGap        = errors.New("an event is missing")
+	errPartial    = errors.New("the stream ended inside an event")
+	errEmpty      = errors.New("the stream ended without an event")
+)
+
+// copyBuffer is the size of a stream's read buffer in bytes: some events.
+const copyBuffer = 1024
+
+// copy passes whole events on until the stream ends. A nil error means that it
+// ended properly.
+func (s *streaming) copy() error {
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := s.reply.Body.Read(buf)
+		if n > 0 {
+			s.a.progress()
+			if e := s.take(buf[:n]); e != nil {
+				return e
+			}
+		}
+		switch {
+		case err == nil:
+		case err != io.EOF:
+			return err
+		case s.reader.partial():
+			return errPartial
+		case s.events == 0 && !s.x.headed:
+			return errEmpty
+		default:
+			return nil
+		}
+	}
+}
+
+// take passes on the events that some bytes complete, in one write.
+func (s *streaming) take(p []byte) error {
+	if err := s.reader.feed(p); err != nil {
+		return err
+	}
+	s.batch = s.batch[:0]
+	for {
+		e, ok := s.reader.next()
+		if !ok {
+			break
+		}
+		if err := s.accept(e); err != nil {
+			return err
+		}
+	}
+	return s.pass()
+}
+
+// accept takes the event that follows the last one. After a change of servers the
+// new one may begin too early, which would double events, or too late.
+func (s *streaming) accept(e event) error {
+	if e.id != NoEvent && s.x.last != NoEvent {
+		if e.id <= s.x.last {
+			return nil
+		}
+		if e.id != s.x.last+1 {
+			return errGap
+		}
+	}
+	if e.id != NoEvent {
+		s.x.last = e.id
+	}
+	s.events++
+	s.batch = append(s.batch, e.raw...)
+	return nil
+}
+
+func (s *streaming) pass() error {
+	if len(s.batch) == 0 {
+		return nil
+	}
+	if s.first.IsZero() {
+		s.begin()
+	}
+	if !s.x.headed {
+		s.x.headed = true
+		s.x.out.Head(s.reply.Status, s.reply.Header, -1)
+	}
+	if err := s.x.out.Pass(s.batch); err != nil {
+		return errCallerLeft
+	}
+	return nil
+}
+
+// begin books the first event of this server.
+func (s *streaming) begin() {
+	s.first = time.Now()
+	took := s.first.Sub(s.began)
+	s.slowFirst = s.x.slow(s.t, took)
+	s.x.relay.State.began(s.t, took)
+	if !s.x.firstEvent.IsZero() {
+		return
+	}
+	s.x.firstEvent = s.first
+	whole := s.first.Sub(s.x.call.Received)
+	s.x.relay.Metrics.FirstEvent.RecordDuration(whole)
+	if target := s.x.route.LatencyTarget; target > 0 {
+		s.x.relay.ladder(s.x.service.Name, func(l *cascade.Ladder) { l.Observed(float64(whole) / float64(target)) })
+	}
+}
--- /dev/null
+++ b/internal/relay/events.go
@@ -0,0 +1,78 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+// maxEvent bounds one event in bytes.
+const maxEvent = 1 << 20
+
+var errEventTooLong = errors.New("an event is longer than allowed")
+
+// event is one complete event of a stream, as the server sent it.
+type event struct {
+	raw []byte
+	// id is the event's number, or NoEvent.
+	id int64
+}
+
+// eventReader splits a stream into events. A server may stop in the middle of
+// one; what is left of it then is never passed on, or the event that another
+// server sends next would be joined to it.
+type eventReader struct {
+	buf  []byte
+	scan int
+}
+
+// feed adds bytes.
+func (e *eventReader) feed(p []byte) error {
+	e.buf = append(e.buf, p...)
+	if len(e.buf) > maxEvent {
+		return errEventTooLong
+	}
+	return nil
+}
+
+// partial reports whether an incomplete event is held.
+func (e *eventReader) partial() bool { return len(bytes.TrimSpace(e.buf)) > 0 }
+
+// next returns the next complete event. Its bytes are valid until the next feed.
+func (e *eventReader) next() (event, bool) {
+	end := blankLine(e.buf[e.scan:])
+	if end < 0 {
+		e.scan = max(0, len(e.buf)-len("\r\n\r"))
+		return event{}, false
+	}
+	end += e.scan
+	raw := e.buf[:end]
+	e.buf, e.scan = e.buf[end:], 0
+	return event{raw: raw, id: eventID(raw)}, true
+}
+
+// blankLine returns the place after the first blank line, or -1.
+func blankLine(b []byte) int {
+	plain := bytes.Index(b, []byte("\n\n"))
+	crlf := bytes.Index(b, []byte("\r\n\r\n"))
+	switch {
+	case crlf >= 0 && (plain < 0 || crlf < plain):
+		return crlf + len("\r\n\r\n")
+	case plain >= 0:
+		return plain + len("\n\n")
+	}
+	return -1
+}
+
+func eventID(raw []byte) int64 {
+	for line := range bytes.Lines(raw) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil && n >= 0 {
+			return n
+		}
+	}
+	return NoEvent
+}
--- /dev/null
+++ b/internal/relay/exchange.go
@@ -0,0 +1,249 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/cascade"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/request"
+	"github.com/damaskrudder/damaskrudder/internal/route"
+	"github.com/damaskrudder/damaskrudder/internal/upstream"
+)
+
+// exchange is one call on its way.
+type exchange struct {
+	relay     *Relay
+	call      *Call
+	out       Caller
+	route     *route.Route
+	service   route.Service
+	workspace string
+	keyed     bool
+	urgency   int
+	deadline  time.Time
+	began     time.Time
+	// draw is uniform and the same for every send of the call.
+	draw    uint64
+	journey request.Journey
+	tried   []string
+	// model indexes the route's models.
+	model int
+	// last is the number of the last event passed on, or NoEvent.
+	last int64
+	// headed says that the head of an answer was passed on.
+	headed bool
+	// failure is a server's own failure, passed on if nothing better comes.
+	failure *answer
+	// firstEvent is when the first event was passed on.
+	firstEvent time.Time
+}
+
+// errMoved ends a send whose request goes on elsewhere.
+var errMoved = errors.New("the server went silent")
+
+// serve sends the call until it is answered or given up.
+func (x *exchange) serve(ctx context.Context) {
+	if n := len(x.route.Models); n > 0 && x.call.Model == AnyModel {
+		x.relay.ladder(x.service.Name, func(l *cascade.Ladder) { x.model = l.First(n, x.last != NoEvent) })
+	}
+	for {
+		t, refusal := x.choose()
+		if refusal != nil {
+			x.giveUp(refusal)
+			return
+		}
+		if x.journey.Sends() == 0 {
+			x.relay.firstSend(x.service.Name)
+		}
+		x.journey.Sent()
+		outcome, done := x.send(ctx, t)
+		if done {
+			return
+		}
+		if ctx.Err() != nil {
+			x.note("caller left", t)
+			x.relay.Metrics.CallersLeft.Inc(1)
+			return
+		}
+		x.tried = append(x.tried, t.server.ID)
+		refusal = x.journey.After(outcome, time.Now(), func() bool {
+			return outcome == request.Unconvincing || x.relay.mayRepeat(x.service.Name, 0)
+		})
+		if refusal != nil {
+			x.giveUp(refusal)
+			return
+		}
+		x.relay.Metrics.Repeats.Inc(1)
+	}
+}
+
+// modelName is the model to name to the server, empty to leave the call's.
+func (x *exchange) modelName() string {
+	if x.call.Model == AnyModel && len(x.route.Models) > 0 {
+		return x.route.Models[x.model]
+	}
+	return ""
+}
+
+// wantedModel is the model that will answer.
+func (x *exchange) wantedModel() string {
+	if m := x.modelName(); m != "" {
+		return m
+	}
+	return x.call.Model
+}
+
+// choose picks a server, after a last check that the call may still run: the
+// configuration may have moved on since it was admitted.
+func (x *exchange) choose() (*target, *fault.Error) {
+	if x.keyed && !x.relay.keysFresh() {
+		return nil, x.journey.Refuse(fault.ConfigurationStale, "the list of keys was not confirmed lately")
+	}
+	if x.keyed {
+		if w, known := x.relay.State.Table().Workspace(x.call.Key); !known || w.Name != x.workspace {
+			return nil, x.journey.Refuse(fault.Unauthorized, "no workspace owns the presented key any more")
+		}
+	}
+	w := want{
+		service: x.service.Name, engine: x.service.Engine, model: x.wantedModel(), prompt: x.call.Prompt,
+		urgent: x.route.Priority == 0, budget: time.Until(x.deadline), tried: x.tried,
+		admits: x.relay.Rollouts.Admits(x.service.Name, x.call.Session, x.draw),
+	}
+	if x.service.Engine == nil {
+		w.model = ""
+	}
+	t, err := x.relay.State.pick(&w, x.service.MaxConns)
+	if err != nil && len(x.tried) > 0 && x.journey.Repeatable {
+		// Every server had its turn. One that was lost may answer again.
+		w.tried = nil
+		t, err = x.relay.State.pick(&w, x.service.MaxConns)
+	}
+	if err != nil {
+		return nil, x.journey.Refuse(err.Kind, err.Detail)
+	}
+	return t, nil
+}
+
+// send makes one attempt. Done says that the caller has the final answer.
+func (x *exchange) send(ctx context.Context, t *target) (request.Outcome, bool) {
+	x.note("send", t, "expected_ms", t.expected.Milliseconds(), "uncached", t.uncached, "send", x.journey.Sends())
+	began := time.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ctx, stop := context.WithDeadline(ctx, x.deadline)
+	defer stop()
+	a := x.relay.watch.enter(t, x.service.Engine != nil, x.route, func() bool {
+		if x.journey.Repeatable && x.journey.RunsLeft() > 0 {
+			cancel(errMoved)
+			return true
+		}
+		return false
+	})
+	defer x.relay.watch.leave(a)
+	s := Send{
+		Call: x.call, Server: t.server, Workspace: x.workspace, Model: x.modelName(), LastEvent: x.last,
+		Left: time.Until(x.deadline) - deadlineMargin, Urgency: x.sendUrgency(), Connections: t.connections,
+	}
+	reply, err := x.relay.backend.Send(ctx, s)
+	if err != nil {
+		return x.sendFailed(t, began, err), false
+	}
+	a.answered()
+	outcome, done := x.take(ctx, t, a, reply, began)
+	if !done || outcome != request.Failed {
+		x.relay.State.ended(t, time.Since(began), !done && outcome != request.Unconvincing && outcome != request.NotStarted)
+	}
+	return outcome, done
+}
+
+// sendUrgency raises requests that have already lost time to a server or model.
+func (x *exchange) sendUrgency() int {
+	if x.journey.Sends() > 1 {
+		return max(0, x.urgency-firstUrgency)
+	}
+	return x.urgency
+}
+
+// sendFailed tells from an error whether the request may have run.
+func (x *exchange) sendFailed(t *target, began time.Time, err error) request.Outcome {
+	var e *upstream.Error
+	if !errors.As(err, &e) {
+		e = &upstream.Error{Reason: upstream.Broken, Sent: true, Err: err}
+	}
+	failed := e.Reason != upstream.Canceled && e.Reason != upstream.Full
+	x.relay.State.ended(t, time.Since(began), failed)
+	if e.Reason == upstream.Unreachable {
+		x.relay.State.unreachable(t)
+	}
+	x.relay.Metrics.SendsFailed.Inc(1)
+	x.note("send failed", t, "reason", e.Reason, "sent", e.Sent, "err", e.Err, "after_ms", time.Since(began).Milliseconds())
+	if !e.Sent {
+		return request.NotStarted
+	}
+	return request.Lost
+}
+
+// take judges the head of a reply and passes the answer on.
+func (x *exchange) take(ctx context.Context, t *target, a *attempt, reply *Reply, began time.Time) (request.Outcome, bool) {
+	defer func() { _ = reply.Body.Close() }() // ends the run if it is not over; there is nothing to do about an error
+	if reply.NotRun {
+		x.note("not run", t, "status", reply.Status)
+		return request.NotStarted, false
+	}
+	ok := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
+	switch {
+	case !reply.Sealed:
+		x.note("unproven answer", t, "status", reply.Status)
+		return request.Lost, false
+	case ok && x.route.Kind == route.Stream:
+		return x.stream(ctx, t, a, reply, began)
+	case x.headed:
+		return request.Failed, false
+	}
+	return x.plain(t, reply, began, ok)
+}
+
+// giveUp ends the call: with a server's own failure if there is one, else with a
+// refusal. An answer that has begun is cut so that it does not look complete.
+func (x *exchange) giveUp(e *fault.Error) {
+	switch {
+	case x.headed:
+		x.note("cut", nil, "kind", e.Kind, "why", e.Detail, "last_event", x.last)
+		x.relay.Metrics.Cut.Inc(1)
+		x.out.Cut()
+	case x.failure != nil && e.State() != fault.NotRun:
+		x.note("failed at the server", nil, "status", x.failure.status)
+		x.failure.deliver(x.out)
+	default:
+		if e.State() == fault.NotRun && e.Advice() > 0 {
+			e = e.After(x.retryAfter())
+		}
+		x.relay.refused(x.call, x.out, e)
+	}
+}
+
+// retryAfter spreads the returns of refused callers over a time in which servers
+// get through some work, by a draw that differs between callers.
+func (x *exchange) retryAfter() time.Duration {
+	const spread = 400 * time.Millisecond
+	return earliestReturn + time.Duration(x.draw>>32%uint64(spread))
+}
+
+// earliestReturn is the least advice: a server that refused needs some requests'
+// time to have room.
+const earliestReturn = 100 * time.Millisecond
+
+// note writes a line about a decision on the call.
+func (x *exchange) note(what string, t *target, more ...any) {
+	fields := []any{"request", x.call.ID, "route", x.route.Name, "at_ms", time.Since(x.call.Received).Milliseconds()}
+	if t != nil {
+		fields = append(fields, "server", t.server.ID, "version", t.server.Version)
+		if t.model != "" {
+			fields = append(fields, "model", t.model)
+		}
+	}
+	x.relay.log.Info(what, append(fields, more...)...)
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+)
+
+// Metrics are the counters and histograms of a relay.
+type Metrics struct {
+	scope tally.Scope
+	// Requests counts calls of callers.
+	Requests tally.Counter
+	// Repeats counts sends after the first of a call.
+	Repeats tally.Counter
+	// Escalations counts answers dropped for a larger model's.
+	Escalations tally.Counter
+	// SendsFailed counts sends without an answer.
+	SendsFailed tally.Counter
+	// Cut counts answers that ended before their end.
+	Cut tally.Counter
+	// CallersLeft counts callers that left before their answer.
+	CallersLeft tally.Counter
+	// AliveChecks counts signs of life asked of silent servers.
+	AliveChecks tally.Counter
+	// Latency is the time to a plain answer.
+	Latency tally.Histogram
+	// FirstEvent is the time to the first event of a stream.
+	FirstEvent tally.Histogram
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(s tally.Scope) *Metrics {
+	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, latencyBuckets)
+	return &Metrics{
+		scope: s, Requests: s.Counter("requests"), Repeats: s.Counter("repeats"),
+		Escalations: s.Counter("escalations"), SendsFailed: s.Counter("sends_failed"),
+		Cut: s.Counter("answers_cut"), CallersLeft: s.Counter("callers_left"),
+		AliveChecks: s.Counter("alive_checks"),
+		Latency:     s.Histogram("answer_seconds", buckets), FirstEvent: s.Histogram("first_event_seconds", buckets),
+	}
+}
+
+// latencyBuckets reach from 5 ms to 20 s by doubling.
+const latencyBuckets = 13
+
+// Refused counts refusals of a kind.
+func (m *Metrics) Refused(k fault.Kind) tally.Counter {
+	return m.scope.Tagged(map[string]string{"kind": string(k)}).Counter("refusals")
+}
+
+// Answered counts whole answers, by whether the server succeeded.
+func (m *Metrics) Answered(ok bool) tally.Counter {
+	if ok {
+		return m.scope.Counter("answers_ok")
+	}
+	return m.scope.Counter("answers_failed")
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,241 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+
+	"github.com/damaskrudder/damaskrudder/internal/cascade"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/request"
+	"github.com/damaskrudder/damaskrudder/internal/route"
+)
+
+// Rules are the limits that the deployment sets.
+type Rules struct {
+	// KeyFreshness is how old the newest confirmation of the configuration may be
+	// for a request with an API key to be sent to a server. A key that was taken
+	// away longer ago than the deployment allows must open nothing, so this lies
+	// under that bound. Zero does not limit it.
+	KeyFreshness time.Duration
+	// BudgetWindow, BudgetRatio and BudgetReserve limit the repeats of all
+	// daemons for one service: see request.Share.
+	BudgetWindow  time.Duration
+	BudgetRatio   float64
+	BudgetReserve float64
+}
+
+const (
+	// defaultWait bounds a request whose caller and route state no limit.
+	defaultWait = 30 * time.Second
+	// deadlineMargin is taken off the time a server is given: an answer that
+	// arrives as the caller leaves is of no use, and a server that works longer
+	// than the caller waits works in vain.
+	deadlineMargin = 5 * time.Millisecond
+	// keepForLoss is the part of a daemon's repeats, as a count, that larger
+	// models may not use: it is left for requests whose server was lost.
+	keepForLoss = 3
+)
+
+// Relay serves calls.
+type Relay struct {
+	State    *State
+	Rollouts *Rollouts
+	Metrics  *Metrics
+	backend  Backend
+	rules    Rules
+	log      *log.Logger
+	watch    *watch
+
+	mu      sync.Mutex
+	shares  map[string]*request.Share
+	ladders map[string]*cascade.Ladder
+	active  int
+	leaving bool
+}
+
+// New returns a relay.
+func New(s *State, b Backend, rules Rules, m *Metrics, l *log.Logger) *Relay {
+	r := &Relay{
+		State: s, Rollouts: NewRollouts(l), Metrics: m, backend: b, rules: rules, log: l,
+		shares: map[string]*request.Share{}, ladders: map[string]*cascade.Ladder{},
+	}
+	r.watch = newWatch(s, b, l, m)
+	return r
+}
+
+// Run watches over servers until the context ends.
+func (r *Relay) Run(ctx context.Context) { r.watch.run(ctx) }
+
+// Heard records that bytes came from a server's address.
+func (r *Relay) Heard(address string) { r.watch.heard(address) }
+
+// Leave makes the relay refuse requests that could outlast the daemon.
+func (r *Relay) Leave() {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+}
+
+// Active returns the number of requests being served.
+func (r *Relay) Active() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.active
+}
+
+// share returns a service's part of the retry budget. Callers hold mu.
+func (r *Relay) share(service string, daemons int) *request.Share {
+	s := r.shares[service]
+	if s == nil {
+		s = &request.Share{Window: r.rules.BudgetWindow, Ratio: r.rules.BudgetRatio}
+		r.shares[service] = s
+	}
+	s.Reserve = reservePart * r.rules.BudgetReserve / float64(daemons)
+	return s
+}
+
+// reservePart is the part of the reserve that is used: daemons that just came
+// are not counted by all others yet.
+const reservePart = 0.6
+
+// mayRepeat takes a repeat out of the budget of a service, leaving keep.
+func (r *Relay) mayRepeat(service string, keep float64) bool {
+	daemons := r.State.daemonCount()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.share(service, daemons).Take(time.Now(), keep)
+}
+
+func (r *Relay) firstSend(service string) {
+	daemons := r.State.daemonCount()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share(service, daemons).First(time.Now())
+}
+
+// ladder runs f on a service's ladder.
+func (r *Relay) ladder(service string, f func(l *cascade.Ladder)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.ladders[service]
+	if l == nil {
+		l = &cascade.Ladder{}
+		r.ladders[service] = l
+	}
+	f(l)
+}
+
+// Serve answers one call.
+func (r *Relay) Serve(ctx context.Context, c *Call, out Caller) {
+	r.mu.Lock()
+	r.active++
+	leaving := r.leaving
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		r.active--
+		r.mu.Unlock()
+	}()
+	r.Metrics.Requests.Inc(1)
+	x, refusal := r.admit(c, leaving)
+	if refusal != nil {
+		r.refused(c, out, refusal)
+		return
+	}
+	x.out = out
+	x.serve(ctx)
+}
+
+func (r *Relay) refused(c *Call, out Caller, e *fault.Error) {
+	r.Metrics.Refused(e.Kind).Inc(1)
+	age, known := r.State.ContactAge()
+	version := int64(0)
+	if t := r.State.Table(); t != nil {
+		version = t.Version
+	}
+	r.log.Info("refused", "request", c.ID, "kind", e.Kind, "ran", e.State(), "why", e.Detail,
+		"config", version, "config_known", known, "config_age_ms", age.Milliseconds(),
+		"held_ms", time.Since(c.Received).Milliseconds())
+	out.Refuse(e)
+}
+
+// admit finds what a call may use, or says why it may not.
+func (r *Relay) admit(c *Call, leaving bool) (*exchange, *fault.Error) {
+	t := r.State.Table()
+	if t == nil || !r.State.Known() {
+		return nil, fault.New(fault.ConfigurationStale, "no configuration is known yet").After(staleRetry)
+	}
+	rt := t.Match(c.Host, c.Path)
+	if rt == nil {
+		return nil, fault.New(fault.NotFound, "no route leads to this host and path")
+	}
+	x := &exchange{relay: r, call: c, route: rt, last: c.LastEvent, began: time.Now()}
+	x.draw = xxhash.Sum64String(c.ID)
+	w, known := t.Workspace(c.Key)
+	x.keyed = t.Keyed() && !rt.Public
+	switch {
+	case x.keyed && !r.keysFresh():
+		return nil, fault.New(fault.ConfigurationStale, "the list of keys was not confirmed lately").After(staleRetry)
+	case x.keyed && !known:
+		return nil, fault.New(fault.Unauthorized, "no workspace owns the presented key")
+	}
+	if known {
+		x.workspace = w.Name
+	}
+	x.urgency = urgency(rt, w)
+	if limit := t.Limits.BodyBytes; limit > 0 && int64(len(c.Body)) > limit {
+		return nil, fault.New(fault.TooLarge, "the body is longer than %d bytes", limit)
+	}
+	x.service = t.Services[rt.Service(x.draw)]
+	x.deadline = deadline(c, rt)
+	if leaving && x.deadline.After(time.Now().Add(leavingLimit)) {
+		return nil, fault.New(fault.ShuttingDown, "this daemon is leaving").After(leavingRetry)
+	}
+	x.journey = request.Journey{Repeatable: rt.Repeatable(), MaxRuns: rt.Attempts, Deadline: x.deadline}
+	return x, nil
+}
+
+const (
+	// staleRetry and leavingRetry are when to come back to another daemon.
+	staleRetry   = 100 * time.Millisecond
+	leavingRetry = 10 * time.Millisecond
+	// leavingLimit is the longest request that a daemon close to its end takes:
+	// it can still be answered before the process is killed.
+	leavingLimit = 2200 * time.Millisecond
+)
+
+func (r *Relay) keysFresh() bool {
+	return r.rules.KeyFreshness == 0 || r.State.Fresh(r.rules.KeyFreshness)
+}
+
+// deadline is when the caller leaves or the route's limit ends the wait.
+func deadline(c *Call, rt *route.Route) time.Time {
+	wait := defaultWait
+	if c.Wait > 0 {
+		wait = c.Wait
+	}
+	if rt.Timeout > 0 && rt.Timeout < wait {
+		wait = rt.Timeout
+	}
+	return c.Received.Add(wait)
+}
+
+// urgency maps priorities, 0 first, to what engines take: 0 to 9, 5 by default.
+func urgency(rt *route.Route, w route.Workspace) int {
+	p := rt.Priority
+	if w.Ranked {
+		p = w.Priority
+	}
+	return min(max(p, 0)+firstUrgency, lastUrgency)
+}
+
+const (
+	// firstUrgency leaves the two most urgent ranks to requests that an earlier
+	// server or model has already cost time.
+	firstUrgency = 2
+	lastUrgency  = 9
+)
--- /dev/null
+++ b/internal/relay/state.go
@@ -0,0 +1,282 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
+	"github.com/damaskrudder/damaskrudder/internal/route"
+	"github.com/damaskrudder/damaskrudder/internal/routing"
+)
+
+// blockTokens is the granularity in which cached prompts are remembered: about
+// forty blocks for the longest shared beginnings, which keeps the memory of one
+// request's blocks under half a kilobyte.
+const blockTokens = 256
+
+// maxBlocks bounds the remembered blocks of one prompt; CachedBlocks is a uint8.
+const maxBlocks = 64
+
+// State is what a daemon knows: the configuration, the servers and their load.
+type State struct {
+	table atomic.Pointer[route.Table]
+	boot  func() time.Duration
+
+	mu       sync.Mutex
+	contact  membership.Contact
+	registry *backend.Registry
+	listed   bool
+	services map[string]*service
+	rng      *rand.Rand
+	daemon   string
+	// daemons is how many daemons share the servers' connections.
+	daemons int
+}
+
+// service is the picture of one service's servers.
+type service struct {
+	picture *routing.Picture
+	members []routing.Member
+	servers map[string]backend.Server
+	pace    paces
+}
+
+// NewState returns an empty state. Boot reads a clock that counts while the
+// machine is suspended.
+func NewState(daemon string, boot func() time.Duration) *State {
+	return &State{
+		boot: boot, registry: backend.NewRegistry(), services: map[string]*service{}, daemon: daemon, daemons: 1,
+		rng: rand.New(rand.NewPCG(xxhash.Sum64String(daemon), uint64(boot()))),
+	}
+}
+
+// Table returns the configuration in force, or nil.
+func (s *State) Table() *route.Table { return s.table.Load() }
+
+// SetTable puts a configuration into force unless a newer one is. It reports
+// whether it did: a daemon never goes back within its life.
+func (s *State) SetTable(t *route.Table) bool {
+	for {
+		old := s.table.Load()
+		if old != nil && old.Version >= t.Version {
+			return false
+		}
+		if s.table.CompareAndSwap(old, t) {
+			return true
+		}
+	}
+}
+
+// Confirm records that the configuration was the newest at a reading of the boot
+// clock.
+func (s *State) Confirm(sent time.Duration) {
+	s.mu.Lock()
+	s.contact.Confirm(sent)
+	s.mu.Unlock()
+}
+
+// Fresh reports whether the configuration was confirmed within a limit.
+func (s *State) Fresh(limit time.Duration) bool {
+	now := s.boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contact.Within(now, limit)
+}
+
+// ContactAge returns the age of the newest confirmation; false if there is none.
+func (s *State) ContactAge() (time.Duration, bool) {
+	now := s.boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contact.Age(now)
+}
+
+// Known reports whether a configuration and the servers are known.
+func (s *State) Known() bool {
+	s.mu.Lock()
+	listed := s.listed
+	s.mu.Unlock()
+	return listed && s.Table() != nil
+}
+
+// SetDaemons tells how many daemons live, this one included.
+func (s *State) SetDaemons(n int) {
+	s.mu.Lock()
+	s.daemons = max(1, n)
+	s.mu.Unlock()
+}
+
+// Servers changes the registry.
+func (s *State) Servers(change func(r *backend.Registry, now time.Duration)) {
+	now := s.boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.registry, now)
+	s.listed = true
+	for name := range s.services {
+		s.refresh(name, now)
+	}
+}
+
+// refresh brings a service's picture to the registry. Callers hold mu.
+func (s *State) refresh(name string, now time.Duration) *service {
+	sv := s.services[name]
+	if sv == nil {
+		sv = &service{picture: routing.NewPicture(), pace: paces{}}
+		sv.picture.Exact = true
+		s.services[name] = sv
+	}
+	all := s.registry.Of(name, now)
+	sv.servers = make(map[string]backend.Server, len(all))
+	members := make([]routing.Member, 0, len(all))
+	for _, b := range all {
+		sv.servers[b.ID] = b
+		if !b.Leaving {
+			members = append(members, routing.Member{ID: b.ID, Address: b.Address, FailureDomain: b.FailureDomain, Slots: b.Slots})
+		}
+	}
+	sv.members = routing.Subset(s.daemon, members, routing.MaxCandidates)
+	sv.picture.Update(sv.members)
+	return sv
+}
+
+// serviceOf returns a service's picture. Callers hold mu.
+func (s *State) serviceOf(name string) *service {
+	if sv := s.services[name]; sv != nil {
+		return sv
+	}
+	return s.refresh(name, s.boot())
+}
+
+// with runs f on a service's picture under the lock.
+func (s *State) with(name string, f func(sv *service)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.serviceOf(name))
+}
+
+// Work is this daemon's unfinished work on one server.
+type Work struct {
+	Server  string  `cbor:"1,keyasint"`
+	Running int     `cbor:"2,keyasint"`
+	Pending float64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Work lists this daemon's unfinished work, for the other daemons.
+func (s *State) Work() []Work {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Work
+	for _, sv := range s.services {
+		for _, c := range sv.picture.Snapshot(nil, time.Time{}) {
+			if c.InFlight > 0 {
+				out = append(out, Work{c.ID, c.InFlight, c.PendingPrefill})
+			}
+		}
+	}
+	return out
+}
+
+// SetPeerWork takes the sum of the other daemons' work by server.
+func (s *State) SetPeerWork(sum map[string]Work) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sv := range s.services {
+		for _, m := range sv.members {
+			w := sum[m.ID]
+			sv.picture.Peers(m.ID, float64(w.Running), w.Pending, now)
+		}
+	}
+}
+
+// blocks returns the chained hashes of a prompt's shared beginning.
+func blocks(model string, p Prompt) []uint64 {
+	var out []uint64
+	chain := xxhash.Sum64String(model)
+	tokens := 0
+	for _, part := range p.Parts {
+		chain = chain*prime + part.ID
+		tokens += part.Tokens
+		for len(out) < tokens/blockTokens && len(out) < maxBlocks {
+			out = append(out, chain+uint64(len(out)))
+		}
+	}
+	return out
+}
+
+// prime spreads the ids of parts over the chain; it is the odd golden ratio.
+const prime = 0x9E3779B97F4A7C15
+
+// homeKey is what decides where a prompt that nobody has cached goes: all parts
+// but the last, which is the request's own.
+func homeKey(model string, p Prompt) uint64 {
+	chain := xxhash.Sum64String(model)
+	for i, part := range p.Parts {
+		if i == len(p.Parts)-1 && i > 0 {
+			break
+		}
+		chain = chain*prime + part.ID
+	}
+	return chain
+}
+
+// homes ranks candidates by rendezvous hashing.
+func homes(key uint64, candidates []routing.Candidate, r *routing.Request) {
+	type ranked struct {
+		weight uint64
+		index  int
+	}
+	order := make([]ranked, len(candidates))
+	for i := range candidates {
+		h := (xxhash.Sum64String(candidates[i].ID) ^ key) * prime
+		order[i] = ranked{h ^ h>>29, i}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		if a.weight > b.weight {
+			return -1
+		}
+		return 1
+	})
+	for place, o := range order {
+		r.Home[o.index] = uint8(min(place, farHome))
+	}
+}
+
+// farHome is the place from which all candidates count as equally far.
+const farHome = 4
+
+func (s *State) daemonCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.daemons
+}
+
+// RunningBut counts this daemon's unfinished requests on servers of a service
+// that have another version than the one given.
+func (s *State) RunningBut(name, version string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sv := s.serviceOf(name)
+	n := 0
+	for _, c := range sv.picture.Snapshot(nil, time.Time{}) {
+		if b, known := sv.servers[c.ID]; known && b.Version != version {
+			n += c.InFlight
+		}
+	}
+	return n
+}
+
+// Healed records that the store answers again after an outage.
+func (s *State) Healed() {
+	now := s.boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.Healed(now)
+}
--- /dev/null
+++ b/internal/relay/watch.go
@@ -0,0 +1,205 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/damaskrudder/damaskrudder/internal/route"
+)
+
+const (
+	// watchEvery is how often silent servers are looked for.
+	watchEvery = 100 * time.Millisecond
+	// silenceLimit is how long a server that has work of ours may be silent
+	// before it is asked for a sign of life. A dark machine resets nothing, so
+	// without asking every request there would wait for its deadline. Engines
+	// that live send events every few tens of milliseconds under load.
+	silenceLimit = 500 * time.Millisecond
+	// aliveLimit bounds the wait for the sign: round trips are milliseconds.
+	aliveLimit = 300 * time.Millisecond
+	// stallPart is the part of a route's longest pause after which a stream is
+	// continued elsewhere although its server lives: its connection may have
+	// gone silent for good while new ones work.
+	stallPart = 0.9
+	// stallDefault is the longest pause where the route states none.
+	stallDefault = 2 * time.Second
+)
+
+// watch looks for servers and connections that have gone silent.
+type watch struct {
+	state   *State
+	backend Backend
+	log     *log.Logger
+	metrics *Metrics
+
+	mu      sync.Mutex
+	servers map[string]*watched
+	heardAt map[string]time.Time
+}
+
+// watched is one server with unfinished work.
+type watched struct {
+	attempts map[*attempt]bool
+	// provenAt is the last sign of life that was asked for.
+	provenAt time.Time
+	asking   bool
+}
+
+// attempt is one send that is waiting for its server.
+type attempt struct {
+	target *target
+	engine bool
+	since  time.Time
+	// move ends the send if the request may go on elsewhere.
+	move  func() bool
+	stall time.Duration
+	// lastNanos is when the last bytes of the body came; 0 before the head.
+	lastNanos atomic.Int64
+	moved     bool
+}
+
+func (a *attempt) answered() { a.progress() }
+func (a *attempt) progress() { a.lastNanos.Store(time.Since(a.since).Nanoseconds() + 1) }
+
+// last returns when the attempt last made progress, and whether it is answered.
+func (a *attempt) last() (time.Time, bool) {
+	n := a.lastNanos.Load()
+	return a.since.Add(time.Duration(n)), n > 0
+}
+
+func newWatch(s *State, b Backend, l *log.Logger, m *Metrics) *watch {
+	return &watch{state: s, backend: b, log: l, metrics: m, servers: map[string]*watched{}, heardAt: map[string]time.Time{}}
+}
+
+func (w *watch) heard(address string) {
+	w.mu.Lock()
+	w.heardAt[address] = time.Now()
+	w.mu.Unlock()
+}
+
+func (w *watch) enter(t *target, engine bool, rt *route.Route, move func() bool) *attempt {
+	a := &attempt{target: t, engine: engine, since: time.Now(), move: move, stall: stallDefault}
+	if rt.GapTarget > 0 {
+		a.stall = time.Duration(stallPart * float64(rt.GapTarget))
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := w.servers[t.server.ID]
+	if v == nil {
+		v = &watched{attempts: map[*attempt]bool{}}
+		w.servers[t.server.ID] = v
+	}
+	v.attempts[a] = true
+	return a
+}
+
+func (w *watch) leave(a *attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := a.target.server.ID
+	v := w.servers[id]
+	if v == nil {
+		return
+	}
+	delete(v.attempts, a)
+	if len(v.attempts) == 0 && !v.asking {
+		delete(w.servers, id)
+		delete(w.heardAt, a.target.server.Address)
+	}
+}
+
+func (w *watch) run(ctx context.Context) {
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			w.look(ctx, now)
+		}
+	}
+}
+
+// look asks silent servers for a sign of life and moves stalled streams.
+func (w *watch) look(ctx context.Context, now time.Time) {
+	var ask, stalled []*attempt
+	w.mu.Lock()
+	for _, v := range w.servers {
+		if a := w.silent(v, now); a != nil {
+			v.asking = true
+			ask = append(ask, a)
+		}
+		for a := range v.attempts {
+			if at, answered := a.last(); answered && !a.moved && a.engine && now.Sub(at) > a.stall {
+				stalled = append(stalled, a)
+			}
+		}
+	}
+	w.mu.Unlock()
+	for _, a := range ask {
+		go w.ask(ctx, a)
+	}
+	for _, a := range stalled {
+		if a.move() {
+			a.moved = true
+			w.log.Warn("stream stalled, moved", "server", a.target.server.ID, "model", a.target.model)
+		}
+	}
+}
+
+// silent returns an attempt on a server that has been silent too long, or nil.
+// Callers hold mu.
+func (w *watch) silent(v *watched, now time.Time) *attempt {
+	if v.asking || now.Sub(v.provenAt) < 2*silenceLimit {
+		return nil
+	}
+	var oldest *attempt
+	for a := range v.attempts {
+		if oldest == nil || a.since.Before(oldest.since) {
+			oldest = a
+		}
+	}
+	if oldest == nil || now.Sub(oldest.since) < silenceLimit {
+		return nil
+	}
+	if now.Sub(w.heardAt[oldest.target.server.Address]) < silenceLimit {
+		return nil
+	}
+	return oldest
+}
+
+// ask wants a sign of life; without one, every request there goes on elsewhere.
+func (w *watch) ask(ctx context.Context, a *attempt) {
+	w.metrics.AliveChecks.Inc(1)
+	bounded, cancel := context.WithTimeout(ctx, aliveLimit)
+	err := w.backend.Alive(bounded, a.target.server, a.engine)
+	cancel()
+	id := a.target.server.ID
+	var move []*attempt
+	w.mu.Lock()
+	if v := w.servers[id]; v != nil {
+		v.asking, v.provenAt = false, time.Now()
+		if err != nil {
+			for other := range v.attempts {
+				move = append(move, other)
+			}
+		}
+		if len(v.attempts) == 0 {
+			delete(w.servers, id)
+		}
+	}
+	w.mu.Unlock()
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	w.log.Warn("server silent", "server", id, "requests", len(move), "err", err)
+	w.state.unreachable(a.target)
+	for _, other := range move {
+		other.move()
+	}
+}
--- /dev/null
+++ b/internal/request/journey.go
@@ -0,0 +1,111 @@
+package request
+
+import (
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+)
+
+// Outcome is how one send of an opaque request to a backend server ended.
+type Outcome uint8
+
+const (
+	// NotStarted is a send that the server proved it did not run, or of which
+	// no byte left.
+	NotStarted Outcome = iota
+	// Lost is a send without a usable answer; it may have run.
+	Lost
+	// Failed is an answer that says the run failed.
+	Failed
+	// Unconvincing is an answer of a smaller model that was dropped unseen.
+	Unconvincing
+	// CutShort is a stream that ended before its last event.
+	CutShort
+)
+
+// maxSends bounds the sends of one request that did not run, so that a service
+// whose servers all refuse is not asked over and over: each is an arrival there.
+const maxSends = 4
+
+// Journey decides what follows each send of one opaque request. Unlike Life, it
+// may continue a stream on another server, because the server is told after
+// which event to begin.
+type Journey struct {
+	// Repeatable requests may run again after they may have run.
+	Repeatable bool
+	// MaxRuns is the most servers that may run the request; zero is one.
+	MaxRuns int
+	// Deadline is when the answer is of no more use.
+	Deadline time.Time
+
+	sends int
+	runs  int
+	ran   bool
+	doubt bool
+}
+
+// Sent records a send.
+func (j *Journey) Sent() { j.sends++; j.runs++ }
+
+// Sends returns how many sends began.
+func (j *Journey) Sends() int { return j.sends }
+
+// Runs returns how many sends ran or may have run.
+func (j *Journey) Runs() int { return j.runs }
+
+// RunsLeft returns how many more servers may run the request.
+func (j *Journey) RunsLeft() int { return max(1, j.MaxRuns) - j.runs }
+
+// State returns what may truthfully be said about execution.
+func (j *Journey) State() fault.Run {
+	switch {
+	case j.ran:
+		return fault.Ran
+	case j.doubt:
+		return fault.Unknown
+	}
+	return fault.NotRun
+}
+
+// After returns nil if the request is to be sent again, and else the final
+// refusal. Allowed says whether the budget admits a repeat; it is asked last, so
+// that nothing is spent on a request that cannot be repeated.
+func (j *Journey) After(o Outcome, now time.Time, allowed func() bool) *fault.Error {
+	switch o {
+	case NotStarted:
+		j.runs--
+	case Lost:
+		j.doubt = true
+	default:
+		j.ran = true
+	}
+	switch {
+	case !now.Before(j.Deadline):
+		return j.refuse(fault.DeadlineExceeded, "the deadline passed")
+	case o != NotStarted && !j.Repeatable:
+		return j.refuse(fault.EngineFailed, "the request may not be repeated")
+	case j.RunsLeft() <= 0:
+		return j.refuse(fault.EngineFailed, "every attempt failed")
+	case j.sends >= max(1, j.MaxRuns)+maxSends:
+		return j.refuse(fault.EngineRefused, "every server refused")
+	case !allowed():
+		return j.refuse(fault.EngineRefused, "the retry budget is used up")
+	}
+	return nil
+}
+
+// refuse returns a final refusal. One of a kind that promises not to have run
+// must not be given once the request may have run: the caller would repeat it.
+func (j *Journey) refuse(k fault.Kind, detail string) *fault.Error {
+	state := j.State()
+	if state != fault.NotRun && fault.Lookup(k).Run == fault.NotRun {
+		k = fault.EngineFailed
+	}
+	if state == fault.NotRun && k == fault.EngineFailed {
+		k = fault.EngineRefused
+	}
+	return fault.New(k, "%s", detail).With(state)
+}
+
+// Refuse returns a final refusal for a request that will not be sent (again).
+func (j *Journey) Refuse(k fault.Kind, detail string) *fault.Error { return j.refuse(k, detail) }
--- /dev/null
+++ b/internal/rollout/order.go
@@ -0,0 +1,136 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Order is an operator's wish to move a service to a version of its servers
+// that has been started beside the present one, within a time.
+type Order struct {
+	Service string
+	Target  string
+	// Duration is the time from the order to its deadline.
+	Duration time.Duration
+	// Offset is the place of the order in the operator's log and names it.
+	Offset uint64
+}
+
+// Phase is how far an order has come.
+type Phase uint8
+
+// The phases of an order.
+const (
+	// Canary sends a small part of the requests to the new version.
+	Canary Phase = iota
+	// Ramp sends half of them.
+	Ramp
+	// Whole sends all, while the old servers finish.
+	Whole
+	// Completed is over: the old servers may be stopped.
+	Completed
+	// RolledBack is over: the new version gets nothing.
+	RolledBack
+)
+
+// String returns the phase's name.
+func (p Phase) String() string {
+	return [...]string{"canary", "ramp", "whole", "completed", "rolled_back"}[p]
+}
+
+// Over reports whether nothing more will be decided.
+func (p Phase) Over() bool { return p >= Completed }
+
+// Course holds the constants of an order's way, as parts of its duration unless
+// said otherwise.
+type Course struct {
+	// CanaryShare and RampShare are the parts of all requests that the new
+	// version gets. With the canary's length they keep a version that turns bad
+	// late under 15% of the requests between the order and its deadline.
+	CanaryShare, RampShare float64
+	// CanaryUntil and RampUntil end the phases. Sessions must stay on their
+	// version for the first half, so the ramp begins no sooner.
+	CanaryUntil, RampUntil float64
+	// FinishBy is when the old servers are let go at the latest, even if one of
+	// their streams still runs.
+	FinishBy float64
+	// LeastRequests is the evidence without which the ramp does not begin.
+	LeastRequests int64
+	// Alarm is the e-value that rolls back; see Rules.Alarm.
+	Alarm float64
+	// FewestBad is how many bad answers a roll-back needs: single ones happen on
+	// any version.
+	FewestBad int64
+}
+
+// DefaultCourse returns the course in use.
+func DefaultCourse() Course {
+	return Course{
+		CanaryShare: 0.10, RampShare: 0.4,
+		CanaryUntil: 0.5, RampUntil: 0.58,
+		FinishBy:      0.86,
+		LeastRequests: 20,
+		Alarm:         100,
+		FewestBad:     4,
+	}
+}
+
+// Share returns the part of the requests that the new version gets.
+func (c Course) Share(p Phase) float64 {
+	switch p {
+	case Canary:
+		return c.CanaryShare
+	case Ramp:
+		return c.RampShare
+	case Whole, Completed:
+		return 1
+	}
+	return 0
+}
+
+// Next returns the phase that follows from the evidence of all daemons, the time
+// since the order, and how many requests still run on old servers, with the
+// reason. It returns the same phase if nothing changes.
+func (c Course) Next(o Order, p Phase, since time.Duration, e Evidence, oldRunning int) (Phase, string) {
+	if p.Over() {
+		return p, "over"
+	}
+	if why := c.bad(e); why != "" {
+		return RolledBack, why
+	}
+	at := float64(since) / float64(o.Duration)
+	fresh, _ := e.Totals(nil)
+	switch {
+	case at >= 1 && p < Whole:
+		return RolledBack, "the deadline passed without enough evidence"
+	case p == Canary && at >= c.CanaryUntil && fresh.Requests >= c.LeastRequests:
+		return Ramp, fmt.Sprintf("%d requests on the new version without an alarm", fresh.Requests)
+	case p == Ramp && at >= c.RampUntil:
+		return Whole, fmt.Sprintf("%d requests on the new version without an alarm", fresh.Requests)
+	case p == Whole && oldRunning == 0 && at >= c.RampUntil+settle:
+		return Completed, "nothing runs on old servers"
+	case p == Whole && at >= c.FinishBy:
+		return Completed, fmt.Sprintf("%d requests still run on old servers at the latest moment", oldRunning)
+	}
+	return p, ""
+}
+
+// settle is how long the whole phase lasts at least, as a part of the duration:
+// daemons hear of a phase some hundred milliseconds apart.
+const settle = 0.06
+
+// bad returns why the new version is to be withdrawn, or nothing.
+func (c Course) bad(e Evidence) string {
+	for s := range signalCount {
+		fresh, _ := e.Totals(nil)
+		trials, events := fresh.of(s)
+		if events < c.FewestBad {
+			continue
+		}
+		if level := e.LogE(s, nil); level >= math.Log(c.Alarm) {
+			return fmt.Sprintf("%s: %d of %d on the new version, e-value 10^%.1f", s, events, trials, level/math.Ln10)
+		}
+	}
+	return ""
+}
--- a/internal/routing/picture.go
+++ b/internal/routing/picture.go
@@ -63,7 +63,10 @@
 	servers []state
 	index   map[string]int
 	Prefix  *PrefixIndex
-	total   loadMean
+	// Exact says that Peers tells the work of others as it is now, so that
+	// nothing is added for a surge that lagging reports would miss.
+	Exact bool
+	total loadMean
 }
 
 // loadMean is this daemon's work on all servers, now and as a slow mean.
@@ -236,7 +239,7 @@
 // after the servers that look best by chance.
 func (p *Picture) addSurge(candidates []Candidate, others float64, now time.Time) {
 	surge := p.total.surge(now)
-	if surge <= 1 || len(candidates) == 0 {
+	if p.Exact || surge <= 1 || len(candidates) == 0 {
 		return
 	}
 	more := (surge - 1) * others / float64(len(candidates))
@@ -374,6 +377,22 @@
 	s.othersAt = now
 }
 
+// Pending adds prompt tokens that a server was sent and has not read, or takes
+// them off.
+func (p *Picture) Pending(id string, tokens float64) {
+	if s := p.find(id); s != nil {
+		s.PendingPrefill = max(0, s.PendingPrefill+tokens)
+	}
+}
+
+// Peers sets the work of all other daemons on a server, as they themselves tell
+// it. It replaces the estimate from reports.
+func (p *Picture) Peers(id string, inFlight, pending float64, now time.Time) {
+	if s := p.find(id); s != nil {
+		s.others, s.othersAt, s.OthersPending = inFlight, now, pending
+	}
+}
+
 // Leaving marks a server that gets no new work, or takes the mark back.
 func (p *Picture) Leaving(id string, leaving bool) {
 	if s := p.find(id); s != nil {
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -39,6 +39,19 @@
 	}
 }
 
+// homingStep is the cost of one place down the order of homes. It is above the
+// tie window, so that like loads go home, and below the cost of reading a prompt
+// of a few hundred tokens, so that a busy home is passed over.
+const homingStep = 3 * time.Millisecond
+
+// Engines returns the pipeline for model engines whose work all daemons tell
+// each other.
+func Engines() Pipeline {
+	p := Default()
+	p.Scorers = append(p.Scorers, Backlog{}, Homing{Step: homingStep})
+	return p
+}
+
 // Pick chooses among candidates. A request whose best expected time exceeds its
 // budget is refused at once, because queueing it would only delay the refusal.
 func (p Pipeline) Pick(r *Request, candidates []Candidate, rng *rand.Rand) Decision {
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -63,8 +63,44 @@
 
 // Cost implements Scorer.
 func (Prefill) Cost(r *Request, c *Candidate, index int) time.Duration {
-	missing := r.PromptTokens - int(r.CachedBlocks[index])*r.BlockTokens
-	return time.Duration(max(missing, 0)) * c.PrefillPerToken
+	missing := float64(max(r.PromptTokens-int(r.CachedBlocks[index])*r.BlockTokens, 0))
+	return time.Duration(missing * r.scale() * float64(c.PrefillPerToken))
+}
+
+func (r *Request) scale() float64 {
+	if r.PrefillScale > 0 {
+		return r.PrefillScale
+	}
+	return 1
+}
+
+// Backlog is the time to read the prompts that were sent to the server before
+// and have no first token yet. Engines read prompts one after the other, so a
+// burst of long ones delays the next however many slots are free.
+type Backlog struct{}
+
+// Name implements Scorer.
+func (Backlog) Name() string { return "backlog" }
+
+// Cost implements Scorer.
+func (Backlog) Cost(_ *Request, c *Candidate, _ int) time.Duration {
+	return time.Duration((c.PendingPrefill + c.OthersPending) * float64(c.PrefillPerToken))
+}
+
+// Homing sends prompts with the same beginning to the same server while no
+// daemon has cached it anywhere. Without it, each daemon would begin a cache of
+// its own on another server, and the prompt would be read once for each.
+type Homing struct {
+	// Step is the cost of one place further down the order.
+	Step time.Duration
+}
+
+// Name implements Scorer.
+func (Homing) Name() string { return "homing" }
+
+// Cost implements Scorer.
+func (h Homing) Cost(r *Request, _ *Candidate, index int) time.Duration {
+	return time.Duration(r.Home[index]) * h.Step
 }
 
 // Network is the round trip to the server.
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -27,6 +27,10 @@
 	// OthersInFlight estimates the mean work of other daemons there, from the
 	// server's lagged reports.
 	OthersInFlight float64
+	// PendingPrefill and OthersPending are the prompt tokens, own and of other
+	// daemons, sent to the server and not yet read, scaled by their model.
+	PendingPrefill float64
+	OthersPending  float64
 	// Wait is the recent delay of own first tokens beyond network and prefill,
 	// aged: the freshest sign of a queue.
 	Wait time.Duration
@@ -53,6 +57,12 @@
 	BlockTokens int
 	// CachedBlocks gives, per candidate index, the leading blocks believed cached.
 	CachedBlocks [MaxCandidates]uint8
+	// PrefillScale is how much longer the model takes over a prompt token than
+	// the one that PrefillPerToken is measured by; zero is 1.
+	PrefillScale float64
+	// Home orders, per candidate index, where a prompt nobody has cached should
+	// go: 0 first. Daemons agree on it without a word.
+	Home [MaxCandidates]uint8
 	// Tried marks, by candidate index, the servers of earlier attempts.
 	Tried uint64
 	// Budget is the time left to the first token; zero is unbounded.
