Sessions that were seen stay on the old version; the canary begins a second after the order

Cause: every streamed request carries a session, and sessions were held on the old version through the canary, so the new one got no request and no evidence; the order was rolled back at its deadline. Change: sessions seen within their span before the canary stay, new ones go by their hash; daemons tell each other the former.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -110,7 +110,7 @@
 	w := want{
 		service: x.service.Name, engine: x.service.Engine, model: x.wantedModel(), prompt: x.call.Prompt,
 		urgent: x.route.Priority == 0, budget: time.Until(x.deadline), tried: x.tried,
-		admits: x.relay.Rollouts.Admits(x.service.Name, x.call.Session, x.draw),
+		choice: x.relay.Rollouts.Admits(x.service.Name, x.call.Session, x.draw),
 	}
 	if x.service.Engine == nil {
 		w.model = ""
@@ -129,7 +129,7 @@
 
 // send makes one attempt. Done says that the caller has the final answer.
 func (x *exchange) send(ctx context.Context, t *target) (request.Outcome, bool) {
-	x.note("send", t, "expected_ms", t.expected.Milliseconds(), "uncached", t.uncached, "send", x.journey.Sends())
+	x.note("send", t, "expected_ms", t.expected.Milliseconds(), "uncached", t.uncached, "send", x.journey.Sends(), "session", x.call.Session)
 	began := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -52,8 +52,8 @@
 	urgent  bool
 	budget  time.Duration
 	tried   []string
-	// admits says whether a server's version may get the request.
-	admits func(version string) bool
+	// choice says which versions of servers may get the request.
+	choice Choice
 }
 
 // target is a chosen server and what is expected of it.
@@ -90,13 +90,20 @@
 		sv.picture.Prefix.Fill(&r)
 		homes(homeKey(w.model, w.prompt), candidates, &r)
 	}
-	mark(&r, candidates, sv, w)
+	mark(&r, candidates, sv, w, w.choice.Prefer)
 	dec := pipeline.Pick(&r, candidates, s.rng)
-	if dec.Index < 0 && unsuspect(candidates) {
+	if dec.Refusal == routing.NoCandidate {
+		mark(&r, candidates, sv, w, w.choice.Else)
+		dec = pipeline.Pick(&r, candidates, s.rng)
+	}
+	if dec.Refusal == routing.NoCandidate && unsuspect(candidates) {
 		// Every server that is left is suspect. A suspicion may be wrong, and
 		// refusing is certain to fail the request.
 		dec = pipeline.Pick(&r, candidates, s.rng)
 	}
+	if dec.Refusal == routing.TooLate {
+		return nil, fault.New(fault.Overloaded, "the first server of %s would begin after %s", w.service, dec.Expected.Round(time.Millisecond))
+	}
 	if dec.Index < 0 {
 		return nil, fault.New(fault.NoServer, "no server of %s is left", w.service)
 	}
@@ -117,11 +124,12 @@
 const leastConnections = 6
 
 // mark excludes servers that were tried or whose version may not be used.
-func mark(r *routing.Request, candidates []routing.Candidate, sv *service, w *want) {
+func mark(r *routing.Request, candidates []routing.Candidate, sv *service, w *want, admits func(string) bool) {
+	r.Tried = 0
 	for i := range candidates {
 		id := candidates[i].ID
 		server, known := sv.servers[id]
-		if !known || slices.Contains(w.tried, id) || !w.admits(server.Version) || !holds(server, w.model) {
+		if !known || slices.Contains(w.tried, id) || !admits(server.Version) || !holds(server, w.model) {
 			r.Tried |= 1 << i
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,9 @@
 	BudgetWindow  time.Duration
 	BudgetRatio   float64
 	BudgetReserve float64
+	// SessionSpan is how long after each other requests of a session belong
+	// together.
+	SessionSpan time.Duration
 }
 
 const (
@@ -60,7 +63,7 @@
 // New returns a relay.
 func New(s *State, b Backend, rules Rules, m *Metrics, l *log.Logger) *Relay {
 	r := &Relay{
-		State: s, Rollouts: NewRollouts(l), Metrics: m, backend: b, rules: rules, log: l,
+		State: s, Rollouts: NewRollouts(rules.SessionSpan, l), Metrics: m, backend: b, rules: rules, log: l,
 		shares: map[string]*request.Share{}, ladders: map[string]*cascade.Ladder{},
 	}
 	r.watch = newWatch(s, b, l, m)
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +20,8 @@
 
 	mu     sync.Mutex
 	orders map[string]*order
+	// seen remembers sessions for as long as their requests belong together.
+	seen sessions
 	// settled is what the store says of orders, by service. It may be read
 	// before the order itself.
 	settled map[string]settled
@@ -39,6 +43,48 @@
 	peers map[string]OrderReport
 	// oldRunning counts own requests on old servers.
 	oldRunning int
+	// sessions are those that this daemon saw shortly before the canary began
+	// and that its share would move.
+	sessions map[uint64]bool
+}
+
+// sessions remembers when the sessions of a service were last seen.
+type sessions struct {
+	// span is how long requests of a session belong together.
+	span time.Duration
+	last map[string]map[uint64]time.Time
+	next time.Time
+}
+
+// add remembers a session, and now and then forgets old ones.
+func (s *sessions) add(service string, session uint64, now time.Time) {
+	if s.last[service] == nil {
+		s.last[service] = map[uint64]time.Time{}
+	}
+	s.last[service][session] = now
+	if now.Before(s.next) {
+		return
+	}
+	s.next = now.Add(s.span)
+	for _, of := range s.last {
+		for id, at := range of {
+			if now.Sub(at) > s.span {
+				delete(of, id)
+			}
+		}
+	}
+}
+
+// recent lists the sessions of a service that a share of the canary's size moves.
+func (s *sessions) recent(service string, now time.Time) map[uint64]bool {
+	out := map[uint64]bool{}
+	share := rollout.DefaultCourse().Share(rollout.Canary) * shareGrain
+	for id, at := range s.last[service] {
+		if now.Sub(at) <= s.span && float64(id>>versionShift%shareGrain) < share {
+			out[id] = true
+		}
+	}
+	return out
 }
 
 // OrderReport is what one daemon tells the others of an order.
@@ -49,11 +95,17 @@
 	SinceMs    int64            `cbor:"4,keyasint"`
 	OldRunning int              `cbor:"5,keyasint"`
 	Cells      rollout.Evidence `cbor:"6,keyasint,omitempty"`
+	// Sessions are those that were on the old version when the canary began.
+	Sessions []uint64 `cbor:"7,keyasint,omitempty"`
 }
 
-// NewRollouts returns a keeper without orders.
-func NewRollouts(l *log.Logger) *Rollouts {
-	return &Rollouts{log: l, orders: map[string]*order{}, settled: map[string]settled{}}
+// NewRollouts returns a keeper without orders. Requests of a session that follow
+// each other within the span belong together.
+func NewRollouts(sessionSpan time.Duration, l *log.Logger) *Rollouts {
+	return &Rollouts{
+		log: l, orders: map[string]*order{}, settled: map[string]settled{},
+		seen: sessions{span: sessionSpan, last: map[string]map[uint64]time.Time{}},
+	}
 }
 
 // Ordered takes an order. One that is known or older than a known one changes
@@ -102,33 +154,68 @@
 	o.phase = p
 }
 
-// Admits returns which versions of a service's servers a request may use.
+// Choice is which versions of a service's servers a request may use.
+type Choice struct {
+	// Prefer admits the versions that the request should use.
+	Prefer func(version string) bool
+	// Else admits those it may use if no server of a preferred one is there.
+	Else func(version string) bool
+}
+
+func everyVersion(string) bool { return true }
+
+// Admits chooses between the versions of a service's servers.
 //
-// A request with a session must not be moved before the half of an order's time,
-// so it stays on the old version in the canary phase, and later goes by its
-// session's hash, which every daemon computes alike. The share only grows, so no
-// session goes back.
-func (r *Rollouts) Admits(service, session string, draw uint64) func(version string) bool {
+// A session must not be moved to the new version before the half of an order's
+// time. So sessions seen shortly before stay on the old version in the canary
+// phase, and those that begin in it go by their hash, which every daemon computes
+// alike. The share only grows, so no session goes back.
+func (r *Rollouts) Admits(service, session string, draw uint64) Choice {
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if session != "" {
+		draw = xxhash.Sum64String(session)
+		defer r.seen.add(service, draw, now)
+	}
 	o := r.orders[service]
 	if o == nil {
-		return func(string) bool { return true }
+		return Choice{everyVersion, everyVersion}
 	}
 	target := o.Target
 	onNew := func(v string) bool { return v == target }
 	onOld := func(v string) bool { return v != target }
-	if session != "" {
-		if o.phase == rollout.Canary {
-			return onOld
-		}
-		draw = xxhash.Sum64String(session)
+	if o.phase == rollout.RolledBack {
+		return Choice{onOld, onOld}
 	}
 	share := rollout.DefaultCourse().Share(o.phase)
-	if float64(draw>>versionShift%shareGrain) < share*shareGrain {
-		return onNew
+	if o.phase == rollout.Canary && (now.Sub(o.since) < canaryDelay || session != "" && o.kept(draw)) {
+		share = 0
 	}
-	return onOld
+	if float64(draw>>versionShift%shareGrain) >= share*shareGrain {
+		if o.phase == rollout.Canary && session != "" {
+			return Choice{onOld, onOld}
+		}
+		return Choice{onOld, everyVersion}
+	}
+	return Choice{onNew, everyVersion}
+}
+
+// canaryDelay is the time before the first request goes to a new version. In it
+// the daemons tell each other which sessions they saw, and new servers register.
+const canaryDelay = 1200 * time.Millisecond
+
+// kept reports whether a session was on the old version before the canary began.
+func (o *order) kept(session uint64) bool {
+	if o.sessions[session] {
+		return true
+	}
+	for _, p := range o.peers {
+		if slices.Contains(p.Sessions, session) {
+			return true
+		}
+	}
+	return false
 }
 
 // versionShift takes other bits of the draw than the choice of the service does,
@@ -173,9 +260,13 @@
 			continue
 		}
 		o.oldRunning = running(o.Service, o.Target)
+		if o.phase == rollout.Canary && time.Since(o.since) < canaryDelay {
+			// Until the canary begins every session is on the old version.
+			o.sessions = r.seen.recent(o.Service, time.Now())
+		}
 		out = append(out, OrderReport{
 			Service: o.Service, Offset: o.Offset, Phase: o.phase, SinceMs: time.Since(o.since).Milliseconds(),
-			OldRunning: o.oldRunning, Cells: o.cells(),
+			OldRunning: o.oldRunning, Cells: o.cells(), Sessions: slices.Collect(maps.Keys(o.sessions)),
 		})
 	}
 	return out
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -59,6 +59,9 @@
 	LeastRequests int64
 	// Alarm is the e-value that rolls back; see Rules.Alarm.
 	Alarm float64
+	// RobustAlarm is the e-value that must be left without any one server; see
+	// Rules.RobustAlarm.
+	RobustAlarm float64
 	// FewestBad is how many bad answers a roll-back needs: single ones happen on
 	// any version.
 	FewestBad int64
@@ -72,6 +75,7 @@
 		FinishBy:      0.86,
 		LeastRequests: 20,
 		Alarm:         100,
+		RobustAlarm:   3,
 		FewestBad:     4,
 	}
 }
@@ -128,7 +132,11 @@
 		if events < c.FewestBad {
 			continue
 		}
-		if level := e.LogE(s, nil); level >= math.Log(c.Alarm) {
+		level := e.LogE(s, nil)
+		if least, _ := e.Robust(s); least < math.Log(c.RobustAlarm) {
+			continue // one server or failure domain may be to blame
+		}
+		if level >= math.Log(c.Alarm) {
 			return fmt.Sprintf("%s: %d of %d on the new version, e-value 10^%.1f", s, events, trials, level/math.Ln10)
 		}
 	}
