Time to the first event learned by model; placing by the time to read what waits

Cause: placing counted all models alike, and a full service time for each running request, so expected times were ten times too long and prompts of slow models piled up on a few servers. Change: a fit of fixed and per-token time by model, backlog in time, engine scorers of their own.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -40,7 +40,7 @@
 	failed := reply.Status >= http.StatusInternalServerError
 	x.relay.Rollouts.observe(t, failed, x.slow(t, took))
 	if !failed {
-		x.relay.State.began(t, took)
+		x.relay.State.began(t, took, x.service.Engine != nil)
 	}
 	if failed {
 		x.failure = a
@@ -65,7 +65,7 @@
 const slowLeast = 150 * time.Millisecond
 
 func (x *exchange) slow(t *target, took time.Duration) bool {
-	first, _ := x.relay.State.typical(t)
+	first, _ := x.relay.State.typical(t, x.service.Engine != nil)
 	return first > 0 && took > slowLeast && took.Seconds() > slowFactor*first
 }
 
@@ -118,7 +118,7 @@
 	x.note("streamed", s.t, "last_event", x.last, "events", s.events, "first_ms", x.firstEvent.Sub(x.call.Received).Milliseconds())
 	if s.events > 1 {
 		gap := time.Since(s.first) / time.Duration(s.events-1)
-		_, usual := x.relay.State.typical(s.t)
+		_, usual := x.relay.State.typical(s.t, true)
 		slow := usual > 0 && gap.Seconds() > slowFactor*usual && gap > slowGap
 		x.relay.Rollouts.observe(s.t, false, slow || s.slowFirst)
 		x.relay.State.paced(s.t, gap)
@@ -239,7 +239,7 @@
 	s.first = time.Now()
 	took := s.first.Sub(s.began)
 	s.slowFirst = s.x.slow(s.t, took)
-	s.x.relay.State.began(s.t, took)
+	s.x.relay.State.began(s.t, took, true)
 	if !s.x.firstEvent.IsZero() {
 		return
 	}
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -10,31 +11,60 @@
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
 
-// paces learns how a service's models compare: the time over a prompt token,
-// relative to the smallest, and between events.
+// paces learns how fast a service's models are.
 type paces map[string]*pace
 
 type pace struct {
-	// scale is the prefill time relative to the service's mean token.
-	scale float64
+	// line is the time to the first event by uncached tokens.
+	line *routing.Line
 	// gap is the mean time between events in seconds.
 	gap float64
-	// first is the mean time to the first event in seconds.
+	// first is the mean time to the answer of a plain service in seconds.
 	first float64
 }
 
+const (
+	// firstFixed and firstPerToken are assumed of the cheapest model before the
+	// first sample, the latter times the relation of the models' costs.
+	firstFixed    = 60 * time.Millisecond
+	firstPerToken = 5 * time.Microsecond
+	// costPower turns the relation of costs into one of times: dearer models
+	// cost somewhat more than the time they take.
+	costPower = 0.85
+	// referenceToken is the time for one token that pending work is counted in:
+	// a model that takes twice as long counts double.
+	referenceToken = 10 * time.Microsecond
+)
+
 // paceWeight is the weight of a new sample: about the last 20 count.
 const paceWeight = 0.05
 
-func (p paces) of(model string) *pace {
+func (p paces) of(model string, e *route.Engine) *pace {
 	v := p[model]
 	if v == nil {
-		v = &pace{scale: 1}
+		v = &pace{line: routing.NewLine(firstFixed, time.Duration(costRatio(model, e)*float64(firstPerToken)))}
 		p[model] = v
 	}
 	return v
 }
 
+// costRatio relates a model's cost to the cheapest one's.
+func costRatio(model string, e *route.Engine) float64 {
+	if e == nil || e.Cost[model] <= 0 {
+		return 1
+	}
+	least := e.Cost[model]
+	for _, c := range e.Cost {
+		if c > 0 {
+			least = min(least, c)
+		}
+	}
+	return math.Pow(e.Cost[model]/least, costPower)
+}
+
+// scale is how much longer the model takes over a token than the reference.
+func (p *pace) scale() float64 { return float64(p.line.PerToken()) / float64(referenceToken) }
+
 func mean(old *float64, sample float64) {
 	if *old == 0 {
 		*old = sample
@@ -67,6 +97,10 @@
 	// spare says that the server had a free slot, so that its speed speaks for
 	// its version and not for the load.
 	spare bool
+	// idle says that the server had no prompt to read.
+	idle bool
+	// ahead is the backlog that was expected there.
+	ahead time.Duration
 	// connections is this daemon's part of the server's connections.
 	connections int
 	urgent      bool
@@ -78,10 +112,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sv := s.serviceOf(w.service)
+	pc := sv.pace.of(w.model, w.engine)
+	if w.engine != nil {
+		sv.picture.ReadAt(referenceToken)
+	}
 	candidates := sv.picture.Snapshot(nil, now)
 	r := routing.Request{
 		PromptTokens: w.prompt.Tokens, BlockTokens: blockTokens, Urgent: w.urgent,
-		PrefillScale: sv.pace.of(w.model).scale,
+		PrefillScale: pc.scale(),
 	}
 	pipeline := routing.Default()
 	if w.engine != nil {
@@ -113,9 +151,11 @@
 		server: sv.servers[c.ID], service: w.service, model: w.model, expected: dec.Expected, urgent: w.urgent,
 		uncached:    max(0, w.prompt.Tokens-int(r.CachedBlocks[dec.Index])*blockTokens),
 		spare:       float64(c.InFlight)+c.OthersInFlight < float64(c.Slots),
+		idle:        c.PendingPrefill+c.OthersPending == 0,
 		connections: max(leastConnections, maxConns/(s.daemons+1)),
 	}
 	t.pending = float64(t.uncached) * r.PrefillScale
+	t.ahead = time.Duration((c.PendingPrefill + c.OthersPending) * float64(referenceToken))
 	sv.picture.Pending(c.ID, t.pending)
 	return t, nil
 }
@@ -150,11 +190,19 @@
 }
 
 // began books the first event or the answer of a send.
-func (s *State) began(t *target, took time.Duration) {
+func (s *State) began(t *target, took time.Duration, engine bool) {
 	s.with(t.service, func(sv *service) {
 		s.read(sv, t)
-		sv.picture.FirstToken(t.server.ID, took, int(float64(t.uncached)*sv.pace.of(t.model).scale), time.Now())
-		mean(&sv.pace.of(t.model).first, took.Seconds())
+		p := sv.pace.of(t.model, nil)
+		if !engine {
+			sv.picture.FirstToken(t.server.ID, took, 0, time.Now())
+			mean(&p.first, took.Seconds())
+			return
+		}
+		sv.picture.Late(t.server.ID, took-t.ahead-p.line.At(t.uncached), time.Now())
+		if t.idle {
+			p.line.Sample(t.uncached, took)
+		}
 	})
 }
 
@@ -177,16 +225,19 @@
 	s.with(t.service, func(sv *service) { sv.picture.Unreachable(t.server.ID, time.Now()) })
 }
 
-// typical returns the mean time to the first event and between events.
-func (s *State) typical(t *target) (first, gap float64) {
+// typical returns the usual time to the first event or answer, in seconds.
+func (s *State) typical(t *target, engine bool) (first, gap float64) {
 	s.with(t.service, func(sv *service) {
-		p := sv.pace.of(t.model)
+		p := sv.pace.of(t.model, nil)
 		first, gap = p.first, p.gap
+		if engine {
+			first = (t.ahead + p.line.At(t.uncached)).Seconds()
+		}
 	})
 	return first, gap
 }
 
 // paced books the mean time between the events of a stream.
 func (s *State) paced(t *target, gap time.Duration) {
-	s.with(t.service, func(sv *service) { mean(&sv.pace.of(t.model).gap, gap.Seconds()) })
+	s.with(t.service, func(sv *service) { mean(&sv.pace.of(t.model, nil).gap, gap.Seconds()) })
 }
--- a/internal/routing/picture.go
+++ b/internal/routing/picture.go
@@ -377,6 +377,25 @@
 	s.othersAt = now
 }
 
+// Late records how much later than expected a first token came.
+func (p *Picture) Late(id string, excess time.Duration, now time.Time) {
+	s := p.find(id)
+	if s == nil {
+		return
+	}
+	s.silent, s.suspectUntil = 0, time.Time{}
+	old := time.Duration(float64(s.wait) * decay(now.Sub(s.waitAt), waitHalfLife))
+	s.wait = old + time.Duration(waitWeight*float64(max(0, excess)-old))
+	s.waitAt = now
+}
+
+// ReadAt sets the time for one prompt token on all servers.
+func (p *Picture) ReadAt(perToken time.Duration) {
+	for i := range p.servers {
+		p.servers[i].PrefillPerToken = perToken
+	}
+}
+
 // Pending adds prompt tokens that a server was sent and has not read, or takes
 // them off.
 func (p *Picture) Pending(id string, tokens float64) {
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -39,17 +39,28 @@
 	}
 }
 
-// homingStep is the cost of one place down the order of homes. It is above the
-// tie window, so that like loads go home, and below the cost of reading a prompt
-// of a few hundred tokens, so that a busy home is passed over.
-const homingStep = 3 * time.Millisecond
+const (
+	// homingStep is the cost of one place down the order of homes. It is above
+	// the tie window, so that like loads go home, and below the cost of reading a
+	// shared prompt again, so that a busy home is passed over.
+	homingStep = 4 * time.Millisecond
+	// batchCost is what one running request costs a new one: a step of some
+	// milliseconds grows by a fiftieth, over some hundred steps.
+	batchCost = 4 * time.Millisecond
+)
 
 // Engines returns the pipeline for model engines whose work all daemons tell
-// each other.
+// each other. Reading prompts takes most of an engine's time, so the prompts that
+// wait to be read are what tells a busy server from an idle one.
 func Engines() Pipeline {
-	p := Default()
-	p.Scorers = append(p.Scorers, Backlog{}, Homing{Step: homingStep})
-	return p
+	return Pipeline{
+		Filters: []Filter{Live{}, Untried{}},
+		Scorers: []Scorer{
+			Backlog{}, Prefill{}, Network{}, Batch{PerRequest: batchCost}, Full{}, Lateness{},
+			Reliability{RetryCost: defaultRetryCost}, Homing{Step: homingStep},
+		},
+		TieWindow: defaultTieWindow,
+	}
 }
 
 // Pick chooses among candidates. A request whose best expected time exceeds its
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -143,3 +143,44 @@
 func (s Reliability) Cost(_ *Request, c *Candidate, _ int) time.Duration {
 	return time.Duration(c.ErrorRate * float64(s.RetryCost))
 }
+
+// Batch is what the requests that run on an engine cost a new one: each makes
+// every step of the batch a little longer.
+type Batch struct {
+	// PerRequest is the cost of one running request.
+	PerRequest time.Duration
+}
+
+// Name implements Scorer.
+func (Batch) Name() string { return "batch" }
+
+// Cost implements Scorer.
+func (b Batch) Cost(_ *Request, c *Candidate, _ int) time.Duration {
+	return time.Duration((float64(c.InFlight) + c.OthersInFlight) * float64(b.PerRequest))
+}
+
+// Full is the wait for a slot of an engine whose batch is full.
+type Full struct{}
+
+// Name implements Scorer.
+func (Full) Name() string { return "full" }
+
+// Cost implements Scorer.
+func (Full) Cost(_ *Request, c *Candidate, _ int) time.Duration {
+	over := float64(c.InFlight) + c.OthersInFlight + 1 - float64(c.Slots)
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over / float64(max(c.Slots, 1)) * float64(c.ServiceTime))
+}
+
+// Lateness is how much later than expected first tokens came from the server
+// lately. It tells of what no count of requests shows: a machine that has turned
+// slow, or memory that has run out.
+type Lateness struct{}
+
+// Name implements Scorer.
+func (Lateness) Name() string { return "lateness" }
+
+// Cost implements Scorer.
+func (Lateness) Cost(_ *Request, c *Candidate, _ int) time.Duration { return c.Wait }
