--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -29,7 +29,7 @@
 // returnWindow is how long after the store's return an entry that lapsed during
 // the outage may still come back: servers that live write theirs within about
 // two seconds. A server without an entry after that is gone.
-const returnWindow = 2500 * time.Millisecond
+const returnWindow = 2300 * time.Millisecond
 
 // entry is a server and, if its record lapsed around an outage, until when it
 // still counts.
@@ -116,5 +116,17 @@
 	return out
 }
 
+// NextExpiry returns when the next lapsed server is to be taken as gone, and
+// whether there is one.
+func (r *Registry) NextExpiry() (time.Duration, bool) {
+	next, any := time.Duration(0), false
+	for _, e := range r.entries {
+		if e.lapsed && (!any || e.until < next) {
+			next, any = e.until, true
+		}
+	}
+	return next, any
+}
+
 // Len returns the number of servers.
 func (r *Registry) Len() int { return len(r.entries) }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -111,6 +111,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expire()
 	sv := s.serviceOf(w.service)
 	pc := sv.pace.of(w.model, w.engine)
 	if w.engine != nil {
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -37,6 +37,8 @@
 	daemon   string
 	// daemons is how many daemons share the servers' connections.
 	daemons int
+	// expiry is when a lapsed server is to be taken as gone; zero if none is.
+	expiry time.Duration
 }
 
 // service is the picture of one service's servers.
@@ -119,9 +121,30 @@
 	defer s.mu.Unlock()
 	change(s.registry, now)
 	s.listed = true
+	s.refreshAll(now)
+}
+
+func (s *State) refreshAll(now time.Duration) {
 	for name := range s.services {
 		s.refresh(name, now)
 	}
+	s.expiry = 0
+	if next, any := s.registry.NextExpiry(); any {
+		s.expiry = next
+	}
+}
+
+// expire drops servers that lapsed and did not come back in time. No record tells
+// of that moment, so it is looked for before each choice of a server: a server
+// that left without a word would else get requests until the next record comes.
+// Callers hold mu.
+func (s *State) expire() {
+	if s.expiry == 0 {
+		return
+	}
+	if now := s.boot(); now >= s.expiry {
+		s.refreshAll(now)
+	}
 }
 
 // refresh brings a service's picture to the registry. Callers hold mu.
