Daemons tell each other where they placed shared beginnings of prompts

Cause: each daemon knew a sixth of what engines have cached and began caches of its own elsewhere. Change: placements ride on pulses, numbered by round; prefixes are remembered by part instead of by 256 tokens.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -37,6 +37,10 @@
 	// Known lists addresses of other daemons, so that one that can reach any
 	// daemon finds all.
 	Known []string `cbor:"12,keyasint,omitempty"`
+	// Placed are prompts placed in the last round, and PlacedRound its number:
+	// a pulse may arrive twice or answer several calls.
+	Placed      []relay.Placed `cbor:"13,keyasint,omitempty"`
+	PlacedRound uint64         `cbor:"14,keyasint,omitempty"`
 }
 
 const (
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -119,13 +119,13 @@
 	}
 	candidates := sv.picture.Snapshot(nil, now)
 	r := routing.Request{
-		PromptTokens: w.prompt.Tokens, BlockTokens: blockTokens, Urgent: w.urgent,
+		PromptTokens: w.prompt.Tokens, Urgent: w.urgent,
 		PrefillScale: pc.scale(),
 	}
 	pipeline := routing.Default()
 	if w.engine != nil {
 		pipeline = routing.Engines()
-		r.Blocks = blocks(w.model, w.prompt)
+		r.Blocks, r.BlockEnds = blocks(w.model, w.prompt.Parts)
 		sv.picture.Prefix.Fill(&r)
 		homes(homeKey(w.model, w.prompt), candidates, &r)
 	}
@@ -150,7 +150,7 @@
 	sv.picture.Dispatched(c.ID, r.Blocks, w.urgent, now)
 	t := &target{
 		server: sv.servers[c.ID], service: w.service, model: w.model, expected: dec.Expected, urgent: w.urgent,
-		uncached:    max(0, w.prompt.Tokens-int(r.CachedBlocks[dec.Index])*blockTokens),
+		uncached:    r.Uncached(dec.Index),
 		spare:       float64(c.InFlight)+c.OthersInFlight < float64(c.Slots),
 		idle:        c.PendingPrefill+c.OthersPending == 0,
 		connections: max(leastConnections, maxConns/(s.daemons+1)),
@@ -158,6 +158,10 @@
 	t.pending = float64(t.uncached) * r.PrefillScale
 	t.ahead = time.Duration((c.PendingPrefill + c.OthersPending) * float64(referenceToken))
 	sv.picture.Pending(c.ID, t.pending)
+	if shared := len(r.Blocks) - 1; shared > 0 && len(s.placed) < maxPlaced {
+		// The last part is the request's own; no other daemon meets it.
+		s.placed = append(s.placed, Placed{c.ID, r.Blocks[:shared]})
+	}
 	return t, nil
 }
 
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -15,14 +15,6 @@
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
 
-// blockTokens is the granularity in which cached prompts are remembered: about
-// forty blocks for the longest shared beginnings, which keeps the memory of one
-// request's blocks under half a kilobyte.
-const blockTokens = 256
-
-// maxBlocks bounds the remembered blocks of one prompt; CachedBlocks is a uint8.
-const maxBlocks = 64
-
 // State is what a daemon knows: the configuration, the servers and their load.
 type State struct {
 	table atomic.Pointer[route.Table]
@@ -37,6 +29,8 @@
 	daemon   string
 	// daemons is how many daemons share the servers' connections.
 	daemons int
+	// placed are placements not yet told to the other daemons.
+	placed []Placed
 	// expiry is when a lapsed server is to be taken as gone; zero if none is.
 	expiry time.Duration
 }
@@ -184,6 +178,37 @@
 	f(s.serviceOf(name))
 }
 
+// Placed is a prompt's shared beginning that a daemon sent to a server: the
+// chained hashes of its parts.
+type Placed struct {
+	Server string   `cbor:"1,keyasint"`
+	Blocks []uint64 `cbor:"2,keyasint"`
+}
+
+// maxPlaced bounds the placements kept for one round of telling the others.
+const maxPlaced = 256
+
+// Placements returns what this daemon placed since it was last asked.
+func (s *State) Placements() []Placed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.placed
+	s.placed = nil
+	return out
+}
+
+// TakePlacements books what other daemons placed. Without it each daemon knows a
+// sixth of what is cached where, and begins caches of its own.
+func (s *State) TakePlacements(list []Placed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range list {
+		for _, sv := range s.services {
+			sv.picture.Cached(p.Server, p.Blocks)
+		}
+	}
+}
+
 // Work is this daemon's unfinished work on one server.
 type Work struct {
 	Server  string  `cbor:"1,keyasint"`
@@ -219,19 +244,21 @@
 	}
 }
 
-// blocks returns the chained hashes of a prompt's shared beginning.
-func blocks(model string, p Prompt) []uint64 {
-	var out []uint64
+// maxParts bounds the parts of a prompt that are told apart.
+const maxParts = 16
+
+// blocks returns the chained hashes of a prompt's parts, and the tokens up to
+// the end of each. A part is cached only behind all parts before it.
+func blocks(model string, parts []Part) (hashes []uint64, ends []int) {
 	chain := xxhash.Sum64String(model)
 	tokens := 0
-	for _, part := range p.Parts {
+	for _, part := range parts[:min(len(parts), maxParts)] {
 		chain = chain*prime + part.ID
 		tokens += part.Tokens
-		for len(out) < tokens/blockTokens && len(out) < maxBlocks {
-			out = append(out, chain+uint64(len(out)))
-		}
+		hashes = append(hashes, chain)
+		ends = append(ends, tokens)
 	}
-	return out
+	return hashes, ends
 }
 
 // prime spreads the ids of parts over the chain; it is the odd golden ratio.
--- a/internal/routing/picture.go
+++ b/internal/routing/picture.go
@@ -377,6 +377,13 @@
 	s.othersAt = now
 }
 
+// Cached records prompt blocks that another daemon sent to a server.
+func (p *Picture) Cached(id string, blocks []uint64) {
+	if i, known := p.index[id]; known {
+		p.Prefix.Sent(i, blocks)
+	}
+}
+
 // Late records how much later than expected a first token came.
 func (p *Picture) Late(id string, excess time.Duration, now time.Time) {
 	s := p.find(id)
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -63,8 +63,20 @@
 
 // Cost implements Scorer.
 func (Prefill) Cost(r *Request, c *Candidate, index int) time.Duration {
-	missing := float64(max(r.PromptTokens-int(r.CachedBlocks[index])*r.BlockTokens, 0))
-	return time.Duration(missing * r.scale() * float64(c.PrefillPerToken))
+	return time.Duration(float64(r.Uncached(index)) * r.scale() * float64(c.PrefillPerToken))
+}
+
+// Uncached returns the prompt tokens that a candidate is believed not to have.
+func (r *Request) Uncached(index int) int {
+	n := int(r.CachedBlocks[index])
+	cached := n * r.BlockTokens
+	if len(r.BlockEnds) > 0 {
+		cached = 0
+		if n > 0 {
+			cached = r.BlockEnds[n-1]
+		}
+	}
+	return max(r.PromptTokens-cached, 0)
 }
 
 func (r *Request) scale() float64 {
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -55,6 +55,9 @@
 	Blocks []uint64
 	// BlockTokens is how many tokens one block spans.
 	BlockTokens int
+	// BlockEnds gives, for blocks of unlike length, the prompt tokens up to the
+	// end of each; BlockTokens is then not used.
+	BlockEnds []int
 	// CachedBlocks gives, per candidate index, the leading blocks believed cached.
 	CachedBlocks [MaxCandidates]uint8
 	// PrefillScale is how much longer the model takes over a prompt token than
