Waiting reads; one daemon confirms the configuration for all

Cause: six daemons each read the store every second for servers and to confirm the configuration. Change: reads wait for records; the confirmation's age is relayed; a follower behind another gives its read up.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -76,18 +77,49 @@
 	next   atomic.Uint64
 	loaded bool
 	fails  int
-	kick   chan struct{}
+
+	mu sync.Mutex
+	// interrupt ends the read that is waiting.
+	interrupt context.CancelFunc
+	// expected is how far another reader has come, and expectedAt since when
+	// this one is known to be behind.
+	expected   uint64
+	expectedAt time.Time
 }
 
-// Init prepares a follower for Kick before Run.
-func (f *Follower) Init() { f.kick = make(chan struct{}, 1) }
+// behindLimit is how long a follower may be behind another reader before its
+// waiting read is given up. Both hear of a record within some milliseconds; a
+// longer lag means that the connection has gone silent.
+const behindLimit = 250 * time.Millisecond
+
+// Expect tells that another reader has read up to an offset.
+func (f *Follower) Expect(next uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if next > f.expected {
+		f.expected = next
+		if f.expectedAt.IsZero() {
+			f.expectedAt = time.Now()
+		}
+	}
+}
 
-// Kick makes a pausing follower read at once.
-func (f *Follower) Kick() {
-	select {
-	case f.kick <- struct{}{}:
-	default:
+// Check gives up a waiting read that is behind another reader. Without it, a
+// connection that went silent would hide a change until the wait is over.
+func (f *Follower) Check(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.expected <= f.next.Load() {
+		f.expectedAt = time.Time{}
+		return
+	}
+	if now.Sub(f.expectedAt) < behindLimit || f.interrupt == nil {
+		return
 	}
+	f.Logger.Warn("behind another reader, reading anew", "topic", f.Topic, "next", f.next.Load(), "other", f.expected)
+	f.interrupt()
+	f.interrupt = nil
+	f.expectedAt = now
 }
 
 // Next returns the offset of the next record to read. A conditional append there
@@ -116,7 +148,6 @@
 	select {
 	case <-ctx.Done():
 	case <-t.C:
-	case <-f.kick:
 	}
 }
 
@@ -136,6 +167,9 @@
 	sent := f.Boot()
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+answerLimit)
 	defer cancel()
+	f.mu.Lock()
+	f.interrupt = cancel
+	f.mu.Unlock()
 	if !f.loaded {
 		return f.load(ctx, sent)
 	}
@@ -187,6 +221,25 @@
 	f.fails = 0
 }
 
+// Glance reads once without waiting, beside a read that waits. It confirms that
+// the follower is current, or gives up the waiting read if it is not.
+func (f *Follower) Glance(ctx context.Context) error {
+	sent := f.Boot()
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	next := f.next.Load()
+	_, end, err := f.Log.Read(ctx, f.Topic, next, 0)
+	if err != nil {
+		return err
+	}
+	if end <= next {
+		f.Confirmed(sent)
+		return nil
+	}
+	f.Expect(end)
+	return nil
+}
+
 // Put appends a record and waits for the answer for a bounded time.
 func Put(ctx context.Context, l Log, topic, key string, value []byte, at *uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -41,6 +41,10 @@
 	// a pulse may arrive twice or answer several calls.
 	Placed      []relay.Placed `cbor:"13,keyasint,omitempty"`
 	PlacedRound uint64         `cbor:"14,keyasint,omitempty"`
+	// OperatorNext and ServersNext are how far the daemon has read the
+	// operator's records and the servers' entries.
+	OperatorNext uint64 `cbor:"15,keyasint,omitempty"`
+	ServersNext  uint64 `cbor:"16,keyasint,omitempty"`
 }
 
 const (
@@ -77,9 +81,11 @@
 	self  func() Pulse
 	links *peer.Links
 	log   *log.Logger
-	// Heard is told every pulse. SentAt is when the call was made that it
-	// answers, or zero for one that came by itself.
-	Heard func(p Pulse, sentAt time.Time)
+	// Heard is told every pulse. SentAt is the reading of Boot before the call
+	// that it answers, or zero for one that came by itself.
+	Heard func(p Pulse, sentAt time.Duration)
+	// Boot reads a clock that counts while the machine is suspended.
+	Boot func() time.Duration
 
 	mu    sync.Mutex
 	all   map[string]*member
@@ -91,9 +97,9 @@
 }
 
 // New returns members that know the daemon's own address only.
-func New(address, incarnation string, self func() Pulse, links *peer.Links, l *log.Logger) *Members {
+func New(address, incarnation string, self func() Pulse, links *peer.Links, boot func() time.Duration, l *log.Logger) *Members {
 	return &Members{
-		self: self, links: links, log: l, where: address, incarnation: incarnation, Heard: func(Pulse, time.Time) {},
+		self: self, links: links, log: l, where: address, incarnation: incarnation, Heard: func(Pulse, time.Duration) {}, Boot: boot,
 		all: map[string]*member{}, left: map[string]time.Time{},
 	}
 }
@@ -101,7 +107,7 @@
 // Register makes a peer server answer pulses.
 func (m *Members) Register(s *peer.Server) {
 	peer.Handle(s, kind, func(_ context.Context, _ string, p Pulse) (Pulse, error) {
-		m.take(p.Address, p, time.Time{})
+		m.take(p.Address, p, 0)
 		return m.tell(), nil
 	})
 }
@@ -133,7 +139,7 @@
 	return p
 }
 
-func (m *Members) take(address string, p Pulse, sentAt time.Time) {
+func (m *Members) take(address string, p Pulse, sentAt time.Duration) {
 	m.Learn(append(p.Known, address)...)
 	now := time.Now()
 	m.mu.Lock()
@@ -223,7 +229,7 @@
 func (m *Members) call(ctx context.Context, o *member) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt, sentBoot := time.Now(), m.Boot()
 	p, err := peer.Call[Pulse, Pulse](ctx, m.links, o.address, kind, m.tell())
 	m.mu.Lock()
 	o.calling = false
@@ -233,7 +239,7 @@
 		m.log.Warn("daemon lost", "daemon", o.pulse.Name, "address", o.address, "err", err)
 	}
 	if err == nil {
-		m.take(o.address, p, sentAt)
+		m.take(o.address, p, sentBoot)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,7 +57,8 @@
 	shares  map[string]*request.Share
 	ladders map[string]*cascade.Ladder
 	active  int
-	leaving bool
+	// end is when the daemon stops; zero while it does not leave.
+	end time.Time
 }
 
 // New returns a relay.
@@ -76,10 +77,12 @@
 // Heard records that bytes came from a server's address.
 func (r *Relay) Heard(address string) { r.watch.heard(address) }
 
-// Leave makes the relay refuse requests that could outlast the daemon.
-func (r *Relay) Leave() {
+// Leave makes the relay refuse requests that might not be answered by the end of
+// the daemon: a request that is read and then cut may have run, and its caller
+// cannot know.
+func (r *Relay) Leave(end time.Time) {
 	r.mu.Lock()
-	r.leaving = true
+	r.end = end
 	r.mu.Unlock()
 }
 
@@ -136,7 +139,7 @@
 func (r *Relay) Serve(ctx context.Context, c *Call, out Caller) {
 	r.mu.Lock()
 	r.active++
-	leaving := r.leaving
+	end := r.end
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
@@ -144,7 +147,7 @@
 		r.mu.Unlock()
 	}()
 	r.Metrics.Requests.Inc(1)
-	x, refusal := r.admit(c, leaving)
+	x, refusal := r.admit(c, end)
 	if refusal != nil {
 		r.refused(c, out, refusal)
 		return
@@ -167,7 +170,7 @@
 }
 
 // admit finds what a call may use, or says why it may not.
-func (r *Relay) admit(c *Call, leaving bool) (*exchange, *fault.Error) {
+func (r *Relay) admit(c *Call, end time.Time) (*exchange, *fault.Error) {
 	t := r.State.Table()
 	if t == nil || !r.State.Known() {
 		return nil, fault.New(fault.ConfigurationStale, "no configuration is known yet").After(staleRetry)
@@ -195,7 +198,7 @@
 	}
 	x.service = t.Services[rt.Service(x.draw)]
 	x.deadline = deadline(c, rt)
-	if leaving && x.deadline.After(time.Now().Add(leavingLimit)) {
+	if !end.IsZero() && x.deadline.After(end) {
 		return nil, fault.New(fault.ShuttingDown, "this daemon is leaving").After(leavingRetry)
 	}
 	x.journey = request.Journey{Repeatable: rt.Repeatable(), MaxRuns: rt.Attempts, Deadline: x.deadline}
@@ -206,9 +209,6 @@
 	// staleRetry and leavingRetry are when to come back to another daemon.
 	staleRetry   = 100 * time.Millisecond
 	leavingRetry = 10 * time.Millisecond
-	// leavingLimit is the longest request that a daemon close to its end takes:
-	// it can still be answered before the process is killed.
-	leavingLimit = 2200 * time.Millisecond
 )
 
 func (r *Relay) keysFresh() bool {
