One follower knocks at a store that refuses; of two daemons one calls; smaller heap

Cause: calls that a store refuses are paid for, pulses went both ways between each pair, and memory at its peak is dear.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -58,10 +58,11 @@
 type Follower struct {
 	Log   Log
 	Topic string
-	// Wait is how long a read waits for a record. Zero reads what is there and
-	// then pauses for Every.
-	Wait  time.Duration
-	Every time.Duration
+	// Wait is how long a read waits for a record.
+	Wait time.Duration
+	// Gather is the pause after a read that brought records: records that come in
+	// a burst are then read together instead of one a call.
+	Gather time.Duration
 	// Boot reads a clock that counts while the machine is suspended.
 	Boot func() time.Duration
 	// Apply takes records in the order of the log. Whole says that they are all
@@ -73,10 +74,16 @@
 	// for the first time.
 	Healed func()
 	Logger *log.Logger
+	// After is another follower of the same log. While it gets no answer, this
+	// one does not ask either: one that knocks is enough to learn that the log
+	// is back, and every refused call is paid for.
+	After *Follower
 
 	next   atomic.Uint64
 	loaded bool
 	fails  int
+	// away says that the last read failed.
+	away atomic.Bool
 
 	mu sync.Mutex
 	// interrupt ends the read that is waiting.
@@ -129,16 +136,27 @@
 // Run follows the topic until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := f.Every
+		before := f.next.Load()
 		if err := f.step(ctx); err != nil {
-			pause = f.failed(ctx, err)
-		} else if f.Wait > 0 {
-			pause = 0
+			f.sleep(ctx, f.failed(ctx, err))
+			f.await(ctx)
+		} else if f.next.Load() != before {
+			f.sleep(ctx, f.Gather)
 		}
-		f.sleep(ctx, pause)
 	}
 }
 
+// await waits while the follower that this one goes after gets no answer.
+func (f *Follower) await(ctx context.Context) {
+	for f.After != nil && f.After.away.Load() && ctx.Err() == nil {
+		f.sleep(ctx, awaitStep)
+	}
+}
+
+// awaitStep is how often it is looked at: short against what a change may take
+// to be in force.
+const awaitStep = 50 * time.Millisecond
+
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -156,6 +174,7 @@
 		return 0
 	}
 	f.fails++
+	f.away.Store(true)
 	if f.fails == 1 {
 		f.Logger.Warn("store lost", "topic", f.Topic, "next", f.next.Load(), "err", err)
 	}
@@ -219,6 +238,7 @@
 		}
 	}
 	f.fails = 0
+	f.away.Store(false)
 }
 
 // Glance reads once without waiting, beside a read that waits. It confirms that
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -51,6 +51,11 @@
 	// Every is the pause between two rounds. The work of others is known that
 	// late; requests take a second, so it tells of most of them.
 	Every = 250 * time.Millisecond
+	// justHeard is the age of a pulse up to which its daemon is not called: of two
+	// daemons one calls.
+	justHeard = 200 * time.Millisecond
+	// knownEvery is how often the addresses of other daemons are told.
+	knownEvery = 2 * time.Second
 	// callLimit bounds one call. Round trips are some milliseconds.
 	callLimit = 700 * time.Millisecond
 	// silentAfter is the silence after which a daemon is taken as gone: several
@@ -94,6 +99,7 @@
 	// incarnation names this run, so that word of ourselves is told apart.
 	incarnation string
 	turn        int
+	knownTold   time.Time
 }
 
 // New returns members that know the daemon's own address only.
@@ -131,6 +137,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
+	if now.Sub(m.knownTold) < knownEvery {
+		return p
+	}
+	m.knownTold = now
 	for _, o := range m.all {
 		if now.Sub(o.heard) < silentAfter {
 			p.Known = append(p.Known, o.address)
@@ -205,6 +215,9 @@
 			continue
 		}
 		quiet := now.Sub(o.heard) > silentAfter
+		if now.Sub(o.heard) < justHeard {
+			continue // a call carries word both ways
+		}
 		if o.calling || quiet && now.Sub(o.tried) < retryEvery {
 			continue
 		}
