Answered work is taken off its server; no larger model that would begin late

Cause: only failed sends were taken off a server, so placing went by all that had been sent since the start.

--- a/internal/cascade/ladder.go
+++ b/internal/cascade/ladder.go
@@ -54,11 +54,21 @@
 	return 0
 }
 
+// lateConfidence is asked for when the larger model's first event is expected
+// after the latency target. A late answer has lost most of its value, so that one
+// which is right half of the time and comes in time is worth more.
+const lateConfidence = 42
+
 // Next returns the model to ask after one answered with a confidence, or the
-// same if its answer may stand. The middle sizes are skipped: they are right
-// hardly more often than the smallest. A negative confidence is none stated.
-func (l *Ladder) Next(models, at int, confidence float64) int {
-	if at >= models-1 || confidence < 0 || confidence >= l.Threshold() {
+// same if its answer may stand. Late says that the larger model would begin after
+// the latency target. The middle sizes are skipped: they are right hardly more
+// often than the smallest. A negative confidence is none stated.
+func (l *Ladder) Next(models, at int, confidence float64, late bool) int {
+	asked := l.Threshold()
+	if late {
+		asked = math.Min(asked, lateConfidence)
+	}
+	if at >= models-1 || confidence < 0 || confidence >= asked {
 		return at
 	}
 	return models - 1
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -58,9 +58,9 @@
 	knownEvery = 2 * time.Second
 	// callLimit bounds one call. Round trips are some milliseconds.
 	callLimit = 700 * time.Millisecond
-	// silentAfter is the silence after which a daemon is taken as gone: several
+	// silentAfter is the silence after which a daemon is taken as gone: some
 	// rounds, so that one lost packet does not take it out of the directory.
-	silentAfter = 1300 * time.Millisecond
+	silentAfter = 950 * time.Millisecond
 	// forgetAfter drops addresses at which nobody answered for so long.
 	forgetAfter = 60 * time.Second
 	// retryEvery is the pause between calls to an address that does not answer.
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -94,9 +94,9 @@
 	if n == 0 || x.call.Model != AnyModel || x.headed {
 		return false
 	}
-	next, threshold := x.model, 0.0
+	next, threshold, late := x.model, 0.0, x.wouldBeLate(n-1)
 	x.relay.ladder(x.service.Name, func(l *cascade.Ladder) {
-		next, threshold = l.Next(n, x.model, reply.Confidence), l.Threshold()
+		next, threshold = l.Next(n, x.model, reply.Confidence, late), l.Threshold()
 	})
 	if next == x.model {
 		return false
@@ -105,13 +105,26 @@
 		x.note("keeps a doubtful answer", t, "confidence", reply.Confidence, "threshold", threshold, "why", "no attempt or budget left")
 		return false
 	}
-	x.note("asks a larger model", t, "confidence", reply.Confidence, "threshold", threshold, "next", x.route.Models[next])
+	x.note("asks a larger model", t, "confidence", reply.Confidence, "threshold", threshold, "late", late, "next", x.route.Models[next])
 	x.relay.Metrics.Escalations.Inc(1)
 	x.model = next
 	x.tried = nil
 	return true
 }
 
+// wouldBeLate reports whether a model's first event is expected after the
+// route's latency target.
+func (x *exchange) wouldBeLate(model int) bool {
+	target := x.route.LatencyTarget
+	if target <= 0 {
+		return false
+	}
+	w := x.want(x.route.Models[model])
+	w.tried = nil
+	expected, any := x.relay.State.expect(&w)
+	return any && time.Since(x.call.Received)+expected > target
+}
+
 // streamed books a complete stream.
 func (x *exchange) streamed(s *streaming) {
 	x.relay.Metrics.Answered(true).Inc(1)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -107,14 +107,7 @@
 			return nil, x.journey.Refuse(fault.Unauthorized, "no workspace owns the presented key any more")
 		}
 	}
-	w := want{
-		service: x.service.Name, engine: x.service.Engine, model: x.wantedModel(), prompt: x.call.Prompt,
-		urgent: x.route.Priority == 0, budget: time.Until(x.deadline), tried: x.tried,
-		choice: x.relay.Rollouts.Admits(x.service.Name, x.call.Session, x.draw),
-	}
-	if x.service.Engine == nil {
-		w.model = ""
-	}
+	w := x.want(x.wantedModel())
 	t, err := x.relay.State.pick(&w, x.service.MaxConns)
 	if err != nil && len(x.tried) > 0 && x.journey.Repeatable {
 		// Every server had its turn. One that was lost may answer again.
@@ -127,6 +120,18 @@
 	return t, nil
 }
 
+// want is what the call needs of a server that runs a model.
+func (x *exchange) want(model string) want {
+	if x.service.Engine == nil {
+		model = ""
+	}
+	return want{
+		service: x.service.Name, engine: x.service.Engine, model: model, prompt: x.call.Prompt,
+		urgent: x.route.Priority == 0, budget: time.Until(x.deadline), tried: x.tried,
+		choice: x.relay.Rollouts.Admits(x.service.Name, x.call.Session, x.draw),
+	}
+}
+
 // send makes one attempt. Done says that the caller has the final answer.
 func (x *exchange) send(ctx context.Context, t *target) (request.Outcome, bool) {
 	x.note("send", t, "expected_ms", t.expected.Milliseconds(), "uncached", t.uncached, "send", x.journey.Sends(), "session", x.call.Session)
@@ -153,9 +158,8 @@
 	}
 	a.answered()
 	outcome, done := x.take(ctx, t, a, reply, began)
-	if !done || outcome != request.Failed {
-		x.relay.State.ended(t, time.Since(began), !done && outcome != request.Unconvincing && outcome != request.NotStarted)
-	}
+	failed := !done && outcome != request.Unconvincing && outcome != request.NotStarted
+	x.relay.State.ended(t, time.Since(began), failed)
 	return outcome, done
 }
 
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -106,61 +106,84 @@
 	urgent      bool
 }
 
-// pick chooses a server and books the work there.
-func (s *State) pick(w *want, maxConns int) (*target, *fault.Error) {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// selection is the choice of a server for a want, with what it was made from.
+type selection struct {
+	service    *service
+	request    routing.Request
+	candidates []routing.Candidate
+	decision   routing.Decision
+}
+
+// choose runs the pipeline. Callers hold mu.
+func (s *State) choose(w *want, now time.Time) selection {
 	s.expire()
 	sv := s.serviceOf(w.service)
 	pc := sv.pace.of(w.model, w.engine)
 	if w.engine != nil {
 		sv.picture.ReadAt(referenceToken)
 	}
-	candidates := sv.picture.Snapshot(nil, now)
-	r := routing.Request{
-		PromptTokens: w.prompt.Tokens, Urgent: w.urgent,
-		PrefillScale: pc.scale(),
-	}
+	out := selection{service: sv, candidates: sv.picture.Snapshot(nil, now)}
+	r := &out.request
+	*r = routing.Request{PromptTokens: w.prompt.Tokens, Urgent: w.urgent, PrefillScale: pc.scale(), Budget: w.budget}
 	pipeline := routing.Default()
 	if w.engine != nil {
 		pipeline = routing.Engines()
 		r.Blocks, r.BlockEnds = blocks(w.model, w.prompt.Parts)
-		sv.picture.Prefix.Fill(&r)
-		homes(homeKey(w.model, w.prompt), candidates, &r)
+		sv.picture.Prefix.Fill(r)
+		homes(homeKey(w.model, w.prompt), out.candidates, r)
 	}
-	mark(&r, candidates, sv, w, w.choice.Prefer)
-	dec := pipeline.Pick(&r, candidates, s.rng)
-	if dec.Refusal == routing.NoCandidate {
-		mark(&r, candidates, sv, w, w.choice.Else)
-		dec = pipeline.Pick(&r, candidates, s.rng)
+	mark(r, out.candidates, sv, w, w.choice.Prefer)
+	out.decision = pipeline.Pick(r, out.candidates, s.rng)
+	if out.decision.Refusal == routing.NoCandidate {
+		mark(r, out.candidates, sv, w, w.choice.Else)
+		out.decision = pipeline.Pick(r, out.candidates, s.rng)
 	}
-	if dec.Refusal == routing.NoCandidate && unsuspect(candidates) {
+	if out.decision.Refusal == routing.NoCandidate && unsuspect(out.candidates) {
 		// Every server that is left is suspect. A suspicion may be wrong, and
 		// refusing is certain to fail the request.
-		dec = pipeline.Pick(&r, candidates, s.rng)
+		out.decision = pipeline.Pick(r, out.candidates, s.rng)
 	}
-	if dec.Refusal == routing.TooLate {
-		return nil, fault.New(fault.Overloaded, "the first server of %s would begin after %s", w.service, dec.Expected.Round(time.Millisecond))
+	return out
+}
+
+// expect returns the time to the first event at the server that would be chosen,
+// and whether there is one.
+func (s *State) expect(w *want) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.choose(w, time.Now())
+	return out.decision.Expected, out.decision.Index >= 0
+}
+
+// pick chooses a server and books the work there.
+func (s *State) pick(w *want, maxConns int) (*target, *fault.Error) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.choose(w, now)
+	if out.decision.Refusal == routing.TooLate {
+		return nil, fault.New(fault.Overloaded, "the first server of %s would begin after %s", w.service, out.decision.Expected.Round(time.Millisecond))
 	}
-	if dec.Index < 0 {
+	if out.decision.Index < 0 {
 		return nil, fault.New(fault.NoServer, "no server of %s is left", w.service)
 	}
-	c := candidates[dec.Index]
-	sv.picture.Dispatched(c.ID, r.Blocks, w.urgent, now)
+	c := out.candidates[out.decision.Index]
+	picture, blocks := out.service.picture, out.request.Blocks
+	picture.Dispatched(c.ID, blocks, w.urgent, now)
 	t := &target{
-		server: sv.servers[c.ID], service: w.service, model: w.model, expected: dec.Expected, urgent: w.urgent,
-		uncached:    r.Uncached(dec.Index),
+		server: out.service.servers[c.ID], service: w.service, model: w.model, urgent: w.urgent,
+		expected:    out.decision.Expected,
+		uncached:    out.request.Uncached(out.decision.Index),
 		spare:       float64(c.InFlight)+c.OthersInFlight < float64(c.Slots),
 		idle:        c.PendingPrefill+c.OthersPending == 0,
+		ahead:       time.Duration((c.PendingPrefill + c.OthersPending) * float64(referenceToken)),
 		connections: max(leastConnections, maxConns/(s.daemons+1)),
 	}
-	t.pending = float64(t.uncached) * r.PrefillScale
-	t.ahead = time.Duration((c.PendingPrefill + c.OthersPending) * float64(referenceToken))
-	sv.picture.Pending(c.ID, t.pending)
-	if shared := len(r.Blocks) - 1; shared > 0 && len(s.placed) < maxPlaced {
+	t.pending = float64(t.uncached) * out.request.PrefillScale
+	picture.Pending(c.ID, t.pending)
+	if shared := len(blocks) - 1; shared > 0 && len(s.placed) < maxPlaced {
 		// The last part is the request's own; no other daemon meets it.
-		s.placed = append(s.placed, Placed{c.ID, r.Blocks[:shared]})
+		s.placed = append(s.placed, Placed{c.ID, blocks[:shared]})
 	}
 	return t, nil
 }
@@ -200,7 +223,8 @@
 		s.read(sv, t)
 		p := sv.pace.of(t.model, nil)
 		if !engine {
-			sv.picture.FirstToken(t.server.ID, took, 0, time.Now())
+			// An answer is the whole work, of which no part tells of a queue.
+			sv.picture.Late(t.server.ID, 0, time.Now())
 			mean(&p.first, took.Seconds())
 			return
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -147,6 +147,9 @@
 		r.mu.Unlock()
 	}()
 	r.Metrics.Requests.Inc(1)
+	if !r.State.Known() {
+		r.State.Await(ctx, startWait)
+	}
 	x, refusal := r.admit(c, end)
 	if refusal != nil {
 		r.refused(c, out, refusal)
@@ -205,6 +208,10 @@
 	return x, nil
 }
 
+// startWait bounds the wait for the first configuration: a store that does not
+// answer by then is away, and another daemon may know more.
+const startWait = 400 * time.Millisecond
+
 const (
 	// staleRetry and leavingRetry are when to come back to another daemon.
 	staleRetry   = 100 * time.Millisecond
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,328 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/route"
+	"github.com/damaskrudder/damaskrudder/internal/upstream"
+)
+
+// fakeBackend answers sends by a script, in turn; the last line repeats.
+type fakeBackend struct {
+	mu     sync.Mutex
+	script []func(s Send) (*Reply, error)
+	sends  []Send
+}
+
+func (f *fakeBackend) Send(_ context.Context, s Send) (*Reply, error) {
+	f.mu.Lock()
+	at := min(len(f.sends), len(f.script)-1)
+	f.sends = append(f.sends, s)
+	f.mu.Unlock()
+	return f.script[at](s)
+}
+
+func (f *fakeBackend) Alive(context.Context, backend.Server, bool) error { return nil }
+
+// answering returns a whole answer.
+func answering(status int, body string) func(Send) (*Reply, error) {
+	return func(Send) (*Reply, error) {
+		return &Reply{Status: status, Header: http.Header{}, Sealed: true, Confidence: -1, Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}, nil
+	}
+}
+
+// streamingFrom returns a stream of events, ended by err or properly if it is nil.
+func streamingFrom(confidence float64, err error, ids ...int) func(Send) (*Reply, error) {
+	return func(Send) (*Reply, error) {
+		var b strings.Builder
+		for _, id := range ids {
+			fmt.Fprintf(&b, "id: %d\ndata: x%d\n\n", id, id)
+		}
+		var r io.Reader = strings.NewReader(b.String())
+		if err != nil {
+			r = io.MultiReader(r, failing{err})
+		}
+		return &Reply{Status: 200, Header: http.Header{}, Sealed: true, Confidence: confidence, Length: -1, Body: io.NopCloser(r)}, nil
+	}
+}
+
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+func failed(reason upstream.Reason, sent bool) func(Send) (*Reply, error) {
+	return func(Send) (*Reply, error) {
+		return nil, &upstream.Error{Reason: reason, Sent: sent, Err: errors.New("test")}
+	}
+}
+
+func notRun(Send) (*Reply, error) {
+	return &Reply{Status: 503, NotRun: true, Confidence: -1, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+// fakeCaller records the answer.
+type fakeCaller struct {
+	status  int
+	body    strings.Builder
+	refusal *fault.Error
+	cut     bool
+}
+
+func (c *fakeCaller) Refuse(e *fault.Error)                   { c.refusal = e }
+func (c *fakeCaller) Head(status int, _ http.Header, _ int64) { c.status = status }
+func (c *fakeCaller) Pass(p []byte) error                     { c.body.Write(p); return nil }
+func (c *fakeCaller) Cut()                                    { c.cut = true }
+
+// world is a relay before three engines and three plain servers.
+type world struct {
+	relay   *Relay
+	backend *fakeBackend
+	clock   *clock
+}
+
+func newWorld(t *testing.T, script ...func(Send) (*Reply, error)) *world {
+	t.Helper()
+	c := &clock{now: time.Minute}
+	s := NewState("d1", c.read)
+	b := &fakeBackend{script: script}
+	models := []string{"small", "middle", "large"}
+	table, err := route.New(route.Document{
+		Version: 1, Keyed: true, Keys: map[string]route.Workspace{"k": {Name: "w"}},
+		Services: []route.Service{
+			{Name: "lm", MaxConns: 100, Engine: &route.Engine{Slots: 8, Cost: map[string]float64{"small": 0.02, "middle": 0.14, "large": 0.27}}},
+			{Name: "app", MaxConns: 100},
+		},
+		Routes: []route.Route{
+			{Name: "stream", Host: "h", Prefix: "/s/", Kind: route.Stream, Resumable: true, Attempts: 3, Timeout: 5 * time.Second, LatencyTarget: time.Second, Models: models, Backends: []route.Backend{{Service: "lm", Weight: 1}}},
+			{Name: "pay", Host: "h", Prefix: "/p/", Kind: route.NonIdempotent, Attempts: 1, Timeout: 2 * time.Second, Backends: []route.Backend{{Service: "app", Weight: 1}}},
+			{Name: "look", Host: "h", Prefix: "/l/", Kind: route.Idempotent, Attempts: 2, Timeout: 2 * time.Second, Backends: []route.Backend{{Service: "app", Weight: 1}}},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.SetTable(table)
+	s.Servers(func(r *backend.Registry, _ time.Duration) {
+		for i := range 3 {
+			r.Put(backend.Server{ID: fmt.Sprint("e", i), Service: "lm", Address: fmt.Sprintf("10.0.0.%d:1", i), Slots: 8, Version: "v1"})
+			r.Put(backend.Server{ID: fmt.Sprint("a", i), Service: "app", Address: fmt.Sprintf("10.0.1.%d:1", i), Slots: 4, Version: "v1"})
+		}
+	})
+	s.Confirm(c.now)
+	rules := Rules{KeyFreshness: 4 * time.Second, BudgetWindow: 10 * time.Second, BudgetRatio: 0.9, BudgetReserve: 50}
+	return &world{New(s, b, rules, NewMetrics(tally.NoopScope), log.New(io.Discard)), b, c}
+}
+
+func (w *world) call(path string) *fakeCaller {
+	out := &fakeCaller{}
+	c := &Call{ID: "id1", Host: "h", Method: "POST", Target: path, Path: path, Key: "k", LastEvent: NoEvent, Received: time.Now()}
+	if strings.HasPrefix(path, "/s/") {
+		c.Model = AnyModel
+		c.Prompt = Prompt{Tokens: 100, AnswerTokens: 20, Parts: []Part{{1, 50}, {2, 50}}}
+	}
+	w.relay.Serve(context.Background(), c, out)
+	return out
+}
+
+func (w *world) inFlight() int {
+	n := 0
+	for _, v := range w.relay.State.Work() {
+		n += v.Running
+	}
+	return n
+}
+
+func events(ids ...int) string {
+	var b strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&b, "id: %d\ndata: x%d\n\n", id, id)
+	}
+	return b.String()
+}
+
+func TestPlainAnswerIsPassedOnWhole(t *testing.T) {
+	w := newWorld(t, answering(200, "paid"))
+	if out := w.call("/p/1"); out.status != 200 || out.body.String() != "paid" {
+		t.Fatalf("got %d %q", out.status, out.body.String())
+	}
+}
+
+// Symptom: placing went by all that had been sent since the start, and later every
+// plain request was refused as too late.
+// Sequence: a request is answered; its work stays booked on the server.
+// Cause: only failed sends were taken off.
+func TestAnsweredWorkIsTakenOffTheServer(t *testing.T) {
+	w := newWorld(t, answering(200, "x"))
+	for range 50 {
+		w.call("/l/1")
+	}
+	w.backend.script = []func(Send) (*Reply, error){streamingFrom(90, nil, 1, 2)}
+	w.call("/s/1")
+	if n := w.inFlight(); n != 0 {
+		t.Fatalf("%d requests still count as running", n)
+	}
+}
+
+// Symptom: a payment ran twice.
+// Sequence: the connection breaks after the request was sent; it is sent to
+// another server.
+// Cause: a broken connection proves nothing.
+func TestLostPaymentIsNotSentAgain(t *testing.T) {
+	w := newWorld(t, failed(upstream.Broken, true), answering(200, "paid"))
+	out := w.call("/p/1")
+	if len(w.backend.sends) != 1 {
+		t.Fatalf("sent %d times", len(w.backend.sends))
+	}
+	if out.refusal == nil || out.refusal.State() == fault.NotRun {
+		t.Fatalf("refused with %v, which says that it did not run", out.refusal)
+	}
+	if status := fault.Lookup(out.refusal.Kind).Status; status == 503 || status == 429 {
+		t.Fatalf("answered %d, which promises that it did not run", status)
+	}
+}
+
+func TestPaymentThatDidNotRunGoesElsewhere(t *testing.T) {
+	for name, first := range map[string]func(Send) (*Reply, error){
+		"server says so": notRun, "no connection": failed(upstream.Unreachable, false),
+	} {
+		w := newWorld(t, first, answering(200, "paid"))
+		out := w.call("/p/1")
+		if out.status != 200 || len(w.backend.sends) != 2 {
+			t.Errorf("%s: got %d after %d sends", name, out.status, len(w.backend.sends))
+		}
+		if w.backend.sends[0].Server.ID == w.backend.sends[1].Server.ID {
+			t.Errorf("%s: the same server was asked again", name)
+		}
+	}
+}
+
+func TestRefusedByAllIsRefusedAsNotRun(t *testing.T) {
+	w := newWorld(t, notRun)
+	out := w.call("/p/1")
+	if out.refusal == nil || out.refusal.State() != fault.NotRun || out.refusal.Advice() <= 0 {
+		t.Fatalf("got %+v", out.refusal)
+	}
+}
+
+func TestFailedLookupGoesElsewhereOnce(t *testing.T) {
+	w := newWorld(t, answering(500, "a"), answering(500, "b"), answering(200, "c"))
+	out := w.call("/l/1")
+	if out.status != 500 || out.body.String() != "b" || len(w.backend.sends) != 2 {
+		t.Fatalf("got %d %q after %d sends; the route allows two", out.status, out.body.String(), len(w.backend.sends))
+	}
+}
+
+// Symptom: a stream had an event twice, or one was missing.
+// Sequence: a server stops in the middle of an event; the stream goes on at
+// another server, which begins one event too early.
+// Cause: bytes were passed on as they came.
+func TestStreamGoesOnElsewhereWithoutGapOrRepeat(t *testing.T) {
+	w := newWorld(t, streamingFrom(90, errors.New("reset"), 1, 2), streamingFrom(90, nil, 2, 3, 4))
+	out := w.call("/s/1")
+	if got := out.body.String(); got != events(1, 2, 3, 4) {
+		t.Fatalf("got %q", got)
+	}
+	if second := w.backend.sends[1]; second.LastEvent != 2 || second.Model != w.backend.sends[0].Model {
+		t.Fatalf("went on after %d with %s", second.LastEvent, second.Model)
+	}
+}
+
+func TestStreamWithAGapIsCut(t *testing.T) {
+	w := newWorld(t, streamingFrom(90, errors.New("reset"), 1, 2), streamingFrom(90, nil, 4, 5))
+	out := w.call("/s/1")
+	if !out.cut || out.body.String() != events(1, 2) {
+		t.Fatalf("cut %t, got %q", out.cut, out.body.String())
+	}
+}
+
+func TestDoubtfulAnswerIsAskedOfTheLargestModel(t *testing.T) {
+	w := newWorld(t, streamingFrom(10, nil, 1), streamingFrom(95, nil, 1, 2))
+	out := w.call("/s/1")
+	if out.body.String() != events(1, 2) {
+		t.Fatalf("got %q", out.body.String())
+	}
+	if w.backend.sends[0].Model != "small" || w.backend.sends[1].Model != "large" {
+		t.Fatalf("asked %s, then %s", w.backend.sends[0].Model, w.backend.sends[1].Model)
+	}
+}
+
+func TestContinuedStreamGoesToTheLargestModel(t *testing.T) {
+	w := newWorld(t, streamingFrom(10, nil, 8, 9))
+	out := &fakeCaller{}
+	w.relay.Serve(context.Background(), &Call{ID: "i", Host: "h", Path: "/s/1", Key: "k", Model: AnyModel, LastEvent: 7, Received: time.Now()}, out)
+	if out.body.String() != events(8, 9) || w.backend.sends[0].Model != "large" {
+		t.Fatalf("got %q of %s", out.body.String(), w.backend.sends[0].Model)
+	}
+}
+
+// Symptom: a key that was taken away six seconds ago still opened.
+// Sequence: a daemon is cut off from the store; a key is taken away; a request
+// comes with it.
+// Cause: the daemon went on by its last configuration.
+func TestKeysAreNotTrustedWithoutRecentConfirmation(t *testing.T) {
+	w := newWorld(t, answering(200, "x"))
+	w.clock.now += 4 * time.Second
+	out := w.call("/l/1")
+	if out.refusal == nil || out.refusal.Kind != fault.ConfigurationStale || len(w.backend.sends) != 0 {
+		t.Fatalf("got %+v after %d sends", out.refusal, len(w.backend.sends))
+	}
+	w.relay.State.Confirm(w.clock.now)
+	if out := w.call("/l/1"); out.status != 200 {
+		t.Fatalf("got %+v after a confirmation", out.refusal)
+	}
+}
+
+func TestUnknownKeyAndRoute(t *testing.T) {
+	w := newWorld(t, answering(200, "x"))
+	if out := w.call("/none/"); out.refusal == nil || out.refusal.Kind != fault.NotFound {
+		t.Errorf("no route: %+v", out.refusal)
+	}
+	out := &fakeCaller{}
+	w.relay.Serve(context.Background(), &Call{ID: "i", Host: "h", Path: "/l/1", Key: "other", Received: time.Now()}, out)
+	if out.refusal == nil || out.refusal.Kind != fault.Unauthorized {
+		t.Errorf("no key: %+v", out.refusal)
+	}
+}
+
+// Symptom: a request was read by a daemon that ended before it was answered.
+// Sequence: a daemon is about to end; a request with some seconds to live arrives.
+// Cause: it was taken though it could outlast the daemon.
+func TestLeavingDaemonTakesNothingThatCouldOutlastIt(t *testing.T) {
+	w := newWorld(t, answering(200, "x"))
+	w.relay.Leave(time.Now().Add(500 * time.Millisecond))
+	if out := w.call("/l/1"); out.refusal == nil || out.refusal.Kind != fault.ShuttingDown || out.refusal.State() != fault.NotRun {
+		t.Fatalf("got %+v", out.refusal)
+	}
+}
+
+func TestUnsealedAnswerIsNotPassedOn(t *testing.T) {
+	w := newWorld(t, func(Send) (*Reply, error) {
+		return &Reply{Status: 200, Header: http.Header{}, Confidence: -1, Length: 1, Body: io.NopCloser(strings.NewReader("x"))}, nil
+	})
+	if out := w.call("/p/1"); out.status != 0 || out.refusal == nil {
+		t.Fatalf("passed on %d %q", out.status, out.body.String())
+	}
+}
+
+func TestShortAnswerIsNotTakenForTheWhole(t *testing.T) {
+	short := func(Send) (*Reply, error) {
+		return &Reply{Status: 200, Header: http.Header{}, Sealed: true, Confidence: -1, Length: 9, Body: io.NopCloser(strings.NewReader("x"))}, nil
+	}
+	w := newWorld(t, short, answering(200, "whole"))
+	if out := w.call("/l/1"); out.body.String() != "whole" {
+		t.Fatalf("got %q", out.body.String())
+	}
+}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -24,6 +25,9 @@
 	contact  membership.Contact
 	registry *backend.Registry
 	listed   bool
+	// known is closed when the configuration and the servers are known.
+	known    chan struct{}
+	told     bool
 	services map[string]*service
 	rng      *rand.Rand
 	daemon   string
@@ -47,7 +51,7 @@
 // machine is suspended.
 func NewState(daemon string, boot func() time.Duration) *State {
 	return &State{
-		boot: boot, registry: backend.NewRegistry(), services: map[string]*service{}, daemon: daemon, daemons: 1,
+		boot: boot, known: make(chan struct{}), registry: backend.NewRegistry(), services: map[string]*service{}, daemon: daemon, daemons: 1,
 		rng: rand.New(rand.NewPCG(xxhash.Sum64String(daemon), uint64(boot()))),
 	}
 }
@@ -64,6 +68,9 @@
 			return false
 		}
 		if s.table.CompareAndSwap(old, t) {
+			s.mu.Lock()
+			s.announce()
+			s.mu.Unlock()
 			return true
 		}
 	}
@@ -101,6 +108,28 @@
 	return listed && s.Table() != nil
 }
 
+// announce lets those go on that wait for the daemon to know something. Callers
+// hold mu.
+func (s *State) announce() {
+	if s.listed && s.Table() != nil && !s.told {
+		s.told = true
+		close(s.known)
+	}
+}
+
+// Await waits until the configuration and the servers are known, for a limited
+// time. A daemon that just started knows them within some ten milliseconds;
+// refusing meanwhile would use up the caller's only retry.
+func (s *State) Await(ctx context.Context, limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-s.known:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // SetDaemons tells how many daemons live, this one included.
 func (s *State) SetDaemons(n int) {
 	s.mu.Lock()
@@ -115,6 +144,7 @@
 	defer s.mu.Unlock()
 	change(s.registry, now)
 	s.listed = true
+	s.announce()
 	s.refreshAll(now)
 }
 
