Engines are divided between models, as a preference

Cause: an engine that runs two models makes steps of both in turn, so small models stream as slowly as large ones (0.73 s for 14 events against 0.83 s for 16).

--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -131,6 +131,7 @@
 		r.Blocks, r.BlockEnds = blocks(w.model, w.prompt.Parts)
 		sv.picture.Prefix.Fill(r)
 		homes(homeKey(w.model, w.prompt), out.candidates, r)
+		r.Foreign = sv.lanesOf(w.engine).Foreign(w.model, out.candidates)
 	}
 	mark(r, out.candidates, sv, w, w.choice.Prefer)
 	out.decision = pipeline.Pick(r, out.candidates, s.rng)
@@ -181,6 +182,9 @@
 	}
 	t.pending = float64(t.uncached) * out.request.PrefillScale
 	picture.Pending(c.ID, t.pending)
+	if out.service.lanes != nil {
+		out.service.lanes.Work(w.model, time.Duration(t.pending*float64(referenceToken)), now)
+	}
 	if shared := len(blocks) - 1; shared > 0 && len(s.placed) < maxPlaced {
 		// The last part is the request's own; no other daemon meets it.
 		s.placed = append(s.placed, Placed{c.ID, blocks[:shared]})
@@ -188,6 +192,35 @@
 	return t, nil
 }
 
+// lanesOf returns the division of the service's engines between its models.
+func (sv *service) lanesOf(e *route.Engine) *routing.Lanes {
+	if sv.lanes == nil {
+		sv.lanes = routing.NewLanes(expectedWork(e))
+	}
+	return sv.lanes
+}
+
+// escalatedPart is the part of the requests that the largest model is expected to
+// get, before any has been seen.
+const escalatedPart = 0.4
+
+// expectedWork relates the work of the smallest and the largest model.
+func expectedWork(e *route.Engine) map[string]float64 {
+	var small, large string
+	for m, c := range e.Cost {
+		if small == "" || c < e.Cost[small] {
+			small = m
+		}
+		if large == "" || c > e.Cost[large] {
+			large = m
+		}
+	}
+	if small == large {
+		return nil
+	}
+	return map[string]float64{small: 1, large: escalatedPart * costRatio(large, e)}
+}
+
 // leastConnections to one server are always allowed to a daemon.
 const leastConnections = 6
 
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -45,6 +45,8 @@
 	members []routing.Member
 	servers map[string]backend.Server
 	pace    paces
+	// lanes divides engines between models; nil until the first choice.
+	lanes *routing.Lanes
 }
 
 // NewState returns an empty state. Boot reads a clock that counts while the
--- /dev/null
+++ b/internal/routing/lanes.go
@@ -0,0 +1,159 @@
+package routing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Lanes divides the engines of a service between its models. An engine that runs
+// two models makes a step of each in turn, so every token of the fast model waits
+// for a step of the slow one: a small model's stream takes as long as a large
+// one's. Apart, the small model's streams end several times sooner, and the large
+// model's steps serve a larger batch.
+//
+// The division is a preference: see Lane for what it costs to leave it.
+type Lanes struct {
+	work  map[string]float64
+	at    time.Time
+	share map[string]float64
+}
+
+const (
+	// laneHalfLife ages the work that the division goes by.
+	laneHalfLife = 5 * time.Second
+	// laneStep is the change of a model's share, in engines, for which the
+	// division is made anew; every change costs cached prompts.
+	laneStep = 0.7
+	// leastShare leaves out models that hardly work.
+	leastShare = 0.01
+)
+
+// NewLanes returns a division that starts with an expected work by model.
+func NewLanes(expected map[string]float64) *Lanes {
+	l := &Lanes{work: map[string]float64{}, share: map[string]float64{}}
+	for m, w := range expected {
+		l.work[m] = w
+	}
+	l.divide(l.shares())
+	return l
+}
+
+// Work books engine time spent for a model.
+func (l *Lanes) Work(model string, spent time.Duration, now time.Time) {
+	keep := decay(now.Sub(l.at), laneHalfLife)
+	l.at = now
+	for m := range l.work {
+		l.work[m] *= keep
+	}
+	l.work[model] += spent.Seconds()
+}
+
+func (l *Lanes) shares() map[string]float64 {
+	sum := 0.0
+	for _, w := range l.work {
+		sum += w
+	}
+	out := make(map[string]float64, len(l.work))
+	for m, w := range l.work {
+		if sum > 0 && w/sum >= leastShare {
+			out[m] = w / sum
+		}
+	}
+	return out
+}
+
+func (l *Lanes) divide(shares map[string]float64) { l.share = shares }
+
+// Foreign marks the candidates that are not in a model's lane. Daemons see like
+// traffic, so they divide alike without a word; where they differ by an engine,
+// it serves both.
+func (l *Lanes) Foreign(model string, candidates []Candidate) uint64 {
+	l.adapt(len(candidates))
+	if len(l.share) < 2 || l.share[model] == 0 {
+		return 0
+	}
+	order := laneOrder(candidates)
+	if len(order) < len(l.share) {
+		return 0
+	}
+	from, to := l.span(model, len(order))
+	var foreign uint64
+	for place, index := range order {
+		if place < from || place >= to {
+			foreign |= 1 << index
+		}
+	}
+	return foreign
+}
+
+// adapt makes the division anew if a share has changed by much of an engine.
+func (l *Lanes) adapt(engines int) {
+	now := l.shares()
+	for m := range l.work {
+		if math.Abs(now[m]-l.share[m])*float64(engines) > laneStep {
+			l.divide(now)
+			return
+		}
+	}
+}
+
+// laneOrder returns the indices of live candidates in an order that all daemons
+// agree on.
+func laneOrder(candidates []Candidate) []int {
+	var order []int
+	for i := range candidates {
+		if candidates[i].ID != "" {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Compare(xxhash.Sum64String(candidates[a].ID), xxhash.Sum64String(candidates[b].ID))
+	})
+	return order
+}
+
+// span returns the places of a model's engines among n: at least one each, the
+// rest by share.
+func (l *Lanes) span(model string, n int) (from, to int) {
+	names := make([]string, 0, len(l.share))
+	for m := range l.share {
+		names = append(names, m)
+	}
+	slices.Sort(names)
+	left, place, rest := n, 0, 1.0
+	for i, m := range names {
+		others := len(names) - i - 1
+		count := left
+		if others > 0 {
+			count = int(math.Round(l.share[m] / rest * float64(left)))
+			count = min(max(count, 1), left-others)
+		}
+		if m == model {
+			return place, place + count
+		}
+		place, left, rest = place+count, left-count, max(rest-l.share[m], leastShare)
+	}
+	return 0, n
+}
+
+// Lane is the cost of running where another model's lane is.
+type Lane struct {
+	// Leaving is what it costs to leave the lane. A lane that is behind by more spills
+	// over into the others.
+	Leaving time.Duration
+}
+
+// Name implements Scorer.
+func (Lane) Name() string { return "lane" }
+
+// Cost implements Scorer.
+func (l Lane) Cost(r *Request, _ *Candidate, index int) time.Duration {
+	if r.Foreign&(1<<index) != 0 {
+		return l.Leaving
+	}
+	return 0
+}
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -47,6 +47,8 @@
 	// batchCost is what one running request costs a new one: a step of some
 	// milliseconds grows by a fiftieth, over some hundred steps.
 	batchCost = 4 * time.Millisecond
+	// laneCost is what it costs to run among another model's requests.
+	laneCost = 120 * time.Millisecond
 )
 
 // Engines returns the pipeline for model engines whose work all daemons tell
@@ -56,7 +58,7 @@
 	return Pipeline{
 		Filters: []Filter{Live{}, Untried{}},
 		Scorers: []Scorer{
-			Backlog{}, Prefill{}, Network{}, Batch{PerRequest: batchCost}, Full{}, Lateness{},
+			Backlog{}, Prefill{}, Network{}, Batch{PerRequest: batchCost}, Lane{Leaving: laneCost}, Full{}, Lateness{},
 			Reliability{RetryCost: defaultRetryCost}, Homing{Step: homingStep},
 		},
 		TieWindow: defaultTieWindow,
