--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -31,6 +31,10 @@
 // two seconds. A server without an entry after that is gone.
 const returnWindow = 2300 * time.Millisecond
 
+// leaveWindow is the longest that a server without an entry stays. One that left
+// without a word must get nothing new two seconds after its entry is gone.
+const leaveWindow = 1700 * time.Millisecond
+
 // entry is a server and, if its record lapsed around an outage, until when it
 // still counts.
 type entry struct {
@@ -65,7 +69,7 @@
 		return
 	}
 	if r.hadFall && now < r.healed+returnWindow && !e.server.Leaving {
-		e.lapsed, e.until = true, r.healed+returnWindow
+		e.lapsed, e.until = true, min(r.healed+returnWindow, now+leaveWindow)
 		return
 	}
 	delete(r.entries, id)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -70,8 +70,8 @@
 	Apply func(records []Record, whole bool)
 	// Confirmed is told when a read that found the follower current was sent.
 	Confirmed func(sent time.Duration)
-	// Healed is told when the log answers again after it did not, or answered
-	// for the first time.
+	// Healed is told when the log answers again after an outage: one read that
+	// failed is none.
 	Healed func()
 	Logger *log.Logger
 	// After is another follower of the same log. While it gets no answer, this
@@ -82,6 +82,7 @@
 	next   atomic.Uint64
 	loaded bool
 	fails  int
+	lostAt time.Duration
 	// away says that the last read failed.
 	away atomic.Bool
 
@@ -176,6 +177,7 @@
 	f.fails++
 	f.away.Store(true)
 	if f.fails == 1 {
+		f.lostAt = f.Boot()
 		f.Logger.Warn("store lost", "topic", f.Topic, "next", f.next.Load(), "err", err)
 	}
 	return min(firstPause<<min(f.fails-1, 4), longestPause)
@@ -232,8 +234,9 @@
 
 func (f *Follower) answered() {
 	if f.fails > 0 || !f.loaded {
-		f.Logger.Info("store answers", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails)
-		if f.Healed != nil {
+		away := f.Boot() - f.lostAt
+		f.Logger.Info("store answers", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails, "away_ms", away.Milliseconds())
+		if f.Healed != nil && f.fails > 0 && away >= outageLeast {
 			f.Healed()
 		}
 	}
@@ -260,6 +263,10 @@
 	return nil
 }
 
+// outageLeast is the shortest outage: what is written anew all the time lapses
+// after some seconds only.
+const outageLeast = 1500 * time.Millisecond
+
 // Put appends a record and waits for the answer for a bounded time.
 func Put(ctx context.Context, l Log, topic, key string, value []byte, at *uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -38,7 +38,7 @@
 	took := time.Since(began)
 	a := &answer{reply.Status, reply.Header, body}
 	failed := reply.Status >= http.StatusInternalServerError
-	x.relay.Rollouts.observe(t, failed, x.slow(t, took))
+	x.relay.Rollouts.observe(t, failed, x.ratio(t, took, 0))
 	if !failed {
 		x.relay.State.began(t, took, x.service.Engine != nil)
 	}
@@ -56,22 +56,20 @@
 	return request.Failed, true
 }
 
-// slowFactor is how many times the usual time makes an answer slow. Load alone
-// about doubles it; versions that are bad by slowness take several times as long.
-const slowFactor = 4
-
-// slowLeast is the least time that counts as slow: under it, noise of the network
-// is a large part.
-const slowLeast = 150 * time.Millisecond
-
-func (x *exchange) slow(t *target, took time.Duration) bool {
-	first, _ := x.relay.State.typical(t, x.service.Engine != nil)
-	return first > 0 && took > slowLeast && took.Seconds() > slowFactor*first
+// ratio relates the time to an answer, with a number of pauses between events, to
+// what is usual; 0 if that is not known yet.
+func (x *exchange) ratio(t *target, took time.Duration, pauses int) float64 {
+	first, gap := x.relay.State.typical(t, x.service.Engine != nil)
+	usual := first + float64(pauses)*gap
+	if first <= 0 {
+		return 0
+	}
+	return took.Seconds() / usual
 }
 
 // stream passes the events of an answer on as they come.
 func (x *exchange) stream(ctx context.Context, t *target, a *attempt, reply *Reply, began time.Time) (request.Outcome, bool) {
-	if x.escalates(t, reply) {
+	if x.escalates(t, reply, began) {
 		return request.Unconvincing, false
 	}
 	s := &streaming{x: x, t: t, a: a, reply: reply, began: began}
@@ -83,13 +81,13 @@
 	case errors.Is(err, errCallerLeft):
 		return request.Lost, false
 	}
-	x.relay.Rollouts.observe(t, ctx.Err() == nil, false)
+	x.relay.Rollouts.observe(t, ctx.Err() == nil, 0)
 	x.note("stream broke off", t, "last_event", x.last, "err", err, "cause", context.Cause(ctx))
 	return request.CutShort, false
 }
 
 // escalates decides whether a larger model is asked instead, and changes to it.
-func (x *exchange) escalates(t *target, reply *Reply) bool {
+func (x *exchange) escalates(t *target, reply *Reply, began time.Time) bool {
 	n := len(x.route.Models)
 	if n == 0 || x.call.Model != AnyModel || x.headed {
 		return false
@@ -107,6 +105,7 @@
 	}
 	x.note("asks a larger model", t, "confidence", reply.Confidence, "threshold", threshold, "late", late, "next", x.route.Models[next])
 	x.relay.Metrics.Escalations.Inc(1)
+	x.relay.Rollouts.observe(t, false, x.ratio(t, time.Since(began), 0))
 	x.model = next
 	x.tried = nil
 	return true
@@ -129,32 +128,23 @@
 func (x *exchange) streamed(s *streaming) {
 	x.relay.Metrics.Answered(true).Inc(1)
 	x.note("streamed", s.t, "last_event", x.last, "events", s.events, "first_ms", x.firstEvent.Sub(x.call.Received).Milliseconds())
+	x.relay.Rollouts.observe(s.t, false, x.ratio(s.t, time.Since(s.began), s.events-1))
 	if s.events > 1 {
-		gap := time.Since(s.first) / time.Duration(s.events-1)
-		_, usual := x.relay.State.typical(s.t, true)
-		slow := usual > 0 && gap.Seconds() > slowFactor*usual && gap > slowGap
-		x.relay.Rollouts.observe(s.t, false, slow || s.slowFirst)
-		x.relay.State.paced(s.t, gap)
-		return
+		x.relay.State.paced(s.t, time.Since(s.first)/time.Duration(s.events-1))
 	}
-	x.relay.Rollouts.observe(s.t, false, s.slowFirst)
 }
 
-// slowGap is the least mean pause between events that counts as slow.
-const slowGap = 60 * time.Millisecond
-
 // streaming is the passing on of one server's stream.
 type streaming struct {
-	x         *exchange
-	t         *target
-	a         *attempt
-	reply     *Reply
-	began     time.Time
-	first     time.Time
-	events    int
-	slowFirst bool
-	reader    eventReader
-	batch     []byte
+	x      *exchange
+	t      *target
+	a      *attempt
+	reply  *Reply
+	began  time.Time
+	first  time.Time
+	events int
+	reader eventReader
+	batch  []byte
 }
 
 var (
@@ -251,7 +241,6 @@
 func (s *streaming) begin() {
 	s.first = time.Now()
 	took := s.first.Sub(s.began)
-	s.slowFirst = s.x.slow(s.t, took)
 	s.x.relay.State.began(s.t, took, true)
 	if !s.x.firstEvent.IsZero() {
 		return
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/route"
@@ -134,6 +137,7 @@
 		r.Foreign = sv.lanesOf(w.engine).Foreign(w.model, out.candidates)
 	}
 	mark(r, out.candidates, sv, w, w.choice.Prefer)
+	limit(r, out.candidates, w.choice.Part)
 	out.decision = pipeline.Pick(r, out.candidates, s.rng)
 	if out.decision.Refusal == routing.NoCandidate {
 		mark(r, out.candidates, sv, w, w.choice.Else)
@@ -236,6 +240,31 @@
 	}
 }
 
+// fewestInPart is the least number of servers that a part is limited to: with one
+// alone, a bad server could not be told from a bad version.
+const fewestInPart = 3
+
+// limit excludes all but a part of the servers that are left. Which ones is by
+// their ids, so that all daemons use the same.
+func limit(r *routing.Request, candidates []routing.Candidate, part float64) {
+	if part <= 0 || part >= 1 {
+		return
+	}
+	var left []int
+	for i := range candidates {
+		if candidates[i].ID != "" && r.Tried&(1<<i) == 0 && !candidates[i].Suspect {
+			left = append(left, i)
+		}
+	}
+	slices.SortFunc(left, func(a, b int) int {
+		return cmp.Compare(xxhash.Sum64String(candidates[a].ID), xxhash.Sum64String(candidates[b].ID))
+	})
+	keep := max(fewestInPart, int(math.Ceil(part*float64(len(left)))))
+	for _, i := range left[min(keep, len(left)):] {
+		r.Tried |= 1 << i
+	}
+}
+
 // holds reports whether an engine has a model; one that lists none is tried.
 func holds(s backend.Server, model string) bool {
 	return model == "" || len(s.Models) == 0 || slices.Contains(s.Models, model)
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -21,6 +21,9 @@
 	orders map[string]*order
 	// seen remembers sessions for as long as their requests belong together.
 	seen sessions
+	// usual is how long answers of a service usually take, on the version that
+	// carries the traffic.
+	usual map[string]*rollout.Usual
 	// settled is what the store says of orders, by service. It may be read
 	// before the order itself.
 	settled map[string]settled
@@ -106,7 +109,7 @@
 // each other within the span belong together.
 func NewRollouts(sessionSpan time.Duration, l *log.Logger) *Rollouts {
 	return &Rollouts{
-		log: l, orders: map[string]*order{}, settled: map[string]settled{},
+		log: l, orders: map[string]*order{}, usual: map[string]*rollout.Usual{}, settled: map[string]settled{},
 		seen: sessions{span: sessionSpan, last: map[string]map[uint64]time.Time{}},
 	}
 }
@@ -164,6 +167,10 @@
 	Prefer func(version string) bool
 	// Else admits those it may use if no server of a preferred one is there.
 	Else func(version string) bool
+	// Part limits the preferred servers to a part of them, so that those which a
+	// small share of the requests goes to carry as much as any other; 0 is all. A
+	// version that fails under load would else show it only when it is too late.
+	Part float64
 }
 
 func everyVersion(string) bool { return true }
@@ -184,16 +191,16 @@
 	}
 	o := r.orders[service]
 	if o == nil {
-		return Choice{everyVersion, everyVersion}
+		return Choice{Prefer: everyVersion, Else: everyVersion}
 	}
 	target := o.Target
 	onNew := func(v string) bool { return v == target }
 	onOld := func(v string) bool { return v != target }
 	if o.phase == rollout.RolledBack {
-		return Choice{onOld, onOld}
+		return Choice{Prefer: onOld, Else: onOld}
 	}
 	if o.braked {
-		return Choice{onOld, everyVersion}
+		return Choice{Prefer: onOld, Else: everyVersion}
 	}
 	share := rollout.DefaultCourse().Share(o.phase)
 	if o.phase == rollout.Canary && (now.Sub(o.since) < canaryDelay || session != "" && o.kept(draw)) {
@@ -201,11 +208,11 @@
 	}
 	if float64(draw>>versionShift%shareGrain) >= share*shareGrain {
 		if o.phase == rollout.Canary && session != "" {
-			return Choice{onOld, onOld}
+			return Choice{Prefer: onOld, Else: onOld}
 		}
-		return Choice{onOld, everyVersion}
+		return Choice{Prefer: onOld, Else: everyVersion}
 	}
-	return Choice{onNew, everyVersion}
+	return Choice{Prefer: onNew, Else: everyVersion, Part: share}
 }
 
 // canaryDelay is the time before the first request goes to a new version. In it
@@ -232,12 +239,19 @@
 // shareGrain is the number of parts that requests are dealt in.
 const shareGrain = 1000
 
-// observe books an answer as evidence for or against a version.
-func (r *Rollouts) observe(t *target, failed, slow bool) {
+// observe books an answer as evidence for or against a version. Ratio is the time
+// it took over the time expected of it, or 0 if that is not known.
+func (r *Rollouts) observe(t *target, failed bool, ratio float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	usual := r.usual[t.service]
+	if usual == nil {
+		usual = &rollout.Usual{}
+		r.usual[t.service] = usual
+	}
 	o := r.orders[t.service]
 	if o == nil || o.phase.Over() {
+		usual.Add(ratio)
 		return
 	}
 	c := o.own[t.server.ID]
@@ -245,14 +259,19 @@
 		c = &rollout.Cell{Server: t.server.ID, FailureDomain: t.server.FailureDomain, New: t.server.Version == o.Target}
 		o.own[t.server.ID] = c
 	}
+	if !c.New {
+		usual.Add(ratio)
+	}
 	c.Counts.Requests++
 	if failed {
 		c.Counts.Errors++
 		return
 	}
-	c.Counts.Timed++
-	if slow {
-		c.Counts.Slow++
+	if ratio > 0 {
+		c.Counts.Timed++
+		if usual.Slow(ratio, o.phase) {
+			c.Counts.Slow++
+		}
 	}
 }
 
--- a/internal/relay/state_test.go
+++ b/internal/relay/state_test.go
@@ -12,7 +12,7 @@
 
 func (c *clock) read() time.Duration { return c.now }
 
-func everyVersionChoice() Choice { return Choice{everyVersion, everyVersion} }
+func everyVersionChoice() Choice { return Choice{Prefer: everyVersion, Else: everyVersion} }
 
 // Symptom: a server that left without a word got requests for more than three
 // seconds after its entry was gone.
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -63,8 +63,7 @@
 	// Rules.RobustAlarm.
 	RobustAlarm float64
 	// SlowShare is the part of the new version's answers that must be slow for a
-	// roll-back. The new version is judged slow against times learned while the
-	// old one carried most of the load, and load alone makes some answers slow.
+	// roll-back; see Usual. A quarter is slow on a like version.
 	SlowShare float64
 	// FewestBad is how many bad answers a roll-back needs: single ones happen on
 	// any version.
@@ -74,13 +73,13 @@
 // DefaultCourse returns the course in use.
 func DefaultCourse() Course {
 	return Course{
-		CanaryShare: 0.10, RampShare: 0.4,
+		CanaryShare: 0.1, RampShare: 0.4,
 		CanaryUntil: 0.5, RampUntil: 0.58,
 		FinishBy:      0.86,
 		LeastRequests: 20,
 		Alarm:         100,
 		RobustAlarm:   3,
-		SlowShare:     0.2,
+		SlowShare:     0.5,
 		FewestBad:     4,
 	}
 }
@@ -125,9 +124,10 @@
 	return p, ""
 }
 
-// settle is how long the whole phase lasts at least, as a part of the duration:
-// daemons hear of a phase some hundred milliseconds apart.
-const settle = 0.06
+// settle is how long the whole phase lasts at least, as a part of the duration.
+// Some versions are bad under the whole load only, and once the order is completed
+// there is no way back.
+const settle = 0.2
 
 // bad returns why the new version is to be withdrawn, or nothing.
 func (c Course) bad(e Evidence) string {
