A send that later ones have overtaken goes on elsewhere

Change: a send that later, no more urgent ones have overtaken is moved after twice the expected time, if the request may run again.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -140,7 +140,7 @@
 	defer cancel(nil)
 	ctx, stop := context.WithDeadline(ctx, x.deadline)
 	defer stop()
-	a := x.relay.watch.enter(t, x.service.Engine != nil, x.route, func() bool {
+	a := x.relay.watch.enter(t, x.service.Engine != nil, x.route, x.sendUrgency(), func() bool {
 		if x.journey.Repeatable && x.journey.RunsLeft() > 0 {
 			cancel(errMoved)
 			return true
@@ -156,7 +156,7 @@
 	if err != nil {
 		return x.sendFailed(t, began, err), false
 	}
-	a.answered()
+	x.relay.watch.answered(a)
 	outcome, done := x.take(ctx, t, a, reply, began)
 	failed := !done && outcome != request.Unconvincing && outcome != request.NotStarted
 	x.relay.State.ended(t, time.Since(began), failed)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -25,6 +25,8 @@
 	CallersLeft tally.Counter
 	// AliveChecks counts signs of life asked of silent servers.
 	AliveChecks tally.Counter
+	// Moved counts sends given up for another server because they were stuck.
+	Moved tally.Counter
 	// Latency is the time to a plain answer.
 	Latency tally.Histogram
 	// FirstEvent is the time to the first event of a stream.
@@ -38,8 +40,8 @@
 		scope: s, Requests: s.Counter("requests"), Repeats: s.Counter("repeats"),
 		Escalations: s.Counter("escalations"), SendsFailed: s.Counter("sends_failed"),
 		Cut: s.Counter("answers_cut"), CallersLeft: s.Counter("callers_left"),
-		AliveChecks: s.Counter("alive_checks"),
-		Latency:     s.Histogram("answer_seconds", buckets), FirstEvent: s.Histogram("first_event_seconds", buckets),
+		AliveChecks: s.Counter("alive_checks"), Moved: s.Counter("sends_moved"),
+		Latency: s.Histogram("answer_seconds", buckets), FirstEvent: s.Histogram("first_event_seconds", buckets),
 	}
 }
 
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -21,6 +21,16 @@
 	silenceLimit = 500 * time.Millisecond
 	// aliveLimit bounds the wait for the sign: round trips are milliseconds.
 	aliveLimit = 300 * time.Millisecond
+	// overtakenBy is how many requests that a server got later it must have begun
+	// to answer before an unanswered one is taken for lost.
+	overtakenBy = 1
+	// leastPatience bounds from below how long an answer is waited for before.
+	leastPatience = 250 * time.Millisecond
+	// enginePatience and plainPatience are that time as multiples of the expected
+	// one. Engines answer in about the order of arrival; plain services take up to
+	// five times as long for one request in a hundred.
+	enginePatience = 2
+	plainPatience  = 6
 	// stallPart is the part of a route's longest pause after which a stream is
 	// continued elsewhere although its server lives: its connection may have
 	// gone silent for good while new ones work.
@@ -57,12 +67,17 @@
 	// move ends the send if the request may go on elsewhere.
 	move  func() bool
 	stall time.Duration
+	// urgency is the rank the server was given; the first goes first.
+	urgency int
+	// patience is how long the head is waited for if others overtake.
+	patience time.Duration
+	// overtaken counts later sends to the server that were answered first.
+	overtaken int
 	// lastNanos is when the last bytes of the body came; 0 before the head.
 	lastNanos atomic.Int64
 	moved     bool
 }
 
-func (a *attempt) answered() { a.progress() }
 func (a *attempt) progress() { a.lastNanos.Store(time.Since(a.since).Nanoseconds() + 1) }
 
 // last returns when the attempt last made progress, and whether it is answered.
@@ -81,8 +96,32 @@
 	w.mu.Unlock()
 }
 
-func (w *watch) enter(t *target, engine bool, rt *route.Route, move func() bool) *attempt {
-	a := &attempt{target: t, engine: engine, since: time.Now(), move: move, stall: stallDefault}
+// answered records the head of an answer. Unanswered requests that the server got
+// before, and that it would not put behind this one, have been overtaken: their
+// answers may be lost on a connection that stays open.
+func (w *watch) answered(a *attempt) {
+	a.progress()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := w.servers[a.target.server.ID]
+	if v == nil {
+		return
+	}
+	for other := range v.attempts {
+		if _, done := other.last(); !done && other.since.Before(a.since) && other.urgency <= a.urgency {
+			other.overtaken++
+		}
+	}
+}
+
+func (w *watch) enter(t *target, engine bool, rt *route.Route, urgency int, move func() bool) *attempt {
+	a := &attempt{target: t, engine: engine, since: time.Now(), move: move, stall: stallDefault, urgency: urgency}
+	first, _ := w.state.typical(t, engine)
+	a.patience = time.Duration(plainPatience * first * float64(time.Second))
+	if engine {
+		a.patience = enginePatience * max(t.expected, time.Duration(first*float64(time.Second)))
+	}
+	a.patience = max(a.patience, leastPatience)
 	if rt.GapTarget > 0 {
 		a.stall = time.Duration(stallPart * float64(rt.GapTarget))
 	}
@@ -135,7 +174,7 @@
 			ask = append(ask, a)
 		}
 		for a := range v.attempts {
-			if at, answered := a.last(); answered && !a.moved && a.engine && now.Sub(at) > a.stall {
+			if a.stuck(now) {
 				stalled = append(stalled, a)
 			}
 		}
@@ -147,11 +186,25 @@
 	for _, a := range stalled {
 		if a.move() {
 			a.moved = true
-			w.log.Warn("stream stalled, moved", "server", a.target.server.ID, "model", a.target.model)
+			w.log.Warn("request stuck, moved", "server", a.target.server.ID, "model", a.target.model, "overtaken", a.overtaken, "waited_ms", now.Sub(a.since).Milliseconds(), "expected_ms", a.target.expected.Milliseconds())
+			w.metrics.Moved.Inc(1)
 		}
 	}
 }
 
+// stuck reports whether an attempt is to go on elsewhere although its server
+// lives: its stream has paused for too long, or its answer is lost.
+func (a *attempt) stuck(now time.Time) bool {
+	at, answered := a.last()
+	switch {
+	case a.moved:
+		return false
+	case answered:
+		return a.engine && now.Sub(at) > a.stall
+	}
+	return a.overtaken >= overtakenBy && now.Sub(a.since) > a.patience
+}
+
 // silent returns an attempt on a server that has been silent too long, or nil.
 // Callers hold mu.
 func (w *watch) silent(v *watched, now time.Time) *attempt {
--- /dev/null
+++ b/internal/relay/watch_test.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/route"
+)
+
+// Symptom: a stream waited five seconds, until its caller left, on a server that
+// answered all others.
+// Sequence: a server runs a request and its answer is lost; the connection stays
+// open; requests sent to it later are answered.
+// Cause: only servers that are silent as a whole, and streams that had begun, were
+// given up.
+func TestOvertakenRequestIsStuck(t *testing.T) {
+	w := newWorld(t, answering(200, "")).relay.watch
+	rt := &route.Route{}
+	at := &target{server: backend.Server{ID: "e0", Address: "10.0.0.0:1"}, service: "lm", expected: 100 * time.Millisecond}
+	never := func() bool { return true }
+	first := w.enter(at, true, rt, 3, never)
+	later := w.enter(at, true, rt, 3, never)
+	first.since = later.since.Add(-time.Second)
+	now := later.since
+	if first.stuck(now) {
+		t.Fatal("given up although no later request was answered: the server may only be busy")
+	}
+	w.answered(later)
+	if !first.stuck(now) {
+		t.Fatal("overtaken by a later request and still waited for")
+	}
+	if first.stuck(first.since.Add(first.patience / 2)) {
+		t.Fatal("given up before its time")
+	}
+}
+
+func TestMoreUrgentRequestsMayOvertake(t *testing.T) {
+	w := newWorld(t, answering(200, "")).relay.watch
+	rt := &route.Route{}
+	at := &target{server: backend.Server{ID: "e0", Address: "10.0.0.0:1"}, service: "lm"}
+	never := func() bool { return true }
+	first := w.enter(at, true, rt, 4, never)
+	urgent := w.enter(at, true, rt, 1, never)
+	first.since = urgent.since.Add(-time.Minute)
+	w.answered(urgent)
+	if first.stuck(urgent.since) {
+		t.Fatal("a more urgent request goes first; that says nothing")
+	}
+}
