--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -362,3 +362,12 @@
 	defer s.mu.Unlock()
 	s.registry.Healed(now)
 }
+
+// EachServer calls f for every server of a service that may get requests.
+func (s *State) EachServer(service string, f func(id string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.serviceOf(service).members {
+		f(m.ID)
+	}
+}
