--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,140 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// script is a log whose answers are scripted; the last one repeats until the test
+// ends it.
+type script struct {
+	mu     sync.Mutex
+	newest func() ([]Record, uint64, error)
+	reads  []func(from uint64) ([]Record, uint64, error)
+	asked  []uint64
+	end    context.CancelFunc
+}
+
+func (s *script) Newest(context.Context, string) ([]Record, uint64, error) { return s.newest() }
+
+func (s *script) Read(ctx context.Context, _ string, from uint64, _ time.Duration) ([]Record, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = append(s.asked, from)
+	if len(s.reads) == 0 {
+		s.end()
+		return nil, 0, ctx.Err()
+	}
+	f := s.reads[0]
+	s.reads = s.reads[1:]
+	return f(from)
+}
+
+func (s *script) Append(context.Context, string, string, []byte, *uint64) error { return nil }
+
+func follow(s *script) (applied []Record, confirmed []time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.end = cancel
+	clock := time.Duration(0)
+	f := &Follower{
+		Log: s, Topic: "t", Logger: log.New(io.Discard),
+		Boot:      func() time.Duration { clock += time.Second; return clock },
+		Apply:     func(r []Record, _ bool) { applied = append(applied, r...) },
+		Confirmed: func(at time.Duration) { confirmed = append(confirmed, at) },
+	}
+	f.Run(ctx)
+	return applied, confirmed
+}
+
+func records(from uint64, keys ...string) []Record {
+	var out []Record
+	for i, k := range keys {
+		out = append(out, Record{Key: k, Value: []byte(k), Offset: from + uint64(i)})
+	}
+	return out
+}
+
+func TestFollowerReadsOnFromTheNewest(t *testing.T) {
+	s := &script{
+		newest: func() ([]Record, uint64, error) { return records(3, "a", "b"), 5, nil },
+		reads: []func(uint64) ([]Record, uint64, error){
+			func(from uint64) ([]Record, uint64, error) { return records(from, "c"), 6, nil },
+		},
+	}
+	applied, confirmed := follow(s)
+	if len(applied) != 3 || s.asked[0] != 5 || s.asked[1] != 6 {
+		t.Fatalf("applied %v, asked from %v", applied, s.asked)
+	}
+	if len(confirmed) != 2 {
+		t.Fatalf("confirmed %v", confirmed)
+	}
+}
+
+// Symptom: a daemon held its configuration for current though records were
+// missing.
+// Sequence: a read returns a part of what there is.
+// Cause: any answer was taken as a confirmation.
+func TestPartOfTheRecordsConfirmsNothing(t *testing.T) {
+	s := &script{
+		newest: func() ([]Record, uint64, error) { return nil, 0, nil },
+		reads: []func(uint64) ([]Record, uint64, error){
+			func(from uint64) ([]Record, uint64, error) { return records(from, "a"), 9, nil },
+		},
+	}
+	if _, confirmed := follow(s); len(confirmed) != 1 {
+		t.Fatalf("confirmed %v, want the loading only", confirmed)
+	}
+}
+
+func TestDeletedRecordsAreReadAnew(t *testing.T) {
+	loads := 0
+	s := &script{
+		newest: func() ([]Record, uint64, error) { loads++; return records(uint64(loads), "a"), 10, nil },
+		reads: []func(uint64) ([]Record, uint64, error){
+			func(uint64) ([]Record, uint64, error) { return nil, 0, ErrGone },
+		},
+	}
+	if applied, _ := follow(s); loads != 2 || len(applied) != 2 {
+		t.Fatalf("loaded %d times, applied %v", loads, applied)
+	}
+}
+
+func TestFailedReadsConfirmNothingAndGoOn(t *testing.T) {
+	fail := func(uint64) ([]Record, uint64, error) { return nil, 0, errors.New("down") }
+	s := &script{
+		newest: func() ([]Record, uint64, error) { return nil, 0, nil },
+		reads: []func(uint64) ([]Record, uint64, error){
+			fail, fail,
+			func(from uint64) ([]Record, uint64, error) { return records(from, "a"), 1, nil },
+		},
+	}
+	if applied, confirmed := follow(s); len(applied) != 1 || len(confirmed) != 2 {
+		t.Fatalf("applied %v, confirmed %v", applied, confirmed)
+	}
+}
+
+// Symptom: one daemon learned of a change four seconds after the others.
+// Sequence: its connection to the store goes silent while a read waits on it.
+// Cause: nothing ended the read before its time.
+func TestReadBehindAnotherReaderIsGivenUp(t *testing.T) {
+	given := false
+	f := &Follower{Logger: log.New(io.Discard)}
+	f.interrupt = func() { given = true }
+	now := time.Now()
+	f.Expect(4)
+	f.Check(now)
+	if given {
+		t.Fatal("given up at once: both hear of a record within milliseconds of each other")
+	}
+	f.Check(now.Add(time.Second))
+	if !given {
+		t.Fatal("the read goes on though another reader is ahead")
+	}
+}
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,91 @@
+package gossip
+
+import (
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/damaskrudder/damaskrudder/internal/peer"
+	"github.com/damaskrudder/damaskrudder/internal/relay"
+)
+
+func testMembers() *Members {
+	return New("self:1", "self/1", func() Pulse { return Pulse{} }, peer.NewLinks("self", "", nil), func() time.Duration { return 0 }, log.New(io.Discard))
+}
+
+func TestDaemonsAreFoundThroughEachOther(t *testing.T) {
+	m := testMembers()
+	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Known: []string{"b:1", "self:1"}}, 0)
+	if alive := m.Alive(); len(alive) != 1 || alive[0].Name != "a" {
+		t.Fatalf("alive %v", alive)
+	}
+	var asked []string
+	for _, o := range m.due(time.Now().Add(time.Second)) {
+		asked = append(asked, o.address)
+	}
+	if !slices.Contains(asked, "b:1") || slices.Contains(asked, "self:1") {
+		t.Fatalf("asks %v", asked)
+	}
+}
+
+// Symptom: callers were sent to a daemon that was leaving.
+// Sequence: it says that it leaves; an older pulse arrives after that.
+// Cause: the last pulse to arrive counted.
+func TestLeavingIsNotTakenBack(t *testing.T) {
+	m := testMembers()
+	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Leaving: true}, 0)
+	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Ready: true}, 0)
+	if got := Fronts(m.Alive(), Pulse{Front: "self", Ready: true}); slices.Contains(got, "f:1") {
+		t.Fatalf("names %v", got)
+	}
+	m.take("a:1", Pulse{Incarnation: "a/2", Name: "a", Front: "f:1", Ready: true}, 0)
+	if got := Fronts(m.Alive(), Pulse{Front: "self", Ready: true}); !slices.Contains(got, "f:1") {
+		t.Fatalf("a new run of the daemon is not named: %v", got)
+	}
+}
+
+func TestFrontsAreNeverNone(t *testing.T) {
+	alive := []Pulse{{Front: "a", Leaving: true}, {Front: "b"}}
+	if got := Fronts(alive, Pulse{Front: "c"}); !slices.Equal(got, []string{"b", "c"}) {
+		t.Errorf("none ready: %v", got)
+	}
+	if got := Fronts(nil, Pulse{Front: "c", Leaving: true}); !slices.Equal(got, []string{"c"}) {
+		t.Errorf("all leaving: %v", got)
+	}
+}
+
+func TestOneDaemonComesFirst(t *testing.T) {
+	a, b, c := Pulse{Name: "a"}, Pulse{Name: "b", Ready: true}, Pulse{Name: "c", Ready: true}
+	if First([]Pulse{a, c}, "b", true) != true || First([]Pulse{a, b}, "c", true) != false || First(nil, "a", false) != false {
+		t.Error("the first ready daemon by name decides")
+	}
+}
+
+func TestPlacementsAreHeardOnce(t *testing.T) {
+	var p Placements
+	now := time.Unix(50, 0)
+	take := func() []relay.Placed { return []relay.Placed{{Server: "s"}} }
+	_, first := p.Current(take, now)
+	_, same := p.Current(take, now.Add(Every/2))
+	_, next := p.Current(take, now.Add(Every))
+	if first != same || next == first {
+		t.Errorf("rounds %d, %d, %d", first, same, next)
+	}
+	var other Placements
+	if !other.Fresh("a/1", first) || other.Fresh("a/1", same) || !other.Fresh("a/1", next) || !other.Fresh("b/1", first) {
+		t.Error("a round is heard once from each daemon")
+	}
+}
+
+func TestWorkIsSummedByServer(t *testing.T) {
+	sum := TotalWork([]Pulse{
+		{Work: []relay.Work{{Server: "s", Running: 2, Pending: 5}}},
+		{Work: []relay.Work{{Server: "s", Running: 1, Pending: 7}, {Server: "t", Running: 4}}},
+	})
+	if sum["s"].Running != 3 || sum["s"].Pending != 12 || sum["t"].Running != 4 {
+		t.Errorf("got %v", sum)
+	}
+}
--- /dev/null
+++ b/internal/relay/events_test.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+func TestEventsAreSplitWhereverBytesAreCut(t *testing.T) {
+	text := "id: 1\ndata: a\n\nx-versions: 3\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\nid: 4\nda"
+	for cut := 1; cut < len(text); cut++ {
+		var r eventReader
+		var ids []int64
+		var raw strings.Builder
+		for _, piece := range []string{text[:cut], text[cut:]} {
+			if err := r.feed([]byte(piece)); err != nil {
+				t.Fatal(err)
+			}
+			for {
+				e, ok := r.next()
+				if !ok {
+					break
+				}
+				ids = append(ids, e.id)
+				raw.Write(e.raw)
+			}
+		}
+		if len(ids) != 3 || ids[0] != 1 || ids[1] != 2 || ids[2] != 3 || !strings.HasPrefix(text, raw.String()) || !r.partial() {
+			t.Fatalf("cut at %d: ids %v, partial %t", cut, ids, r.partial())
+		}
+	}
+}
+
+func TestEndlessEventIsRefused(t *testing.T) {
+	var r eventReader
+	if err := r.feed(make([]byte, maxEvent+1)); err == nil {
+		t.Fatal("taken")
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2"), 3)
+	f.Add([]byte("\r\n\r\n\n\n\r\n"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		var r eventReader
+		var out []byte
+		cut = min(max(cut, 0), len(data))
+		for _, piece := range [][]byte{data[:cut], data[cut:]} {
+			if r.feed(piece) != nil {
+				return
+			}
+			for e, ok := r.next(); ok; e, ok = r.next() {
+				out = append(out, e.raw...)
+			}
+		}
+		if !bytes.HasPrefix(data, out) || len(out)+len(r.buf) != len(data) {
+			t.Fatalf("bytes are lost or changed: %q of %q", out, data)
+		}
+	})
+}
--- /dev/null
+++ b/internal/request/journey_test.go
@@ -0,0 +1,105 @@
+package request
+
+import (
+	"testing"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"pgregory.net/rapid"
+)
+
+// Whatever happens, a request that may not be repeated runs once at most, none runs
+// on more servers than allowed, and a refusal that promises not to have run is true.
+func TestJourneyKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		j := Journey{
+			Repeatable: rapid.Bool().Draw(t, "repeatable"), MaxRuns: rapid.IntRange(0, 4).Draw(t, "runs"),
+			Deadline: now.Add(time.Second),
+		}
+		mayHaveRun := 0
+		for {
+			j.Sent()
+			o := Outcome(rapid.IntRange(int(NotStarted), int(CutShort)).Draw(t, "outcome"))
+			if o != NotStarted {
+				mayHaveRun++
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			refusal := j.After(o, now, func() bool { return rapid.Bool().Draw(t, "allowed") })
+			if refusal == nil {
+				continue
+			}
+			row := fault.Lookup(refusal.Kind)
+			if mayHaveRun > 0 && (refusal.State() == fault.NotRun || row.Run == fault.NotRun) {
+				t.Fatalf("%s promises that a request did not run which may have", refusal.Kind)
+			}
+			if mayHaveRun == 0 && refusal.State() != fault.NotRun {
+				t.Fatalf("%s does not say that the request did not run", refusal.Kind)
+			}
+			break
+		}
+		if !j.Repeatable && mayHaveRun > 1 {
+			t.Fatalf("ran %d times", mayHaveRun)
+		}
+		if mayHaveRun > max(1, j.MaxRuns) {
+			t.Fatalf("ran on %d servers of %d", mayHaveRun, j.MaxRuns)
+		}
+	})
+}
+
+func TestDeadlineEndsTheJourney(t *testing.T) {
+	j := Journey{Repeatable: true, MaxRuns: 3, Deadline: time.Unix(1, 0)}
+	j.Sent()
+	if e := j.After(Lost, time.Unix(1, 0), func() bool { return true }); e == nil || e.Kind != fault.DeadlineExceeded {
+		t.Fatalf("got %v", e)
+	}
+}
+
+// Symptom: in a window of ten seconds a service got more repeats than allowed.
+// Sequence: an outage makes every request a candidate for a repeat on all daemons.
+// Cause: a budget that refills by rate allows its reserve and a window's worth.
+func TestSharesOfAllDaemonsKeepTheLimitInEveryWindow(t *testing.T) {
+	const daemons, window, ratio, reserve = 6, 10 * time.Second, 0.9, 52.0
+	rapid.Check(t, func(t *rapid.T) {
+		shares := make([]Share, daemons)
+		for i := range shares {
+			shares[i] = Share{Window: window, Ratio: ratio, Reserve: reserve / daemons}
+		}
+		type point struct {
+			at     time.Time
+			repeat bool
+		}
+		var all []point
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(200, 1200).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "ms")) * time.Millisecond)
+			s := &shares[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+				s.First(now)
+				all = append(all, point{now, false})
+			}
+			if s.Take(now, 0) {
+				all = append(all, point{now, true})
+			}
+		}
+		for from := range all {
+			first, repeats := 0, 0
+			for _, p := range all[from:] {
+				if p.at.Sub(all[from].at) >= window {
+					break
+				}
+				if p.repeat {
+					repeats++
+				}
+			}
+			for _, p := range all {
+				if d := all[from].at.Sub(p.at); !p.repeat && d < window && d > -window {
+					first++
+				}
+			}
+			if float64(repeats) > ratio*float64(first)+reserve {
+				t.Fatalf("%d repeats for %d first sends from %s on", repeats, first, all[from].at)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/routing/lanes_test.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"fmt"
+	"math/bits"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func engines(n int) []Candidate {
+	out := make([]Candidate, n)
+	for i := range out {
+		out[i] = Candidate{ID: fmt.Sprint("e", i), Slots: 8, PrefillPerToken: time.Microsecond}
+	}
+	return out
+}
+
+func TestLanesShareEnginesByWork(t *testing.T) {
+	for _, tt := range []struct {
+		n            int
+		small, large float64
+		wantSmall    int
+	}{
+		{9, 1, 4, 2}, {9, 1, 1, 5}, {9, 1, 50, 1}, {2, 1, 9, 1}, {64, 1, 3, 16},
+	} {
+		l := NewLanes(map[string]float64{"small": tt.small, "large": tt.large})
+		c := engines(tt.n)
+		small := tt.n - bits.OnesCount64(l.Foreign("small", c))
+		large := tt.n - bits.OnesCount64(l.Foreign("large", c))
+		if small+large != tt.n || l.Foreign("small", c)&l.Foreign("large", c) != 0 {
+			t.Errorf("%d engines: %d and %d do not divide them", tt.n, small, large)
+		}
+		if small < tt.wantSmall-1 || small > tt.wantSmall+1 {
+			t.Errorf("%d engines by %g to %g: the small model has %d, want about %d", tt.n, tt.small, tt.large, small, tt.wantSmall)
+		}
+	}
+}
+
+func TestLanesOfOneModelOrTooFewEngines(t *testing.T) {
+	if f := NewLanes(map[string]float64{"m": 1}).Foreign("m", engines(5)); f != 0 {
+		t.Errorf("one model: %b", f)
+	}
+	if f := NewLanes(map[string]float64{"a": 1, "b": 1}).Foreign("a", engines(1)); f != 0 {
+		t.Errorf("one engine: %b", f)
+	}
+	if f := NewLanes(map[string]float64{"a": 1, "b": 1}).Foreign("c", engines(5)); f != 0 {
+		t.Errorf("an unknown model: %b", f)
+	}
+}
+
+func TestLanesFollowTheWork(t *testing.T) {
+	l := NewLanes(map[string]float64{"small": 1, "large": 4})
+	now := time.Unix(100, 0)
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		l.Work("small", 100*time.Millisecond, now)
+		l.Work("large", 100*time.Millisecond, now)
+	}
+	if n := 10 - bits.OnesCount64(l.Foreign("small", engines(10))); n < 4 || n > 6 {
+		t.Errorf("the small model has %d of 10 engines at half of the work", n)
+	}
+}
+
+// A lane that is behind spills over: a request waits no longer than leaving costs.
+func TestBusyLaneSpillsOver(t *testing.T) {
+	c := engines(2)
+	c[0].PendingPrefill = 300_000 // 300 ms to read
+	r := &Request{PromptTokens: 1000, Foreign: 1 << 1}
+	if d := Engines().Pick(r, c, rand.New(rand.NewPCG(1, 2))); d.Index != 1 {
+		t.Errorf("chose %d", d.Index)
+	}
+	c[0].PendingPrefill = 50_000
+	if d := Engines().Pick(r, c, rand.New(rand.NewPCG(1, 2))); d.Index != 0 {
+		t.Errorf("left the lane for 50 ms")
+	}
+}
+
+func TestLineLearnsFixedAndPerToken(t *testing.T) {
+	l := NewLine(60*time.Millisecond, 5*time.Microsecond)
+	for i := range 400 {
+		tokens := 500 + i%10*700
+		l.Sample(tokens, 40*time.Millisecond+time.Duration(tokens)*30*time.Microsecond)
+	}
+	if got := l.PerToken(); got < 29*time.Microsecond || got > 31*time.Microsecond {
+		t.Errorf("per token %s", got)
+	}
+	if got := l.Fixed(); got < 38*time.Millisecond || got > 42*time.Millisecond {
+		t.Errorf("fixed %s", got)
+	}
+}
+
+func TestUncachedByPartsOfUnlikeLength(t *testing.T) {
+	r := &Request{PromptTokens: 1000, BlockEnds: []int{600, 900}}
+	for cached, want := range map[uint8]int{0: 1000, 1: 400, 2: 100} {
+		r.CachedBlocks[3] = cached
+		if got := r.Uncached(3); got != want {
+			t.Errorf("%d parts cached: %d tokens left, want %d", cached, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,184 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+)
+
+// serve answers each request on each connection by a function that writes to it
+// and says whether the connection goes on.
+func serve(t *testing.T, answer func(n int, r *http.Request, w io.Writer) bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body) // the test's own request
+					if !answer(n, req, c) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func call(p *Pool, address, id string) (string, error) {
+	req := &http.Request{
+		Method: "POST", URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"Id": {id}},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: 1, Body: io.NopCloser(strings.NewReader("b")),
+	}
+	resp, err := p.Do(context.Background(), Call{
+		Address: address, Request: req,
+		Mine: func(r *http.Response) bool { return r.Header.Get("Id") == id },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func answer(w io.Writer, id, body string) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func counting(p *Pool) *int {
+	n := 0
+	p.Opened = func(string) { n++ }
+	return &n
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	address := serve(t, func(_ int, r *http.Request, w io.Writer) bool {
+		answer(w, r.Header.Get("Id"), "ok")
+		return true
+	})
+	p := NewPool()
+	opened := counting(p)
+	for i := range 5 {
+		if body, err := call(p, address, fmt.Sprint(i)); err != nil || body != "ok" {
+			t.Fatalf("got %q, %v", body, err)
+		}
+	}
+	if *opened != 1 {
+		t.Errorf("opened %d connections for 5 requests in turn", *opened)
+	}
+}
+
+// Symptom: a caller got the answer to another caller's request.
+// Sequence: a server sends a second answer to a request; the next request on the
+// connection meets it where its own answer is due.
+// Cause: answers were matched by their place alone.
+func TestAnswerToAnotherRequestIsPassedOver(t *testing.T) {
+	address := serve(t, func(n int, r *http.Request, w io.Writer) bool {
+		if n == 1 {
+			answer(w, "0", "late")
+		}
+		answer(w, r.Header.Get("Id"), "own")
+		return true
+	})
+	p := NewPool()
+	for i := range 3 {
+		if body, err := call(p, address, fmt.Sprint(i)); err != nil || body != "own" {
+			t.Fatalf("request %d: got %q, %v", i, body, err)
+		}
+	}
+}
+
+// Symptom: as above, with bytes that came before the next request was sent.
+func TestConnectionWithBytesWaitingIsNotUsed(t *testing.T) {
+	address := serve(t, func(_ int, r *http.Request, w io.Writer) bool {
+		answer(w, r.Header.Get("Id"), "own")
+		_, _ = io.WriteString(w, "stray") // the pool must notice
+		return true
+	})
+	p := NewPool()
+	for i := range 3 {
+		if body, err := call(p, address, fmt.Sprint(i)); err != nil || body != "own" {
+			t.Fatalf("request %d: got %q, %v", i, body, err)
+		}
+	}
+}
+
+func TestErrorsTellWhetherAnythingWasSent(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody := l.Addr().String()
+	_ = l.Close()
+	closes := serve(t, func(int, *http.Request, io.Writer) bool { return false })
+	garbles := serve(t, func(_ int, _ *http.Request, w io.Writer) bool {
+		_, _ = io.WriteString(w, "what is this\r\n\r\n")
+		return false
+	})
+	for address, want := range map[string]Error{
+		nobody: {Reason: Unreachable, Sent: false}, closes: {Reason: Broken, Sent: true}, garbles: {Reason: Garbled, Sent: true},
+	} {
+		_, err := call(NewPool(), address, "1")
+		var e *Error
+		if !errors.As(err, &e) || e.Reason != want.Reason || e.Sent != want.Sent {
+			t.Errorf("got %v, want %s, sent %t", err, want.Reason, want.Sent)
+		}
+	}
+}
+
+func TestShortBodyIsAnError(t *testing.T) {
+	address := serve(t, func(_ int, r *http.Request, w io.Writer) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 10\r\n\r\nhalf", r.Header.Get("Id"))
+		return false
+	})
+	if body, err := call(NewPool(), address, "1"); err == nil {
+		t.Fatalf("took %q for whole", body)
+	}
+}
+
+func TestLimitOfConnections(t *testing.T) {
+	block := make(chan struct{})
+	address := serve(t, func(_ int, r *http.Request, w io.Writer) bool { <-block; return false })
+	defer close(block)
+	p := NewPool()
+	ctx, cancel := context.WithCancel(context.Background())
+	busy := make(chan struct{})
+	p.Opened = func(string) { close(busy) }
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		req := &http.Request{Method: "GET", URL: &url.URL{Opaque: "/"}, Host: "h", Header: http.Header{}}
+		_, _ = p.Do(ctx, Call{Address: address, Request: req, Limit: 1}) // ends by the context
+	}()
+	<-busy
+	_, err := p.Do(context.Background(), Call{Address: address, Request: &http.Request{Method: "GET", URL: &url.URL{Opaque: "/"}}, Limit: 1})
+	var e *Error
+	if !errors.As(err, &e) || e.Reason != Full || e.Sent {
+		t.Fatalf("got %v", err)
+	}
+	cancel()
+	<-done
+}
