--- a/internal/arch/docs_test.go
+++ b/internal/arch/docs_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/daemon"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/relay"
 	"github.com/damaskrudder/damaskrudder/internal/settings"
 )
 
@@ -55,14 +56,28 @@
 }
 
 func TestMetricsPage(t *testing.T) {
-	names := daemon.MetricNames()
 	var b strings.Builder
-	b.WriteString("# Metrics\n\nServed at `/metrics` in Prometheus' text form, each with the prefix `damaskrudder_`.\nMade from the list in `internal/daemon`.\n\n| name | meaning |\n|---|---|\n")
-	for _, n := range slices.Sorted(maps.Keys(names)) {
-		fmt.Fprintf(&b, "| `%s` | %s |\n", n, names[n])
+	b.WriteString("# Metrics\n\nServed at `/metrics` in Prometheus' text form, each with the prefix `damaskrudder_`.\nMade from the lists in `internal/daemon` and `internal/relay`.\n")
+	for _, list := range []struct {
+		title, file string
+		names       map[string]string
+	}{
+		{"Of a daemon with the product's own interface", "daemon", daemon.MetricNames()},
+		{"Of a daemon on the users' platform", "relay", relay.MetricNames()},
+	} {
+		fmt.Fprintf(&b, "\n## %s\n\n| name | meaning |\n|---|---|\n", list.title)
+		for _, n := range slices.Sorted(maps.Keys(list.names)) {
+			fmt.Fprintf(&b, "| `%s` | %s |\n", n, list.names[n])
+		}
+		checkMetrics(t, list.file, list.names)
 	}
 	page(t, "METRICS.md", b.String())
-	src, err := os.ReadFile(filepath.Join("..", "daemon", "metrics.go"))
+}
+
+// checkMetrics compares a list of metrics with those that a package registers.
+func checkMetrics(t *testing.T, pkg string, names map[string]string) {
+	t.Helper()
+	src, err := os.ReadFile(filepath.Join("..", pkg, "metrics.go"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -72,7 +87,7 @@
 		}
 	}
 	if used := strings.Count(string(src), `Counter("`) + strings.Count(string(src), `Gauge("`) + strings.Count(string(src), `Histogram("`); used != len(names) {
-		t.Errorf("%d metrics are in use, %d are listed", used, len(names))
+		t.Errorf("%s: %d metrics are in use, %d are listed", pkg, used, len(names))
 	}
 }
 
--- /dev/null
+++ b/internal/arch/words_test.go
@@ -0,0 +1,73 @@
+package arch_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// wire are names of the users' platform. They are decoded once, in platform/;
+// stand-ins speak them to it.
+var wire = regexp.MustCompile(`(?i)x-damaskrudder-|"/-/|keyed\.(op|servers|status)|last-event-id|kv-from|log-append`)
+
+func TestWireNamesStandInOneFolder(t *testing.T) {
+	root := filepath.Join("..", "..")
+	seen := 0
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		rel, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		found := wire.Find(text)
+		switch dir := filepath.ToSlash(rel); {
+		case strings.HasPrefix(dir, "platform/"):
+			if found != nil {
+				seen++
+			}
+		case strings.HasPrefix(dir, "internal/standin/"):
+		case found != nil:
+			t.Errorf("%s has %q", rel, found)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if seen == 0 {
+		t.Error("the pattern finds nothing in platform/ either")
+	}
+}
+
+// mostPlatformLines keeps the adapter small: what decides belongs to the product.
+const mostPlatformLines = 2500
+
+func TestAdapterIsSmall(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("..", "..", "platform", "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for _, f := range files {
+		if strings.HasSuffix(f, "_test.go") {
+			continue
+		}
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines += strings.Count(string(text), "\n")
+	}
+	if lines == 0 || lines > mostPlatformLines {
+		t.Errorf("platform/ has %d lines, at most %d", lines, mostPlatformLines)
+	}
+}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -60,3 +60,22 @@
 	}
 	return m.scope.Counter("answers_failed")
 }
+
+// MetricNames lists every metric with its meaning, for the page of metrics.
+func MetricNames() map[string]string {
+	return map[string]string{
+		"requests":            "Requests of callers.",
+		"repeats":             "Sends after the first of a request.",
+		"escalations":         "Answers of a smaller model dropped for a larger one's.",
+		"sends_failed":        "Sends without an answer.",
+		"sends_moved":         "Sends given up for another server because they were stuck.",
+		"answers_cut":         "Answers that ended before their end.",
+		"answers_ok":          "Whole answers of servers that succeeded.",
+		"answers_failed":      "Whole answers of servers that failed.",
+		"callers_left":        "Callers that left before their answer.",
+		"alive_checks":        "Signs of life asked of silent servers.",
+		"refusals":            "Refusals of ours, by kind.",
+		"answer_seconds":      "Time to a plain answer.",
+		"first_event_seconds": "Time to the first event of a stream.",
+	}
+}
