Two daemons wait on the store and tell the others

Silence of daemons is counted in turns of calling, so that large deployments do not take the living for gone.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -3,8 +3,10 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,6 +76,14 @@
 	// failed is none.
 	Healed func()
 	Logger *log.Logger
+	// Peer fetches records that another reader has, from an offset on, with how far
+	// it has read. It is used while ReadsLog says no; a nil Peer reads the log
+	// always. One reader that waits on the log is enough for many followers, and
+	// every call of the log is paid for.
+	Peer     func(ctx context.Context, topic string, from uint64) ([]Record, uint64, error)
+	ReadsLog func() bool
+	// Grown is told when records were applied.
+	Grown func()
 	// After is another follower of the same log. While it gets no answer, this
 	// one does not ask either: one that knocks is enough to learn that the log
 	// is back, and every refused call is paid for.
@@ -87,6 +97,12 @@
 	away atomic.Bool
 
 	mu sync.Mutex
+	// kept are the newest records of each key, removals included, for others.
+	kept map[string]Record
+	// alone says that the log holds records that no other reader has told of.
+	alone atomic.Bool
+	// behind is signalled when another reader is ahead.
+	behind chan struct{}
 	// interrupt ends the read that is waiting.
 	interrupt context.CancelFunc
 	// expected is how far another reader has come, and expectedAt since when
@@ -104,11 +120,92 @@
 func (f *Follower) Expect(next uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if next > f.expected {
-		f.expected = next
-		if f.expectedAt.IsZero() {
-			f.expectedAt = time.Now()
+	if next <= f.expected {
+		return
+	}
+	f.expected = next
+	if f.expectedAt.IsZero() {
+		f.expectedAt = time.Now()
+	}
+	select {
+	case f.behind <- struct{}{}:
+	default:
+	}
+}
+
+// New prepares a follower to be asked before it runs.
+func New(f *Follower) *Follower {
+	f.kept, f.behind = map[string]Record{}, make(chan struct{}, 1)
+	return f
+}
+
+// Since returns the newest record of each key from an offset on, in order, and how
+// far this follower has read.
+func (f *Follower) Since(from uint64) ([]Record, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Record
+	for _, r := range f.kept {
+		if r.Offset >= from {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return out, f.next.Load()
+}
+
+// apply hands records on and keeps them for others.
+func (f *Follower) apply(records []Record, whole bool, next uint64) {
+	f.Apply(records, whole)
+	f.mu.Lock()
+	if f.kept == nil || whole {
+		f.kept = map[string]Record{}
+	}
+	for _, r := range records {
+		f.kept[r.Key] = r
+	}
+	f.next.Store(next)
+	f.mu.Unlock()
+	if f.Grown != nil {
+		f.Grown()
+	}
+}
+
+// peerEvery is how often a follower that reads from others looks whether it should
+// read the log itself.
+const peerEvery = 100 * time.Millisecond
+
+// fromPeers takes what other readers have until the log is to be read.
+func (f *Follower) fromPeers(ctx context.Context) {
+	for f.Peer != nil && f.loaded && ctx.Err() == nil && !f.ReadsLog() && !f.alone.Load() {
+		f.mu.Lock()
+		expected := f.expected
+		f.mu.Unlock()
+		if expected > f.next.Load() {
+			f.fetch(ctx)
+		}
+		t := time.NewTimer(peerEvery)
+		select {
+		case <-ctx.Done():
+		case <-f.behind:
+		case <-t.C:
 		}
+		t.Stop()
+	}
+}
+
+// fetch takes records of another reader. One that fails is asked again later, or
+// the log is: the confirmation of this follower grows old meanwhile.
+func (f *Follower) fetch(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	records, next, err := f.Peer(ctx, f.Topic, f.next.Load())
+	if err != nil {
+		f.Logger.Debug("records not fetched from another reader", "topic", f.Topic, "err", err)
+		return
+	}
+	if next > f.next.Load() {
+		f.apply(records, false, next)
 	}
 }
 
@@ -137,8 +234,11 @@
 // Run follows the topic until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.fromPeers(ctx)
 		before := f.next.Load()
-		if err := f.step(ctx); err != nil {
+		err := f.step(ctx)
+		f.alone.Store(false)
+		if err != nil {
 			f.sleep(ctx, f.failed(ctx, err))
 			f.await(ctx)
 		} else if f.next.Load() != before {
@@ -210,8 +310,7 @@
 	}
 	f.answered()
 	if len(records) > 0 {
-		f.Apply(records, false)
-		f.next.Store(records[len(records)-1].Offset + 1)
+		f.apply(records, false, records[len(records)-1].Offset+1)
 	}
 	if f.next.Load() >= end {
 		f.Confirmed(sent)
@@ -225,8 +324,7 @@
 		return err
 	}
 	f.answered()
-	f.Apply(records, true)
-	f.next.Store(end)
+	f.apply(records, true, end)
 	f.loaded = true
 	f.Confirmed(sent)
 	return nil
@@ -244,8 +342,9 @@
 	f.away.Store(false)
 }
 
-// Glance reads once without waiting, beside a read that waits. It confirms that
-// the follower is current, or gives up the waiting read if it is not.
+// Glance looks once how far the log goes, beside a read that waits. It confirms
+// that the follower is current, or makes it read the log itself: those that read
+// for it may be cut off.
 func (f *Follower) Glance(ctx context.Context) error {
 	sent := f.Boot()
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
@@ -259,6 +358,7 @@
 		f.Confirmed(sent)
 		return nil
 	}
+	f.alone.Store(true)
 	f.Expect(end)
 	return nil
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -138,3 +138,53 @@
 		t.Fatal("the read goes on though another reader is ahead")
 	}
 }
+
+// Symptom: a daemon served by an old configuration for 2.1 seconds.
+// Sequence: the daemons that read the store for all are cut off from it; a
+// configuration changes.
+// Cause: the others saw that the store had gone on, and asked each other for what it
+// held.
+func TestFollowerReadsTheLogWhenNobodyElseCan(t *testing.T) {
+	var f *Follower
+	s := &script{
+		newest: func() ([]Record, uint64, error) { return nil, 3, nil },
+		reads: []func(uint64) ([]Record, uint64, error){
+			func(uint64) ([]Record, uint64, error) { return nil, 5, nil }, // the glance
+			func(from uint64) ([]Record, uint64, error) { return records(from, "a", "b"), 5, nil },
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.end = cancel
+	loaded, done := make(chan struct{}), make(chan struct{})
+	f = New(&Follower{
+		Log: s, Topic: "t", Logger: log.New(io.Discard), Boot: func() time.Duration { return 0 }, Confirmed: func(time.Duration) {},
+		Apply: func(r []Record, whole bool) {
+			if whole {
+				close(loaded)
+			}
+			if len(r) == 2 {
+				close(done)
+				cancel()
+			}
+		},
+		Peer:     func(context.Context, string, uint64) ([]Record, uint64, error) { return nil, 0, errors.New("nobody") },
+		ReadsLog: func() bool { return false },
+	})
+	go f.Run(ctx)
+	<-loaded
+	if err := f.Glance(ctx); err != nil {
+		t.Fatal(err)
+	}
+	<-done
+}
+
+func TestRecordsSinceAnOffset(t *testing.T) {
+	f := New(&Follower{Logger: log.New(io.Discard), Apply: func([]Record, bool) {}})
+	f.apply(records(0, "a", "b"), true, 2)
+	f.apply([]Record{{Key: "a", Offset: 2}}, false, 3)
+	got, next := f.Since(1)
+	if len(got) != 2 || got[0].Key != "b" || got[1].Key != "a" || got[1].Value != nil || next != 3 {
+		t.Fatalf("got %v up to %d", got, next)
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -5,12 +5,14 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 )
@@ -41,10 +43,16 @@
 	// a pulse may arrive twice or answer several calls.
 	Placed      []relay.Placed `cbor:"13,keyasint,omitempty"`
 	PlacedRound uint64         `cbor:"14,keyasint,omitempty"`
-	// OperatorNext and ServersNext are how far the daemon has read the
-	// operator's records and the servers' entries.
-	OperatorNext uint64 `cbor:"15,keyasint,omitempty"`
-	ServersNext  uint64 `cbor:"16,keyasint,omitempty"`
+	// Nexts is how far the daemon has read each topic.
+	Nexts []uint64 `cbor:"15,keyasint,omitempty"`
+}
+
+// Next returns how far the daemon has read a topic.
+func (p Pulse) Next(topic int) uint64 {
+	if topic < 0 || topic >= len(p.Nexts) {
+		return 0
+	}
+	return p.Nexts[topic]
 }
 
 const (
@@ -58,9 +66,12 @@
 	knownEvery = 2 * time.Second
 	// callLimit bounds one call. Round trips are some milliseconds.
 	callLimit = 700 * time.Millisecond
-	// silentAfter is the silence after which a daemon is taken as gone: some
-	// rounds, so that one lost packet does not take it out of the directory.
+	// silentAfter is the silence after which a daemon of a small deployment is
+	// taken as gone: some rounds, so that one lost packet does not take it out of
+	// the directory. silentTurns is the same in turns of calling all others, where
+	// one round does not reach them.
 	silentAfter = 950 * time.Millisecond
+	silentTurns = 3
 	// forgetAfter drops addresses at which nobody answered for so long.
 	forgetAfter = 60 * time.Second
 	// retryEvery is the pause between calls to an address that does not answer.
@@ -110,8 +121,12 @@
 	}
 }
 
-// Register makes a peer server answer pulses.
-func (m *Members) Register(s *peer.Server) {
+// Register makes a peer server answer pulses, and calls for records with since.
+func (m *Members) Register(s *peer.Server, since func(topic string, from uint64) ([]feed.Record, uint64)) {
+	peer.Handle(s, recordsKind, func(_ context.Context, _ string, q AskRecords) (Records, error) {
+		records, next := since(q.Topic, q.From)
+		return Records{records, next}, nil
+	})
 	peer.Handle(s, kind, func(_ context.Context, _ string, p Pulse) (Pulse, error) {
 		m.take(p.Address, p, 0)
 		return m.tell(), nil
@@ -142,13 +157,20 @@
 	}
 	m.knownTold = now
 	for _, o := range m.all {
-		if now.Sub(o.heard) < silentAfter {
+		if now.Sub(o.heard) < m.silence() {
 			p.Known = append(p.Known, o.address)
 		}
 	}
 	return p
 }
 
+// silence is how long a daemon may be silent before it counts as gone. Callers hold
+// mu.
+func (m *Members) silence() time.Duration {
+	turn := time.Duration(len(m.all)) * Every / (2 * fanOut)
+	return max(silentAfter, silentTurns*turn)
+}
+
 func (m *Members) take(address string, p Pulse, sentAt time.Duration) {
 	m.Learn(append(p.Known, address)...)
 	now := time.Now()
@@ -158,7 +180,7 @@
 		m.mu.Unlock()
 		return
 	}
-	if now.Sub(o.heard) > silentAfter || o.pulse.Incarnation != p.Incarnation {
+	if now.Sub(o.heard) > m.silence() || o.pulse.Incarnation != p.Incarnation {
 		m.log.Info("daemon heard", "daemon", p.Name, "address", address, "incarnation", p.Incarnation, "config", p.Version, "ready", p.Ready)
 	}
 	if p.Leaving && !o.pulse.Leaving {
@@ -190,8 +212,53 @@
 	}
 }
 
-// Round tells the others at once, as when this daemon begins to leave.
-func (m *Members) Round(ctx context.Context) { m.round(ctx) }
+// Tell calls some of the others at once, as when this daemon begins to leave or has
+// read something new. They tell on in turn, so that all hear within some calls.
+func (m *Members) Tell(ctx context.Context) {
+	m.mu.Lock()
+	var list []*member
+	for _, o := range m.all {
+		if len(list) < fanOut && !o.calling && time.Since(o.heard) <= m.silence() {
+			o.calling = true
+			list = append(list, o)
+		}
+	}
+	m.mu.Unlock()
+	for _, o := range list {
+		go m.call(ctx, o)
+	}
+}
+
+// Records asks a daemon that lives and has read further for records.
+func (m *Members) Records(ctx context.Context, topic string, from uint64, ahead func(p Pulse) bool) ([]feed.Record, uint64, error) {
+	for _, p := range m.Alive() {
+		if !ahead(p) {
+			continue
+		}
+		a, err := peer.Call[AskRecords, Records](ctx, m.links, p.Address, recordsKind, AskRecords{topic, from})
+		if err != nil {
+			return nil, 0, err
+		}
+		return a.Records, a.Next, nil
+	}
+	return nil, 0, errNobody
+}
+
+var errNobody = errors.New("no daemon that lives has read further")
+
+// AskRecords asks for the records of a topic from an offset on.
+type AskRecords struct {
+	Topic string `cbor:"1,keyasint"`
+	From  uint64 `cbor:"2,keyasint"`
+}
+
+// Records is the answer: the newest of each key, and how far the daemon has read.
+type Records struct {
+	Records []feed.Record `cbor:"1,keyasint"`
+	Next    uint64        `cbor:"2,keyasint"`
+}
+
+const recordsKind = "records"
 
 func (m *Members) round(ctx context.Context) {
 	for _, o := range m.due(time.Now()) {
@@ -214,7 +281,7 @@
 			delete(m.all, a)
 			continue
 		}
-		quiet := now.Sub(o.heard) > silentAfter
+		quiet := now.Sub(o.heard) > m.silence()
 		if now.Sub(o.heard) < justHeard {
 			continue // a call carries word both ways
 		}
@@ -246,7 +313,7 @@
 	p, err := peer.Call[Pulse, Pulse](ctx, m.links, o.address, kind, m.tell())
 	m.mu.Lock()
 	o.calling = false
-	lost := err != nil && !o.heard.IsZero() && time.Since(o.heard) > silentAfter && sentAt.Sub(o.heard) <= silentAfter
+	lost := err != nil && !o.heard.IsZero() && time.Since(o.heard) > m.silence() && sentAt.Sub(o.heard) <= m.silence()
 	m.mu.Unlock()
 	if lost {
 		m.log.Warn("daemon lost", "daemon", o.pulse.Name, "address", o.address, "err", err)
@@ -263,7 +330,7 @@
 	defer m.mu.Unlock()
 	var out []Pulse
 	for _, o := range m.all {
-		if now.Sub(o.heard) <= silentAfter {
+		if now.Sub(o.heard) <= m.silence() {
 			out = append(out, o.pulse)
 		}
 	}
