Pulses echo a stamp, so that both ends of a call take the other's confirmation

Cause: of two daemons one calls, and only its end could take the other's word, so that half of the daemons looked at the store. Change: a pulse echoes the receiver's own clock; the age counts from there.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -90,7 +90,7 @@
 	After *Follower
 
 	next   atomic.Uint64
-	loaded bool
+	loaded atomic.Bool
 	fails  int
 	lostAt time.Duration
 	// away says that the last read failed.
@@ -177,7 +177,7 @@
 
 // fromPeers takes what other readers have until the log is to be read.
 func (f *Follower) fromPeers(ctx context.Context) {
-	for f.Peer != nil && f.loaded && ctx.Err() == nil && !f.ReadsLog() && !f.alone.Load() {
+	for f.Peer != nil && f.loaded.Load() && ctx.Err() == nil && !f.ReadsLog() && !f.alone.Load() {
 		f.mu.Lock()
 		expected := f.expected
 		f.mu.Unlock()
@@ -209,8 +209,9 @@
 	}
 }
 
-// Check gives up a waiting read that is behind another reader. Without it, a
-// connection that went silent would hide a change until the wait is over.
+// Check makes a follower that stays behind read the log itself, and gives up a read
+// that waits meanwhile. Without it, a connection that went silent would hide a
+// change until the wait is over.
 func (f *Follower) Check(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -218,7 +219,11 @@
 		f.expectedAt = time.Time{}
 		return
 	}
-	if now.Sub(f.expectedAt) < behindLimit || f.interrupt == nil {
+	if now.Sub(f.expectedAt) < behindLimit {
+		return
+	}
+	f.alone.Store(true)
+	if f.interrupt == nil {
 		return
 	}
 	f.Logger.Warn("behind another reader, reading anew", "topic", f.Topic, "next", f.next.Load(), "other", f.expected)
@@ -231,6 +236,9 @@
 // succeeds only if the follower has seen all that decided it.
 func (f *Follower) Next() uint64 { return f.next.Load() }
 
+// Loaded reports whether the newest records have been read once.
+func (f *Follower) Loaded() bool { return f.loaded.Load() }
+
 // Run follows the topic until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -291,13 +299,13 @@
 	f.mu.Lock()
 	f.interrupt = cancel
 	f.mu.Unlock()
-	if !f.loaded {
+	if !f.loaded.Load() {
 		return f.load(ctx, sent)
 	}
 	records, end, err := f.Log.Read(ctx, f.Topic, f.next.Load(), f.Wait)
 	if errors.Is(err, ErrGone) {
 		f.Logger.Warn("records are gone, reading the newest of each key", "topic", f.Topic, "next", f.next.Load())
-		f.loaded = false
+		f.loaded.Store(false)
 		return f.load(ctx, sent)
 	}
 	if err != nil {
@@ -305,7 +313,7 @@
 	}
 	if end < f.next.Load() {
 		f.Logger.Error("the topic ends before what was read, reading it anew", "topic", f.Topic, "next", f.next.Load(), "end", end)
-		f.loaded = false
+		f.loaded.Store(false)
 		return nil
 	}
 	f.answered()
@@ -325,13 +333,13 @@
 	}
 	f.answered()
 	f.apply(records, true, end)
-	f.loaded = true
+	f.loaded.Store(true)
 	f.Confirmed(sent)
 	return nil
 }
 
 func (f *Follower) answered() {
-	if f.fails > 0 || !f.loaded {
+	if f.fails > 0 || !f.loaded.Load() {
 		away := f.Boot() - f.lostAt
 		f.Logger.Info("store answers", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails, "away_ms", away.Milliseconds())
 		if f.Healed != nil && f.fails > 0 && away >= outageLeast {
@@ -343,8 +351,8 @@
 }
 
 // Glance looks once how far the log goes, beside a read that waits. It confirms
-// that the follower is current, or makes it read the log itself: those that read
-// for it may be cut off.
+// that the follower is current, or lets Check find that it is behind: those that
+// read for it may be cut off.
 func (f *Follower) Glance(ctx context.Context) error {
 	sent := f.Boot()
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
@@ -358,7 +366,6 @@
 		f.Confirmed(sent)
 		return nil
 	}
-	f.alone.Store(true)
 	f.Expect(end)
 	return nil
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -176,6 +176,7 @@
 	if err := f.Glance(ctx); err != nil {
 		t.Fatal(err)
 	}
+	f.Check(time.Now().Add(time.Second))
 	<-done
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"github.com/damaskrudder/damaskrudder/internal/feed"
@@ -43,6 +44,13 @@
 	// a pulse may arrive twice or answer several calls.
 	Placed      []relay.Placed `cbor:"13,keyasint,omitempty"`
 	PlacedRound uint64         `cbor:"14,keyasint,omitempty"`
+	// Stamp is the reading of the sender's clock, in ms, when it made the pulse.
+	// Echo is the newest stamp that it had from the receiver's run EchoTo: what the
+	// pulse says was true after that moment of the receiver's own clock, however
+	// long the pulse was on its way.
+	Stamp  int64  `cbor:"16,keyasint,omitempty"`
+	Echo   int64  `cbor:"17,keyasint,omitempty"`
+	EchoTo uint64 `cbor:"18,keyasint,omitempty"`
 	// Nexts is how far the daemon has read each topic.
 	Nexts []uint64 `cbor:"15,keyasint,omitempty"`
 }
@@ -97,9 +105,9 @@
 	self  func() Pulse
 	links *peer.Links
 	log   *log.Logger
-	// Heard is told every pulse. SentAt is the reading of Boot before the call
-	// that it answers, or zero for one that came by itself.
-	Heard func(p Pulse, sentAt time.Duration)
+	// Heard is told every pulse. After is a reading of Boot after which the pulse
+	// was made, or zero if none is known.
+	Heard func(p Pulse, after time.Duration)
 	// Boot reads a clock that counts while the machine is suspended.
 	Boot func() time.Duration
 
@@ -128,8 +136,8 @@
 		return Records{records, next}, nil
 	})
 	peer.Handle(s, kind, func(_ context.Context, _ string, p Pulse) (Pulse, error) {
-		m.take(p.Address, p, 0)
-		return m.tell(), nil
+		m.take(p.Address, p)
+		return m.tellTo(p.Incarnation, p.Stamp), nil
 	})
 }
 
@@ -164,6 +172,24 @@
 	return p
 }
 
+// tellTo makes a pulse for a daemon's run whose newest stamp is known.
+func (m *Members) tellTo(incarnation string, stamp int64) Pulse {
+	p := m.tell()
+	p.Stamp = m.Boot().Milliseconds()
+	if incarnation != "" {
+		p.Echo, p.EchoTo = stamp, xxhash.Sum64String(incarnation)
+	}
+	return p
+}
+
+// after returns a reading of this daemon's clock after which a pulse was made.
+func (m *Members) after(p Pulse) time.Duration {
+	if p.Echo <= 0 || p.EchoTo != xxhash.Sum64String(m.incarnation) {
+		return 0
+	}
+	return time.Duration(p.Echo) * time.Millisecond
+}
+
 // silence is how long a daemon may be silent before it counts as gone. Callers hold
 // mu.
 func (m *Members) silence() time.Duration {
@@ -171,7 +197,7 @@
 	return max(silentAfter, silentTurns*turn)
 }
 
-func (m *Members) take(address string, p Pulse, sentAt time.Duration) {
+func (m *Members) take(address string, p Pulse) {
 	m.Learn(append(p.Known, address)...)
 	now := time.Now()
 	m.mu.Lock()
@@ -195,7 +221,7 @@
 	}
 	o.pulse, o.heard = p, now
 	m.mu.Unlock()
-	m.Heard(p, sentAt)
+	m.Heard(p, m.after(p))
 }
 
 // Run calls the others until the context ends.
@@ -309,8 +335,11 @@
 func (m *Members) call(ctx context.Context, o *member) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	sentAt, sentBoot := time.Now(), m.Boot()
-	p, err := peer.Call[Pulse, Pulse](ctx, m.links, o.address, kind, m.tell())
+	sentAt := time.Now()
+	m.mu.Lock()
+	last := o.pulse
+	m.mu.Unlock()
+	p, err := peer.Call[Pulse, Pulse](ctx, m.links, o.address, kind, m.tellTo(last.Incarnation, last.Stamp))
 	m.mu.Lock()
 	o.calling = false
 	lost := err != nil && !o.heard.IsZero() && time.Since(o.heard) > m.silence() && sentAt.Sub(o.heard) <= m.silence()
@@ -319,7 +348,7 @@
 		m.log.Warn("daemon lost", "daemon", o.pulse.Name, "address", o.address, "err", err)
 	}
 	if err == nil {
-		m.take(o.address, p, sentBoot)
+		m.take(o.address, p)
 	}
 }
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -18,7 +18,7 @@
 
 func TestDaemonsAreFoundThroughEachOther(t *testing.T) {
 	m := testMembers()
-	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Known: []string{"b:1", "self:1"}}, 0)
+	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Known: []string{"b:1", "self:1"}})
 	if alive := m.Alive(); len(alive) != 1 || alive[0].Name != "a" {
 		t.Fatalf("alive %v", alive)
 	}
@@ -36,12 +36,12 @@
 // Cause: the last pulse to arrive counted.
 func TestLeavingIsNotTakenBack(t *testing.T) {
 	m := testMembers()
-	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Leaving: true}, 0)
-	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Ready: true}, 0)
+	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Leaving: true})
+	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Ready: true})
 	if got := Fronts(m.Alive(), Pulse{Front: "self", Ready: true}); slices.Contains(got, "f:1") {
 		t.Fatalf("names %v", got)
 	}
-	m.take("a:1", Pulse{Incarnation: "a/2", Name: "a", Front: "f:1", Ready: true}, 0)
+	m.take("a:1", Pulse{Incarnation: "a/2", Name: "a", Front: "f:1", Ready: true})
 	if got := Fronts(m.Alive(), Pulse{Front: "self", Ready: true}); !slices.Contains(got, "f:1") {
 		t.Fatalf("a new run of the daemon is not named: %v", got)
 	}
@@ -89,3 +89,22 @@
 		t.Errorf("got %v", sum)
 	}
 }
+
+// Symptom: a key that had been taken away opened a second too long.
+// Sequence: a pulse is on its way for a second; the daemon that gets it counts the
+// age of its confirmation from its arrival.
+// Cause: nothing tells how old a pulse is but an echo of the receiver's own clock.
+func TestAgeCountsFromTheEchoedStamp(t *testing.T) {
+	m := testMembers()
+	if got := m.after(Pulse{}); got != 0 {
+		t.Errorf("a pulse without an echo is as old as %s", got)
+	}
+	other := New("a:1", "a/1", func() Pulse { return Pulse{} }, peer.NewLinks("a", "", nil), func() time.Duration { return time.Hour }, log.New(io.Discard))
+	p := other.tellTo("self/1", 5000)
+	if got := m.after(p); got != 5*time.Second {
+		t.Errorf("made after %s, want 5s", got)
+	}
+	if got := m.after(other.tellTo("self/0", 5000)); got != 0 {
+		t.Error("the clock of an earlier run, perhaps on another VM, was trusted")
+	}
+}
