--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -90,6 +90,7 @@
 			sub("usage", "", "sum the bills that the log holds and list doubtful ones", "rudderctl usage", nil, t.usage),
 			sub("burn", "", "report how fast objectives use up their allowance", "rudderctl burn", nil, t.burn),
 			sub("explain", "WORKSPACE MODEL [SESSION]", "say how a request would be routed now", "rudderctl explain goldfields-desk desk", nil, t.explain),
+			t.traceCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/ctl/trace.go
@@ -0,0 +1,170 @@
+package ctl
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/damaskrudder/damaskrudder/internal/cli"
+)
+
+// maxLogLine bounds one line of a log in bytes.
+const maxLogLine = 1 << 20
+
+// nearby is how long before a request's first line what a daemon came to believe is
+// shown: roll-outs and outages last that long.
+const nearby = 30 * time.Second
+
+// logLine is one line of a daemon's log.
+type logLine struct {
+	source  string
+	at      time.Time
+	message string
+	// fields are the others, in their order, as key=value.
+	fields []string
+	values map[string]string
+}
+
+// beliefs are the messages that tell what a daemon came to believe.
+var beliefs = map[string]bool{
+	"configuration in force": true, "roll-out ordered": true, "roll-out phase": true, "new version not used any more": true,
+	"server entry": true, "server entry gone": true, "server silent": true, "request stuck, moved": true,
+	"store lost": true, "store answers": true, "behind another reader, reading anew": true,
+	"started": true, "stopping": true, "daemon lost": true, "daemon leaves": true,
+}
+
+// traceCommand is the command that folds logs into the history of one request. It
+// talks to no daemon.
+func (t *tool) traceCommand() *ff.Command {
+	return &ff.Command{
+		Name: "trace", Usage: "rudderctl trace ID [LOG...]", ShortHelp: "fold daemons' logs into the history of one request",
+		LongHelp: "Reads the logs of any number of daemons, or standard input, and prints the lines of\none request in order, after what its daemons had come to believe shortly before.\n\nExample:\n  rudderctl trace e5c4d1cf325b91f5 logs/*.log\n\nExit codes: 0 done, 1 no line of the request, 2 wrong use.",
+		Flags:    t.flags("trace", nil),
+		Exec:     func(_ context.Context, args []string) error { return t.trace(args) },
+	}
+}
+
+func (t *tool) trace(args []string) error {
+	if len(args) == 0 {
+		return cli.Usage(errors.New("trace needs a request's id"))
+	}
+	var lines []logLine
+	if len(args) == 1 {
+		read, err := readLog("-", os.Stdin)
+		if err != nil {
+			return err
+		}
+		lines = read
+	}
+	for _, name := range args[1:] {
+		read, err := readLogFile(name)
+		if err != nil {
+			return cli.Usage(err)
+		}
+		lines = append(lines, read...)
+	}
+	found := history(lines, args[0])
+	if len(found) == 0 {
+		return fmt.Errorf("no line of request %s in %d lines", args[0], len(lines))
+	}
+	rows := make([]string, 0, len(found))
+	for _, l := range found {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s", l.at.Format("15:04:05.000"), l.source, l.message, strings.Join(l.fields, " ")))
+	}
+	return t.table("TIME\tLOG\tWHAT\tINPUTS", rows)
+}
+
+func readLogFile(name string) ([]logLine, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }() // read only
+	return readLog(strings.TrimSuffix(filepath.Base(name), filepath.Ext(name)), f)
+}
+
+// readLog reads a log in logfmt. Lines that are something else are passed over: the
+// end of a crashed process's log holds them.
+func readLog(source string, r io.Reader) ([]logLine, error) {
+	var out []logLine
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		if l, ok := parseLine(source, s.Text()); ok {
+			out = append(out, l)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return nil, fmt.Errorf("%s: %w", source, err)
+	}
+	return out, nil
+}
+
+func parseLine(source, text string) (logLine, bool) {
+	l := logLine{source: source, values: map[string]string{}}
+	d := logfmt.NewDecoder(strings.NewReader(text))
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			key, value := string(d.Key()), string(d.Value())
+			l.values[key] = value
+			switch key {
+			case "time":
+				at, err := time.Parse(time.RFC3339Nano, value)
+				if err != nil {
+					return l, false
+				}
+				l.at = at
+			case "msg":
+				l.message = value
+			case "level", "request":
+			default:
+				l.fields = append(l.fields, key+"="+value)
+			}
+		}
+	}
+	return l, d.Err() == nil && !l.at.IsZero() && l.message != ""
+}
+
+// history returns a request's lines, and what the daemons that served it came to
+// believe about its servers, the store and versions shortly before and meanwhile.
+func history(lines []logLine, id string) []logLine {
+	var own []logLine
+	sources, servers := map[string]bool{}, map[string]bool{}
+	for _, l := range lines {
+		if l.values["request"] == id {
+			own = append(own, l)
+			sources[l.source] = true
+			servers[l.values["server"]] = true
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(own, byTime)
+	first, last := own[0].at, own[len(own)-1].at
+	out := own
+	for _, l := range lines {
+		server, about := l.values["server"]
+		switch {
+		case !beliefs[l.message] || !sources[l.source], about && !servers[server]:
+		case l.at.Before(first.Add(-nearby)), l.at.After(last):
+		default:
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, byTime)
+	return out
+}
+
+func byTime(a, b logLine) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) }
