--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -165,6 +165,11 @@
 		f.kept[r.Key] = r
 	}
 	f.next.Store(next)
+	if next >= f.expected {
+		// Changes may follow each other faster than Check looks: being behind
+		// anew is not being behind still.
+		f.expectedAt = time.Time{}
+	}
 	f.mu.Unlock()
 	if f.Grown != nil {
 		f.Grown()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -189,3 +189,20 @@
 		t.Fatalf("got %v up to %d", got, next)
 	}
 }
+
+// Symptom: in a series of changes every daemon read the store.
+// Sequence: a change comes every third of a second; each is fetched from another
+// daemon within milliseconds.
+// Cause: the time since the first of them counted as the time behind.
+func TestBehindAnewIsNotBehindStill(t *testing.T) {
+	f := New(&Follower{Logger: log.New(io.Discard), Apply: func([]Record, bool) {}})
+	f.Expect(1)
+	first := time.Now()
+	f.apply(records(0, "a"), false, 1)
+	f.Expect(2)
+	f.expectedAt = first.Add(10 * behindLimit)
+	f.Check(first.Add(10*behindLimit + behindLimit/2))
+	if f.alone.Load() {
+		t.Fatal("reads the store although it was never behind for long")
+	}
+}
