--- a/internal/app/command.go
+++ b/internal/app/command.go
@@ -27,6 +27,7 @@
 func command(out, errw io.Writer) *ff.Command {
 	var config string
 	var metricsPort int
+	var platformFile string
 	var options demo.Options
 	configFlag := func(f *flag.FlagSet) { f.StringVar(&config, "config", "", "settings file, JSON with comments") }
 	root := &ff.Command{
@@ -49,10 +50,18 @@
 			Exec: func(context.Context, []string) error { return platform.Main(metricsPort, out) },
 		},
 		{
-			Name: "check", Usage: "damaskrudder check -config FILE", ShortHelp: "check a settings file",
-			LongHelp: "Example:\n  damaskrudder check -config docs/settings.sample.jsonc",
-			Flags:    cli.Flags("check", nil, configFlag),
-			Exec:     func(context.Context, []string) error { return check(config, out) },
+			Name: "check", Usage: "damaskrudder check -config FILE | -platform FILE", ShortHelp: "check a settings file",
+			LongHelp: "Examples:\n  damaskrudder check -config docs/settings.sample.jsonc\n  damaskrudder check -platform node.toml",
+			Flags: cli.Flags("check", nil, func(f *flag.FlagSet) {
+				configFlag(f)
+				f.StringVar(&platformFile, "platform", "", "settings file of the users' platform, TOML")
+			}),
+			Exec: func(context.Context, []string) error {
+				if platformFile != "" {
+					return checkPlatform(platformFile, out)
+				}
+				return check(config, out)
+			},
 		},
 		{
 			Name: "demo", Usage: "damaskrudder demo [-for 12s]", ShortHelp: "run daemons, stand-ins and traffic in one process",
@@ -89,6 +98,15 @@
 	return err
 }
 
+func checkPlatform(file string, out io.Writer) error {
+	s, err := platform.LoadSettings(file)
+	if err != nil {
+		return cli.Usage(err)
+	}
+	fmt.Fprintf(out, "%s: settings of daemon %s in %s are valid\n", file, s.Name, s.FailureDomain)
+	return nil
+}
+
 func run(file string, errw io.Writer) error {
 	s, err := load(file)
 	if err != nil {
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -49,6 +49,7 @@
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
+		r.broken = append(r.broken, r.slow()...)
 		fmt.Fprintf(out, "seed %d: %d requests, %.3f served, %.3f after the faults, %d broken promises; %s\n", seed, r.requests, r.served, r.recovered, len(r.broken), r.faults)
 		for _, b := range r.broken {
 			fmt.Fprintln(out, "   ", b)
