The daemon's own decisions move from the adapter into internal/node

Change: internal/node decides, a Translator says how records are written; a leaving daemon ends when it takes nothing any more, also while it still refuses. No change of behaviour otherwise; tests as before.

--- /dev/null
+++ b/internal/node/fresh.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/damaskrudder/damaskrudder/internal/gossip"
+)
+
+const (
+	// glanceEvery is how often the age of the confirmation is looked at, and
+	// glanceAge the age at which this daemon reads to renew it. It is longer for
+	// daemons further down the list: one reads, and the others hear of it. The
+	// longest lies well under the two seconds within which a configuration must be
+	// in force, since those that read for the others may be cut off from the store
+	// at the moment of a change.
+	glanceEvery = 200 * time.Millisecond
+	glanceAge   = 800 * time.Millisecond
+	glanceStep  = 150 * time.Millisecond
+	glanceMost  = 1200 * time.Millisecond
+	// ownSmall and ownLarge are how often a daemon looks at the store itself, and
+	// ownGrace how much later callers are sent elsewhere if it gets no answer.
+	ownSmall = 1800 * time.Millisecond
+	ownLarge = 20 * time.Second
+	ownGrace = 1000 * time.Millisecond
+	// ownReadAge is the age from which a daemon waits on the store itself.
+	ownReadAge = 1800 * time.Millisecond
+	// readyAge is the age of the confirmation up to which callers are sent here.
+	readyAge = 3 * time.Second
+)
+
+// The number of daemons that wait on the store for all others. A small deployment
+// has no others: a third of the daemons may be cut off from the store at once, and
+// with two readers both were, so that servers that left got requests for three
+// seconds more. In a large one, few readers are hardly ever cut off together, and
+// each change of an entry wakes every reader.
+const (
+	smallDeployment = 8
+	fewReaders      = 4
+)
+
+// readers returns how many daemons wait on the store.
+func (n *Node) readers() int {
+	if len(n.members.Alive()) < smallDeployment {
+		return smallDeployment
+	}
+	return fewReaders
+}
+
+// readsStore reports whether this daemon waits on the store: it is one of the
+// readers, or has not heard of a fresh confirmation for too long.
+func (n *Node) readsStore() bool {
+	age, known := n.state.ContactAge()
+	return n.rank() < n.readers() || !known || age > ownReadAge
+}
+
+// rank is the daemon's place among those that are ready, in an order that has
+// nothing to do with where they are: a failure domain may be lost as a whole.
+func (n *Node) rank() int {
+	rank, own := 0, xxhash.Sum64String(n.config.Name)
+	for _, p := range n.members.Alive() {
+		if p.Ready && !p.Leaving && xxhash.Sum64String(p.Name) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Ready reports whether callers should be sent here. A daemon that is cut off from
+// the store serves on by the word of others, but those that reach it come first.
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.state.Known() && n.state.Fresh(readyAge) && n.ownAge() < n.ownEvery()+ownGrace
+}
+
+// glance keeps the confirmation of the configuration young. Every daemon would
+// have to read the store each second for that; instead one does, and the others
+// take its word with its age.
+func (n *Node) glance(ctx context.Context) {
+	tick := time.NewTicker(glanceEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			for _, f := range n.followers {
+				f.Check(now)
+			}
+			if age, due := n.glanceDue(); due {
+				if err := n.operators.Glance(ctx); err != nil {
+					n.log.Debug("configuration not confirmed", "age_ms", age.Milliseconds(), "err", err)
+				}
+			}
+		}
+	}
+}
+
+// glanceDue reports whether this daemon is to look at the store itself: because
+// nobody else's confirmation is young, or because it has not done so for long.
+func (n *Node) glanceDue() (age time.Duration, due bool) {
+	age, known := n.state.ContactAge()
+	if !known {
+		return 0, false
+	}
+	limit := min(glanceAge+time.Duration(n.rank())*glanceStep, glanceMost)
+	return age, age > limit || n.ownAge() > n.ownEvery()
+}
+
+// confirm takes a confirmation that the store itself gave.
+func (n *Node) confirm(sent time.Duration) {
+	n.ownContact.Store(int64(sent))
+	n.state.Confirm(sent)
+}
+
+// ownAge is how long ago the store itself answered this daemon.
+func (n *Node) ownAge() time.Duration { return n.ports.Boot() - time.Duration(n.ownContact.Load()) }
+
+// ownEvery is how often a daemon looks whether it reaches the store. In a large
+// deployment the calls of all would cost more than the few that are cut off.
+func (n *Node) ownEvery() time.Duration {
+	if len(n.members.Alive()) < smallDeployment {
+		return ownSmall
+	}
+	return ownLarge
+}
+
+// confirmedBy takes another daemon's confirmation with its age, counted from a
+// moment after which the pulse was made: it may have been on its way for any time.
+// It holds only if this daemon knows what the other did.
+func (n *Node) confirmedBy(p gossip.Pulse, after time.Duration) {
+	if p.ContactMs >= 0 && n.operators.Next() >= p.Next(0) {
+		n.state.Confirm(after - time.Duration(p.ContactMs)*time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,192 @@
+// Package node is one daemon that serves opaque requests: it joins the relay, the
+// reading of the platform's log and the word of other daemons, and decides when it is
+// ready, who reads the log for all, when roll-outs go on, and how it leaves. What the
+// log's records mean is the platform's to say, through a Translator.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/feed"
+	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/peer"
+	"github.com/damaskrudder/damaskrudder/internal/relay"
+	"github.com/damaskrudder/damaskrudder/internal/rollout"
+	"github.com/damaskrudder/damaskrudder/internal/route"
+)
+
+// Config is what the deployment says of one daemon.
+type Config struct {
+	// Name stays the same over restarts.
+	Name          string
+	FailureDomain string
+	// Front is where callers connect, and Control where other daemons do.
+	Front, Control string
+	// Seeds are control addresses of other daemons; they may be stale.
+	Seeds []string
+	// Grace is the time from the word to leave to the end of the process.
+	Grace time.Duration
+	Rules relay.Rules
+}
+
+// Topics name the log's topics.
+type Topics struct {
+	// Operator holds configurations and roll-out orders, Servers the backend
+	// servers, Status how far roll-outs are, Daemons where daemons are.
+	Operator, Servers, Status, Daemons string
+}
+
+// Instruction is what one of the operator's records says; both fields are nil for a
+// record that is about something else.
+type Instruction struct {
+	Table *route.Table
+	Order *rollout.Order
+}
+
+// Status is how far an order had come when it was written.
+type Status struct {
+	Service string
+	// Order is the offset of the order.
+	Order uint64
+	Phase rollout.Phase
+	// Since is the time from the order to the writing.
+	Since time.Duration
+}
+
+// Translator knows how the platform writes records.
+type Translator interface {
+	Topics() Topics
+	Operator(r feed.Record) (Instruction, error)
+	Server(r feed.Record) (backend.Server, error)
+	// Status returns false for a record that is about something else.
+	Status(r feed.Record) (Status, bool, error)
+	// Daemon returns the control address that a daemon's entry holds.
+	Daemon(r feed.Record) (string, error)
+	EncodeStatus(o rollout.Order, p rollout.Phase, since time.Duration) (key string, value []byte, err error)
+	EncodeDaemon(control string) ([]byte, error)
+}
+
+// Ports are the daemon's connections to its surroundings.
+type Ports struct {
+	Log        feed.Log
+	Translator Translator
+	Backend    relay.Backend
+	Metrics    *relay.Metrics
+	Logger     *log.Logger
+	// Boot reads a clock that counts while the machine is suspended.
+	Boot func() time.Duration
+}
+
+// Node is one daemon.
+type Node struct {
+	Relay *relay.Relay
+
+	config      Config
+	ports       Ports
+	log         *log.Logger
+	incarnation string
+	topics      Topics
+	state       *relay.State
+	members     *gossip.Members
+	links       *peer.Links
+	// followers read the topics, in the order in which pulses tell how far.
+	followers  []*feed.Follower
+	operators  *feed.Follower
+	statuses   *feed.Follower
+	others     *feed.Follower
+	placements gossip.Placements
+	enrolled   atomic.Bool
+	leaving    atomic.Bool
+	// ownContact is the boot clock's reading when the newest read was sent that
+	// the log itself answered and that found this daemon current.
+	ownContact atomic.Int64
+}
+
+// New returns a daemon that is not running yet.
+func New(ctx context.Context, c Config, p Ports) *Node {
+	n := &Node{config: c, ports: p, log: p.Logger, topics: p.Translator.Topics()}
+	n.incarnation = c.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
+	n.state = relay.NewState(c.Name, p.Boot)
+	n.Relay = relay.New(n.state, p.Backend, c.Rules, p.Metrics, p.Logger)
+	n.links = peer.NewLinks(c.Name, "", nil)
+	n.members = gossip.New(c.Control, n.incarnation, n.pulse, n.links, p.Boot, p.Logger)
+	n.members.Heard = n.heard
+	n.members.Learn(c.Seeds...)
+	n.prepare(ctx)
+	return n
+}
+
+// Peers returns the handler for other daemons.
+func (n *Node) Peers() *peer.Server {
+	s := peer.NewServer("")
+	n.members.Register(s, n.recordsSince)
+	return s
+}
+
+// Run starts the daemon's loops; they end with the context.
+func (n *Node) Run(ctx context.Context) {
+	for _, f := range n.followers {
+		go f.Run(ctx)
+	}
+	for _, loop := range []func(context.Context){n.Relay.Run, n.members.Run, n.decide, n.glance, n.enroll} {
+		go loop(ctx)
+	}
+	n.log.Info("started", "daemon", n.config.Name, "incarnation", n.incarnation, "front", n.config.Front, "control", n.config.Control)
+}
+
+// Leaving reports whether the daemon is leaving.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Learn adds addresses at which daemons may be.
+func (n *Node) Learn(addresses ...string) { n.members.Learn(addresses...) }
+
+// EachServer calls f for every server of a service that may get requests.
+func (n *Node) EachServer(service string, f func(id string)) { n.state.EachServer(service, f) }
+
+// pulse is what this daemon tells the others.
+func (n *Node) pulse() gossip.Pulse {
+	p := gossip.Pulse{
+		Incarnation: n.incarnation, Name: n.config.Name, Address: n.config.Control, Front: n.config.Front,
+		FailureDomain: n.config.FailureDomain, Ready: n.Ready(), Leaving: n.leaving.Load(),
+		Work: n.state.Work(), Orders: n.Relay.Rollouts.Reports(n.state.RunningBut), ContactMs: -1,
+	}
+	for _, f := range n.followers {
+		p.Nexts = append(p.Nexts, f.Next())
+	}
+	p.Placed, p.PlacedRound = n.placements.Current(n.state.Placements, time.Now())
+	if t := n.state.Table(); t != nil {
+		p.Version = t.Version
+	}
+	if age, known := n.state.ContactAge(); known {
+		p.ContactMs = age.Milliseconds()
+	}
+	return p
+}
+
+// heard takes another daemon's pulse, made after a reading of the boot clock, or
+// zero if none is known.
+func (n *Node) heard(p gossip.Pulse, after time.Duration) {
+	for i, f := range n.followers {
+		f.Expect(p.Next(i))
+	}
+	if after != 0 {
+		n.confirmedBy(p, after)
+	}
+	n.Relay.Rollouts.Heard(p.Incarnation, p.Orders)
+	if n.placements.Fresh(p.Incarnation, p.PlacedRound) {
+		n.state.TakePlacements(p.Placed)
+	}
+	alive := n.members.Alive()
+	n.state.SetDaemons(len(alive) + 1)
+	n.state.SetPeerWork(gossip.TotalWork(alive))
+}
+
+// Fronts lists where callers should connect.
+func (n *Node) Fronts() []string { return gossip.Fronts(n.members.Alive(), n.pulse()) }
--- /dev/null
+++ b/internal/node/records.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/feed"
+	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/rollout"
+)
+
+const (
+	// storeWait is how long a read waits for a record. Records are answered at
+	// once, so this bounds only how long a connection that went silent hides
+	// them from a daemon that hears of them from no other.
+	storeWait = 15 * time.Second
+	// serversGather is the pause in which server entries gather: servers that
+	// start or leave together write within a heartbeat. It is short against the
+	// two seconds within which one that leaves must get nothing new.
+	serversGather = 400 * time.Millisecond
+	// quietWait is the same for topics whose age matters less.
+	quietWait = 28 * time.Second
+)
+
+// prepare makes the followers of the store's topics. They are asked for how far
+// they have read before they run.
+func (n *Node) prepare(ctx context.Context) {
+	add := func(topic string, wait, gather time.Duration, apply func([]feed.Record, bool), confirmed func(time.Duration), healed func()) *feed.Follower {
+		f := feed.New(&feed.Follower{
+			Log: n.ports.Log, Topic: topic, Wait: wait, Gather: gather, Boot: n.ports.Boot,
+			Apply: apply, Confirmed: confirmed, Healed: healed, Logger: n.log,
+			Peer: n.recordsOf, ReadsLog: n.readsStore,
+		})
+		n.followers = append(n.followers, f)
+		return f
+	}
+	ignore := func(time.Duration) {}
+	n.operators = add(n.topics.Operator, storeWait, 0, n.operator, n.confirm, nil)
+	entries := add(n.topics.Servers, storeWait, serversGather, n.servers, ignore, n.state.Healed)
+	n.statuses = add(n.topics.Status, quietWait, 0, n.status, ignore, nil)
+	n.others = add(n.topics.Daemons, quietWait, serversGather, n.daemons, ignore, nil)
+	for _, f := range n.followers[1:] {
+		f.After = n.operators
+	}
+	for _, f := range []*feed.Follower{n.operators, entries} {
+		f.Grown = func() { n.members.Tell(ctx) }
+	}
+	n.statuses.Grown = n.operators.Grown
+}
+
+// recordsOf fetches records from a daemon that has read further.
+func (n *Node) recordsOf(ctx context.Context, topic string, from uint64) ([]feed.Record, uint64, error) {
+	return n.members.Records(ctx, topic, from, func(p gossip.Pulse) bool { return p.Next(n.topicIndex(topic)) > from })
+}
+
+// topicIndex is a topic's place in pulses.
+func (n *Node) topicIndex(topic string) int {
+	return slices.IndexFunc(n.followers, func(f *feed.Follower) bool { return f.Topic == topic })
+}
+
+// recordsSince answers other daemons.
+func (n *Node) recordsSince(topic string, from uint64) ([]feed.Record, uint64) {
+	for _, f := range n.followers {
+		if f.Topic == topic {
+			return f.Since(from)
+		}
+	}
+	return nil, 0
+}
+
+// operator takes the operator's records: configurations and roll-out orders.
+func (n *Node) operator(records []feed.Record, _ bool) {
+	for _, r := range records {
+		if r.Value == nil {
+			continue
+		}
+		in, err := n.ports.Translator.Operator(r)
+		if err != nil {
+			n.log.Error("record passed over, what it would change is kept", "key", r.Key, "offset", r.Offset, "err", err)
+			continue
+		}
+		if in.Table != nil && n.state.SetTable(in.Table) {
+			n.log.Info("configuration in force", "version", in.Table.Version, "offset", r.Offset)
+		}
+		if in.Order != nil {
+			n.Relay.Rollouts.Ordered(*in.Order)
+		}
+	}
+}
+
+// servers takes the entries of backend servers.
+func (n *Node) servers(records []feed.Record, whole bool) {
+	n.state.Servers(func(reg *backend.Registry, now time.Duration) {
+		var listed []backend.Server
+		for _, r := range records {
+			if s, ok := n.server(reg, r, now); ok {
+				listed = append(listed, s)
+			}
+		}
+		if whole {
+			reg.Replace(listed, now)
+		}
+	})
+}
+
+// server takes one entry and returns the server if it is there.
+func (n *Node) server(reg *backend.Registry, r feed.Record, now time.Duration) (backend.Server, bool) {
+	old, known := reg.Get(r.Key, now)
+	if r.Value == nil {
+		if known {
+			n.log.Info("server entry gone", "server", r.Key, "service", old.Service, "was_leaving", old.Leaving, "offset", r.Offset)
+		}
+		reg.Remove(r.Key, now)
+		return old, false
+	}
+	s, err := n.ports.Translator.Server(r)
+	if err != nil {
+		n.log.Error("server entry passed over", "server", r.Key, "offset", r.Offset, "err", err)
+		return s, false
+	}
+	if !known || old.Leaving != s.Leaving || old.Address != s.Address {
+		n.log.Info("server entry", "server", s.ID, "service", s.Service, "address", s.Address, "version", s.Version, "leaving", s.Leaving, "offset", r.Offset)
+	}
+	reg.Put(s)
+	return s, true
+}
+
+// status takes how far roll-outs have come.
+func (n *Node) status(records []feed.Record, _ bool) {
+	for _, r := range records {
+		if r.Value == nil {
+			continue
+		}
+		s, about, err := n.ports.Translator.Status(r)
+		if err != nil {
+			n.log.Error("status passed over", "key", r.Key, "offset", r.Offset, "err", err)
+			continue
+		}
+		if about {
+			n.Relay.Rollouts.Settled(s.Service, s.Order, s.Phase, s.Since)
+		}
+	}
+}
+
+// daemons takes the entries of other daemons.
+func (n *Node) daemons(records []feed.Record, _ bool) {
+	for _, r := range records {
+		if r.Value == nil {
+			continue
+		}
+		control, err := n.ports.Translator.Daemon(r)
+		if err != nil {
+			n.log.Error("daemon entry passed over", "daemon", r.Key, "err", err)
+			continue
+		}
+		if r.Key == n.config.Name && control == n.config.Control {
+			n.enrolled.Store(true)
+		}
+		n.members.Learn(control)
+	}
+}
+
+const (
+	// enrollRetry is the pause between tries to write the daemon's own entry, and
+	// enrollLook how often it is looked at whether the entries are known.
+	enrollRetry = 500 * time.Millisecond
+	enrollLook  = 50 * time.Millisecond
+)
+
+// enroll writes where this daemon is, for those that do not know it.
+func (n *Node) enroll(ctx context.Context) {
+	value, err := n.ports.Translator.EncodeDaemon(n.config.Control)
+	if err != nil {
+		n.log.Error("own entry", "err", err)
+		return
+	}
+	for ctx.Err() == nil && !n.enrolled.Load() {
+		if !n.others.Loaded() {
+			pause(ctx, enrollLook)
+			continue // the entry of the last run may still be right
+		}
+		err := feed.Put(ctx, n.ports.Log, n.topics.Daemons, n.config.Name, value, nil)
+		if err == nil {
+			n.log.Info("own entry written")
+			return
+		}
+		n.log.Warn("own entry not written", "err", err)
+		pause(ctx, enrollRetry)
+	}
+}
+
+// pause waits for a time or the context's end.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// writeStatus writes the phase of an order, on condition that no daemon wrote any
+// status meanwhile: one that was paused while it decided must not undo what another
+// has decided since.
+func (n *Node) writeStatus(ctx context.Context, o rollout.Order, p rollout.Phase, since time.Duration) error {
+	key, value, err := n.ports.Translator.EncodeStatus(o, p, since)
+	if err != nil {
+		return err
+	}
+	at := n.statuses.Next()
+	return feed.Put(ctx, n.ports.Log, n.topics.Status, key, value, &at)
+}
--- /dev/null
+++ b/internal/node/rollouts.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/rollout"
+)
+
+// decideEvery is how often roll-outs are judged.
+const decideEvery = 250 * time.Millisecond
+
+// decide moves roll-outs on. Every daemon judges, since any may stop a bad
+// version for itself; one of them writes.
+func (n *Node) decide(ctx context.Context) {
+	tick := time.NewTicker(decideEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			n.judge(ctx)
+		}
+	}
+}
+
+func (n *Node) judge(ctx context.Context) {
+	for _, step := range n.Relay.Rollouts.Due(n.members.Lives) {
+		if step.Phase == rollout.RolledBack {
+			n.Relay.Rollouts.Brake(step.Order.Service, step.Order.Offset, step.Why)
+		}
+		if gossip.First(n.members.Alive(), n.config.Name, n.Ready()) {
+			err := n.writeStatus(ctx, step.Order, step.Phase, step.Since)
+			n.log.Info("roll-out status", "service", step.Order.Service, "phase", step.Phase, "why", step.Why, "err", err)
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,6 +59,8 @@
 	active  int
 	// end is when the daemon stops; zero while it does not leave.
 	end time.Time
+	// admitted is when the last request was admitted.
+	admitted time.Time
 }
 
 // New returns a relay.
@@ -93,6 +95,13 @@
 	return r.active
 }
 
+// Idle returns how long no request was admitted.
+func (r *Relay) Idle() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.admitted)
+}
+
 // share returns a service's part of the retry budget. Callers hold mu.
 func (r *Relay) share(service string, daemons int) *request.Share {
 	s := r.shares[service]
@@ -155,6 +164,9 @@
 		r.refused(c, out, refusal)
 		return
 	}
+	r.mu.Lock()
+	r.admitted = time.Now()
+	r.mu.Unlock()
 	x.out = out
 	x.serve(ctx)
 }
