Servers are named in four bytes between daemons

Cause: pulses name every server that has work, four times a second, and bytes between failure domains are paid for. Change: hashes of ids, arrays instead of maps.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -67,7 +67,7 @@
 func TestPlacementsAreHeardOnce(t *testing.T) {
 	var p Placements
 	now := time.Unix(50, 0)
-	take := func() []relay.Placed { return []relay.Placed{{Server: "s"}} }
+	take := func() []relay.Placed { return []relay.Placed{{Server: 7}} }
 	_, first := p.Current(take, now)
 	_, same := p.Current(take, now.Add(Every/2))
 	_, next := p.Current(take, now.Add(Every))
@@ -82,10 +82,10 @@
 
 func TestWorkIsSummedByServer(t *testing.T) {
 	sum := TotalWork([]Pulse{
-		{Work: []relay.Work{{Server: "s", Running: 2, Pending: 5}}},
-		{Work: []relay.Work{{Server: "s", Running: 1, Pending: 7}, {Server: "t", Running: 4}}},
+		{Work: []relay.Work{{Server: 1, Running: 2, Pending: 5}}},
+		{Work: []relay.Work{{Server: 1, Running: 1, Pending: 7}, {Server: 2, Running: 4}}},
 	})
-	if sum["s"].Running != 3 || sum["s"].Pending != 12 || sum["t"].Running != 4 {
+	if sum[1].Running != 3 || sum[1].Pending != 12 || sum[2].Running != 4 {
 		t.Errorf("got %v", sum)
 	}
 }
--- a/internal/gossip/views.go
+++ b/internal/gossip/views.go
@@ -3,8 +3,8 @@
 import "github.com/damaskrudder/damaskrudder/internal/relay"
 
 // TotalWork sums the work of daemons by backend server.
-func TotalWork(alive []Pulse) map[string]relay.Work {
-	sum := map[string]relay.Work{}
+func TotalWork(alive []Pulse) map[relay.ServerKey]relay.Work {
+	sum := map[relay.ServerKey]relay.Work{}
 	for _, p := range alive {
 		for _, w := range p.Work {
 			total := sum[w.Server]
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -195,7 +195,7 @@
 	}
 	if shared := len(blocks) - 1; shared > 0 && len(s.placed) < maxPlaced {
 		// The last part is the request's own; no other daemon meets it.
-		s.placed = append(s.placed, Placed{c.ID, blocks[:shared]})
+		s.placed = append(s.placed, Placed{Server: KeyOf(c.ID), Blocks: blocks[:shared]})
 	}
 	return t, nil
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -211,11 +211,19 @@
 	f(s.serviceOf(name))
 }
 
+// ServerKey names a server among daemons in four bytes: what they tell each other
+// four times a second names every server.
+type ServerKey uint32
+
+// KeyOf returns the key of a server's id.
+func KeyOf(id string) ServerKey { return ServerKey(xxhash.Sum64String(id)) }
+
 // Placed is a prompt's shared beginning that a daemon sent to a server: the
 // chained hashes of its parts.
 type Placed struct {
-	Server string   `cbor:"1,keyasint"`
-	Blocks []uint64 `cbor:"2,keyasint"`
+	_      struct{} `cbor:",toarray"`
+	Server ServerKey
+	Blocks []uint64
 }
 
 // maxPlaced bounds the placements kept for one round of telling the others.
@@ -235,18 +243,26 @@
 func (s *State) TakePlacements(list []Placed) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range list {
-		for _, sv := range s.services {
-			sv.picture.Cached(p.Server, p.Blocks)
+	for _, sv := range s.services {
+		ids := make(map[ServerKey]string, len(sv.members))
+		for _, m := range sv.members {
+			ids[KeyOf(m.ID)] = m.ID
+		}
+		for _, p := range list {
+			if id, known := ids[p.Server]; known {
+				sv.picture.Cached(id, p.Blocks)
+			}
 		}
 	}
 }
 
 // Work is this daemon's unfinished work on one server.
 type Work struct {
-	Server  string  `cbor:"1,keyasint"`
-	Running int     `cbor:"2,keyasint"`
-	Pending float64 `cbor:"3,keyasint,omitempty"`
+	_       struct{} `cbor:",toarray"`
+	Server  ServerKey
+	Running int
+	// Pending is the prompt tokens that wait to be read, scaled by their models.
+	Pending int
 }
 
 // Work lists this daemon's unfinished work, for the other daemons.
@@ -257,7 +273,7 @@
 	for _, sv := range s.services {
 		for _, c := range sv.picture.Snapshot(nil, time.Time{}) {
 			if c.InFlight > 0 {
-				out = append(out, Work{c.ID, c.InFlight, c.PendingPrefill})
+				out = append(out, Work{Server: KeyOf(c.ID), Running: c.InFlight, Pending: int(c.PendingPrefill)})
 			}
 		}
 	}
@@ -265,14 +281,14 @@
 }
 
 // SetPeerWork takes the sum of the other daemons' work by server.
-func (s *State) SetPeerWork(sum map[string]Work) {
+func (s *State) SetPeerWork(sum map[ServerKey]Work) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, sv := range s.services {
 		for _, m := range sv.members {
-			w := sum[m.ID]
-			sv.picture.Peers(m.ID, float64(w.Running), w.Pending, now)
+			w := sum[KeyOf(m.ID)]
+			sv.picture.Peers(m.ID, float64(w.Running), float64(w.Pending), now)
 		}
 	}
 }
