An order is not completed before all sessions have moved

Change: the whole phase lasts a session's span at least, and may last to 0.93 of the order instead of 0.86 (the test of the latest moment moves with it).

--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -122,6 +122,7 @@
 	if old := r.orders[o.Service]; old != nil && old.Offset >= o.Offset {
 		return
 	}
+	o.SessionSpan = r.seen.span
 	r.orders[o.Service] = &order{
 		Order: o, since: time.Now(),
 		own: map[string]*rollout.Cell{}, peers: map[string]OrderReport{},
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -13,6 +13,9 @@
 	Target  string
 	// Duration is the time from the order to its deadline.
 	Duration time.Duration
+	// SessionSpan is how long after each other requests of a session belong
+	// together.
+	SessionSpan time.Duration
 	// Offset is the place of the order in the operator's log and names it.
 	Offset uint64
 }
@@ -75,7 +78,7 @@
 	return Course{
 		CanaryShare: 0.1, RampShare: 0.4,
 		CanaryUntil: 0.5, RampUntil: 0.58,
-		FinishBy:      0.86,
+		FinishBy:      0.93,
 		LeastRequests: 20,
 		Alarm:         100,
 		RobustAlarm:   3,
@@ -116,7 +119,7 @@
 		return Ramp, fmt.Sprintf("%d requests on the new version without an alarm", fresh.Requests)
 	case p == Ramp && at >= c.RampUntil:
 		return Whole, fmt.Sprintf("%d requests on the new version without an alarm", fresh.Requests)
-	case p == Whole && oldRunning == 0 && at >= c.RampUntil+settle:
+	case p == Whole && oldRunning == 0 && at >= c.RampUntil+o.settle():
 		return Completed, "nothing runs on old servers"
 	case p == Whole && at >= c.FinishBy:
 		return Completed, fmt.Sprintf("%d requests still run on old servers at the latest moment", oldRunning)
@@ -129,6 +132,13 @@
 // there is no way back.
 const settle = 0.2
 
+// settle is how long the whole phase lasts at least: also until every session's last
+// request on the old version is out of its span. The next order may come as soon as
+// this one is completed, and would hold a session to the version it was last on.
+func (o Order) settle() float64 {
+	return max(settle, float64(o.SessionSpan)/float64(o.Duration))
+}
+
 // bad returns why the new version is to be withdrawn, or nothing.
 func (c Course) bad(e Evidence) string {
 	for s := range signalCount {
