A head is not waited for without end

Change: a head is waited for four times the expected time, or 0.6 of the route's target if that is longer.

--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -31,6 +31,11 @@
 	// five times as long for one request in a hundred.
 	enginePatience = 2
 	plainPatience  = 6
+	// headLimit is how many times longer still a head is waited for if nothing
+	// overtakes, and headPart the part of the route's latency target that is waited
+	// for at least: a daemon may send a server little, so that nothing can overtake.
+	headLimit = 2
+	headPart  = 0.6
 	// stallPart is the part of a route's longest pause after which a stream is
 	// continued elsewhere although its server lives: its connection may have
 	// gone silent for good while new ones work.
@@ -69,8 +74,9 @@
 	stall time.Duration
 	// urgency is the rank the server was given; the first goes first.
 	urgency int
-	// patience is how long the head is waited for if others overtake.
-	patience time.Duration
+	// patience is how long the head is waited for if others overtake, and limit
+	// how long if none do.
+	patience, limit time.Duration
 	// overtaken counts later sends to the server that were answered first.
 	overtaken int
 	// lastNanos is when the last bytes of the body came; 0 before the head.
@@ -122,6 +128,7 @@
 		a.patience = enginePatience * max(t.expected, time.Duration(first*float64(time.Second)))
 	}
 	a.patience = max(a.patience, leastPatience)
+	a.limit = max(headLimit*a.patience, time.Duration(headPart*float64(rt.LatencyTarget)))
 	if rt.GapTarget > 0 {
 		a.stall = time.Duration(stallPart * float64(rt.GapTarget))
 	}
@@ -204,7 +211,8 @@
 	case answered:
 		return a.engine && othersProgress && now.Sub(at) > a.stall
 	}
-	return a.overtaken >= overtakenBy && now.Sub(a.since) > a.patience
+	waited := now.Sub(a.since)
+	return waited > a.limit || a.overtaken >= overtakenBy && waited > a.patience
 }
 
 // progressing reports whether any stream of the server has had an event just now.
