--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -44,7 +44,7 @@
 }
 
 // Registry is the set of servers. Times are readings of a clock that counts
-// while the machine is suspended. Its owner guards it with a lock.
+// while the VM is suspended. Its owner guards it with a lock.
 type Registry struct {
 	entries map[string]*entry
 	// healed is when the store last came back after an outage.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -65,7 +65,7 @@
 	// Gather is the pause after a read that brought records: records that come in
 	// a burst are then read together instead of one a call.
 	Gather time.Duration
-	// Boot reads a clock that counts while the machine is suspended.
+	// Boot reads a clock that counts while the VM is suspended.
 	Boot func() time.Duration
 	// Apply takes records in the order of the log. Whole says that they are all
 	// keys there are.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -108,7 +108,7 @@
 	// Heard is told every pulse. After is a reading of Boot after which the pulse
 	// was made, or zero if none is known.
 	Heard func(p Pulse, after time.Duration)
-	// Boot reads a clock that counts while the machine is suspended.
+	// Boot reads a clock that counts while the VM is suspended.
 	Boot func() time.Duration
 
 	mu    sync.Mutex
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,7 +80,7 @@
 	Backend    relay.Backend
 	Metrics    *relay.Metrics
 	Logger     *log.Logger
-	// Boot reads a clock that counts while the machine is suspended.
+	// Boot reads a clock that counts while the VM is suspended.
 	Boot func() time.Duration
 }
 
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -50,7 +50,7 @@
 }
 
 // NewState returns an empty state. Boot reads a clock that counts while the
-// machine is suspended.
+// VM is suspended.
 func NewState(daemon string, boot func() time.Duration) *State {
 	return &State{
 		boot: boot, known: make(chan struct{}), registry: backend.NewRegistry(), services: map[string]*service{}, daemon: daemon, daemons: 1,
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -15,7 +15,7 @@
 	// watchEvery is how often silent servers are looked for.
 	watchEvery = 100 * time.Millisecond
 	// silenceLimit is how long a server that has work of ours may be silent
-	// before it is asked for a sign of life. A dark machine resets nothing, so
+	// before it is asked for a sign of life. A dark VM resets nothing, so
 	// without asking every request there would wait for its deadline. Engines
 	// that live send events every few tens of milliseconds under load.
 	silenceLimit = 500 * time.Millisecond
--- a/internal/routing/line.go
+++ b/internal/routing/line.go
@@ -4,7 +4,7 @@
 
 // Line learns how long a model takes to its first token: a fixed time, and a time
 // for each prompt token that is not cached. It is a least-squares fit that forgets
-// old samples, so that it follows a service whose machines or versions change.
+// old samples, so that it follows a service whose VMs or versions change.
 type Line struct {
 	weight, x, y, xx, xy float64
 	// fixed and perToken are the fit in seconds.
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -198,7 +198,7 @@
 }
 
 // Lateness is how much later than expected first tokens came from the server
-// lately. It tells of what no count of requests shows: a machine that has turned
+// lately. It tells of what no count of requests shows: a VM that has turned
 // slow, or memory that has run out.
 type Lateness struct{}
 
