--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/damaskrudder/damaskrudder/internal/feed"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 )
@@ -226,16 +227,8 @@
 
 // Run calls the others until the context ends.
 func (m *Members) Run(ctx context.Context) {
-	tick := time.NewTicker(Every)
-	defer tick.Stop()
-	for {
-		m.round(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
+	m.round(ctx)
+	loop.Every(ctx, Every, func(ctx context.Context, _ time.Time) { m.round(ctx) })
 }
 
 // Tell calls some of the others at once, as when this daemon begins to leave or has
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,20 @@
+package loop
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+func TestEveryCallsUntilTheContextEnds(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	calls := 0
+	Every(ctx, time.Millisecond, func(context.Context, time.Time) {
+		if calls++; calls == 3 {
+			cancel()
+		}
+	})
+	if calls != 3 {
+		t.Errorf("called %d times", calls)
+	}
+}
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 )
 
 const (
@@ -78,23 +79,18 @@
 // have to read the store each second for that; instead one does, and the others
 // take its word with its age.
 func (n *Node) glance(ctx context.Context) {
-	tick := time.NewTicker(glanceEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
+	loop.Every(ctx, glanceEvery, func(ctx context.Context, now time.Time) {
+		for _, f := range n.followers {
+			f.Check(now)
+		}
+		age, due := n.glanceDue()
+		if !due {
 			return
-		case now := <-tick.C:
-			for _, f := range n.followers {
-				f.Check(now)
-			}
-			if age, due := n.glanceDue(); due {
-				if err := n.operators.Glance(ctx); err != nil {
-					n.log.Debug("configuration not confirmed", "age_ms", age.Milliseconds(), "err", err)
-				}
-			}
 		}
-	}
+		if err := n.operators.Glance(ctx); err != nil {
+			n.log.Debug("configuration not confirmed", "age_ms", age.Milliseconds(), "err", err)
+		}
+	})
 }
 
 // glanceDue reports whether this daemon is to look at the store itself: because
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 )
 
@@ -14,16 +15,7 @@
 // decide moves roll-outs on. Every daemon judges, since any may stop a bad
 // version for itself; one of them writes.
 func (n *Node) decide(ctx context.Context) {
-	tick := time.NewTicker(decideEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			n.judge(ctx)
-		}
-	}
+	loop.Every(ctx, decideEvery, func(ctx context.Context, _ time.Time) { n.judge(ctx) })
 }
 
 func (n *Node) judge(ctx context.Context) {
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 )
 
@@ -158,18 +159,7 @@
 	}
 }
 
-func (w *watch) run(ctx context.Context) {
-	tick := time.NewTicker(watchEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			w.look(ctx, now)
-		}
-	}
-}
+func (w *watch) run(ctx context.Context) { loop.Every(ctx, watchEvery, w.look) }
 
 // look asks silent servers for a sign of life and moves stalled streams.
 func (w *watch) look(ctx context.Context, now time.Time) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -371,15 +371,14 @@
 	return c
 }
 
-// Sweep closes idle connections whose time is over and those to addresses that
-// keep rejects.
-func (p *Pool) Sweep(now time.Time, keep func(address string) bool) {
+// Sweep closes idle connections whose time is over.
+func (p *Pool) Sweep(now time.Time) {
 	var over []*conn
 	p.mu.Lock()
 	for address, list := range p.idle {
 		good := list[:0]
 		for _, c := range list {
-			if now.Before(c.until) && keep(address) {
+			if now.Before(c.until) {
 				good = append(good, c)
 			} else {
 				over = append(over, c)
