--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/feed"
+	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/relay"
+	"github.com/damaskrudder/damaskrudder/internal/rollout"
+	"github.com/damaskrudder/damaskrudder/internal/route"
+)
+
+// words is a translator of a platform whose records say what they are.
+type words struct{}
+
+func (words) Topics() Topics { return Topics{"op", "servers", "status", "daemons"} }
+func (words) Operator(r feed.Record) (Instruction, error) {
+	var version int64
+	if _, err := fmt.Sscan(string(r.Value), &version); err != nil {
+		return Instruction{}, errors.New("not a version")
+	}
+	t, err := route.New(route.Document{Version: version})
+	return Instruction{Table: t}, err
+}
+func (words) Server(r feed.Record) (backend.Server, error) {
+	if string(r.Value) == "bad" {
+		return backend.Server{}, errors.New("bad")
+	}
+	return backend.Server{ID: r.Key, Service: "s", Address: "10.0.0.1:1", Leaving: string(r.Value) == "leaving"}, nil
+}
+func (words) Status(feed.Record) (Status, bool, error) { return Status{}, false, nil }
+func (words) Daemon(r feed.Record) (string, error)     { return string(r.Value), nil }
+func (words) EncodeStatus(rollout.Order, rollout.Phase, time.Duration) (string, []byte, error) {
+	return "", nil, nil
+}
+func (words) EncodeDaemon(control string) ([]byte, error) { return []byte(control), nil }
+
+// testNode returns a daemon that does not run, with a boot clock to move.
+func testNode(t *testing.T) (*Node, *time.Duration) {
+	t.Helper()
+	now := time.Minute
+	n := New(t.Context(), Config{Name: "d0", Control: "c0", Front: "f0"}, Ports{
+		Translator: words{}, Metrics: relay.NewMetrics(tally.NoopScope), Logger: log.New(io.Discard),
+		Boot: func() time.Duration { return now },
+	})
+	return n, &now
+}
+
+func (n *Node) know() {
+	n.operator([]feed.Record{{Key: "config", Value: []byte("5")}}, true)
+	n.servers([]feed.Record{{Key: "a", Value: []byte("ready")}}, true)
+	n.confirm(n.ports.Boot())
+}
+
+func TestReadyAsksForKnowledgeAndContact(t *testing.T) {
+	n, now := testNode(t)
+	if n.Ready() {
+		t.Error("ready without a configuration")
+	}
+	n.know()
+	if !n.Ready() {
+		t.Error("not ready with all that it needs")
+	}
+	*now += readyAge
+	if n.Ready() {
+		t.Error("ready with an old confirmation")
+	}
+}
+
+// Symptom: callers were sent to a daemon that was cut off from the store, where what
+// it served did not count.
+// Sequence: a daemon is cut off from the store and goes on by the word of another.
+// Cause: any young confirmation made it ready.
+func TestWordOfOthersKeepsServingButNotReady(t *testing.T) {
+	n, now := testNode(t)
+	n.know()
+	*now += ownSmall + ownGrace
+	n.confirmedBy(gossip.Pulse{ContactMs: 100}, *now)
+	if !n.state.Fresh(time.Second) {
+		t.Error("the word of another daemon is not taken")
+	}
+	if n.Ready() {
+		t.Error("ready although the store has not answered for long")
+	}
+}
+
+func TestWordOfDaemonThatKnowsMoreIsNotTaken(t *testing.T) {
+	n, now := testNode(t)
+	n.know()
+	*now += time.Second
+	n.confirmedBy(gossip.Pulse{ContactMs: 0, Nexts: []uint64{9}}, *now)
+	if n.state.Fresh(time.Second / 2) {
+		t.Error("confirmed although the other daemon has read a configuration that this one has not")
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	n, _ := testNode(t)
+	for _, v := range []string{"5", "3", "x", "7", "6"} {
+		n.operator([]feed.Record{{Key: "config", Value: []byte(v)}}, false)
+	}
+	if got := n.state.Table().Version; got != 7 {
+		t.Errorf("version %d is in force", got)
+	}
+}
+
+func TestServersThatLeaveOrCannotBeReadAreNotChosen(t *testing.T) {
+	n, _ := testNode(t)
+	n.servers([]feed.Record{
+		{Key: "a", Value: []byte("ready")}, {Key: "b", Value: []byte("ready")}, {Key: "c", Value: []byte("bad")},
+		{Key: "a", Value: []byte("leaving")}, {Key: "d", Value: []byte("ready")}, {Key: "d"},
+	}, false)
+	var left []string
+	n.EachServer("s", func(id string) { left = append(left, id) })
+	if len(left) != 1 || left[0] != "b" {
+		t.Errorf("left are %v", left)
+	}
+}
+
+func TestOwnEntryIsNotWrittenAgain(t *testing.T) {
+	n, _ := testNode(t)
+	n.daemons([]feed.Record{{Key: "d0", Value: []byte("elsewhere")}}, true)
+	if n.enrolled.Load() {
+		t.Error("an entry with an old address counts")
+	}
+	n.daemons([]feed.Record{{Key: "d0", Value: []byte("c0")}}, false)
+	if !n.enrolled.Load() {
+		t.Error("an entry that is right does not count")
+	}
+}
+
+func TestDrainOfIdleDaemonEndsBeforeTheGracePeriod(t *testing.T) {
+	n, _ := testNode(t)
+	n.config.Grace = time.Hour
+	n.Drain(context.Background())
+	if !n.Leaving() || n.Ready() {
+		t.Error("a daemon that has left is ready")
+	}
+}
