--- a/cmd/damaskrudder/main_test.go
+++ b/cmd/damaskrudder/main_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -36,8 +38,9 @@
 		Dir:   "testdata/processes",
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"ready": ready,
-			"chat":  chat,
+			"ready":   ready,
+			"inforce": inforce,
+			"chat":    chat,
 		},
 	})
 }
@@ -100,6 +103,34 @@
 	ts.Fatalf("%s never got ready", args[0])
 }
 
+// inforce waits until a configuration number is in force at a daemon. rudderctl
+// apply returns when the daemon that took the patch has it; the others have it some
+// hundred milliseconds later, and know no workspace until then.
+func inforce(ts *testscript.TestScript, _ bool, args []string) {
+	for range 600 {
+		if configuration(ts, args[0]) == args[1] {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("configuration %s never was in force at %s", args[1], args[0])
+}
+
+// configuration returns the number in force at a daemon.
+func configuration(ts *testscript.TestScript, address string) string {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/operator/v1/config", nil)
+	ts.Check(err)
+	req.Header.Set("Authorization", "Bearer "+ts.Getenv("RUDDERCTL_KEY"))
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	defer resp.Body.Close()
+	var c struct {
+		Number int64 `json:"number"`
+	}
+	ts.Check(json.NewDecoder(resp.Body).Decode(&c))
+	return strconv.FormatInt(c.Number, 10)
+}
+
 // chat sends one request to a daemon and fails unless it is answered.
 func chat(ts *testscript.TestScript, _ bool, args []string) {
 	body := `{"model":"m","messages":[{"role":"user","content":"status of bib 7"}]}`
