Surges are told by reports of the same age; the lab ends runs whose time is over

Ruled out: a margin under the deadline for admission (0.6 to 0.9), other weights of a report (0.1 to 0.6), other bounds of a surge (3 to 8): no better. Change: the own work that is taken out of a report is averaged as the rest of it is, and their relation tells the surge; Cluster ends attempts at their deadline.

--- a/internal/routing/picture.go
+++ b/internal/routing/picture.go
@@ -28,8 +28,6 @@
 	// single one tells of load that has moved on; daemons that follow it chase
 	// each other from server to server. Their mean tells which servers are busy.
 	reportWeight = 0.2
-	// surgeHalfLife is the age of what the mean of reports tells.
-	surgeHalfLife = 5 * time.Second
 	// surgeLeast is the least mean work for which a surge is told from noise.
 	surgeLeast = 2
 	// surgeMost bounds the surge that is believed.
@@ -66,36 +64,24 @@
 	// Exact says that Peers tells the work of others as it is now, so that
 	// nothing is added for a surge that lagging reports would miss.
 	Exact bool
-	total loadMean
+	// own is this daemon's work on all servers.
+	own int
 }
 
-// loadMean is this daemon's work on all servers, now and as a slow mean.
-type loadMean struct {
-	now  int
-	mean float64
-	at   time.Time
-}
-
-func (l *loadMean) add(n int, at time.Time) {
-	l.mean = l.meanAt(at)
-	l.at = at
-	l.now = max(0, l.now+n)
-}
-
-func (l *loadMean) meanAt(at time.Time) float64 {
-	keep := decay(at.Sub(l.at), surgeHalfLife)
-	return l.mean*keep + float64(l.now)*(1-keep)
-}
-
-// surge is how much more work this daemon has than when the reports were made.
-// Callers spread over all daemons, so the others have about as much more. The
-// usual spread of a count is taken off, or noise would look like a surge.
-func (l *loadMean) surge(at time.Time) float64 {
-	mean := l.meanAt(at)
-	if mean < surgeLeast {
+// surge is how much more work this daemon has than it had when the reports were made
+// from which the work of the others is estimated. Callers spread over all daemons, so
+// the others have about as much more. The usual spread of a count is taken off, or
+// noise would look like a surge.
+func (p *Picture) surge() float64 {
+	then := 0.0
+	for i := range p.servers {
+		then += p.servers[i].ownReported
+	}
+	if then < surgeLeast {
 		return 1
 	}
-	return min(max((float64(l.now)-math.Sqrt(float64(l.now)))/mean, 1), surgeMost)
+	now := float64(p.own)
+	return min(max((now-math.Sqrt(now))/then, 1), surgeMost)
 }
 
 type state struct {
@@ -108,6 +94,9 @@
 	othersAt     time.Time
 	ownMean      float64
 	ownAt        time.Time
+	// ownReported is the mean of the own work that was taken out of reports. It
+	// lags as others does, so that their relation holds while both change.
+	ownReported float64
 	wait         time.Duration
 	waitAt       time.Time
 }
@@ -185,7 +174,7 @@
 
 func (p *Picture) remove(id string, i int) {
 	delete(p.index, id)
-	p.total.now = max(0, p.total.now-p.servers[i].InFlight)
+	p.own = max(0, p.own-p.servers[i].InFlight)
 	p.servers[i] = state{Candidate: Candidate{Leaving: true}}
 	p.Prefix.Forget(i)
 }
@@ -230,15 +219,15 @@
 			c.ErrorRate *= decay(now.Sub(s.errorAt), errorHalfLife)
 		}
 	}
-	p.addSurge(dst[first:], others, now)
+	p.addSurge(dst[first:], others)
 	return dst
 }
 
 // addSurge adds the work that a surge brought the others, alike to all servers:
 // scaling each server's estimate would scale its noise too, and send the daemons
 // after the servers that look best by chance.
-func (p *Picture) addSurge(candidates []Candidate, others float64, now time.Time) {
-	surge := p.total.surge(now)
+func (p *Picture) addSurge(candidates []Candidate, others float64) {
+	surge := p.surge()
 	if p.Exact || surge <= 1 || len(candidates) == 0 {
 		return
 	}
@@ -270,7 +259,7 @@
 		return
 	}
 	s.smoothOwn(now)
-	p.total.add(1, now)
+	p.own++
 	s.InFlight++
 	if urgent {
 		s.Urgent++
@@ -317,7 +306,7 @@
 		return
 	}
 	s.smoothOwn(now)
-	p.total.add(-1, now)
+	p.own = max(0, p.own-1)
 	s.InFlight = max(0, s.InFlight-1)
 	if urgent {
 		s.Urgent = max(0, s.Urgent-1)
@@ -370,9 +359,10 @@
 	s.smoothOwn(now)
 	foreign := max(0, float64(inFlight)-s.ownMean)
 	if s.othersAt.IsZero() {
-		s.others = foreign
+		s.others, s.ownReported = foreign, s.ownMean
 	} else {
 		s.others += reportWeight * (foreign - s.others)
+		s.ownReported += reportWeight * (s.ownMean - s.ownReported)
 	}
 	s.othersAt = now
 }
--- a/lab/sim/engine.go
+++ b/lab/sim/engine.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"slices"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/routing"
@@ -55,6 +56,13 @@
 	e.schedule()
 }
 
+// Cancel takes a job off the engine, whether it waits or runs.
+func (e *Engine) Cancel(j *Job) {
+	delete(e.running, j)
+	e.waiting = slices.DeleteFunc(e.waiting, func(w *Job) bool { return w == j })
+	e.schedule()
+}
+
 // SetDown takes the engine away with everything on it, or brings it back empty.
 func (e *Engine) SetDown(down bool) {
 	e.down = down
--- a/lab/sim/router.go
+++ b/lab/sim/router.go
@@ -28,6 +28,8 @@
 	First    time.Duration
 	Refused  bool
 	Lost     bool
+	// Abandoned says that there was no first token by the deadline.
+	Abandoned bool
 	Attempts int
 	Priority int
 	Server   int
@@ -120,6 +122,9 @@
 	j := &Job{Prompt: r.Prompt, Blocks: r.Blocks, Answer: r.Answer, Priority: r.Priority}
 	j.First = func() {
 		c.Clock.After(c.network, func() {
+			if res.Abandoned {
+				return
+			}
 			res.First, res.Server = c.Clock.now-res.Sent, server
 			life.Delivered()
 			wait = p.First(server, r, c.Clock.now-began)
@@ -129,6 +134,9 @@
 		c.Clock.After(c.network, func() { p.Ended(server, r, c.Clock.now-began-wait, false) })
 	}
 	j.Lost = func() {
+		if res.Abandoned {
+			return
+		}
 		p.Ended(server, r, c.Clock.now-began-wait, true)
 		p.Unreachable(server)
 		if life.After(request.RunGone, c.Clock.Now(), c.budgets[daemon]).Action == request.TryAnother {
@@ -138,6 +146,20 @@
 		res.Lost = true
 	}
 	c.Clock.After(c.network, func() { c.Engines[server].Submit(j) })
+	if r.Deadline > 0 {
+		c.Clock.After(left.Deadline, func() { c.abandon(daemon, server, r, res, j, c.Clock.now-began) })
+	}
+}
+
+// abandon ends an attempt that has no first token by the deadline, as a daemon does
+// when the caller's time is over: the engine is free for those who still wait.
+func (c *Cluster) abandon(daemon, server int, r *Request, res *Result, j *Job, held time.Duration) {
+	if res.First > 0 || res.Lost || res.Abandoned {
+		return
+	}
+	res.Abandoned = true
+	c.Engines[server].Cancel(j)
+	c.Daemons[daemon].Ended(server, r, held, true)
 }
 
 // Ours is the project's routing in one daemon.
