Long plain answers are passed on whole or cut; the retry budget keeps a steady clock

Cause: reading a plain answer stopped at 8 MB and the bound was taken for its end; the window of the retry budget was counted by the time of day, which jumps. Change: a longer answer is passed on as it comes and cut if it breaks off; Share takes readings of a steady clock. Test: TestLongAnswerIsPassedOnWholeOrCut failed with 8,388,608 of 8,388,618 bytes.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -11,7 +12,8 @@
 	"github.com/damaskrudder/damaskrudder/internal/request"
 )
 
-// maxPlain bounds a plain answer that is held until it is whole, in bytes.
+// maxPlain bounds a plain answer that is held until it is whole, in bytes: a
+// thirtieth of a daemon's memory on the smallest VMs.
 const maxPlain = 8 << 20
 
 // answer is a whole plain answer.
@@ -30,7 +32,10 @@
 // off or be reset in the middle; then the request can still go elsewhere, and a
 // part is never taken for the whole.
 func (x *exchange) plain(t *target, reply *Reply, began time.Time, ok bool) (request.Outcome, bool) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxPlain))
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxPlain+1))
+	if err == nil && len(body) > maxPlain {
+		return x.passOn(t, reply, body)
+	}
 	if err != nil || reply.Length >= 0 && int64(len(body)) != reply.Length {
 		x.note("answer broke off", t, "status", reply.Status, "bytes", len(body), "err", err)
 		return request.Lost, false
@@ -56,6 +61,36 @@
 	return request.Failed, true
 }
 
+// passOn passes an answer on that is too long to be held: what came so far, and the
+// rest as it comes. One that breaks off is cut, or its beginning would look whole.
+func (x *exchange) passOn(t *target, reply *Reply, begun []byte) (request.Outcome, bool) {
+	x.headed = true
+	x.out.Head(reply.Status, reply.Header, reply.Length)
+	n, err := io.Copy(passing{x.out}, io.MultiReader(bytes.NewReader(begun), reply.Body))
+	if err == nil && reply.Length >= 0 && n != reply.Length {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		x.note("long answer broke off", t, "status", reply.Status, "bytes", n, "err", err)
+		x.journey.Repeatable = false // no other answer fits what the caller has of this one
+		return request.Lost, false
+	}
+	x.note("answered", t, "status", reply.Status, "bytes", n)
+	x.relay.Metrics.Answered(true).Inc(1)
+	return request.Failed, true
+}
+
+// passing writes to a caller.
+type passing struct{ out Caller }
+
+// Write implements io.Writer.
+func (p passing) Write(b []byte) (int, error) {
+	if err := p.out.Pass(b); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
 // ratio relates the time to an answer, with a number of pauses between events, to
 // what is usual; 0 if that is not known yet.
 func (x *exchange) ratio(t *target, took time.Duration, pauses int) float64 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,8 @@
 	rules    Rules
 	log      *log.Logger
 	watch    *watch
+	// started is where the steady clock of the retry budget begins.
+	started time.Time
 
 	mu      sync.Mutex
 	shares  map[string]*request.Share
@@ -66,7 +68,7 @@
 // New returns a relay.
 func New(s *State, b Backend, rules Rules, m *Metrics, l *log.Logger) *Relay {
 	r := &Relay{
-		State: s, Rollouts: NewRollouts(rules.SessionSpan, l), Metrics: m, backend: b, rules: rules, log: l,
+		State: s, Rollouts: NewRollouts(rules.SessionSpan, l), Metrics: m, backend: b, rules: rules, log: l, started: time.Now(),
 		shares: map[string]*request.Share{}, ladders: map[string]*cascade.Ladder{},
 	}
 	r.watch = newWatch(s, b, l, m)
@@ -122,14 +124,14 @@
 	daemons := r.State.daemonCount()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.share(service, daemons).Take(time.Now(), keep)
+	return r.share(service, daemons).Take(time.Since(r.started), keep)
 }
 
 func (r *Relay) firstSend(service string) {
 	daemons := r.State.daemonCount()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.share(service, daemons).First(time.Now())
+	r.share(service, daemons).First(time.Since(r.started))
 }
 
 // ladder runs f on a service's ladder.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -348,3 +348,27 @@
 		t.Fatalf("cut %t, got %q", out.cut, out.body.String())
 	}
 }
+
+// Symptom: a caller got the first 8 MB of a longer answer, which looked whole.
+// Sequence: a server sends an answer without a stated length that is longer than what
+// is held; it ends well, or it breaks off.
+// Cause: reading stopped at the bound, and the bound was taken for the end.
+func TestLongAnswerIsPassedOnWholeOrCut(t *testing.T) {
+	long := strings.Repeat("x", maxPlain+10)
+	for _, broken := range []error{nil, io.ErrUnexpectedEOF} {
+		w := newWorld(t, func(Send) (*Reply, error) {
+			var r io.Reader = strings.NewReader(long)
+			if broken != nil {
+				r = io.MultiReader(r, failing{broken})
+			}
+			return &Reply{Status: 200, Header: http.Header{}, Sealed: true, Confidence: -1, Length: -1, Body: io.NopCloser(r)}, nil
+		})
+		out := w.call("/l/x")
+		if out.body.Len() != len(long) || out.cut != (broken != nil) {
+			t.Errorf("ended by %v: %d of %d bytes, cut %t", broken, out.body.Len(), len(long), out.cut)
+		}
+		if n := w.inFlight(); n != 0 {
+			t.Errorf("%d requests are still booked", n)
+		}
+	}
+}
--- a/internal/request/journey_test.go
+++ b/internal/request/journey_test.go
@@ -66,13 +66,13 @@
 			shares[i] = Share{Window: window, Ratio: ratio, Reserve: reserve / daemons}
 		}
 		type point struct {
-			at     time.Time
+			at     time.Duration
 			repeat bool
 		}
 		var all []point
-		now := time.Unix(1000, 0)
+		now := time.Duration(0)
 		for range rapid.IntRange(200, 1200).Draw(t, "events") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "ms")) * time.Millisecond)
+			now += time.Duration(rapid.IntRange(0, 80).Draw(t, "ms")) * time.Millisecond
 			s := &shares[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
 			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
 				s.First(now)
@@ -85,7 +85,7 @@
 		for from := range all {
 			first, repeats := 0, 0
 			for _, p := range all[from:] {
-				if p.at.Sub(all[from].at) >= window {
+				if p.at-all[from].at >= window {
 					break
 				}
 				if p.repeat {
@@ -93,7 +93,7 @@
 				}
 			}
 			for _, p := range all {
-				if d := all[from].at.Sub(p.at); !p.repeat && d < window && d > -window {
+				if d := all[from].at - p.at; !p.repeat && d < window && d > -window {
 					first++
 				}
 			}
--- a/internal/request/share.go
+++ b/internal/request/share.go
@@ -9,7 +9,9 @@
 // together: in any window, repeats for a service stay under ratio times the first
 // sends plus a reserve. Each daemon keeps ratio to its own first sends and an
 // even part of the reserve, so the sum over all daemons keeps the limit without
-// a word between them, also while daemons come and go.
+// a word between them, also while daemons come and go. Times are readings of a steady
+// clock: when the time of day jumps ahead by some seconds, repeats of the last window
+// would be forgotten and made again.
 type Share struct {
 	// Window is the span of the limit.
 	Window time.Duration
@@ -29,11 +31,11 @@
 // server a little later than it was counted.
 const shareMargin = 0.85
 
-func (s *Share) slot(now time.Time) int64 {
-	return now.UnixNano() / (int64(s.Window) / shareBuckets)
-}
+// slot numbers the part of a window in which a time lies, from 1 on: 0 marks buckets
+// that were never used.
+func (s *Share) slot(now time.Duration) int64 { return 1 + int64(now/(s.Window/shareBuckets)) }
 
-func (s *Share) bucket(now time.Time) *struct {
+func (s *Share) bucket(now time.Duration) *struct {
 	slot           int64
 	first, repeats float64
 } {
@@ -46,14 +48,14 @@
 }
 
 // First records a request's first send.
-func (s *Share) First(now time.Time) { s.bucket(now).first++ }
+func (s *Share) First(now time.Duration) { s.bucket(now).first++ }
 
 // Room returns how many repeats may be made now.
-func (s *Share) Room(now time.Time) float64 {
+func (s *Share) Room(now time.Duration) float64 {
 	newest := s.slot(now)
 	first, repeats := 0.0, 0.0
 	for _, b := range s.buckets {
-		if newest-b.slot < shareBuckets {
+		if b.slot > 0 && newest-b.slot < shareBuckets {
 			first += b.first
 			repeats += b.repeats
 		}
@@ -62,7 +64,7 @@
 }
 
 // Take spends one repeat if there is room beyond keep.
-func (s *Share) Take(now time.Time, keep float64) bool {
+func (s *Share) Take(now time.Duration, keep float64) bool {
 	if s.Room(now) < 1+keep {
 		return false
 	}
--- a/internal/routing/picture.go
+++ b/internal/routing/picture.go
@@ -97,8 +97,8 @@
 	// ownReported is the mean of the own work that was taken out of reports. It
 	// lags as others does, so that their relation holds while both change.
 	ownReported float64
-	wait         time.Duration
-	waitAt       time.Time
+	wait        time.Duration
+	waitAt      time.Time
 }
 
 // NewPicture returns an empty picture.
