Preferences among servers do not count as time to the first token

Change: scorers make up the time, preferences count for the choice alone; a server that would begin after the deadline is passed over even where it is preferred.

--- a/internal/routing/lanes_test.go
+++ b/internal/routing/lanes_test.go
@@ -99,3 +99,23 @@
 		}
 	}
 }
+
+// Symptom: requests with a small prompt were given up after a second and a half as if
+// their server were stuck, or kept for a small model because the large one seemed late.
+// Sequence: the own lane is busy, so a request goes to another lane, which answers soon.
+// Cause: what it costs others to leave the lane counted as time to the first token.
+func TestPreferencesAreNoTime(t *testing.T) {
+	c := []Candidate{{ID: "a", Slots: 8, PrefillPerToken: time.Millisecond, PendingPrefill: 5000}, {ID: "b", Slots: 8, PrefillPerToken: time.Millisecond}}
+	r := &Request{PromptTokens: 10, Foreign: 1 << 1}
+	if d := Engines().Pick(r, c, rand.New(rand.NewPCG(1, 2))); d.Index != 1 || d.Expected > 50*time.Millisecond {
+		t.Errorf("got %+v", d)
+	}
+}
+
+func TestServerThatIsTooLateGivesWay(t *testing.T) {
+	c := []Candidate{{ID: "a", Slots: 8, PrefillPerToken: time.Millisecond, PendingPrefill: 300}, {ID: "b", Slots: 8, PrefillPerToken: time.Millisecond}}
+	r := &Request{PromptTokens: 10, Foreign: 1 << 1, Budget: 200 * time.Millisecond}
+	if d := Engines().Pick(r, c, rand.New(rand.NewPCG(1, 2))); d.Index != 1 {
+		t.Errorf("got %+v: the preferred server begins after the deadline", d)
+	}
+}
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -9,7 +10,11 @@
 // use Default.
 type Pipeline struct {
 	Filters []Filter
+	// Scorers make up the expected time to the first token.
 	Scorers []Scorer
+	// Preferences count for the choice alone: what a choice costs others, or where a
+	// request should rather go.
+	Preferences []Scorer
 	// TieWindow is how much worse than the best a candidate may be to share in
 	// the random choice. Daemons see the same lagged reports, so a strict
 	// minimum sends them all to one server at once.
@@ -63,8 +68,11 @@
 	return Pipeline{
 		Filters: []Filter{Live{}, Untried{}},
 		Scorers: []Scorer{
-			Backlog{}, Prefill{}, Network{}, Batch{PerRequest: batchCost}, Lane{Leaving: laneCost}, Full{}, Lateness{},
-			Reliability{RetryCost: defaultRetryCost}, Homing{Step: homingStep, Belief: homingBelief},
+			Backlog{}, Prefill{}, Network{}, Batch{PerRequest: batchCost}, Full{}, Lateness{},
+			Reliability{RetryCost: defaultRetryCost},
+		},
+		Preferences: []Scorer{
+			Lane{Leaving: laneCost}, Homing{Step: homingStep, Belief: homingBelief},
 		},
 		TieWindow: defaultTieWindow,
 	}
@@ -73,27 +81,38 @@
 // Pick chooses among candidates. A request whose best expected time exceeds its
 // budget is refused at once, because queueing it would only delay the refusal.
 func (p Pipeline) Pick(r *Request, candidates []Candidate, rng *rand.Rand) Decision {
-	var costs [MaxCandidates]time.Duration
-	best := time.Duration(-1)
+	var expected, costs [MaxCandidates]time.Duration
+	soonest, best := time.Duration(-1), time.Duration(-1)
 	n := min(len(candidates), MaxCandidates)
 	for i := range n {
 		costs[i] = -1
 		if !p.keep(r, &candidates[i], i) {
 			continue
 		}
-		costs[i] = p.cost(r, &candidates[i], i)
-		if best < 0 || costs[i] < best {
-			best = costs[i]
+		expected[i] = sum(p.Scorers, r, &candidates[i], i)
+		if r.Budget > 0 && expected[i] > r.Budget {
+			soonest = least(soonest, expected[i])
+			continue
 		}
+		costs[i] = expected[i] + sum(p.Preferences, r, &candidates[i], i)
+		best = least(best, costs[i])
 	}
-	if best < 0 {
-		return Decision{Index: -1, Refusal: NoCandidate}
+	switch {
+	case best >= 0:
+		chosen := pickWithin(costs[:n], best+p.TieWindow, rng)
+		return Decision{Index: chosen, Expected: expected[chosen]}
+	case soonest >= 0:
+		return Decision{Index: -1, Expected: soonest, Refusal: TooLate}
 	}
-	if r.Budget > 0 && best > r.Budget {
-		return Decision{Index: -1, Expected: best, Refusal: TooLate}
+	return Decision{Index: -1, Refusal: NoCandidate}
+}
+
+// least returns the smaller of two durations, of which a negative one is none.
+func least(a, b time.Duration) time.Duration {
+	if a < 0 {
+		return b
 	}
-	chosen := pickWithin(costs[:n], best+p.TieWindow, rng)
-	return Decision{Index: chosen, Expected: costs[chosen]}
+	return min(a, b)
 }
 
 func (p Pipeline) keep(r *Request, c *Candidate, index int) bool {
@@ -105,9 +124,9 @@
 	return true
 }
 
-func (p Pipeline) cost(r *Request, c *Candidate, index int) time.Duration {
+func sum(scorers []Scorer, r *Request, c *Candidate, index int) time.Duration {
 	var sum time.Duration
-	for _, s := range p.Scorers {
+	for _, s := range scorers {
 		sum += s.Cost(r, c, index)
 	}
 	return sum
@@ -144,7 +163,7 @@
 		for _, f := range p.Filters {
 			out = append(out, Reason{Server: c.ID, Rule: f.Name(), Kept: f.Keep(r, c, i)})
 		}
-		for _, s := range p.Scorers {
+		for _, s := range slices.Concat(p.Scorers, p.Preferences) {
 			out = append(out, Reason{Server: c.ID, Rule: s.Name(), Kept: true, Cost: s.Cost(r, c, i)})
 		}
 	}
