A follower does not wait for one that reads from other daemons

Cause: in a large deployment a daemon was cut off from the store for a while. Change: a follower that turns to other daemons is no longer marked. Test: TestFollowerDoesNotWaitForOneThatReadsFromOthers failed.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -196,6 +196,10 @@
 // fromPeers takes what other readers have until the log is to be read.
 func (f *Follower) fromPeers(ctx context.Context) {
 	for f.Peer != nil && f.loaded.Load() && ctx.Err() == nil && !f.ReadsLog() && !f.alone.Load() {
+		// It no longer knocks, so nobody is to wait for what it learns of the log. A
+		// follower that goes after it would else wait for ever, and a server that
+		// leaves would get requests until the daemon's end.
+		f.away.Store(false)
 		f.mu.Lock()
 		expected := f.expected
 		f.mu.Unlock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -219,6 +219,28 @@
 	}
 }
 
+// Symptom: a daemon sent requests to a server four seconds after it had said that it
+// leaves; it heard of no server any more until its end.
+// Sequence: a daemon of a large deployment is cut off from the store for a while. Its
+// reading of configurations fails, and goes on by the word of other daemons; then its
+// reading of servers fails.
+// Cause: the reading of servers waited until the reading of configurations, which no
+// longer asked the store, got an answer from it.
+func TestFollowerDoesNotWaitForOneThatReadsFromOthers(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	first := New(&Follower{Logger: log.New(io.Discard), Boot: func() time.Duration { return 0 }, ReadsLog: func() bool { return false }})
+	first.Peer = func(context.Context, string, uint64) ([]Record, uint64, error) { return nil, 0, errors.New("nobody") }
+	first.loaded.Store(true)
+	first.failed(ctx, errors.New("cut off"))
+	second := New(&Follower{Logger: log.New(io.Discard), After: first})
+	go first.fromPeers(ctx)
+	second.await(ctx)
+	if ctx.Err() != nil {
+		t.Fatal("waits for a follower that does not ask the log")
+	}
+}
+
 func TestPausesAreLongerWhereOthersReadForAll(t *testing.T) {
 	reader := true
 	f := New(&Follower{Logger: log.New(io.Discard), Boot: func() time.Duration { return 0 }, Reader: func() bool { return reader }})
