Only a few daemons ask for a store that is away

Cause: those that read for all were chosen among the ready daemons; in an outage none is ready, so that each daemon found itself first and asked every 0.4 s, and looked at the store beside that. Change: ready daemons come first, others after them; the rest ask every 3 s; no looks while the reading itself asks.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -60,8 +60,8 @@
 	firstPause   = 60 * time.Millisecond
 	longestPause = 400 * time.Millisecond
 	// longestIdlePause is the same for a follower that reads the log only because
-	// nobody else can: those that always read it learn first that it is back.
-	longestIdlePause = 1200 * time.Millisecond
+	// nobody else can: those that always read it learn first that it is back, and tell.
+	longestIdlePause = 3 * time.Second
 )
 
 // Follower reads a topic from its newest state on.
@@ -270,6 +270,9 @@
 // succeeds only if the follower has seen all that decided it.
 func (f *Follower) Next() uint64 { return f.next.Load() }
 
+// Away reports whether the log did not answer the last read, and is being asked again.
+func (f *Follower) Away() bool { return f.away.Load() }
+
 // Loaded reports whether the newest records have been read once.
 func (f *Follower) Loaded() bool { return f.loaded.Load() }
 
@@ -330,7 +333,7 @@
 }
 
 // maxDoublings keeps the pause in range; the longest one is reached before it.
-const maxDoublings = 5
+const maxDoublings = 6
 
 // step reads once.
 func (f *Follower) step(ctx context.Context) error {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -141,7 +141,7 @@
 		return Records{Records: records, Next: next}, nil
 	})
 	peer.Handle(s, kind, func(_ context.Context, _ string, p Pulse) (Pulse, error) {
-		m.take(p.Address, p)
+		m.Take(p.Address, p)
 		return m.tellTo(p.Incarnation, p.Stamp), nil
 	})
 }
@@ -215,7 +215,8 @@
 	return max(silentAfter, silentTurns*turn)
 }
 
-func (m *Members) take(address string, p Pulse) {
+// Take takes a pulse that came from an address.
+func (m *Members) Take(address string, p Pulse) {
 	m.Learn(append(p.Known, address)...)
 	now := time.Now()
 	m.mu.Lock()
@@ -364,7 +365,7 @@
 		m.log.Warn("daemon lost", "daemon", o.pulse.Name, "address", o.address, "err", err)
 	}
 	if err == nil {
-		m.take(o.address, p)
+		m.Take(o.address, p)
 	}
 }
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -18,7 +18,7 @@
 
 func TestDaemonsAreFoundThroughEachOther(t *testing.T) {
 	m := testMembers()
-	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Known: []string{"b:1", "self:1"}})
+	m.Take("a:1", Pulse{Incarnation: "a/1", Name: "a", Known: []string{"b:1", "self:1"}})
 	if alive := m.Alive(); len(alive) != 1 || alive[0].Name != "a" {
 		t.Fatalf("alive %v", alive)
 	}
@@ -36,12 +36,12 @@
 // Cause: the last pulse to arrive counted.
 func TestLeavingIsNotTakenBack(t *testing.T) {
 	m := testMembers()
-	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Leaving: true})
-	m.take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Ready: true})
+	m.Take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Leaving: true})
+	m.Take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Ready: true})
 	if got := Fronts(m.Alive(), Pulse{Front: "self", Ready: true}); slices.Contains(got, "f:1") {
 		t.Fatalf("names %v", got)
 	}
-	m.take("a:1", Pulse{Incarnation: "a/2", Name: "a", Front: "f:1", Ready: true})
+	m.Take("a:1", Pulse{Incarnation: "a/2", Name: "a", Front: "f:1", Ready: true})
 	if got := Fronts(m.Alive(), Pulse{Front: "self", Ready: true}); !slices.Contains(got, "f:1") {
 		t.Fatalf("a new run of the daemon is not named: %v", got)
 	}
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -30,10 +30,8 @@
 	// ownReadPart is the age from which a daemon waits on the store itself, as a part
 	// of the same time.
 	ownReadPart = 0.9
-	// glanceRetry is the pause after a look that got no answer. While the store is
-	// away, the reading itself knocks often enough to learn that it is back; looks of
-	// sixty daemons every 0.2 s beside it were half of all calls of a day with ten
-	// seconds of outages.
+	// glanceRetry is the pause after a look that got no answer. Looks of sixty daemons
+	// every 0.2 s were half of all calls of a day with ten seconds of outages.
 	glanceRetry = time.Second
 	// readyAge is the age of the confirmation up to which callers are sent here.
 	readyAge = 3 * time.Second
@@ -70,12 +68,20 @@
 // reader reports whether this daemon is one of those that wait on the store for all.
 func (n *Node) reader() bool { return n.rank() < n.readers() }
 
-// rank is the daemon's place among those that are ready, in an order that has
-// nothing to do with where they are: a failure domain may be lost as a whole.
+// rank is the daemon's place among those that live, the ready ones first, in an order
+// that has nothing to do with where they are: a failure domain may be lost as a whole.
+// While the store is away none is ready, and still only a few are to ask for it.
 func (n *Node) rank() int {
-	rank, own := 0, xxhash.Sum64String(n.config.Name)
+	rank, own, ready := 0, xxhash.Sum64String(n.config.Name), n.Ready()
 	for _, p := range n.members.Alive() {
-		if p.Ready && !p.Leaving && xxhash.Sum64String(p.Name) < own {
+		if p.Leaving {
+			continue
+		}
+		before := xxhash.Sum64String(p.Name) < own
+		if p.Ready != ready {
+			before = p.Ready
+		}
+		if before {
 			rank++
 		}
 	}
@@ -100,10 +106,11 @@
 	})
 }
 
-// look looks at the store if that is due.
+// look looks at the store if that is due. While the reading of configurations itself
+// asks for an answer, that will tell when the store is back.
 func (n *Node) look(ctx context.Context, now time.Time) {
 	age, due := n.glanceDue()
-	if !due || now.Before(n.glanceFrom) {
+	if !due || now.Before(n.glanceFrom) || n.operators.Away() {
 		return
 	}
 	if err := n.operators.Glance(ctx); err != nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -155,6 +155,33 @@
 	}
 }
 
+// Symptom: in an outage of the store sixty daemons asked for it every 0.4 s.
+// Sequence: the store goes away; after three seconds no daemon is ready.
+// Cause: the few that read for all were chosen among the ready ones, and each daemon
+// found none before itself.
+func TestFewDaemonsAskForAStoreThatIsAway(t *testing.T) {
+	n, now := testNode(t)
+	n.know()
+	hear := func(ready bool) {
+		for i := range 40 {
+			name := fmt.Sprint("d", i+1)
+			n.members.Learn("c" + name)
+			n.members.Take("c"+name, gossip.Pulse{Incarnation: name, Name: name, Ready: ready})
+		}
+	}
+	hear(true)
+	among := n.rank()
+	*now += readyAge
+	hear(false)
+	if got := n.rank(); got != among || got == 0 {
+		t.Errorf("place %d among daemons that are not ready, %d among ready ones", got, among)
+	}
+	hear(true)
+	if got := n.rank(); got != 40 {
+		t.Errorf("place %d of a daemon that is cut off", got)
+	}
+}
+
 func TestOwnEntryIsNotWrittenAgain(t *testing.T) {
 	n, _ := testNode(t)
 	n.daemons([]feed.Record{{Key: "d0", Value: []byte("elsewhere")}}, true)
