--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -22,8 +22,6 @@
 	Leaving bool
 	// Models are the models an engine has loaded.
 	Models []string
-	// Cold is how much longer the server stays slow after its start.
-	Cold time.Duration
 }
 
 // returnWindow is how long after the store's return an entry that lapsed during
@@ -131,6 +129,3 @@
 	}
 	return next, any
 }
-
-// Len returns the number of servers.
-func (r *Registry) Len() int { return len(r.entries) }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -21,10 +21,8 @@
 	route     *route.Route
 	service   route.Service
 	workspace string
-	keyed     bool
 	urgency   int
 	deadline  time.Time
-	began     time.Time
 	// draw is uniform and the same for every send of the call.
 	draw    uint64
 	journey request.Journey
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -97,9 +97,6 @@
 	uncached int
 	pending  float64
 	expected time.Duration
-	// spare says that the server had a free slot, so that its speed speaks for
-	// its version and not for the load.
-	spare bool
 	// idle says that the server had no prompt to read.
 	idle bool
 	// ahead is the backlog that was expected there.
@@ -183,7 +180,6 @@
 		server: out.service.servers[c.ID], service: w.service, model: w.model, urgent: w.urgent,
 		expected:    out.decision.Expected,
 		uncached:    out.request.Uncached(out.decision.Index),
-		spare:       float64(c.InFlight)+c.OthersInFlight < float64(c.Slots),
 		idle:        c.PendingPrefill+c.OthersPending == 0,
 		ahead:       time.Duration((c.PendingPrefill + c.OthersPending) * float64(referenceToken)),
 		connections: max(leastConnections, maxConns/(s.daemons+1)),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -200,14 +200,14 @@
 	if rt == nil {
 		return nil, fault.New(fault.NotFound, "no route leads to this host and path")
 	}
-	x := &exchange{relay: r, call: c, route: rt, last: c.LastEvent, began: time.Now()}
+	x := &exchange{relay: r, call: c, route: rt, last: c.LastEvent}
 	x.draw = xxhash.Sum64String(c.ID)
 	w, known := t.Workspace(c.Key)
-	x.keyed = t.Keyed() && !rt.Public
+	keyed := t.Keyed() && !rt.Public
 	switch {
-	case x.keyed && !r.keysFresh():
+	case keyed && !r.keysFresh():
 		return nil, fault.New(fault.ConfigurationStale, "the list of keys was not confirmed lately").After(staleRetry)
-	case x.keyed && !known:
+	case keyed && !known:
 		return nil, fault.New(fault.Unauthorized, "no workspace owns the presented key")
 	}
 	if known {
