--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -387,3 +387,36 @@
 		t.Errorf("%d sends", n)
 	}
 }
+
+// Symptom: servers worked on requests for longer than their callers waited.
+// Sequence: a look-up fails at one server and goes to a second one.
+// Cause: each send stated the time that the caller had given at first.
+func TestEachSendStatesWhatIsLeft(t *testing.T) {
+	w := newWorld(t, answering(500, "x"), answering(200, "y"))
+	out := &fakeCaller{}
+	c := &Call{ID: "id1", Host: "h", Method: "GET", Target: "/l/x", Path: "/l/x", Key: "k", LastEvent: NoEvent, Received: time.Now().Add(-500 * time.Millisecond), Wait: time.Second}
+	w.relay.Serve(context.Background(), c, out)
+	if len(w.backend.sends) != 2 {
+		t.Fatalf("%d sends", len(w.backend.sends))
+	}
+	first, second := w.backend.sends[0].Left, w.backend.sends[1].Left
+	if first > 500*time.Millisecond || second > first {
+		t.Errorf("sends state %s and %s of 0.5 s that are left", first, second)
+	}
+}
+
+// Symptom: callers waited for a lost answer longer than the operator allows.
+// Sequence: a server takes a request and never answers.
+// Cause: nothing but the caller's own patience ended the wait.
+func TestRouteLimitEndsTheWait(t *testing.T) {
+	w := newWorld(t, nil)
+	w.backend.script[0] = func(Send) (*Reply, error) {
+		return nil, &upstream.Error{Reason: upstream.Canceled, Sent: true, Err: context.DeadlineExceeded}
+	}
+	out := &fakeCaller{}
+	c := &Call{ID: "id1", Host: "h", Method: "POST", Target: "/p/x", Path: "/p/x", Key: "k", LastEvent: NoEvent, Received: time.Now().Add(-3 * time.Second), Wait: time.Minute}
+	w.relay.Serve(context.Background(), c, out)
+	if out.refusal == nil || out.refusal.Kind != fault.DeadlineExceeded || out.refusal.State() == fault.NotRun {
+		t.Errorf("answered %+v after the route's two seconds", out.refusal)
+	}
+}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -113,9 +113,11 @@
 
 // Symptom: as above, with bytes that came before the next request was sent.
 func TestConnectionWithBytesWaitingIsNotUsed(t *testing.T) {
+	strayed := make(chan struct{})
 	address := serve(t, func(_ int, r *http.Request, w io.Writer) bool {
 		answer(w, r.Header.Get("Id"), "own")
 		_, _ = io.WriteString(w, "stray") // the pool must notice
+		strayed <- struct{}{}
 		return true
 	})
 	p := NewPool()
@@ -123,6 +125,7 @@
 		if body, err := call(p, address, fmt.Sprint(i)); err != nil || body != "own" {
 			t.Fatalf("request %d: got %q, %v", i, body, err)
 		}
+		<-strayed // or the next request might be sent before these bytes are
 	}
 }
 
@@ -182,3 +185,51 @@
 	cancel()
 	<-done
 }
+
+// Symptom: servers worked on for callers who had left, before the first byte of an answer
+// and in the middle of a stream.
+// Sequence: a caller leaves while its request waits at a server, or while events come.
+// Cause: a server stops a run only when its connection ends.
+func TestCancelEndsTheConnection(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		running, ended := make(chan struct{}), make(chan error, 1)
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(c)
+			if _, err := http.ReadRequest(r); err != nil {
+				ended <- err
+				return
+			}
+			if begun {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+			}
+			close(running)
+			_, err = io.Copy(io.Discard, r) // returns when the connection ends
+			ended <- err
+		}()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			req := &http.Request{Method: "GET", URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+			resp, err := NewPool().Do(ctx, Call{Address: l.Addr().String(), Request: req})
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			done <- err
+		}()
+		<-running
+		cancel()
+		<-ended
+		if err := <-done; err == nil {
+			t.Errorf("begun %t: the call ended well though it was given up", begun)
+		}
+	}
+}
