--- a/lab/sim/router.go
+++ b/lab/sim/router.go
@@ -25,14 +25,14 @@
 type Result struct {
 	Sent time.Duration
 	// First is the first-token latency; zero when there was none.
-	First    time.Duration
-	Refused  bool
-	Lost     bool
+	First   time.Duration
+	Refused bool
+	Lost    bool
 	// Abandoned says that there was no first token by the deadline.
 	Abandoned bool
-	Attempts int
-	Priority int
-	Server   int
+	Attempts  int
+	Priority  int
+	Server    int
 }
 
 // Policy chooses a server for an attempt.
