Sight: who confirmed a daemon's knowledge of a subject of the store, and how long ago

One type for it (internal/freshness), in place of the configuration's alone. Lines tell when a lost reading is tried anew with which limit, and when it waits for another one; a line of a send tells how old the entries of servers are that it was chosen by. Gauges and histograms by subject on the metrics port. No decision is changed.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -294,6 +294,9 @@
 
 // await waits while the follower that this one goes after gets no answer.
 func (f *Follower) await(ctx context.Context) {
+	if f.After != nil && f.After.away.Load() {
+		f.Logger.Info("reading waits for another reading", "topic", f.Topic, "next", f.next.Load(), "other", f.After.Topic)
+	}
 	for f.After != nil && f.After.away.Load() && ctx.Err() == nil {
 		f.sleep(ctx, awaitStep)
 	}
@@ -351,6 +354,7 @@
 		// Without a change to tell, the log would answer only when the wait is over:
 		// until then nobody would know that it is back, and keys were not trusted.
 		wait = 0
+		f.noteRetry(f.Wait + answerLimit)
 	}
 	records, end, err := f.Log.Read(ctx, f.Topic, f.next.Load(), wait)
 	if errors.Is(err, ErrGone) {
@@ -376,6 +380,14 @@
 	return nil
 }
 
+// noteRetry logs a read after a failed one: the first, and then each time that their
+// number has doubled.
+func (f *Follower) noteRetry(limit time.Duration) {
+	if f.fails&(f.fails-1) == 0 {
+		f.Logger.Info("reading anew", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails, "limit_ms", limit.Milliseconds())
+	}
+}
+
 func (f *Follower) load(ctx context.Context, sent time.Duration) error {
 	records, end, err := f.Log.Newest(ctx, f.Topic)
 	if err != nil {
--- /dev/null
+++ b/internal/freshness/freshness_test.go
@@ -0,0 +1,32 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+)
+
+func TestOlderConfirmationChangesNothing(t *testing.T) {
+	var l Ledger
+	if _, known := l.Age(Servers, time.Second); known {
+		t.Error("confirmed before any reading")
+	}
+	l.Confirm(Servers, Confirmation{At: 5 * time.Second, By: Own})
+	l.Confirm(Servers, Confirmation{At: 3 * time.Second, By: "d2"})
+	if c, _ := l.Newest(Servers); c.At != 5*time.Second || c.By != Own {
+		t.Errorf("the newest is %+v", c)
+	}
+	if age, known := l.Age(Servers, 7*time.Second); !known || age != 2*time.Second {
+		t.Errorf("age %s, known %t", age, known)
+	}
+	if _, known := l.Age(Configuration, 7*time.Second); known {
+		t.Error("a confirmation of servers counts for the configuration")
+	}
+}
+
+func TestConfirmationIsWithinItsLimitOnly(t *testing.T) {
+	var l Ledger
+	l.Confirm(Configuration, Confirmation{At: time.Second, By: Own})
+	if !l.Within(Configuration, 2*time.Second, 1001*time.Millisecond) || l.Within(Configuration, 2*time.Second, time.Second) {
+		t.Error("the limit is not kept")
+	}
+}
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
 )
@@ -58,7 +59,7 @@
 // readsStore reports whether this daemon waits on the store: it is one of the
 // readers, or has not heard of a fresh confirmation for too long.
 func (n *Node) readsStore() bool {
-	age, known := n.state.ContactAge()
+	age, known := n.state.Age(freshness.Configuration)
 	return n.reader() || !known || age > n.part(ownReadPart)
 }
 
@@ -91,7 +92,7 @@
 // Ready reports whether callers should be sent here. A daemon that is cut off from
 // the store serves on by the word of others, but those that reach it come first.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.state.Known() && n.state.Fresh(readyAge) && n.ownAge() < n.ownEvery()+ownGrace
+	return !n.leaving.Load() && n.state.Known() && n.state.Fresh(freshness.Configuration, readyAge) && n.ownAge() < n.ownEvery()+ownGrace
 }
 
 // glance keeps the confirmation of the configuration young. Every daemon would
@@ -103,9 +104,19 @@
 			f.Check(now)
 		}
 		n.look(ctx, now)
+		n.showAges()
 	})
 }
 
+// showAges shows on the metrics port how old the knowledge of each subject is.
+func (n *Node) showAges() {
+	for about := range freshness.Subjects {
+		if age, known := n.state.Age(about); known {
+			n.ports.Metrics.Age(about).Update(age.Seconds())
+		}
+	}
+}
+
 // look looks at the store if that is due. While the reading of configurations itself
 // asks for an answer, that will tell when the store is back.
 func (n *Node) look(ctx context.Context, now time.Time) {
@@ -122,7 +133,7 @@
 // glanceDue reports whether this daemon is to look at the store itself: because
 // nobody else's confirmation is young, or because it has not done so for long.
 func (n *Node) glanceDue() (age time.Duration, due bool) {
-	age, known := n.state.ContactAge()
+	age, known := n.state.Age(freshness.Configuration)
 	if !known {
 		return 0, false
 	}
@@ -131,9 +142,11 @@
 }
 
 // confirm takes a confirmation that the store itself gave.
-func (n *Node) confirm(sent time.Duration) {
-	n.ownContact.Store(int64(sent))
-	n.state.Confirm(sent)
+func (n *Node) confirm(about freshness.Subject, sent time.Duration) {
+	if about == freshness.Configuration {
+		n.ownContact.Store(int64(sent))
+	}
+	n.state.Confirm(about, freshness.Confirmation{At: sent, By: freshness.Own})
 }
 
 // ownAge is how long ago the store itself answered this daemon.
@@ -153,6 +166,7 @@
 // It holds only if this daemon knows what the other did.
 func (n *Node) confirmedBy(p gossip.Pulse, after time.Duration) {
 	if p.ContactMs >= 0 && n.operators.Next() >= p.Next(0) {
-		n.state.Confirm(after - time.Duration(p.ContactMs)*time.Millisecond)
+		at := after - time.Duration(p.ContactMs)*time.Millisecond
+		n.state.Confirm(freshness.Configuration, freshness.Confirmation{At: at, By: p.Name})
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/feed"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
@@ -168,7 +169,7 @@
 	if t := n.state.Table(); t != nil {
 		p.Version = t.Version
 	}
-	if age, known := n.state.ContactAge(); known {
+	if age, known := n.state.Age(freshness.Configuration); known {
 		p.ContactMs = age.Milliseconds()
 	}
 	return p
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/feed"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
@@ -58,7 +59,7 @@
 func (n *Node) know() {
 	n.operator([]feed.Record{{Key: "config", Value: []byte("5")}}, true)
 	n.servers([]feed.Record{{Key: "a", Value: []byte("ready")}}, true)
-	n.confirm(n.ports.Boot())
+	n.confirm(freshness.Configuration, n.ports.Boot())
 }
 
 func TestReadyAsksForKnowledgeAndContact(t *testing.T) {
@@ -85,7 +86,7 @@
 	n.know()
 	*now += ownSmall + ownGrace
 	n.confirmedBy(gossip.Pulse{ContactMs: 100}, *now)
-	if !n.state.Fresh(time.Second) {
+	if !n.state.Fresh(freshness.Configuration, time.Second) {
 		t.Error("the word of another daemon is not taken")
 	}
 	if n.Ready() {
@@ -98,7 +99,7 @@
 	n.know()
 	*now += time.Second
 	n.confirmedBy(gossip.Pulse{ContactMs: 0, Nexts: []uint64{9}}, *now)
-	if n.state.Fresh(time.Second / 2) {
+	if n.state.Fresh(freshness.Configuration, time.Second/2) {
 		t.Error("confirmed although the other daemon has read a configuration that this one has not")
 	}
 }
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -7,6 +7,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/feed"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 )
@@ -27,20 +28,19 @@
 // prepare makes the followers of the store's topics. They are asked for how far
 // they have read before they run.
 func (n *Node) prepare(ctx context.Context) {
-	add := func(topic string, wait, gather time.Duration, apply func([]feed.Record, bool), confirmed func(time.Duration), healed func()) *feed.Follower {
+	add := func(about freshness.Subject, topic string, wait, gather time.Duration, apply func([]feed.Record, bool), healed func()) *feed.Follower {
 		f := feed.New(&feed.Follower{
 			Log: n.ports.Log, Topic: topic, Wait: wait, Gather: gather, Boot: n.ports.Boot,
-			Apply: apply, Confirmed: confirmed, Healed: healed, Logger: n.log,
+			Apply: apply, Confirmed: func(sent time.Duration) { n.confirm(about, sent) }, Healed: healed, Logger: n.log,
 			Peer: n.recordsOf, ReadsLog: n.readsStore, Reader: n.reader,
 		})
 		n.followers = append(n.followers, f)
 		return f
 	}
-	ignore := func(time.Duration) {}
-	n.operators = add(n.topics.Operator, storeWait, 0, n.operator, n.confirm, nil)
-	entries := add(n.topics.Servers, storeWait, serversGather, n.servers, ignore, n.state.Healed)
-	n.statuses = add(n.topics.Status, quietWait, 0, n.status, ignore, nil)
-	n.others = add(n.topics.Daemons, quietWait, serversGather, n.daemons, ignore, nil)
+	n.operators = add(freshness.Configuration, n.topics.Operator, storeWait, 0, n.operator, nil)
+	entries := add(freshness.Servers, n.topics.Servers, storeWait, serversGather, n.servers, n.state.Healed)
+	n.statuses = add(freshness.Rollouts, n.topics.Status, quietWait, 0, n.status, nil)
+	n.others = add(freshness.Daemons, n.topics.Daemons, quietWait, serversGather, n.daemons, nil)
 	for _, f := range n.followers[1:] {
 		f.After = n.operators
 	}
@@ -92,10 +92,12 @@
 
 // servers takes the entries of backend servers.
 func (n *Node) servers(records []feed.Record, whole bool) {
+	n.noteLateness(freshness.Servers)
+	_, confirmed := n.state.Confirmed(freshness.Servers)
 	n.state.Servers(func(reg *backend.Registry, now time.Duration) {
 		var listed []backend.Server
 		for _, r := range records {
-			if s, ok := n.server(reg, r, now); ok {
+			if s, ok := n.server(reg, r, now, confirmed); ok {
 				listed = append(listed, s)
 			}
 		}
@@ -105,12 +107,21 @@
 	})
 }
 
-// server takes one entry and returns the server if it is there.
-func (n *Node) server(reg *backend.Registry, r feed.Record, now time.Duration) (backend.Server, bool) {
+// noteLateness counts how late, at most, the records are that have just been read: the
+// last read that found nothing newer is the youngest proof that they were not there.
+func (n *Node) noteLateness(about freshness.Subject) {
+	if age, known := n.state.Age(about); known {
+		n.ports.Metrics.Lateness(about).RecordDuration(age)
+	}
+}
+
+// server takes one entry and returns the server if it is there. Confirmed is the age of
+// the newest confirmation of the entries before it.
+func (n *Node) server(reg *backend.Registry, r feed.Record, now, confirmed time.Duration) (backend.Server, bool) {
 	old, known := reg.Get(r.Key, now)
 	if r.Value == nil {
 		if known {
-			n.log.Info("server entry gone", "server", r.Key, "service", old.Service, "was_leaving", old.Leaving, "offset", r.Offset)
+			n.log.Info("server entry gone", "server", r.Key, "service", old.Service, "was_leaving", old.Leaving, "offset", r.Offset, "confirmed_ms", confirmed.Milliseconds())
 		}
 		reg.Remove(r.Key, now)
 		return old, false
@@ -121,7 +132,7 @@
 		return s, false
 	}
 	if !known || old.Leaving != s.Leaving || old.Address != s.Address {
-		n.log.Info("server entry", "server", s.ID, "service", s.Service, "address", s.Address, "version", s.Version, "leaving", s.Leaving, "offset", r.Offset)
+		n.log.Info("server entry", "server", s.ID, "service", s.Service, "address", s.Address, "version", s.Version, "leaving", s.Leaving, "offset", r.Offset, "confirmed_ms", confirmed.Milliseconds())
 	}
 	reg.Put(s)
 	return s, true
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 	"github.com/damaskrudder/damaskrudder/internal/upstream"
@@ -129,7 +130,8 @@
 
 // send makes one attempt. Done says that the caller has the final answer.
 func (x *exchange) send(ctx context.Context, t *target) (request.Outcome, bool) {
-	x.note("send", t, "expected_ms", t.expected.Milliseconds(), "uncached", t.uncached, "send", x.journey.Sends(), "session", x.call.Session)
+	by, age := x.relay.State.Confirmed(freshness.Servers)
+	x.note("send", t, "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expected.Milliseconds(), "uncached", t.uncached, "send", x.journey.Sends(), "session", x.call.Session)
 	began := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 )
 
 // Metrics are the counters and histograms of a relay.
@@ -31,20 +32,35 @@
 	Latency tally.Histogram
 	// FirstEvent is the time to the first event of a stream.
 	FirstEvent tally.Histogram
+
+	ages     [freshness.Subjects]tally.Gauge
+	lateness [freshness.Subjects]tally.Histogram
 }
 
 // NewMetrics registers the metrics.
 func NewMetrics(s tally.Scope) *Metrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, latencyBuckets)
-	return &Metrics{
+	m := &Metrics{
 		scope: s, Requests: s.Counter("requests"), Repeats: s.Counter("repeats"),
 		Escalations: s.Counter("escalations"), SendsFailed: s.Counter("sends_failed"),
 		Cut: s.Counter("answers_cut"), CallersLeft: s.Counter("callers_left"),
 		AliveChecks: s.Counter("alive_checks"), Moved: s.Counter("sends_moved"),
 		Latency: s.Histogram("answer_seconds", buckets), FirstEvent: s.Histogram("first_event_seconds", buckets),
 	}
+	for about := range freshness.Subjects {
+		tagged := s.Tagged(map[string]string{"subject": about.String()})
+		m.ages[about] = tagged.Gauge("confirmed_age_seconds")
+		m.lateness[about] = tagged.Histogram("learned_late_seconds", buckets)
+	}
+	return m
 }
 
+// Age shows how old, in seconds, the newest confirmation of a subject is.
+func (m *Metrics) Age(about freshness.Subject) tally.Gauge { return m.ages[about] }
+
+// Lateness counts how late, at most, records of a subject were read.
+func (m *Metrics) Lateness(about freshness.Subject) tally.Histogram { return m.lateness[about] }
+
 // latencyBuckets reach from 5 ms to 20 s by doubling.
 const latencyBuckets = 13
 
@@ -64,18 +80,20 @@
 // MetricNames lists every metric with its meaning, for the page of metrics.
 func MetricNames() map[string]string {
 	return map[string]string{
-		"requests":            "Requests of callers.",
-		"repeats":             "Sends after the first of a request.",
-		"escalations":         "Answers of a smaller model dropped for a larger one's.",
-		"sends_failed":        "Sends without an answer.",
-		"sends_moved":         "Sends given up for another server because they were stuck.",
-		"answers_cut":         "Answers that ended before their end.",
-		"answers_ok":          "Whole answers of servers that succeeded.",
-		"answers_failed":      "Whole answers of servers that failed.",
-		"callers_left":        "Callers that left before their answer.",
-		"alive_checks":        "Signs of life asked of silent servers.",
-		"refusals":            "Refusals of ours, by kind.",
-		"answer_seconds":      "Time to a plain answer.",
-		"first_event_seconds": "Time to the first event of a stream.",
+		"requests":              "Requests of callers.",
+		"repeats":               "Sends after the first of a request.",
+		"escalations":           "Answers of a smaller model dropped for a larger one's.",
+		"sends_failed":          "Sends without an answer.",
+		"sends_moved":           "Sends given up for another server because they were stuck.",
+		"answers_cut":           "Answers that ended before their end.",
+		"answers_ok":            "Whole answers of servers that succeeded.",
+		"answers_failed":        "Whole answers of servers that failed.",
+		"callers_left":          "Callers that left before their answer.",
+		"alive_checks":          "Signs of life asked of silent servers.",
+		"refusals":              "Refusals of ours, by kind.",
+		"answer_seconds":        "Time to a plain answer.",
+		"first_event_seconds":   "Time to the first event of a stream.",
+		"confirmed_age_seconds": "Age of the newest confirmation that what is known is complete, by subject.",
+		"learned_late_seconds":  "How late records were read, at most: the age of the confirmation before them, by subject.",
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/cascade"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 )
@@ -179,7 +180,7 @@
 
 func (r *Relay) refused(c *Call, out Caller, e *fault.Error) {
 	r.Metrics.Refused(e.Kind).Inc(1)
-	age, known := r.State.ContactAge()
+	age, known := r.State.Age(freshness.Configuration)
 	version := int64(0)
 	if t := r.State.Table(); t != nil {
 		version = t.Version
@@ -237,7 +238,7 @@
 )
 
 func (r *Relay) keysFresh() bool {
-	return r.rules.KeyFreshness == 0 || r.State.Fresh(r.rules.KeyFreshness)
+	return r.rules.KeyFreshness == 0 || r.State.Fresh(freshness.Configuration, r.rules.KeyFreshness)
 }
 
 // deadline is when the caller leaves or the route's limit ends the wait.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 	"github.com/damaskrudder/damaskrudder/internal/upstream"
 )
@@ -122,7 +123,7 @@
 			r.Put(backend.Server{ID: fmt.Sprint("a", i), Service: "app", Address: fmt.Sprintf("10.0.1.%d:1", i), Slots: 4, Version: "v1"})
 		}
 	})
-	s.Confirm(c.now)
+	s.Confirm(freshness.Configuration, freshness.Confirmation{At: c.now, By: freshness.Own})
 	rules := Rules{KeyFreshness: 4 * time.Second, BudgetWindow: 10 * time.Second, BudgetRatio: 0.9, BudgetReserve: 50}
 	return &world{New(s, b, rules, NewMetrics(tally.NoopScope), log.New(io.Discard)), b, c}
 }
@@ -299,7 +300,7 @@
 	if out.refusal == nil || out.refusal.Kind != fault.ConfigurationStale || len(w.backend.sends) != 0 {
 		t.Fatalf("got %+v after %d sends", out.refusal, len(w.backend.sends))
 	}
-	w.relay.State.Confirm(w.clock.now)
+	w.relay.State.Confirm(freshness.Configuration, freshness.Confirmation{At: w.clock.now, By: freshness.Own})
 	if out := w.call("/l/1"); out.status != 200 {
 		t.Fatalf("got %+v after a confirmation", out.refusal)
 	}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
-	"github.com/damaskrudder/damaskrudder/internal/membership"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
@@ -22,7 +22,7 @@
 	boot  func() time.Duration
 
 	mu       sync.Mutex
-	contact  membership.Contact
+	fresh    freshness.Ledger
 	registry *backend.Registry
 	listed   bool
 	// known is closed when the configuration and the servers are known.
@@ -78,28 +78,36 @@
 	}
 }
 
-// Confirm records that the configuration was the newest at a reading of the boot
-// clock.
-func (s *State) Confirm(sent time.Duration) {
+// Confirm records that what is known of a subject was complete.
+func (s *State) Confirm(about freshness.Subject, c freshness.Confirmation) {
 	s.mu.Lock()
-	s.contact.Confirm(sent)
+	s.fresh.Confirm(about, c)
 	s.mu.Unlock()
 }
 
-// Fresh reports whether the configuration was confirmed within a limit.
-func (s *State) Fresh(limit time.Duration) bool {
+// Fresh reports whether a subject was confirmed within a limit.
+func (s *State) Fresh(about freshness.Subject, limit time.Duration) bool {
 	now := s.boot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.contact.Within(now, limit)
+	return s.fresh.Within(about, now, limit)
 }
 
-// ContactAge returns the age of the newest confirmation; false if there is none.
-func (s *State) ContactAge() (time.Duration, bool) {
+// Age returns the age of the newest confirmation of a subject; false if there is none.
+func (s *State) Age(about freshness.Subject) (time.Duration, bool) {
 	now := s.boot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.contact.Age(now)
+	return s.fresh.Age(about, now)
+}
+
+// Confirmed returns who confirmed a subject last, and its age.
+func (s *State) Confirmed(about freshness.Subject) (by string, age time.Duration) {
+	now := s.boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, _ := s.fresh.Newest(about)
+	return c.By, now - c.At
 }
 
 // Known reports whether a configuration and the servers are known.
