--- /dev/null
+++ b/internal/feedtest/store.go
@@ -0,0 +1,240 @@
+// Package feedtest has a store for tests in virtual time: keyed topics in memory, read by
+// calls that can be left without an answer.
+package feedtest
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/feed"
+)
+
+// roundTrip is the time of one call: the users' store answers within some milliseconds.
+const roundTrip = 4 * time.Millisecond
+
+// Mode is how the store treats a call.
+type Mode int
+
+// The modes of a store.
+const (
+	// Serving answers.
+	Serving Mode = iota
+	// Silent never answers a call that comes meanwhile; one that waits is kept.
+	Silent
+	// Busy refuses at once; a call that waits is kept.
+	Busy
+	// Reset breaks every connection, also of calls that wait.
+	Reset
+)
+
+// ErrBusy and ErrReset are what callers get in the modes of these names.
+var (
+	ErrBusy  = errors.New("the store refuses")
+	ErrReset = errors.New("the store reset the connection")
+)
+
+// Store implements feed.Log for one or more callers. Create callers with Caller.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	mode    Mode
+	calls   int
+}
+
+type topic struct{ records []feed.Record }
+
+// New returns an empty store that serves.
+func New() *Store { return &Store{topics: map[string]*topic{}, changed: make(chan struct{})} }
+
+// Set changes how all callers are treated.
+func (s *Store) Set(m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+	s.wake()
+}
+
+// Put writes a record; a nil value removes the key.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.records = append(t.records, feed.Record{Key: key, Value: value, Offset: uint64(len(t.records))})
+	s.wake()
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// Caller is one daemon's way to the store. Its own mode comes before the store's.
+type Caller struct {
+	store *Store
+	mode  Mode
+	// mute says that calls which wait now are never answered.
+	mute chan struct{}
+}
+
+// Caller returns a new way to the store.
+func (s *Store) Caller() *Caller { return &Caller{store: s, mute: make(chan struct{})} }
+
+// Set changes how this caller alone is treated.
+func (c *Caller) Set(m Mode) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.mode = m
+	c.store.wake()
+}
+
+// Mute makes the connections of the calls that wait now go silent for good: they are
+// neither answered nor reset, while new ones work.
+func (c *Caller) Mute() {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	close(c.mute)
+	c.mute = make(chan struct{})
+}
+
+func (c *Caller) effective() Mode {
+	if c.mode != Serving {
+		return c.mode
+	}
+	return c.store.mode
+}
+
+// enter takes one call to the store.
+func (c *Caller) enter(ctx context.Context) error {
+	if err := pause(ctx, roundTrip/2); err != nil {
+		return err
+	}
+	c.store.mu.Lock()
+	c.store.calls++
+	mode := c.effective()
+	c.store.mu.Unlock()
+	switch mode {
+	case Silent:
+		<-ctx.Done()
+		return ctx.Err()
+	case Busy:
+		return ErrBusy
+	case Reset:
+		return ErrReset
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// Newest implements feed.Log.
+func (c *Caller) Newest(ctx context.Context, name string) ([]feed.Record, uint64, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	c.store.mu.Lock()
+	all := c.store.topic(name).records
+	c.store.mu.Unlock()
+	newest := map[string]feed.Record{}
+	for _, r := range all {
+		newest[r.Key] = r
+	}
+	var out []feed.Record
+	for _, r := range all {
+		if newest[r.Key].Offset == r.Offset && r.Value != nil {
+			out = append(out, r)
+		}
+	}
+	return out, uint64(len(all)), pause(ctx, roundTrip/2)
+}
+
+// Read implements feed.Log.
+func (c *Caller) Read(ctx context.Context, name string, from uint64, wait time.Duration) ([]feed.Record, uint64, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	over := time.NewTimer(wait)
+	defer over.Stop()
+	c.store.mu.Lock()
+	mute := c.mute
+	c.store.mu.Unlock()
+	for ended := wait == 0; ; {
+		c.store.mu.Lock()
+		mode, changed, all := c.effective(), c.store.changed, c.store.topic(name).records
+		c.store.mu.Unlock()
+		switch {
+		case mode == Reset:
+			return nil, 0, ErrReset
+		case mode == Silent:
+			ended = false // what waits is answered when the store is back
+		case from < uint64(len(all)):
+			return all[from:len(all):len(all)], uint64(len(all)), pause(ctx, roundTrip/2)
+		case ended:
+			return nil, uint64(len(all)), pause(ctx, roundTrip/2)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-mute:
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		case <-changed:
+		case <-over.C:
+			ended = true
+		}
+	}
+}
+
+// End implements feed.Log.
+func (c *Caller) End(ctx context.Context, name string) (uint64, error) {
+	if err := c.enter(ctx); err != nil {
+		return 0, err
+	}
+	c.store.mu.Lock()
+	end := uint64(len(c.store.topic(name).records))
+	c.store.mu.Unlock()
+	return end, pause(ctx, roundTrip/2)
+}
+
+// Append implements feed.Log.
+func (c *Caller) Append(ctx context.Context, name, key string, value []byte, at *uint64) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	c.store.mu.Lock()
+	end := uint64(len(c.store.topic(name).records))
+	c.store.mu.Unlock()
+	if at != nil && *at != end {
+		return &feed.Conflict{End: end}
+	}
+	c.store.Put(name, key, value)
+	return pause(ctx, roundTrip/2)
+}
