A read of the store has a limit of its own, by what it asked for and by signs of its answer

Cause: the first read after a failed one asks the store not to wait, and was given the time of one that waits, 15.9 s (28.9 s for roll-outs and daemons; also for reading a whole topic at the start). Sent into a silence of the store it is never answered. Until it was given up, a daemon learned nothing of that topic: neither that a server leaves, nor a configuration, nor that its keys are still good. Change: a read is given up 0.9 s after its answer is due, and 0.9 s after the last piece of an answer that has begun. A long record over a slow link is read to its end.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -37,11 +37,12 @@
 // Log is the platform's log.
 type Log interface {
 	// Newest returns the newest record of each key, and an offset from which
-	// reading on misses nothing.
-	Newest(ctx context.Context, topic string) ([]Record, uint64, error)
+	// reading on misses nothing. Heard is called with each piece of the answer.
+	Newest(ctx context.Context, topic string, heard func()) ([]Record, uint64, error)
 	// Read returns the records from an offset on and the topic's end. Without
-	// records it waits for one for up to a time.
-	Read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]Record, uint64, error)
+	// records it waits for one for up to a time. Heard is called with each piece of
+	// the answer.
+	Read(ctx context.Context, topic string, from uint64, wait time.Duration, heard func()) ([]Record, uint64, error)
 	// End returns the topic's end alone.
 	End(ctx context.Context, topic string) (uint64, error)
 	// Append adds a record. If at is not nil, the topic must end there, or the
@@ -50,10 +51,6 @@
 }
 
 const (
-	// answerLimit bounds the wait for an answer beyond the wait that was asked
-	// for. The store takes milliseconds, under trouble some hundred; a
-	// connection that went silent is given up after it.
-	answerLimit = 900 * time.Millisecond
 	// firstPause and longestPause are between tries while the store does not
 	// answer: short, because what changed meanwhile must be in force within
 	// seconds of its return.
@@ -114,14 +111,12 @@
 	alone atomic.Bool
 	// behind is signalled when another reader is ahead.
 	behind chan struct{}
-	// interrupt ends the read that is waiting.
-	interrupt context.CancelFunc
+	// reading is the read that is going on, or nil.
+	reading *reading
 	// expected is how far another reader has come, and expectedAt since when
 	// this one is known to be behind.
 	expected   uint64
 	expectedAt time.Time
-	// readAt is when the read that is going on began.
-	readAt time.Time
 }
 
 // behindLimit is how long a follower may be behind another reader before its
@@ -249,21 +244,24 @@
 		return
 	}
 	f.alone.Store(true)
-	if f.interrupt == nil || !f.hangs(now) {
+	if f.reading == nil || !f.hangs(now) {
 		return
 	}
 	f.Logger.Warn("behind another reader, reading anew", "topic", f.Topic, "next", f.next.Load(), "other", f.expected)
-	f.interrupt()
-	f.interrupt = nil
+	f.reading.giveUp(errBehind)
 	f.expectedAt = now
 }
 
 // hangs reports whether the read that is going on is given up. One that began before
-// the change would have been answered with it. One that began since is being answered:
-// a long record takes some hundred milliseconds over a slow link, and would be read
-// again and again without ever being read to its end. Callers hold mu.
+// the change would have been answered with it; one that began since has the time of an
+// answer. One that is being answered is not given up: a long record takes some hundred
+// milliseconds over a slow link, and would be read again and again without ever being
+// read to its end. Callers hold mu.
 func (f *Follower) hangs(now time.Time) bool {
-	return f.readAt.Before(f.expectedAt) || now.Sub(f.readAt) >= answerLimit
+	if f.reading.answering {
+		return false
+	}
+	return f.reading.began.Before(f.expectedAt) || now.Sub(f.reading.began) >= answerLimit
 }
 
 // Next returns the offset of the next record to read. A conditional append there
@@ -341,11 +339,6 @@
 // step reads once.
 func (f *Follower) step(ctx context.Context) error {
 	sent := f.Boot()
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+answerLimit)
-	defer cancel()
-	f.mu.Lock()
-	f.interrupt, f.readAt = cancel, time.Now()
-	f.mu.Unlock()
 	if !f.loaded.Load() {
 		return f.load(ctx, sent)
 	}
@@ -354,16 +347,18 @@
 		// Without a change to tell, the log would answer only when the wait is over:
 		// until then nobody would know that it is back, and keys were not trusted.
 		wait = 0
-		f.noteRetry(f.Wait + answerLimit)
+		f.noteRetry(wait + answerLimit)
 	}
-	records, end, err := f.Log.Read(ctx, f.Topic, f.next.Load(), wait)
+	ctx, done := f.begin(ctx, wait)
+	defer done()
+	records, end, err := f.Log.Read(ctx, f.Topic, f.next.Load(), wait, f.heard)
 	if errors.Is(err, ErrGone) {
 		f.Logger.Warn("records are gone, reading the newest of each key", "topic", f.Topic, "next", f.next.Load())
 		f.loaded.Store(false)
 		return f.load(ctx, sent)
 	}
 	if err != nil {
-		return err
+		return reason(ctx, err)
 	}
 	if end < f.next.Load() {
 		f.Logger.Error("the topic ends before what was read, reading it anew", "topic", f.Topic, "next", f.next.Load(), "end", end)
@@ -389,9 +384,11 @@
 }
 
 func (f *Follower) load(ctx context.Context, sent time.Duration) error {
-	records, end, err := f.Log.Newest(ctx, f.Topic)
+	ctx, done := f.begin(ctx, 0)
+	defer done()
+	records, end, err := f.Log.Newest(ctx, f.Topic, f.heard)
 	if err != nil {
-		return err
+		return reason(ctx, err)
 	}
 	f.answered()
 	f.apply(records, true, end)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -22,9 +22,9 @@
 	end    context.CancelFunc
 }
 
-func (s *script) Newest(context.Context, string) ([]Record, uint64, error) { return s.newest() }
+func (s *script) Newest(context.Context, string, func()) ([]Record, uint64, error) { return s.newest() }
 
-func (s *script) Read(ctx context.Context, _ string, from uint64, wait time.Duration) ([]Record, uint64, error) {
+func (s *script) Read(ctx context.Context, _ string, from uint64, wait time.Duration, _ func()) ([]Record, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waits = append(s.waits, wait)
@@ -40,7 +40,7 @@
 
 // End takes its answers from the script of reads, too.
 func (s *script) End(ctx context.Context, topic string) (uint64, error) {
-	_, end, err := s.Read(ctx, topic, 0, 0)
+	_, end, err := s.Read(ctx, topic, 0, 0, nil)
 	return end, err
 }
 
@@ -153,8 +153,8 @@
 func TestReadBehindAnotherReaderIsGivenUp(t *testing.T) {
 	given := false
 	f := &Follower{Logger: log.New(io.Discard)}
-	f.interrupt = func() { given = true }
 	now := time.Now()
+	f.reading = &reading{began: now.Add(-time.Second), giveUp: func(error) { given = true }}
 	f.Expect(4)
 	f.Check(now)
 	if given {
@@ -215,15 +215,15 @@
 func TestReadThatIsBeingAnsweredIsNotGivenUp(t *testing.T) {
 	given := 0
 	f := &Follower{Logger: log.New(io.Discard)}
-	f.interrupt = func() { given++ }
 	now := time.Now()
+	f.reading = &reading{began: now.Add(10 * time.Millisecond), giveUp: func(error) { given++ }}
 	f.Expect(4)
-	f.expectedAt, f.readAt = now, now.Add(10*time.Millisecond)
+	f.expectedAt = now
 	f.Check(now.Add(2 * behindLimit))
 	if given != 0 {
 		t.Fatal("a read that began after the change was given up")
 	}
-	if f.Check(f.readAt.Add(answerLimit)); given != 1 {
+	if f.Check(f.reading.began.Add(answerLimit)); given != 1 {
 		t.Fatal("a read that is not answered goes on")
 	}
 }
--- a/internal/feedtest/store.go
+++ b/internal/feedtest/store.go
@@ -156,7 +156,7 @@
 }
 
 // Newest implements feed.Log.
-func (c *Caller) Newest(ctx context.Context, name string) ([]feed.Record, uint64, error) {
+func (c *Caller) Newest(ctx context.Context, name string, heard func()) ([]feed.Record, uint64, error) {
 	if err := c.enter(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -173,11 +173,12 @@
 			out = append(out, r)
 		}
 	}
+	heard()
 	return out, uint64(len(all)), pause(ctx, roundTrip/2)
 }
 
 // Read implements feed.Log.
-func (c *Caller) Read(ctx context.Context, name string, from uint64, wait time.Duration) ([]feed.Record, uint64, error) {
+func (c *Caller) Read(ctx context.Context, name string, from uint64, wait time.Duration, heard func()) ([]feed.Record, uint64, error) {
 	if err := c.enter(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -196,8 +197,10 @@
 		case mode == Silent:
 			ended = false // what waits is answered when the store is back
 		case from < uint64(len(all)):
+			heard()
 			return all[from:len(all):len(all)], uint64(len(all)), pause(ctx, roundTrip/2)
 		case ended:
+			heard()
 			return nil, uint64(len(all)), pause(ctx, roundTrip/2)
 		}
 		select {
