--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -101,6 +101,9 @@
 	loaded atomic.Bool
 	fails  int
 	lostAt time.Duration
+	// hurry says that the last read was given up although the log answers others: the
+	// next one does not wait. Only Run uses it.
+	hurry bool
 	// away says that the last read failed.
 	away atomic.Bool
 
@@ -295,6 +298,10 @@
 		before := f.next.Load()
 		err := f.step(ctx)
 		f.alone.Store(false)
+		f.hurry = errors.Is(err, errBehind)
+		if f.hurry {
+			continue
+		}
 		if err != nil {
 			f.sleep(ctx, f.failed(ctx, err))
 			f.catchUp(ctx)
@@ -359,6 +366,9 @@
 		return f.load(ctx, sent)
 	}
 	wait := f.Wait
+	if f.hurry {
+		wait = 0
+	}
 	if f.away.Load() {
 		// Without a change to tell, the log would answer only when the wait is over:
 		// until then nobody would know that it is back, and keys were not trusted.
--- a/internal/freshness/upkeep.go
+++ b/internal/freshness/upkeep.go
@@ -34,19 +34,30 @@
 
 // Next returns the subject to look at next and the time until that is due; zero or less
 // is due now. Own is the time until this daemon must hear from the store itself, with
-// whatever subject. Without a subject that was ever confirmed there is none: a reading
+// whatever subject: it then takes the one that the first daemon would look at next, and
+// spares it that look. Without a subject that was ever confirmed there is none: a reading
 // that begins asks by itself.
 func (p Plan) Next(l *Ledger, now time.Duration, rank int, own time.Duration) (about Subject, due time.Duration, any bool) {
+	about, due, any = p.first(l, now, rank)
+	if any && own < due {
+		about, _, _ = p.first(l, now, 0)
+		due = own
+	}
+	return about, due, any
+}
+
+// first returns the subject that the daemon of a rank has to look at first, and the time
+// until then.
+func (p Plan) first(l *Ledger, now time.Duration, rank int) (about Subject, due time.Duration, any bool) {
 	for s := range Subjects {
 		u, looked := p[s]
 		age, known := l.Age(s, now)
 		if !looked || !known {
 			continue
 		}
-		left := u.Limit(rank) - age
-		if !any || left < due {
+		if left := u.Limit(rank) - age; !any || left < due {
 			about, due, any = s, left, true
 		}
 	}
-	return about, min(due, own), any
+	return about, due, any
 }
