--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -300,6 +300,8 @@
 		f.alone.Store(false)
 		f.hurry = errors.Is(err, errBehind)
 		if f.hurry {
+			// The log may answer all others and not this follower.
+			f.catchUp(ctx)
 			continue
 		}
 		if err != nil {
