--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -26,6 +26,8 @@
 	mu    sync.Mutex
 	nodes map[string]*member
 	bound time.Duration
+	// changes are made to each daemon before it runs.
+	changes []func(n *Node)
 }
 
 // member is one daemon of a fleet.
@@ -57,10 +59,11 @@
 	return leaveBound + 2*time.Second
 }
 
-// newFleet starts daemons on a store with a configuration and servers a and b.
-func newFleet(t *testing.T, daemons int) *fleet {
+// newFleet starts daemons on a store with a configuration and servers a and b. Changes
+// are made to each daemon before it runs.
+func newFleet(t *testing.T, daemons int, changes ...func(n *Node)) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: feedtest.New(), nodes: map[string]*member{}, bound: bound(daemons)}
+	f := &fleet{t: t, changes: changes, store: feedtest.New(), nodes: map[string]*member{}, bound: bound(daemons)}
 	f.store.Put("op", "config", []byte("5"))
 	f.store.Put("servers", "a", []byte("ready"))
 	f.store.Put("servers", "b", []byte("ready"))
@@ -96,6 +99,9 @@
 	f.mu.Lock()
 	f.nodes[address(i)] = m
 	f.mu.Unlock()
+	for _, change := range f.changes {
+		change(m.Node)
+	}
 	m.Run(ctx)
 	return m
 }
