Lapses are told from servers that left by the time without a confirmation

Cause: an outage was told by reads that failed. A read that waited through it did not, and what lapsed meanwhile was taken as gone, for up to two seconds; a daemon that alone was cut off took its own cut for an outage, and kept servers that had gone for 1.7 s. Change: entries that nobody confirmed for 0.75 of the time allowed mean an outage. Failing before: TestLapsesAreToldFromServersThatLeftAfterAReadThatOutlivedTheSilence, TestCutOffDaemonTakesNoRemovalForALapse guards the other side.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -77,10 +77,7 @@
 	Apply func(records []Record, whole bool)
 	// Confirmed is told when a read that found the follower current was sent.
 	Confirmed func(sent time.Duration)
-	// Healed is told when the log answers again after an outage: one read that
-	// failed is none.
-	Healed func()
-	Logger *log.Logger
+	Logger    *log.Logger
 	// Peer fetches records that another reader has, from an offset on, with how far
 	// it has read. It is used while ReadsLog says no; a nil Peer reads the log
 	// always. One reader that waits on the log is enough for many followers, and
@@ -429,18 +426,11 @@
 	if f.fails > 0 || !f.loaded.Load() {
 		away := f.Boot() - f.lostAt
 		f.Logger.Info("store answers", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails, "away_ms", away.Milliseconds())
-		if f.Healed != nil && f.fails > 0 && away >= outageLeast {
-			f.Healed()
-		}
 	}
 	f.fails = 0
 	f.away.Store(false)
 }
 
-// outageLeast is the shortest outage: what is written anew all the time lapses
-// after some seconds only.
-const outageLeast = 1500 * time.Millisecond
-
 // Put appends a record and waits for the answer for a bounded time.
 func Put(ctx context.Context, l Log, topic, key string, value []byte, at *uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -47,12 +47,17 @@
 	known  [Subjects]bool
 }
 
-// Confirm takes a confirmation. Answers may overtake each other: an older one changes
-// nothing.
-func (l *Ledger) Confirm(s Subject, c Confirmation) {
-	if !l.known[s] || c.At > l.newest[s].At {
-		l.newest[s], l.known[s] = c, true
+// Confirm takes a confirmation and returns the time since the one before it, or zero for
+// the first. Answers may overtake each other: an older one changes nothing.
+func (l *Ledger) Confirm(s Subject, c Confirmation) (gap time.Duration) {
+	if l.known[s] && c.At <= l.newest[s].At {
+		return 0
 	}
+	if l.known[s] {
+		gap = c.At - l.newest[s].At
+	}
+	l.newest[s], l.known[s] = c, true
+	return gap
 }
 
 // Newest returns the newest confirmation of a subject, and whether there is one.
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -10,8 +10,15 @@
 	if _, known := l.Age(Servers, time.Second); known {
 		t.Error("confirmed before any reading")
 	}
-	l.Confirm(Servers, Confirmation{At: 5 * time.Second, By: Own})
-	l.Confirm(Servers, Confirmation{At: 3 * time.Second, By: "d2"})
+	if gap := l.Confirm(Servers, Confirmation{At: 4 * time.Second, By: "d2"}); gap != 0 {
+		t.Errorf("a gap of %s before the first", gap)
+	}
+	if gap := l.Confirm(Servers, Confirmation{At: 5 * time.Second, By: Own}); gap != time.Second {
+		t.Errorf("a gap of %s", gap)
+	}
+	if gap := l.Confirm(Servers, Confirmation{At: 3 * time.Second, By: "d2"}); gap != 0 {
+		t.Errorf("a gap of %s before an older one", gap)
+	}
 	if c, _ := l.Newest(Servers); c.At != 5*time.Second || c.By != Own {
 		t.Errorf("the newest is %+v", c)
 	}
--- a/internal/freshness/upkeep.go
+++ b/internal/freshness/upkeep.go
@@ -27,6 +27,15 @@
 	return min(first+time.Duration(rank)*u.Step, most)
 }
 
+// awayPart is the part of what its use bears from which a subject that nobody confirmed
+// shows that the store was away for all: beyond the age at which every daemon looks, by
+// the time of an answer, and short of the three heartbeats after which entries lapse.
+const awayPart = 0.75
+
+// Away reports whether a time without a confirmation by anybody means that the store was
+// away.
+func (u Upkeep) Away(gap time.Duration) bool { return gap >= part(awayPart, u.Bears) }
+
 func part(p float64, d time.Duration) time.Duration { return time.Duration(p * float64(d)) }
 
 // Plan holds the upkeep of the subjects that are looked at.
--- a/internal/freshness/upkeep_test.go
+++ b/internal/freshness/upkeep_test.go
@@ -50,3 +50,10 @@
 		t.Errorf("further down the list: %s in %s", about, due)
 	}
 }
+
+func TestATimeWithoutConfirmationBeyondAllLooksIsAnOutage(t *testing.T) {
+	u := plan[Servers]
+	if u.Away(u.Limit(300)+200*time.Millisecond) || !u.Away(1500*time.Millisecond) {
+		t.Error("an outage is told wrongly")
+	}
+}
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -147,7 +147,26 @@
 // confirm takes a confirmation that the store itself gave.
 func (n *Node) confirm(about freshness.Subject, sent time.Duration) {
 	n.ownContact.Store(int64(sent))
-	n.state.Confirm(about, freshness.Confirmation{At: sent, By: freshness.Own})
+	n.take(about, freshness.Confirmation{At: sent, By: freshness.Own})
+}
+
+// take takes a confirmation, of the store itself or told by another daemon.
+func (n *Node) take(about freshness.Subject, c freshness.Confirmation) {
+	gap := n.state.Confirm(about, c)
+	if about == freshness.Servers {
+		n.noteGap(gap)
+	}
+}
+
+// noteGap tells that the store is back if nobody confirmed the entries of servers for
+// long. What lapsed meanwhile may come back. A read that failed is no sign of that, and
+// one that did not fail none against it: it may have waited all the while, and a daemon
+// that alone was cut off missed nothing that the others did not hear.
+func (n *Node) noteGap(gap time.Duration) {
+	if n.plan[freshness.Servers].Away(gap) {
+		n.log.Info("store back", "subject", freshness.Servers, "unconfirmed_ms", gap.Milliseconds())
+		n.state.Healed()
+	}
 }
 
 // ownAge is how long ago the store itself answered this daemon.
@@ -169,7 +188,7 @@
 	for about := range freshness.Subjects {
 		age, known := p.Age(about)
 		if known && n.followers[about].Next() >= p.Next(int(about)) {
-			n.state.Confirm(about, freshness.Confirmation{At: after - age, By: p.Name})
+			n.take(about, freshness.Confirmation{At: after - age, By: p.Name})
 		}
 	}
 }
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -29,19 +29,19 @@
 // prepare makes the followers of the store's topics. They are asked for how far
 // they have read before they run.
 func (n *Node) prepare(ctx context.Context) {
-	add := func(about freshness.Subject, topic string, wait, gather time.Duration, apply func([]feed.Record, bool), healed func()) *feed.Follower {
+	add := func(about freshness.Subject, topic string, wait, gather time.Duration, apply func([]feed.Record, bool)) *feed.Follower {
 		f := feed.New(&feed.Follower{
 			Log: n.ports.Log, Topic: topic, Wait: wait, Gather: gather, Boot: n.ports.Boot,
-			Apply: apply, Confirmed: func(sent time.Duration) { n.confirm(about, sent) }, Healed: healed, Logger: n.log,
+			Apply: apply, Confirmed: func(sent time.Duration) { n.confirm(about, sent) }, Logger: n.log,
 			Peer: n.recordsOf, ReadsLog: n.readsStore, Reader: n.reader,
 		})
 		n.followers = append(n.followers, f)
 		return f
 	}
-	n.operators = add(freshness.Configuration, n.topics.Operator, storeWait, 0, n.operator, nil)
-	entries := add(freshness.Servers, n.topics.Servers, storeWait, serversGather, n.servers, n.state.Healed)
-	n.statuses = add(freshness.Rollouts, n.topics.Status, quietWait, 0, n.status, nil)
-	n.others = add(freshness.Daemons, n.topics.Daemons, quietWait, serversGather, n.daemons, nil)
+	n.operators = add(freshness.Configuration, n.topics.Operator, storeWait, 0, n.operator)
+	entries := add(freshness.Servers, n.topics.Servers, storeWait, serversGather, n.servers)
+	n.statuses = add(freshness.Rollouts, n.topics.Status, quietWait, 0, n.status)
+	n.others = add(freshness.Daemons, n.topics.Daemons, quietWait, serversGather, n.daemons)
 	for _, f := range n.followers[1:] {
 		f.After = n.operators
 	}
@@ -94,7 +94,10 @@
 // servers takes the entries of backend servers.
 func (n *Node) servers(records []feed.Record, whole bool) {
 	n.noteLateness(freshness.Servers)
-	_, confirmed := n.state.Confirmed(freshness.Servers)
+	confirmed, known := n.state.Age(freshness.Servers)
+	if known {
+		n.noteGap(confirmed)
+	}
 	n.state.Servers(func(reg *backend.Registry, now time.Duration) {
 		var listed []backend.Server
 		for _, r := range records {
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -136,3 +136,50 @@
 		within(t, time.Second, "the phase of another daemon is read", func() bool { return m.statuses.Next() == 1 })
 	})
 }
+
+// Symptom: a service had no servers for two seconds after the store was back.
+// Sequence: the store is silent for some seconds, in which the entries of servers lapse. A
+// read of entries that was sent before waits through it and is answered with the lapses,
+// as the store returns. The servers live, and write their entries again.
+// Cause: the outage was told by a read that failed, and none had.
+func TestLapsesAreToldFromServersThatLeftAfterAReadThatOutlivedTheSilence(t *testing.T) {
+	for _, daemons := range []int{1, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, daemons)
+			time.Sleep(5 * time.Second)
+			f.store.Set(feedtest.Silent)
+			time.Sleep(5 * time.Second)
+			f.store.Put("servers", "a", nil)
+			f.store.Put("servers", "b", nil)
+			f.store.Set(feedtest.Serving)
+			for range 10 {
+				time.Sleep(100 * time.Millisecond)
+				if f.using("a") != daemons || f.using("b") != daemons {
+					t.Fatal("servers that live are taken as gone")
+				}
+			}
+			f.store.Put("servers", "a", []byte("ready"))
+			time.Sleep(2 * time.Second)
+			if f.using("a") != daemons || f.using("b") != 0 {
+				t.Error("the server that came back is not used, or the one that did not is")
+			}
+		})
+	}
+}
+
+// Symptom: a server that had gone without a word got requests for 1.7 s more, from a daemon
+// that alone had been cut off from the store.
+// Sequence: one of three daemons gets no answer; a server's entry is removed.
+// Cause: the daemon took its own cut for an outage of the store.
+func TestCutOffDaemonTakesNoRemovalForALapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		time.Sleep(5 * time.Second)
+		f.member(address(1)).caller.Set(feedtest.Silent)
+		time.Sleep(5 * time.Second)
+		f.member(address(1)).caller.Set(feedtest.Serving)
+		time.Sleep(time.Second)
+		f.store.Put("servers", "a", nil)
+		within(t, leaveBound/2, "the server is gone everywhere", func() bool { return f.using("a") == 0 })
+	})
+}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -78,11 +78,12 @@
 	}
 }
 
-// Confirm records that what is known of a subject was complete.
-func (s *State) Confirm(about freshness.Subject, c freshness.Confirmation) {
+// Confirm records that what is known of a subject was complete, and returns the time since
+// it was last confirmed.
+func (s *State) Confirm(about freshness.Subject, c freshness.Confirmation) (gap time.Duration) {
 	s.mu.Lock()
-	s.fresh.Confirm(about, c)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return s.fresh.Confirm(about, c)
 }
 
 // Fresh reports whether a subject was confirmed within a limit.
@@ -402,6 +403,7 @@
 func (s *State) EachServer(service string, f func(id string)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expire()
 	for _, m := range s.serviceOf(service).members {
 		f(m.ID)
 	}
