A backend server's run is a type: its id and its start; entries are decoded strictly

A server may start again under its id. A run is named by both, and everything that is known of a run is kept and told by that name, so that a new run begins with nothing in all packages at once, and late word of an earlier run finds nobody. What waited for the earlier run moves at once, its idle connections are closed, and a report of a later run is no sign of life of it. An older start never replaces a newer one. An entry with a field missing, null, empty or of another type, an unknown state, an address that nothing can be sent to, or that cannot be read names no server to use; the others hold. One line when an entry turns bad or is bad in another way, a counter by fault. An address belongs to the server that started later, where starts tell.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -8,22 +8,6 @@
 	"time"
 )
 
-// Server is one incarnation of a backend server.
-type Server struct {
-	// ID is new with every start of the server.
-	ID            string
-	Service       string
-	Address       string
-	FailureDomain string
-	// Version is the version of the server's software.
-	Version string
-	Slots   int
-	// Leaving servers finish what they run and get nothing new.
-	Leaving bool
-	// Models are the models an engine has loaded.
-	Models []string
-}
-
 // returnWindow is how long after the store's return an entry that lapsed during
 // the outage may still come back: servers that live write theirs within about
 // two seconds. A server without an entry after that is gone.
@@ -33,12 +17,14 @@
 // without a word must get nothing new two seconds after its entry is gone.
 const leaveWindow = 1700 * time.Millisecond
 
-// entry is a server and, if its record lapsed around an outage, until when it
-// still counts.
+// entry is the newest run of a server and, if its record lapsed around an outage, until
+// when it still counts.
 type entry struct {
 	server Server
 	until  time.Duration
 	lapsed bool
+	// barred says that the newest record names no server to use.
+	barred bool
 }
 
 // Registry is the set of servers. Times are readings of a clock that counts
@@ -53,64 +39,84 @@
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry { return &Registry{entries: map[string]*entry{}} }
 
-// Put adds a server or replaces what is known of it.
-func (r *Registry) Put(s Server) { r.entries[s.ID] = &entry{server: s} }
+// Put takes what a server says of itself, and names its run. Ended is the run that it
+// replaces, if the server has started again.
+//
+// A run that is older than the one known changes nothing: the store may carry out a write
+// of the earlier run seconds after one of the later run. An entry without a start, of a
+// server that has stated one, is another writer's and names no server to use.
+func (r *Registry) Put(s Server) (ended *Server, err error) {
+	s.ID = s.Run.ID()
+	old := r.entries[s.Run.Name]
+	switch {
+	case old == nil:
+	case s.Run.Born == 0 && old.server.Run.Born != 0:
+		old.barred = true
+		return nil, Bad(FieldMissing, "no start, of a server that has stated one")
+	case s.Run.Before(old.server.Run):
+		return nil, Bad(Superseded, "a run of %d after one of %d", s.Run.Born, old.server.Run.Born)
+	case s.ID != old.server.ID:
+		ended = &old.server
+	}
+	r.entries[s.Run.Name] = &entry{server: s}
+	return ended, nil
+}
+
+// Bar takes a server out of use whose record cannot be read. What it runs is not cut: the
+// record may be another writer's.
+func (r *Registry) Bar(name string) {
+	if e := r.entries[name]; e != nil {
+		e.barred = true
+	}
+}
 
 // Remove takes a server whose record is gone. While the store was away servers
 // could not renew their records, and the store drops those that lapsed when it
 // returns. Taking all of them as gone would leave a service without servers for
 // up to two seconds though most are well, so such a server stays until the end
 // of the return window.
-func (r *Registry) Remove(id string, now time.Duration) {
-	e := r.entries[id]
+func (r *Registry) Remove(name string, now time.Duration) {
+	e := r.entries[name]
 	if e == nil {
 		return
 	}
-	if r.hadFall && now < r.healed+returnWindow && !e.server.Leaving {
+	if r.hadFall && now < r.healed+returnWindow && !e.server.Leaving && !e.barred {
 		e.lapsed, e.until = true, min(r.healed+returnWindow, now+leaveWindow)
 		return
 	}
-	delete(r.entries, id)
+	delete(r.entries, name)
 }
 
 // Healed records that the store answers again after an outage.
 func (r *Registry) Healed(now time.Duration) { r.healed, r.hadFall = now, true }
 
-// Replace makes the listed servers the whole set, as after a gap in the log.
-func (r *Registry) Replace(all []Server, now time.Duration) {
-	listed := make(map[string]bool, len(all))
-	for _, s := range all {
-		listed[s.ID] = true
-		r.Put(s)
-	}
-	for id := range r.entries {
-		if !listed[id] {
-			r.Remove(id, now)
+// Retain takes all servers as gone that are not listed, as after a gap in the log.
+func (r *Registry) Retain(listed map[string]bool, now time.Duration) {
+	for name := range r.entries {
+		if !listed[name] {
+			r.Remove(name, now)
 		}
 	}
 }
 
-// Get returns a server that is not gone.
-func (r *Registry) Get(id string, now time.Duration) (Server, bool) {
-	e := r.entries[id]
+// Get returns a server by its name if it is not gone, and whether it may be used at all.
+func (r *Registry) Get(name string, now time.Duration) (s Server, known, usable bool) {
+	e := r.entries[name]
 	if e == nil || r.gone(e, now) {
-		return Server{}, false
+		return Server{}, false, false
 	}
-	return e.server, true
+	return e.server, true, !e.barred
 }
 
 func (r *Registry) gone(e *entry, now time.Duration) bool { return e.lapsed && now >= e.until }
 
-// Of returns the servers of a service, in the order of their ids, and forgets
-// those whose return window has ended.
+// Of returns the servers of a service that may be used, in the order of their ids, and
+// forgets those whose return window has ended.
 func (r *Registry) Of(service string, now time.Duration) []Server {
+	starts := r.starts(now)
 	var out []Server
-	for id, e := range r.entries {
-		if r.gone(e, now) {
-			delete(r.entries, id)
-			continue
-		}
-		if e.server.Service == service {
+	for _, e := range r.entries {
+		if e.server.Service == service && !e.barred && !e.displaced(starts) {
 			out = append(out, e.server)
 		}
 	}
@@ -118,6 +124,27 @@
 	return out
 }
 
+// starts returns the latest start of a server at each address.
+func (r *Registry) starts(now time.Duration) map[string]int64 {
+	out := make(map[string]int64, len(r.entries))
+	for name, e := range r.entries {
+		if r.gone(e, now) {
+			delete(r.entries, name)
+		} else if !e.barred {
+			out[e.server.Address] = max(out[e.server.Address], e.server.Run.Born)
+		}
+	}
+	return out
+}
+
+// displaced reports whether another server has started later at the address: that of a
+// server which has ended may be given to another one while its entry is still there. An
+// entry without a start proves nothing either way. Both are then used, since a wrong one
+// costs a send that is refused unrun, and leaving out the right one costs all of them.
+func (e *entry) displaced(starts map[string]int64) bool {
+	return e.server.Run.Born != 0 && e.server.Run.Born < starts[e.server.Address]
+}
+
 // NextExpiry returns when the next lapsed server is to be taken as gone, and
 // whether there is one.
 func (r *Registry) NextExpiry() (time.Duration, bool) {
--- /dev/null
+++ b/internal/backend/server.go
@@ -0,0 +1,99 @@
+package backend
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// Incarnation is one run of a backend server. A server may start again under the name
+// that it had, and then holds and knows nothing of before.
+type Incarnation struct {
+	// Name is the id under which the server registers.
+	Name string
+	// Born is the server's start in milliseconds of its own clock; zero if it states none.
+	Born int64
+}
+
+// ID names the run. All that is known of a run, of what it holds to whether it is lost,
+// is kept by this name in every package and told by it between daemons. A new run
+// therefore begins with nothing, in all places at once, and word of an earlier run finds
+// nobody whom it could be about, whatever order it comes in.
+func (i Incarnation) ID() string {
+	if i.Born == 0 {
+		return i.Name
+	}
+	return i.Name + "@" + strconv.FormatInt(i.Born, 36)
+}
+
+// Before reports whether a run of the same server is older than another. A run without a
+// stated start is older than one with.
+func (i Incarnation) Before(other Incarnation) bool { return i.Born < other.Born }
+
+// Server is one run of a backend server, as its entry tells.
+type Server struct {
+	// ID is Run.ID(); the registry sets it.
+	ID            string
+	Run           Incarnation
+	Service       string
+	Address       string
+	FailureDomain string
+	// Version is the version of the server's software.
+	Version string
+	Slots   int
+	// Leaving servers finish what they run and get nothing new.
+	Leaving bool
+	// Models are the models an engine has loaded.
+	Models []string
+}
+
+// Fault says why an entry names no server to use.
+type Fault string
+
+// The faults of an entry. The list is closed: they are the values of a counter.
+const (
+	// Unreadable: not an object, not UTF-8, too deep, or the key is no name.
+	Unreadable Fault = "unreadable"
+	// TooLong: longer than any entry.
+	TooLong Fault = "too_long"
+	// FieldMissing: a field is missing, null or empty.
+	FieldMissing Fault = "field_missing"
+	// FieldType: a field holds another type, or a number that it cannot hold.
+	FieldType Fault = "field_type"
+	// UnknownState: a state that is neither ready nor leaving.
+	UnknownState Fault = "unknown_state"
+	// BadAddress: an address that nothing can be sent to.
+	BadAddress Fault = "bad_address"
+	// Superseded: a run that is older than one already known.
+	Superseded Fault = "superseded"
+)
+
+// Faults lists all of them.
+func Faults() []Fault {
+	return []Fault{Unreadable, TooLong, FieldMissing, FieldType, UnknownState, BadAddress, Superseded}
+}
+
+// BadEntry is an entry that names no server to use. Its writer may be another than the
+// server: what other entries say holds.
+type BadEntry struct {
+	Fault Fault
+	// Detail names the field, for the log.
+	Detail string
+}
+
+// Error implements error.
+func (e *BadEntry) Error() string { return fmt.Sprintf("%s: %s", e.Fault, e.Detail) }
+
+// Bad returns an error for an entry.
+func Bad(f Fault, format string, args ...any) *BadEntry {
+	return &BadEntry{Fault: f, Detail: fmt.Sprintf(format, args...)}
+}
+
+// FaultOf returns the fault that an error tells of.
+func FaultOf(err error) Fault {
+	var e *BadEntry
+	if errors.As(err, &e) {
+		return e.Fault
+	}
+	return Unreadable
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -93,7 +93,7 @@
 		InForce: f.bound, Leave: f.bound,
 	}
 	m.Node = New(ctx, c, Ports{
-		Log: m.caller, Translator: words{}, Metrics: relay.NewMetrics(tally.NoopScope), Logger: log.New(io.Discard),
+		Log: m.caller, Backend: noBackend{}, Translator: words{}, Metrics: relay.NewMetrics(tally.NoopScope), Logger: log.New(io.Discard),
 		Boot: func() time.Duration { return time.Minute + time.Since(began) }, Peers: &path{f, address(i)},
 	})
 	f.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,7 @@
 type Translator interface {
 	Topics() Topics
 	Operator(r feed.Record) (Instruction, error)
+	// Server returns what a server says of itself, or a *backend.BadEntry.
 	Server(r feed.Record) (backend.Server, error)
 	// Status returns false for a record that is about something else.
 	Status(r feed.Record) (Status, bool, error)
@@ -110,6 +111,8 @@
 	statuses   *feed.Follower
 	others     *feed.Follower
 	placements gossip.Placements
+	// faults are the entries of servers that cannot be used.
+	faults   faults
 	enrolled   atomic.Bool
 	leaving    atomic.Bool
 	// ownContact is the boot clock's reading when the newest read was sent that
@@ -122,7 +125,7 @@
 
 // New returns a daemon that is not running yet.
 func New(ctx context.Context, c Config, p Ports) *Node {
-	n := &Node{config: c, ports: p, log: p.Logger, topics: p.Translator.Topics(), plan: upkeep(c.InForce, c.Leave)}
+	n := &Node{config: c, ports: p, log: p.Logger, topics: p.Translator.Topics(), plan: upkeep(c.InForce, c.Leave), faults: faults{}}
 	n.incarnation = c.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
 	n.state = relay.NewState(c.Name, p.Boot)
 	n.Relay = relay.New(n.state, p.Backend, c.Rules, p.Metrics, p.Logger)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,11 +34,19 @@
 	t, err := route.New(route.Document{Version: version})
 	return Instruction{Table: t}, err
 }
+
+// Server reads "STATE" or "STATE BORN".
 func (words) Server(r feed.Record) (backend.Server, error) {
-	if string(r.Value) == "bad" {
-		return backend.Server{}, errors.New("bad")
+	state, born, _ := strings.Cut(string(r.Value), " ")
+	if state != "ready" && state != "leaving" {
+		return backend.Server{}, backend.Bad(backend.UnknownState, "%s", state)
+	}
+	s := backend.Server{Run: backend.Incarnation{Name: r.Key}, Service: "s", Address: r.Key, Leaving: state == "leaving"}
+	_, err := fmt.Sscan(born, &s.Run.Born)
+	if born != "" && err != nil {
+		return backend.Server{}, backend.Bad(backend.FieldType, "born")
 	}
-	return backend.Server{ID: r.Key, Service: "s", Address: "10.0.0.1:1", Leaving: string(r.Value) == "leaving"}, nil
+	return s, nil
 }
 func (words) Status(feed.Record) (Status, bool, error) { return Status{}, false, nil }
 func (words) Daemon(r feed.Record) (string, error)     { return string(r.Value), nil }
@@ -48,12 +58,17 @@
 // orderOf is an order of a service.
 func orderOf(service string) rollout.Order { return rollout.Order{Service: service} }
 
+// noBackend has no server that answers.
+type noBackend struct{ relay.Backend }
+
+func (noBackend) Forget(string) {}
+
 // testNode returns a daemon that does not run, with a boot clock to move.
 func testNode(t *testing.T) (*Node, *time.Duration) {
 	t.Helper()
 	now := time.Minute
 	n := New(t.Context(), Config{Name: "d0", Control: "c0", Front: "f0", InForce: inForce, Leave: leaveBound}, Ports{
-		Translator: words{}, Metrics: relay.NewMetrics(tally.NoopScope), Logger: log.New(io.Discard),
+		Backend: noBackend{}, Translator: words{}, Metrics: relay.NewMetrics(tally.NoopScope), Logger: log.New(io.Discard),
 		Boot: func() time.Duration { return now },
 	})
 	return n, &now
@@ -206,3 +221,56 @@
 		t.Error("a daemon that has left is ready")
 	}
 }
+
+// Symptom: requests went on to a server whose entry nobody could read any more, and each
+// heartbeat of its writer brought a line of the log.
+// Sequence: an entry turns bad, stays bad, turns bad in another way, and is good again.
+// Cause: an entry that could not be read was passed over, and what was known before held.
+func TestEntryThatTurnsBadNamesNoServer(t *testing.T) {
+	n, _ := testNode(t)
+	var lines bytes.Buffer
+	n.log = log.New(&lines)
+	used := func() (out string) {
+		n.EachServer("s", func(id string) { out += id })
+		return out
+	}
+	entry := func(value string) { n.servers([]feed.Record{{Key: "a", Value: []byte(value)}}, false) }
+	n.servers([]feed.Record{{Key: "a", Value: []byte("ready")}, {Key: "b", Value: []byte("ready")}}, true)
+	for range 3 {
+		entry("warming")
+	}
+	if used() != "b" {
+		t.Errorf("used are %q", used())
+	}
+	if got := strings.Count(lines.String(), "names no server"); got != 1 {
+		t.Errorf("%d lines for one change", got)
+	}
+	entry("ready x")
+	if got := strings.Count(lines.String(), "names no server"); got != 2 {
+		t.Errorf("%d lines for two changes", got)
+	}
+	if entry("ready"); used() != "ab" {
+		t.Errorf("used are %q after a good entry", used())
+	}
+	n.servers([]feed.Record{{Key: "a", Value: []byte("bad")}, {Key: "b", Value: []byte("ready")}}, true)
+	if used() != "b" {
+		t.Errorf("used are %q after a whole reading with a bad entry", used())
+	}
+}
+
+func TestServerThatLeftAndStartedAgainIsUsed(t *testing.T) {
+	n, _ := testNode(t)
+	used := func() (count int) {
+		n.EachServer("s", func(string) { count++ })
+		return count
+	}
+	for _, c := range []struct {
+		value string
+		want  int
+	}{{"ready 100", 1}, {"leaving 100", 0}, {"ready 200", 1}, {"leaving 100", 1}, {"leaving 200", 0}, {"leaving 300", 0}, {"ready 300", 1}} {
+		n.servers([]feed.Record{{Key: "a", Value: []byte(c.value)}}, false)
+		if used() != c.want {
+			t.Errorf("after %q: %d are used", c.value, used())
+		}
+	}
+}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -98,17 +98,22 @@
 	if known {
 		n.noteGap(confirmed)
 	}
+	var ended []backend.Server
 	n.state.Servers(func(reg *backend.Registry, now time.Duration) {
-		var listed []backend.Server
+		listed := map[string]bool{}
 		for _, r := range records {
-			if s, ok := n.server(reg, r, now, confirmed); ok {
-				listed = append(listed, s)
+			listed[r.Key] = r.Value != nil
+			if run := n.server(reg, r, now, confirmed); run != nil {
+				ended = append(ended, *run)
 			}
 		}
 		if whole {
-			reg.Replace(listed, now)
+			reg.Retain(listed, now)
 		}
 	})
+	for _, run := range ended {
+		n.Relay.Ended(run)
+	}
 }
 
 // noteLateness counts how late, at most, the records are that have just been read: the
@@ -119,27 +124,44 @@
 	}
 }
 
-// server takes one entry and returns the server if it is there. Confirmed is the age of
-// the newest confirmation of the entries before it.
-func (n *Node) server(reg *backend.Registry, r feed.Record, now, confirmed time.Duration) (backend.Server, bool) {
-	old, known := reg.Get(r.Key, now)
+// server takes one entry and returns the run that it tells to have ended. Confirmed is the
+// age of the newest confirmation of the entries before it.
+func (n *Node) server(reg *backend.Registry, r feed.Record, now, confirmed time.Duration) *backend.Server {
+	old, known, usable := reg.Get(r.Key, now)
 	if r.Value == nil {
 		if known {
-			n.log.Info("server entry gone", "server", r.Key, "service", old.Service, "was_leaving", old.Leaving, "offset", r.Offset, "confirmed_ms", confirmed.Milliseconds())
+			n.log.Info("server entry gone", "server", old.ID, "service", old.Service, "was_leaving", old.Leaving, "offset", r.Offset, "confirmed_ms", confirmed.Milliseconds())
 		}
+		n.faults.clear(r.Key)
 		reg.Remove(r.Key, now)
-		return old, false
+		return nil
 	}
 	s, err := n.ports.Translator.Server(r)
 	if err != nil {
-		n.log.Error("server entry passed over", "server", r.Key, "offset", r.Offset, "err", err)
-		return s, false
+		reg.Bar(r.Key)
+		n.badEntry(r, err)
+		return nil
+	}
+	ended, err := reg.Put(s)
+	if err != nil {
+		n.badEntry(r, err)
+		return nil
 	}
-	if !known || old.Leaving != s.Leaving || old.Address != s.Address {
-		n.log.Info("server entry", "server", s.ID, "service", s.Service, "address", s.Address, "version", s.Version, "leaving", s.Leaving, "offset", r.Offset, "confirmed_ms", confirmed.Milliseconds())
+	n.faults.clear(r.Key)
+	if !known || !usable || ended != nil || old.Leaving != s.Leaving || old.Address != s.Address {
+		n.log.Info("server entry", "server", s.Run.ID(), "service", s.Service, "address", s.Address, "version", s.Version, "leaving", s.Leaving, "started_again", ended != nil, "offset", r.Offset, "confirmed_ms", confirmed.Milliseconds())
+	}
+	return ended
+}
+
+// badEntry counts an entry that names no server to use, and logs it when it has turned bad
+// or is bad in another way: its writer may repeat it with each heartbeat.
+func (n *Node) badEntry(r feed.Record, err error) {
+	fault := backend.FaultOf(err)
+	n.ports.Metrics.BadEntry(fault).Inc(1)
+	if n.faults.note(r.Key, fault) {
+		n.log.Error("server entry names no server to use", "server", r.Key, "offset", r.Offset, "fault", fault, "err", err)
 	}
-	reg.Put(s)
-	return s, true
 }
 
 // status takes how far roll-outs have come.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 )
@@ -28,6 +29,8 @@
 	AliveChecks tally.Counter
 	// Moved counts sends given up for another server because they were stuck.
 	Moved tally.Counter
+	// Restarts counts servers that started again under their name.
+	Restarts tally.Counter
 	// Latency is the time to a plain answer.
 	Latency tally.Histogram
 	// FirstEvent is the time to the first event of a stream.
@@ -44,7 +47,7 @@
 		scope: s, Requests: s.Counter("requests"), Repeats: s.Counter("repeats"),
 		Escalations: s.Counter("escalations"), SendsFailed: s.Counter("sends_failed"),
 		Cut: s.Counter("answers_cut"), CallersLeft: s.Counter("callers_left"),
-		AliveChecks: s.Counter("alive_checks"), Moved: s.Counter("sends_moved"),
+		AliveChecks: s.Counter("alive_checks"), Moved: s.Counter("sends_moved"), Restarts: s.Counter("server_restarts"),
 		Latency: s.Histogram("answer_seconds", buckets), FirstEvent: s.Histogram("first_event_seconds", buckets),
 	}
 	for about := range freshness.Subjects {
@@ -69,6 +72,11 @@
 	return m.scope.Tagged(map[string]string{"kind": string(k)}).Counter("refusals")
 }
 
+// BadEntry counts entries of servers that name none to use, by fault.
+func (m *Metrics) BadEntry(f backend.Fault) tally.Counter {
+	return m.scope.Tagged(map[string]string{"fault": string(f)}).Counter("server_entries_bad")
+}
+
 // Answered counts whole answers, by whether the server succeeded.
 func (m *Metrics) Answered(ok bool) tally.Counter {
 	if ok {
@@ -85,6 +93,8 @@
 		"escalations":           "Answers of a smaller model dropped for a larger one's.",
 		"sends_failed":          "Sends without an answer.",
 		"sends_moved":           "Sends given up for another server because they were stuck.",
+		"server_restarts":       "Servers that started again under their name.",
+		"server_entries_bad":    "Entries of servers that name none to use, by fault.",
 		"answers_cut":           "Answers that ended before their end.",
 		"answers_ok":            "Whole answers of servers that succeeded.",
 		"answers_failed":        "Whole answers of servers that failed.",
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
+	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/cascade"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
@@ -81,6 +82,17 @@
 // Run watches over servers until the context ends.
 func (r *Relay) Run(ctx context.Context) { r.watch.run(ctx) }
 
+// Ended tells that a run of a server has ended because the server has started again. What
+// is known of a run is kept by its id, so that nothing of it counts for the next one; what
+// waits for it, and connections to it, are ended here.
+func (r *Relay) Ended(run backend.Server) {
+	moved := r.watch.ended(run.ID, time.Now())
+	r.backend.Forget(run.Address)
+	r.Metrics.Restarts.Inc(1)
+	r.Metrics.Moved.Inc(int64(moved))
+	r.log.Info("server started again", "server", run.ID, "address", run.Address, "moved", moved)
+}
+
 // Heard records that bytes came from a server's address.
 func (r *Relay) Heard(address string) { r.watch.heard(address) }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -27,6 +27,8 @@
 	mu     sync.Mutex
 	script []func(s Send) (*Reply, error)
 	sends  []Send
+	// forgotten are the addresses whose connections were closed.
+	forgotten []string
 }
 
 func (f *fakeBackend) Send(_ context.Context, s Send) (*Reply, error) {
@@ -38,6 +40,7 @@
 }
 
 func (f *fakeBackend) Alive(context.Context, backend.Server, bool) error { return nil }
+func (f *fakeBackend) Forget(address string)                             { f.forgotten = append(f.forgotten, address) }
 
 // answering returns a whole answer.
 func answering(status int, body string) func(Send) (*Reply, error) {
@@ -119,8 +122,8 @@
 	s.SetTable(table)
 	s.Servers(func(r *backend.Registry, _ time.Duration) {
 		for i := range 3 {
-			r.Put(backend.Server{ID: fmt.Sprint("e", i), Service: "lm", Address: fmt.Sprintf("10.0.0.%d:1", i), Slots: 8, Version: "v1"})
-			r.Put(backend.Server{ID: fmt.Sprint("a", i), Service: "app", Address: fmt.Sprintf("10.0.1.%d:1", i), Slots: 4, Version: "v1"})
+			_, _ = r.Put(backend.Server{Run: backend.Incarnation{Name: fmt.Sprint("e", i)}, Service: "lm", Address: fmt.Sprintf("10.0.0.%d:1", i), Slots: 8, Version: "v1"})
+			_, _ = r.Put(backend.Server{Run: backend.Incarnation{Name: fmt.Sprint("a", i)}, Service: "app", Address: fmt.Sprintf("10.0.1.%d:1", i), Slots: 4, Version: "v1"})
 		}
 	})
 	s.Confirm(freshness.Configuration, freshness.Confirmation{At: c.now, By: freshness.Own})
--- a/internal/relay/state_test.go
+++ b/internal/relay/state_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
 
 // clock is a boot clock that the test moves.
@@ -24,7 +25,7 @@
 	c := &clock{now: time.Minute}
 	s := NewState("d1", c.read)
 	s.Servers(func(r *backend.Registry, _ time.Duration) {
-		r.Put(backend.Server{ID: "a", Service: "s", Address: "10.0.0.1:80", Slots: 4})
+		_, _ = r.Put(backend.Server{Run: backend.Incarnation{Name: "a"}, Service: "s", Address: "10.0.0.1:80", Slots: 4})
 	})
 	s.Healed()
 	s.Servers(func(r *backend.Registry, now time.Duration) { r.Remove("a", now) })
@@ -46,7 +47,7 @@
 	c := &clock{now: time.Minute}
 	s := NewState("d1", c.read)
 	put := func(r *backend.Registry, _ time.Duration) {
-		r.Put(backend.Server{ID: "a", Service: "s", Address: "10.0.0.1:80", Slots: 4})
+		_, _ = r.Put(backend.Server{Run: backend.Incarnation{Name: "a"}, Service: "s", Address: "10.0.0.1:80", Slots: 4})
 	}
 	s.Servers(put)
 	s.Healed()
@@ -59,3 +60,54 @@
 		t.Fatalf("the server came back: %v", err)
 	}
 }
+
+// Symptom: prompts went to an engine that had forgotten them, and its load was counted
+// twice.
+// Sequence: an engine starts again under its id. Another daemon, which does not know yet,
+// tells what it had placed there and what it had running.
+// Cause: what was known and told went by the id alone.
+func TestWordOfAnEarlierRunFindsNobody(t *testing.T) {
+	w := newWorld(t, answering(200, ""))
+	s := w.relay.State
+	put := func(born int64) {
+		s.Servers(func(r *backend.Registry, _ time.Duration) {
+			_, _ = r.Put(backend.Server{Run: backend.Incarnation{Name: "e0", Born: born}, Service: "lm", Address: "10.0.0.0:1", Slots: 8, Version: "v1"})
+		})
+	}
+	held := func() (n int) {
+		s.with("lm", func(sv *service) {
+			r := routing.Request{Blocks: []uint64{7}, BlockEnds: []int{50}}
+			for _, c := range sv.picture.Snapshot(nil, time.Now()) {
+				if c.InFlight > 0 || c.OthersInFlight > 0 {
+					n++
+				}
+			}
+			sv.picture.Prefix.Fill(&r)
+			for _, blocks := range r.CachedBlocks {
+				if blocks > 0 {
+					n++
+				}
+			}
+		})
+		return n
+	}
+	s.with("lm", func(*service) {}) // somebody has asked for the service
+	put(100)
+	before := backend.Incarnation{Name: "e0", Born: 100}.ID()
+	tell := func(id string) {
+		s.TakePlacements([]Placed{{Server: KeyOf(id), Blocks: []uint64{7}}})
+		s.SetPeerWork(map[ServerKey]Work{KeyOf(id): {Server: KeyOf(id), Running: 3}})
+	}
+	tell(before)
+	if held() != 2 {
+		t.Fatalf("of a run that lives %d of two are known", held())
+	}
+	put(200)
+	if held() != 0 {
+		t.Error("the new run begins with what the earlier one held")
+	}
+	tell(before)
+	if held() != 0 {
+		t.Error("late word of the earlier run counts for the new one")
+	}
+}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -160,6 +160,29 @@
 	}
 }
 
+// ended moves what waits for a run of a server that has ended. The server that started
+// again under its name knows nothing of it, so that no answer is coming: without this each
+// request would wait for its sign of life, or its deadline. A stream whose events still
+// come is served by some run, and stays.
+func (w *watch) ended(id string, now time.Time) (moved int) {
+	w.mu.Lock()
+	var waiting []*attempt
+	if v := w.servers[id]; v != nil {
+		for a := range v.attempts {
+			if at, answered := a.last(); !answered || now.Sub(at) >= progressLimit {
+				waiting = append(waiting, a)
+			}
+		}
+	}
+	w.mu.Unlock()
+	for _, a := range waiting {
+		if a.move(true) {
+			moved++
+		}
+	}
+	return moved
+}
+
 func (w *watch) run(ctx context.Context) { loop.Every(ctx, watchEvery, w.look) }
 
 // look asks silent servers for a sign of life and moves stalled streams.
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -109,3 +109,33 @@
 		t.Error("it leaves a server though no other may run it")
 	}
 }
+
+// Symptom: requests waited for their deadline, or for a sign of life, at a server that knew
+// nothing of them.
+// Sequence: a server crashes and starts again under its id; its entry tells of the new run.
+// Cause: only a server that showed no sign of life lost what waited for it, and the later
+// run did show one.
+func TestWhatWaitsForARunMovesWhenTheServerStartsAgain(t *testing.T) {
+	w := newWorld(t, answering(200, ""))
+	old := backend.Server{ID: "e0", Run: backend.Incarnation{Name: "e0"}, Address: "10.0.0.0:1"}
+	at := &target{server: old, service: "lm", expected: 100 * time.Millisecond}
+	moved := map[string]bool{}
+	enter := func(name string) *attempt {
+		return w.relay.watch.enter(at, true, &route.Route{}, 3, func(lost bool) bool {
+			moved[name] = lost
+			return true
+		})
+	}
+	enter("waits")
+	enter("streams").progress()
+	w.relay.Ended(old)
+	if lost, told := moved["waits"]; !told || !lost {
+		t.Error("a request that waits is left at a run that has ended")
+	}
+	if _, told := moved["streams"]; told {
+		t.Error("a stream whose events come is cut")
+	}
+	if len(w.backend.forgotten) != 1 || w.backend.forgotten[0] != old.Address {
+		t.Errorf("connections closed: %v", w.backend.forgotten)
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -371,6 +371,18 @@
 	return c
 }
 
+// Forget closes the idle connections to an address: the server there has started again,
+// and what is sent on one of them is lost.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.shut()
+	}
+}
+
 // Sweep closes idle connections whose time is over.
 func (p *Pool) Sweep(now time.Time) {
 	var over []*conn
