A record that cannot be read is passed over, on every way it comes

A record that is no key and value made the whole read an error, and the next read began at the same record: no daemon learned anything of the topic any more. So did one bad item of a page of newest records at a start.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -20,6 +20,9 @@
 	// Value is nil when the key was removed.
 	Value  []byte
 	Offset uint64
+	// Unreadable says that the record is no key and value. It tells nothing, and is
+	// passed over: one writer must not keep all readers from what comes after it.
+	Unreadable bool
 }
 
 // ErrGone says that records from an offset on were deleted.
@@ -186,6 +189,20 @@
 	}
 }
 
+// readable leaves out the records that cannot be read, with a line for each: each is read
+// once.
+func (f *Follower) readable(records []Record) []Record {
+	out := make([]Record, 0, len(records))
+	for _, r := range records {
+		if r.Unreadable {
+			f.Logger.Error("record passed over, it cannot be read", "topic", f.Topic, "offset", r.Offset)
+			continue
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 // peerEvery is how often a follower that reads from others looks whether it should
 // read the log itself.
 const peerEvery = 100 * time.Millisecond
@@ -392,7 +409,7 @@
 	}
 	f.answered()
 	if len(records) > 0 {
-		f.apply(records, false, records[len(records)-1].Offset+1)
+		f.apply(f.readable(records), false, records[len(records)-1].Offset+1)
 	}
 	if f.next.Load() >= end {
 		f.Confirmed(sent)
@@ -416,7 +433,7 @@
 		return reason(ctx, err)
 	}
 	f.answered()
-	f.apply(records, true, end)
+	f.apply(f.readable(records), true, end)
 	f.loaded.Store(true)
 	f.Confirmed(sent)
 	return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,8 +113,8 @@
 	placements gossip.Placements
 	// faults are the entries of servers that cannot be used.
 	faults   faults
-	enrolled   atomic.Bool
-	leaving    atomic.Bool
+	enrolled atomic.Bool
+	leaving  atomic.Bool
 	// ownContact is the boot clock's reading when the newest read was sent that
 	// the log itself answered and that found this daemon current.
 	ownContact atomic.Int64
