--- a/internal/standin/opaque.go
+++ b/internal/standin/opaque.go
@@ -13,7 +13,7 @@
 // in their header fields, and answers with a body or a stream of events. Its faults
 // are switched while it runs.
 type Opaque struct {
-	// ID is the server's incarnation.
+	// ID is the id under which the server registers; it stays over a restart.
 	ID string
 	// Events is the length of a stream.
 	Events int
@@ -27,11 +27,33 @@
 	shed     bool
 	status   int
 	loseHead bool
+	born     int64
+	history  []Run
+}
+
+// Run is one request that began to run.
+type Run struct {
+	ID string
+	At time.Time
 }
 
 // NewOpaque returns a server that streams some events.
 func NewOpaque(id string, events int) *Opaque {
-	return &Opaque{ID: id, Events: events, Confidence: map[string]int{}, runs: map[string]int{}}
+	return &Opaque{ID: id, Events: events, Confidence: map[string]int{}, runs: map[string]int{}, born: time.Now().UnixMilli()}
+}
+
+// Born returns the start of the server's present run.
+func (o *Opaque) Born() int64 { o.mu.Lock(); defer o.mu.Unlock(); return o.born }
+
+// Restart begins a new run under the same id: streams break off, and nothing is known of
+// them. What ran stays counted, for those who check.
+func (o *Opaque) Restart() { o.mu.Lock(); o.born++; o.mu.Unlock() }
+
+// History returns every run since the first start.
+func (o *Opaque) History() []Run {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]Run(nil), o.history...)
 }
 
 // BreakAt makes the next stream break off in the middle of an event.
@@ -70,7 +92,7 @@
 // ServeHTTP implements http.Handler.
 func (o *Opaque) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/-/report" {
-		_ = json.NewEncoder(w).Encode(map[string]int{"running": 0}) // a reader that left gets nothing
+		_ = json.NewEncoder(w).Encode(map[string]int64{"running": 0, "born": o.Born()}) // a reader that left gets nothing
 		return
 	}
 	id := r.Header.Get("X-Damaskrudder-Attempt-Id")
@@ -85,6 +107,7 @@
 	shed, status, lose, breakAt := o.shed, o.status, o.loseHead, o.breakAt
 	if !shed {
 		o.runs[id]++
+		o.history = append(o.history, Run{id, time.Now()})
 		o.seen = append(o.seen, r.Header.Clone())
 		o.breakAt = 0
 	}
@@ -117,9 +140,10 @@
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("X-Damaskrudder-Confidence", strconv.Itoa(confidence))
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	born := o.Born()
 	flush := http.NewResponseController(w)
 	for n := last + 1; n <= o.Events; n++ {
-		if n == breakAt {
+		if n == breakAt || o.Born() != born {
 			fmt.Fprintf(w, "id: %d\ndata: ha", n)
 			_ = flush.Flush() // the stream breaks off next
 			panic(http.ErrAbortHandler)
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -18,8 +18,9 @@
 	span := flag.Duration("for", 12*time.Second, "how long faults are injected")
 	daemons := flag.Int("daemons", 3, "number of daemons")
 	keep := flag.String("keep", "", "folder for the logs of seeds that failed; none are kept without it")
+	restarts := flag.Bool("restarts", false, "servers start again and entries turn bad, in place of all other faults")
 	flag.Parse()
-	if err := run(*first, *seeds, options{*span, *daemons}, *keep, os.Stdout); err != nil {
+	if err := run(*first, *seeds, options{*span, *daemons, *restarts}, *keep, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -29,6 +30,8 @@
 type options struct {
 	span    time.Duration
 	daemons int
+	// restarts injects restarts of servers and bad entries in place of all other faults.
+	restarts bool
 }
 
 var errBroken = errors.New("promises were broken")
--- a/lab/soak/play.go
+++ b/lab/soak/play.go
@@ -40,6 +40,9 @@
 	keys    []string
 	revoked map[string]time.Time
 	faults  []string
+	// entries are what servers say of themselves but for their start, by place.
+	entries []string
+	barred  []bar
 }
 
 const (
@@ -88,7 +91,7 @@
 	done := make(chan struct{})
 	go func() { c.run(calling, seed, callersCount, w.known); close(done) }()
 	began := time.Now()
-	w.inject(o.span)
+	w.inject(o)
 	w.mend()
 	time.Sleep(settleTime)
 	from := time.Now()
@@ -96,7 +99,7 @@
 	to := time.Now()
 	stop()
 	<-done
-	r := &result{requests: len(c.calls), broken: check(c.calls, w.runs, w.revoked), faults: strings.Join(w.faults, " ")}
+	r := &result{requests: len(c.calls), broken: append(check(c.calls, w.runs, w.revoked), checkBarred(w.barred, w.servers)...), faults: strings.Join(w.faults, " ")}
 	r.served, _ = servedPart(c.calls, began, from, w.revoked)
 	r.recovered, _ = servedPart(c.calls, from, to, w.revoked)
 	r.after = outcomes(c.calls, from, to)
@@ -127,7 +130,8 @@
 		}
 		w.closers = append(w.closers, p.close, server.Close)
 		w.servers, w.paths = append(w.servers, s), append(w.paths, p)
-		w.store.Put("keyed.servers", s.ID, fmt.Appendf(nil, `{"service":%q,"addr":%q,"zone":"z%d","version":"v1","slots":32,"state":"ready","sequence":1}`, service, p.address(), i%3))
+		w.entries = append(w.entries, fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"z%d","version":"v1","slots":32,"state":"ready","sequence":1`, service, p.address(), i%3))
+		w.register(i)
 	}
 	seed := ""
 	for n := range daemons {
@@ -217,10 +221,14 @@
 }
 
 // inject starts faults until the span is over. Each ends by itself.
-func (w *world) inject(span time.Duration) {
-	end := time.Now().Add(span)
+func (w *world) inject(o options) {
+	end := time.Now().Add(o.span)
 	for time.Now().Before(end) {
-		w.fault(time.Duration(w.rng.Int64N(int64(mostFault))))
+		if o.restarts {
+			w.restart()
+		} else {
+			w.fault(time.Duration(w.rng.Int64N(int64(mostFault))))
+		}
 		time.Sleep(leastGap + time.Duration(w.rng.Int64N(int64(mostGap-leastGap))))
 	}
 }
@@ -258,6 +266,7 @@
 
 // mend ends every fault at once.
 func (w *world) mend() {
+	w.unbar()
 	for _, p := range append(append([]*proxy(nil), w.paths...), w.stores...) {
 		p.set(passing)
 	}
--- /dev/null
+++ b/lab/soak/restart.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/standin"
+)
+
+// Servers that start again under their id, and entries from other writers, beside daemons
+// that stop and start. The store and the ways to it are sound meanwhile, so that what a
+// daemon must know by when is beyond doubt.
+
+// bar is the time in which a server's entry names no server to use.
+type bar struct {
+	server   int
+	from, to time.Time
+}
+
+// barWithin is how long after the entry a request may still reach the server: the users
+// allow two seconds to daemons in touch, and a daemon that starts or a busy machine takes
+// some hundred milliseconds more.
+const barWithin = 3 * time.Second
+
+// badEntries are what another writer may write under a server's id.
+var badEntries = []string{"null", "{}", "\xff", `{"state":"ready"}`, `{"service":"lm","addr":"nowhere","slots":"many"}`}
+
+// register writes a server's entry.
+func (w *world) register(i int) {
+	s := w.servers[i]
+	w.store.Put("keyed.servers", s.ID, fmt.Appendf(nil, `%s,"born":%d}`, w.entries[i], s.Born()))
+}
+
+// restart starts one fault of a server or of a daemon.
+func (w *world) restart() {
+	i, d := w.rng.IntN(len(w.servers)), w.daemons[w.rng.IntN(len(w.daemons))]
+	faults := []struct {
+		name  string
+		start func()
+	}{
+		{"server-restarts", func() { w.servers[i].Restart(); w.reregister(i) }},
+		{"server-restarts-twice", func() { w.servers[i].Restart(); w.servers[i].Restart(); w.reregister(i) }},
+		{"older-entry", func() { w.olderEntry(i) }},
+		{"entry-bad", func() { w.bar(i) }},
+		{"kill", func() { d.signal(syscall.SIGKILL) }},
+		{"term", func() { d.signal(syscall.SIGTERM) }},
+	}
+	f := faults[w.rng.IntN(len(faults))]
+	w.faults = append(w.faults, f.name)
+	f.start()
+}
+
+// reregister writes the entry of a server's new run, unless another writer's holds.
+func (w *world) reregister(i int) {
+	if !w.isBarred(i) {
+		w.register(i)
+	}
+}
+
+// olderEntry writes an entry of a run before the present one, as the store may carry out a
+// write late.
+func (w *world) olderEntry(i int) {
+	if !w.isBarred(i) {
+		w.store.Put("keyed.servers", w.servers[i].ID, fmt.Appendf(nil, `%s,"born":%d}`, w.entries[i], w.servers[i].Born()-1))
+	}
+}
+
+func (w *world) isBarred(i int) bool {
+	for _, b := range w.barred {
+		if b.server == i && b.to.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// bar overwrites a server's entry, for at most every second server so that each service
+// keeps some.
+func (w *world) bar(i int) {
+	if i < len(w.servers)/2 || w.isBarred(i) {
+		return
+	}
+	w.store.Put("keyed.servers", w.servers[i].ID, []byte(badEntries[w.rng.IntN(len(badEntries))]))
+	w.barred = append(w.barred, bar{server: i, from: time.Now()})
+}
+
+// unbar has every server write its entry again.
+func (w *world) unbar() {
+	for n := range w.barred {
+		b := &w.barred[n]
+		b.to = time.Now()
+		w.register(b.server)
+	}
+}
+
+// checkBarred returns the requests that reached a server whose entry named none.
+func checkBarred(bars []bar, servers []*standin.Opaque) []string {
+	var broken []string
+	for _, b := range bars {
+		for _, r := range servers[b.server].History() {
+			if r.At.After(b.from.Add(barWithin)) && r.At.Before(b.to) {
+				broken = append(broken, fmt.Sprintf("request %s: ran at %s, whose entry had named no server for %s", r.ID, servers[b.server].ID, r.At.Sub(b.from).Round(time.Millisecond)))
+			}
+		}
+	}
+	return broken
+}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -1,12 +1,16 @@
 package main
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/standin"
 )
 
 // Short runs keep every promise: one of them all faults, the others seeds that once
@@ -30,6 +34,7 @@
 		// After an outage of the store the first read waited for a change, and no
 		// daemon trusted its keys for 14 s.
 		{"store back without a change", 328, options{span: 6 * time.Second, daemons: 3}},
+		{"servers start again, entries turn bad", 2, options{span: 6 * time.Second, daemons: 2, restarts: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			r, err := play(t.Context(), tt.seed, tt.options, binary, filepath.Join(dir, strconv.FormatUint(tt.seed, 10)))
@@ -71,3 +76,23 @@
 		}
 	}
 }
+
+// A daemon that goes on sending to a server whose entry names none is seen.
+func TestCheckFindsRequestsAtABarredServer(t *testing.T) {
+	s := standin.NewOpaque("a", events)
+	reach := func() {
+		r := httptest.NewRequest(http.MethodPost, "/pay/1", nil)
+		r.Header.Set("X-Damaskrudder-Expect-Instance", "a")
+		s.ServeHTTP(httptest.NewRecorder(), r)
+	}
+	reach()
+	at := s.History()[0].At
+	for _, c := range []struct {
+		from, to time.Duration
+		want     int
+	}{{-barWithin - time.Second, time.Second, 1}, {-barWithin / 2, time.Second, 0}, {-barWithin - 2*time.Second, -time.Second, 0}} {
+		if got := checkBarred([]bar{{0, at.Add(c.from), at.Add(c.to)}}, []*standin.Opaque{s}); len(got) != c.want {
+			t.Errorf("barred from %s to %s: %v", c.from, c.to, got)
+		}
+	}
+}
