--- /dev/null
+++ b/internal/feed/behind.go
@@ -0,0 +1,144 @@
+package feed
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+)
+
+// What followers of the same topic in other daemons have read: how a follower hears that
+// it is behind them, and how it takes what they have.
+
+// behindLimit is how long a follower may be behind another reader before its
+// waiting read is given up. Both hear of a record within some milliseconds; a
+// longer lag means that the connection has gone silent.
+const behindLimit = 250 * time.Millisecond
+
+// Expect tells that another reader has read up to an offset.
+func (f *Follower) Expect(next uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if next <= f.expected {
+		return
+	}
+	f.expected = next
+	if f.expectedAt.IsZero() {
+		f.expectedAt = time.Now()
+		// The next check may be a fifth of a second later than this.
+		time.AfterFunc(behindLimit, func() { f.Check(time.Now()) })
+	}
+	select {
+	case f.behind <- struct{}{}:
+	default:
+	}
+}
+
+// Since returns the newest record of each key from an offset on, in order, and how
+// far this follower has read.
+func (f *Follower) Since(from uint64) ([]Record, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Record
+	for _, r := range f.kept {
+		if r.Offset >= from {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return out, f.next.Load()
+}
+
+// peerEvery is how often a follower that reads from others looks whether it should
+// read the log itself.
+const peerEvery = 100 * time.Millisecond
+
+// fromPeers takes what other readers have until the log is to be read.
+func (f *Follower) fromPeers(ctx context.Context) {
+	for f.Peer != nil && f.loaded.Load() && ctx.Err() == nil && !f.ReadsLog() && !f.alone.Load() {
+		// It no longer knocks, so nobody is to wait for what it learns of the log. A
+		// follower that goes after it would else wait for ever, and a server that
+		// leaves would get requests until the daemon's end.
+		f.away.Store(false)
+		f.mu.Lock()
+		expected := f.expected
+		f.mu.Unlock()
+		if expected > f.next.Load() {
+			f.fetch(ctx)
+		}
+		t := time.NewTimer(peerEvery)
+		select {
+		case <-ctx.Done():
+		case <-f.behind:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// fetch takes records of another reader. One that fails is asked again later, or
+// the log is: the confirmation of this follower grows old meanwhile.
+func (f *Follower) fetch(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	records, next, err := f.Peer(ctx, f.Topic, f.next.Load())
+	if errors.Is(err, ErrTooLong) {
+		f.alone.Store(true)
+		return
+	}
+	if err != nil {
+		f.Logger.Debug("records not fetched from another reader", "topic", f.Topic, "err", err)
+		return
+	}
+	if next > f.next.Load() {
+		f.apply(records, false, next)
+	}
+}
+
+// catchUp takes what other readers have while the log does not answer this follower.
+// Where every daemon reads the log, one that is cut off from it would else learn nothing
+// until it is back, while the others know.
+func (f *Follower) catchUp(ctx context.Context) {
+	f.mu.Lock()
+	behind := f.expected > f.next.Load()
+	f.mu.Unlock()
+	if f.Peer != nil && f.loaded.Load() && behind && ctx.Err() == nil {
+		f.fetch(ctx)
+	}
+}
+
+// Check makes a follower that stays behind read the log itself, and gives up a read
+// that waits meanwhile. Without it, a connection that went silent would hide a
+// change until the wait is over.
+func (f *Follower) Check(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.expected <= f.next.Load() {
+		f.expectedAt = time.Time{}
+		return
+	}
+	if now.Sub(f.expectedAt) < behindLimit {
+		return
+	}
+	f.alone.Store(true)
+	if f.reading == nil || !f.hangs(now) {
+		return
+	}
+	f.Logger.Warn("behind another reader, reading anew", "topic", f.Topic, "next", f.next.Load(), "other", f.expected)
+	f.reading.giveUp(errBehind)
+	f.expectedAt = now
+}
+
+// hangs reports whether the read that is going on is given up. One that began before
+// the change would have been answered with it; one that began since has the time of an
+// answer. One that is being answered is not given up: a long record takes some hundred
+// milliseconds over a slow link, and would be read again and again without ever being
+// read to its end. Callers hold mu.
+func (f *Follower) hangs(now time.Time) bool {
+	if f.reading.answering {
+		return false
+	}
+	return f.reading.began.Before(f.expectedAt) || now.Sub(f.reading.began) >= answerLimit
+}
+
--- /dev/null
+++ b/internal/feed/follower.go
@@ -0,0 +1,276 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+const (
+	// firstPause and longestPause are between tries while the store does not
+	// answer: short, because what changed meanwhile must be in force within
+	// seconds of its return.
+	firstPause   = 60 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+	// longestIdlePause is the same for a follower that reads the log only because
+	// nobody else can: those that always read it learn first that it is back, and tell.
+	longestIdlePause = 3 * time.Second
+)
+
+// Follower reads a topic from its newest state on.
+type Follower struct {
+	Log   Log
+	Topic string
+	// Wait is how long a read waits for a record.
+	Wait time.Duration
+	// Gather is the pause after a read that brought records: records that come in
+	// a burst are then read together instead of one a call.
+	Gather time.Duration
+	// Boot reads a clock that counts while the VM is suspended.
+	Boot func() time.Duration
+	// Apply takes records in the order of the log. Whole says that they are all
+	// keys there are.
+	Apply func(records []Record, whole bool)
+	// Confirmed is told when a read that found the follower current was sent.
+	Confirmed func(sent time.Duration)
+	Logger    *log.Logger
+	// Peer fetches records that another reader has, from an offset on, with how far
+	// it has read. It is used while ReadsLog says no; a nil Peer reads the log
+	// always. One reader that waits on the log is enough for many followers, and
+	// every call of the log is paid for.
+	Peer     func(ctx context.Context, topic string, from uint64) ([]Record, uint64, error)
+	ReadsLog func() bool
+	// Reader reports whether this follower always reads the log, for others too. Nil
+	// is yes.
+	Reader func() bool
+	// Grown is told when records were applied.
+	Grown func()
+	// After is another follower of the same log. While it gets no answer, this
+	// one does not ask either: one that knocks is enough to learn that the log
+	// is back, and every refused call is paid for.
+	After *Follower
+
+	next   atomic.Uint64
+	loaded atomic.Bool
+	fails  int
+	lostAt time.Duration
+	// hurry says that the last read was given up although the log answers others: the
+	// next one does not wait. Only Run uses it.
+	hurry bool
+	// away says that the last read failed.
+	away atomic.Bool
+
+	mu sync.Mutex
+	// kept are the newest records of each key, removals included, for others.
+	kept map[string]Record
+	// alone says that the log holds records that no other reader has told of.
+	alone atomic.Bool
+	// behind is signalled when another reader is ahead.
+	behind chan struct{}
+	// reading is the read that is going on, or nil.
+	reading *reading
+	// expected is how far another reader has come, and expectedAt since when
+	// this one is known to be behind.
+	expected   uint64
+	expectedAt time.Time
+}
+
+// New prepares a follower to be asked before it runs.
+func New(f *Follower) *Follower {
+	f.kept, f.behind = map[string]Record{}, make(chan struct{}, 1)
+	return f
+}
+
+// apply hands records on and keeps them for others.
+func (f *Follower) apply(records []Record, whole bool, next uint64) {
+	f.Apply(records, whole)
+	f.mu.Lock()
+	if f.kept == nil || whole {
+		f.kept = map[string]Record{}
+	}
+	for _, r := range records {
+		f.kept[r.Key] = r
+	}
+	f.next.Store(next)
+	if next >= f.expected {
+		// Changes may follow each other faster than Check looks: being behind
+		// anew is not being behind still.
+		f.expectedAt = time.Time{}
+	}
+	f.mu.Unlock()
+	if f.Grown != nil {
+		f.Grown()
+	}
+}
+
+// readable leaves out the records that cannot be read, with a line for each: each is read
+// once.
+func (f *Follower) readable(records []Record) []Record {
+	out := make([]Record, 0, len(records))
+	for _, r := range records {
+		if r.Unreadable {
+			f.Logger.Error("record passed over, it cannot be read", "topic", f.Topic, "offset", r.Offset)
+			continue
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// Next returns the offset of the next record to read. A conditional append there
+// succeeds only if the follower has seen all that decided it.
+func (f *Follower) Next() uint64 { return f.next.Load() }
+
+// Away reports whether the log did not answer the last read, and is being asked again.
+func (f *Follower) Away() bool { return f.away.Load() }
+
+// Loaded reports whether the newest records have been read once.
+func (f *Follower) Loaded() bool { return f.loaded.Load() }
+
+// Run follows the topic until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.fromPeers(ctx)
+		before := f.next.Load()
+		err := f.step(ctx)
+		f.alone.Store(false)
+		f.hurry = errors.Is(err, errBehind)
+		if f.hurry {
+			// The log may answer all others and not this follower.
+			f.catchUp(ctx)
+			continue
+		}
+		if err != nil {
+			f.sleep(ctx, f.failed(ctx, err))
+			f.catchUp(ctx)
+			f.await(ctx)
+		} else if f.next.Load() != before {
+			f.sleep(ctx, f.Gather)
+		}
+	}
+}
+
+// await waits while the follower that this one goes after gets no answer.
+func (f *Follower) await(ctx context.Context) {
+	if f.After != nil && f.After.away.Load() {
+		f.Logger.Info("reading waits for another reading", "topic", f.Topic, "next", f.next.Load(), "other", f.After.Topic)
+	}
+	for f.After != nil && f.After.away.Load() && ctx.Err() == nil {
+		f.sleep(ctx, awaitStep)
+		f.catchUp(ctx)
+	}
+}
+
+// awaitStep is how often it is looked at: short against what a change may take
+// to be in force.
+const awaitStep = 50 * time.Millisecond
+
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, err error) time.Duration {
+	if ctx.Err() != nil {
+		return 0
+	}
+	f.fails++
+	f.away.Store(true)
+	if f.fails == 1 {
+		f.lostAt = f.Boot()
+		f.Logger.Warn("store lost", "topic", f.Topic, "next", f.next.Load(), "err", err)
+	}
+	longest := longestPause
+	if f.Reader != nil && !f.Reader() {
+		longest = longestIdlePause
+	}
+	return min(firstPause<<min(f.fails-1, maxDoublings), longest)
+}
+
+// maxDoublings keeps the pause in range; the longest one is reached before it.
+const maxDoublings = 6
+
+// step reads once.
+func (f *Follower) step(ctx context.Context) error {
+	sent := f.Boot()
+	if !f.loaded.Load() {
+		return f.load(ctx, sent)
+	}
+	wait := f.Wait
+	if f.hurry {
+		wait = 0
+	}
+	if f.away.Load() {
+		// Without a change to tell, the log would answer only when the wait is over:
+		// until then nobody would know that it is back, and keys were not trusted.
+		wait = 0
+		f.noteRetry(wait + answerLimit)
+	}
+	ctx, done := f.begin(ctx, wait)
+	defer done()
+	records, end, err := f.Log.Read(ctx, f.Topic, f.next.Load(), wait, f.heard)
+	if errors.Is(err, ErrGone) {
+		f.Logger.Warn("records are gone, reading the newest of each key", "topic", f.Topic, "next", f.next.Load())
+		f.loaded.Store(false)
+		return f.load(ctx, sent)
+	}
+	if err != nil {
+		return reason(ctx, err)
+	}
+	if end < f.next.Load() {
+		f.Logger.Error("the topic ends before what was read, reading it anew", "topic", f.Topic, "next", f.next.Load(), "end", end)
+		f.loaded.Store(false)
+		return nil
+	}
+	f.answered()
+	if len(records) > 0 {
+		f.apply(f.readable(records), false, records[len(records)-1].Offset+1)
+	}
+	if f.next.Load() >= end {
+		f.Confirmed(sent)
+	}
+	return nil
+}
+
+// noteRetry logs a read after a failed one: the first, and then each time that their
+// number has doubled.
+func (f *Follower) noteRetry(limit time.Duration) {
+	if f.fails&(f.fails-1) == 0 {
+		f.Logger.Info("reading anew", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails, "limit_ms", limit.Milliseconds())
+	}
+}
+
+func (f *Follower) load(ctx context.Context, sent time.Duration) error {
+	ctx, done := f.begin(ctx, 0)
+	defer done()
+	records, end, err := f.Log.Newest(ctx, f.Topic, f.heard)
+	if err != nil {
+		return reason(ctx, err)
+	}
+	f.answered()
+	f.apply(f.readable(records), true, end)
+	f.loaded.Store(true)
+	f.Confirmed(sent)
+	return nil
+}
+
+func (f *Follower) answered() {
+	if f.fails > 0 || !f.loaded.Load() {
+		away := f.Boot() - f.lostAt
+		f.Logger.Info("store answers", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails, "away_ms", away.Milliseconds())
+	}
+	f.fails = 0
+	f.away.Store(false)
+}
+
