--- a/internal/feed/behind.go
+++ b/internal/feed/behind.go
@@ -141,4 +141,3 @@
 	}
 	return f.reading.began.Before(f.expectedAt) || now.Sub(f.reading.began) >= answerLimit
 }
-
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -273,4 +273,3 @@
 	f.fails = 0
 	f.away.Store(false)
 }
-
