A daemon that just started does not hide removals from those that ask it

Cause: where a few daemons read the store for all, the others ask one that has read further. One that had just started has read the newest record of each key, among which a removed key is not, and answered with those as if they were all records. The removal was hidden for good: 54 of 58 daemons sent to a server 3.8 s after its entry was gone. Change: nothing is told of the time before a reading of all newest records; who asks goes to another daemon, or to the log.

--- a/internal/feed/behind.go
+++ b/internal/feed/behind.go
@@ -35,11 +35,16 @@
 	}
 }
 
-// Since returns the newest record of each key from an offset on, in order, and how
-// far this follower has read.
+// Since returns the newest record of each key from an offset on, in order, and how far
+// this follower has read. A follower that has read the newest records of all keys has not
+// seen which keys were removed before: it tells nobody of that time, or a removal would
+// be hidden for good from all who ask it. They then ask another, or the log.
 func (f *Follower) Since(from uint64) ([]Record, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if from < f.wholeAt {
+		return nil, from
+	}
 	var out []Record
 	for _, r := range f.kept {
 		if r.Offset >= from {
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -67,8 +67,10 @@
 	away atomic.Bool
 
 	mu sync.Mutex
-	// kept are the newest records of each key, removals included, for others.
-	kept map[string]Record
+	// kept are the newest records of each key, for others, removals included from wholeAt
+	// on: the offset up to which the newest records of all keys were read at once.
+	kept    map[string]Record
+	wholeAt uint64
 	// alone says that the log holds records that no other reader has told of.
 	alone atomic.Bool
 	// behind is signalled when another reader is ahead.
@@ -94,6 +96,9 @@
 	if f.kept == nil || whole {
 		f.kept = map[string]Record{}
 	}
+	if whole {
+		f.wholeAt = next
+	}
 	for _, r := range records {
 		f.kept[r.Key] = r
 	}
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -184,12 +184,11 @@
 	})
 }
 
-// Symptom: a daemon sent requests to a server 3.05 s after its entry was gone, where 3 s
-// are allowed.
+// Symptom: a daemon sends requests to a server that has gone for 1.7 s more.
 // Sequence: a daemon hears nobody for most of that time, as when its link is full, while
 // the store answers all others and a server leaves without a word.
 // Cause: the time without a confirmation was taken for an outage of the store, and the
-// removal for a lapse. That this is what happened there is not proved: no log was kept.
+// removal for a lapse.
 func TestDaemonThatHeardNobodyTakesNoRemovalForALapse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
@@ -206,3 +205,29 @@
 		}
 	})
 }
+
+// Symptom: 54 of 58 daemons sent requests to a server 3.8 s after its entry was gone, and
+// would have for good; the four daemons that read the store for all did not.
+// Sequence: a server's entry is removed while the daemons that read for all gather changes.
+// A daemon that has just started reads the newest record of each key, among which a removed
+// one is not, and tells how far it has read. The others are behind it, and ask it for what
+// they miss.
+// Cause: it answered with the records that it had, as if they were all that there had been.
+// Evidence: the daemons' lines: "server entry gone" at the four alone; the records before
+// and after it at all, from the moment at which the started daemon had loaded.
+func TestDaemonThatJustStartedDoesNotHideARemoval(t *testing.T) {
+	const daemons = 12
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, daemons)
+		time.Sleep(5 * time.Second)
+		f.store.Put("servers", "c", []byte("ready"))
+		time.Sleep(serversGather / 4)
+		f.store.Put("servers", "a", nil)
+		f.store.Put("servers", "d", []byte("ready"))
+		f.start(daemons)
+		within(t, leaveBound/2, "the server is gone everywhere", func() bool { return f.using("a") == 0 })
+		if n := f.using("d"); n != daemons+1 {
+			t.Errorf("%d daemons use the server that came", n)
+		}
+	})
+}
