--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -37,7 +37,9 @@
 	Apply func(records []Record, whole bool)
 	// Confirmed is told when a read that found the follower current was sent.
 	Confirmed func(sent time.Duration)
-	Logger    *log.Logger
+	// Unanswered is told when a read got no answer.
+	Unanswered func()
+	Logger     *log.Logger
 	// Peer fetches records that another reader has, from an offset on, with how far
 	// it has read. It is used while ReadsLog says no; a nil Peer reads the log
 	// always. One reader that waits on the log is enough for many followers, and
@@ -65,8 +67,10 @@
 	away atomic.Bool
 
 	mu sync.Mutex
-	// kept are the newest records of each key, removals included, for others.
-	kept map[string]Record
+	// kept are the newest records of each key, for others, removals included from wholeAt
+	// on: the offset up to which the newest records of all keys were read at once.
+	kept    map[string]Record
+	wholeAt uint64
 	// alone says that the log holds records that no other reader has told of.
 	alone atomic.Bool
 	// behind is signalled when another reader is ahead.
@@ -92,6 +96,9 @@
 	if f.kept == nil || whole {
 		f.kept = map[string]Record{}
 	}
+	if whole {
+		f.wholeAt = next
+	}
 	for _, r := range records {
 		f.kept[r.Key] = r
 	}
@@ -187,6 +194,9 @@
 	}
 	f.fails++
 	f.away.Store(true)
+	if f.Unanswered != nil {
+		f.Unanswered()
+	}
 	if f.fails == 1 {
 		f.lostAt = f.Boot()
 		f.Logger.Warn("store lost", "topic", f.Topic, "next", f.next.Load(), "err", err)
