The newest records after deleted ones are read with a limit of their own

Asking the log is now one function for each kind of read, and its limit ends with it. Failing before: TestNewestRecordsHaveALimitOfTheirOwn. Taking what other readers have stood twice in the follower, and the pause that ends with a context is one for all packages (loop.Pause).

--- a/internal/feed/behind.go
+++ b/internal/feed/behind.go
@@ -66,12 +66,7 @@
 		// follower that goes after it would else wait for ever, and a server that
 		// leaves would get requests until the daemon's end.
 		f.away.Store(false)
-		f.mu.Lock()
-		expected := f.expected
-		f.mu.Unlock()
-		if expected > f.next.Load() {
-			f.fetch(ctx)
-		}
+		f.catchUp(ctx)
 		t := time.NewTimer(peerEvery)
 		select {
 		case <-ctx.Done():
@@ -101,8 +96,8 @@
 	}
 }
 
-// catchUp takes what other readers have while the log does not answer this follower.
-// Where every daemon reads the log, one that is cut off from it would else learn nothing
+// catchUp takes what other readers have beyond what this follower has read. It does so
+// also while it reads the log itself and gets no answer: where every daemon reads the log, one that is cut off from it would else learn nothing
 // until it is back, while the others know.
 func (f *Follower) catchUp(ctx context.Context) {
 	f.mu.Lock()
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 )
 
 const (
@@ -152,11 +154,11 @@
 			continue
 		}
 		if err != nil {
-			f.sleep(ctx, f.failed(ctx, err))
+			loop.Pause(ctx, f.failed(ctx, err))
 			f.catchUp(ctx)
 			f.await(ctx)
 		} else if f.next.Load() != before {
-			f.sleep(ctx, f.Gather)
+			loop.Pause(ctx, f.Gather)
 		}
 	}
 }
@@ -167,7 +169,7 @@
 		f.Logger.Info("reading waits for another reading", "topic", f.Topic, "next", f.next.Load(), "other", f.After.Topic)
 	}
 	for f.After != nil && f.After.away.Load() && ctx.Err() == nil {
-		f.sleep(ctx, awaitStep)
+		loop.Pause(ctx, awaitStep)
 		f.catchUp(ctx)
 	}
 }
@@ -176,18 +178,6 @@
 // to be in force.
 const awaitStep = 50 * time.Millisecond
 
-func (f *Follower) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (f *Follower) failed(ctx context.Context, err error) time.Duration {
 	if ctx.Err() != nil {
 		return 0
@@ -225,18 +215,16 @@
 		// Without a change to tell, the log would answer only when the wait is over:
 		// until then nobody would know that it is back, and keys were not trusted.
 		wait = 0
-		f.noteRetry(wait + answerLimit)
+		f.noteRetry()
 	}
-	ctx, done := f.begin(ctx, wait)
-	defer done()
-	records, end, err := f.Log.Read(ctx, f.Topic, f.next.Load(), wait, f.heard)
+	records, end, err := f.read(ctx, wait)
 	if errors.Is(err, ErrGone) {
 		f.Logger.Warn("records are gone, reading the newest of each key", "topic", f.Topic, "next", f.next.Load())
 		f.loaded.Store(false)
 		return f.load(ctx, sent)
 	}
 	if err != nil {
-		return reason(ctx, err)
+		return err
 	}
 	if end < f.next.Load() {
 		f.Logger.Error("the topic ends before what was read, reading it anew", "topic", f.Topic, "next", f.next.Load(), "end", end)
@@ -253,20 +241,34 @@
 	return nil
 }
 
+// read asks the log for the records from the next one on.
+func (f *Follower) read(ctx context.Context, wait time.Duration) ([]Record, uint64, error) {
+	ctx, done := f.begin(ctx, wait)
+	defer done()
+	records, end, err := f.Log.Read(ctx, f.Topic, f.next.Load(), wait, f.heard)
+	return records, end, reason(ctx, err)
+}
+
+// newest asks the log for the newest record of each key.
+func (f *Follower) newest(ctx context.Context) ([]Record, uint64, error) {
+	ctx, done := f.begin(ctx, 0)
+	defer done()
+	records, end, err := f.Log.Newest(ctx, f.Topic, f.heard)
+	return records, end, reason(ctx, err)
+}
+
 // noteRetry logs a read after a failed one: the first, and then each time that their
 // number has doubled.
-func (f *Follower) noteRetry(limit time.Duration) {
+func (f *Follower) noteRetry() {
 	if f.fails&(f.fails-1) == 0 {
-		f.Logger.Info("reading anew", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails, "limit_ms", limit.Milliseconds())
+		f.Logger.Info("reading anew", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails, "limit_ms", answerLimit.Milliseconds())
 	}
 }
 
 func (f *Follower) load(ctx context.Context, sent time.Duration) error {
-	ctx, done := f.begin(ctx, 0)
-	defer done()
-	records, end, err := f.Log.Newest(ctx, f.Topic, f.heard)
+	records, end, err := f.newest(ctx)
 	if err != nil {
-		return reason(ctx, err)
+		return err
 	}
 	f.answered()
 	f.apply(f.readable(records), true, end)
--- a/internal/feed/reading_test.go
+++ b/internal/feed/reading_test.go
@@ -35,6 +35,17 @@
 	return nil, 0, ctx.Err()
 }
 
+// goneLog has deleted the records from any offset on, and answers with the newest in pieces.
+type goneLog struct{ pieceLog }
+
+func (*goneLog) Read(context.Context, string, uint64, time.Duration, func()) ([]Record, uint64, error) {
+	return nil, 0, ErrGone
+}
+
+func (l *goneLog) Newest(ctx context.Context, topic string, heard func()) ([]Record, uint64, error) {
+	return l.pieceLog.Read(ctx, topic, 0, 0, heard)
+}
+
 func loadedFollower(l Log, applied *int) *Follower {
 	f := New(&Follower{
 		Log: l, Topic: "t", Logger: log.New(io.Discard), Boot: func() time.Duration { return 0 },
@@ -77,3 +88,18 @@
 		})
 	}
 }
+
+// Symptom: a daemon with a slow link never learned of a topic again whose records had been
+// deleted while it was cut off.
+// Sequence: the first read after the outage is told that its records are gone; the newest
+// record of each key takes longer than one answer, in pieces.
+// Cause: it was read within the limit of the read before it, which its pieces did not renew.
+func TestNewestRecordsHaveALimitOfTheirOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		applied := 0
+		f := loadedFollower(&goneLog{pieceLog{pieces: 9, period: answerLimit * 2 / 3, whole: true}}, &applied)
+		if err := f.step(t.Context()); err != nil || applied != 1 {
+			t.Fatalf("applied %d, err %v", applied, err)
+		}
+	})
+}
