Review: what stood twice, and what nothing used

The store for tests appends under one lock. No behaviour of the product changes. While this was made, the whole check failed once, in the runtime: a timer that is due at once, in virtual time with the race detector. A pause of no time makes no timer, as it was before; the test store made such timers too.

--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -68,11 +68,6 @@
 	Superseded Fault = "superseded"
 )
 
-// Faults lists all of them.
-func Faults() []Fault {
-	return []Fault{Unreadable, TooLong, FieldMissing, FieldType, UnknownState, BadAddress, Superseded}
-}
-
 // BadEntry is an entry that names no server to use. Its writer may be another than the
 // server: what other entries say holds.
 type BadEntry struct {
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 )
 
@@ -139,7 +140,7 @@
 				return v, nil
 			}
 		}
-		if !pause(ctx, readRetry/5) {
+		if !loop.Pause(ctx, readRetry/5) {
 			c.abandon(rec)
 			return request.Verdict{}, request.Verdict{}.Refusal()
 		}
@@ -202,7 +203,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
 		defer cancel()
 		for wait := readRetry; c.append(ctx, partitionOf(rec.Key), rec) != nil; wait = min(2*wait, 30*time.Second) {
-			if !pause(ctx, wait) {
+			if !loop.Pause(ctx, wait) {
 				return
 			}
 		}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
@@ -92,12 +93,12 @@
 
 func (c *configuration) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !c.reader() && !pause(ctx, rareRead) {
+		if !c.reader() && !loop.Pause(ctx, rareRead) {
 			return
 		}
 		if err := c.read(ctx); err != nil && ctx.Err() == nil {
 			c.d.metrics.logErrors.Inc(1)
-			pause(ctx, readRetry)
+			loop.Pause(ctx, readRetry)
 		}
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/damaskrudder/damaskrudder/internal/engine"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
@@ -143,7 +144,7 @@
 	d.leaving.Store(true)
 	d.members.announce()
 	d.log.Info("draining", "in_flight", d.inFlight.Load())
-	pause(ctx, time.Duration(d.settings.EndpointTTL+d.settings.DrainGrace))
+	loop.Pause(ctx, time.Duration(d.settings.EndpointTTL+d.settings.DrainGrace))
 	d.stopOnce.Do(func() { close(d.stopping) })
 	done := make(chan struct{})
 	go func() { d.running.Wait(); close(done) }()
@@ -166,23 +167,11 @@
 	return d.members.endpoints(), time.Duration(d.settings.EndpointTTL)
 }
 
-// pause sleeps and reports whether the context is still alive.
-func pause(ctx context.Context, t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // every calls f at a period until the context ends. The first call comes after
 // a random part of the period, so that daemons started together spread out.
 func every(ctx context.Context, period time.Duration, f func(context.Context)) {
 	wait := rand.N(period)
-	for pause(ctx, wait) {
+	for loop.Pause(ctx, wait) {
 		f(ctx)
 		wait = period
 	}
--- a/internal/feedtest/store.go
+++ b/internal/feedtest/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/feed"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 )
 
 // roundTrip is the time of one call: the users' store answers within some milliseconds.
@@ -62,6 +63,11 @@
 func (s *Store) Put(name, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.put(name, key, value)
+}
+
+// put writes a record. Callers hold mu.
+func (s *Store) put(name, key string, value []byte) {
 	t := s.topic(name)
 	t.records = append(t.records, feed.Record{Key: key, Value: value, Offset: uint64(len(t.records))})
 	s.wake()
@@ -143,7 +149,13 @@
 			return ctx.Err()
 		}
 	}
-	return pause(ctx, roundTrip/2)
+	return half(ctx)
+}
+
+// half takes half of a round trip.
+func half(ctx context.Context) error {
+	loop.Pause(ctx, roundTrip/2)
+	return ctx.Err()
 }
 
 func (c *Caller) effective() Mode {
@@ -155,7 +167,7 @@
 
 // enter takes one call to the store.
 func (c *Caller) enter(ctx context.Context) error {
-	if err := pause(ctx, roundTrip/2); err != nil {
+	if err := half(ctx); err != nil {
 		return err
 	}
 	c.store.mu.Lock()
@@ -174,17 +186,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // Newest implements feed.Log.
 func (c *Caller) Newest(ctx context.Context, name string, heard func()) ([]feed.Record, uint64, error) {
 	if err := c.enter(ctx); err != nil {
@@ -212,8 +213,10 @@
 	if err := c.enter(ctx); err != nil {
 		return nil, 0, err
 	}
-	over := time.NewTimer(wait)
-	defer over.Stop()
+	var over <-chan time.Time // a timer that is due at once crashes: see loop.Pause
+	if wait > 0 {
+		over = time.After(wait)
+	}
 	c.store.mu.Lock()
 	mute := c.mute
 	c.store.mu.Unlock()
@@ -240,7 +243,7 @@
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
 		case <-changed:
-		case <-over.C:
+		case <-over:
 			ended = true
 		}
 	}
@@ -262,12 +265,18 @@
 	if err := c.enter(ctx); err != nil {
 		return err
 	}
+	if err := c.append(name, key, value, at); err != nil {
+		return err
+	}
+	return half(ctx)
+}
+
+func (c *Caller) append(name, key string, value []byte, at *uint64) error {
 	c.store.mu.Lock()
-	end := uint64(len(c.store.topic(name).records))
-	c.store.mu.Unlock()
-	if at != nil && *at != end {
+	defer c.store.mu.Unlock()
+	if end := uint64(len(c.store.topic(name).records)); at != nil && *at != end {
 		return &feed.Conflict{End: end}
 	}
-	c.store.Put(name, key, value)
-	return pause(ctx, roundTrip/2)
+	c.store.put(name, key, value)
+	return nil
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -148,7 +148,7 @@
 // Register makes a peer server answer pulses, and calls for records with since.
 func (m *Members) Register(s *peer.Server, since func(topic string, from uint64) ([]feed.Record, uint64)) {
 	peer.Handle(s, recordsKind, func(_ context.Context, _ string, q AskRecords) (Records, error) {
-		return Answer(q, since), nil
+		return AnswerRecords(q, since), nil
 	})
 	peer.Handle(s, kind, func(_ context.Context, _ string, p Pulse) (Pulse, error) {
 		return m.Answer(p), nil
@@ -161,8 +161,8 @@
 	return m.tellTo(p.Incarnation, p.Stamp)
 }
 
-// Answer returns the records that a daemon asks for, unless they are too long.
-func Answer(q AskRecords, since func(topic string, from uint64) ([]feed.Record, uint64)) Records {
+// AnswerRecords returns the records that a daemon asks for, unless they are too long.
+func AnswerRecords(q AskRecords, since func(topic string, from uint64) ([]feed.Record, uint64)) Records {
 	records, next := since(q.Topic, q.From)
 	if length(records) > mostTold {
 		return Records{Next: next, TooLong: true}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -180,7 +180,7 @@
 	if err != nil {
 		return gossip.Records{}, err
 	}
-	answer := gossip.Answer(q, m.recordsSince)
+	answer := gossip.AnswerRecords(q, m.recordsSince)
 	time.Sleep(oneWay)
 	return answer, nil
 }
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -8,6 +8,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 )
 
 const (
@@ -113,7 +114,7 @@
 		}
 		idle := n.look(ctx, now)
 		n.showAges()
-		pause(ctx, min(max(idle, shortestIdle), longestIdle))
+		loop.Pause(ctx, min(max(idle, shortestIdle), longestIdle))
 	}
 }
 
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -10,6 +10,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 )
 
@@ -93,9 +94,11 @@
 
 // servers takes the entries of backend servers.
 func (n *Node) servers(records []feed.Record, whole bool) {
-	n.noteLateness(freshness.Servers)
 	confirmed, known := n.state.Age(freshness.Servers)
 	if known {
+		// The last read that found nothing newer is the youngest proof that these
+		// records were not there: they are late by its age at most.
+		n.ports.Metrics.Lateness(freshness.Servers).RecordDuration(confirmed)
 		n.noteGap(confirmed)
 	}
 	var ended []backend.Server
@@ -116,14 +119,6 @@
 	}
 }
 
-// noteLateness counts how late, at most, the records are that have just been read: the
-// last read that found nothing newer is the youngest proof that they were not there.
-func (n *Node) noteLateness(about freshness.Subject) {
-	if age, known := n.state.Age(about); known {
-		n.ports.Metrics.Lateness(about).RecordDuration(age)
-	}
-}
-
 // server takes one entry and returns the run that it tells to have ended. Confirmed is the
 // age of the newest confirmation of the entries before it.
 func (n *Node) server(reg *backend.Registry, r feed.Record, now, confirmed time.Duration) *backend.Server {
@@ -215,7 +210,7 @@
 	}
 	for ctx.Err() == nil && !n.enrolled.Load() {
 		if !n.others.Loaded() {
-			pause(ctx, enrollLook)
+			loop.Pause(ctx, enrollLook)
 			continue // the entry of the last run may still be right
 		}
 		err := feed.Put(ctx, n.ports.Log, n.topics.Daemons, n.config.Name, value, nil)
@@ -224,15 +219,7 @@
 			return
 		}
 		n.log.Warn("own entry not written", "err", err)
-		pause(ctx, enrollRetry)
-	}
-}
-
-// pause waits for a time or the context's end.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		loop.Pause(ctx, enrollRetry)
 	}
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 )
 
 // Behaviour is how one version answers on an engine.
@@ -239,7 +241,7 @@
 	e.mu.Lock()
 	uncached := e.cache.touch(ru.model, ru.prompt)
 	e.mu.Unlock()
-	if !pause(ru.ctx, time.Duration(slow*float64(uncached/4)*float64(e.cfg.Prefill))) {
+	if !loop.Pause(ru.ctx, time.Duration(slow*float64(uncached/4)*float64(e.cfg.Prefill))) {
 		e.finish(ru, true)
 		return
 	}
@@ -254,7 +256,7 @@
 		ru.confidence *= chance(ru.id, "confidence")
 	}
 	for i := range ru.want {
-		if i > 0 && !pause(ru.ctx, time.Duration(slow*float64(e.cfg.PerToken))) {
+		if i > 0 && !loop.Pause(ru.ctx, time.Duration(slow*float64(e.cfg.PerToken))) {
 			e.finish(ru, true)
 			return
 		}
@@ -273,17 +275,6 @@
 	e.mu.Unlock()
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // chance maps a run and a purpose to a fixed number in [0, 1).
 func chance(id, purpose string) float64 {
 	h := fnv.New64a()
--- a/lab/soak/play.go
+++ b/lab/soak/play.go
@@ -131,7 +131,7 @@
 		w.closers = append(w.closers, p.close, server.Close)
 		w.servers, w.paths = append(w.servers, s), append(w.paths, p)
 		w.entries = append(w.entries, fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"z%d","version":"v1","slots":32,"state":"ready","sequence":1`, service, p.address(), i%3))
-		w.register(i)
+		w.register(i, s.Born())
 	}
 	seed := ""
 	for n := range daemons {
--- a/lab/soak/restart.go
+++ b/lab/soak/restart.go
@@ -26,22 +26,30 @@
 // badEntries are what another writer may write under a server's id.
 var badEntries = []string{"null", "{}", "\xff", `{"state":"ready"}`, `{"service":"lm","addr":"nowhere","slots":"many"}`}
 
-// register writes a server's entry.
-func (w *world) register(i int) {
-	s := w.servers[i]
-	w.store.Put("keyed.servers", s.ID, fmt.Appendf(nil, `%s,"born":%d}`, w.entries[i], s.Born()))
+// register writes the entry of a run of a server.
+func (w *world) register(i int, born int64) {
+	w.store.Put("keyed.servers", w.servers[i].ID, fmt.Appendf(nil, `%s,"born":%d}`, w.entries[i], born))
+}
+
+// reregister writes an entry unless another writer's holds.
+func (w *world) reregister(i int, born int64) {
+	if !w.isBarred(i) {
+		w.register(i, born)
+	}
 }
 
 // restart starts one fault of a server or of a daemon.
 func (w *world) restart() {
 	i, d := w.rng.IntN(len(w.servers)), w.daemons[w.rng.IntN(len(w.daemons))]
+	s := w.servers[i]
 	faults := []struct {
 		name  string
 		start func()
 	}{
-		{"server-restarts", func() { w.servers[i].Restart(); w.reregister(i) }},
-		{"server-restarts-twice", func() { w.servers[i].Restart(); w.servers[i].Restart(); w.reregister(i) }},
-		{"older-entry", func() { w.olderEntry(i) }},
+		{"server-restarts", func() { s.Restart(); w.reregister(i, s.Born()) }},
+		{"server-restarts-twice", func() { s.Restart(); s.Restart(); w.reregister(i, s.Born()) }},
+		// The store may carry out a write of an earlier run late.
+		{"older-entry", func() { w.reregister(i, s.Born()-1) }},
 		{"entry-bad", func() { w.bar(i) }},
 		{"kill", func() { d.signal(syscall.SIGKILL) }},
 		{"term", func() { d.signal(syscall.SIGTERM) }},
@@ -51,21 +59,6 @@
 	f.start()
 }
 
-// reregister writes the entry of a server's new run, unless another writer's holds.
-func (w *world) reregister(i int) {
-	if !w.isBarred(i) {
-		w.register(i)
-	}
-}
-
-// olderEntry writes an entry of a run before the present one, as the store may carry out a
-// write late.
-func (w *world) olderEntry(i int) {
-	if !w.isBarred(i) {
-		w.store.Put("keyed.servers", w.servers[i].ID, fmt.Appendf(nil, `%s,"born":%d}`, w.entries[i], w.servers[i].Born()-1))
-	}
-}
-
 func (w *world) isBarred(i int) bool {
 	for _, b := range w.barred {
 		if b.server == i && b.to.IsZero() {
@@ -90,7 +83,7 @@
 	for n := range w.barred {
 		b := &w.barred[n]
 		b.to = time.Now()
-		w.register(b.server)
+		w.register(b.server, w.servers[b.server].Born())
 	}
 }
 
