What is asked with every pulse is kept up to date in a roster

Cause: each pulse, each answer and each look asked how many daemons live and which place this one has, and each question copied and sorted the pulses of all daemons under the lock; each pulse also summed the work of all anew. 64 pulses a second at each of 195 daemons: the fleet paid for the square of its size.

Change: membership.Roster keeps the counts as daemons come, change and fall silent, which is found by time; the work of others is told as changes, and pictures are brought to it when they are asked. The records that daemons ask of each other have a file of their own.

--- /dev/null
+++ b/internal/gossip/calls.go
@@ -0,0 +1,93 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/damaskrudder/damaskrudder/internal/feed"
+	"github.com/damaskrudder/damaskrudder/internal/peer"
+)
+
+// AnswerRecords returns the records that a daemon asks for, unless they are too long.
+func AnswerRecords(q AskRecords, since func(topic string, from uint64) ([]feed.Record, uint64)) Records {
+	records, next := since(q.Topic, q.From)
+	if length(records) > mostTold {
+		return Records{Next: next, TooLong: true}
+	}
+	return Records{Records: records, Next: next}
+}
+
+// Caller calls other daemons at their addresses.
+type Caller interface {
+	// Pulse tells a daemon this one's pulse and returns its own.
+	Pulse(ctx context.Context, address string, p Pulse) (Pulse, error)
+	// Records asks a daemon for records.
+	Records(ctx context.Context, address string, q AskRecords) (Records, error)
+}
+
+// Links calls daemons over peer links. It implements Caller.
+type Links struct{ *peer.Links }
+
+// Pulse implements Caller.
+func (l Links) Pulse(ctx context.Context, address string, p Pulse) (Pulse, error) {
+	return peer.Call[Pulse, Pulse](ctx, l.Links, address, kind, p)
+}
+
+// Records implements Caller.
+func (l Links) Records(ctx context.Context, address string, q AskRecords) (Records, error) {
+	return peer.Call[AskRecords, Records](ctx, l.Links, address, recordsKind, q)
+}
+
+const kind = "pulse"
+
+// mostTold bounds, in bytes, the records that a daemon passes on. A configuration of
+// some hundred routes is 250 KB: fifty daemons that fetch it at once from one whose
+// link has 10 Mbit/s wait ten seconds. The log serves all in a fraction of one.
+const mostTold = 16 << 10
+
+func length(records []feed.Record) int {
+	n := 0
+	for _, r := range records {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
+}
+
+// Records asks one of the daemons that live and have read further for records. Which
+// one is drawn, so that those that are behind do not all ask the same. The error is
+// feed.ErrTooLong if the records are longer than daemons pass on.
+func (m *Members) Records(ctx context.Context, topic string, from uint64, ahead func(p Pulse) bool) ([]feed.Record, uint64, error) {
+	list := slices.DeleteFunc(m.Alive(), func(p Pulse) bool { return !ahead(p) })
+	if len(list) == 0 {
+		return nil, 0, errNobody
+	}
+	p := list[rand.IntN(len(list))]
+	a, err := m.peers.Records(ctx, p.Address, AskRecords{topic, from})
+	if err != nil {
+		return nil, 0, err
+	}
+	if a.TooLong {
+		return nil, 0, feed.ErrTooLong
+	}
+	return a.Records, a.Next, nil
+}
+
+var errNobody = errors.New("no daemon that lives has read further")
+
+// AskRecords asks for the records of a topic from an offset on.
+type AskRecords struct {
+	Topic string `cbor:"1,keyasint"`
+	From  uint64 `cbor:"2,keyasint"`
+}
+
+// Records is the answer: the newest of each key, and how far the daemon has read.
+type Records struct {
+	Records []feed.Record `cbor:"1,keyasint"`
+	Next    uint64        `cbor:"2,keyasint"`
+	// TooLong says that the records are left out: the log has to be read.
+	TooLong bool `cbor:"3,keyasint,omitempty"`
+}
+
+const recordsKind = "records"
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -5,8 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +15,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 )
@@ -126,11 +125,17 @@
 	Heard func(p Pulse, after time.Duration)
 	// Boot reads a clock that counts while the VM is suspended.
 	Boot func() time.Duration
+	// Worked is told how the work of the other daemons has changed at backend servers.
+	Worked func(changes []relay.Work)
 
 	mu    sync.Mutex
 	all   map[string]*member
 	left  map[string]time.Time
 	where string
+	// roster holds those of all that were heard lately.
+	roster *membership.Roster
+	// lapsed is work of daemons that fell silent, not yet told to Worked.
+	lapsed []relay.Work
 	// incarnation names this run, so that word of ourselves is told apart.
 	incarnation string
 	turn        int
@@ -138,10 +143,10 @@
 }
 
 // New returns members that know the daemon's own address only.
-func New(address, incarnation string, self func() Pulse, peers Caller, boot func() time.Duration, l *log.Logger) *Members {
+func New(name, address, incarnation string, self func() Pulse, peers Caller, boot func() time.Duration, l *log.Logger) *Members {
 	return &Members{
 		self: self, peers: peers, log: l, where: address, incarnation: incarnation, Heard: func(Pulse, time.Duration) {}, Boot: boot,
-		all: map[string]*member{}, left: map[string]time.Time{},
+		Worked: func([]relay.Work) {}, all: map[string]*member{}, left: map[string]time.Time{}, roster: membership.NewRoster(name),
 	}
 }
 
@@ -161,51 +166,6 @@
 	return m.tellTo(p.Incarnation, p.Stamp)
 }
 
-// AnswerRecords returns the records that a daemon asks for, unless they are too long.
-func AnswerRecords(q AskRecords, since func(topic string, from uint64) ([]feed.Record, uint64)) Records {
-	records, next := since(q.Topic, q.From)
-	if length(records) > mostTold {
-		return Records{Next: next, TooLong: true}
-	}
-	return Records{Records: records, Next: next}
-}
-
-// Caller calls other daemons at their addresses.
-type Caller interface {
-	// Pulse tells a daemon this one's pulse and returns its own.
-	Pulse(ctx context.Context, address string, p Pulse) (Pulse, error)
-	// Records asks a daemon for records.
-	Records(ctx context.Context, address string, q AskRecords) (Records, error)
-}
-
-// Links calls daemons over peer links. It implements Caller.
-type Links struct{ *peer.Links }
-
-// Pulse implements Caller.
-func (l Links) Pulse(ctx context.Context, address string, p Pulse) (Pulse, error) {
-	return peer.Call[Pulse, Pulse](ctx, l.Links, address, kind, p)
-}
-
-// Records implements Caller.
-func (l Links) Records(ctx context.Context, address string, q AskRecords) (Records, error) {
-	return peer.Call[AskRecords, Records](ctx, l.Links, address, recordsKind, q)
-}
-
-const kind = "pulse"
-
-// mostTold bounds, in bytes, the records that a daemon passes on. A configuration of
-// some hundred routes is 250 KB: fifty daemons that fetch it at once from one whose
-// link has 10 Mbit/s wait ten seconds. The log serves all in a fraction of one.
-const mostTold = 16 << 10
-
-func length(records []feed.Record) int {
-	n := 0
-	for _, r := range records {
-		n += len(r.Key) + len(r.Value)
-	}
-	return n
-}
-
 // Learn adds addresses at which daemons may be.
 func (m *Members) Learn(addresses ...string) {
 	m.mu.Lock()
@@ -227,9 +187,10 @@
 		return p
 	}
 	m.knownTold = now
-	for _, o := range m.all {
-		if now.Sub(o.heard) < m.silence() {
-			p.Known = append(p.Known, o.address)
+	m.expire(now)
+	for a := range m.all {
+		if m.roster.Has(a) {
+			p.Known = append(p.Known, a)
 		}
 	}
 	return p
@@ -260,9 +221,11 @@
 	return max(silentAfter, silentTurns*turn)
 }
 
-// Take takes a pulse that came from an address.
+// Take takes a pulse that came from an address. Its cost does not grow with the number of
+// daemons: one of 195 is called, and called back, 64 times a second.
 func (m *Members) Take(address string, p Pulse) {
-	m.Learn(append(p.Known, address)...)
+	m.Learn(address)
+	m.Learn(p.Known...)
 	now := time.Now()
 	m.mu.Lock()
 	o := m.all[address]
@@ -270,7 +233,8 @@
 		m.mu.Unlock()
 		return
 	}
-	if now.Sub(o.heard) > m.silence() || o.pulse.Incarnation != p.Incarnation {
+	m.expire(now)
+	if !m.roster.Has(address) || o.pulse.Incarnation != p.Incarnation {
 		m.log.Info("daemon heard", "daemon", p.Name, "address", address, "incarnation", p.Incarnation, "config", p.Version, "ready", p.Ready)
 	}
 	if p.Leaving && !o.pulse.Leaving {
@@ -283,11 +247,75 @@
 		// Pulses may overtake each other; a run that leaves does not come back.
 		p.Leaving, p.Ready = true, false
 	}
+	changes := difference(o.pulse.Work, p.Work)
+	m.roster.Heard(address, membership.Standing{Name: p.Name, Incarnation: p.Incarnation, Ready: p.Ready, Leaving: p.Leaving}, now)
 	o.pulse, o.heard = p, now
+	// What is handed on at once is not kept: one daemon of 195 keeps as many pulses.
+	o.pulse.Known, o.pulse.Placed, o.pulse.Orders = nil, nil, nil
 	m.mu.Unlock()
+	m.Worked(changes)
 	m.Heard(p, m.after(p))
 }
 
+// expire takes those off the roster that have fallen silent, and their work with them.
+// Callers hold mu.
+func (m *Members) expire(now time.Time) {
+	m.roster.Silent(now, m.silence(), func(address string) {
+		o := m.all[address]
+		m.lapsed = append(m.lapsed, difference(o.pulse.Work, nil)...)
+		o.pulse.Work = nil
+	})
+}
+
+// with runs f on the roster of those that were heard lately.
+func (m *Members) with(f func(r *membership.Roster)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire(time.Now())
+	f(m.roster)
+}
+
+// Len returns how many other daemons were heard lately.
+func (m *Members) Len() (n int) {
+	m.with(func(r *membership.Roster) { n = r.Len() })
+	return n
+}
+
+// Rank is this daemon's place among those that do not leave, the ready ones first.
+func (m *Members) Rank(ready bool) (rank int) {
+	m.with(func(r *membership.Roster) { rank = r.Rank(ready) })
+	return rank
+}
+
+// First reports whether this daemon, if it is ready, comes first by name among the ready
+// ones.
+func (m *Members) First(ready bool) (first bool) {
+	m.with(func(r *membership.Roster) { first = r.First(ready) })
+	return first
+}
+
+// Lives reports whether a run of a daemon was heard lately.
+func (m *Members) Lives(incarnation string) (lives bool) {
+	m.with(func(r *membership.Roster) { lives = r.Lives(incarnation) })
+	return lives
+}
+
+// Alive returns the newest pulses of the daemons heard lately, by name. It copies all of
+// them: no message and no request may ask for it.
+func (m *Members) Alive() []Pulse {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire(time.Now())
+	out := make([]Pulse, 0, m.roster.Len())
+	for _, o := range m.all {
+		if m.roster.Has(o.address) {
+			out = append(out, o.pulse)
+		}
+	}
+	slices.SortFunc(out, func(a, b Pulse) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // Run calls the others until the context ends.
 func (m *Members) Run(ctx context.Context) {
 	m.round(ctx)
@@ -298,9 +326,10 @@
 // read something new. They tell on in turn, so that all hear within some calls.
 func (m *Members) Tell(ctx context.Context) {
 	m.mu.Lock()
+	m.expire(time.Now())
 	var list []*member
-	for _, o := range m.all {
-		if len(list) < fanOut && !o.calling && time.Since(o.heard) <= m.silence() {
+	for a, o := range m.all {
+		if len(list) < fanOut && !o.calling && m.roster.Has(a) {
 			o.calling = true
 			list = append(list, o)
 		}
@@ -311,54 +340,29 @@
 	}
 }
 
-// Records asks one of the daemons that live and have read further for records. Which
-// one is drawn, so that those that are behind do not all ask the same. The error is
-// feed.ErrTooLong if the records are longer than daemons pass on.
-func (m *Members) Records(ctx context.Context, topic string, from uint64, ahead func(p Pulse) bool) ([]feed.Record, uint64, error) {
-	list := slices.DeleteFunc(m.Alive(), func(p Pulse) bool { return !ahead(p) })
-	if len(list) == 0 {
-		return nil, 0, errNobody
-	}
-	p := list[rand.IntN(len(list))]
-	a, err := m.peers.Records(ctx, p.Address, AskRecords{topic, from})
-	if err != nil {
-		return nil, 0, err
-	}
-	if a.TooLong {
-		return nil, 0, feed.ErrTooLong
-	}
-	return a.Records, a.Next, nil
-}
-
-var errNobody = errors.New("no daemon that lives has read further")
-
-// AskRecords asks for the records of a topic from an offset on.
-type AskRecords struct {
-	Topic string `cbor:"1,keyasint"`
-	From  uint64 `cbor:"2,keyasint"`
-}
-
-// Records is the answer: the newest of each key, and how far the daemon has read.
-type Records struct {
-	Records []feed.Record `cbor:"1,keyasint"`
-	Next    uint64        `cbor:"2,keyasint"`
-	// TooLong says that the records are left out: the log has to be read.
-	TooLong bool `cbor:"3,keyasint,omitempty"`
-}
-
-const recordsKind = "records"
-
 func (m *Members) round(ctx context.Context) {
+	m.forget()
 	for _, o := range m.due(time.Now()) {
 		go m.call(ctx, o)
 	}
 }
 
+// forget tells that the work of daemons that fell silent is no more.
+func (m *Members) forget() {
+	m.mu.Lock()
+	m.expire(time.Now())
+	lapsed := m.lapsed
+	m.lapsed = nil
+	m.mu.Unlock()
+	m.Worked(lapsed)
+}
+
 // due chooses whom to call: some of those that answer, in turn, and now and then
 // those that do not.
 func (m *Members) due(now time.Time) []*member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.expire(now)
 	var list []*member
 	for a, o := range m.all {
 		lastSign := o.heard
@@ -369,7 +373,7 @@
 			delete(m.all, a)
 			continue
 		}
-		quiet := now.Sub(o.heard) > m.silence()
+		quiet := !m.roster.Has(a)
 		if now.Sub(o.heard) < justHeard {
 			continue // a call carries word both ways
 		}
@@ -404,7 +408,8 @@
 	p, err := m.peers.Pulse(ctx, o.address, m.tellTo(last.Incarnation, last.Stamp))
 	m.mu.Lock()
 	o.calling = false
-	lost := err != nil && !o.heard.IsZero() && time.Since(o.heard) > m.silence() && sentAt.Sub(o.heard) <= m.silence()
+	m.expire(time.Now())
+	lost := err != nil && !o.heard.IsZero() && !m.roster.Has(o.address) && sentAt.Sub(o.heard) <= m.silence()
 	m.mu.Unlock()
 	if lost {
 		m.log.Warn("daemon lost", "daemon", o.pulse.Name, "address", o.address, "err", err)
@@ -413,28 +418,3 @@
 		m.Take(o.address, p)
 	}
 }
-
-// Alive returns the newest pulses of the daemons heard lately, by name.
-func (m *Members) Alive() []Pulse {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []Pulse
-	for _, o := range m.all {
-		if now.Sub(o.heard) <= m.silence() {
-			out = append(out, o.pulse)
-		}
-	}
-	slices.SortFunc(out, func(a, b Pulse) int { return cmp.Compare(a.Name, b.Name) })
-	return out
-}
-
-// Lives reports whether an incarnation was heard lately.
-func (m *Members) Lives(incarnation string) bool {
-	for _, p := range m.Alive() {
-		if p.Incarnation == incarnation {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/gossip/views.go
+++ b/internal/gossip/views.go
@@ -2,16 +2,13 @@
 
 import "github.com/damaskrudder/damaskrudder/internal/relay"
 
-// TotalWork sums the work of daemons by backend server.
-func TotalWork(alive []Pulse) map[relay.ServerKey]relay.Work {
-	sum := map[relay.ServerKey]relay.Work{}
-	for _, p := range alive {
-		for _, w := range p.Work {
-			total := sum[w.Server]
-			sum[w.Server] = relay.Work{Server: w.Server, Running: total.Running + w.Running, Pending: total.Pending + w.Pending}
-		}
+// difference returns how a daemon's work at backend servers has changed.
+func difference(before, after []relay.Work) []relay.Work {
+	out := make([]relay.Work, 0, len(before)+len(after))
+	for _, w := range before {
+		out = append(out, relay.Work{Server: w.Server, Running: -w.Running, Pending: -w.Pending})
 	}
-	return sum
+	return append(out, after...)
 }
 
 // Fronts lists the callers' addresses of all ready daemons. If none is ready,
@@ -36,18 +33,3 @@
 	}
 	return nil
 }
-
-// First reports whether a daemon comes first by name among those that are ready.
-// That one writes decisions; a conditional append keeps two that both think they
-// are first from undoing each other.
-func First(alive []Pulse, name string, ready bool) bool {
-	if !ready {
-		return false
-	}
-	for _, p := range alive {
-		if p.Ready && !p.Leaving && p.Name < name {
-			return false
-		}
-	}
-	return true
-}
--- /dev/null
+++ b/internal/membership/roster.go
@@ -0,0 +1,133 @@
+package membership
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Standing is what a daemon says of itself that others rank it by.
+type Standing struct {
+	// Name is the daemon's name, and Incarnation one run of it.
+	Name, Incarnation string
+	Ready, Leaving    bool
+}
+
+// Roster holds the daemons that were heard lately, seen from one of them. What a daemon
+// asks with every message and every look (how many live, which place it has among them,
+// whether it comes first) is kept up to date as daemons come, change and fall silent.
+//
+// Hearing a daemon costs the same whatever their number, 0.2 us at 6 and at 1,000
+// (BenchmarkRoster), since each of 195 hears 64 pulses a second: with a copy of all of
+// them, sorted for each question, a pulse took 1.4 ms at 195 daemons and 0.03 ms at 6, and
+// takes 0.004 ms at both now (BenchmarkPulseHeard). Silence is found by time: the daemons
+// are in the order in which they were heard.
+type Roster struct {
+	own     string
+	ownHash uint64
+	seats   map[string]*list.Element
+	// heard holds *seat, the longest unheard first.
+	heard *list.List
+	runs  map[string]int
+	// ready and waiting count the daemons that do not leave, those that are ready and
+	// those that are not.
+	ready, waiting places
+}
+
+// seat is one daemon heard lately.
+type seat struct {
+	address string
+	at      time.Time
+	Standing
+	beforeByName, beforeByHash bool
+}
+
+// places counts daemons, and those of them that come before the own one.
+type places struct{ all, beforeByName, beforeByHash int }
+
+// NewRoster returns a roster of nobody, for the daemon of a name.
+func NewRoster(own string) *Roster {
+	return &Roster{own: own, ownHash: xxhash.Sum64String(own), seats: map[string]*list.Element{}, heard: list.New(), runs: map[string]int{}}
+}
+
+// Heard notes what a daemon at an address said of itself. Times must not go back.
+func (r *Roster) Heard(address string, s Standing, now time.Time) {
+	if e := r.seats[address]; e != nil {
+		old := e.Value.(*seat)
+		r.count(old, -1)
+		old.at = now
+		if old.Name != s.Name {
+			r.place(old, s.Name)
+		}
+		old.Standing = s
+		r.count(old, 1)
+		r.heard.MoveToBack(e)
+		return
+	}
+	fresh := &seat{address: address, at: now, Standing: s}
+	r.place(fresh, s.Name)
+	r.count(fresh, 1)
+	r.seats[address] = r.heard.PushBack(fresh)
+}
+
+// place finds out on which side of the own daemon a name is. Hashes have nothing to do
+// with where daemons are: a failure domain may be lost as a whole.
+func (r *Roster) place(s *seat, name string) {
+	s.beforeByName, s.beforeByHash = name < r.own, xxhash.Sum64String(name) < r.ownHash
+}
+
+// count adds a seat to the counts, or takes it off.
+func (r *Roster) count(s *seat, by int) {
+	if r.runs[s.Incarnation] += by; r.runs[s.Incarnation] == 0 {
+		delete(r.runs, s.Incarnation)
+	}
+	if s.Leaving {
+		return
+	}
+	p := &r.waiting
+	if s.Ready {
+		p = &r.ready
+	}
+	p.all += by
+	if s.beforeByName {
+		p.beforeByName += by
+	}
+	if s.beforeByHash {
+		p.beforeByHash += by
+	}
+}
+
+// Silent takes off the daemons that were not heard for longer than a limit, and calls
+// gone with the address of each. Its cost is theirs alone.
+func (r *Roster) Silent(now time.Time, limit time.Duration, gone func(address string)) {
+	for e := r.heard.Front(); e != nil && now.Sub(e.Value.(*seat).at) > limit; e = r.heard.Front() {
+		s := e.Value.(*seat)
+		r.heard.Remove(e)
+		r.count(s, -1)
+		delete(r.seats, s.address)
+		gone(s.address)
+	}
+}
+
+// Len returns how many daemons were heard lately.
+func (r *Roster) Len() int { return r.heard.Len() }
+
+// Has reports whether the daemon at an address was heard lately.
+func (r *Roster) Has(address string) bool { return r.seats[address] != nil }
+
+// Lives reports whether a run of a daemon was heard lately.
+func (r *Roster) Lives(incarnation string) bool { return r.runs[incarnation] > 0 }
+
+// Rank is the own daemon's place among those that do not leave, the ready ones first.
+func (r *Roster) Rank(ready bool) int {
+	if ready {
+		return r.ready.beforeByHash
+	}
+	return r.ready.all + r.waiting.beforeByHash
+}
+
+// First reports whether the own daemon, if it is ready, comes first by name among those
+// that are. That one writes decisions; a conditional append keeps two that both think
+// they are first from undoing each other.
+func (r *Roster) First(ready bool) bool { return ready && r.ready.beforeByName == 0 }
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
@@ -60,7 +58,7 @@
 
 // readers returns how many daemons wait on the store.
 func (n *Node) readers() int {
-	if len(n.members.Alive()) < smallDeployment {
+	if n.members.Len() < smallDeployment {
 		return smallDeployment
 	}
 	return fewReaders
@@ -82,22 +80,7 @@
 // rank is the daemon's place among those that live, the ready ones first, in an order
 // that has nothing to do with where they are: a failure domain may be lost as a whole.
 // While the store is away none is ready, and still only a few are to ask for it.
-func (n *Node) rank() int {
-	rank, own, ready := 0, xxhash.Sum64String(n.config.Name), n.Ready()
-	for _, p := range n.members.Alive() {
-		if p.Leaving {
-			continue
-		}
-		before := xxhash.Sum64String(p.Name) < own
-		if p.Ready != ready {
-			before = p.Ready
-		}
-		if before {
-			rank++
-		}
-	}
-	return rank
-}
+func (n *Node) rank() int { return n.members.Rank(n.Ready()) }
 
 // Ready reports whether callers should be sent here. A daemon that is cut off from
 // the store serves on by the word of others, but those that reach it come first.
@@ -188,7 +171,7 @@
 // ownEvery is how often a daemon looks whether it reaches the store. In a large
 // deployment the calls of all would cost more than the few that are cut off.
 func (n *Node) ownEvery() time.Duration {
-	if len(n.members.Alive()) < smallDeployment {
+	if n.members.Len() < smallDeployment {
 		return ownSmall
 	}
 	return ownLarge
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,8 +137,8 @@
 	if p.Peers != nil {
 		peers = p.Peers
 	}
-	n.members = gossip.New(c.Control, n.incarnation, n.pulse, peers, p.Boot, p.Logger)
-	n.members.Heard = n.heard
+	n.members = gossip.New(c.Name, c.Control, n.incarnation, n.pulse, peers, p.Boot, p.Logger)
+	n.members.Heard, n.members.Worked = n.heard, n.state.AddPeerWork
 	n.members.Learn(c.Seeds...)
 	n.prepare(ctx)
 	return n
@@ -213,9 +213,7 @@
 	if n.placements.Fresh(p.Incarnation, p.PlacedRound) {
 		n.state.TakePlacements(p.Placed)
 	}
-	alive := n.members.Alive()
-	n.state.SetDaemons(len(alive) + 1)
-	n.state.SetPeerWork(gossip.TotalWork(alive))
+	n.state.SetDaemons(n.members.Len() + 1)
 }
 
 // Fronts lists where callers should connect.
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/damaskrudder/damaskrudder/internal/gossip"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 )
@@ -23,7 +22,7 @@
 		if step.Phase == rollout.RolledBack {
 			n.Relay.Rollouts.Brake(step.Order.Service, step.Order.Offset, step.Why)
 		}
-		if gossip.First(n.members.Alive(), n.config.Name, n.Ready()) {
+		if n.members.First(n.Ready()) {
 			err := n.writeStatus(ctx, step.Order, step.Phase, step.Since)
 			n.log.Info("roll-out status", "service", step.Order.Service, "phase", step.Phase, "why", step.Why, "err", err)
 		}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -33,6 +33,8 @@
 	daemon   string
 	// daemons is how many daemons share the servers' connections.
 	daemons int
+	// others is the work of the other daemons.
+	others peerWork
 	// placed are placements not yet told to the other daemons.
 	placed []Placed
 	// expiry is when a lapsed server is to be taken as gone; zero if none is.
@@ -44,7 +46,11 @@
 	picture *routing.Picture
 	members []routing.Member
 	servers map[string]backend.Server
-	pace    paces
+	// ids names the members by the keys under which daemons tell of them.
+	ids  map[ServerKey]string
+	pace paces
+	// othersAt is the change of the others' work that the picture shows.
+	othersAt uint64
 	// lanes divides engines between models; nil until the first choice.
 	lanes *routing.Lanes
 }
@@ -54,7 +60,7 @@
 func NewState(daemon string, boot func() time.Duration) *State {
 	return &State{
 		boot: boot, known: make(chan struct{}), registry: backend.NewRegistry(), services: map[string]*service{}, daemon: daemon, daemons: 1,
-		rng: rand.New(rand.NewPCG(xxhash.Sum64String(daemon), uint64(boot()))),
+		others: peerWork{sum: map[ServerKey]Work{}}, rng: rand.New(rand.NewPCG(xxhash.Sum64String(daemon), uint64(boot()))),
 	}
 }
 
@@ -211,15 +217,24 @@
 	}
 	sv.members = routing.Subset(s.daemon, members, routing.MaxCandidates)
 	sv.picture.Update(sv.members)
+	sv.ids = make(map[ServerKey]string, len(sv.members))
+	for _, m := range sv.members {
+		sv.ids[KeyOf(m.ID)] = m.ID
+	}
+	s.others.show(sv)
 	return sv
 }
 
 // serviceOf returns a service's picture. Callers hold mu.
 func (s *State) serviceOf(name string) *service {
-	if sv := s.services[name]; sv != nil {
-		return sv
+	sv := s.services[name]
+	if sv == nil {
+		return s.refresh(name, s.boot())
 	}
-	return s.refresh(name, s.boot())
+	if sv.othersAt != s.others.changes {
+		s.others.show(sv)
+	}
+	return sv
 }
 
 // with runs f on a service's picture under the lock.
@@ -262,12 +277,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, sv := range s.services {
-		ids := make(map[ServerKey]string, len(sv.members))
-		for _, m := range sv.members {
-			ids[KeyOf(m.ID)] = m.ID
-		}
 		for _, p := range list {
-			if id, known := ids[p.Server]; known {
+			if id, known := sv.ids[p.Server]; known {
 				sv.picture.Cached(id, p.Blocks)
 			}
 		}
@@ -298,17 +309,15 @@
 	return out
 }
 
-// SetPeerWork takes the sum of the other daemons' work by server.
-func (s *State) SetPeerWork(sum map[ServerKey]Work) {
-	now := time.Now()
+// AddPeerWork takes changes of the other daemons' work. They are changes and not sums, so
+// that their order does not matter: pulses are taken at the same time.
+func (s *State) AddPeerWork(changes []Work) {
+	if len(changes) == 0 {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, sv := range s.services {
-		for _, m := range sv.members {
-			w := sum[KeyOf(m.ID)]
-			sv.picture.Peers(m.ID, float64(w.Running), float64(w.Pending), now)
-		}
-	}
+	s.others.add(changes)
 }
 
 // maxParts bounds the parts of a prompt that are told apart.
