Callers are spread over all daemons, their own failure domain first

Cause: the directory answered with the first 64 daemons by name, which is what a caller takes. With 195 daemons the other 131 got no caller, each of the 64 three times its part, and most requests crossed failure domains.

Change: membership.Offer chooses by the caller's failure domain and address: the same answer from every daemon, another one for other callers. Up to 64 daemons all are offered, as before.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -26,9 +26,9 @@
 	Incarnation string `cbor:"1,keyasint"`
 	// Name is the daemon's name; it stays the same over restarts.
 	Name string `cbor:"2,keyasint"`
-	// Address is where daemons call it and Front where callers do.
+	// Address is where daemons call it and FrontAddress where callers do.
 	Address       string `cbor:"3,keyasint"`
-	Front         string `cbor:"4,keyasint"`
+	FrontAddress  string `cbor:"4,keyasint"`
 	FailureDomain string `cbor:"5,keyasint"`
 	// Ready says that callers should be sent there.
 	Ready   bool `cbor:"6,keyasint,omitempty"`
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 )
@@ -37,27 +38,20 @@
 // Cause: the last pulse to arrive counted.
 func TestLeavingIsNotTakenBack(t *testing.T) {
 	m := testMembers()
-	m.Take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Leaving: true})
-	m.Take("a:1", Pulse{Incarnation: "a/1", Name: "a", Front: "f:1", Ready: true})
-	if got := Fronts(m.Alive(), Pulse{Front: "self", Ready: true}); slices.Contains(got, "f:1") {
+	m.Take("a:1", Pulse{Incarnation: "a/1", Name: "a", FrontAddress: "f:1", Leaving: true})
+	m.Take("a:1", Pulse{Incarnation: "a/1", Name: "a", FrontAddress: "f:1", Ready: true})
+	offered := func() []string {
+		return membership.Offer(append(m.Fronts(), membership.Front{Address: "self", Ready: true}), membership.Caller{}, 10)
+	}
+	if got := offered(); slices.Contains(got, "f:1") {
 		t.Fatalf("names %v", got)
 	}
-	m.Take("a:1", Pulse{Incarnation: "a/2", Name: "a", Front: "f:1", Ready: true})
-	if got := Fronts(m.Alive(), Pulse{Front: "self", Ready: true}); !slices.Contains(got, "f:1") {
+	m.Take("a:1", Pulse{Incarnation: "a/2", Name: "a", FrontAddress: "f:1", Ready: true})
+	if got := offered(); !slices.Contains(got, "f:1") {
 		t.Fatalf("a new run of the daemon is not named: %v", got)
 	}
 }
 
-func TestFrontsAreNeverNone(t *testing.T) {
-	alive := []Pulse{{Front: "a", Leaving: true}, {Front: "b"}}
-	if got := Fronts(alive, Pulse{Front: "c"}); !slices.Equal(got, []string{"b", "c"}) {
-		t.Errorf("none ready: %v", got)
-	}
-	if got := Fronts(nil, Pulse{Front: "c", Leaving: true}); !slices.Equal(got, []string{"c"}) {
-		t.Errorf("all leaving: %v", got)
-	}
-}
-
 func TestPlacementsAreHeardOnce(t *testing.T) {
 	var p Placements
 	now := time.Unix(50, 0)
--- a/internal/gossip/views.go
+++ b/internal/gossip/views.go
@@ -1,6 +1,11 @@
 package gossip
 
-import "github.com/damaskrudder/damaskrudder/internal/relay"
+import (
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/membership"
+	"github.com/damaskrudder/damaskrudder/internal/relay"
+)
 
 // difference returns how a daemon's work at backend servers has changed.
 func difference(before, after []relay.Work) []relay.Work {
@@ -11,25 +16,17 @@
 	return append(out, after...)
 }
 
-// Fronts lists the callers' addresses of all ready daemons. If none is ready,
-// all that do not leave are listed: an answer without addresses is no answer, and
-// a daemon that is not ready refuses with when to come back. Last comes self.
-func Fronts(alive []Pulse, self Pulse) []string {
-	all := append(alive, self)
-	for _, admits := range []func(Pulse) bool{
-		func(p Pulse) bool { return p.Ready && !p.Leaving },
-		func(p Pulse) bool { return !p.Leaving },
-		func(Pulse) bool { return true },
-	} {
-		var out []string
-		for _, p := range all {
-			if admits(p) {
-				out = append(out, p.Front)
-			}
-		}
-		if len(out) > 0 {
-			return out
+// Fronts returns the daemons heard lately as callers are told of them, in no order.
+func (m *Members) Fronts() []membership.Front {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire(time.Now())
+	out := make([]membership.Front, 0, m.roster.Len()+1)
+	for a, o := range m.all {
+		if m.roster.Has(a) {
+			p := o.pulse
+			out = append(out, membership.Front{Address: p.FrontAddress, FailureDomain: p.FailureDomain, Ready: p.Ready, Leaving: p.Leaving})
 		}
 	}
-	return nil
+	return out
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
@@ -174,7 +175,7 @@
 // pulse is what this daemon tells the others.
 func (n *Node) pulse() gossip.Pulse {
 	p := gossip.Pulse{
-		Incarnation: n.incarnation, Name: n.config.Name, Address: n.config.Control, Front: n.config.Front,
+		Incarnation: n.incarnation, Name: n.config.Name, Address: n.config.Control, FrontAddress: n.config.Front,
 		FailureDomain: n.config.FailureDomain, Ready: n.Ready(), Leaving: n.leaving.Load(),
 		Work: n.state.Work(), Orders: n.Relay.Rollouts.Reports(n.state.RunningBut), Ages: n.ages(),
 	}
@@ -216,5 +217,8 @@
 	n.state.SetDaemons(n.members.Len() + 1)
 }
 
-// Fronts lists where callers should connect.
-func (n *Node) Fronts() []string { return gossip.Fronts(n.members.Alive(), n.pulse()) }
+// Fronts lists up to most addresses at which a caller should connect.
+func (n *Node) Fronts(c membership.Caller, most int) []string {
+	own := membership.Front{Address: n.config.Front, FailureDomain: n.config.FailureDomain, Ready: n.Ready(), Leaving: n.leaving.Load()}
+	return membership.Offer(append(n.members.Fronts(), own), c, most)
+}
