A daemon that just started asks again for a limit before it refuses

Change: a daemon that no home has ever told of a meter asks up to four times, each 0.3 s at most, and whoever is home by then. One that was told refuses at once, as before.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -8,6 +8,8 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/quota"
 )
@@ -21,7 +23,10 @@
 
 // limits spends leased shares of workspace limits, and leases as home.
 type limits struct {
-	d      *Daemon
+	d *Daemon
+	// homeOf returns the home of a meter, if there is one, and ask asks it.
+	homeOf func(meter string) (membership.Member, bool)
+	ask    func(ctx context.Context, home membership.Member, a quota.Ask) (quota.Lease, error)
 	mu     sync.Mutex
 	shares map[string]*share
 	home   *quota.Home
@@ -34,7 +39,30 @@
 }
 
 func newLimits(d *Daemon) *limits {
-	return &limits{d: d, shares: map[string]*share{}, home: quota.NewHome(d.incarnation)}
+	l := &limits{d: d, shares: map[string]*share{}, home: quota.NewHome(d.incarnation)}
+	l.homeOf, l.ask = l.currentHome, l.askHome
+	return l
+}
+
+// currentHome returns a meter's home as this daemon sees it.
+func (l *limits) currentHome(meter string) (membership.Member, bool) {
+	homes := l.d.members.homes(meter, 1)
+	if len(homes) == 0 {
+		return membership.Member{}, false
+	}
+	return homes[0], true
+}
+
+// askHome asks a meter's home for a lease, this daemon included.
+func (l *limits) askHome(ctx context.Context, home membership.Member, a quota.Ask) (quota.Lease, error) {
+	if home.ID == l.d.settings.ID {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.home.Grant(time.Now(), a), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	return peer.Call[peer.AskLease, quota.Lease](ctx, l.d.links, home.PeerAddress, "lease", peer.AskLease{Ask: a})
 }
 
 func (l *limits) register(s *peer.Server) {
@@ -58,7 +86,7 @@
 			l.mu.Lock()
 			s := l.shares[meter]
 			l.mu.Unlock()
-			l.fetch(ctx, s, meter, 0, limit)
+			_, _ = l.fetch(ctx, s, meter, 0, limit) // tried again at the next turn
 		}
 	})
 }
@@ -130,15 +158,38 @@
 		return nil
 	}
 	retry := time.Duration(0)
-	if !l.denied(s) {
-		retry = l.fetch(ctx, s, meter, n, limit)
+	for tries := homeTries; tries > 0 && !l.denied(s); tries-- {
+		var answered bool
+		retry, answered = l.fetch(ctx, s, meter, n, limit)
 		if _, ok := l.try(meter, n); ok {
 			return nil
 		}
+		if answered || l.leased(s) {
+			break
+		}
+		loop.Pause(ctx, homeRetry)
 	}
 	return fault.New(fault.RateLimited, "the limit of %d a minute for %s is used up", limit, meter).After(max(retry, time.Second))
 }
 
+const (
+	// homeTries is how often a daemon that was never told anything of a meter asks its
+	// home, and homeRetry the pause between. It has no window of its own to go on by, so
+	// that it would refuse what the limit has room for: a daemon that had just started
+	// refused the requests of a workspace while the home of its limit was restarted too.
+	// Other daemons hear within a second that a home has left or is back, and a caller
+	// that is refused comes back after a second at the earliest.
+	homeTries = 4
+	homeRetry = 100 * time.Millisecond
+)
+
+// leased reports whether a home has ever told this daemon of the meter.
+func (l *limits) leased(s *share) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return s.Epoch() != 0
+}
+
 func (l *limits) try(meter string, n int64) (*share, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -156,32 +207,24 @@
 	return s.Denied(time.Now())
 }
 
-// fetch asks the meter's home for a lease.
-func (l *limits) fetch(ctx context.Context, s *share, meter string, need, limit int64) time.Duration {
-	homes := l.d.members.homes(meter, 1)
-	now := time.Now()
-	if len(homes) == 0 {
-		return 0
+// fetch asks the meter's home for a lease, and reports whether one answered.
+func (l *limits) fetch(ctx context.Context, s *share, meter string, need, limit int64) (retry time.Duration, answered bool) {
+	home, any := l.homeOf(meter)
+	if !any {
+		return 0, false
 	}
+	now := time.Now()
 	l.mu.Lock()
-	ask := s.Ask(now, need, limit, homes[0].Incarnation)
-	if homes[0].ID == l.d.settings.ID {
-		lease := l.home.Grant(now, ask)
-		s.Granted(now, lease)
-		l.mu.Unlock()
-		return lease.RetryAfter
-	}
+	ask := s.Ask(now, need, limit, home.Incarnation)
 	l.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, leaseTimeout)
-	defer cancel()
-	lease, err := peer.Call[peer.AskLease, quota.Lease](callCtx, l.d.links, homes[0].PeerAddress, "lease", peer.AskLease{Ask: ask})
+	lease, err := l.ask(ctx, home, ask)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
 		l.d.metrics.limitsHomeless.Inc(1)
 		s.HomeLost(now, ask)
-		return 0
+		return 0, false
 	}
 	s.Granted(now, lease)
-	return lease.RetryAfter
+	return lease.RetryAfter, true
 }
