All servers up to 256 are candidates, and beyond that daemons share shards

Cause: a daemon worked with up to 64 servers that it drew for itself, since sets of them were one word. 63 engines and the 63 of the next version of a roll-out were another half for each of 195 daemons: canary parts, lanes and homes rested on sets that differ.

Change: sets of four words; one order by hash, kept while members stay; shards that daemons agree on beyond 256 servers. Candidates have room of their own, and what a daemon tells of its work no longer copies all of them.

--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -116,11 +116,11 @@
 	}
 	var room [routing.MaxCandidates]routing.Candidate
 	candidates := st.picture.Snapshot(room[:0], time.Now())
-	r.Tried = 0
+	r.Tried = routing.Set{}
 	for i, cand := range candidates {
 		held, reported := st.holds[cand.ID]
 		if slices.Contains(tried, cand.ID) || reported && version != "" && !slices.Contains(held, version) {
-			r.Tried |= 1 << i
+			r.Tried.Add(i)
 		}
 	}
 	r.CachedBlocks = [routing.MaxCandidates]uint8{}
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -1,13 +1,10 @@
 package relay
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/cascade"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
@@ -61,7 +58,8 @@
 	if w.engine != nil {
 		sv.picture.ReadAt(referenceToken)
 	}
-	out := selection{service: sv, candidates: sv.picture.Snapshot(nil, now)}
+	out := selection{service: sv, candidates: sv.picture.Snapshot(s.room[:0], now)}
+	s.room = out.candidates
 	r := &out.request
 	*r = routing.Request{PromptTokens: w.prompt.Tokens, Urgent: w.urgent, PrefillScale: pc.scale(), Budget: w.budget}
 	pipeline := routing.Default()
@@ -74,10 +72,10 @@
 		sv.picture.Prefix.Age(now)
 		sv.picture.Prefix.Fill(r)
 		homes(homeKey(w.model, w.prompt), out.candidates, r)
-		r.Foreign = sv.lanesOf(w.engine).Foreign(w.model, out.candidates)
+		r.Foreign = sv.lanesOf(w.engine).Foreign(w.model, sv.picture.Order())
 	}
 	mark(r, out.candidates, sv, w, w.choice.Prefer)
-	limit(r, out.candidates, w.choice.Part)
+	limit(r, out.candidates, sv.picture.Order(), w.choice.Part)
 	out.decision = pipeline.Pick(r, out.candidates, s.rng)
 	if out.decision.Refusal == routing.NoCandidate {
 		mark(r, out.candidates, sv, w, w.choice.Else)
@@ -116,8 +114,9 @@
 // lane is the number of engines that the model's requests go to.
 func (o *selection) lane() int {
 	n := 0
+	out := o.request.Foreign.With(o.request.Tried)
 	for i := range o.candidates {
-		if o.candidates[i].ID != "" && (o.request.Foreign|o.request.Tried)&(1<<i) == 0 {
+		if o.candidates[i].ID != "" && !out.Has(i) {
 			n++
 		}
 	}
@@ -202,12 +201,12 @@
 
 // mark excludes servers that were tried or whose version may not be used.
 func mark(r *routing.Request, candidates []routing.Candidate, sv *service, w *want, admits func(string) bool) {
-	r.Tried = 0
+	r.Tried = routing.Set{}
 	for i := range candidates {
 		id := candidates[i].ID
 		server, known := sv.servers[id]
 		if !known || slices.Contains(w.tried, id) || !admits(server.Version) || !holds(server, w.model) {
-			r.Tried |= 1 << i
+			r.Tried.Add(i)
 		}
 	}
 }
@@ -216,24 +215,21 @@
 // alone, a bad server could not be told from a bad version.
 const fewestInPart = 3
 
-// limit excludes all but a part of the servers that are left. Which ones is by
-// their ids, so that all daemons use the same.
-func limit(r *routing.Request, candidates []routing.Candidate, part float64) {
+// limit excludes all but a part of the servers that are left, the first in the order that
+// all daemons agree on.
+func limit(r *routing.Request, candidates []routing.Candidate, order []int, part float64) {
 	if part <= 0 || part >= 1 {
 		return
 	}
 	var left []int
-	for i := range candidates {
-		if candidates[i].ID != "" && r.Tried&(1<<i) == 0 && !candidates[i].Suspect {
+	for _, i := range order {
+		if !r.Tried.Has(i) && !candidates[i].Suspect {
 			left = append(left, i)
 		}
 	}
-	slices.SortFunc(left, func(a, b int) int {
-		return cmp.Compare(xxhash.Sum64String(candidates[a].ID), xxhash.Sum64String(candidates[b].ID))
-	})
 	keep := max(fewestInPart, int(math.Ceil(part*float64(len(left)))))
 	for _, i := range left[min(keep, len(left)):] {
-		r.Tried |= 1 << i
+		r.Tried.Add(i)
 	}
 }
 
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +29,9 @@
 	told     bool
 	services map[string]*service
 	rng      *rand.Rand
+	// room holds the candidates of one choice: they are 20 KB at 126 servers, and made
+	// anew for each choice they were most of what a daemon allocated.
+	room []routing.Candidate
 	daemon   string
 	// daemons is how many daemons share the servers' connections.
 	daemons int
@@ -215,7 +217,7 @@
 			members = append(members, routing.Member{ID: b.ID, Address: b.Address, FailureDomain: b.FailureDomain, Slots: b.Slots})
 		}
 	}
-	sv.members = routing.Subset(s.daemon, members, routing.MaxCandidates)
+	sv.members = routing.Shard(s.daemon, members)
 	sv.picture.Update(sv.members)
 	sv.ids = make(map[ServerKey]string, len(sv.members))
 	for _, m := range sv.members {
@@ -300,11 +302,9 @@
 	defer s.mu.Unlock()
 	var out []Work
 	for _, sv := range s.services {
-		for _, c := range sv.picture.Snapshot(nil, time.Time{}) {
-			if c.InFlight > 0 {
-				out = append(out, Work{Server: KeyOf(c.ID), Running: c.InFlight, Pending: int(c.PendingPrefill)})
-			}
-		}
+		sv.picture.EachBusy(func(c *routing.Candidate) {
+			out = append(out, Work{Server: ServerKey(c.Hash), Running: c.InFlight, Pending: int(c.PendingPrefill)})
+		})
 	}
 	return out
 }
@@ -357,25 +357,29 @@
 	return chain
 }
 
-// homes ranks candidates by rendezvous hashing.
+// homes ranks the first candidates by rendezvous hashing.
 func homes(key uint64, candidates []routing.Candidate, r *routing.Request) {
-	type ranked struct {
-		weight uint64
-		index  int
-	}
-	order := make([]ranked, len(candidates))
+	var first [routing.FarHome]int
+	var weights [routing.FarHome]uint64
+	found := 0
 	for i := range candidates {
-		h := (xxhash.Sum64String(candidates[i].ID) ^ key) * prime
-		order[i] = ranked{h ^ h>>29, i}
-	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		if a.weight > b.weight {
-			return -1
+		r.Home[i] = routing.FarHome
+		h := (candidates[i].Hash ^ key) * prime
+		weight := h ^ h>>29
+		place := found
+		for place > 0 && weights[place-1] < weight {
+			place--
 		}
-		return 1
-	})
-	for place, o := range order {
-		r.Home[o.index] = uint8(min(place, routing.FarHome))
+		if place == routing.FarHome {
+			continue
+		}
+		copy(first[place+1:], first[place:])
+		copy(weights[place+1:], weights[place:])
+		first[place], weights[place] = i, weight
+		found = min(found+1, routing.FarHome)
+	}
+	for place, i := range first[:found] {
+		r.Home[i] = uint8(place)
 	}
 }
 
@@ -392,11 +396,11 @@
 	defer s.mu.Unlock()
 	sv := s.serviceOf(name)
 	n := 0
-	for _, c := range sv.picture.Snapshot(nil, time.Time{}) {
+	sv.picture.EachBusy(func(c *routing.Candidate) {
 		if b, known := sv.servers[c.ID]; known && b.Version != version {
 			n += c.InFlight
 		}
-	}
+	})
 	return n
 }
 
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkDecision snapshots, scores and picks for a prompt of 8 KiB, at
 // several sizes of the subset a daemon works with.
 func BenchmarkDecision(b *testing.B) {
-	for _, size := range []int{8, 24, 64} {
+	for _, size := range []int{8, 24, 64, 160} {
 		b.Run(fmt.Sprint(size, "-of-1600"), func(b *testing.B) {
 			members := make([]Member, 1600)
 			for i := range members {
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -24,4 +24,4 @@
 func (Untried) Name() string { return "untried" }
 
 // Keep implements Filter.
-func (Untried) Keep(r *Request, _ *Candidate, index int) bool { return r.Tried&(1<<index) == 0 }
+func (Untried) Keep(r *Request, _ *Candidate, index int) bool { return !r.Tried.Has(index) }
--- a/internal/routing/lanes.go
+++ b/internal/routing/lanes.go
@@ -1,12 +1,9 @@
 package routing
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Lanes divides the engines of a service between its models. An engine that runs
@@ -71,20 +68,17 @@
 // Foreign marks the candidates that are not in a model's lane. Daemons see like
 // traffic, so they divide alike without a word; where they differ by an engine,
 // it serves both.
-func (l *Lanes) Foreign(model string, candidates []Candidate) uint64 {
-	l.adapt(len(candidates))
-	if len(l.share) < 2 || l.share[model] == 0 {
-		return 0
-	}
-	order := laneOrder(candidates)
-	if len(order) < len(l.share) {
-		return 0
+//
+// Order lists the candidates that there are by their hashes: see Picture.Order.
+func (l *Lanes) Foreign(model string, order []int) (foreign Set) {
+	l.adapt(len(order))
+	if len(l.share) < 2 || l.share[model] == 0 || len(order) < len(l.share) {
+		return foreign
 	}
 	from, to := l.span(model, len(order))
-	var foreign uint64
 	for place, index := range order {
 		if place < from || place >= to {
-			foreign |= 1 << index
+			foreign.Add(index)
 		}
 	}
 	return foreign
@@ -101,21 +95,6 @@
 	}
 }
 
-// laneOrder returns the indices of live candidates in an order that all daemons
-// agree on.
-func laneOrder(candidates []Candidate) []int {
-	var order []int
-	for i := range candidates {
-		if candidates[i].ID != "" {
-			order = append(order, i)
-		}
-	}
-	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Compare(xxhash.Sum64String(candidates[a].ID), xxhash.Sum64String(candidates[b].ID))
-	})
-	return order
-}
-
 // span returns the places of a model's engines among n: at least one each, the
 // rest by share.
 func (l *Lanes) span(model string, n int) (from, to int) {
@@ -152,7 +131,7 @@
 
 // Cost implements Scorer.
 func (l Lane) Cost(r *Request, _ *Candidate, index int) time.Duration {
-	if r.Foreign&(1<<index) != 0 {
+	if r.Foreign.Has(index) {
 		return l.Leaving
 	}
 	return 0
--- a/internal/routing/lanes_test.go
+++ b/internal/routing/lanes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/bits"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -16,19 +15,28 @@
 	return out
 }
 
+// indices are those of n candidates.
+func indices(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
 func TestLanesShareEnginesByWork(t *testing.T) {
 	for _, tt := range []struct {
 		n            int
 		small, large float64
 		wantSmall    int
 	}{
-		{9, 1, 4, 2}, {9, 1, 1, 5}, {9, 1, 50, 1}, {2, 1, 9, 1}, {64, 1, 3, 16},
+		{9, 1, 4, 2}, {9, 1, 1, 5}, {9, 1, 50, 1}, {2, 1, 9, 1}, {64, 1, 3, 16}, {126, 1, 3, 32},
 	} {
 		l := NewLanes(map[string]float64{"small": tt.small, "large": tt.large})
-		c := engines(tt.n)
-		small := tt.n - bits.OnesCount64(l.Foreign("small", c))
-		large := tt.n - bits.OnesCount64(l.Foreign("large", c))
-		if small+large != tt.n || l.Foreign("small", c)&l.Foreign("large", c) != 0 {
+		c := indices(tt.n)
+		notSmall, notLarge := l.Foreign("small", c), l.Foreign("large", c)
+		small, large := tt.n-notSmall.Len(), tt.n-notLarge.Len()
+		if both := notSmall.And(notLarge); small+large != tt.n || !both.Empty() {
 			t.Errorf("%d engines: %d and %d do not divide them", tt.n, small, large)
 		}
 		if small < tt.wantSmall-1 || small > tt.wantSmall+1 {
@@ -38,13 +46,13 @@
 }
 
 func TestLanesOfOneModelOrTooFewEngines(t *testing.T) {
-	if f := NewLanes(map[string]float64{"m": 1}).Foreign("m", engines(5)); f != 0 {
+	if f := NewLanes(map[string]float64{"m": 1}).Foreign("m", indices(5)); !f.Empty() {
 		t.Errorf("one model: %b", f)
 	}
-	if f := NewLanes(map[string]float64{"a": 1, "b": 1}).Foreign("a", engines(1)); f != 0 {
+	if f := NewLanes(map[string]float64{"a": 1, "b": 1}).Foreign("a", indices(1)); !f.Empty() {
 		t.Errorf("one engine: %b", f)
 	}
-	if f := NewLanes(map[string]float64{"a": 1, "b": 1}).Foreign("c", engines(5)); f != 0 {
+	if f := NewLanes(map[string]float64{"a": 1, "b": 1}).Foreign("c", indices(5)); !f.Empty() {
 		t.Errorf("an unknown model: %b", f)
 	}
 }
@@ -57,7 +65,8 @@
 		l.Work("small", 100*time.Millisecond, now)
 		l.Work("large", 100*time.Millisecond, now)
 	}
-	if n := 10 - bits.OnesCount64(l.Foreign("small", engines(10))); n < 4 || n > 6 {
+	foreign := l.Foreign("small", indices(10))
+	if n := 10 - foreign.Len(); n < 4 || n > 6 {
 		t.Errorf("the small model has %d of 10 engines at half of the work", n)
 	}
 }
@@ -66,7 +75,7 @@
 func TestBusyLaneSpillsOver(t *testing.T) {
 	c := engines(2)
 	c[0].PendingPrefill = 2_000_000 // 2 s to read
-	r := &Request{PromptTokens: 1000, Foreign: 1 << 1}
+	r := &Request{PromptTokens: 1000, Foreign: SetOf(1)}
 	if d := Engines().Pick(r, c, rand.New(rand.NewPCG(1, 2))); d.Index != 1 {
 		t.Errorf("chose %d", d.Index)
 	}
@@ -106,7 +115,7 @@
 // Cause: what it costs others to leave the lane counted as time to the first token.
 func TestPreferencesAreNoTime(t *testing.T) {
 	c := []Candidate{{ID: "a", Slots: 8, PrefillPerToken: time.Millisecond, PendingPrefill: 5000}, {ID: "b", Slots: 8, PrefillPerToken: time.Millisecond}}
-	r := &Request{PromptTokens: 10, Foreign: 1 << 1}
+	r := &Request{PromptTokens: 10, Foreign: SetOf(1)}
 	if d := Engines().Pick(r, c, rand.New(rand.NewPCG(1, 2))); d.Index != 1 || d.Expected > 50*time.Millisecond {
 		t.Errorf("got %+v", d)
 	}
@@ -114,7 +123,7 @@
 
 func TestServerThatIsTooLateGivesWay(t *testing.T) {
 	c := []Candidate{{ID: "a", Slots: 8, PrefillPerToken: time.Millisecond, PendingPrefill: 300}, {ID: "b", Slots: 8, PrefillPerToken: time.Millisecond}}
-	r := &Request{PromptTokens: 10, Foreign: 1 << 1, Budget: 200 * time.Millisecond}
+	r := &Request{PromptTokens: 10, Foreign: SetOf(1), Budget: 200 * time.Millisecond}
 	if d := Engines().Pick(r, c, rand.New(rand.NewPCG(1, 2))); d.Index != 1 {
 		t.Errorf("got %+v: the preferred server begins after the deadline", d)
 	}
--- a/internal/routing/picture.go
+++ b/internal/routing/picture.go
@@ -1,16 +1,14 @@
 package routing
 
 import (
+	"cmp"
 	"math"
-	"math/bits"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-func trailingZeros(v uint64) int { return bits.TrailingZeros64(v) }
-
 const (
 	// initialServiceTime is assumed before the first completion.
 	initialServiceTime = 500 * time.Millisecond
@@ -66,6 +64,8 @@
 	Exact bool
 	// own is this daemon's work on all servers.
 	own int
+	// order lists the slots in use by the hashes of their servers.
+	order []int
 }
 
 // surge is how much more work this daemon has than it had when the reports were made
@@ -106,40 +106,6 @@
 	return &Picture{index: map[string]int{}, Prefix: NewPrefixIndex()}
 }
 
-// Subset chooses up to MaxCandidates of members for one daemon by rendezvous
-// hashing, so that a changed member moves few others and daemons differ.
-func Subset(daemon string, members []Member, size int) []Member {
-	size = min(size, MaxCandidates)
-	if len(members) <= size {
-		return members
-	}
-	type ranked struct {
-		weight uint64
-		m      Member
-	}
-	all := make([]ranked, len(members))
-	for i, m := range members {
-		all[i] = ranked{xxhash.Sum64String(daemon + "\x00" + m.ID), m}
-	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		if a.weight != b.weight {
-			if a.weight > b.weight {
-				return -1
-			}
-			return 1
-		}
-		if a.m.ID < b.m.ID {
-			return -1
-		}
-		return 1
-	})
-	out := make([]Member, size)
-	for i := range size {
-		out[i] = all[i].m
-	}
-	return out
-}
-
 // Update sets the members. A server keeps its slot and its averages as long as
 // it stays; one replaced at the same id but another address starts anew.
 func (p *Picture) Update(members []Member) {
@@ -160,8 +126,25 @@
 			p.add(m)
 		}
 	}
+	p.sort()
+}
+
+// sort puts the servers into the order that all daemons agree on. Members change seldom; a
+// choice that sorted them would take most of its time for that.
+func (p *Picture) sort() {
+	p.order = p.order[:0]
+	for i := range p.servers {
+		if p.servers[i].used {
+			p.order = append(p.order, i)
+		}
+	}
+	slices.SortFunc(p.order, func(a, b int) int { return cmp.Compare(p.servers[a].Hash, p.servers[b].Hash) })
 }
 
+// Order lists the candidates of a snapshot that there are by the hashes of their ids, which
+// have nothing to do with where they are, in an order that all daemons agree on.
+func (p *Picture) Order() []int { return p.order }
+
 func slotsOf(m Member) int {
 	if m.Slots > 0 {
 		return m.Slots
@@ -181,7 +164,7 @@
 
 func (p *Picture) add(m Member) {
 	fresh := state{used: true, Candidate: Candidate{
-		ID: m.ID, Address: m.Address, FailureDomain: m.FailureDomain, Slots: slotsOf(m),
+		ID: m.ID, Address: m.Address, FailureDomain: m.FailureDomain, Hash: xxhash.Sum64String(m.ID), Slots: slotsOf(m),
 		ServiceTime: initialServiceTime, PrefillPerToken: initialPrefill,
 	}}
 	for i := range p.servers {
@@ -223,6 +206,15 @@
 	return dst
 }
 
+// EachBusy calls f for each server on which this daemon has unfinished work.
+func (p *Picture) EachBusy(f func(c *Candidate)) {
+	for i := range p.servers {
+		if p.servers[i].InFlight > 0 {
+			f(&p.servers[i].Candidate)
+		}
+	}
+}
+
 // addSurge adds the work that a surge brought the others, alike to all servers:
 // scaling each server's estimate would scale its noise too, and send the daemons
 // after the servers that look best by chance.
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -39,7 +39,7 @@
 // events, which come late and with gaps. Two generations bound the memory: the
 // older one is forgotten when the newer one is full.
 type PrefixIndex struct {
-	young, old map[uint64]uint64
+	young, old map[uint64]Set
 	capacity   int
 	since      time.Time
 }
@@ -57,20 +57,22 @@
 	}
 }
 
-func (p *PrefixIndex) turn() { p.old, p.young = p.young, make(map[uint64]uint64, len(p.young)) }
+func (p *PrefixIndex) turn() { p.old, p.young = p.young, make(map[uint64]Set, len(p.young)) }
 
 // SetCapacity bounds the remembered blocks.
 func (p *PrefixIndex) SetCapacity(blocks int) { p.capacity = blocks / 2 }
 
 // NewPrefixIndex returns an empty index.
 func NewPrefixIndex() *PrefixIndex {
-	return &PrefixIndex{young: map[uint64]uint64{}, old: map[uint64]uint64{}, capacity: prefixCapacity / 2}
+	return &PrefixIndex{young: map[uint64]Set{}, old: map[uint64]Set{}, capacity: prefixCapacity / 2}
 }
 
 // Sent records that a server (by candidate slot) got a prompt.
 func (p *PrefixIndex) Sent(slot int, blocks []uint64) {
 	for _, b := range blocks {
-		p.young[b] |= p.old[b] | 1<<slot
+		held := p.young[b].With(p.old[b])
+		held.Add(slot)
+		p.young[b] = held
 	}
 	if len(p.young) >= p.capacity {
 		p.turn()
@@ -79,23 +81,28 @@
 
 // Forget drops all knowledge of a slot, for a server that was replaced.
 func (p *PrefixIndex) Forget(slot int) {
-	for _, m := range []map[uint64]uint64{p.young, p.old} {
-		for b := range m {
-			m[b] &^= 1 << slot
+	for _, m := range []map[uint64]Set{p.young, p.old} {
+		for b, held := range m {
+			if held.Has(slot) {
+				held.Remove(slot)
+				m[b] = held
+			}
 		}
 	}
 }
 
 // Fill sets CachedBlocks of r for every slot.
 func (p *PrefixIndex) Fill(r *Request) {
-	alive := ^uint64(0)
+	var alive Set
 	for i, b := range r.Blocks {
-		alive &= p.young[b] | p.old[b]
-		if alive == 0 {
-			return
+		held := p.young[b].With(p.old[b])
+		if i > 0 {
+			held = held.And(alive)
 		}
-		for rest := alive; rest != 0; rest &= rest - 1 {
-			r.CachedBlocks[trailingZeros(rest)] = uint8(i + 1)
+		alive = held
+		if alive.Empty() {
+			return
 		}
+		alive.Each(func(slot int) { r.CachedBlocks[slot] = uint8(i + 1) })
 	}
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -50,7 +50,7 @@
 		}, 3},
 		{"a leaving server gets nothing", func(c []Candidate, _ *Request) { c[0].Leaving, c[1].Leaving, c[2].Leaving = true, true, true }, 3},
 		{"nor does a suspect one", func(c []Candidate, _ *Request) { c[0].Suspect, c[1].Suspect, c[2].Suspect = true, true, true }, 3},
-		{"nor one that was tried", func(_ []Candidate, r *Request) { r.Tried = 0b1011 }, 2},
+		{"nor one that was tried", func(_ []Candidate, r *Request) { r.Tried = SetOf(0, 1, 3) }, 2},
 		{"own delays show before reports do", func(c []Candidate, _ *Request) {
 			c[0].Wait, c[1].Wait, c[3].Wait = time.Second, time.Second, time.Second
 		}, 2},
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -8,16 +8,18 @@
 
 import "time"
 
-// MaxCandidates bounds the servers of one snapshot, because prefix knowledge is
-// a bit per server in a uint64. A daemon that knows more servers of a pool
-// works on a subset.
-const MaxCandidates = 64
+// MaxCandidates bounds the servers of one snapshot: prefix knowledge is a bit per server,
+// and a choice looks at each. During a roll-out a service has twice its servers. Of more, a
+// daemon works on a part: see Shard.
+const MaxCandidates = 256
 
 // Candidate is what is known of one backend server at one moment.
 type Candidate struct {
 	ID            string
 	Address       string
 	FailureDomain string
+	// Hash places the server in orders that all daemons agree on.
+	Hash uint64
 	// Slots is how many requests the server runs at once.
 	Slots int
 	// InFlight is the work this daemon has there, and Urgent the part of it that
@@ -69,9 +71,9 @@
 	// SharedTokens is the length of the beginning that other prompts share.
 	SharedTokens int
 	// Foreign marks, by candidate index, the engines in another model's lane.
-	Foreign uint64
+	Foreign Set
 	// Tried marks, by candidate index, the servers of earlier attempts.
-	Tried uint64
+	Tried Set
 	// Budget is the time left to the first token; zero is unbounded.
 	Budget time.Duration
 	// Urgent requests go before others in a server's queue.
--- a/lab/sim/router.go
+++ b/lab/sim/router.go
@@ -195,7 +195,7 @@
 	o.room = o.picture.Snapshot(o.room[:0], o.cluster.Clock.Now())
 	q := o.request(r)
 	for _, t := range tried {
-		q.Tried |= 1 << t
+		q.Tried.Add(t)
 	}
 	o.picture.Prefix.Fill(&q)
 	return o.pipe.Pick(&q, o.room, o.rng).Index
