--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -31,8 +31,8 @@
 	rng      *rand.Rand
 	// room holds the candidates of one choice: they are 20 KB at 126 servers, and made
 	// anew for each choice they were most of what a daemon allocated.
-	room []routing.Candidate
-	daemon   string
+	room   []routing.Candidate
+	daemon string
 	// daemons is how many daemons share the servers' connections.
 	daemons int
 	// others is the work of the other daemons.
