A fleet's calls of the store grow by its changes, not by its daemons

Cause, by a counter of calls by kind and topic in virtual time: 195 daemons that start together made 1,740 calls in a second and 3,058 in half a minute. Four topics read by each; four reads that wait, since one that has heard nobody takes itself for the first; an entry of each, which ends the reads of all; looks of everybody, since daemons called each other in the same order, so that word of a look reached eight of them and went no further; own looks every 20 s.

Change: the order of calls is each daemon's own; a daemon that starts leaves waiting and entries to others until it has heard some, and is told some addresses with each pulse; 16 contacts have entries, and read them; own looks are 3.3 a second for all, whatever their number, and the number of readers falls from all to four without a jump at eight daemons.

TestFleetThatStartsTogetherMakesFewCalls fails on the code before. All are ready within 0.5 s, as before.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -51,6 +51,9 @@
 	// Reader reports whether this follower always reads the log, for others too. Nil
 	// is yes.
 	Reader func() bool
+	// Wanted reports whether the topic is to be read at all; it is asked now and then until
+	// it says yes. Nil is yes.
+	Wanted func() bool
 	// Grown is told when records were applied.
 	Grown func()
 	// After is another follower of the same log. While it gets no answer, this
@@ -142,6 +145,9 @@
 
 // Run follows the topic until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	for f.Wanted != nil && !f.Wanted() && ctx.Err() == nil {
+		loop.Pause(ctx, wantedStep)
+	}
 	for ctx.Err() == nil {
 		f.fromPeers(ctx)
 		before := f.next.Load()
@@ -163,6 +169,9 @@
 	}
 }
 
+// wantedStep is how often it is asked whether the topic is to be read.
+const wantedStep = 250 * time.Millisecond
+
 // await waits while the follower that this one goes after gets no answer.
 func (f *Follower) await(ctx context.Context) {
 	if f.After != nil && f.After.away.Load() {
--- a/internal/feed/look.go
+++ b/internal/feed/look.go
@@ -30,6 +30,20 @@
 	return nil
 }
 
+// Renew gives up a read that waits, since it may have been sent into an outage that is over
+// now: the log never answers such a read. Where a few read for all, the others then take
+// what these have, and act on the first word of a change instead of waiting in vain for
+// their own reads to tell it.
+func (f *Follower) Renew() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reading == nil || f.reading.answering {
+		return
+	}
+	f.Logger.Info("reading anew after an outage", "topic", f.Topic, "next", f.next.Load(), "waited_ms", time.Since(f.reading.began).Milliseconds())
+	f.reading.giveUp(errBehind)
+}
+
 // overtaken gives up a read that began before a look and was not told, within the grace
 // after it, what the look has shown.
 func (f *Follower) overtaken(look time.Time, end uint64) {
--- a/internal/feedtest/store.go
+++ b/internal/feedtest/store.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -44,12 +45,24 @@
 	changed chan struct{}
 	mode    Mode
 	calls   int
+	// by counts the calls by what was asked for and the topic.
+	by map[Call]int
 }
 
+// Call is a kind of call.
+type Call struct{ Kind, Topic string }
+
+// The kinds of calls.
+const (
+	Newest, Read, End, Append = "newest", "read", "end", "append"
+)
+
 type topic struct{ records []feed.Record }
 
 // New returns an empty store that serves.
-func New() *Store { return &Store{topics: map[string]*topic{}, changed: make(chan struct{})} }
+func New() *Store {
+	return &Store{topics: map[string]*topic{}, changed: make(chan struct{}), by: map[Call]int{}}
+}
 
 // Set changes how all callers are treated.
 func (s *Store) Set(m Mode) {
@@ -73,6 +86,13 @@
 	s.wake()
 }
 
+// CallsBy returns how many calls were made, by kind.
+func (s *Store) CallsBy() map[Call]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.by)
+}
+
 // Calls returns how many calls were made.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -166,12 +186,13 @@
 }
 
 // enter takes one call to the store.
-func (c *Caller) enter(ctx context.Context) error {
+func (c *Caller) enter(ctx context.Context, kind, topic string) error {
 	if err := half(ctx); err != nil {
 		return err
 	}
 	c.store.mu.Lock()
 	c.store.calls++
+	c.store.by[Call{kind, topic}]++
 	mode := c.effective()
 	c.store.mu.Unlock()
 	switch mode {
@@ -188,7 +209,7 @@
 
 // Newest implements feed.Log.
 func (c *Caller) Newest(ctx context.Context, name string, heard func()) ([]feed.Record, uint64, error) {
-	if err := c.enter(ctx); err != nil {
+	if err := c.enter(ctx, Newest, name); err != nil {
 		return nil, 0, err
 	}
 	c.store.mu.Lock()
@@ -210,7 +231,7 @@
 
 // Read implements feed.Log.
 func (c *Caller) Read(ctx context.Context, name string, from uint64, wait time.Duration, heard func()) ([]feed.Record, uint64, error) {
-	if err := c.enter(ctx); err != nil {
+	if err := c.enter(ctx, Read, name); err != nil {
 		return nil, 0, err
 	}
 	var over <-chan time.Time // a timer that is due at once crashes: see loop.Pause
@@ -251,7 +272,7 @@
 
 // End implements feed.Log.
 func (c *Caller) End(ctx context.Context, name string) (uint64, error) {
-	if err := c.enter(ctx); err != nil {
+	if err := c.enter(ctx, End, name); err != nil {
 		return 0, err
 	}
 	c.store.mu.Lock()
@@ -262,7 +283,7 @@
 
 // Append implements feed.Log.
 func (c *Caller) Append(ctx context.Context, name, key string, value []byte, at *uint64) error {
-	if err := c.enter(ctx); err != nil {
+	if err := c.enter(ctx, Append, name); err != nil {
 		return err
 	}
 	if err := c.append(name, key, value, at); err != nil {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -87,6 +87,11 @@
 	justHeard = 200 * time.Millisecond
 	// knownEvery is how often the addresses of other daemons are told.
 	knownEvery = 2 * time.Second
+	// introduceFor is how long a daemon that was not known before is told some others
+	// with each pulse, introduced how many: a daemon that starts reaches three at first,
+	// and knows its place only when it has heard many. 32 addresses are 0.6 KB.
+	introduceFor = 2 * time.Second
+	introduced   = 32
 	// callLimit bounds one call. Round trips are some milliseconds.
 	callLimit = 700 * time.Millisecond
 	// silentAfter is the silence after which a daemon of a small deployment is
@@ -112,6 +117,9 @@
 	heard   time.Time
 	added   time.Time
 	tried   time.Time
+	// order is the place among those that this daemon calls in turn. It is another for
+	// each daemon: in an order that all share, all call the same few at the same time.
+	order   uint64
 	calling bool
 }
 
@@ -163,7 +171,7 @@
 // Answer takes a pulse of a daemon that calls, and returns this daemon's.
 func (m *Members) Answer(p Pulse) Pulse {
 	m.Take(p.Address, p)
-	return m.tellTo(p.Incarnation, p.Stamp)
+	return m.tellTo(p.Address, p.Incarnation, p.Stamp)
 }
 
 // Learn adds addresses at which daemons may be.
@@ -174,31 +182,44 @@
 		if a == "" || a == m.where || m.all[a] != nil {
 			continue
 		}
-		m.all[a] = &member{address: a, added: time.Now()}
+		m.all[a] = &member{address: a, added: time.Now(), order: xxhash.Sum64String(m.where + "\x00" + a)}
 	}
 }
 
-func (m *Members) tell() Pulse {
+// tell makes a pulse for the daemon at an address.
+func (m *Members) tell(to string) Pulse {
 	p := m.self()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	if now.Sub(m.knownTold) < knownEvery {
-		return p
-	}
-	m.knownTold = now
 	m.expire(now)
+	switch o := m.all[to]; {
+	case now.Sub(m.knownTold) >= knownEvery:
+		m.knownTold = now
+		p.Known = m.some(len(m.all))
+	case o != nil && now.Sub(o.added) < introduceFor:
+		p.Known = m.some(introduced)
+	}
+	return p
+}
+
+// some returns the addresses of up to n of the daemons heard lately. Callers hold mu.
+func (m *Members) some(n int) []string {
+	out := make([]string, 0, min(n, len(m.all)))
 	for a := range m.all {
+		if len(out) == n {
+			break
+		}
 		if m.roster.Has(a) {
-			p.Known = append(p.Known, a)
+			out = append(out, a)
 		}
 	}
-	return p
+	return out
 }
 
-// tellTo makes a pulse for a daemon's run whose newest stamp is known.
-func (m *Members) tellTo(incarnation string, stamp int64) Pulse {
-	p := m.tell()
+// tellTo makes a pulse for the daemon at an address, whose run's newest stamp is known.
+func (m *Members) tellTo(address, incarnation string, stamp int64) Pulse {
+	p := m.tell(address)
 	p.Stamp = m.Boot().Milliseconds()
 	if incarnation != "" {
 		p.Echo, p.EchoTo = stamp, xxhash.Sum64String(incarnation)
@@ -387,7 +408,7 @@
 			delete(m.left, who)
 		}
 	}
-	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.address, b.address) })
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.order, b.order) })
 	if len(list) > fanOut {
 		m.turn = (m.turn + fanOut) % len(list)
 		list = slices.Concat(list[m.turn:], list[:m.turn])[:fanOut]
@@ -405,7 +426,7 @@
 	m.mu.Lock()
 	last := o.pulse
 	m.mu.Unlock()
-	p, err := m.peers.Pulse(ctx, o.address, m.tellTo(last.Incarnation, last.Stamp))
+	p, err := m.peers.Pulse(ctx, o.address, m.tellTo(o.address, last.Incarnation, last.Stamp))
 	m.mu.Lock()
 	o.calling = false
 	m.expire(time.Now())
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -105,11 +105,11 @@
 		t.Errorf("a pulse without an echo is as old as %s", got)
 	}
 	other := New("a", "a:1", "a/1", func() Pulse { return Pulse{} }, Links{peer.NewLinks("a", "", nil)}, func() time.Duration { return time.Hour }, log.New(io.Discard))
-	p := other.tellTo("self/1", 5000)
+	p := other.tellTo("self:1", "self/1", 5000)
 	if got := m.after(p); got != 5*time.Second {
 		t.Errorf("made after %s, want 5s", got)
 	}
-	if got := m.after(other.tellTo("self/0", 5000)); got != 0 {
+	if got := m.after(other.tellTo("self:1", "self/0", 5000)); got != 0 {
 		t.Error("the clock of an earlier run, perhaps on another VM, was trusted")
 	}
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -28,6 +28,8 @@
 	bound time.Duration
 	// changes are made to each daemon before it runs.
 	changes []func(n *Node)
+	// seeds are what each daemon is told of others.
+	seeds []string
 }
 
 // isolate has what a daemon asks, and what it is asked and told, stand still, and go on.
@@ -72,7 +74,13 @@
 // are made to each daemon before it runs.
 func newFleet(t *testing.T, daemons int, changes ...func(n *Node)) *fleet {
 	t.Helper()
-	f := &fleet{t: t, changes: changes, store: feedtest.New(), nodes: map[string]*member{}, bound: bound(daemons)}
+	return newFleetWith(t, daemons, []string{address(0), address(1), address(2)}, changes...)
+}
+
+// newFleetWith is newFleet with other seeds.
+func newFleetWith(t *testing.T, daemons int, seeds []string, changes ...func(n *Node)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, changes: changes, store: feedtest.New(), nodes: map[string]*member{}, bound: bound(daemons), seeds: seeds}
 	f.store.Put("op", "config", []byte("5"))
 	f.store.Put("servers", "a", []byte("ready"))
 	f.store.Put("servers", "b", []byte("ready"))
@@ -98,7 +106,7 @@
 	ctx, stop := context.WithCancel(f.t.Context())
 	m := &member{caller: f.store.Caller(), stop: stop}
 	c := Config{
-		Name: fmt.Sprintf("d%03d", i), Control: address(i), Front: fmt.Sprintf("f%03d", i), Seeds: []string{address(0), address(1), address(2)},
+		Name: fmt.Sprintf("d%03d", i), Control: address(i), Front: fmt.Sprintf("f%03d", i), Seeds: f.seeds,
 		InForce: f.bound, Leave: f.bound,
 	}
 	m.Node = New(ctx, c, Ports{
@@ -191,16 +199,19 @@
 	return found
 }
 
-// using counts the daemons that may send to a server.
-func (f *fleet) using(id string) (n int) {
+// count counts the daemons of which something is so.
+func (f *fleet) count(so func(m *member) bool) (n int) {
 	f.each(func(m *member) {
-		if m.uses(id) {
+		if so(m) {
 			n++
 		}
 	})
 	return n
 }
 
+// using counts the daemons that may send to a server.
+func (f *fleet) using(id string) int { return f.count(func(m *member) bool { return m.uses(id) }) }
+
 // look is how often a test looks whether something has come about.
 const look = 5 * time.Millisecond
 
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -14,11 +14,17 @@
 	// at the store is due. The word of others makes it due later, never sooner.
 	longestIdle  = 200 * time.Millisecond
 	shortestIdle = 20 * time.Millisecond
-	// ownSmall and ownLarge are how often a daemon looks at the store itself, and
-	// ownGrace how much later callers are sent elsewhere if it gets no answer.
-	ownSmall = 1800 * time.Millisecond
-	ownLarge = 20 * time.Second
+	// ownLeast is how often a daemon looks at the store itself at the least, ownEach how
+	// much rarer each daemon of the deployment makes that: all together look 3.3 times a
+	// second, whatever their number. ownGrace is how much later callers are sent elsewhere
+	// if it gets no answer.
+	ownLeast = 1800 * time.Millisecond
+	ownEach  = 300 * time.Millisecond
 	ownGrace = 1000 * time.Millisecond
+	// settleFor is how long a daemon that starts leaves the waiting on the store to
+	// others: until it has heard some, it would take itself for the first. 195 that
+	// start together made 640 such reads of the four topics, and some forty with it.
+	settleFor = time.Second
 	// ownReadPart is the age from which a daemon waits on the store itself, as a part
 	// of the time within which a configuration must be in force.
 	ownReadPart = 0.9
@@ -46,36 +52,49 @@
 	}
 }
 
-// The number of daemons that wait on the store for all others. A small deployment
-// has no others: a third of the daemons may be cut off from the store at once, and
-// with two readers both were, so that servers that left got requests for three
-// seconds more. In a large one, few readers are hardly ever cut off together, and
-// each change of an entry wakes every reader.
+// The number of daemons that wait on the store for all others: all of up to six, one less
+// for each two more, and four from ten daemons on. A third of the daemons may be cut off
+// from the store at once, and of six with two readers both were, so that servers that left
+// got requests for three seconds more. In a large deployment few readers are hardly ever
+// cut off together, and each change of an entry wakes every reader.
 const (
-	smallDeployment = 8
-	fewReaders      = 4
+	mostReaders  = 9
+	perReader    = 2
+	fewestReader = 4
 )
 
-// readers returns how many daemons wait on the store.
-func (n *Node) readers() int {
-	if n.members.Len() < smallDeployment {
-		return smallDeployment
-	}
-	return fewReaders
+// readersOf returns how many of some daemons wait on the store.
+func readersOf(daemons int) int { return max(fewestReader, mostReaders-daemons/perReader) }
+
+// ownEveryOf returns how often each of some daemons looks at the store itself.
+func ownEveryOf(daemons int) time.Duration {
+	return max(ownLeast, time.Duration(daemons)*ownEach)
 }
 
+// daemons returns how many daemons live, this one included.
+func (n *Node) daemons() int { return n.members.Len() + 1 }
+
+// settled reports whether this daemon runs for long enough to know its place.
+func (n *Node) settled() bool { return n.age() >= settleFor }
+
+// age is how long this daemon has been running.
+func (n *Node) age() time.Duration { return n.ports.Boot() - n.born }
+
 // readsStore reports whether this daemon waits on the store: it is one of the
 // readers, or has not heard of a fresh confirmation for too long.
 func (n *Node) readsStore() bool {
 	age, known := n.state.Age(freshness.Configuration)
-	return n.reader() || !known || age > n.part(ownReadPart)
+	if !known {
+		return n.settled() // until then the reading of configurations itself asks
+	}
+	return n.reader() || age > n.part(ownReadPart)
 }
 
 // part returns a part of the time within which a configuration must be in force.
 func (n *Node) part(p float64) time.Duration { return time.Duration(p * float64(n.config.InForce)) }
 
 // reader reports whether this daemon is one of those that wait on the store for all.
-func (n *Node) reader() bool { return n.rank() < n.readers() }
+func (n *Node) reader() bool { return n.settled() && n.rank() < readersOf(n.daemons()) }
 
 // rank is the daemon's place among those that live, the ready ones first, in an order
 // that has nothing to do with where they are: a failure domain may be lost as a whole.
@@ -148,6 +167,9 @@
 	if about == freshness.Servers {
 		n.noteGap(gap)
 	}
+	if u, looked := n.plan[about]; looked && u.Away(gap) {
+		n.followers[about].Renew()
+	}
 }
 
 // noteGap tells that the store is back if nobody confirmed the entries of servers for
@@ -168,14 +190,9 @@
 // ownAge is how long ago the store itself answered this daemon.
 func (n *Node) ownAge() time.Duration { return n.ports.Boot() - time.Duration(n.ownContact.Load()) }
 
-// ownEvery is how often a daemon looks whether it reaches the store. In a large
+// ownEvery is how often this daemon looks whether it reaches the store. In a large
 // deployment the calls of all would cost more than the few that are cut off.
-func (n *Node) ownEvery() time.Duration {
-	if n.members.Len() < smallDeployment {
-		return ownSmall
-	}
-	return ownLarge
-}
+func (n *Node) ownEvery() time.Duration { return ownEveryOf(n.daemons()) }
 
 // confirmedBy takes another daemon's confirmations with their ages, counted from a
 // moment after which the pulse was made: it may have been on its way for any time.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,14 +122,16 @@
 	// unanswered is the boot clock's reading when the store first did not answer a call
 	// of this daemon, or zero since it has answered one.
 	unanswered atomic.Int64
-	plan       freshness.Plan
+	// born is the boot clock's reading at the start.
+	born time.Duration
+	plan freshness.Plan
 	// lookFrom is when the store may be looked at again; only lookAfter uses it.
 	lookFrom time.Time
 }
 
 // New returns a daemon that is not running yet.
 func New(ctx context.Context, c Config, p Ports) *Node {
-	n := &Node{config: c, ports: p, log: p.Logger, topics: p.Translator.Topics(), plan: upkeep(c.InForce, c.Leave), faults: faults{}}
+	n := &Node{config: c, ports: p, log: p.Logger, topics: p.Translator.Topics(), plan: upkeep(c.InForce, c.Leave), faults: faults{}, born: p.Boot()}
 	n.incarnation = c.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
 	n.state = relay.NewState(c.Name, p.Boot)
 	n.Relay = relay.New(n.state, p.Backend, c.Rules, p.Metrics, p.Logger)
@@ -214,7 +216,7 @@
 	if n.placements.Fresh(p.Incarnation, p.PlacedRound) {
 		n.state.TakePlacements(p.Placed)
 	}
-	n.state.SetDaemons(n.members.Len() + 1)
+	n.state.SetDaemons(n.daemons())
 }
 
 // Fronts lists up to most addresses at which a caller should connect.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -102,7 +102,7 @@
 func TestWordOfOthersKeepsServingButNotReady(t *testing.T) {
 	n, now := testNode(t)
 	n.know()
-	*now += ownSmall + ownGrace
+	*now += ownLeast + ownGrace
 	n.confirmedBy(gossip.Pulse{Ages: []int64{100}}, *now)
 	if !n.state.Fresh(freshness.Configuration, time.Second) {
 		t.Error("the word of another daemon is not taken")
@@ -203,11 +203,11 @@
 
 func TestOwnEntryIsNotWrittenAgain(t *testing.T) {
 	n, _ := testNode(t)
-	n.daemons([]feed.Record{{Key: "d0", Value: []byte("elsewhere")}}, true)
+	n.entries([]feed.Record{{Key: "d0", Value: []byte("elsewhere")}}, true)
 	if n.enrolled.Load() {
 		t.Error("an entry with an old address counts")
 	}
-	n.daemons([]feed.Record{{Key: "d0", Value: []byte("c0")}}, false)
+	n.entries([]feed.Record{{Key: "d0", Value: []byte("c0")}}, false)
 	if !n.enrolled.Load() {
 		t.Error("an entry that is right does not count")
 	}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -40,16 +40,17 @@
 		return f
 	}
 	n.operators = add(freshness.Configuration, n.topics.Operator, storeWait, 0, n.operator)
-	entries := add(freshness.Servers, n.topics.Servers, storeWait, serversGather, n.servers)
+	servers := add(freshness.Servers, n.topics.Servers, storeWait, serversGather, n.servers)
 	n.statuses = add(freshness.Rollouts, n.topics.Status, quietWait, 0, n.status)
-	n.others = add(freshness.Daemons, n.topics.Daemons, quietWait, serversGather, n.daemons)
+	n.others = add(freshness.Daemons, n.topics.Daemons, quietWait, serversGather, n.entries)
 	for _, f := range n.followers[1:] {
 		f.After = n.operators
 	}
-	for _, f := range []*feed.Follower{n.operators, entries} {
+	for _, f := range []*feed.Follower{n.operators, servers} {
 		f.Grown = func() { n.members.Tell(ctx) }
 	}
 	n.statuses.Grown = n.operators.Grown
+	n.others.Wanted = n.contact
 }
 
 // recordsOf fetches records from a daemon that has read further.
@@ -176,8 +177,8 @@
 	}
 }
 
-// daemons takes the entries of other daemons.
-func (n *Node) daemons(records []feed.Record, _ bool) {
+// entries takes the entries of other daemons.
+func (n *Node) entries(records []feed.Record, _ bool) {
 	for _, r := range records {
 		if r.Value == nil {
 			continue
@@ -196,12 +197,34 @@
 
 const (
 	// enrollRetry is the pause between tries to write the daemon's own entry, and
-	// enrollLook how often it is looked at whether the entries are known.
+	// enrollLook how often it is looked at whether that is this daemon's to do.
 	enrollRetry = 500 * time.Millisecond
-	enrollLook  = 50 * time.Millisecond
+	enrollLook  = 250 * time.Millisecond
+	// contacts is how many daemons have an entry in the store. One that starts and
+	// reaches none of its seeds finds the others through any that lives, so that an entry
+	// of each would be two calls of each at every start.
+	contacts = 16
+	// placedAfter is when a daemon that has heard others knows its place among them well
+	// enough: of 195 that start together each has heard 130 by then.
+	placedAfter = 3 * time.Second
 )
 
-// enroll writes where this daemon is, for those that do not know it.
+// contact reports whether others are to find the deployment through this daemon. One that
+// has heard nobody cannot wait for that.
+func (n *Node) contact() bool {
+	after := placedAfter
+	if n.members.Len() == 0 {
+		after = aloneAfter
+	}
+	return n.age() >= after && n.rank() < contacts
+}
+
+// aloneAfter is when a daemon that has reached none of its seeds looks for others in the
+// store: those that start with it answer within some hundred milliseconds.
+const aloneAfter = 500 * time.Millisecond
+
+// enroll writes where this daemon is, for those that know nobody, once it is one of the
+// contacts.
 func (n *Node) enroll(ctx context.Context) {
 	value, err := n.ports.Translator.EncodeDaemon(n.config.Control)
 	if err != nil {
@@ -209,9 +232,9 @@
 		return
 	}
 	for ctx.Err() == nil && !n.enrolled.Load() {
-		if !n.others.Loaded() {
+		if !n.contact() || !n.others.Loaded() {
 			loop.Pause(ctx, enrollLook)
-			continue // the entry of the last run may still be right
+			continue
 		}
 		err := feed.Put(ctx, n.ports.Log, n.topics.Daemons, n.config.Name, value, nil)
 		if err == nil {
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -84,14 +84,14 @@
 		},
 	}
 	for name, hang := range hangs {
-		for _, daemons := range []int{1, 3, 12} {
+		for _, daemons := range []int{1, 3, 12, 60} {
 			t.Run(fmt.Sprint(name, "/", daemons, " daemons"), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					f := newFleet(t, daemons)
 					time.Sleep(5 * time.Second)
 					hang(f)
 					f.store.Put("servers", "a", []byte("leaving"))
-					within(t, leaveBound/2, "the leaving is known everywhere", func() bool { return f.using("a") == 0 })
+					within(t, f.bound/2, "the leaving is known everywhere", func() bool { return f.using("a") == 0 })
 				})
 			})
 		}
--- /dev/null
+++ b/internal/node/start_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/feedtest"
+)
+
+// fleetSizes are the numbers of daemons at which what a deployment costs is measured: the
+// smallest that there is, two that were laid out, and the one that is built towards.
+func fleetSizes() []int {
+	if testing.Short() {
+		return []int{6, 60}
+	}
+	return []int{6, 60, 195, 520}
+}
+
+// Symptom: 195 daemons made 3,000 calls of the store in their first half minute, 15 each
+// before they had served much; at a start of all after a loss of power the same again.
+// Sequence: all daemons start together. Each reads four topics, writes its entry, and, as
+// long as it has heard nobody, waits on the store in four reads, which every entry ends.
+// Cause: a daemon that knows nobody takes itself for the first, which works for all others.
+func TestFleetThatStartsTogetherMakesFewCalls(t *testing.T) {
+	const (
+		// each is the calls of a daemon: three topics read once, and one for daemons that
+		// take themselves for one of the first until they have heard more. all is what is
+		// made for all in half a minute, ten calls a second as in a calm one.
+		each = 4
+		all  = 300
+		// soon is when a daemon must be able to serve.
+		soon = 500 * time.Millisecond
+	)
+	for _, daemons := range fleetSizes() {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, daemons)
+				within(t, soon, "all daemons are ready", func() bool { return f.count(func(m *member) bool { return m.Ready() }) == daemons })
+				time.Sleep(30 * time.Second)
+				t.Logf("%d calls: %v", f.store.Calls(), f.store.CallsBy())
+				if n := f.store.Calls(); n > each*daemons+all {
+					t.Errorf("%d daemons made %d calls, at most %d are planned", daemons, n, each*daemons+all)
+				}
+				f.each(func(m *member) {
+					if m.members.Len() != daemons-1 {
+						t.Errorf("%s has heard %d others", m.config.Name, m.members.Len())
+					}
+				})
+			})
+		})
+	}
+}
+
+// A daemon that reaches none of its seeds finds the others through the store, and others
+// that reach none find it.
+func TestDaemonsFindEachOtherThroughTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetWith(t, 5, nil)
+		within(t, 8*time.Second, "all have heard all", func() bool {
+			return f.count(func(m *member) bool { return m.members.Len() == 4 }) == 5
+		})
+		if n := f.store.CallsBy()[feedtest.Call{Kind: feedtest.Append, Topic: "daemons"}]; n != 5 {
+			t.Errorf("%d entries were written", n)
+		}
+	})
+}
