The evidence of a roll-out is added up once

Cause: each judgement, four times a second, added the cells of one daemon after the other, and copied and sorted the sum for each.

--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -345,13 +345,14 @@
 		if o.phase.Over() {
 			continue
 		}
-		all, running := o.cells(), o.oldRunning
+		parts, running := []rollout.Evidence{o.cells()}, o.oldRunning
 		for who, p := range o.peers {
-			all = all.Merge(p.Cells)
+			parts = append(parts, p.Cells)
 			if alive(who) {
 				running += p.OldRunning
 			}
 		}
+		all := rollout.Sum(parts...)
 		since := time.Since(o.since)
 		if p, why := rollout.DefaultCourse().Next(o.Order, o.phase, since, all, running); p != o.phase {
 			out = append(out, Step{o.Order, p, since, why})
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -65,15 +65,29 @@
 type Evidence []Cell
 
 // Merge adds another daemon's cells.
-func (e Evidence) Merge(o Evidence) Evidence {
-	out := slices.Clone(e)
-	for _, c := range o {
-		i := slices.IndexFunc(out, func(x Cell) bool { return x.Server == c.Server && x.New == c.New })
-		if i < 0 {
+func (e Evidence) Merge(o Evidence) Evidence { return Sum(e, o) }
+
+// Sum adds up the cells of any number of daemons, in the order of servers. Its cost is that
+// of their cells: added one daemon after the other, the sum was copied and sorted for each,
+// which took 4.4 ms for 195 daemons that each saw a sixth of 126 servers, four times a second;
+// it takes 0.3 ms (BenchmarkDue, beside other load).
+func Sum(parts ...Evidence) Evidence {
+	type side struct {
+		server string
+		fresh  bool
+	}
+	at := map[side]int{}
+	var out Evidence
+	for _, part := range parts {
+		for _, c := range part {
+			key := side{c.Server, c.New}
+			if i, known := at[key]; known {
+				out[i].Counts = out[i].Counts.Add(c.Counts)
+				continue
+			}
+			at[key] = len(out)
 			out = append(out, c)
-			continue
 		}
-		out[i].Counts = out[i].Counts.Add(c.Counts)
 	}
 	slices.SortFunc(out, func(a, b Cell) int { return strings.Compare(a.Server, b.Server) })
 	return out
