A daemon that starts finds its place, and the longest unheard is called first

Cause, from the lines of 195 daemons: those that others know of start up to 0.3 s later, the first calls to them are refused, and the next came a second after. By then each daemon took itself for alone: it wrote its entry, read all topics and waited on them (192 of 195). Calls went in turns over a list that others come and go from, so that some were passed over until they were taken as gone: 50 of 195 daemons missed one or two others that lived.

Change: an address that was just learned is called in every round; a daemon knows its place a second after it has heard the first other one; the longest without contact is called first.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -102,8 +102,12 @@
 	silentTurns = 3
 	// forgetAfter drops addresses at which nobody answered for so long.
 	forgetAfter = 60 * time.Second
-	// retryEvery is the pause between calls to an address that does not answer.
+	// retryEvery is the pause between calls to an address that does not answer. One that
+	// was learned within startSpan may be starting, and is called in every round: daemons
+	// start within a second of each other, and a second's pause is a long time for one
+	// that knows nobody yet.
 	retryEvery = time.Second
+	startSpan  = 3 * time.Second
 	// fanOut bounds the daemons called in one round.
 	fanOut = 8
 	// leavingFor is how long the word that a run leaves is kept.
@@ -117,12 +121,20 @@
 	heard   time.Time
 	added   time.Time
 	tried   time.Time
-	// order is the place among those that this daemon calls in turn. It is another for
+	// order is the place among those that this daemon calls first. It is another for
 	// each daemon: in an order that all share, all call the same few at the same time.
 	order   uint64
 	calling bool
 }
 
+// contact is when the member was last heard or called.
+func (o *member) contact() time.Time {
+	if o.tried.After(o.heard) {
+		return o.tried
+	}
+	return o.heard
+}
+
 // Members are the other daemons, as far as known.
 type Members struct {
 	self  func() Pulse
@@ -142,11 +154,12 @@
 	where string
 	// roster holds those of all that were heard lately.
 	roster *membership.Roster
+	// firstHeard is when the first other daemon was heard, if one was.
+	firstHeard time.Time
 	// lapsed is work of daemons that fell silent, not yet told to Worked.
 	lapsed []relay.Work
 	// incarnation names this run, so that word of ourselves is told apart.
 	incarnation string
-	turn        int
 	knownTold   time.Time
 }
 
@@ -268,6 +281,9 @@
 		// Pulses may overtake each other; a run that leaves does not come back.
 		p.Leaving, p.Ready = true, false
 	}
+	if m.firstHeard.IsZero() {
+		m.firstHeard = now
+	}
 	changes := difference(o.pulse.Work, p.Work)
 	m.roster.Heard(address, membership.Standing{Name: p.Name, Incarnation: p.Incarnation, Ready: p.Ready, Leaving: p.Leaving}, now)
 	o.pulse, o.heard = p, now
@@ -296,6 +312,13 @@
 	f(m.roster)
 }
 
+// InTouch returns for how long others have been heard; false if none ever was.
+func (m *Members) InTouch() (time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.firstHeard), !m.firstHeard.IsZero()
+}
+
 // Len returns how many other daemons were heard lately.
 func (m *Members) Len() (n int) {
 	m.with(func(r *membership.Roster) { n = r.Len() })
@@ -378,8 +401,7 @@
 	m.Worked(lapsed)
 }
 
-// due chooses whom to call: some of those that answer, in turn, and now and then
-// those that do not.
+// due chooses whom to call: some of those that answer, and now and then those that do not.
 func (m *Members) due(now time.Time) []*member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -398,7 +420,8 @@
 		if now.Sub(o.heard) < justHeard {
 			continue // a call carries word both ways
 		}
-		if o.calling || quiet && now.Sub(o.tried) < retryEvery {
+		waits := quiet && now.Sub(o.added) > startSpan && now.Sub(o.tried) < retryEvery
+		if o.calling || waits {
 			continue
 		}
 		list = append(list, o)
@@ -408,11 +431,11 @@
 			delete(m.left, who)
 		}
 	}
-	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.order, b.order) })
-	if len(list) > fanOut {
-		m.turn = (m.turn + fanOut) % len(list)
-		list = slices.Concat(list[m.turn:], list[:m.turn])[:fanOut]
-	}
+	// The longest without contact first. In turns over a list that others come and go
+	// from, some were passed over until they were taken as gone: of 195 daemons that all
+	// lived, 50 missed one or two others at any time.
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Or(a.contact().Compare(b.contact()), cmp.Compare(a.order, b.order)) })
+	list = list[:min(fanOut, len(list))]
 	for _, o := range list {
 		o.calling, o.tried = true, now
 	}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -30,6 +30,9 @@
 	changes []func(n *Node)
 	// seeds are what each daemon is told of others.
 	seeds []string
+	// refuses says that a call to a daemon that does not run is refused at once, as by a VM
+	// that is up; it hangs else, as to one that is gone.
+	refuses bool
 }
 
 // isolate has what a daemon asks, and what it is asked and told, stand still, and go on.
@@ -79,14 +82,21 @@
 
 // newFleetWith is newFleet with other seeds.
 func newFleetWith(t *testing.T, daemons int, seeds []string, changes ...func(n *Node)) *fleet {
+	t.Helper()
+	f := newStore(t, daemons, seeds, changes...)
+	for i := range daemons {
+		f.start(i)
+	}
+	return f
+}
+
+// newStore is a fleet of which no daemon runs yet.
+func newStore(t *testing.T, daemons int, seeds []string, changes ...func(n *Node)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, changes: changes, store: feedtest.New(), nodes: map[string]*member{}, bound: bound(daemons), seeds: seeds}
 	f.store.Put("op", "config", []byte("5"))
 	f.store.Put("servers", "a", []byte("ready"))
 	f.store.Put("servers", "b", []byte("ready"))
-	for i := range daemons {
-		f.start(i)
-	}
 	t.Cleanup(f.end)
 	return f
 }
@@ -164,7 +174,12 @@
 	m, self := p.fleet.member(address), p.fleet.member(p.own)
 	p.fleet.mu.Lock()
 	cut := m == nil || self == nil || m.deaf || self.deaf
+	refused := m == nil && p.fleet.refuses
 	p.fleet.mu.Unlock()
+	if refused {
+		time.Sleep(2 * oneWay)
+		return nil, errCut
+	}
 	if cut {
 		<-ctx.Done()
 		return nil, errCut
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -22,9 +22,12 @@
 	ownEach  = 300 * time.Millisecond
 	ownGrace = 1000 * time.Millisecond
 	// settleFor is how long a daemon that starts leaves the waiting on the store to
-	// others: until it has heard some, it would take itself for the first. 195 that
-	// start together made 640 such reads of the four topics, and some forty with it.
-	settleFor = time.Second
+	// others after it has heard the first one: it would take itself for the first else.
+	// 195 that start together made 640 such reads of the four topics, and some sixty with
+	// it. aloneAfter is when one that has heard nobody goes by itself: those that start
+	// with it are up and have answered by then.
+	settleFor  = time.Second
+	aloneAfter = 1500 * time.Millisecond
 	// ownReadPart is the age from which a daemon waits on the store itself, as a part
 	// of the time within which a configuration must be in force.
 	ownReadPart = 0.9
@@ -74,11 +77,19 @@
 // daemons returns how many daemons live, this one included.
 func (n *Node) daemons() int { return n.members.Len() + 1 }
 
-// settled reports whether this daemon runs for long enough to know its place.
-func (n *Node) settled() bool { return n.age() >= settleFor }
+// settled reports whether this daemon has heard others for long enough to know its place
+// among them, or is alone.
+func (n *Node) settled() bool { return n.inTouchFor(settleFor) }
 
-// age is how long this daemon has been running.
-func (n *Node) age() time.Duration { return n.ports.Boot() - n.born }
+// inTouchFor reports whether others have been heard for some time, or nobody while it was
+// waited for them.
+func (n *Node) inTouchFor(span time.Duration) bool {
+	since, any := n.members.InTouch()
+	if !any {
+		return n.ports.Boot()-n.born >= aloneAfter
+	}
+	return since >= span
+}
 
 // readsStore reports whether this daemon waits on the store: it is one of the
 // readers, or has not heard of a fresh confirmation for too long.
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -209,19 +209,8 @@
 	placedAfter = 3 * time.Second
 )
 
-// contact reports whether others are to find the deployment through this daemon. One that
-// has heard nobody cannot wait for that.
-func (n *Node) contact() bool {
-	after := placedAfter
-	if n.members.Len() == 0 {
-		after = aloneAfter
-	}
-	return n.age() >= after && n.rank() < contacts
-}
-
-// aloneAfter is when a daemon that has reached none of its seeds looks for others in the
-// store: those that start with it answer within some hundred milliseconds.
-const aloneAfter = 500 * time.Millisecond
+// contact reports whether others are to find the deployment through this daemon.
+func (n *Node) contact() bool { return n.inTouchFor(placedAfter) && n.rank() < contacts }
 
 // enroll writes where this daemon is, for those that know nobody, once it is one of the
 // contacts.
