Roles by place have a file of their own, and names of the field; no change

Reading the diff as a newcomer: what follows from a daemon's place stood in three files; daemons that do not answer are suspected, as elsewhere; entries and counts in the roster.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -50,10 +50,10 @@
 	startSpan  = 3 * time.Second
 	// fanOut bounds the daemons called in one round.
 	fanOut = 8
-	// doubtFor is how long others are told that a member does not answer, and mostDoubted
+	// suspectFor is how long others are told that a member does not answer, and mostSuspects
 	// how many at a time: within it the word has gone round.
-	doubtFor    = 2 * time.Second
-	mostDoubted = 8
+	suspectFor   = 2 * time.Second
+	mostSuspects = 8
 	// leavingFor is how long the word that a run leaves is kept.
 	leavingFor = 30 * time.Second
 )
@@ -71,8 +71,8 @@
 	calling bool
 	// failed says that the last call got no answer, and nothing was heard since it began.
 	failed bool
-	// doubted says that another daemon got no answer from it. It is called next.
-	doubted bool
+	// suspected says that another daemon got no answer from it. It is called next.
+	suspected bool
 }
 
 // Members are the other daemons, as far as known.
@@ -149,19 +149,19 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	m.expire(now)
-	p.Doubted = m.failedLately(now)
+	p.Suspects = m.failedLately(now)
 	switch o := m.all[to]; {
 	case now.Sub(m.knownTold) >= knownEvery:
 		m.knownTold = now
-		p.Known = m.some(len(m.all))
+		p.Known = m.sample(len(m.all))
 	case o != nil && now.Sub(o.added) < introduceFor:
-		p.Known = m.some(introduced)
+		p.Known = m.sample(introduced)
 	}
 	return p
 }
 
-// some returns the addresses of up to n of the daemons heard lately. Callers hold mu.
-func (m *Members) some(n int) []string {
+// sample returns the addresses of up to n of the daemons heard lately. Callers hold mu.
+func (m *Members) sample(n int) []string {
 	out := make([]string, 0, min(n, len(m.all)))
 	for a := range m.all {
 		if len(out) == n {
@@ -230,10 +230,10 @@
 	}
 	changes := difference(o.pulse.Work, p.Work)
 	m.roster.Heard(address, membership.Standing{Name: p.Name, Incarnation: p.Incarnation, Able: p.Able, Leaving: p.Leaving}, now)
-	o.pulse, o.heard, o.failed, o.doubted = p, now, false, false
-	m.doubt(p.Doubted, now)
+	o.pulse, o.heard, o.failed, o.suspected = p, now, false, false
+	m.suspect(p.Suspects, now)
 	// What is handed on at once is not kept: one daemon of 195 keeps as many pulses.
-	o.pulse.Known, o.pulse.Placed, o.pulse.Orders, o.pulse.Doubted = nil, nil, nil, nil
+	o.pulse.Known, o.pulse.Placed, o.pulse.Orders, o.pulse.Suspects = nil, nil, nil, nil
 	m.mu.Unlock()
 	m.Worked(changes)
 	m.Heard(p, m.after(p))
--- a/internal/gossip/pulse.go
+++ b/internal/gossip/pulse.go
@@ -45,9 +45,9 @@
 	EchoTo uint64 `cbor:"18,keyasint,omitempty"`
 	// Judge says that the daemon judges roll-outs and wants the evidence of others.
 	Judge bool `cbor:"19,keyasint,omitempty"`
-	// Doubted are addresses that did not answer the sender lately. Who hears of one calls
+	// Suspects are addresses that did not answer the sender lately. Who hears of one calls
 	// it next, and believes what it finds itself.
-	Doubted []string `cbor:"20,keyasint,omitempty"`
+	Suspects []string `cbor:"20,keyasint,omitempty"`
 	// Nexts is how far the daemon has read each topic.
 	Nexts []uint64 `cbor:"15,keyasint,omitempty"`
 }
--- a/internal/gossip/rounds.go
+++ b/internal/gossip/rounds.go
@@ -98,7 +98,7 @@
 	p, err := m.peers.Pulse(ctx, o.address, m.tellTo(o.address, last.Incarnation, last.Stamp, last.Judge))
 	m.mu.Lock()
 	o.calling = false
-	o.failed, o.doubted = err != nil && o.heard.Before(sentAt), false
+	o.failed, o.suspected = err != nil && o.heard.Before(sentAt), false
 	m.noteFailure(o)
 	m.expire(time.Now())
 	lost := err != nil && !o.heard.IsZero() && !m.roster.Has(o.address) && sentAt.Sub(o.heard) <= m.silence()
@@ -117,9 +117,9 @@
 // 50 missed one or two others at any time.
 func sooner(a, b *member) int {
 	switch {
-	case a.doubted && !b.doubted:
+	case a.suspected && !b.suspected:
 		return -1
-	case b.doubted && !a.doubted:
+	case b.suspected && !a.suspected:
 		return 1
 	}
 	return cmp.Or(a.contact().Compare(b.contact()), cmp.Compare(a.order, b.order))
--- a/internal/gossip/doubt.go
+++ b/internal/gossip/suspect.go
@@ -9,11 +9,11 @@
 // its end is known everywhere after 2 s instead of 9 with 195 daemons. Nobody believes
 // another's word: its own way to the daemon may be cut.
 
-// doubt takes addresses that did not answer another daemon. Callers hold mu.
-func (m *Members) doubt(addresses []string, now time.Time) {
+// suspect takes addresses that did not answer another daemon. Callers hold mu.
+func (m *Members) suspect(addresses []string, now time.Time) {
 	for _, a := range addresses {
 		if o := m.all[a]; o != nil && m.roster.Has(a) && !o.failed && now.Sub(o.heard) >= Every {
-			o.doubted = true
+			o.suspected = true
 		}
 	}
 }
@@ -22,7 +22,7 @@
 // long as this is news. Callers hold mu.
 func (m *Members) failedLately(now time.Time) (out []string) {
 	for _, o := range m.failures {
-		if o.failed && now.Sub(o.tried) < doubtFor && len(out) < mostDoubted {
+		if o.failed && now.Sub(o.tried) < suspectFor && len(out) < mostSuspects {
 			out = append(out, o.address)
 		}
 	}
@@ -36,5 +36,5 @@
 	if o.failed {
 		m.failures = append(m.failures, o)
 	}
-	m.failures = m.failures[max(0, len(m.failures)-mostDoubted):]
+	m.failures = m.failures[max(0, len(m.failures)-mostSuspects):]
 }
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -28,34 +28,34 @@
 // are in the order in which they were heard.
 type Roster struct {
 	ownHash uint64
-	seats   map[string]*list.Element
-	// heard holds *seat, the longest unheard first.
+	entries map[string]*list.Element
+	// heard holds *entry, the longest unheard first.
 	heard *list.List
 	runs  map[string]int
 	// able and unable count the daemons that do not leave.
-	able, unable places
+	able, unable counts
 }
 
-// seat is one daemon heard lately.
-type seat struct {
+// entry is one daemon heard lately.
+type entry struct {
 	address string
 	at      time.Time
 	Standing
 	before bool
 }
 
-// places counts daemons, and those of them that come before the own one.
-type places struct{ all, before int }
+// counts counts daemons, and those of them that come before the own one.
+type counts struct{ all, before int }
 
 // NewRoster returns a roster of nobody, for the daemon of a name.
 func NewRoster(own string) *Roster {
-	return &Roster{ownHash: xxhash.Sum64String(own), seats: map[string]*list.Element{}, heard: list.New(), runs: map[string]int{}}
+	return &Roster{ownHash: xxhash.Sum64String(own), entries: map[string]*list.Element{}, heard: list.New(), runs: map[string]int{}}
 }
 
 // Heard notes what a daemon at an address said of itself. Times must not go back.
 func (r *Roster) Heard(address string, s Standing, now time.Time) {
-	if e := r.seats[address]; e != nil {
-		old := e.Value.(*seat)
+	if e := r.entries[address]; e != nil {
+		old := e.Value.(*entry)
 		r.count(old, -1)
 		old.at = now
 		if old.Name != s.Name {
@@ -66,20 +66,20 @@
 		r.heard.MoveToBack(e)
 		return
 	}
-	fresh := &seat{address: address, at: now, Standing: s}
+	fresh := &entry{address: address, at: now, Standing: s}
 	r.place(fresh, s.Name)
 	r.count(fresh, 1)
-	r.seats[address] = r.heard.PushBack(fresh)
+	r.entries[address] = r.heard.PushBack(fresh)
 }
 
 // place finds out on which side of the own daemon a name is. Hashes have nothing to do
 // with where daemons are: a failure domain may be lost as a whole.
-func (r *Roster) place(s *seat, name string) {
+func (r *Roster) place(s *entry, name string) {
 	s.before = xxhash.Sum64String(name) < r.ownHash
 }
 
-// count adds a seat to the counts, or takes it off.
-func (r *Roster) count(s *seat, by int) {
+// count adds a entry to the counts, or takes it off.
+func (r *Roster) count(s *entry, by int) {
 	if r.runs[s.Incarnation] += by; r.runs[s.Incarnation] == 0 {
 		delete(r.runs, s.Incarnation)
 	}
@@ -99,11 +99,11 @@
 // Silent takes off the daemons that were not heard for longer than a limit, and calls
 // gone with the address of each. Its cost is theirs alone.
 func (r *Roster) Silent(now time.Time, limit time.Duration, gone func(address string)) {
-	for e := r.heard.Front(); e != nil && now.Sub(e.Value.(*seat).at) > limit; e = r.heard.Front() {
-		s := e.Value.(*seat)
+	for e := r.heard.Front(); e != nil && now.Sub(e.Value.(*entry).at) > limit; e = r.heard.Front() {
+		s := e.Value.(*entry)
 		r.heard.Remove(e)
 		r.count(s, -1)
-		delete(r.seats, s.address)
+		delete(r.entries, s.address)
 		gone(s.address)
 	}
 }
@@ -112,7 +112,7 @@
 func (r *Roster) Len() int { return r.heard.Len() }
 
 // Has reports whether the daemon at an address was heard lately.
-func (r *Roster) Has(address string) bool { return r.seats[address] != nil }
+func (r *Roster) Has(address string) bool { return r.entries[address] != nil }
 
 // Lives reports whether a run of a daemon was heard lately.
 func (r *Roster) Lives(incarnation string) bool { return r.runs[incarnation] > 0 }
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -14,32 +14,12 @@
 	// at the store is due. The word of others makes it due later, never sooner.
 	longestIdle  = 200 * time.Millisecond
 	shortestIdle = 20 * time.Millisecond
-	// ownLeast is how often a daemon looks at the store itself at the least, ownEach how
-	// much rarer each daemon of the deployment makes that: all together look 3.3 times a
-	// second, whatever their number. ownGrace is how much later callers are sent elsewhere
-	// if it gets no answer.
-	ownLeast = 1800 * time.Millisecond
-	ownEach  = 300 * time.Millisecond
-	ownGrace = 1000 * time.Millisecond
-	// settleFor is how long a daemon that starts leaves the waiting on the store to
-	// others after it has heard the first one: it would take itself for the first else.
-	// 195 that start together made 640 such reads of the four topics, and some sixty with
-	// it. aloneAfter is when one that has heard nobody goes by itself: those that start
-	// with it are up and have answered by then.
-	settleFor  = time.Second
-	aloneAfter = 1500 * time.Millisecond
 	// ownReadPart is the age from which a daemon waits on the store itself, as a part
 	// of the time within which a configuration must be in force.
 	ownReadPart = 0.9
 	// lookRetry is the pause after a look that got no answer. Looks of sixty daemons
 	// every 0.2 s were half of all calls of a day with ten seconds of outages.
 	lookRetry = time.Second
-	// idleLeast and idleEach are the longest pause of a daemon that only stands in for
-	// those that read for all, at the least and for each daemon: together they ask 20
-	// times a second at most. In an outage of 8 s 195 daemons made 2,200 calls with
-	// pauses of up to 3 s that began at 60 ms, 2,700 with those after it.
-	idleLeast = 3 * time.Second
-	idleEach  = 50 * time.Millisecond
 	// outageLeast is the shortest time without an answer that counts as an outage: what
 	// is written anew all the time lapses after some seconds only.
 	outageLeast = 1500 * time.Millisecond
@@ -61,56 +41,6 @@
 	}
 }
 
-// The number of daemons that wait on the store for all others: all of up to six, one less
-// for each two more, and four from ten daemons on. A third of the daemons may be cut off
-// from the store at once, and of six with two readers both were, so that servers that left
-// got requests for three seconds more. In a large deployment few readers are hardly ever
-// cut off together, and each change of an entry wakes every reader.
-const (
-	mostReaders  = 9
-	perReader    = 2
-	fewestReader = 4
-)
-
-// readersOf returns how many of some daemons wait on the store.
-func readersOf(daemons int) int { return max(fewestReader, mostReaders-daemons/perReader) }
-
-// ownEveryOf returns how often each of some daemons looks at the store itself.
-func ownEveryOf(daemons int) time.Duration {
-	return max(ownLeast, time.Duration(daemons)*ownEach)
-}
-
-// idlePause is the longest pause of this daemon while it stands in for those that read for
-// all.
-func (n *Node) idlePause() time.Duration {
-	return max(idleLeast, time.Duration(n.daemons())*idleEach)
-}
-
-// lookPause is the pause after a look that got no answer.
-func (n *Node) lookPause() time.Duration {
-	if n.reader() {
-		return lookRetry
-	}
-	return max(lookRetry, time.Duration(n.daemons())*idleEach)
-}
-
-// daemons returns how many daemons live, this one included.
-func (n *Node) daemons() int { return n.members.Len() + 1 }
-
-// settled reports whether this daemon has heard others for long enough to know its place
-// among them, or is alone.
-func (n *Node) settled() bool { return n.inTouchFor(settleFor) }
-
-// inTouchFor reports whether others have been heard for some time, or nobody while it was
-// waited for them.
-func (n *Node) inTouchFor(span time.Duration) bool {
-	since, any := n.members.InTouch()
-	if !any {
-		return n.ports.Boot()-n.born >= aloneAfter
-	}
-	return since >= span
-}
-
 // readsStore reports whether this daemon waits on the store: it is one of the
 // readers, or has not heard of a fresh confirmation for too long.
 func (n *Node) readsStore() bool {
@@ -141,18 +71,6 @@
 // part returns a part of the time within which a configuration must be in force.
 func (n *Node) part(p float64) time.Duration { return time.Duration(p * float64(n.config.InForce)) }
 
-// reader reports whether this daemon is one of those that wait on the store for all.
-func (n *Node) reader() bool { return n.settled() && n.rank() < readersOf(n.daemons()) }
-
-// rank is the daemon's place among those that live, the able ones first, in an order that
-// has nothing to do with where they are: a failure domain may be lost as a whole.
-func (n *Node) rank() int { return n.members.Rank(n.able()) }
-
-// able reports whether this daemon can work for all. It cannot while the store does not
-// answer it, but somebody else: then others take its place. In an outage for all, and after
-// it, nobody's place changes.
-func (n *Node) able() bool { return n.state.Known() && !n.cutOff.Load() }
-
 // Ready reports whether callers should be sent here. A daemon that is cut off from
 // the store serves on by the word of others, but those that reach it come first.
 func (n *Node) Ready() bool {
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -200,18 +200,8 @@
 	// enrollLook how often it is looked at whether that is this daemon's to do.
 	enrollRetry = 500 * time.Millisecond
 	enrollLook  = 250 * time.Millisecond
-	// contacts is how many daemons have an entry in the store. One that starts and
-	// reaches none of its seeds finds the others through any that lives, so that an entry
-	// of each would be two calls of each at every start.
-	contacts = 16
-	// placedAfter is when a daemon that has heard others knows its place among them well
-	// enough: of 195 that start together each has heard 130 by then.
-	placedAfter = 3 * time.Second
 )
 
-// contact reports whether others are to find the deployment through this daemon.
-func (n *Node) contact() bool { return n.inTouchFor(placedAfter) && n.rank() < contacts }
-
 // enroll writes where this daemon is, for those that know nobody, once it is one of the
 // contacts.
 func (n *Node) enroll(ctx context.Context) {
