--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -86,6 +86,7 @@
 		}
 		idle := n.look(ctx, now)
 		n.showAges()
+		n.noteRoles()
 		loop.Pause(ctx, min(max(idle, shortestIdle), longestIdle))
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,6 +130,8 @@
 	// born is the boot clock's reading at the start.
 	born time.Duration
 	plan freshness.Plan
+	// roles are those that were logged last; only lookAfter uses them.
+	roles roles
 	// lookFrom is when the store may be looked at again; only lookAfter uses it.
 	lookFrom time.Time
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -209,6 +209,24 @@
 	}
 }
 
+// A line for each change of what a daemon does for all, and none in between.
+func TestRolesAreLoggedWhenTheyChange(t *testing.T) {
+	n, _ := testNode(t)
+	var lines bytes.Buffer
+	n.log = log.New(&lines)
+	n.know()
+	for range 3 {
+		n.noteRoles()
+	}
+	n.cutOff.Store(true)
+	for range 3 {
+		n.noteRoles()
+	}
+	if got := strings.Count(lines.String(), "roles"); got != 2 {
+		t.Errorf("%d lines for two changes:\n%s", got, lines.String())
+	}
+}
+
 func TestOwnEntryIsNotWrittenAgain(t *testing.T) {
 	n, _ := testNode(t)
 	n.entries([]feed.Record{{Key: "d0", Value: []byte("elsewhere")}}, true)
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -101,6 +101,19 @@
 // contact reports whether others are to find the deployment through this daemon.
 func (n *Node) contact() bool { return n.inTouchFor(placedAfter) && n.rank() < contacts }
 
+// roles are what this daemon does for all others.
+type roles struct{ able, reader, judge, contact bool }
+
+// noteRoles logs a change of this daemon's roles. Only lookAfter uses it.
+func (n *Node) noteRoles() {
+	now := roles{n.able(), n.reader(), n.judges(), n.contact()}
+	if now == n.roles {
+		return
+	}
+	n.roles = now
+	n.log.Info("roles", "able", now.able, "reads_store", now.reader, "judges", now.judge, "contact", now.contact, "rank", n.rank(), "daemons", n.daemons())
+}
+
 // judges is how many daemons judge roll-outs by the evidence of all: the first by rank, of
 // which the first writes. Evidence is 2 KB of each daemon with 126 servers: told by each to
 // each of 195, it was most of what daemons told each other. Up to eight daemons all judge;
