A server that ends is told from a connection that breaks, and what was there is named

The lines of a daemon could not tell a request that ends its servers from one that was there: repeats have other ids, and an end was no line. A request has a fingerprint (whose it is, what it asks for, its body) on the line of each send. When a connection breaks with a request on it, the daemon asks once whether the server's VM refuses connections; if so a line names the requests that were there and those it let go of a second before, since a run that was cancelled may still do harm. Counter servers_ended. No decision changes but that a lost request waits up to 50 ms for the answer.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
+	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 	"github.com/damaskrudder/damaskrudder/internal/upstream"
@@ -28,6 +29,8 @@
 	draw    uint64
 	journey request.Journey
 	tried   []string
+	// fingerprint is the same for every repeat of the request by its caller.
+	fingerprint quarantine.Fingerprint
 	// model indexes the route's models.
 	model int
 	// opinion is what the last model asked said of its answer.
@@ -62,7 +65,7 @@
 		}
 		x.journey.Sent()
 		x.learnSent(t)
-		outcome, done := x.send(ctx, t)
+		outcome, done := x.attempt(ctx, t)
 		if done {
 			return
 		}
@@ -128,13 +131,38 @@
 	}
 }
 
+// attempt sends the request to a server and books what became of it there.
+func (x *exchange) attempt(ctx context.Context, t *target) (request.Outcome, bool) {
+	u := x.relay.runs.enter(t.server.ID, x.call.ID, x.fingerprint)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	outcome, done := x.send(ctx, cancel, t)
+	f := fateOf(ctx, outcome, done)
+	x.relay.runs.leave(u, f)
+	if f == broke {
+		x.relay.findOut(ctx, t.server)
+	}
+	return outcome, done
+}
+
+// fateOf tells what became of a send from its outcome.
+func fateOf(ctx context.Context, o request.Outcome, done bool) fate {
+	switch {
+	case done, o == request.NotStarted:
+		return finished
+	case o == request.Unconvincing, ctx.Err() != nil:
+		return left
+	case o == request.Lost, o == request.CutShort:
+		return broke
+	}
+	return finished
+}
+
 // send makes one attempt. Done says that the caller has the final answer.
-func (x *exchange) send(ctx context.Context, t *target) (request.Outcome, bool) {
+func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (request.Outcome, bool) {
 	by, age := x.relay.State.Confirmed(freshness.Servers)
-	x.note("send", t, "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expected.Milliseconds(), "uncached", t.uncached, "send", x.journey.Sends(), "session", x.call.Session)
+	x.note("send", t, "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expected.Milliseconds(), "uncached", t.uncached, "send", x.journey.Sends(), "session", x.call.Session, "fingerprint", x.fingerprint)
 	began := time.Now()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	ctx, stop := context.WithDeadline(ctx, x.deadline)
 	defer stop()
 	a := x.relay.watch.enter(t, x.service.Engine != nil, x.route, x.sendUrgency(), func(lost bool) bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/cascade"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
+	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 )
@@ -56,6 +57,7 @@
 	rules    Rules
 	log      *log.Logger
 	watch    *watch
+	runs     *runs
 	// started is where the steady clock of the retry budget begins.
 	started time.Time
 
@@ -72,7 +74,7 @@
 // New returns a relay.
 func New(s *State, b Backend, rules Rules, m *Metrics, l *log.Logger) *Relay {
 	r := &Relay{
-		State: s, Rollouts: NewRollouts(rules.SessionSpan, l), Metrics: m, backend: b, rules: rules, log: l, started: time.Now(),
+		State: s, Rollouts: NewRollouts(rules.SessionSpan, l), Metrics: m, backend: b, rules: rules, log: l, started: time.Now(), runs: newRuns(),
 		shares: map[string]*request.Share{}, valuers: map[string]*cascade.Valuer{},
 	}
 	r.watch = newWatch(s, b, l, m)
@@ -226,6 +228,7 @@
 	if known {
 		x.workspace = w.Name
 	}
+	x.fingerprint = quarantine.Of(x.workspace, c.Host, c.Method, c.Target, c.Body)
 	x.urgency = urgency(rt, w)
 	if limit := t.Limits.BodyBytes; limit > 0 && int64(len(c.Body)) > limit {
 		return nil, fault.New(fault.TooLarge, "the body is longer than %d bytes", limit)
--- /dev/null
+++ b/internal/relay/runs.go
@@ -0,0 +1,225 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/quarantine"
+)
+
+const (
+	// afterEffect is how long after a daemon let go of a request its server may still end
+	// by it: a run that is cancelled may have done its harm.
+	afterEffect = time.Second
+	// refusesLimit bounds the question whether a server's VM refuses connections, and
+	// endWait how long a lost request waits for the answer. Round trips are milliseconds.
+	refusesLimit = 400 * time.Millisecond
+	endWait      = 50 * time.Millisecond
+	// runsKept is how long what a server ran is remembered after it was last used.
+	runsKept = 10 * time.Second
+)
+
+// fate is what became of a send.
+type fate uint8
+
+const (
+	// running sends wait for their server, or read its answer.
+	running fate = iota
+	// broke is a send whose connection ended.
+	broke
+	// left is a send that this daemon gave up, or whose caller left.
+	left
+	// finished is a send that was answered, or that did not run.
+	finished
+)
+
+// run is one request at one server.
+type run struct {
+	server      string
+	fingerprint quarantine.Fingerprint
+	request     string
+	fate        fate
+	// over is when the send ended; zero while it runs.
+	over time.Time
+}
+
+// suspect reports whether the run may have ended its server by a moment.
+func (r *run) suspect(now time.Time) bool {
+	switch r.fate {
+	case running:
+		return true
+	case broke, left:
+		return now.Sub(r.over) <= afterEffect
+	}
+	return false
+}
+
+// runs remembers which requests this daemon has at each server and had there a moment ago.
+// When a server ends, one of them may be why; without this a request that ends its server
+// cannot be told from the others that were there.
+type runs struct {
+	mu      sync.Mutex
+	servers map[string]*serverRuns
+	swept   time.Time
+}
+
+// serverRuns are the requests at one server.
+type serverRuns struct {
+	list []*run
+	used time.Time
+	// asked is closed when it is known whether the server has ended; nil if nobody asks.
+	asked chan struct{}
+	ended bool
+}
+
+func newRuns() *runs { return &runs{servers: map[string]*serverRuns{}} }
+
+// enter records a send.
+func (r *runs) enter(server, request string, f quarantine.Fingerprint) *run {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sweep(now)
+	s := r.servers[server]
+	if s == nil {
+		s = &serverRuns{}
+		r.servers[server] = s
+	}
+	s.used = now
+	s.list = keepSuspects(s.list, now)
+	out := &run{server: server, fingerprint: f, request: request}
+	s.list = append(s.list, out)
+	return out
+}
+
+// leave records what became of a send.
+func (r *runs) leave(u *run, f fate) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u.fate, u.over = f, time.Now()
+	if s := r.servers[u.server]; s != nil {
+		s.used = u.over
+	}
+}
+
+func keepSuspects(list []*run, now time.Time) []*run {
+	out := list[:0]
+	for _, u := range list {
+		if u.suspect(now) {
+			out = append(out, u)
+		}
+	}
+	clear(list[len(out):])
+	return out
+}
+
+// sweep forgets servers that were not used for long. Callers hold mu.
+func (r *runs) sweep(now time.Time) {
+	if now.Sub(r.swept) < time.Second {
+		return
+	}
+	r.swept = now
+	for id, s := range r.servers {
+		if now.Sub(s.used) > runsKept && len(keepSuspects(s.list, now)) == 0 {
+			delete(r.servers, id)
+		}
+	}
+}
+
+// suspects returns the requests that were at a server when it ended.
+func (r *runs) suspects(server string) (out []*run) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[server]
+	if s == nil {
+		return nil
+	}
+	for _, u := range s.list {
+		if u.suspect(now) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// ask returns a channel that is closed when it is known whether a server has ended, and
+// whether the caller is the one to find out.
+func (r *runs) ask(server string) (known chan struct{}, first bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[server]
+	if s == nil {
+		s = &serverRuns{used: time.Now()}
+		r.servers[server] = s
+	}
+	if s.asked != nil {
+		return s.asked, false
+	}
+	s.asked = make(chan struct{})
+	return s.asked, true
+}
+
+// answer records whether a server has ended, and reports whether that is news.
+func (r *runs) answer(server string, ended bool) (news bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[server]
+	if s == nil {
+		return false
+	}
+	news = ended && !s.ended
+	s.ended = s.ended || ended
+	if s.asked != nil {
+		close(s.asked)
+		if !s.ended {
+			s.asked = nil
+		}
+	}
+	return news
+}
+
+// findOut asks, for a request whose connection broke, whether its server has ended: its VM
+// then refuses connections. A connection that broke alone, an answer that was lost and a way
+// that is cut look the same until then. It waits a little for the answer.
+func (r *Relay) findOut(ctx context.Context, b backend.Server) {
+	known, first := r.runs.ask(b.ID)
+	if first {
+		go r.askRefuses(b)
+	}
+	limit := time.NewTimer(endWait)
+	defer limit.Stop()
+	select {
+	case <-known:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Relay) askRefuses(b backend.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), refusesLimit)
+	defer cancel()
+	ended := r.backend.Refuses(ctx, b)
+	if r.runs.answer(b.ID, ended) {
+		r.serverEnded(b)
+	}
+}
+
+// serverEnded takes it that a server has ended, with what this daemon had there.
+func (r *Relay) serverEnded(b backend.Server) {
+	list := r.runs.suspects(b.ID)
+	r.Metrics.ServersEnded.Inc(1)
+	r.log.Warn("server ended", "server", b.ID, "address", b.Address, "requests", len(list), "fingerprints", fingerprints(list))
+}
+
+// mostNamed bounds the fingerprints that a line names.
+const mostNamed = 16
+
+func fingerprints(list []*run) (out []quarantine.Fingerprint) {
+	for _, u := range list[:min(mostNamed, len(list))] {
+		out = append(out, u.fingerprint)
+	}
+	return out
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -285,7 +285,13 @@
 		c.shut()
 		return
 	}
-	c.until, c.reused = time.Now().Add(life), true
+	c.reused = true
+	c.rest(life)
+}
+
+// rest puts a connection among the idle ones for some time.
+func (c *conn) rest(life time.Duration) {
+	c.until = time.Now().Add(life)
 	c.pool.mu.Lock()
 	c.pool.idle[c.address] = append(c.pool.idle[c.address], c)
 	c.pool.mu.Unlock()
@@ -358,6 +364,20 @@
 	return c.Close()
 }
 
+// Refuses reports whether the VM at an address refuses connections: no process listens
+// there. A connection that it takes instead is kept for the next call.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	p.mu.Lock()
+	p.open[address]++
+	p.mu.Unlock()
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.rest(defaultKeep - keepMargin)
+	return false
+}
+
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
