--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -30,6 +30,8 @@
 	changes []func(n *Node)
 	// seeds are what each daemon is told of others.
 	seeds []string
+	// backend are the backend servers of all daemons; nil has none that answers.
+	backend relay.Backend
 	// refuses says that a call to a daemon that does not run is refused at once, as by a VM
 	// that is up; it hangs else, as to one that is gone.
 	refuses bool
@@ -118,9 +120,14 @@
 	c := Config{
 		Name: fmt.Sprintf("d%03d", i), Control: address(i), Front: fmt.Sprintf("f%03d", i), Seeds: f.seeds,
 		InForce: f.bound, Leave: f.bound,
+		Rules: relay.Rules{BudgetWindow: 10 * time.Second, BudgetRatio: 0.9, BudgetReserve: 50},
+	}
+	var servers relay.Backend = noBackend{}
+	if f.backend != nil {
+		servers = f.backend
 	}
 	m.Node = New(ctx, c, Ports{
-		Log: m.caller, Backend: noBackend{}, Translator: words{}, Metrics: relay.NewMetrics(tally.NoopScope), Logger: log.New(io.Discard),
+		Log: m.caller, Backend: servers, Translator: words{}, Metrics: relay.NewMetrics(tally.NoopScope), Logger: log.New(io.Discard),
 		Boot: func() time.Duration { return time.Minute + time.Since(began) }, Peers: &path{f, address(i)},
 	})
 	f.mu.Lock()
