--- /dev/null
+++ b/internal/containment/guard.go
@@ -0,0 +1,235 @@
+// Package containment keeps requests from backend servers that end when they run them: it
+// watches what a daemon has at which server, finds out whether one has ended, and joins the
+// decisions of package quarantine to the daemon's sends and to the word of other daemons.
+package containment
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/damaskrudder/damaskrudder/internal/quarantine"
+)
+
+// ErrHeld ends sends of a request that is kept from servers.
+var ErrHeld = errors.New("the request is kept from servers")
+
+const (
+	// refusesLimit bounds the question whether a server's VM refuses connections, and
+	// endWait how long a lost request waits for the answer. Round trips are milliseconds.
+	refusesLimit = 400 * time.Millisecond
+	endWait      = 50 * time.Millisecond
+	// provisional is how long a hold may still turn out to be due to another request. A
+	// caller that comes back after it is answered if so.
+	provisional = 2 * time.Second
+)
+
+// Server is a run of a backend server.
+type Server struct{ ID, Address string }
+
+// Ports are a guard's connections to its daemon.
+type Ports struct {
+	// Boot reads a clock that counts while the VM is suspended.
+	Boot func() time.Duration
+	// Refuses reports whether a server's VM refuses connections: the server has ended.
+	Refuses func(ctx context.Context, s Server) bool
+	// Leaving reports whether a server has said that it leaves, or its entry has gone:
+	// it ends as it said, and nothing is to blame.
+	Leaving func(s Server) bool
+	// Lost is told that a server has ended.
+	Lost func(run quarantine.RunKey)
+	// Spread has others told soon of what was learned.
+	Spread func()
+	Logger *log.Logger
+	// Ended counts servers that ended with requests of this daemon, and Held shows how
+	// many requests are held.
+	Ended tally.Counter
+	Held  tally.Gauge
+}
+
+// Guard is one daemon's part.
+type Guard struct {
+	ports Ports
+	runs  *runs
+
+	mu     sync.Mutex
+	ledger *quarantine.Ledger
+}
+
+// New returns a guard that knows of no end.
+func New(p Ports) *Guard {
+	return &Guard{ports: p, runs: newRuns(), ledger: quarantine.NewLedger()}
+}
+
+// RunKey names a run of a server among daemons.
+func RunKey(id string) quarantine.RunKey { return quarantine.RunKey(xxhash.Sum64String(id)) }
+
+// SetSpread replaces how others are told.
+func (g *Guard) SetSpread(f func()) { g.ports.Spread = f }
+
+// with runs f on the ledger, and carries out what it has changed.
+func (g *Guard) with(f func(l *quarantine.Ledger, now time.Duration) quarantine.Change) {
+	now := g.ports.Boot()
+	g.mu.Lock()
+	c := f(g.ledger, now)
+	g.mu.Unlock()
+	for _, f := range c.Held {
+		ended := g.runs.cancel(f)
+		g.ports.Logger.Warn("request held", "fingerprint", f, "ends", g.standing(f).Ends, "sends_ended", ended)
+	}
+	for _, f := range c.Released {
+		g.ports.Logger.Warn("request no longer held", "fingerprint", f)
+	}
+	if len(c.Held)+len(c.Released) > 0 {
+		g.ports.Held.Update(float64(len(g.Holds())))
+	}
+	if c.News {
+		g.ports.Spread()
+	}
+}
+
+// standing returns what is known of a request.
+func (g *Guard) standing(f quarantine.Fingerprint) quarantine.Standing {
+	now := g.ports.Boot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Standing(f, now)
+}
+
+// Check returns what is known of a request that is about to be sent.
+func (g *Guard) Check(f quarantine.Fingerprint) quarantine.Standing {
+	s := g.standing(f)
+	if s.Ends == 0 || s.Held {
+		return s
+	}
+	g.with(func(l *quarantine.Ledger, now time.Duration) quarantine.Change { return l.Reconsider(f, now) })
+	return g.standing(f)
+}
+
+// Advice is when the caller of a held request should come back.
+func Advice(s quarantine.Standing) time.Duration {
+	if s.For < provisional {
+		return provisional
+	}
+	return s.Left
+}
+
+// Enter records that a request is sent to a server. Cancel gives the send up.
+func (g *Guard) Enter(s Server, request string, f quarantine.Fingerprint, cancel context.CancelCauseFunc) *Run {
+	return g.runs.enter(s.ID, request, f, cancel)
+}
+
+// Pass records that something of a send's answer was passed on.
+func (g *Guard) Pass(u *Run) { g.runs.pass(u) }
+
+// Leave records what became of a send. For one whose connection broke it finds out whether
+// the server has ended, and waits a little for that, so that the next send knows.
+func (g *Guard) Leave(ctx context.Context, u *Run, s Server, f Fate) {
+	g.runs.leave(u, f)
+	if f == Broke {
+		g.findOut(ctx, s)
+	}
+}
+
+// Succeeded takes it that a request was answered in full.
+func (g *Guard) Succeeded(f quarantine.Fingerprint) {
+	g.with(func(l *quarantine.Ledger, now time.Duration) quarantine.Change { return l.Succeeded(f, now) })
+}
+
+// findOut asks, for a request whose connection broke, whether its server has ended: its VM
+// then refuses connections. A connection that broke alone, an answer that was lost and a way
+// that is cut look the same until then.
+func (g *Guard) findOut(ctx context.Context, s Server) {
+	known, first := g.runs.ask(s.ID)
+	if first {
+		go g.askRefuses(s)
+	}
+	limit := time.NewTimer(endWait)
+	defer limit.Stop()
+	select {
+	case <-known:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
+func (g *Guard) askRefuses(s Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), refusesLimit)
+	defer cancel()
+	ended := g.ports.Refuses(ctx, s)
+	if g.runs.answer(s.ID, ended) {
+		g.serverEnded(s)
+	}
+}
+
+// serverEnded takes it that a server has ended, with what this daemon had there.
+func (g *Guard) serverEnded(s Server) {
+	list, leaving := g.runs.suspects(s.ID, 0), g.ports.Leaving(s)
+	g.ports.Ended.Inc(1)
+	g.ports.Logger.Warn("server ended", "server", s.ID, "address", s.Address, "leaving", leaving, "requests", len(list), "fingerprints", fingerprints(list))
+	g.ports.Lost(RunKey(s.ID))
+	if !leaving {
+		g.ended(RunKey(s.ID), 0, list)
+	}
+}
+
+// ended takes it that a run of a server ended some time ago with requests of this daemon.
+func (g *Guard) ended(run quarantine.RunKey, age time.Duration, list []*Run) {
+	if len(list) == 0 {
+		return
+	}
+	suspects := make([]quarantine.Fingerprint, 0, len(list))
+	for _, u := range list {
+		suspects = append(suspects, u.fingerprint)
+	}
+	g.with(func(l *quarantine.Ledger, now time.Duration) quarantine.Change {
+		return l.Ended(run, now-age, suspects, now)
+	})
+}
+
+// Word returns what another daemon is to be told, with all holds for one just met.
+func (g *Guard) Word(justMet bool) quarantine.Word {
+	now := g.ports.Boot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Word(now, justMet)
+}
+
+// Hear takes the word of another daemon. To the ends that it tells, this daemon adds what it
+// had there itself.
+func (g *Guard) Hear(w quarantine.Word) {
+	if w.Empty() {
+		return
+	}
+	g.with(func(l *quarantine.Ledger, now time.Duration) quarantine.Change { return l.Hear(w, now) })
+	for _, e := range w.Ends {
+		age := time.Duration(e.AgeMs) * time.Millisecond
+		if list, news := g.runs.heardEnded(e.Run, age); news {
+			g.ports.Lost(e.Run)
+			g.ended(e.Run, age, list)
+		}
+	}
+}
+
+// Holds lists the requests that are held.
+func (g *Guard) Holds() []quarantine.Hold {
+	now := g.ports.Boot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Holds(now)
+}
+
+// Told takes it that a request is held for some time yet.
+func (g *Guard) Told(f quarantine.Fingerprint, left time.Duration) {
+	g.with(func(l *quarantine.Ledger, now time.Duration) quarantine.Change { return l.Told(f, now, now+left, now) })
+}
+
+// Release ends the hold of a request by hand.
+func (g *Guard) Release(f quarantine.Fingerprint) {
+	g.with(func(l *quarantine.Ledger, now time.Duration) quarantine.Change { return l.Cleared(f, now, now) })
+}
--- a/internal/relay/runs.go
+++ b/internal/containment/runs.go
@@ -1,11 +1,10 @@
-package relay
+package containment
 
 import (
 	"context"
 	"sync"
 	"time"
 
-	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 )
 
@@ -13,30 +12,26 @@
 	// afterEffect is how long after a daemon let go of a request its server may still end
 	// by it: a run that is cancelled may have done its harm.
 	afterEffect = time.Second
-	// refusesLimit bounds the question whether a server's VM refuses connections, and
-	// endWait how long a lost request waits for the answer. Round trips are milliseconds.
-	refusesLimit = 400 * time.Millisecond
-	endWait      = 50 * time.Millisecond
 	// runsKept is how long what a server ran is remembered after it was last used.
 	runsKept = 10 * time.Second
 )
 
-// fate is what became of a send.
-type fate uint8
+// Fate is what became of a send.
+type Fate uint8
 
 const (
 	// running sends wait for their server, or read its answer.
-	running fate = iota
-	// broke is a send whose connection ended.
-	broke
-	// left is a send that this daemon gave up, or whose caller left.
-	left
-	// finished is a send that was answered, or that did not run.
-	finished
+	running Fate = iota
+	// Broke is a send whose connection ended.
+	Broke
+	// Left is a send that this daemon gave up, or whose caller left.
+	Left
+	// Finished is a send that was answered, or that did not run.
+	Finished
 )
 
-// run is one request at one server.
-type run struct {
+// Run is one request at one server.
+type Run struct {
 	server      string
 	fingerprint quarantine.Fingerprint
 	request     string
@@ -44,17 +39,17 @@
 	cancel context.CancelCauseFunc
 	// passed says that something of the answer was passed on.
 	passed bool
-	fate   fate
+	fate   Fate
 	// over is when the send ended; zero while it runs.
 	over time.Time
 }
 
 // suspect reports whether the run may have ended its server by a moment.
-func (r *run) suspect(now time.Time) bool {
+func (r *Run) suspect(now time.Time) bool {
 	switch r.fate {
 	case running:
 		return true
-	case broke, left:
+	case Broke, Left:
 		return now.Sub(r.over) <= afterEffect
 	}
 	return false
@@ -73,11 +68,13 @@
 
 // serverRuns are the requests at one server.
 type serverRuns struct {
-	list []*run
+	list []*Run
 	used time.Time
 	// asked is closed when it is known whether the server has ended; nil if nobody asks.
 	asked chan struct{}
-	ended bool
+	// ended says that it has, and endedAt when that was learned.
+	ended   bool
+	endedAt time.Time
 }
 
 func newRuns() *runs {
@@ -85,14 +82,18 @@
 }
 
 // enter records a send.
-func (r *runs) enter(server, request string, f quarantine.Fingerprint, cancel context.CancelCauseFunc) *run {
+func (r *runs) enter(server, request string, f quarantine.Fingerprint, cancel context.CancelCauseFunc) *Run {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sweep(now)
 	s := r.at(server, now)
+	if s.ended && now.Sub(s.endedAt) > quarantine.SameEnd {
+		// Where servers keep their name over a start, this is a later run.
+		s.ended, s.asked = false, nil
+	}
 	s.list = keepSuspects(s.list, now)
-	out := &run{server: server, fingerprint: f, request: request, cancel: cancel}
+	out := &Run{server: server, fingerprint: f, request: request, cancel: cancel}
 	s.list = append(s.list, out)
 	return out
 }
@@ -103,14 +104,14 @@
 	if s == nil {
 		s = &serverRuns{}
 		r.servers[server] = s
-		r.byKey[runKey(server)] = server
+		r.byKey[RunKey(server)] = server
 	}
 	s.used = now
 	return s
 }
 
 // pass records that something of a send's answer was passed on.
-func (r *runs) pass(u *run) {
+func (r *runs) pass(u *Run) {
 	r.mu.Lock()
 	u.passed = true
 	r.mu.Unlock()
@@ -124,7 +125,7 @@
 	for _, s := range r.servers {
 		for _, u := range s.list {
 			if u.fingerprint == f && u.fate == running && !u.passed {
-				u.cancel(errHeld)
+				u.cancel(ErrHeld)
 				n++
 			}
 		}
@@ -133,20 +134,20 @@
 }
 
 // heardEnded takes it from another daemon that a server ended some time ago, and returns the
-// requests that this daemon had there.
-func (r *runs) heardEnded(key quarantine.RunKey, age time.Duration) []*run {
+// requests that this daemon had there, and whether the end is news.
+func (r *runs) heardEnded(key quarantine.RunKey, age time.Duration) (list []*Run, news bool) {
 	r.mu.Lock()
 	id, known := r.byKey[key]
 	r.mu.Unlock()
 	if !known {
-		return nil
+		return nil, true
 	}
-	r.answer(id, true)
-	return r.suspects(id, age)
+	news = r.answer(id, true)
+	return r.suspects(id, age), news
 }
 
 // leave records what became of a send.
-func (r *runs) leave(u *run, f fate) {
+func (r *runs) leave(u *Run, f Fate) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u.fate, u.over = f, time.Now()
@@ -155,7 +156,7 @@
 	}
 }
 
-func keepSuspects(list []*run, now time.Time) []*run {
+func keepSuspects(list []*Run, now time.Time) []*Run {
 	out := list[:0]
 	for _, u := range list {
 		if u.suspect(now) {
@@ -175,13 +176,13 @@
 	for id, s := range r.servers {
 		if now.Sub(s.used) > runsKept && len(keepSuspects(s.list, now)) == 0 {
 			delete(r.servers, id)
-			delete(r.byKey, runKey(id))
+			delete(r.byKey, RunKey(id))
 		}
 	}
 }
 
 // suspects returns the requests that were at a server when it ended some time ago.
-func (r *runs) suspects(server string, age time.Duration) (out []*run) {
+func (r *runs) suspects(server string, age time.Duration) (out []*Run) {
 	now := time.Now().Add(-age)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -219,7 +220,9 @@
 		return false
 	}
 	news = ended && !s.ended
-	s.ended = s.ended || ended
+	if news {
+		s.ended, s.endedAt = true, time.Now()
+	}
 	if s.ended && s.asked == nil {
 		s.asked = make(chan struct{})
 	}
@@ -232,36 +235,10 @@
 	return news
 }
 
-// findOut asks, for a request whose connection broke, whether its server has ended: its VM
-// then refuses connections. A connection that broke alone, an answer that was lost and a way
-// that is cut look the same until then. It waits a little for the answer.
-func (r *Relay) findOut(ctx context.Context, b backend.Server) {
-	known, first := r.runs.ask(b.ID)
-	if first {
-		go r.askRefuses(b)
-	}
-	limit := time.NewTimer(endWait)
-	defer limit.Stop()
-	select {
-	case <-known:
-	case <-limit.C:
-	case <-ctx.Done():
-	}
-}
-
-func (r *Relay) askRefuses(b backend.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), refusesLimit)
-	defer cancel()
-	ended := r.backend.Refuses(ctx, b)
-	if r.runs.answer(b.ID, ended) {
-		r.serverEnded(b)
-	}
-}
-
 // mostNamed bounds the fingerprints that a line names.
 const mostNamed = 16
 
-func fingerprints(list []*run) (out []quarantine.Fingerprint) {
+func fingerprints(list []*Run) (out []quarantine.Fingerprint) {
 	for _, u := range list[:min(mostNamed, len(list))] {
 		out = append(out, u.fingerprint)
 	}
--- a/internal/node/deadly_test.go
+++ b/internal/node/deadly_test.go
@@ -138,9 +138,9 @@
 }
 
 // Refuses implements relay.Backend.
-func (e *engines) Refuses(_ context.Context, s backend.Server) bool {
+func (e *engines) Refuses(_ context.Context, address string) bool {
 	time.Sleep(2 * oneWay)
-	return e.find(s.Run.Name) == nil
+	return e.find(address) == nil
 }
 
 // Forget implements relay.Backend.
--- a/internal/node/holds.go
+++ b/internal/node/holds.go
@@ -89,11 +89,11 @@
 func (n *Node) takeHeld(h Held) {
 	n.stored.note(h)
 	if h.Released {
-		n.Relay.Quarantine.Release(h.Fingerprint)
+		n.Relay.Guard.Release(h.Fingerprint)
 		return
 	}
 	if left := time.Until(h.Until); left > 0 {
-		n.Relay.Quarantine.Told(h.Fingerprint, left)
+		n.Relay.Guard.Told(h.Fingerprint, left)
 	}
 }
 
@@ -101,7 +101,7 @@
 // the contacts that notices writes; the others hear of the record before it is their turn.
 func (n *Node) keepHolds(ctx context.Context) {
 	loop.Every(ctx, holdsEvery, func(ctx context.Context, at time.Time) {
-		differ := n.stored.differences(n.Relay.Quarantine.Holds(), n.ports.Boot(), at)
+		differ := n.stored.differences(n.Relay.Guard.Holds(), n.ports.Boot(), at)
 		if len(differ) == 0 || !n.contact() || !n.others.Loaded() {
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,8 +158,8 @@
 	}
 	n.members = gossip.New(c.Name, c.Control, n.incarnation, n.pulse, peers, p.Boot, p.Logger)
 	n.members.Heard, n.members.Worked = n.heard, n.state.AddPeerWork
-	n.members.Quarantined = n.Relay.Quarantine.Word
-	n.Relay.Quarantine.Spread = n.news.soon
+	n.members.Quarantined = n.Relay.Guard.Word
+	n.Relay.Guard.SetSpread(n.news.soon)
 	n.members.Learn(c.Seeds...)
 	n.prepare(ctx)
 	return n
@@ -232,7 +232,7 @@
 		n.confirmedBy(p, after)
 	}
 	n.Relay.Rollouts.Heard(p.Incarnation, p.Orders)
-	n.Relay.Quarantine.Hear(p.Quarantine)
+	n.Relay.Guard.Hear(p.Quarantine)
 	if n.placements.Fresh(p.Incarnation, p.PlacedRound) {
 		n.state.TakePlacements(p.Placed)
 	}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -30,8 +30,8 @@
 }
 
 func (l *Ledger) lastEnd(f Fingerprint) (at time.Duration) {
-	for _, run := range l.of[f] {
-		at = max(at, l.ends[run].at)
+	for _, id := range l.of[f] {
+		at = max(at, l.ends[id].at)
 	}
 	return at
 }
@@ -42,7 +42,7 @@
 // Of two that were at the same three ends neither is held for a while, unless one is already:
 // the next end tells, or the answer that one of them gets.
 func (l *Ledger) guilty(now time.Duration) (out []Fingerprint) {
-	explained := map[RunKey]bool{}
+	explained := map[endID]bool{}
 	doubtful := map[Fingerprint]bool{}
 	left := map[Fingerprint]bool{}
 	for f, runs := range l.of {
@@ -64,8 +64,8 @@
 			out = append(out, f)
 		}
 		for _, f := range out {
-			for _, run := range l.of[f] {
-				explained[run] = true
+			for _, id := range l.of[f] {
+				explained[id] = true
 			}
 		}
 	}
@@ -76,7 +76,7 @@
 // unanswered returns those of some doubtful requests that were not answered in full for a
 // while and whose ends are not all explained. Of two deadly requests that ended servers
 // together, the second has too few ends of its own.
-func (l *Ledger) unanswered(doubtful map[Fingerprint]bool, explained map[RunKey]bool, now time.Duration) (out []Fingerprint) {
+func (l *Ledger) unanswered(doubtful map[Fingerprint]bool, explained map[endID]bool, now time.Duration) (out []Fingerprint) {
 	for _, f := range slices.Sorted(maps.Keys(doubtful)) {
 		if now-l.lastEnd(f) >= doubtFor && len(l.unexplained(f, explained)) > 0 {
 			out = append(out, f)
@@ -87,7 +87,7 @@
 
 // most returns the largest number of unexplained ends of one request, and which have it, in
 // order.
-func (l *Ledger) most(left map[Fingerprint]bool, explained map[RunKey]bool) (most int, first []Fingerprint) {
+func (l *Ledger) most(left map[Fingerprint]bool, explained map[endID]bool) (most int, first []Fingerprint) {
 	for _, f := range slices.Sorted(maps.Keys(left)) {
 		n := len(l.unexplained(f, explained))
 		switch {
@@ -100,17 +100,17 @@
 	return most, first
 }
 
-func (l *Ledger) unexplained(f Fingerprint, explained map[RunKey]bool) (out []RunKey) {
-	for _, run := range l.of[f] {
-		if !explained[run] {
-			out = append(out, run)
+func (l *Ledger) unexplained(f Fingerprint, explained map[endID]bool) (out []endID) {
+	for _, id := range l.of[f] {
+		if !explained[id] {
+			out = append(out, id)
 		}
 	}
 	return out
 }
 
 // rival reports whether another request was at the same unexplained ends.
-func (l *Ledger) rival(f Fingerprint, others []Fingerprint, explained map[RunKey]bool) bool {
+func (l *Ledger) rival(f Fingerprint, others []Fingerprint, explained map[endID]bool) bool {
 	own := l.unexplained(f, explained)
 	slices.Sort(own)
 	return slices.ContainsFunc(others, func(o Fingerprint) bool {
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -19,6 +19,9 @@
 	// request is held from its last end on: it ends servers again when it comes later.
 	endKept = time.Hour
 	holdFor = time.Hour
+	// SameEnd is the time within which ends of a run are one, as daemons notice it: where
+	// servers keep their name over a start, a later one is another.
+	SameEnd = 2 * time.Second
 	// mostEnds, mostSuspects and mostHolds bound what is remembered: ends, requests for
 	// each, and requests held. Together they take some MB at most.
 	mostEnds     = 256
@@ -97,9 +100,12 @@
 // Every daemon's ledger comes to the same verdict from the same ends. It is guarded by its
 // owner's lock; times are readings of a steady clock.
 type Ledger struct {
-	ends map[RunKey]*end
+	ends map[endID]*end
+	// newest is the newest end of each run, and lastID the number given last.
+	newest map[RunKey]endID
+	lastID endID
 	// of lists the ends of each suspected request.
-	of    map[Fingerprint][]RunKey
+	of    map[Fingerprint][]endID
 	holds map[Fingerprint]*hold
 	// cleared is when each request was cleared, and succeeded when one last succeeded
 	// that is not suspected.
@@ -110,14 +116,18 @@
 	swept time.Duration
 }
 
+// endID numbers ends in the order in which this daemon learned of them.
+type endID uint64
+
 type end struct {
+	run      RunKey
 	at       time.Duration
 	suspects map[Fingerprint]bool
 }
 
 // newsItem is a suspect of an end, or a clearance.
 type newsItem struct {
-	run         RunKey
+	end         endID
 	fingerprint Fingerprint
 	cleared     bool
 	learned     time.Duration
@@ -134,7 +144,7 @@
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{
-		ends: map[RunKey]*end{}, of: map[Fingerprint][]RunKey{}, holds: map[Fingerprint]*hold{},
+		ends: map[endID]*end{}, newest: map[RunKey]endID{}, of: map[Fingerprint][]endID{}, holds: map[Fingerprint]*hold{},
 		cleared: map[Fingerprint]time.Duration{}, succeeded: map[Fingerprint]time.Duration{},
 	}
 }
@@ -166,12 +176,8 @@
 // Ended takes it that a run of a server ended at a time, and which requests were there.
 func (l *Ledger) Ended(run RunKey, at time.Duration, suspects []Fingerprint, now time.Duration) Change {
 	l.sweep(now)
-	e := l.ends[run]
-	if e == nil {
-		l.makeRoom()
-		e = &end{at: at, suspects: map[Fingerprint]bool{}}
-		l.ends[run] = e
-	}
+	id := l.endOf(run, at)
+	e := l.ends[id]
 	var out Change
 	judge := false
 	for _, f := range slices.SortedFunc(slices.Values(suspects), l.moreEndsFirst) {
@@ -179,8 +185,8 @@
 			continue
 		}
 		e.suspects[f] = true
-		l.news = append(l.news, newsItem{run: run, fingerprint: f, learned: now})
-		l.of[f] = append(l.of[f], run)
+		l.news = append(l.news, newsItem{end: id, fingerprint: f, learned: now})
+		l.of[f] = append(l.of[f], id)
 		out.News = true
 		judge = judge || len(l.of[f]) >= endsToHold
 	}
@@ -190,6 +196,18 @@
 	return out
 }
 
+// endOf returns the end of a run at about a time.
+func (l *Ledger) endOf(run RunKey, at time.Duration) endID {
+	if id, known := l.newest[run]; known && (at-l.ends[id].at).Abs() <= SameEnd {
+		return id
+	}
+	l.makeRoom()
+	l.lastID++
+	l.ends[l.lastID] = &end{run: run, at: at, suspects: map[Fingerprint]bool{}}
+	l.newest[run] = l.lastID
+	return l.lastID
+}
+
 // suspected reports whether a request that was at a server is to be remembered for its end.
 func (l *Ledger) suspected(e *end, f Fingerprint) bool {
 	if e.suspects[f] || len(e.suspects) >= mostSuspects {
@@ -207,25 +225,24 @@
 	if len(l.ends) < mostEnds {
 		return
 	}
-	var oldest RunKey
-	var at time.Duration = 1<<63 - 1
-	for run, e := range l.ends {
-		if e.at < at || e.at == at && run < oldest {
-			oldest, at = run, e.at
-		}
-	}
-	l.forget(oldest)
+	l.forget(slices.MinFunc(slices.Collect(maps.Keys(l.ends)), func(a, b endID) int {
+		return cmp.Or(cmp.Compare(l.ends[a].at, l.ends[b].at), cmp.Compare(a, b))
+	}))
 }
 
-func (l *Ledger) forget(run RunKey) {
-	for f := range l.ends[run].suspects {
-		l.unlink(f, run)
+func (l *Ledger) forget(id endID) {
+	e := l.ends[id]
+	for f := range e.suspects {
+		l.unlink(f, id)
+	}
+	if l.newest[e.run] == id {
+		delete(l.newest, e.run)
 	}
-	delete(l.ends, run)
+	delete(l.ends, id)
 }
 
-func (l *Ledger) unlink(f Fingerprint, run RunKey) {
-	list := slices.DeleteFunc(l.of[f], func(r RunKey) bool { return r == run })
+func (l *Ledger) unlink(f Fingerprint, id endID) {
+	list := slices.DeleteFunc(l.of[f], func(o endID) bool { return o == id })
 	if len(list) == 0 {
 		delete(l.of, f)
 		return
@@ -258,10 +275,10 @@
 	if tell {
 		l.news = append(l.news, newsItem{fingerprint: f, cleared: true, learned: now})
 	}
-	for _, run := range slices.Clone(l.of[f]) {
-		if l.ends[run].at <= at {
-			delete(l.ends[run].suspects, f)
-			l.unlink(f, run)
+	for _, id := range slices.Clone(l.of[f]) {
+		if l.ends[id].at <= at {
+			delete(l.ends[id].suspects, f)
+			l.unlink(f, id)
 		}
 	}
 	if h := l.holds[f]; h != nil && h.since <= at {
@@ -307,9 +324,9 @@
 		return
 	}
 	l.swept = now
-	for run, e := range l.ends {
+	for id, e := range l.ends {
 		if now-e.at > endKept {
-			l.forget(run)
+			l.forget(id)
 		}
 	}
 	maps.DeleteFunc(l.holds, func(_ Fingerprint, h *hold) bool { return now >= h.until })
@@ -332,15 +349,16 @@
 
 // freshEnds returns the ends of which something is news, the youngest first.
 func (l *Ledger) freshEnds(now time.Duration) (out []End) {
-	suspects := map[RunKey][]Fingerprint{}
+	suspects := map[endID][]Fingerprint{}
 	for _, n := range l.news {
-		if e := l.ends[n.run]; !n.cleared && e != nil && e.suspects[n.fingerprint] {
-			suspects[n.run] = append(suspects[n.run], n.fingerprint)
+		if e := l.ends[n.end]; !n.cleared && e != nil && e.suspects[n.fingerprint] {
+			suspects[n.end] = append(suspects[n.end], n.fingerprint)
 		}
 	}
-	for run, list := range suspects {
+	for id, list := range suspects {
 		slices.SortFunc(list, l.moreEndsFirst)
-		out = append(out, End{Run: run, AgeMs: (now - l.ends[run].at).Milliseconds(), Suspects: list[:min(mostTold, len(list))]})
+		e := l.ends[id]
+		out = append(out, End{Run: e.run, AgeMs: (now - e.at).Milliseconds(), Suspects: list[:min(mostTold, len(list))]})
 	}
 	slices.SortFunc(out, func(a, b End) int { return cmp.Or(cmp.Compare(a.AgeMs, b.AgeMs), cmp.Compare(a.Run, b.Run)) })
 	return out[:min(mostEndsTold, len(out))]
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -204,3 +204,16 @@
 		t.Error("a short text is a fingerprint")
 	}
 }
+
+// Where servers keep their name over a start, each end counts.
+func TestServerThatEndsAgainCountsAgain(t *testing.T) {
+	l := NewLedger()
+	for i := range 3 {
+		at := i * int((2 * SameEnd).Milliseconds())
+		ended(l, 1, at, 7)
+		ended(l, 1, at+int(SameEnd.Milliseconds())/2, 7, 8)
+	}
+	if s := l.Standing(7, time.Minute); s.Ends != 3 || !s.Held {
+		t.Fatalf("stands %+v", s)
+	}
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -115,8 +115,9 @@
 	Send(ctx context.Context, s Send) (*Reply, error)
 	// Alive asks whether a server answers at all, not whether it is well.
 	Alive(ctx context.Context, s backend.Server, engine bool) error
-	// Refuses reports whether a server's VM refuses connections: the server has ended.
-	Refuses(ctx context.Context, s backend.Server) bool
+	// Refuses reports whether the VM at an address refuses connections: what listened there
+	// has ended.
+	Refuses(ctx context.Context, address string) bool
 	// Forget closes the idle connections to an address.
 	Forget(address string)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
@@ -34,7 +35,7 @@
 	// standing is what was known of the request before the last send.
 	standing quarantine.Standing
 	// run is the last send.
-	run *run
+	run *containment.Run
 	// succeeded says that a server answered in full, and not with a failure.
 	succeeded bool
 	// model indexes the route's models.
@@ -148,32 +149,15 @@
 func (x *exchange) attempt(ctx context.Context, t *target) (request.Outcome, bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x.run = x.relay.runs.enter(t.server.ID, x.call.ID, x.fingerprint, cancel)
+	x.run = x.relay.Guard.Enter(guarded(t.server), x.call.ID, x.fingerprint, cancel)
 	outcome, done := x.send(ctx, cancel, t)
-	f := fateOf(ctx, outcome, done)
-	x.relay.runs.leave(x.run, f)
-	switch {
-	case f == broke:
-		x.relay.findOut(ctx, t.server)
-	case x.succeeded:
-		x.relay.Quarantine.succeeded(x.fingerprint)
+	x.relay.Guard.Leave(ctx, x.run, guarded(t.server), fateOf(ctx, outcome, done))
+	if x.succeeded {
+		x.relay.Guard.Succeeded(x.fingerprint)
 	}
 	return outcome, done
 }
 
-// fateOf tells what became of a send from its outcome.
-func fateOf(ctx context.Context, o request.Outcome, done bool) fate {
-	switch {
-	case done, o == request.NotStarted:
-		return finished
-	case o == request.Unconvincing, ctx.Err() != nil:
-		return left
-	case o == request.Lost, o == request.CutShort:
-		return broke
-	}
-	return finished
-}
-
 // send makes one attempt. Done says that the caller has the final answer.
 func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (request.Outcome, bool) {
 	by, age := x.relay.State.Confirmed(freshness.Servers)
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -319,23 +319,3 @@
 func (s *State) unreachable(t *target) {
 	s.with(t.service, func(sv *service) { sv.picture.Unreachable(t.server.ID, time.Now()) })
 }
-
-// lost books a server that has ended, under the key by which daemons tell of it.
-func (s *State) lost(run quarantine.RunKey) {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, sv := range s.services {
-		if id, known := sv.ids[ServerKey(run)]; known {
-			sv.picture.Unreachable(id, now)
-		}
-	}
-}
-
-// leaving reports whether a server has said that it leaves, or its entry has gone.
-func (s *State) leaving(b backend.Server) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now, known := s.serviceOf(b.Service).servers[b.ID]
-	return !known || now.Leaving
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/cascade"
+	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
@@ -57,9 +58,8 @@
 	rules    Rules
 	log      *log.Logger
 	watch    *watch
-	runs     *runs
-	// Quarantine keeps requests from servers that end when they run them.
-	Quarantine *Quarantine
+	// Guard keeps requests from servers that end when they run them.
+	Guard *containment.Guard
 	// started is where the steady clock of the retry budget begins.
 	started time.Time
 
@@ -76,11 +76,11 @@
 // New returns a relay.
 func New(s *State, b Backend, rules Rules, m *Metrics, l *log.Logger) *Relay {
 	r := &Relay{
-		State: s, Rollouts: NewRollouts(rules.SessionSpan, l), Metrics: m, backend: b, rules: rules, log: l, started: time.Now(), runs: newRuns(),
+		State: s, Rollouts: NewRollouts(rules.SessionSpan, l), Metrics: m, backend: b, rules: rules, log: l, started: time.Now(),
 		shares: map[string]*request.Share{}, valuers: map[string]*cascade.Valuer{},
 	}
 	r.watch = newWatch(s, b, l, m)
-	r.Quarantine = newQuarantine(r, s.boot)
+	r.Guard = newGuard(r)
 	return r
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -40,7 +40,7 @@
 }
 
 func (f *fakeBackend) Alive(context.Context, backend.Server, bool) error { return nil }
-func (f *fakeBackend) Refuses(context.Context, backend.Server) bool      { return false }
+func (f *fakeBackend) Refuses(context.Context, string) bool              { return false }
 func (f *fakeBackend) Forget(address string)                             { f.forgotten = append(f.forgotten, address) }
 
 // answering returns a whole answer.
