Own interface: a request that ends its engines ends all of them: failing test

The stand-in of an engine ends when it begins a run whose prompt says so. Eight sends of one request to two daemons end all ten engines.

--- a/internal/app/failure_test.go
+++ b/internal/app/failure_test.go
@@ -14,6 +14,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/billing"
 	"github.com/damaskrudder/damaskrudder/internal/daemon"
 	"github.com/damaskrudder/damaskrudder/internal/demo"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
 	"github.com/damaskrudder/damaskrudder/internal/standin"
@@ -261,3 +262,30 @@
 	w.Engines["lm-desk-3"].SetBehaviour("bib-lookup@v2", standin.Behaviour{})
 	until(t, "the late order is corrected", gone)
 }
+
+// Symptom: one engine after the other ends, and everybody's requests fail.
+// Sequence: a request ends the engine that runs it; the daemon sends it to another one, and
+// its caller sends it again, to another daemon.
+// Cause: nothing knew the request again.
+func TestRequestThatEndsItsEnginesIsKeptFromThem(t *testing.T) {
+	const most = 4 // three, and one to which it was on its way
+	w := world(t, 2)
+	deadly := strings.Replace(lookup, "status of", standin.DeadlyMark, 1)
+	var got []string
+	for i := range 8 {
+		status, _, body := post(t, w.Addresses[i%2], "/v1/chat/completions", demo.Key(demo.Largada), nil, deadly)
+		if status == http.StatusOK {
+			t.Fatal("answered")
+		}
+		got = append(got, body)
+	}
+	if n := w.Ended.Load(); n > most {
+		t.Errorf("%d engines ended, at most %d are to", n, most)
+	}
+	if last := got[len(got)-1]; !strings.Contains(last, "quarantined") || !strings.Contains(last, string(fault.NotRun)) {
+		t.Errorf("the last caller got %s", last)
+	}
+	if status, _, body := post(t, w.Addresses[0], "/v1/chat/completions", demo.Key(demo.Largada), nil, lookup); status != http.StatusOK {
+		t.Errorf("another request got %d %s", status, body)
+	}
+}
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/daemon"
@@ -39,10 +40,12 @@
 
 // World is the platform, the backend servers and the daemons.
 type World struct {
-	Log       *standin.Log
-	VMs       *standin.VMList
-	Engines   map[string]*standin.Engine
-	Services  map[string]*standin.Plain
+	Log      *standin.Log
+	VMs      *standin.VMList
+	Engines  map[string]*standin.Engine
+	Services map[string]*standin.Plain
+	// Ended counts engines that a run has ended; they stay away.
+	Ended     atomic.Int64
 	Nodes     []Node
 	Addresses []string
 	Settings  []settings.Settings
@@ -120,6 +123,10 @@
 		if err != nil {
 			return fleet.Patch{}, err
 		}
+		w.Engines[id].OnDeadly(func() {
+			w.Ended.Add(1)
+			s.Close()
+		})
 		engines = append(engines, fleet.Server{ID: id, Address: s.Address, FailureDomain: domains[i%len(domains)], Slots: EngineModel.Slots, ChecksFencing: true})
 	}
 	for i := range serviceCount {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -58,6 +58,26 @@
 	silent   bool
 	started  int
 	canceled int
+	// ended is called when a run ends the engine; see DeadlyMark.
+	ended func()
+}
+
+// DeadlyMark is the text in a prompt that ends an engine which begins to run it.
+const DeadlyMark = "deadly"
+
+// OnDeadly sets what happens when a run begins whose prompt holds DeadlyMark.
+func (e *Engine) OnDeadly(f func()) { e.mu.Lock(); e.ended = f; e.mu.Unlock() }
+
+// dies ends the engine if a run's prompt does, and reports whether it did.
+func (e *Engine) dies(ru *run) bool {
+	e.mu.Lock()
+	end := e.ended
+	e.mu.Unlock()
+	if end == nil || !strings.Contains(ru.prompt, DeadlyMark) {
+		return false
+	}
+	end()
+	return true
 }
 
 type loadReport struct {
@@ -237,6 +257,10 @@
 		return
 	}
 	defer e.release()
+	if e.dies(ru) {
+		e.finish(ru, true)
+		return
+	}
 	slow := max(b.Slow, 1)
 	e.mu.Lock()
 	uncached := e.cache.touch(ru.model, ru.prompt)
