Own interface: a request that ran is not refused by a kind that says that it did not

What callers saw: 503 no_server for a request that had run on a server which then ended. Cause: Life answered the kind of the last event; Journey, the opaque side's, did not. Both use one rule now.

--- a/internal/request/journey.go
+++ b/internal/request/journey.go
@@ -94,16 +94,23 @@
 	return nil
 }
 
-// refuse returns a final refusal. One of a kind that promises not to have run
-// must not be given once the request may have run: the caller would repeat it.
+// truthful returns the kind of a refusal in place of one that says something else of the run.
+// One that promises not to have run must not be given once the request may have run: the
+// caller would repeat it.
+func truthful(k fault.Kind, state fault.Run) fault.Kind {
+	switch {
+	case state != fault.NotRun && fault.Lookup(k).Run == fault.NotRun:
+		return fault.EngineFailed
+	case state == fault.NotRun && k == fault.EngineFailed:
+		return fault.EngineRefused
+	}
+	return k
+}
+
+// refuse returns a final refusal.
 func (j *Journey) refuse(k fault.Kind, detail string) *fault.Error {
 	state := j.State()
-	if state != fault.NotRun && fault.Lookup(k).Run == fault.NotRun {
-		k = fault.EngineFailed
-	}
-	if state == fault.NotRun && k == fault.EngineFailed {
-		k = fault.EngineRefused
-	}
+	k = truthful(k, state)
 	return fault.New(k, "%s", detail).With(state)
 }
 
--- a/internal/request/journey_test.go
+++ b/internal/request/journey_test.go
@@ -103,3 +103,25 @@
 		}
 	})
 }
+
+// Symptom: a caller was told by its status that its request had not run, and it had.
+// Sequence: a run is lost; the next server takes no connection, and no further one may be
+// asked.
+// Cause: the kind of the last event was answered, whatever had happened before.
+func TestLifeIsNotRefusedAsNotRunAfterARun(t *testing.T) {
+	now := time.Now()
+	l := &Life{Repeatable: true}
+	budget := NewRetryBudget()
+	l.Began()
+	l.Started()
+	if d := l.After(RunGone, now, budget); d.Action != TryAnother {
+		t.Fatalf("decided %+v", d)
+	}
+	for range MaxAttempts - 1 {
+		l.Began()
+	}
+	d := l.After(ConnectFailed, now, budget)
+	if d.Action != Fail || fault.Lookup(d.Error.Kind).Run == fault.NotRun || d.Error.State() != fault.Ran {
+		t.Errorf("refused with %v, %s", d.Error, d.Error.State())
+	}
+}
--- a/internal/request/life.go
+++ b/internal/request/life.go
@@ -131,7 +131,7 @@
 func (l *Life) expired(now time.Time) bool { return !l.Deadline.IsZero() && !now.Before(l.Deadline) }
 
 func (l *Life) fail(k fault.Kind, detail string) Decision {
-	return Decision{Fail, fault.New(k, "%s", detail).With(l.State())}
+	return Decision{Fail, fault.New(truthful(k, l.State()), "%s", detail).With(l.State())}
 }
 
 // RetryBudget keeps retries below a fraction of first attempts, so that they
