--- a/internal/containment/guard.go
+++ b/internal/containment/guard.go
@@ -170,14 +170,32 @@
 // serverEnded takes it that a server has ended, with what this daemon had there.
 func (g *Guard) serverEnded(s Server) {
 	list, leaving := g.runs.suspects(s.ID, 0), g.ports.Leaving(s)
-	g.ports.Ended.Inc(1)
-	g.ports.Logger.Warn("server ended", "server", s.ID, "address", s.Address, "leaving", leaving, "requests", len(list), "fingerprints", fingerprints(list))
+	how := "refuses connections"
+	if leaving {
+		how = "had said that it leaves"
+	}
+	g.noteEnd(s, how, list)
 	g.ports.Lost(RunKey(s.ID))
 	if !leaving {
 		g.ended(RunKey(s.ID), 0, list)
 	}
 }
 
+// noteEnd counts and logs the end of a server with requests of this daemon.
+func (g *Guard) noteEnd(s Server, how string, list []*Run) {
+	g.ports.Ended.Inc(1)
+	g.ports.Logger.Warn("server ended", "server", s.ID, "address", s.Address, "how", how, "requests", len(list), "fingerprints", fingerprints(list))
+}
+
+// Restarted takes it that a server has started again, so that its earlier run has ended. One
+// that is back at once refuses no connection.
+func (g *Guard) Restarted(s Server) {
+	if list, news := g.runs.restarted(s.ID); news {
+		g.noteEnd(s, "started again", list)
+		g.ended(RunKey(s.ID), 0, list)
+	}
+}
+
 // ended takes it that a run of a server ended some time ago with requests of this daemon.
 func (g *Guard) ended(run quarantine.RunKey, age time.Duration, list []*Run) {
 	if len(list) == 0 {
--- a/internal/containment/runs.go
+++ b/internal/containment/runs.go
@@ -12,6 +12,9 @@
 	// afterEffect is how long after a daemon let go of a request its server may still end
 	// by it: a run that is cancelled may have done its harm.
 	afterEffect = time.Second
+	// restartSeen is how late it may be learned that a server has started again: until then
+	// connections that broke there may have been its end.
+	restartSeen = 4 * time.Second
 	// runsKept is how long what a server ran is remembered after it was last used.
 	runsKept = 10 * time.Second
 )
@@ -159,7 +162,7 @@
 func keepSuspects(list []*Run, now time.Time) []*Run {
 	out := list[:0]
 	for _, u := range list {
-		if u.suspect(now) {
+		if u.suspect(now) || u.fate == Broke && now.Sub(u.over) <= restartSeen {
 			out = append(out, u)
 		}
 	}
@@ -198,6 +201,25 @@
 	return out
 }
 
+// restarted takes it that a server has started again, and returns the requests whose
+// connections broke there since it may have ended, and whether the end is news.
+func (r *runs) restarted(server string) (list []*Run, news bool) {
+	news = r.answer(server, true)
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[server]
+	if s == nil {
+		return nil, false
+	}
+	for _, u := range s.list {
+		if u.suspect(now) || u.fate == Broke && now.Sub(u.over) <= restartSeen {
+			list = append(list, u)
+		}
+	}
+	return list, news
+}
+
 // ask returns a channel that is closed when it is known whether a server has ended, and
 // whether the caller is the one to find out.
 func (r *runs) ask(server string) (known chan struct{}, first bool) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -91,6 +91,7 @@
 // is known of a run is kept by its id, so that nothing of it counts for the next one; what
 // waits for it, and connections to it, are ended here.
 func (r *Relay) Ended(run backend.Server) {
+	r.Guard.Restarted(guarded(run))
 	moved := r.watch.ended(run.ID, time.Now())
 	r.backend.Forget(run.Address)
 	r.Metrics.Restarts.Inc(1)
