Own interface: a request that ends its engines is kept from them, by hand too

The same guard stands before each attempt of a chat and of a service call; heartbeats carry the ledger's word, at once when there is news, and a daemon that adopts a whole table is told all holds. Operators list, add and release holds (rudderctl holds).

--- /dev/null
+++ b/internal/api/holds.go
@@ -0,0 +1,59 @@
+package api
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/quarantine"
+)
+
+// HeldRequest is a request that is kept from backend servers, as operators see it.
+type HeldRequest struct {
+	// Fingerprint is its name on the daemons' lines.
+	Fingerprint string `json:"fingerprint"`
+	// AgeSeconds is for how long it has been held, and LeftSeconds for how long it still is.
+	AgeSeconds  float64 `json:"age_seconds"`
+	LeftSeconds float64 `json:"left_seconds"`
+}
+
+func (a *API) holds(c echo.Context) error {
+	out := []HeldRequest{}
+	for _, h := range a.d.Holds() {
+		out = append(out, HeldRequest{h.Fingerprint.String(), seconds(h.AgeMs), seconds(h.LeftMs)})
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+func seconds(ms int64) float64 { return (time.Duration(ms) * time.Millisecond).Seconds() }
+
+// holdRequest keeps a request from servers by hand, for as long as the daemon's own holds
+// last, and answers with all that are held.
+func (a *API) holdRequest(c echo.Context) error {
+	f, err := fingerprintOf(c)
+	if err != nil {
+		return err
+	}
+	a.d.Hold(f)
+	return a.holds(c)
+}
+
+// releaseRequest ends a hold by hand, and answers with those that are left.
+func (a *API) releaseRequest(c echo.Context) error {
+	f, err := fingerprintOf(c)
+	if err != nil {
+		return err
+	}
+	a.d.Release(f)
+	return a.holds(c)
+}
+
+func fingerprintOf(c echo.Context) (quarantine.Fingerprint, error) {
+	f, err := quarantine.ParseFingerprint(c.Param("fingerprint"))
+	if err != nil {
+		return 0, fault.Field(fault.BadRequest, "fingerprint", "%v", err)
+	}
+	return f, nil
+}
--- a/internal/app/failure_test.go
+++ b/internal/app/failure_test.go
@@ -268,24 +268,45 @@
 // its caller sends it again, to another daemon.
 // Cause: nothing knew the request again.
 func TestRequestThatEndsItsEnginesIsKeptFromThem(t *testing.T) {
-	const most = 4 // three, and one to which it was on its way
-	w := world(t, 2)
+	w := world(t, 3)
 	deadly := strings.Replace(lookup, "status of", standin.DeadlyMark, 1)
-	var got []string
-	for i := range 8 {
-		status, _, body := post(t, w.Addresses[i%2], "/v1/chat/completions", demo.Key(demo.Largada), nil, deadly)
-		if status == http.StatusOK {
-			t.Fatal("answered")
+	ask := func(i int, body string) (int, string) {
+		status, _, answer := post(t, w.Addresses[i%3], "/v1/chat/completions", demo.Key(demo.Largada), nil, body)
+		return status, answer
+	}
+	if status, answer := ask(0, deadly); status != http.StatusBadGateway || strings.Contains(answer, string(fault.NotRun)) {
+		t.Errorf("the first caller got %d %s", status, answer)
+	}
+	for i := range 3 {
+		until(t, "held at all daemons", func() bool { return len(holds(t, w, i)) == 1 })
+	}
+	for i := range 9 {
+		if status, answer := ask(i, deadly); status != http.StatusServiceUnavailable || !strings.Contains(answer, string(fault.Quarantined)) || !strings.Contains(answer, string(fault.NotRun)) {
+			t.Errorf("a later caller got %d %s", status, answer)
+		}
+	}
+	if n := w.Ended.Load(); n != 3 {
+		t.Errorf("%d engines ended", n)
+	}
+	for i := range 3 {
+		if status, answer := ask(i, lookup); status != http.StatusOK {
+			t.Errorf("another request got %d %s", status, answer)
 		}
-		got = append(got, body)
 	}
-	if n := w.Ended.Load(); n > most {
-		t.Errorf("%d engines ended, at most %d are to", n, most)
+	held := holds(t, w, 1)[0].Fingerprint
+	if err := w.OperatorAt(1, http.MethodDelete, "/holds/"+held, nil, nil); err != nil {
+		t.Fatal(err)
 	}
-	if last := got[len(got)-1]; !strings.Contains(last, "quarantined") || !strings.Contains(last, string(fault.NotRun)) {
-		t.Errorf("the last caller got %s", last)
+	for i := range 3 {
+		until(t, "released at all daemons", func() bool { return len(holds(t, w, i)) == 0 })
 	}
-	if status, _, body := post(t, w.Addresses[0], "/v1/chat/completions", demo.Key(demo.Largada), nil, lookup); status != http.StatusOK {
-		t.Errorf("another request got %d %s", status, body)
+}
+
+// holds returns the requests that a daemon keeps from servers.
+func holds(t *testing.T, w *demo.World, daemon int) (out []api.HeldRequest) {
+	t.Helper()
+	if err := w.OperatorAt(daemon, http.MethodGet, "/holds", nil, &out); err != nil {
+		t.Fatal(err)
 	}
+	return out
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -88,6 +88,7 @@
 			sub("rollout", "<show|hold|resume|withdraw> [model]", "see and steer roll-outs", "rudderctl rollout hold bib-lookup", t.patchFlags, t.rollout),
 			sub("endpoints", "", "show which addresses callers are given", "rudderctl endpoints", nil, t.endpoints),
 			sub("usage", "", "sum the bills that the log holds and list doubtful ones", "rudderctl usage", nil, t.usage),
+			sub("holds", "[add|release FINGERPRINT]", "see the requests that are kept from servers that end by them, add one, release one", "rudderctl holds release 1f0c6a5be2d94477", nil, t.holds),
 			sub("burn", "", "report how fast objectives use up their allowance", "rudderctl burn", nil, t.burn),
 			sub("explain", "WORKSPACE MODEL [SESSION]", "say how a request would be routed now", "rudderctl explain goldfields-desk desk", nil, t.explain),
 			t.traceCommand(),
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/billing"
+	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/engine"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
+	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
@@ -121,7 +123,11 @@
 	life := &request.Life{Repeatable: q.Key == "", Deadline: time.Now().Add(limit)}
 	d.retries.earn()
 	var tried []string
+	fingerprint := quarantine.Of(q.Workspace, "", "call", q.Service, q.Body)
 	for {
+		if refusal := d.held(fingerprint, life); refusal != nil {
+			return nil, refusal
+		}
 		c := d.config.current()
 		if !slices.Contains(c.Workspaces[q.Workspace].Services, q.Service) {
 			d.metrics.lastCheck.Inc(1)
@@ -135,7 +141,7 @@
 		life.Began()
 		d.metrics.attempts.Inc(1)
 		began := time.Now()
-		status, body, err := d.engine.Call(ctx, ch.candidate.Address, id, q.Body)
+		status, body, err := d.guardedCall(ctx, id, ch, fingerprint, q.Body)
 		d.pools.completed(ch, time.Since(began), err != nil || status >= http.StatusInternalServerError)
 		if err == nil {
 			return &ServiceAnswer{Status: status, Body: body}, nil
@@ -150,3 +156,23 @@
 		}
 	}
 }
+
+// guardedCall calls a server and tells the guard what became of it.
+func (d *Daemon) guardedCall(ctx context.Context, id string, ch choice, f quarantine.Fingerprint, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	u := d.guard.Enter(guarded(ch.candidate), id, f, cancel)
+	status, answer, err := d.engine.Call(ctx, ch.candidate.Address, id, body)
+	fate := containment.Broke
+	switch {
+	case err == nil, errors.Is(err, engine.ErrNotConnected):
+		fate = containment.Finished
+	case ctx.Err() != nil:
+		fate = containment.Left
+	}
+	d.guard.Leave(ctx, u, guarded(ch.candidate), fate)
+	if err == nil && status < http.StatusInternalServerError {
+		d.guard.Succeeded(f)
+	}
+	return status, answer, err
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,6 +62,7 @@
 	orders   *orders
 	burn     *burn
 	retries  *retries
+	guard    *guarding
 
 	inFlight atomic.Int64
 	leaving  atomic.Bool
@@ -85,6 +86,7 @@
 	d.config = newConfiguration(d)
 	d.members = newMembers(d)
 	d.pools = newPools(d)
+	d.guard = newGuarding(d)
 	d.usage = newUsage(d)
 	d.claims = newClaims(d)
 	d.limits = newLimits(d)
@@ -115,6 +117,7 @@
 	loops := []func(context.Context){
 		d.config.loop, d.members.loop, d.pools.loop, d.usage.loop,
 		d.rollouts.loop, d.cascades.loop, d.orders.loop, d.claims.loop, d.limits.loop,
+		func(ctx context.Context) { d.guard.loop(ctx, d.members) },
 	}
 	var wg sync.WaitGroup
 	for _, loop := range loops {
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -9,8 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/engine"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
@@ -30,6 +32,8 @@
 	body     map[string]json.RawMessage
 	life     *request.Life
 	deadline time.Time
+	// fingerprint is the same for every repeat of the request by its caller.
+	fingerprint quarantine.Fingerprint
 	// deliver gets each piece of the answer; its error means the caller left.
 	deliver func(text string) error
 }
@@ -54,6 +58,9 @@
 	rr := routing.Request{PromptTokens: (len(s.prompt) + 3) / 4, BlockTokens: routing.BlockTokens, Urgent: s.priority == 0}
 	rr.Blocks = routing.Blocks(nil, s.model+"@"+s.version, s.prompt)
 	for {
+		if refusal := d.held(s.fingerprint, s.life); refusal != nil {
+			return res, refusal
+		}
 		if s.life.Attempts() > 0 && s.fallback != "" {
 			s.version = s.fallback
 			rr.Blocks = routing.Blocks(rr.Blocks[:0], s.model+"@"+s.version, s.prompt)
@@ -97,8 +104,12 @@
 	runID := fmt.Sprintf("%s-%d", s.requestID, s.life.Attempts())
 	asm := request.NewAssembler(runID)
 	d.metrics.attempts.Inc(1)
-	failed := true
+	failed, event, started := true, request.ConnectFailed, false
 	defer func() { d.finishAttempt(s, ch, began, res, failed) }()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	u := d.guard.Enter(guarded(ch.candidate), s.requestID, s.fingerprint, cancel)
+	defer func() { d.guard.Leave(ctx, u, guarded(ch.candidate), fateOf(event, res.complete, started)) }()
 	// The configuration may have changed since the pick; this check is the last
 	// thing before the request leaves.
 	if !d.config.current().MayDispatch(s.workspace, s.model, s.version) {
@@ -109,9 +120,11 @@
 		ID: runID, Version: s.model + "@" + s.version, Priority: s.priority, Body: s.body,
 	})
 	for {
-		event := d.pump(s, res, ch, asm, stream, err, began)
+		started = started || err == nil
+		event = d.pump(s, res, ch, asm, stream, err, began)
 		if res.complete {
 			failed = false
+			d.guard.Succeeded(s.fingerprint)
 			return request.Decision{}
 		}
 		if ctx.Err() != nil {
@@ -124,6 +137,9 @@
 			d.pools.unreachable(ch)
 		}
 		dec := d.decide(s.life, event)
+		if errors.Is(context.Cause(ctx), containment.ErrHeld) {
+			dec = request.Decision{Action: request.TryAnother} // the next try is refused
+		}
 		if dec.Action != request.Resume {
 			d.abandonRun(ch, runID, event)
 			failed = event != request.CallerGone
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -35,6 +35,8 @@
 	braked         tally.Counter
 	claimsLost     tally.Counter
 	limitsHomeless tally.Counter
+	serversEnded   tally.Counter
+	requestsHeld   tally.Gauge
 }
 
 // MetricNames lists every counter, gauge and histogram in use with its meaning.
@@ -66,6 +68,8 @@
 		"usage_pending":        "Usage records the log has not confirmed.",
 		"members_alive":        "Daemons believed alive, this one included.",
 		"first_token_seconds":  "Time to the first token.",
+		"servers_ended":        "Backend servers that ended with requests of this daemon.",
+		"requests_held":        "Requests that are kept from servers because servers ended that ran them.",
 		"refusals":             "Refusals, tagged by kind.",
 	}
 }
@@ -96,6 +100,8 @@
 		braked:         s.Counter("rollout_braked"),
 		claimsLost:     s.Counter("claims_lost"),
 		limitsHomeless: s.Counter("limits_homeless"),
+		serversEnded:   s.Counter("servers_ended"),
+		requestsHeld:   s.Gauge("requests_held"),
 		configNumber:   s.Gauge("configuration_number"),
 		inFlight:       s.Gauge("in_flight"),
 		usagePending:   s.Gauge("usage_pending"),
--- /dev/null
+++ b/internal/daemon/quarantine.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/containment"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
+	"github.com/damaskrudder/damaskrudder/internal/quarantine"
+	"github.com/damaskrudder/damaskrudder/internal/request"
+	"github.com/damaskrudder/damaskrudder/internal/routing"
+)
+
+const (
+	// spreadPause is the least time between two rounds in which this daemon calls others
+	// to tell what it has learned of requests that end servers, and spreadTo how many it
+	// calls in each. Whoever hears something new tells it on.
+	spreadPause = 100 * time.Millisecond
+	spreadTo    = 4
+)
+
+// guarding keeps requests from servers that end when they run them.
+type guarding struct {
+	*containment.Guard
+	news chan struct{}
+}
+
+func newGuarding(d *Daemon) *guarding {
+	g := &guarding{news: make(chan struct{}, 1)}
+	started := time.Now()
+	g.Guard = containment.New(containment.Ports{
+		Boot: func() time.Duration { return time.Since(started) }, Logger: d.log,
+		Refuses: func(ctx context.Context, s containment.Server) bool { return d.engine.Refuses(ctx, s.Address) },
+		Leaving: func(s containment.Server) bool { return d.pools.isLeaving(s.ID) },
+		Lost:    d.pools.lost, Spread: g.soon, Ended: d.metrics.serversEnded, Held: d.metrics.requestsHeld,
+	})
+	return g
+}
+
+// soon has others told, and does not wait.
+func (g *guarding) soon() {
+	select {
+	case g.news <- struct{}{}:
+	default: // a round is due already, and tells all there is
+	}
+}
+
+// loop tells some other daemons whenever there is something to tell.
+func (g *guarding) loop(ctx context.Context, m *members) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.news:
+			m.tellSome(ctx, spreadTo)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(spreadPause):
+		}
+	}
+}
+
+// tellSome exchanges heartbeats with some daemons that live.
+func (m *members) tellSome(ctx context.Context, n int) {
+	rows := m.current().Members()
+	m.mu.Unlock()
+	rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+	for _, r := range rows {
+		if n > 0 && r.ID != m.d.settings.ID && r.State == membership.Alive {
+			n--
+			go func() { _ = m.exchange(ctx, r.PeerAddress) }() // a daemon that does not answer hears it from another
+		}
+	}
+}
+
+// held returns the refusal of a request that is kept from servers, or nil. One that ran
+// before is refused as failed, since the other refusal promises that it did not.
+func (d *Daemon) held(f quarantine.Fingerprint, life *request.Life) *fault.Error {
+	s := d.guard.Check(f)
+	if !s.Held {
+		return nil
+	}
+	d.log.Info("held", "fingerprint", f, "left_ms", s.Left.Milliseconds(), "attempts", life.Attempts())
+	kind := fault.Quarantined
+	if life.State() != fault.NotRun {
+		kind = fault.EngineFailed
+	}
+	return fault.New(kind, "servers ended that ran this request").With(life.State()).After(containment.Advice(s))
+}
+
+// guarded names a server to the guard. Servers keep their name over a start.
+func guarded(c routing.Candidate) containment.Server {
+	return containment.Server{ID: c.ID, Address: c.Address}
+}
+
+// fateOf tells what became of an attempt from its last event; started says that the server
+// had begun to answer.
+func fateOf(e request.Event, complete, started bool) containment.Fate {
+	switch {
+	case complete, e == request.Refused, e == request.RunFailed:
+		return containment.Finished
+	case e == request.CallerGone:
+		return containment.Left
+	case e == request.ConnectFailed && !started:
+		return containment.Finished
+	}
+	return containment.Broke
+}
+
+// isLeaving reports whether the platform says that a server leaves.
+func (p *pools) isLeaving(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaving[id]
+}
+
+// lost books a server that has ended, under the key by which daemons tell of it.
+func (p *pools) lost(run quarantine.RunKey) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, st := range p.byName {
+		for _, c := range st.picture.Snapshot(nil, now) {
+			if c.ID != "" && containment.RunKey(c.ID) == run {
+				st.picture.Unreachable(c.ID, now)
+			}
+		}
+	}
+}
+
+// Holds lists the requests that are kept from servers.
+func (d *Daemon) Holds() []quarantine.Hold { return d.guard.Holds() }
+
+// Hold keeps a request from servers by hand, at all daemons.
+func (d *Daemon) Hold(f quarantine.Fingerprint) { d.guard.Told(f, quarantine.HoldFor) }
+
+// Release ends a hold by hand, at all daemons.
+func (d *Daemon) Release(f quarantine.Fingerprint) { d.guard.Release(f) }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/samber/oops"
@@ -118,6 +119,18 @@
 	return newStream(resp.Body, cancel, watch, c.silence), nil
 }
 
+// Refuses reports whether the VM at an address refuses connections: what listened there has
+// ended.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close() // it was opened for the question alone
+	return false
+}
+
 func dialError(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -5,6 +5,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/billing"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
+	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/quota"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 	"github.com/damaskrudder/damaskrudder/internal/slo"
@@ -21,6 +22,8 @@
 	// Leaving lists the leaving servers. It is left out unless the receiver's
 	// word is older.
 	Leaving []string `cbor:"5,keyasint,omitempty"`
+	// Quarantine is what the sender learned lately of requests that end servers.
+	Quarantine quarantine.Word `cbor:"6,keyasint,omitempty"`
 }
 
 // AskMembers asks for a daemon's whole table.
@@ -29,6 +32,8 @@
 // MemberRows is the answer to AskMembers.
 type MemberRows struct {
 	Rows []membership.Rumor `cbor:"1,keyasint"`
+	// Quarantine names all requests that are held.
+	Quarantine quarantine.Word `cbor:"2,keyasint,omitempty"`
 }
 
 // FetchConfig asks for configuration records from an offset on.
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -11,10 +11,10 @@
 	guilty := l.guilty(now)
 	for _, f := range guilty {
 		if h := l.holds[f]; h != nil {
-			h.until = max(h.until, l.lastEnd(f)+holdFor)
+			h.until = max(h.until, l.lastEnd(f)+HoldFor)
 			continue
 		}
-		l.hold(f, &hold{since: l.lastEnd(f), until: l.lastEnd(f) + holdFor, learned: now})
+		l.hold(f, &hold{since: l.lastEnd(f), until: l.lastEnd(f) + HoldFor, learned: now})
 		held = append(held, f)
 	}
 	for f := range l.holds {
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -15,10 +15,10 @@
 	// doubtFor is how long it is waited for another end, or an answer, where others may be
 	// to blame as well.
 	doubtFor = 1500 * time.Millisecond
-	// endKept is how long the end of a server is remembered, and holdFor how long a
+	// endKept is how long the end of a server is remembered, and HoldFor how long a
 	// request is held from its last end on: it ends servers again when it comes later.
 	endKept = time.Hour
-	holdFor = time.Hour
+	HoldFor = time.Hour
 	// SameEnd is the time within which ends of a run are one, as daemons notice it: where
 	// servers keep their name over a start, a later one is another.
 	SameEnd = 2 * time.Second
@@ -283,7 +283,7 @@
 	}
 	if h := l.holds[f]; h != nil && h.since <= at {
 		delete(l.holds, f)
-		out.Released = []Fingerprint{f}
+		out.News, out.Released = true, []Fingerprint{f}
 	}
 	return out
 }
@@ -297,7 +297,7 @@
 	if l.holds[f] == nil && len(l.of[f]) >= endsToHold && !slices.Contains(l.guilty(now), f) {
 		return out // the ends that are known here are laid to another request
 	}
-	until = min(until, now+holdFor)
+	until = min(until, now+HoldFor)
 	if h := l.holds[f]; h != nil {
 		h.until = max(h.until, until)
 		return out
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -26,10 +26,10 @@
 	if c := ended(l, 3, 200, 7); !slices.Equal(c.Held, []Fingerprint{7}) {
 		t.Fatalf("changed %+v", c)
 	}
-	if s := l.Standing(7, 200*time.Millisecond); !s.Held || s.Left != holdFor || s.Ends != 3 {
+	if s := l.Standing(7, 200*time.Millisecond); !s.Held || s.Left != HoldFor || s.Ends != 3 {
 		t.Fatalf("stands %+v", s)
 	}
-	if held(l, 7, int((holdFor + time.Second).Milliseconds())) {
+	if held(l, 7, int((HoldFor + time.Second).Milliseconds())) {
 		t.Error("held for good")
 	}
 }
@@ -139,7 +139,7 @@
 	}
 	fresh.Hear(old.Word(now, true), 5*time.Minute)
 	s := fresh.Standing(7, 5*time.Minute)
-	if !s.Held || s.Left != holdFor-now {
+	if !s.Held || s.Left != HoldFor-now {
 		t.Fatalf("stands %+v", s)
 	}
 }
