Soak: a request that ends its servers comes again and again beside daemons that stop and start

-deadly: the stand-in of a server ends 30 ms after it has begun such a request, its VM refuses connections for 2 s. Checked: no more than three arrivals later than 3 s after the third end, no harmless request held (all callers of the soak send the same body), and service as before after it.

--- a/internal/standin/opaque.go
+++ b/internal/standin/opaque.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -29,6 +31,7 @@
 	loseHead bool
 	born     int64
 	history  []Run
+	ended    func()
 }
 
 // Run is one request that began to run.
@@ -49,6 +52,28 @@
 // them. What ran stays counted, for those who check.
 func (o *Opaque) Restart() { o.mu.Lock(); o.born++; o.mu.Unlock() }
 
+// OnDeadly sets what happens when the server has begun to run a request whose body holds
+// DeadlyMark: its connection breaks, and the server ends.
+func (o *Opaque) OnDeadly(f func()) { o.mu.Lock(); o.ended = f; o.mu.Unlock() }
+
+// untilEnd is the time from the head of an answer to the end of a server by it.
+const untilEnd = 30 * time.Millisecond
+
+// dies ends the server if a request's body does.
+func (o *Opaque) dies(w http.ResponseWriter, body []byte) {
+	o.mu.Lock()
+	end := o.ended
+	o.mu.Unlock()
+	if end == nil || !bytes.Contains(body, []byte(DeadlyMark)) {
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush() // the connection breaks off next
+	time.Sleep(untilEnd)
+	end()
+	panic(http.ErrAbortHandler)
+}
+
 // History returns every run since the first start.
 func (o *Opaque) History() []Run {
 	o.mu.Lock()
@@ -96,6 +121,7 @@
 		return
 	}
 	id := r.Header.Get("X-Damaskrudder-Attempt-Id")
+	body, _ := io.ReadAll(r.Body) // a body that broke off ends nothing
 	h := w.Header()
 	h.Set("X-Damaskrudder-Attempt-Id", id)
 	h.Set("X-Damaskrudder-Instance-Id", o.ID)
@@ -121,6 +147,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	h.Set("X-Damaskrudder-Server-Seal", "seal-"+o.ID+"-"+id)
+	o.dies(w, body)
 	if model := r.Header.Get("X-Damaskrudder-Model"); model != "" {
 		o.stream(w, r, model, breakAt)
 		return
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/standin"
 )
 
 // kind of request.
@@ -21,6 +23,9 @@
 	kindsOfRequest
 )
 
+// harmless is the body of every request but the deadly one.
+const harmless = "x"
+
 var paths = [kindsOfRequest]string{"/talk/1", "/pay/1", "/look/1"}
 
 // events is the length of every stream.
@@ -38,6 +43,8 @@
 	body   string
 	seal   string
 	err    error
+	// deadly says that the request ends its servers.
+	deadly bool
 }
 
 // callers send requests over connections that they keep.
@@ -68,14 +75,36 @@
 	all.Wait()
 }
 
+// harm sends a request that ends its servers again and again, to any daemon, until the
+// context ends.
+func (c *callers) harm(ctx context.Context, seed uint64, keys func() []string) {
+	rng := rand.New(rand.NewPCG(seed, harmStream))
+	client := &http.Client{}
+	var all sync.WaitGroup
+	for ctx.Err() == nil {
+		front, known := c.fronts[rng.IntN(len(c.fronts))], keys()
+		all.Go(func() { c.send(client, front, talk, known[len(known)-1], standin.DeadlyMark) })
+		time.Sleep(time.Duration(50+rng.IntN(200)) * time.Millisecond)
+	}
+	all.Wait()
+	client.CloseIdleConnections()
+}
+
+// harmStream is the random stream of the deadly request's caller.
+const harmStream = 1 << 32
+
 func (c *callers) one(client *http.Client, front string, k kind, key string) call {
+	return c.send(client, front, k, key, harmless)
+}
+
+func (c *callers) send(client *http.Client, front string, k kind, key, text string) call {
 	c.mu.Lock()
 	c.next++
-	out := call{id: fmt.Sprintf("%08x", c.next), front: front, kind: k, key: key, sent: time.Now()}
+	out := call{id: fmt.Sprintf("%08x", c.next), front: front, kind: k, key: key, sent: time.Now(), deadly: text != harmless}
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callerWait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+paths[k], strings.NewReader("x"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+paths[k], strings.NewReader(text))
 	if err != nil {
 		panic(err) // the soak's own address
 	}
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -20,8 +20,9 @@
 	daemons := flag.Int("daemons", 3, "number of daemons")
 	keep := flag.String("keep", "", "folder for the logs of seeds that failed; none are kept without it")
 	restarts := flag.Bool("restarts", false, "servers start again and entries turn bad, in place of all other faults")
+	deadly := flag.Bool("deadly", false, "a request that ends its servers comes again and again, beside daemons that stop and start, in place of all other faults")
 	flag.Parse()
-	if err := run(*first, *seeds, options{*span, *daemons, *restarts}, *keep, os.Stdout); err != nil {
+	if err := run(*first, *seeds, options{*span, *daemons, *restarts, *deadly}, *keep, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -33,6 +34,9 @@
 	daemons int
 	// restarts injects restarts of servers and bad entries in place of all other faults.
 	restarts bool
+	// deadly has a request that ends its servers come again and again, beside daemons that
+	// stop and start, in place of all other faults.
+	deadly bool
 }
 
 var errBroken = errors.New("promises were broken")
--- a/lab/soak/play.go
+++ b/lab/soak/play.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -43,6 +44,8 @@
 	// entries are what servers say of themselves but for their start, by place.
 	entries []string
 	barred  []bar
+	// ends are the times at which the deadly request ended servers.
+	ends []time.Time
 }
 
 const (
@@ -90,16 +93,25 @@
 	defer stop()
 	done := make(chan struct{})
 	go func() { c.run(calling, seed, callersCount, w.known); close(done) }()
+	harming, calm := context.WithCancel(calling)
+	defer calm()
+	var harm sync.WaitGroup
+	if o.deadly {
+		harm.Go(func() { c.harm(harming, seed, w.known) })
+	}
 	began := time.Now()
 	w.inject(o)
 	w.mend()
 	time.Sleep(settleTime)
+	calm()
+	harm.Wait()
 	from := time.Now()
 	time.Sleep(recoverTime)
 	to := time.Now()
 	stop()
 	<-done
-	r := &result{requests: len(c.calls), broken: append(check(c.calls, w.runs, w.revoked), checkBarred(w.barred, w.servers)...), faults: strings.Join(w.faults, " ")}
+	r := &result{requests: len(c.calls), faults: strings.Join(w.faults, " ")}
+	r.broken = slices.Concat(check(c.calls, w.runs, w.revoked), checkBarred(w.barred, w.servers), checkReleased(c.calls), checkContained(w.ends, w.arrivals(c.calls)))
 	r.served, _ = servedPart(c.calls, began, from, w.revoked)
 	r.recovered, _ = servedPart(c.calls, from, to, w.revoked)
 	r.after = outcomes(c.calls, from, to)
@@ -123,6 +135,7 @@
 		service := []string{"lm", "app"}[i%2]
 		s := standin.NewOpaque(fmt.Sprintf("%s%d", service, i), events)
 		s.Confidence["small"] = 30 + 12*i
+		s.OnDeadly(func() { w.deadlyEnd(i) })
 		server := httptest.NewServer(s)
 		p, err := newProxy(strings.TrimPrefix(server.URL, "http://"))
 		if err != nil {
@@ -224,9 +237,12 @@
 func (w *world) inject(o options) {
 	end := time.Now().Add(o.span)
 	for time.Now().Before(end) {
-		if o.restarts {
+		switch {
+		case o.deadly:
+			w.stopDaemon()
+		case o.restarts:
 			w.restart()
-		} else {
+		default:
 			w.fault(time.Duration(w.rng.Int64N(int64(mostFault))))
 		}
 		time.Sleep(leastGap + time.Duration(w.rng.Int64N(int64(mostGap-leastGap))))
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -34,6 +34,7 @@
 
 	mu    sync.Mutex
 	mode  mode
+	away  bool
 	conns map[net.Conn]bool
 }
 
@@ -43,7 +44,7 @@
 		return nil, err
 	}
 	p := &proxy{target: target, l: l, conns: map[net.Conn]bool{}}
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
@@ -75,9 +76,9 @@
 	_ = c.Close() // nothing is left to do with it
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		in, err := p.l.Accept()
+		in, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -149,7 +150,41 @@
 	}
 }
 
+// down ends what is behind the proxy for some time: connections are reset and new ones are
+// refused, as by a VM on which nothing listens. Back is called right before it is there again.
+func (p *proxy) down(lasts time.Duration, back func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.away {
+		return
+	}
+	p.away = true
+	_ = p.l.Close() // the listener has no error to tell
+	for c := range p.conns {
+		reset(c)
+	}
+	time.AfterFunc(lasts, func() { p.up(back) })
+}
+
+func (p *proxy) up(back func()) {
+	l, err := net.Listen("tcp4", p.l.Addr().String())
+	if err != nil {
+		time.AfterFunc(listenAgain, func() { p.up(back) })
+		return
+	}
+	back()
+	p.mu.Lock()
+	p.l, p.away = l, false
+	p.mu.Unlock()
+	go p.accept(l)
+}
+
+// listenAgain is the pause after a port could not be listened on.
+const listenAgain = 50 * time.Millisecond
+
 func (p *proxy) close() {
+	p.mu.Lock()
 	_ = p.l.Close() // the soak is over
+	p.mu.Unlock()
 	p.set(resetting)
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -35,6 +35,7 @@
 		// daemon trusted its keys for 14 s.
 		{"store back without a change", 328, options{span: 6 * time.Second, daemons: 3}},
 		{"servers start again, entries turn bad", 2, options{span: 6 * time.Second, daemons: 2, restarts: true}},
+		{"a request ends its servers", 3, options{span: 6 * time.Second, daemons: 3, deadly: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			r, err := play(t.Context(), tt.seed, tt.options, binary, filepath.Join(dir, strconv.FormatUint(tt.seed, 10)))
@@ -77,6 +78,24 @@
 	}
 }
 
+// A request that goes on reaching servers, and a harmless one that is held, are seen.
+func TestCheckFindsARequestThatIsNotContained(t *testing.T) {
+	now := time.Now()
+	ends := []time.Time{now.Add(2 * time.Second), now, now.Add(time.Second)}
+	late := now.Add(2*time.Second + containWithin + time.Millisecond)
+	arrivals := []time.Time{now, late, late, late}
+	if b := checkContained(ends, arrivals); len(b) != 0 {
+		t.Errorf("as many as allowed: %v", b)
+	}
+	if b := checkContained(ends, append(arrivals, late)); len(b) != 1 {
+		t.Errorf("one more than allowed: %v", b)
+	}
+	held := call{id: "a", status: 503, body: "quarantined\n"}
+	if b := checkReleased([]call{held, {id: "b", status: 503, body: "quarantined\n", deadly: true}}); len(b) != 1 {
+		t.Errorf("a harmless one that is held: %v", b)
+	}
+}
+
 // A daemon that goes on sending to a server whose entry names none is seen.
 func TestCheckFindsRequestsAtABarredServer(t *testing.T) {
 	s := standin.NewOpaque("a", events)
