--- a/internal/node/deadly_test.go
+++ b/internal/node/deadly_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 	"github.com/damaskrudder/damaskrudder/internal/upstream"
@@ -425,3 +426,51 @@
 		}
 	}
 }
+
+// The time from the third end, of which one daemon alone learns, until the last daemon holds
+// the request, and the calls between daemons that this takes: within a sixth of the time
+// allowed, at any size.
+func TestHoldReachesEveryDaemon(t *testing.T) {
+	for _, daemons := range fleetSizes() {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, daemons)
+			time.Sleep(6 * time.Second)
+			const held = quarantine.Fingerprint(7)
+			word := quarantine.Word{}
+			for run := range quarantine.RunKey(3) {
+				word.Ends = append(word.Ends, quarantine.End{Run: run, Suspects: []quarantine.Fingerprint{held}})
+			}
+			before := f.pulses.Load()
+			f.member(address(daemons / 2)).Relay.Guard.Hear(word)
+			began, left := time.Now(), map[string]*member{}
+			f.each(func(m *member) { left[m.config.Name] = m })
+			var all spread
+			for len(left) > 0 && time.Since(began) < allowedAfter {
+				time.Sleep(time.Millisecond)
+				for name, m := range left {
+					if m.Relay.Guard.Check(held).Held {
+						all = append(all, time.Since(began))
+						delete(left, name)
+					}
+				}
+			}
+			if len(left) > 0 {
+				t.Fatalf("%d of %d daemons do not hold the request", len(left), daemons)
+			}
+			calls := f.pulses.Load() - before
+			time.Sleep(2*time.Second - time.Since(began))
+			after := f.pulses.Load() - before
+			t.Logf("%d daemons: %s; %d calls until then, %d in 2 s, %d in 2 s without news", daemons, all, calls, after, f.calmPulses(2*time.Second))
+			if worst := all[len(all)-1]; worst > allowedAfter/6 {
+				t.Errorf("the last daemon holds it after %s", worst)
+			}
+		})
+	}
+}
+
+// calmPulses counts the calls between daemons in a span.
+func (f *fleet) calmPulses(span time.Duration) int64 {
+	before := f.pulses.Load()
+	time.Sleep(span)
+	return f.pulses.Load() - before
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,8 @@
 	changes []func(n *Node)
 	// seeds are what each daemon is told of others.
 	seeds []string
+	// pulses counts the calls between daemons.
+	pulses atomic.Int64
 	// backend are the backend servers of all daemons; nil has none that answers.
 	backend relay.Backend
 	// refuses says that a call to a daemon that does not run is refused at once, as by a VM
@@ -196,6 +199,7 @@
 }
 
 func (p *path) Pulse(ctx context.Context, address string, pulse gossip.Pulse) (gossip.Pulse, error) {
+	p.fleet.pulses.Add(1)
 	m, err := p.to(ctx, address)
 	if err != nil {
 		return gossip.Pulse{}, err
