--- a/internal/feedtest/store.go
+++ b/internal/feedtest/store.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,6 +87,31 @@
 	s.wake()
 }
 
+// Copy is the store's content at a moment.
+type Copy struct{ topics map[string][]feed.Record }
+
+// Copy copies the store's content.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &Copy{topics: map[string][]feed.Record{}}
+	for name, t := range s.topics {
+		c.topics[name] = slices.Clone(t.records)
+	}
+	return c
+}
+
+// Return has the store come back from a copy: what was written since is gone, and its offsets
+// are given out again.
+func (s *Store) Return(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, t := range s.topics {
+		t.records = slices.Clone(c.topics[name])
+	}
+	s.wake()
+}
+
 // CallsBy returns how many calls were made, by kind.
 func (s *Store) CallsBy() map[Call]int {
 	s.mu.Lock()
