--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -34,10 +34,24 @@
 	// healed is when the store last came back after an outage.
 	healed  time.Duration
 	hadFall bool
+	// gone are runs whose record was removed lately, by name.
+	gone map[string]goneRun
 }
 
+// goneRun is a run whose record was removed.
+type goneRun struct {
+	run Incarnation
+	at  time.Duration
+}
+
+// goneKept is how long a removed run is remembered: a store that comes back from a copy has it
+// again, as old as the copy.
+const goneKept = 60 * time.Second
+
 // NewRegistry returns an empty registry.
-func NewRegistry() *Registry { return &Registry{entries: map[string]*entry{}} }
+func NewRegistry() *Registry {
+	return &Registry{entries: map[string]*entry{}, gone: map[string]goneRun{}}
+}
 
 // Put takes what a server says of itself, and names its run. Ended is the run that it
 // replaces, if the server has started again.
@@ -84,9 +98,31 @@
 		e.lapsed, e.until = true, min(r.healed+returnWindow, now+leaveWindow)
 		return
 	}
+	r.bury(name, now)
+}
+
+// bury takes a server as gone, and remembers its run for a while.
+func (r *Registry) bury(name string, now time.Duration) {
+	for other, g := range r.gone {
+		if now-g.at > goneKept {
+			delete(r.gone, other)
+		}
+	}
+	r.gone[name] = goneRun{r.entries[name].server.Run, now}
 	delete(r.entries, name)
 }
 
+// Outdated reports whether an entry that a copy of the store holds says less than is known: it
+// is of a run that has gone since, or that has said that it leaves. The server writes again if
+// it lives.
+func (r *Registry) Outdated(s Server, now time.Duration) bool {
+	if e := r.entries[s.Run.Name]; e != nil && !r.isGone(e, now) {
+		return e.server.Run == s.Run && e.server.Leaving && !s.Leaving
+	}
+	g, known := r.gone[s.Run.Name]
+	return known && now-g.at <= goneKept && !g.run.Before(s.Run)
+}
+
 // Healed records that the store answers again after an outage.
 func (r *Registry) Healed(now time.Duration) { r.healed, r.hadFall = now, true }
 
@@ -102,13 +138,13 @@
 // Get returns a server by its name if it is not gone, and whether it may be used at all.
 func (r *Registry) Get(name string, now time.Duration) (s Server, known, usable bool) {
 	e := r.entries[name]
-	if e == nil || r.gone(e, now) {
+	if e == nil || r.isGone(e, now) {
 		return Server{}, false, false
 	}
 	return e.server, true, !e.barred
 }
 
-func (r *Registry) gone(e *entry, now time.Duration) bool { return e.lapsed && now >= e.until }
+func (r *Registry) isGone(e *entry, now time.Duration) bool { return e.lapsed && now >= e.until }
 
 // Of returns the servers of a service that may be used, in the order of their ids, and
 // forgets those whose return window has ended.
@@ -128,8 +164,8 @@
 func (r *Registry) starts(now time.Duration) map[string]int64 {
 	out := make(map[string]int64, len(r.entries))
 	for name, e := range r.entries {
-		if r.gone(e, now) {
-			delete(r.entries, name)
+		if r.isGone(e, now) {
+			r.bury(name, now)
 		} else if !e.barred {
 			out[e.server.Address] = max(out[e.server.Address], e.server.Run.Born)
 		}
--- a/internal/feed/behind.go
+++ b/internal/feed/behind.go
@@ -16,8 +16,8 @@
 // longer lag means that the connection has gone silent.
 const behindLimit = 250 * time.Millisecond
 
-// Expect tells that another reader has read up to an offset.
-func (f *Follower) Expect(next uint64) {
+// Expect tells that another reader has read up to a position.
+func (f *Follower) Expect(next Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if next <= f.expected {
@@ -35,24 +35,34 @@
 	}
 }
 
-// Since returns the newest record of each key from an offset on, in order, and how far
+// Since returns the newest record of each key from a position on, in order, and how far
 // this follower has read. A follower that has read the newest records of all keys has not
 // seen which keys were removed before: it tells nobody of that time, or a removal would
-// be hidden for good from all who ask it. They then ask another, or the log.
-func (f *Follower) Since(from uint64) ([]Record, uint64) {
+// be hidden for good from all who ask it. They then ask another, or the log. To one that has
+// read nothing of the store's present era it tells all keys there are.
+func (f *Follower) Since(from Position) Tail {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if from < f.wholeAt {
-		return nil, from
+	returned := from.Era() < f.wholeAt.Era()
+	if from < f.wholeAt && !returned {
+		return Tail{Next: from}
 	}
 	var out []Record
 	for _, r := range f.kept {
-		if r.Offset >= from {
+		if r.At >= from && (!returned || r.Value != nil) {
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	return out, f.next.Load()
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.At, b.At) })
+	return Tail{Records: out, Next: f.Next(), Whole: returned}
+}
+
+// Tail is what a follower has read from a position on: the newest record of each key, and how
+// far it has read. Whole says that these are all keys there are.
+type Tail struct {
+	Records []Record
+	Next    Position
+	Whole   bool
 }
 
 // peerEvery is how often a follower that reads from others looks whether it should
@@ -82,7 +92,7 @@
 func (f *Follower) fetch(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
-	records, next, err := f.Peer(ctx, f.Topic, f.next.Load())
+	tail, err := f.Peer(ctx, f.Topic, f.Next())
 	if errors.Is(err, ErrTooLong) {
 		f.alone.Store(true)
 		return
@@ -91,8 +101,8 @@
 		f.Logger.Debug("records not fetched from another reader", "topic", f.Topic, "err", err)
 		return
 	}
-	if next > f.next.Load() {
-		f.apply(records, false, next)
+	if tail.Next > f.Next() {
+		f.apply(tail.Records, tail.Whole, tail.Next)
 	}
 }
 
@@ -101,7 +111,7 @@
 // until it is back, while the others know.
 func (f *Follower) catchUp(ctx context.Context) {
 	f.mu.Lock()
-	behind := f.expected > f.next.Load()
+	behind := f.expected > f.Next()
 	f.mu.Unlock()
 	if f.Peer != nil && f.loaded.Load() && behind && ctx.Err() == nil {
 		f.fetch(ctx)
@@ -114,7 +124,7 @@
 func (f *Follower) Check(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.expected <= f.next.Load() {
+	if f.expected <= f.Next() {
 		f.expectedAt = time.Time{}
 		return
 	}
@@ -125,7 +135,7 @@
 	if f.reading == nil || !f.hangs(now) {
 		return
 	}
-	f.Logger.Warn("behind another reader, reading anew", "topic", f.Topic, "next", f.next.Load(), "other", f.expected)
+	f.Logger.Warn("behind another reader, reading anew", "topic", f.Topic, "next", f.Next(), "other", f.expected)
 	f.reading.giveUp(errBehind)
 	f.expectedAt = now
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -12,8 +12,8 @@
 type Record struct {
 	Key string
 	// Value is nil when the key was removed.
-	Value  []byte
-	Offset uint64
+	Value []byte
+	At    Position
 	// Unreadable says that the record is no key and value. It tells nothing, and is
 	// passed over: one writer must not keep all readers from what comes after it.
 	Unreadable bool
@@ -25,30 +25,34 @@
 // ErrTooLong says that another reader has records that are too long for it to pass on.
 var ErrTooLong = errors.New("the records are too long for another reader to pass on")
 
+// ErrReturned says that the store has come back from an older copy since the position that was
+// asked for: the topic has to be read anew.
+var ErrReturned = errors.New("the store has come back from an older copy")
+
 // Conflict says that a topic does not end where a conditional append expected.
-type Conflict struct{ End uint64 }
+type Conflict struct{ End Position }
 
 // Error implements error.
 func (c *Conflict) Error() string { return "the topic ends elsewhere" }
 
 // Log is the platform's log.
 type Log interface {
-	// Newest returns the newest record of each key, and an offset from which
+	// Newest returns the newest record of each key, and a position from which
 	// reading on misses nothing. Heard is called with each piece of the answer.
-	Newest(ctx context.Context, topic string, heard func()) ([]Record, uint64, error)
-	// Read returns the records from an offset on and the topic's end. Without
+	Newest(ctx context.Context, topic string, heard func()) ([]Record, Position, error)
+	// Read returns the records from a position on and the topic's end. Without
 	// records it waits for one for up to a time. Heard is called with each piece of
-	// the answer.
-	Read(ctx context.Context, topic string, from uint64, wait time.Duration, heard func()) ([]Record, uint64, error)
+	// the answer. The error is ErrReturned if the store is in a later era.
+	Read(ctx context.Context, topic string, from Position, wait time.Duration, heard func()) ([]Record, Position, error)
 	// End returns the topic's end alone.
-	End(ctx context.Context, topic string) (uint64, error)
+	End(ctx context.Context, topic string) (Position, error)
 	// Append adds a record. If at is not nil, the topic must end there, or the
-	// error is a *Conflict. Any other error leaves open whether it was added.
-	Append(ctx context.Context, topic, key string, value []byte, at *uint64) error
+	// error is a *Conflict, also where it ends in another era. Any other error leaves open whether it was added.
+	Append(ctx context.Context, topic, key string, value []byte, at *Position) error
 }
 
 // Put appends a record and waits for the answer for a bounded time.
-func Put(ctx context.Context, l Log, topic, key string, value []byte, at *uint64) error {
+func Put(ctx context.Context, l Log, topic, key string, value []byte, at *Position) error {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	return l.Append(ctx, topic, key, value, at)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -15,16 +15,18 @@
 // ends it.
 type script struct {
 	mu     sync.Mutex
-	newest func() ([]Record, uint64, error)
-	reads  []func(from uint64) ([]Record, uint64, error)
-	asked  []uint64
+	newest func() ([]Record, Position, error)
+	reads  []func(from Position) ([]Record, Position, error)
+	asked  []Position
 	waits  []time.Duration
 	end    context.CancelFunc
 }
 
-func (s *script) Newest(context.Context, string, func()) ([]Record, uint64, error) { return s.newest() }
+func (s *script) Newest(context.Context, string, func()) ([]Record, Position, error) {
+	return s.newest()
+}
 
-func (s *script) Read(ctx context.Context, _ string, from uint64, wait time.Duration, _ func()) ([]Record, uint64, error) {
+func (s *script) Read(ctx context.Context, _ string, from Position, wait time.Duration, _ func()) ([]Record, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waits = append(s.waits, wait)
@@ -39,12 +41,12 @@
 }
 
 // End takes its answers from the script of reads, too.
-func (s *script) End(ctx context.Context, topic string) (uint64, error) {
+func (s *script) End(ctx context.Context, topic string) (Position, error) {
 	_, end, err := s.Read(ctx, topic, 0, 0, nil)
 	return end, err
 }
 
-func (s *script) Append(context.Context, string, string, []byte, *uint64) error { return nil }
+func (s *script) Append(context.Context, string, string, []byte, *Position) error { return nil }
 
 func follow(s *script) (applied []Record, confirmed []time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -61,19 +63,19 @@
 	return applied, confirmed
 }
 
-func records(from uint64, keys ...string) []Record {
+func records(from Position, keys ...string) []Record {
 	var out []Record
 	for i, k := range keys {
-		out = append(out, Record{Key: k, Value: []byte(k), Offset: from + uint64(i)})
+		out = append(out, Record{Key: k, Value: []byte(k), At: from + Position(i)})
 	}
 	return out
 }
 
 func TestFollowerReadsOnFromTheNewest(t *testing.T) {
 	s := &script{
-		newest: func() ([]Record, uint64, error) { return records(3, "a", "b"), 5, nil },
-		reads: []func(uint64) ([]Record, uint64, error){
-			func(from uint64) ([]Record, uint64, error) { return records(from, "c"), 6, nil },
+		newest: func() ([]Record, Position, error) { return records(3, "a", "b"), 5, nil },
+		reads: []func(Position) ([]Record, Position, error){
+			func(from Position) ([]Record, Position, error) { return records(from, "c"), 6, nil },
 		},
 	}
 	applied, confirmed := follow(s)
@@ -91,9 +93,9 @@
 // Cause: any answer was taken as a confirmation.
 func TestPartOfTheRecordsConfirmsNothing(t *testing.T) {
 	s := &script{
-		newest: func() ([]Record, uint64, error) { return nil, 0, nil },
-		reads: []func(uint64) ([]Record, uint64, error){
-			func(from uint64) ([]Record, uint64, error) { return records(from, "a"), 9, nil },
+		newest: func() ([]Record, Position, error) { return nil, 0, nil },
+		reads: []func(Position) ([]Record, Position, error){
+			func(from Position) ([]Record, Position, error) { return records(from, "a"), 9, nil },
 		},
 	}
 	if _, confirmed := follow(s); len(confirmed) != 1 {
@@ -104,9 +106,9 @@
 func TestDeletedRecordsAreReadAnew(t *testing.T) {
 	loads := 0
 	s := &script{
-		newest: func() ([]Record, uint64, error) { loads++; return records(uint64(loads), "a"), 10, nil },
-		reads: []func(uint64) ([]Record, uint64, error){
-			func(uint64) ([]Record, uint64, error) { return nil, 0, ErrGone },
+		newest: func() ([]Record, Position, error) { loads++; return records(Position(loads), "a"), 10, nil },
+		reads: []func(Position) ([]Record, Position, error){
+			func(Position) ([]Record, Position, error) { return nil, 0, ErrGone },
 		},
 	}
 	if applied, _ := follow(s); loads != 2 || len(applied) != 2 {
@@ -115,12 +117,12 @@
 }
 
 func TestFailedReadsConfirmNothingAndGoOn(t *testing.T) {
-	fail := func(uint64) ([]Record, uint64, error) { return nil, 0, errors.New("down") }
+	fail := func(Position) ([]Record, Position, error) { return nil, 0, errors.New("down") }
 	s := &script{
-		newest: func() ([]Record, uint64, error) { return nil, 0, nil },
-		reads: []func(uint64) ([]Record, uint64, error){
+		newest: func() ([]Record, Position, error) { return nil, 0, nil },
+		reads: []func(Position) ([]Record, Position, error){
 			fail, fail,
-			func(from uint64) ([]Record, uint64, error) { return records(from, "a"), 1, nil },
+			func(from Position) ([]Record, Position, error) { return records(from, "a"), 1, nil },
 		},
 	}
 	if applied, confirmed := follow(s); len(applied) != 1 || len(confirmed) != 2 {
@@ -135,10 +137,10 @@
 // look beside it that is spared while the store is away, tells that the store is back.
 func TestFirstReadAfterAnOutageDoesNotWait(t *testing.T) {
 	s := &script{
-		newest: func() ([]Record, uint64, error) { return nil, 0, nil },
-		reads: []func(uint64) ([]Record, uint64, error){
-			func(uint64) ([]Record, uint64, error) { return nil, 0, errors.New("down") },
-			func(uint64) ([]Record, uint64, error) { return nil, 0, nil },
+		newest: func() ([]Record, Position, error) { return nil, 0, nil },
+		reads: []func(Position) ([]Record, Position, error){
+			func(Position) ([]Record, Position, error) { return nil, 0, errors.New("down") },
+			func(Position) ([]Record, Position, error) { return nil, 0, nil },
 		},
 	}
 	follow(s)
@@ -174,10 +176,10 @@
 func TestFollowerReadsTheLogWhenNobodyElseCan(t *testing.T) {
 	var f *Follower
 	s := &script{
-		newest: func() ([]Record, uint64, error) { return nil, 3, nil },
-		reads: []func(uint64) ([]Record, uint64, error){
-			func(uint64) ([]Record, uint64, error) { return nil, 5, nil }, // the look
-			func(from uint64) ([]Record, uint64, error) { return records(from, "a", "b"), 5, nil },
+		newest: func() ([]Record, Position, error) { return nil, 3, nil },
+		reads: []func(Position) ([]Record, Position, error){
+			func(Position) ([]Record, Position, error) { return nil, 5, nil }, // the look
+			func(from Position) ([]Record, Position, error) { return records(from, "a", "b"), 5, nil },
 		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -195,7 +197,7 @@
 				cancel()
 			}
 		},
-		Peer:     func(context.Context, string, uint64) ([]Record, uint64, error) { return nil, 0, errors.New("nobody") },
+		Peer:     func(context.Context, string, Position) (Tail, error) { return Tail{}, errors.New("nobody") },
 		ReadsLog: func() bool { return false },
 	})
 	go f.Run(ctx)
@@ -233,7 +235,7 @@
 // Cause: records of any length were passed on.
 func TestLongRecordsAreReadFromTheLog(t *testing.T) {
 	f := New(&Follower{Logger: log.New(io.Discard), Apply: func([]Record, bool) {}})
-	f.Peer = func(context.Context, string, uint64) ([]Record, uint64, error) { return nil, 0, ErrTooLong }
+	f.Peer = func(context.Context, string, Position) (Tail, error) { return Tail{}, ErrTooLong }
 	f.fetch(context.Background())
 	if !f.alone.Load() {
 		t.Fatal("the log is not read")
@@ -251,7 +253,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	first := New(&Follower{Logger: log.New(io.Discard), Boot: func() time.Duration { return 0 }, ReadsLog: func() bool { return false }})
-	first.Peer = func(context.Context, string, uint64) ([]Record, uint64, error) { return nil, 0, errors.New("nobody") }
+	first.Peer = func(context.Context, string, Position) (Tail, error) { return Tail{}, errors.New("nobody") }
 	first.loaded.Store(true)
 	first.failed(ctx, errors.New("cut off"))
 	second := New(&Follower{Logger: log.New(io.Discard), After: first})
@@ -284,8 +286,9 @@
 func TestRecordsSinceAnOffset(t *testing.T) {
 	f := New(&Follower{Logger: log.New(io.Discard), Apply: func([]Record, bool) {}})
 	f.apply(records(0, "a", "b"), false, 2)
-	f.apply([]Record{{Key: "a", Offset: 2}}, false, 3)
-	got, next := f.Since(1)
+	f.apply([]Record{{Key: "a", At: 2}}, false, 3)
+	tail := f.Since(1)
+	got, next := tail.Records, tail.Next
 	if len(got) != 2 || got[0].Key != "b" || got[1].Key != "a" || got[1].Value != nil || next != 3 {
 		t.Fatalf("got %v up to %d", got, next)
 	}
@@ -312,11 +315,31 @@
 func TestWhoReadTheNewestOnlyDoesNotTellWhatWasBefore(t *testing.T) {
 	f := New(&Follower{Logger: log.New(io.Discard), Apply: func([]Record, bool) {}})
 	f.apply(records(6, "c"), true, 9) // the removal of a at 7 is not among the newest
-	if got, next := f.Since(5); len(got) != 0 || next > 5 {
-		t.Errorf("told %v up to %d", got, next)
+	if got := f.Since(5); len(got.Records) != 0 || got.Next > 5 {
+		t.Errorf("told %+v", got)
+	}
+	f.apply([]Record{{Key: "b", At: 9}}, false, 10)
+	if got := f.Since(9); len(got.Records) != 1 || got.Next != 10 || got.Whole {
+		t.Errorf("told %+v", got)
+	}
+}
+
+// One that has read nothing of the store's present era is told all keys there are.
+func TestWhoIsInAnEarlierEraIsToldAll(t *testing.T) {
+	f := New(&Follower{Logger: log.New(io.Discard), Apply: func([]Record, bool) {}})
+	f.apply(records(At(1, 3), "a", "b"), true, At(1, 5))
+	f.apply([]Record{{Key: "a", At: At(1, 5)}}, false, At(1, 6))
+	got := f.Since(At(0, 90))
+	if len(got.Records) != 1 || got.Records[0].Key != "b" || !got.Whole || got.Next != At(1, 6) {
+		t.Errorf("told %+v", got)
+	}
+}
+
+func TestPositionsOfALaterEraComeAfterAllBefore(t *testing.T) {
+	if At(1, 0) <= At(0, 1<<40) || At(2, 7).Era() != 2 || At(2, 7).Offset() != 7 || At(2, 7).Next() != At(2, 8) {
+		t.Error("positions are out of order")
 	}
-	f.apply([]Record{{Key: "b", Offset: 9}}, false, 10)
-	if got, next := f.Since(9); len(got) != 1 || next != 10 {
-		t.Errorf("told %v up to %d", got, next)
+	if At(LastEra, 0).Era() != LastEra {
+		t.Error("the largest era does not fit")
 	}
 }
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -39,6 +39,9 @@
 	// Apply takes records in the order of the log. Whole says that they are all
 	// keys there are.
 	Apply func(records []Record, whole bool)
+	// Returned is told before Apply if the records are the first of a later era of the
+	// store: it has come back from an older copy.
+	Returned func()
 	// Confirmed is told when a read that found the follower current was sent.
 	Confirmed func(sent time.Duration)
 	// Unanswered is told when a read got no answer.
@@ -48,7 +51,7 @@
 	// it has read. It is used while ReadsLog says no; a nil Peer reads the log
 	// always. One reader that waits on the log is enough for many followers, and
 	// every call of the log is paid for.
-	Peer     func(ctx context.Context, topic string, from uint64) ([]Record, uint64, error)
+	Peer     func(ctx context.Context, topic string, from Position) (Tail, error)
 	ReadsLog func() bool
 	// Reader reports whether this follower always reads the log, for others too. Nil
 	// is yes. IdlePause is the longest pause between the tries of one that does not.
@@ -76,9 +79,9 @@
 
 	mu sync.Mutex
 	// kept are the newest records of each key, for others, removals included from wholeAt
-	// on: the offset up to which the newest records of all keys were read at once.
+	// on: the position up to which the newest records of all keys were read at once.
 	kept    map[string]Record
-	wholeAt uint64
+	wholeAt Position
 	// alone says that the log holds records that no other reader has told of.
 	alone atomic.Bool
 	// behind is signalled when another reader is ahead.
@@ -87,7 +90,7 @@
 	reading *reading
 	// expected is how far another reader has come, and expectedAt since when
 	// this one is known to be behind.
-	expected   uint64
+	expected   Position
 	expectedAt time.Time
 }
 
@@ -98,7 +101,10 @@
 }
 
 // apply hands records on and keeps them for others.
-func (f *Follower) apply(records []Record, whole bool, next uint64) {
+func (f *Follower) apply(records []Record, whole bool, next Position) {
+	if before := f.Next(); f.Returned != nil && before != 0 && next.Era() > before.Era() {
+		f.Returned()
+	}
 	f.Apply(records, whole)
 	f.mu.Lock()
 	if f.kept == nil || whole {
@@ -110,7 +116,7 @@
 	for _, r := range records {
 		f.kept[r.Key] = r
 	}
-	f.next.Store(next)
+	f.next.Store(uint64(next))
 	if next >= f.expected {
 		// Changes may follow each other faster than Check looks: being behind
 		// anew is not being behind still.
@@ -128,7 +134,7 @@
 	out := make([]Record, 0, len(records))
 	for _, r := range records {
 		if r.Unreadable {
-			f.Logger.Error("record passed over, it cannot be read", "topic", f.Topic, "offset", r.Offset)
+			f.Logger.Error("record passed over, it cannot be read", "topic", f.Topic, "at", r.At)
 			continue
 		}
 		out = append(out, r)
@@ -136,9 +142,9 @@
 	return out
 }
 
-// Next returns the offset of the next record to read. A conditional append there
+// Next returns the position of the next record to read. A conditional append there
 // succeeds only if the follower has seen all that decided it.
-func (f *Follower) Next() uint64 { return f.next.Load() }
+func (f *Follower) Next() Position { return Position(f.next.Load()) }
 
 // Away reports whether the log did not answer the last read, and is being asked again.
 func (f *Follower) Away() bool { return f.away.Load() }
@@ -153,7 +159,7 @@
 	}
 	for ctx.Err() == nil {
 		f.fromPeers(ctx)
-		before := f.next.Load()
+		before := f.Next()
 		err := f.step(ctx)
 		f.alone.Store(false)
 		f.hurry = errors.Is(err, errBehind)
@@ -165,7 +171,7 @@
 		if err != nil {
 			f.rest(ctx, f.failed(ctx, err))
 			f.await(ctx)
-		} else if f.next.Load() != before {
+		} else if f.Next() != before {
 			loop.Pause(ctx, f.Gather)
 		}
 	}
@@ -195,7 +201,7 @@
 // await waits while the follower that this one goes after gets no answer.
 func (f *Follower) await(ctx context.Context) {
 	if f.After != nil && f.After.away.Load() {
-		f.Logger.Info("reading waits for another reading", "topic", f.Topic, "next", f.next.Load(), "other", f.After.Topic)
+		f.Logger.Info("reading waits for another reading", "topic", f.Topic, "next", f.Next(), "other", f.After.Topic)
 	}
 	for f.After != nil && f.After.away.Load() && ctx.Err() == nil {
 		loop.Pause(ctx, awaitStep)
@@ -218,7 +224,7 @@
 	}
 	if f.fails == 1 {
 		f.lostAt = f.Boot()
-		f.Logger.Warn("store lost", "topic", f.Topic, "next", f.next.Load(), "err", err)
+		f.Logger.Warn("store lost", "topic", f.Topic, "next", f.Next(), "err", err)
 	}
 	first, longest := firstPause, longestPause
 	if f.standsIn() {
@@ -248,39 +254,39 @@
 		f.noteRetry()
 	}
 	records, end, err := f.read(ctx, wait)
-	if errors.Is(err, ErrGone) {
-		f.Logger.Warn("records are gone, reading the newest of each key", "topic", f.Topic, "next", f.next.Load())
+	if errors.Is(err, ErrGone) || errors.Is(err, ErrReturned) {
+		f.Logger.Warn("reading the newest of each key", "topic", f.Topic, "next", f.Next(), "why", err)
 		f.loaded.Store(false)
 		return f.load(ctx, sent)
 	}
 	if err != nil {
 		return err
 	}
-	if end < f.next.Load() {
-		f.Logger.Error("the topic ends before what was read, reading it anew", "topic", f.Topic, "next", f.next.Load(), "end", end)
+	if end < f.Next() {
+		f.Logger.Error("the topic ends before what was read, reading it anew", "topic", f.Topic, "next", f.Next(), "end", end)
 		f.loaded.Store(false)
 		return nil
 	}
 	f.answered()
 	if len(records) > 0 {
-		f.apply(f.readable(records), false, records[len(records)-1].Offset+1)
+		f.apply(f.readable(records), false, records[len(records)-1].At.Next())
 	}
-	if f.next.Load() >= end {
+	if f.Next() >= end {
 		f.Confirmed(sent)
 	}
 	return nil
 }
 
 // read asks the log for the records from the next one on.
-func (f *Follower) read(ctx context.Context, wait time.Duration) ([]Record, uint64, error) {
+func (f *Follower) read(ctx context.Context, wait time.Duration) ([]Record, Position, error) {
 	ctx, done := f.begin(ctx, wait)
 	defer done()
-	records, end, err := f.Log.Read(ctx, f.Topic, f.next.Load(), wait, f.heard)
+	records, end, err := f.Log.Read(ctx, f.Topic, f.Next(), wait, f.heard)
 	return records, end, reason(ctx, err)
 }
 
 // newest asks the log for the newest record of each key.
-func (f *Follower) newest(ctx context.Context) ([]Record, uint64, error) {
+func (f *Follower) newest(ctx context.Context) ([]Record, Position, error) {
 	ctx, done := f.begin(ctx, 0)
 	defer done()
 	records, end, err := f.Log.Newest(ctx, f.Topic, f.heard)
@@ -291,7 +297,7 @@
 // number has doubled.
 func (f *Follower) noteRetry() {
 	if f.fails&(f.fails-1) == 0 {
-		f.Logger.Info("reading anew", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails, "limit_ms", answerLimit.Milliseconds())
+		f.Logger.Info("reading anew", "topic", f.Topic, "next", f.Next(), "failed_reads", f.fails, "limit_ms", answerLimit.Milliseconds())
 	}
 }
 
@@ -310,7 +316,7 @@
 func (f *Follower) answered() {
 	if f.fails > 0 || !f.loaded.Load() {
 		away := f.Boot() - f.lostAt
-		f.Logger.Info("store answers", "topic", f.Topic, "next", f.next.Load(), "failed_reads", f.fails, "away_ms", away.Milliseconds())
+		f.Logger.Info("store answers", "topic", f.Topic, "next", f.Next(), "failed_reads", f.fails, "away_ms", away.Milliseconds())
 	}
 	f.fails = 0
 	f.away.Store(false)
--- a/internal/feed/look.go
+++ b/internal/feed/look.go
@@ -17,7 +17,7 @@
 	sent, began := f.Boot(), time.Now()
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
-	next := f.next.Load()
+	next := f.Next()
 	end, err := f.Log.End(ctx, f.Topic)
 	if err != nil {
 		return false, err
@@ -41,22 +41,22 @@
 	if f.reading == nil || f.reading.answering {
 		return
 	}
-	f.Logger.Info("reading anew after an outage", "topic", f.Topic, "next", f.next.Load(), "waited_ms", time.Since(f.reading.began).Milliseconds())
+	f.Logger.Info("reading anew after an outage", "topic", f.Topic, "next", f.Next(), "waited_ms", time.Since(f.reading.began).Milliseconds())
 	f.reading.giveUp(errBehind)
 }
 
 // overtaken gives up a read that began before a look and was not told, within the grace
 // after it, what the look has shown.
-func (f *Follower) overtaken(look time.Time, end uint64) {
+func (f *Follower) overtaken(look time.Time, end Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.next.Load() >= end {
+	if f.Next() >= end {
 		return
 	}
 	f.alone.Store(true)
 	if f.reading == nil || f.reading.answering || f.reading.began.After(look) {
 		return
 	}
-	f.Logger.Warn("a read hangs, reading anew", "topic", f.Topic, "next", f.next.Load(), "end", end, "waited_ms", look.Sub(f.reading.began).Milliseconds())
+	f.Logger.Warn("a read hangs, reading anew", "topic", f.Topic, "next", f.Next(), "end", end, "waited_ms", look.Sub(f.reading.began).Milliseconds())
 	f.reading.giveUp(errBehind)
 }
--- a/internal/feed/reading_test.go
+++ b/internal/feed/reading_test.go
@@ -19,7 +19,7 @@
 	whole  bool
 }
 
-func (l *pieceLog) Read(ctx context.Context, _ string, from uint64, _ time.Duration, heard func()) ([]Record, uint64, error) {
+func (l *pieceLog) Read(ctx context.Context, _ string, from Position, _ time.Duration, heard func()) ([]Record, Position, error) {
 	for range l.pieces {
 		select {
 		case <-ctx.Done():
@@ -29,7 +29,7 @@
 		}
 	}
 	if l.whole {
-		return []Record{{Key: "a", Value: []byte("x"), Offset: from}}, from + 1, nil
+		return []Record{{Key: "a", Value: []byte("x"), At: from}}, from + 1, nil
 	}
 	<-ctx.Done()
 	return nil, 0, ctx.Err()
@@ -38,11 +38,11 @@
 // goneLog has deleted the records from any offset on, and answers with the newest in pieces.
 type goneLog struct{ pieceLog }
 
-func (*goneLog) Read(context.Context, string, uint64, time.Duration, func()) ([]Record, uint64, error) {
+func (*goneLog) Read(context.Context, string, Position, time.Duration, func()) ([]Record, Position, error) {
 	return nil, 0, ErrGone
 }
 
-func (l *goneLog) Newest(ctx context.Context, topic string, heard func()) ([]Record, uint64, error) {
+func (l *goneLog) Newest(ctx context.Context, topic string, heard func()) ([]Record, Position, error) {
 	return l.pieceLog.Read(ctx, topic, 0, 0, heard)
 }
 
--- a/internal/feedtest/store.go
+++ b/internal/feedtest/store.go
@@ -42,6 +42,8 @@
 type Store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
+	// era is how often the store has come back from a copy.
+	era uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	mode    Mode
@@ -83,7 +85,7 @@
 // put writes a record. Callers hold mu.
 func (s *Store) put(name, key string, value []byte) {
 	t := s.topic(name)
-	t.records = append(t.records, feed.Record{Key: key, Value: value, Offset: uint64(len(t.records))})
+	t.records = append(t.records, feed.Record{Key: key, Value: value, At: feed.At(s.era, uint64(len(t.records)))})
 	s.wake()
 }
 
@@ -106,12 +108,38 @@
 func (s *Store) Return(c *Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.era++
 	for name, t := range s.topics {
 		t.records = slices.Clone(c.topics[name])
+		for i := range t.records {
+			t.records[i].At = feed.At(s.era, uint64(i))
+		}
 	}
 	s.wake()
 }
 
+// Keys returns how many keys of a topic have a value.
+func (s *Store) Keys(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := map[string]bool{}
+	for _, r := range s.topic(name).records {
+		newest[r.Key] = r.Value != nil
+	}
+	n := 0
+	for _, valued := range newest {
+		if valued {
+			n++
+		}
+	}
+	return n
+}
+
+// end returns where a topic ends. Callers hold mu.
+func (s *Store) end(name string) feed.Position {
+	return feed.At(s.era, uint64(len(s.topic(name).records)))
+}
+
 // CallsBy returns how many calls were made, by kind.
 func (s *Store) CallsBy() map[Call]int {
 	s.mu.Lock()
@@ -234,12 +262,12 @@
 }
 
 // Newest implements feed.Log.
-func (c *Caller) Newest(ctx context.Context, name string, heard func()) ([]feed.Record, uint64, error) {
+func (c *Caller) Newest(ctx context.Context, name string, heard func()) ([]feed.Record, feed.Position, error) {
 	if err := c.enter(ctx, Newest, name); err != nil {
 		return nil, 0, err
 	}
 	c.store.mu.Lock()
-	all := c.store.topic(name).records
+	all, end := c.store.topic(name).records, c.store.end(name)
 	c.store.mu.Unlock()
 	newest := map[string]feed.Record{}
 	for _, r := range all {
@@ -247,16 +275,16 @@
 	}
 	var out []feed.Record
 	for _, r := range all {
-		if newest[r.Key].Offset == r.Offset && r.Value != nil {
+		if newest[r.Key].At == r.At && r.Value != nil {
 			out = append(out, r)
 		}
 	}
 	heard()
-	return out, uint64(len(all)), c.back(ctx)
+	return out, end, c.back(ctx)
 }
 
 // Read implements feed.Log.
-func (c *Caller) Read(ctx context.Context, name string, from uint64, wait time.Duration, heard func()) ([]feed.Record, uint64, error) {
+func (c *Caller) Read(ctx context.Context, name string, from feed.Position, wait time.Duration, heard func()) ([]feed.Record, feed.Position, error) {
 	if err := c.enter(ctx, Read, name); err != nil {
 		return nil, 0, err
 	}
@@ -269,19 +297,22 @@
 	c.store.mu.Unlock()
 	for ended := wait == 0; ; {
 		c.store.mu.Lock()
-		mode, changed, all := c.effective(), c.store.changed, c.store.topic(name).records
+		mode, changed, all, end := c.effective(), c.store.changed, c.store.topic(name).records, c.store.end(name)
 		c.store.mu.Unlock()
 		switch {
 		case mode == Reset:
 			return nil, 0, ErrReset
 		case mode == Silent:
 			ended = false // what waits is answered when the store is back
-		case from < uint64(len(all)):
+		case from.Era() != end.Era():
+			heard()
+			return nil, end, errors.Join(feed.ErrReturned, c.back(ctx))
+		case from < end:
 			heard()
-			return all[from:len(all):len(all)], uint64(len(all)), c.back(ctx)
+			return all[from.Offset():len(all):len(all)], end, c.back(ctx)
 		case ended:
 			heard()
-			return nil, uint64(len(all)), c.back(ctx)
+			return nil, end, c.back(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -297,18 +328,18 @@
 }
 
 // End implements feed.Log.
-func (c *Caller) End(ctx context.Context, name string) (uint64, error) {
+func (c *Caller) End(ctx context.Context, name string) (feed.Position, error) {
 	if err := c.enter(ctx, End, name); err != nil {
 		return 0, err
 	}
 	c.store.mu.Lock()
-	end := uint64(len(c.store.topic(name).records))
+	end := c.store.end(name)
 	c.store.mu.Unlock()
 	return end, c.back(ctx)
 }
 
 // Append implements feed.Log.
-func (c *Caller) Append(ctx context.Context, name, key string, value []byte, at *uint64) error {
+func (c *Caller) Append(ctx context.Context, name, key string, value []byte, at *feed.Position) error {
 	if err := c.enter(ctx, Append, name); err != nil {
 		return err
 	}
@@ -318,10 +349,10 @@
 	return half(ctx)
 }
 
-func (c *Caller) append(name, key string, value []byte, at *uint64) error {
+func (c *Caller) append(name, key string, value []byte, at *feed.Position) error {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	if end := uint64(len(c.store.topic(name).records)); at != nil && *at != end {
+	if end := c.store.end(name); at != nil && *at != end {
 		return &feed.Conflict{End: end}
 	}
 	c.store.put(name, key, value)
--- a/internal/gossip/calls.go
+++ b/internal/gossip/calls.go
@@ -11,12 +11,12 @@
 )
 
 // AnswerRecords returns the records that a daemon asks for, unless they are too long.
-func AnswerRecords(q AskRecords, since func(topic string, from uint64) ([]feed.Record, uint64)) Records {
-	records, next := since(q.Topic, q.From)
-	if length(records) > mostTold {
-		return Records{Next: next, TooLong: true}
+func AnswerRecords(q AskRecords, since func(topic string, from feed.Position) feed.Tail) Records {
+	t := since(q.Topic, q.From)
+	if length(t.Records) > mostTold {
+		return Records{Next: t.Next, TooLong: true}
 	}
-	return Records{Records: records, Next: next}
+	return Records{Records: t.Records, Next: t.Next, Whole: t.Whole}
 }
 
 // Caller calls other daemons at their addresses.
@@ -58,36 +58,38 @@
 // Records asks one of the daemons that live and have read further for records. Which
 // one is drawn, so that those that are behind do not all ask the same. The error is
 // feed.ErrTooLong if the records are longer than daemons pass on.
-func (m *Members) Records(ctx context.Context, topic string, from uint64, ahead func(p Pulse) bool) ([]feed.Record, uint64, error) {
+func (m *Members) Records(ctx context.Context, topic string, from feed.Position, ahead func(p Pulse) bool) (feed.Tail, error) {
 	list := slices.DeleteFunc(m.Alive(), func(p Pulse) bool { return !ahead(p) })
 	if len(list) == 0 {
-		return nil, 0, errNobody
+		return feed.Tail{}, errNobody
 	}
 	p := list[rand.IntN(len(list))]
 	a, err := m.peers.Records(ctx, p.Address, AskRecords{topic, from})
 	if err != nil {
-		return nil, 0, err
+		return feed.Tail{}, err
 	}
 	if a.TooLong {
-		return nil, 0, feed.ErrTooLong
+		return feed.Tail{}, feed.ErrTooLong
 	}
-	return a.Records, a.Next, nil
+	return feed.Tail{Records: a.Records, Next: a.Next, Whole: a.Whole}, nil
 }
 
 var errNobody = errors.New("no daemon that lives has read further")
 
-// AskRecords asks for the records of a topic from an offset on.
+// AskRecords asks for the records of a topic from a position on.
 type AskRecords struct {
-	Topic string `cbor:"1,keyasint"`
-	From  uint64 `cbor:"2,keyasint"`
+	Topic string        `cbor:"1,keyasint"`
+	From  feed.Position `cbor:"2,keyasint"`
 }
 
 // Records is the answer: the newest of each key, and how far the daemon has read.
 type Records struct {
 	Records []feed.Record `cbor:"1,keyasint"`
-	Next    uint64        `cbor:"2,keyasint"`
+	Next    feed.Position `cbor:"2,keyasint"`
 	// TooLong says that the records are left out: the log has to be read.
 	TooLong bool `cbor:"3,keyasint,omitempty"`
+	// Whole says that these are all keys there are.
+	Whole bool `cbor:"4,keyasint,omitempty"`
 }
 
 const recordsKind = "records"
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -122,7 +122,7 @@
 }
 
 // Register makes a peer server answer pulses, and calls for records with since.
-func (m *Members) Register(s *peer.Server, since func(topic string, from uint64) ([]feed.Record, uint64)) {
+func (m *Members) Register(s *peer.Server, since func(topic string, from feed.Position) feed.Tail) {
 	peer.Handle(s, recordsKind, func(_ context.Context, _ string, q AskRecords) (Records, error) {
 		return AnswerRecords(q, since), nil
 	})
--- a/internal/gossip/pulse.go
+++ b/internal/gossip/pulse.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
@@ -52,7 +53,7 @@
 	// Quarantine is what the daemon learned lately of requests that end servers.
 	Quarantine quarantine.Word `cbor:"22,keyasint,omitempty"`
 	// Nexts is how far the daemon has read each topic.
-	Nexts []uint64 `cbor:"15,keyasint,omitempty"`
+	Nexts []feed.Position `cbor:"15,keyasint,omitempty"`
 }
 
 // Unconfirmed is the age of what was never confirmed.
@@ -68,7 +69,7 @@
 }
 
 // Next returns how far the daemon has read a topic.
-func (p Pulse) Next(topic int) uint64 {
+func (p Pulse) Next(topic int) feed.Position {
 	if topic < 0 || topic >= len(p.Nexts) {
 		return 0
 	}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -31,6 +31,8 @@
 	changes []func(n *Node)
 	// seeds are what each daemon is told of others.
 	seeds []string
+	// copied is the store's content before the first daemon ran.
+	copied *feedtest.Copy
 	// pulses counts the calls between daemons.
 	pulses atomic.Int64
 	// backend are the backend servers of all daemons; nil has none that answers.
@@ -102,6 +104,7 @@
 	f.store.Put("op", "config", []byte("5"))
 	f.store.Put("servers", "a", []byte("ready"))
 	f.store.Put("servers", "b", []byte("ready"))
+	f.copied = f.store.Copy()
 	t.Cleanup(f.end)
 	return f
 }
--- a/internal/node/holds.go
+++ b/internal/node/holds.go
@@ -54,6 +54,14 @@
 	s.until[h.Fingerprint] = h.Until
 }
 
+// forget forgets what the store says, before all of it is read again.
+func (s *storedHolds) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.until)
+	clear(s.differs)
+}
+
 // differences returns what the store does not say yet of the requests that are held, and what
 // it says of others, with how long that has been so.
 func (s *storedHolds) differences(held []quarantine.Hold, now time.Duration, at time.Time) map[Held]time.Duration {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,9 +61,10 @@
 // Status is how far an order had come when it was written.
 type Status struct {
 	Service string
-	// Order is the offset of the order.
-	Order uint64
-	Phase rollout.Phase
+	// Order is the position of the order, and Target the version that it names.
+	Order  uint64
+	Target string
+	Phase  rollout.Phase
 	// Since is the time from the order to the writing.
 	Since time.Duration
 }
@@ -137,6 +138,8 @@
 	plan freshness.Plan
 	// roles are those that were logged last; only lookAfter uses them.
 	roles roles
+	// returned says which subjects a store that came back from an older copy tells next.
+	returned returned
 	// stored are the held requests that the store tells of.
 	stored *storedHolds
 	// news has others told soon of what was learned of requests that end servers.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -139,7 +139,7 @@
 	n, now := testNode(t)
 	n.know()
 	*now += time.Second
-	n.confirmedBy(gossip.Pulse{Ages: []int64{0}, Nexts: []uint64{9}}, *now)
+	n.confirmedBy(gossip.Pulse{Ages: []int64{0}, Nexts: []feed.Position{9}}, *now)
 	if n.state.Fresh(freshness.Configuration, time.Second/2) {
 		t.Error("confirmed although the other daemon has read a configuration that this one has not")
 	}
@@ -174,7 +174,7 @@
 	looks int
 }
 
-func (l *awayLog) End(context.Context, string) (uint64, error) {
+func (l *awayLog) End(context.Context, string) (feed.Position, error) {
 	l.looks++
 	return 0, errors.New("away")
 }
--- a/internal/node/orders_test.go
+++ b/internal/node/orders_test.go
@@ -26,6 +26,12 @@
 	{"one silent", func(f *fleet) { f.member(address(1)).caller.Set(feedtest.Silent) }},
 	{"hang", func(f *fleet) { f.each(func(m *member) { m.caller.Mute() }) }},
 	{"restart", func(f *fleet) { f.kill(0); f.start(0) }},
+	{"return from a copy", func(f *fleet) { f.store.Return(f.copied) }},
+	{"written again", func(f *fleet) {
+		f.store.Put("op", "config", []byte("5"))
+		f.store.Put("servers", "a", []byte("ready"))
+		f.store.Put("servers", "b", []byte("ready"))
+	}},
 }
 
 // orderLength is how many steps are played in every order; 4 takes a minute.
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -11,6 +11,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
+	"github.com/damaskrudder/damaskrudder/internal/relay"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 )
 
@@ -33,7 +34,7 @@
 	add := func(about freshness.Subject, topic string, wait, gather time.Duration, apply func([]feed.Record, bool)) *feed.Follower {
 		f := feed.New(&feed.Follower{
 			Log: n.ports.Log, Topic: topic, Wait: wait, Gather: gather, Boot: n.ports.Boot,
-			Apply: apply, Confirmed: func(sent time.Duration) { n.confirm(about, sent) }, Unanswered: n.noteUnanswered, Logger: n.log,
+			Apply: apply, Returned: func() { n.returned.note(about) }, Confirmed: func(sent time.Duration) { n.confirm(about, sent) }, Unanswered: n.noteUnanswered, Logger: n.log,
 			Peer: n.recordsOf, ReadsLog: n.readsStore, Reader: n.reader, IdlePause: n.idlePause,
 		})
 		n.followers = append(n.followers, f)
@@ -54,7 +55,7 @@
 }
 
 // recordsOf fetches records from a daemon that has read further.
-func (n *Node) recordsOf(ctx context.Context, topic string, from uint64) ([]feed.Record, uint64, error) {
+func (n *Node) recordsOf(ctx context.Context, topic string, from feed.Position) (feed.Tail, error) {
 	return n.members.Records(ctx, topic, from, func(p gossip.Pulse) bool { return p.Next(n.topicIndex(topic)) > from })
 }
 
@@ -64,13 +65,13 @@
 }
 
 // recordsSince answers other daemons.
-func (n *Node) recordsSince(topic string, from uint64) ([]feed.Record, uint64) {
+func (n *Node) recordsSince(topic string, from feed.Position) feed.Tail {
 	for _, f := range n.followers {
 		if f.Topic == topic {
 			return f.Since(from)
 		}
 	}
-	return nil, 0
+	return feed.Tail{Next: from}
 }
 
 // operator takes the operator's records: configurations and roll-out orders.
@@ -81,11 +82,11 @@
 		}
 		in, err := n.ports.Translator.Operator(r)
 		if err != nil {
-			n.log.Error("record passed over, what it would change is kept", "key", r.Key, "offset", r.Offset, "err", err)
+			n.log.Error("record passed over, what it would change is kept", "key", r.Key, "at", r.At, "err", err)
 			continue
 		}
 		if in.Table != nil && n.state.SetTable(in.Table) {
-			n.log.Info("configuration in force", "version", in.Table.Version, "offset", r.Offset)
+			n.log.Info("configuration in force", "version", in.Table.Version, "at", r.At)
 		}
 		if in.Order != nil {
 			n.Relay.Rollouts.Ordered(*in.Order)
@@ -103,10 +104,18 @@
 		n.noteGap(confirmed)
 	}
 	var ended []backend.Server
+	restored := n.returned.take(freshness.Servers)
+	if restored {
+		// What the copy lacks has two seconds to be written again, as after an outage.
+		n.state.Healed()
+	}
 	n.state.Servers(func(reg *backend.Registry, now time.Duration) {
 		listed := map[string]bool{}
 		for _, r := range records {
 			listed[r.Key] = r.Value != nil
+			if restored && n.outdated(reg, r, now) {
+				continue
+			}
 			if run := n.server(reg, r, now, confirmed); run != nil {
 				ended = append(ended, *run)
 			}
@@ -120,13 +129,24 @@
 	}
 }
 
+// outdated reports whether an entry of a store that came back from a copy says less than this
+// daemon knows. A server that left would get requests again.
+func (n *Node) outdated(reg *backend.Registry, r feed.Record, now time.Duration) bool {
+	s, err := n.ports.Translator.Server(r)
+	if err != nil || !reg.Outdated(s, now) {
+		return false
+	}
+	n.log.Info("server entry of a copy passed over", "server", s.Run.ID(), "leaving", s.Leaving, "at", r.At)
+	return true
+}
+
 // server takes one entry and returns the run that it tells to have ended. Confirmed is the
 // age of the newest confirmation of the entries before it.
 func (n *Node) server(reg *backend.Registry, r feed.Record, now, confirmed time.Duration) *backend.Server {
 	old, known, usable := reg.Get(r.Key, now)
 	if r.Value == nil {
 		if known {
-			n.log.Info("server entry gone", "server", old.ID, "service", old.Service, "was_leaving", old.Leaving, "offset", r.Offset, "confirmed_ms", confirmed.Milliseconds())
+			n.log.Info("server entry gone", "server", old.ID, "service", old.Service, "was_leaving", old.Leaving, "at", r.At, "confirmed_ms", confirmed.Milliseconds())
 		}
 		n.faults.clear(r.Key)
 		reg.Remove(r.Key, now)
@@ -145,7 +165,7 @@
 	}
 	n.faults.clear(r.Key)
 	if !known || !usable || ended != nil || old.Leaving != s.Leaving || old.Address != s.Address {
-		n.log.Info("server entry", "server", s.Run.ID(), "service", s.Service, "address", s.Address, "version", s.Version, "leaving", s.Leaving, "started_again", ended != nil, "offset", r.Offset, "confirmed_ms", confirmed.Milliseconds())
+		n.log.Info("server entry", "server", s.Run.ID(), "service", s.Service, "address", s.Address, "version", s.Version, "leaving", s.Leaving, "started_again", ended != nil, "at", r.At, "confirmed_ms", confirmed.Milliseconds())
 	}
 	return ended
 }
@@ -156,34 +176,42 @@
 	fault := backend.FaultOf(err)
 	n.ports.Metrics.BadEntry(fault).Inc(1)
 	if n.faults.note(r.Key, fault) {
-		n.log.Error("server entry names no server to use", "server", r.Key, "offset", r.Offset, "fault", fault, "err", err)
+		n.log.Error("server entry names no server to use", "server", r.Key, "at", r.At, "fault", fault, "err", err)
 	}
 }
 
 // status takes how far roll-outs have come.
 func (n *Node) status(records []feed.Record, _ bool) {
+	if n.returned.take(freshness.Rollouts) {
+		n.Relay.Rollouts.Restored()
+	}
 	for _, r := range records {
 		if r.Value == nil {
 			continue
 		}
 		s, about, err := n.ports.Translator.Status(r)
 		if err != nil {
-			n.log.Error("status passed over", "key", r.Key, "offset", r.Offset, "err", err)
+			n.log.Error("status passed over", "key", r.Key, "at", r.At, "err", err)
 			continue
 		}
 		if about {
-			n.Relay.Rollouts.Settled(s.Service, s.Order, s.Phase, s.Since)
+			n.Relay.Rollouts.Settled(relay.Settlement{Service: s.Service, Target: s.Target, Order: s.Order, Phase: s.Phase, Ago: s.Since})
 		}
 	}
 }
 
 // entries takes the entries of other daemons, and what the store says of held requests.
 func (n *Node) entries(records []feed.Record, _ bool) {
+	if n.returned.take(freshness.Daemons) {
+		// What the copy lacks is written again.
+		n.enrolled.Store(false)
+		n.stored.forget()
+	}
 	for _, r := range records {
 		h, about, err := n.ports.Translator.Held(r)
 		switch {
 		case err != nil:
-			n.log.Error("held request passed over", "key", r.Key, "offset", r.Offset, "err", err)
+			n.log.Error("held request passed over", "key", r.Key, "at", r.At, "err", err)
 			continue
 		case about:
 			n.takeHeld(h)
@@ -204,10 +232,13 @@
 }
 
 const (
-	// enrollRetry is the pause between tries to write the daemon's own entry, and
-	// enrollLook how often it is looked at whether that is this daemon's to do.
-	enrollRetry = 500 * time.Millisecond
-	enrollLook  = 250 * time.Millisecond
+	// enrollRetry is the pause between tries to write the daemon's own entry, enrollLook
+	// and enrolledLook how often it is looked at whether that is this daemon's to do
+	// while there is none, and while there is one, which a store that comes back from an
+	// older copy may have lost.
+	enrollRetry  = 500 * time.Millisecond
+	enrollLook   = 250 * time.Millisecond
+	enrolledLook = 2 * time.Second
 )
 
 // enroll writes where this daemon is, for those that know nobody, once it is one of the
@@ -218,15 +249,20 @@
 		n.log.Error("own entry", "err", err)
 		return
 	}
-	for ctx.Err() == nil && !n.enrolled.Load() {
-		if !n.contact() || !n.others.Loaded() {
+	for ctx.Err() == nil {
+		switch {
+		case n.enrolled.Load():
+			loop.Pause(ctx, enrolledLook)
+			continue
+		case !n.contact() || !n.others.Loaded():
 			loop.Pause(ctx, enrollLook)
 			continue
 		}
 		err := feed.Put(ctx, n.ports.Log, n.topics.Daemons, n.config.Name, value, nil)
 		if err == nil {
 			n.log.Info("own entry written")
-			return
+			n.enrolled.Store(true)
+			continue
 		}
 		n.log.Warn("own entry not written", "err", err)
 		loop.Pause(ctx, enrollRetry)
--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -46,3 +46,119 @@
 		})
 	}
 }
+
+// Symptom: a server that had left got requests again.
+// Sequence: it says that it leaves, or its entry goes; the store comes back from a copy in which
+// it is ready.
+// Cause: what the store says last was taken for the newest word.
+func TestServerThatLeftStaysLeft(t *testing.T) {
+	for _, daemons := range fleetSizes() {
+		for name, value := range map[string][]byte{"said that it leaves": []byte("leaving"), "entry gone": nil} {
+			t.Run(fmt.Sprint(daemons, " daemons/", name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, daemons)
+					time.Sleep(4 * time.Second)
+					copied := f.store.Copy()
+					f.store.Put("servers", "a", value)
+					within(t, f.bound, "a server that left is not used", func() bool { return f.using("a") == 0 })
+					f.comesBack(copied, func() {})
+					for range 100 {
+						time.Sleep(30 * time.Millisecond)
+						if n := f.using("a"); n > 0 {
+							t.Fatalf("%d daemons use it again", n)
+						}
+					}
+					f.store.Put("servers", "a", []byte("ready"))
+					if value == nil {
+						within(t, f.bound, "a server that writes again is used", func() bool { return f.using("a") == daemons })
+					}
+				})
+			})
+		}
+	}
+}
+
+// Symptom: a server that lives got nothing for seconds.
+// Sequence: it starts; the store comes back from a copy without its entry; it writes again a
+// second later.
+// Cause: what the copy lacks was taken as gone.
+func TestServerThatTheCopyLacksIsKeptUntilItWritesAgain(t *testing.T) {
+	for _, daemons := range fleetSizes() {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, daemons)
+			time.Sleep(4 * time.Second)
+			copied := f.store.Copy()
+			f.store.Put("servers", "new", []byte("ready"))
+			within(t, f.bound, "a new server is used", func() bool { return f.using("new") == daemons })
+			f.comesBack(copied, func() {})
+			for range 10 {
+				time.Sleep(100 * time.Millisecond)
+				if n := f.using("new"); n < daemons {
+					t.Fatalf("%d of %d daemons use it", n, daemons)
+				}
+			}
+			f.store.Put("servers", "new", []byte("ready"))
+			time.Sleep(5 * time.Second)
+			if n := f.using("new"); n < daemons {
+				t.Errorf("%d of %d daemons use a server that has written again", n, daemons)
+			}
+			f.store.Put("servers", "other", []byte("ready"))
+			within(t, f.bound, "a server is used", func() bool { return f.using("other") == daemons })
+		})
+	}
+}
+
+// Symptom: a configuration that had been in force was not any more.
+// Sequence: it is acknowledged and taken; the store comes back from a copy before it.
+// Cause: none here: versions only go on. The test keeps it so.
+func TestConfigurationNeverGoesBackWithTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6)
+		time.Sleep(4 * time.Second)
+		copied := f.store.Copy()
+		f.store.Put("op", "config", []byte("9"))
+		at := func(version int64) func() bool {
+			return func() bool { return f.count(func(m *member) bool { return m.state.Table().Version == version }) == 6 }
+		}
+		within(t, f.bound, "the configuration is in force", at(9))
+		f.comesBack(copied, func() {})
+		time.Sleep(2 * time.Second)
+		if !at(9)() {
+			t.Error("an earlier configuration is in force")
+		}
+		f.store.Put("op", "config", []byte("9"))
+		f.store.Put("op", "config", []byte("12"))
+		within(t, f.bound, "the next one is in force", at(12))
+	})
+}
+
+// What daemons wrote themselves is written again, once: by whom, and in how many calls, from the
+// return until ten seconds after it.
+func TestReturnOfTheStoreCostsFewCalls(t *testing.T) {
+	for _, daemons := range fleetSizes() {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, daemons)
+			copied := f.store.Copy()
+			time.Sleep(15 * time.Second)
+			entries := f.store.Keys("daemons")
+			before := f.store.Calls()
+			time.Sleep(10 * time.Second)
+			calm := f.store.Calls() - before
+			f.comesBack(copied, func() {})
+			began, before := time.Now(), f.store.Calls()
+			known := func() bool {
+				return f.count(func(m *member) bool { return m.operators.Next().Era() == 1 }) == daemons
+			}
+			took := within(t, f.bound/2, "all have read the store anew", known)
+			time.Sleep(10*time.Second - time.Since(began))
+			calls := f.store.Calls() - before
+			t.Logf("%d daemons: all know after %s; %d calls in 10 s, %d in 10 s of calm; %d of %d entries of daemons again", daemons, took, calls, calm, f.store.Keys("daemons"), entries)
+			if f.store.Keys("daemons") < entries {
+				t.Errorf("%d entries of daemons, %d before", f.store.Keys("daemons"), entries)
+			}
+			if most := calm + 2*daemons; calls > most && daemons > 16 {
+				t.Errorf("%d calls, at most %d are planned", calls, most)
+			}
+		})
+	}
+}
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -17,7 +17,12 @@
 	loop.Every(ctx, decideEvery, func(ctx context.Context, _ time.Time) { n.judge(ctx) })
 }
 
+// unsaidFor is how long it is waited after the store came back from an older copy before
+// phases that it has lost are written again: others may be about to.
+const unsaidFor = 500 * time.Millisecond
+
 func (n *Node) judge(ctx context.Context) {
+	n.writeUnsaid(ctx)
 	for _, step := range n.Relay.Rollouts.Due(n.members.Lives) {
 		if step.Phase == rollout.RolledBack {
 			n.Relay.Rollouts.Brake(step.Order.Service, step.Order.Offset, step.Why)
@@ -28,3 +33,14 @@
 		}
 	}
 }
+
+// writeUnsaid writes the phases again that a store which came back from an older copy has lost.
+func (n *Node) writeUnsaid(ctx context.Context) {
+	if !n.decides() {
+		return
+	}
+	for _, step := range n.Relay.Rollouts.Unsaid(unsaidFor) {
+		err := n.writeStatus(ctx, step.Order, step.Phase, step.Since)
+		n.log.Info("roll-out status written again", "service", step.Order.Service, "phase", step.Phase, "err", err)
+	}
+}
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
+	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 )
 
@@ -27,15 +28,40 @@
 	// settled is what the store says of orders, by service. It may be read
 	// before the order itself.
 	settled map[string]settled
+	// unsaid are the services of whose order a store that came back from an older copy says
+	// less than is known, since when. restored says that one has come back.
+	unsaid   map[string]time.Time
+	restored bool
+}
+
+// Settlement is how far an order had come when the store took it.
+type Settlement struct {
+	Service string
+	// Target is the version that the order names, and Order the order's position.
+	Target string
+	Order  uint64
+	Phase  rollout.Phase
+	// Ago is how long before the order was given.
+	Ago time.Duration
 }
 
 type settled struct {
-	offset uint64
-	phase  rollout.Phase
+	Settlement
 	// since is when the order was given, as far as the store tells.
 	since time.Time
 }
 
+// about reports whether a settlement is of an order. In a store that has come back from an
+// older copy the order has a later position: it was written again, or read again.
+func (s settled) about(o rollout.Order) bool {
+	return o.Offset == s.Order || laterEra(o.Offset, s.Order) && o.Target == s.Target
+}
+
+// laterEra reports whether a position is of a later era of the store than another.
+func laterEra(position, other uint64) bool {
+	return feed.Position(position).Era() > feed.Position(other).Era()
+}
+
 type order struct {
 	rollout.Order
 	phase rollout.Phase
@@ -112,7 +138,7 @@
 // each other within the span belong together.
 func NewRollouts(sessionSpan time.Duration, l *log.Logger) *Rollouts {
 	return &Rollouts{
-		log: l, orders: map[string]*order{}, usual: map[string]*rollout.Usual{}, settled: map[string]settled{},
+		log: l, orders: map[string]*order{}, usual: map[string]*rollout.Usual{}, settled: map[string]settled{}, unsaid: map[string]time.Time{},
 		seen: sessions{span: sessionSpan, last: map[string]map[uint64]time.Time{}},
 	}
 }
@@ -122,7 +148,15 @@
 func (r *Rollouts) Ordered(o rollout.Order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if old := r.orders[o.Service]; old != nil && old.Offset >= o.Offset {
+	old := r.orders[o.Service]
+	if old != nil && old.Offset >= o.Offset {
+		return
+	}
+	if old != nil && laterEra(o.Offset, old.Offset) && o.Target == old.Target {
+		// The store came back from an older copy. This is the order that is known, read or
+		// written again: one that is over would else begin anew.
+		old.Offset = o.Offset
+		r.settle(o.Service)
 		return
 	}
 	o.SessionSpan = r.seen.span
@@ -134,25 +168,54 @@
 	r.settle(o.Service)
 }
 
-// Settled takes a phase that the store holds for the order at an offset, written
-// when the order was given for ago. Phases only go on.
-func (r *Rollouts) Settled(service string, offset uint64, p rollout.Phase, ago time.Duration) {
+// Settled takes a phase that the store holds for an order. Phases only go on.
+func (r *Rollouts) Settled(s Settlement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settled[s.Service] = settled{s, time.Now().Add(-s.Ago)}
+	delete(r.unsaid, s.Service)
+	r.settle(s.Service)
+}
+
+// Restored takes it that the store has come back from an older copy, whose settlements are told
+// next: what it has lost is to be written again.
+func (r *Rollouts) Restored() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.settled[service] = settled{offset, p, time.Now().Add(-ago)}
-	r.settle(service)
+	r.settled, r.restored = map[string]settled{}, true
+	for service, o := range r.orders {
+		if o.phase > 0 {
+			r.unsaid[service] = time.Now()
+		}
+	}
+}
+
+// Unsaid lists the phases that a store which came back from an older copy does not hold, and
+// that were known for some time since.
+func (r *Rollouts) Unsaid(since time.Duration) (out []Step) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, at := range r.unsaid {
+		if o := r.orders[service]; o != nil && time.Since(at) >= since {
+			out = append(out, Step{o.Order, o.phase, time.Since(o.since), "the store has lost it"})
+		}
+	}
+	return out
 }
 
 // settle applies what the store says. Callers hold mu.
 func (r *Rollouts) settle(service string) {
 	o, s := r.orders[service], r.settled[service]
-	if o == nil || o.Offset != s.offset {
+	if o == nil || !s.about(o.Order) {
 		return
 	}
 	if s.since.Before(o.since) {
 		o.since = s.since
 	}
-	r.advance(o, s.phase, "the store says so")
+	if o.phase > s.Phase && r.restored {
+		r.unsaid[service] = time.Now() // the copy says less than is known
+	}
+	r.advance(o, s.Phase, "the store says so")
 }
 
 // advance moves an order on. Callers hold mu.
--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 )
 
@@ -26,12 +27,12 @@
 // Cause: a daemon's own stop outranked the store's word.
 func TestStoreGoesBeforeOwnBrake(t *testing.T) {
 	r := testRollouts()
-	r.Settled("s", 7, rollout.Whole, 15*time.Second)
+	r.Settled(Settlement{Service: "s", Order: 7, Phase: rollout.Whole, Ago: 15 * time.Second})
 	r.Brake("s", 7, "slow")
 	if c := r.Admits("s", "", 1); !c.Prefer("v1") || c.Prefer("v2") {
 		t.Fatal("a braked version is still preferred")
 	}
-	r.Settled("s", 7, rollout.Completed, 20*time.Second)
+	r.Settled(Settlement{Service: "s", Order: 7, Phase: rollout.Completed, Ago: 20 * time.Second})
 	if c := r.Admits("s", "", 1); !c.Prefer("v2") || c.Prefer("v1") {
 		t.Fatal("after the store's word the old version is still preferred")
 	}
@@ -125,3 +126,56 @@
 		t.Error("the stop of a daemon that does not judge was told on")
 	}
 }
+
+// Symptom: a roll-out that had been completed began anew.
+// Sequence: the store comes back from an older copy; the order is read again, or written again,
+// at a later position; the copy holds an earlier phase of it, or none.
+// Cause: an order was known by its offset, and its phase by the store's last word.
+func TestOrderThatIsOverStaysOverWhenTheStoreReturns(t *testing.T) {
+	later := uint64(feed.At(1, 9))
+	for name, said := range map[string]*Settlement{
+		"nothing said":          nil,
+		"an earlier phase said": {Service: "s", Target: "v2", Order: 7, Phase: rollout.Whole},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRollouts(0, log.New(io.Discard))
+			order := rollout.Order{Service: "s", Target: "v2", Offset: 7}
+			r.Ordered(order)
+			r.Settled(Settlement{Service: "s", Target: "v2", Order: 7, Phase: rollout.Completed})
+			r.Restored()
+			if said != nil {
+				r.Settled(*said)
+			}
+			order.Offset = later
+			r.Ordered(order)
+			if due := r.Due(func(string) bool { return true }); len(due) != 0 {
+				t.Fatalf("goes on: %+v", due)
+			}
+			again := r.Unsaid(0)
+			if len(again) != 1 || again[0].Phase != rollout.Completed || again[0].Order.Offset != later {
+				t.Fatalf("to be written again: %+v", again)
+			}
+			r.Settled(Settlement{Service: "s", Target: "v2", Order: later, Phase: rollout.Completed})
+			if again := r.Unsaid(0); len(again) != 0 {
+				t.Errorf("still to be written: %+v", again)
+			}
+		})
+	}
+}
+
+// A daemon that starts after the return knows the order at its later position, and the phase
+// that was written of the earlier one.
+func TestPhaseOfAnEarlierEraIsOfTheSameOrder(t *testing.T) {
+	r := NewRollouts(0, log.New(io.Discard))
+	r.Settled(Settlement{Service: "s", Target: "v2", Order: 7, Phase: rollout.Completed})
+	r.Ordered(rollout.Order{Service: "s", Target: "v2", Offset: uint64(feed.At(1, 9))})
+	if due := r.Due(func(string) bool { return true }); len(due) != 0 {
+		t.Errorf("goes on: %+v", due)
+	}
+	r.Ordered(rollout.Order{Service: "s", Target: "v3", Offset: uint64(feed.At(1, 12))})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o := r.orders["s"]; o.Target != "v3" || o.phase.Over() {
+		t.Errorf("another target is the same order: %+v", o)
+	}
+}
--- a/internal/standin/metadata.go
+++ b/internal/standin/metadata.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,6 +22,36 @@
 	refuse  map[string]int
 	lose    int
 	calls   int
+	// era rises by one with each return from a copy; every answer states it.
+	era uint64
+}
+
+// MetadataCopy is a store's content at a moment.
+type MetadataCopy struct{ topics map[string]*keyedTopic }
+
+// Copy copies the store's content.
+func (m *Metadata) Copy() *MetadataCopy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &MetadataCopy{cloneTopics(m.topics)}
+}
+
+// Return has the store come back from a copy: what was written since is gone, and its offsets
+// are given out again. Connections stay open.
+func (m *Metadata) Return(c *MetadataCopy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.topics = cloneTopics(c.topics)
+	m.era++
+	m.wake()
+}
+
+func cloneTopics(topics map[string]*keyedTopic) map[string]*keyedTopic {
+	out := make(map[string]*keyedTopic, len(topics))
+	for name, t := range topics {
+		out[name] = &keyedTopic{first: t.first, records: slices.Clone(t.records), newest: maps.Clone(t.newest)}
+	}
+	return out
 }
 
 type keyedTopic struct {
@@ -114,6 +145,7 @@
 func (m *Metadata) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	m.mu.Lock()
 	m.calls++
+	m.stateEra(w)
 	m.mu.Unlock()
 	if status := m.refused(r); status != 0 {
 		w.WriteHeader(status)
@@ -131,6 +163,11 @@
 	}
 }
 
+// stateEra states the era in an answer. Callers hold mu.
+func (m *Metadata) stateEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(m.era, 10))
+}
+
 func (m *Metadata) refused(r *http.Request) int {
 	host, _, _ := strings.Cut(r.RemoteAddr, ":")
 	m.mu.Lock()
@@ -145,6 +182,7 @@
 		Offset uint64 `json:"offset"`
 	}
 	m.mu.Lock()
+	m.stateEra(w)
 	t := m.topic(r.FormValue("topic"))
 	items := []item{}
 	for _, rec := range t.newest {
@@ -168,6 +206,7 @@
 		m.mu.Lock()
 		t := m.topic(r.FormValue("topic"))
 		first, end, changed := t.first, t.end(), m.changed
+		m.stateEra(w)
 		var records []keyedRecord
 		if from >= first && from < end {
 			records = slices.Clone(t.records[from-first:])
@@ -177,7 +216,7 @@
 			w.WriteHeader(status)
 			return
 		}
-		if from < first {
+		if from < first || from > end {
 			writeJSON(w, http.StatusGone, map[string]uint64{"first": first})
 			return
 		}
@@ -216,6 +255,7 @@
 	n := 5 + int(body[4])
 	topic := r.FormValue("topic")
 	m.mu.Lock()
+	m.stateEra(w)
 	end := m.topic(topic).end()
 	if at := r.FormValue("at"); at != "" && at != strconv.FormatUint(end, 10) {
 		m.mu.Unlock()
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -21,8 +21,9 @@
 	keep := flag.String("keep", "", "folder for the logs of seeds that failed; none are kept without it")
 	restarts := flag.Bool("restarts", false, "servers start again and entries turn bad, in place of all other faults")
 	deadly := flag.Bool("deadly", false, "a request that ends its servers comes again and again, beside daemons that stop and start, in place of all other faults")
+	returns := flag.Bool("returns", false, "the store comes back from copies of up to some seconds ago, beside all other faults")
 	flag.Parse()
-	if err := run(*first, *seeds, options{*span, *daemons, *restarts, *deadly}, *keep, os.Stdout); err != nil {
+	if err := run(*first, *seeds, options{*span, *daemons, *restarts, *deadly, *returns}, *keep, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -37,6 +38,8 @@
 	// deadly has a request that ends its servers come again and again, beside daemons that
 	// stop and start, in place of all other faults.
 	deadly bool
+	// returns has the store come back from copies, beside all other faults.
+	returns bool
 }
 
 var errBroken = errors.New("promises were broken")
--- a/lab/soak/play.go
+++ b/lab/soak/play.go
@@ -41,9 +41,13 @@
 	keys    []string
 	revoked map[string]time.Time
 	faults  []string
+	// config is the newest configuration.
+	config []byte
 	// entries are what servers say of themselves but for their start, by place.
 	entries []string
 	barred  []bar
+	// returned is how often the store came back from a copy.
+	returned int
 	// ends are the times at which the deadly request ended servers.
 	ends []time.Time
 }
@@ -93,6 +97,10 @@
 	defer stop()
 	done := make(chan struct{})
 	go func() { c.run(calling, seed, callersCount, w.known); close(done) }()
+	stopReturns := func() {}
+	if o.returns {
+		stopReturns = w.keepReturning()
+	}
 	harming, calm := context.WithCancel(calling)
 	defer calm()
 	var harm sync.WaitGroup
@@ -101,6 +109,7 @@
 	}
 	began := time.Now()
 	w.inject(o)
+	stopReturns()
 	w.mend()
 	time.Sleep(settleTime)
 	calm()
@@ -110,7 +119,7 @@
 	to := time.Now()
 	stop()
 	<-done
-	r := &result{requests: len(c.calls), faults: strings.Join(w.faults, " ")}
+	r := &result{requests: len(c.calls), faults: fmt.Sprintf("%s (the store returned %d times)", strings.Join(w.faults, " "), w.returned)}
 	r.broken = slices.Concat(check(c.calls, w.runs, w.revoked), checkBarred(w.barred, w.servers), checkReleased(c.calls), checkContained(w.ends, w.arrivals(c.calls)))
 	r.served, _ = servedPart(c.calls, began, from, w.revoked)
 	r.recovered, _ = servedPart(c.calls, from, to, w.revoked)
@@ -198,7 +207,8 @@
 	for i, k := range w.keys {
 		quoted[i] = fmt.Sprintf("%q", k)
 	}
-	w.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, w.version, strings.Join(quoted, ",")))
+	w.config = fmt.Appendf(nil, configuration, w.version, strings.Join(quoted, ","))
+	w.store.Put("keyed.op", "config", w.config)
 }
 
 // known returns the keys that callers use: those in force, and now and then one that
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -35,6 +35,7 @@
 		// daemon trusted its keys for 14 s.
 		{"store back without a change", 328, options{span: 6 * time.Second, daemons: 3}},
 		{"servers start again, entries turn bad", 2, options{span: 6 * time.Second, daemons: 2, restarts: true}},
+		{"the store comes back from older copies", 5, options{span: 6 * time.Second, daemons: 3, returns: true}},
 		{"a request ends its servers", 3, options{span: 6 * time.Second, daemons: 3, deadly: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
