--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,7 +76,7 @@
 // New returns a relay.
 func New(s *State, b Backend, rules Rules, m *Metrics, l *log.Logger) *Relay {
 	r := &Relay{
-		State: s, Rollouts: NewRollouts(rules.SessionSpan, l), Metrics: m, backend: b, rules: rules, log: l, started: time.Now(),
+		State: s, Rollouts: NewRollouts(rules.SessionSpan, time.Now, l), Metrics: m, backend: b, rules: rules, log: l, started: time.Now(),
 		shares: map[string]*request.Share{}, valuers: map[string]*cascade.Valuer{},
 	}
 	r.watch = newWatch(s, b, l, m)
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
-	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 )
 
@@ -17,6 +16,7 @@
 // what this daemon saw of both versions, and what the others tell.
 type Rollouts struct {
 	log *log.Logger
+	now func() time.Time
 
 	mu     sync.Mutex
 	orders map[string]*order
@@ -34,34 +34,6 @@
 	restored bool
 }
 
-// Settlement is how far an order had come when the store took it.
-type Settlement struct {
-	Service string
-	// Target is the version that the order names, and Order the order's position.
-	Target string
-	Order  uint64
-	Phase  rollout.Phase
-	// Ago is how long before the order was given.
-	Ago time.Duration
-}
-
-type settled struct {
-	Settlement
-	// since is when the order was given, as far as the store tells.
-	since time.Time
-}
-
-// about reports whether a settlement is of an order. In a store that has come back from an
-// older copy the order has a later position: it was written again, or read again.
-func (s settled) about(o rollout.Order) bool {
-	return o.Offset == s.Order || laterEra(o.Offset, s.Order) && o.Target == s.Target
-}
-
-// laterEra reports whether a position is of a later era of the store than another.
-func laterEra(position, other uint64) bool {
-	return feed.Position(position).Era() > feed.Position(other).Era()
-}
-
 type order struct {
 	rollout.Order
 	phase rollout.Phase
@@ -135,10 +107,10 @@
 }
 
 // NewRollouts returns a keeper without orders. Requests of a session that follow
-// each other within the span belong together.
-func NewRollouts(sessionSpan time.Duration, l *log.Logger) *Rollouts {
+// each other within the span belong together. Now reads the clock.
+func NewRollouts(sessionSpan time.Duration, now func() time.Time, l *log.Logger) *Rollouts {
 	return &Rollouts{
-		log: l, orders: map[string]*order{}, usual: map[string]*rollout.Usual{}, settled: map[string]settled{}, unsaid: map[string]time.Time{},
+		log: l, now: now, orders: map[string]*order{}, usual: map[string]*rollout.Usual{}, settled: map[string]settled{}, unsaid: map[string]time.Time{},
 		seen: sessions{span: sessionSpan, last: map[string]map[uint64]time.Time{}},
 	}
 }
@@ -161,70 +133,20 @@
 	}
 	o.SessionSpan = r.seen.span
 	r.orders[o.Service] = &order{
-		Order: o, since: time.Now(),
+		Order: o, since: r.now(),
 		own: map[string]*rollout.Cell{}, peers: map[string]OrderReport{},
 	}
 	r.log.Info("roll-out ordered", "service", o.Service, "target", o.Target, "offset", o.Offset, "duration", o.Duration)
 	r.settle(o.Service)
 }
 
-// Settled takes a phase that the store holds for an order. Phases only go on.
-func (r *Rollouts) Settled(s Settlement) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.settled[s.Service] = settled{s, time.Now().Add(-s.Ago)}
-	delete(r.unsaid, s.Service)
-	r.settle(s.Service)
-}
-
-// Restored takes it that the store has come back from an older copy, whose settlements are told
-// next: what it has lost is to be written again.
-func (r *Rollouts) Restored() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.settled, r.restored = map[string]settled{}, true
-	for service, o := range r.orders {
-		if o.phase > 0 {
-			r.unsaid[service] = time.Now()
-		}
-	}
-}
-
-// Unsaid lists the phases that a store which came back from an older copy does not hold, and
-// that were known for some time since.
-func (r *Rollouts) Unsaid(since time.Duration) (out []Step) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for service, at := range r.unsaid {
-		if o := r.orders[service]; o != nil && time.Since(at) >= since {
-			out = append(out, Step{o.Order, o.phase, time.Since(o.since), "the store has lost it"})
-		}
-	}
-	return out
-}
-
-// settle applies what the store says. Callers hold mu.
-func (r *Rollouts) settle(service string) {
-	o, s := r.orders[service], r.settled[service]
-	if o == nil || !s.about(o.Order) {
-		return
-	}
-	if s.since.Before(o.since) {
-		o.since = s.since
-	}
-	if o.phase > s.Phase && r.restored {
-		r.unsaid[service] = time.Now() // the copy says less than is known
-	}
-	r.advance(o, s.Phase, "the store says so")
-}
-
 // advance moves an order on. Callers hold mu.
 func (r *Rollouts) advance(o *order, p rollout.Phase, why string) {
 	if p <= o.phase || o.phase.Over() {
 		return
 	}
 	o.braked = o.braked && !p.Over()
-	r.log.Info("roll-out phase", "service", o.Service, "target", o.Target, "from", o.phase, "to", p, "why", why, "since_ms", time.Since(o.since).Milliseconds())
+	r.log.Info("roll-out phase", "service", o.Service, "target", o.Target, "from", o.phase, "to", p, "why", why, "since_ms", r.now().Sub(o.since).Milliseconds())
 	o.phase = p
 }
 
@@ -249,7 +171,7 @@
 // phase, and those that begin in it go by their hash, which every daemon computes
 // alike. The share only grows, so no session goes back.
 func (r *Rollouts) Admits(service, session string, draw uint64) Choice {
-	now := time.Now()
+	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if session != "" {
@@ -354,12 +276,12 @@
 			continue
 		}
 		o.oldRunning = running(o.Service, o.Target)
-		if o.phase == rollout.Canary && time.Since(o.since) < canaryDelay {
+		if o.phase == rollout.Canary && r.now().Sub(o.since) < canaryDelay {
 			// Until the canary begins every session is on the old version.
-			o.sessions = r.seen.recent(o.Service, time.Now())
+			o.sessions = r.seen.recent(o.Service, r.now())
 		}
 		p := OrderReport{
-			Service: o.Service, Offset: o.Offset, Phase: o.phase, SinceMs: time.Since(o.since).Milliseconds(),
+			Service: o.Service, Offset: o.Offset, Phase: o.phase, SinceMs: r.now().Sub(o.since).Milliseconds(),
 			OldRunning: o.oldRunning, Sessions: slices.Collect(maps.Keys(o.sessions)), Braked: judge && o.braked,
 		}
 		if evidence {
@@ -396,8 +318,8 @@
 		if p.Braked {
 			r.brake(o, "a daemon that judges says so")
 		}
-		if ago := time.Duration(p.SinceMs) * time.Millisecond; ago > time.Since(o.since) {
-			o.since = time.Now().Add(-ago)
+		if ago := time.Duration(p.SinceMs) * time.Millisecond; ago > r.now().Sub(o.since) {
+			o.since = r.now().Add(-ago)
 		}
 		if !p.Phase.Over() {
 			r.advance(o, p.Phase, "another daemon says so")
@@ -431,7 +353,7 @@
 			}
 		}
 		all := rollout.Sum(parts...)
-		since := time.Since(o.since)
+		since := r.now().Sub(o.since)
 		if p, why := rollout.DefaultCourse().Next(o.Order, o.phase, since, all, running); p != o.phase {
 			out = append(out, Step{o.Order, p, since, why})
 		}
--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -15,7 +15,7 @@
 )
 
 func testRollouts() *Rollouts {
-	r := NewRollouts(5*time.Second, log.New(io.Discard))
+	r := NewRollouts(5*time.Second, time.Now, log.New(io.Discard))
 	r.Ordered(rollout.Order{Service: "s", Target: "v2", Duration: 24 * time.Second, Offset: 7})
 	return r
 }
@@ -138,7 +138,7 @@
 		"an earlier phase said": {Service: "s", Target: "v2", Order: 7, Phase: rollout.Whole},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := NewRollouts(0, log.New(io.Discard))
+			r := NewRollouts(0, time.Now, log.New(io.Discard))
 			order := rollout.Order{Service: "s", Target: "v2", Offset: 7}
 			r.Ordered(order)
 			r.Settled(Settlement{Service: "s", Target: "v2", Order: 7, Phase: rollout.Completed})
@@ -166,7 +166,7 @@
 // A daemon that starts after the return knows the order at its later position, and the phase
 // that was written of the earlier one.
 func TestPhaseOfAnEarlierEraIsOfTheSameOrder(t *testing.T) {
-	r := NewRollouts(0, log.New(io.Discard))
+	r := NewRollouts(0, time.Now, log.New(io.Discard))
 	r.Settled(Settlement{Service: "s", Target: "v2", Order: 7, Phase: rollout.Completed})
 	r.Ordered(rollout.Order{Service: "s", Target: "v2", Offset: uint64(feed.At(1, 9))})
 	if due := r.Due(func(string) bool { return true }); len(due) != 0 {
