--- /dev/null
+++ b/internal/containment/guard_test.go
@@ -0,0 +1,78 @@
+package containment
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/damaskrudder/damaskrudder/internal/quarantine"
+)
+
+// play is a guard with what it asked and told.
+type play struct {
+	*Guard
+	refuses bool
+	asked   atomic.Int64
+	lost    []quarantine.RunKey
+	spread  int
+}
+
+func newPlay() *play {
+	p := &play{}
+	began := time.Now()
+	p.Guard = New(Ports{
+		Boot: func() time.Duration { return time.Since(began) }, Logger: log.New(io.Discard),
+		Refuses: func(context.Context, Server) bool { p.asked.Add(1); time.Sleep(time.Millisecond); return p.refuses },
+		Leaving: func(Server) bool { return false }, Lost: func(r quarantine.RunKey) { p.lost = append(p.lost, r) },
+		Spread: func() { p.spread++ }, Ended: tally.NoopScope.Counter("e"), Held: tally.NoopScope.Gauge("h"),
+	})
+	return p
+}
+
+// Symptom: a server that was back after two seconds got nothing for 24.
+// Sequence: others tell of its end with each of their pulses for a second and a half.
+// Cause: each word made the suspicion of the server longer.
+func TestEndThatIsToldAgainIsOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay()
+		word := quarantine.Word{Ends: []quarantine.End{{Run: RunKey("e"), Suspects: []quarantine.Fingerprint{1}}}}
+		for range 20 {
+			p.Hear(word)
+			time.Sleep(50 * time.Millisecond)
+		}
+		if len(p.lost) != 1 || p.spread != 1 {
+			t.Errorf("%d times lost, told on %d times", len(p.lost), p.spread)
+		}
+		time.Sleep(2 * quarantine.SameEnd)
+		p.Hear(quarantine.Word{Ends: []quarantine.End{{Run: RunKey("e"), Suspects: []quarantine.Fingerprint{1}}}})
+		if len(p.lost) != 2 {
+			t.Errorf("a later end is lost %d times", len(p.lost))
+		}
+	})
+}
+
+// All that was at a server asks once whether it has ended, and waits for the answer.
+func TestServerIsAskedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay()
+		p.refuses = true
+		s := Server{ID: "e", Address: "a"}
+		var runs []*Run
+		for f := range quarantine.Fingerprint(30) {
+			runs = append(runs, p.Enter(s, "id", f, func(error) {}))
+		}
+		for _, u := range runs {
+			go p.Leave(t.Context(), u, s, Broke)
+		}
+		time.Sleep(10 * time.Millisecond)
+		if p.asked.Load() != 1 || p.Check(29).Ends != 1 {
+			t.Errorf("asked %d times, %+v", p.asked.Load(), p.Check(29))
+		}
+	})
+}
--- a/internal/containment/runs.go
+++ b/internal/containment/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -66,6 +67,9 @@
 	servers map[string]*serverRuns
 	// byKey names the servers by the keys under which daemons tell of them.
 	byKey map[quarantine.RunKey]string
+	// heard is when others first told of the end of a server at which this daemon has
+	// nothing.
+	heard map[quarantine.RunKey]time.Time
 	swept time.Time
 }
 
@@ -81,7 +85,7 @@
 }
 
 func newRuns() *runs {
-	return &runs{servers: map[string]*serverRuns{}, byKey: map[quarantine.RunKey]string{}}
+	return &runs{servers: map[string]*serverRuns{}, byKey: map[quarantine.RunKey]string{}, heard: map[quarantine.RunKey]time.Time{}}
 }
 
 // enter records a send.
@@ -139,11 +143,17 @@
 // heardEnded takes it from another daemon that a server ended some time ago, and returns the
 // requests that this daemon had there, and whether the end is news.
 func (r *runs) heardEnded(key quarantine.RunKey, age time.Duration) (list []*Run, news bool) {
+	now := time.Now()
 	r.mu.Lock()
 	id, known := r.byKey[key]
+	at, told := r.heard[key]
+	if !known && (!told || now.Sub(at) > quarantine.SameEnd) {
+		told = false
+		r.heard[key] = now
+	}
 	r.mu.Unlock()
 	if !known {
-		return nil, true
+		return nil, !told
 	}
 	news = r.answer(id, true)
 	return r.suspects(id, age), news
@@ -176,6 +186,7 @@
 		return
 	}
 	r.swept = now
+	maps.DeleteFunc(r.heard, func(_ quarantine.RunKey, at time.Time) bool { return now.Sub(at) > runsKept })
 	for id, s := range r.servers {
 		if now.Sub(s.used) > runsKept && len(keepSuspects(s.list, now)) == 0 {
 			delete(r.servers, id)
