--- a/internal/containment/guard.go
+++ b/internal/containment/guard.go
@@ -120,8 +120,8 @@
 }
 
 // Enter records that a request is sent to a server. Cancel gives the send up.
-func (g *Guard) Enter(s Server, request string, f quarantine.Fingerprint, cancel context.CancelCauseFunc) *Run {
-	return g.runs.enter(s.ID, request, f, cancel)
+func (g *Guard) Enter(s Server, f quarantine.Fingerprint, cancel context.CancelCauseFunc) *Run {
+	return g.runs.enter(s.ID, f, cancel)
 }
 
 // Pass records that something of a send's answer was passed on.
--- a/internal/containment/guard_test.go
+++ b/internal/containment/guard_test.go
@@ -65,7 +65,7 @@
 		s := Server{ID: "e", Address: "a"}
 		var runs []*Run
 		for f := range quarantine.Fingerprint(30) {
-			runs = append(runs, p.Enter(s, "id", f, func(error) {}))
+			runs = append(runs, p.Enter(s, f, func(error) {}))
 		}
 		for _, u := range runs {
 			go p.Leave(t.Context(), u, s, Broke)
--- a/internal/containment/runs.go
+++ b/internal/containment/runs.go
@@ -38,7 +38,6 @@
 type Run struct {
 	server      string
 	fingerprint quarantine.Fingerprint
-	request     string
 	// cancel gives the send up.
 	cancel context.CancelCauseFunc
 	// passed says that something of the answer was passed on.
@@ -89,7 +88,7 @@
 }
 
 // enter records a send.
-func (r *runs) enter(server, request string, f quarantine.Fingerprint, cancel context.CancelCauseFunc) *Run {
+func (r *runs) enter(server string, f quarantine.Fingerprint, cancel context.CancelCauseFunc) *Run {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -100,7 +99,7 @@
 		s.ended, s.asked = false, nil
 	}
 	s.list = keepSuspects(s.list, now)
-	out := &Run{server: server, fingerprint: f, request: request, cancel: cancel}
+	out := &Run{server: server, fingerprint: f, cancel: cancel}
 	s.list = append(s.list, out)
 	return out
 }
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -161,7 +161,7 @@
 func (d *Daemon) guardedCall(ctx context.Context, id string, ch choice, f quarantine.Fingerprint, body []byte) (int, []byte, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	u := d.guard.Enter(guarded(ch.candidate), id, f, cancel)
+	u := d.guard.Enter(guarded(ch.candidate), f, cancel)
 	status, answer, err := d.engine.Call(ctx, ch.candidate.Address, id, body)
 	fate := containment.Broke
 	switch {
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -108,7 +108,7 @@
 	defer func() { d.finishAttempt(s, ch, began, res, failed) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	u := d.guard.Enter(guarded(ch.candidate), s.requestID, s.fingerprint, cancel)
+	u := d.guard.Enter(guarded(ch.candidate), s.fingerprint, cancel)
 	defer func() { d.guard.Leave(ctx, u, guarded(ch.candidate), fateOf(event, res.complete, started)) }()
 	// The configuration may have changed since the pick; this check is the last
 	// thing before the request leaves.
--- a/internal/node/deadly_test.go
+++ b/internal/node/deadly_test.go
@@ -4,174 +4,20 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/enginetest"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 	"github.com/damaskrudder/damaskrudder/internal/route"
-	"github.com/damaskrudder/damaskrudder/internal/upstream"
 )
 
-// engines are backend servers of a fleet that end when they run a request whose body says
-// so, and are back some seconds later under another id.
-type engines struct {
-	fleet *fleet
-
-	mu      sync.Mutex
-	running map[string]*engine
-	// ends and sends are the times of each server's end by a deadly body, and of each
-	// arrival of one, by body.
-	ends, sends map[string][]time.Time
-	// excused is a time up to which arrivals do not count: daemons have just started.
-	excused time.Time
-}
-
-// engine is one run of a server.
-type engine struct {
-	id string
-	// ended is closed at its end.
-	ended chan struct{}
-}
-
-const (
-	// deadly begins the bodies that end a server.
-	deadly = "deadly"
-	// untilHead is the time to the head of an answer, untilEnd the time from there to the
-	// end of a server that runs a deadly body, and backAfter the time until it is back.
-	untilHead = 40 * time.Millisecond
-	untilEnd  = 100 * time.Millisecond
-	backAfter = 3500 * time.Millisecond
-	// wholeAnswer is the time from the head to the end of an answer.
-	wholeAnswer = 600 * time.Millisecond
-)
-
-// newEngines gives a fleet's daemons engines in place of its servers.
-func newEngines(f *fleet, servers int) *engines {
-	e := &engines{fleet: f, running: map[string]*engine{}, ends: map[string][]time.Time{}, sends: map[string][]time.Time{}}
-	f.backend = e
-	f.store.Put("servers", "a", nil)
-	f.store.Put("servers", "b", nil)
-	for i := range servers {
-		e.start(fmt.Sprintf("e%d", i), 0)
-	}
-	return e
-}
-
-func (e *engines) start(name string, life int) {
-	id := fmt.Sprint(name, ".", life)
-	e.mu.Lock()
-	e.running[id] = &engine{id: id, ended: make(chan struct{})}
-	e.mu.Unlock()
-	e.fleet.store.Put("servers", id, []byte("ready"))
-}
-
-// end ends a run of a server by a body, once.
-func (e *engines) end(id, body string) {
-	e.mu.Lock()
-	run := e.running[id]
-	delete(e.running, id)
-	if run != nil {
-		e.ends[body] = append(e.ends[body], time.Now())
-		close(run.ended)
-	}
-	e.mu.Unlock()
-	if run == nil {
-		return
-	}
-	name, life, _ := strings.Cut(id, ".")
-	time.AfterFunc(backAfter, func() {
-		var n int
-		_, _ = fmt.Sscan(life, &n)
-		e.fleet.store.Put("servers", id, nil)
-		e.start(name, n+1)
-	})
-}
-
-func (e *engines) find(id string) *engine {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.running[id]
-}
-
-// Send implements relay.Backend.
-func (e *engines) Send(ctx context.Context, s relay.Send) (*relay.Reply, error) {
-	time.Sleep(oneWay)
-	run, body := e.find(s.Server.Run.Name), string(s.Call.Body)
-	if run == nil {
-		return nil, &upstream.Error{Reason: upstream.Unreachable, Err: syscall.ECONNREFUSED}
-	}
-	if strings.HasPrefix(body, deadly) {
-		e.mu.Lock()
-		e.sends[body] = append(e.sends[body], time.Now())
-		e.mu.Unlock()
-	}
-	select {
-	case <-time.After(untilHead):
-	case <-run.ended:
-		return nil, &upstream.Error{Reason: upstream.Broken, Sent: true, Err: io.EOF}
-	case <-ctx.Done():
-		return nil, &upstream.Error{Reason: upstream.Canceled, Sent: true, Err: context.Cause(ctx)}
-	}
-	if strings.HasPrefix(body, deadly) {
-		// A run that has begun ends its server also if it is cancelled.
-		time.AfterFunc(untilEnd, func() { e.end(run.id, body) })
-	}
-	answer := &answerOf{run: run, ctx: ctx, whole: time.Now().Add(wholeAnswer)}
-	return &relay.Reply{Status: http.StatusOK, Header: http.Header{}, Sealed: true, Confidence: -1, Length: -1, Body: answer}, nil
-}
-
-// Alive implements relay.Backend.
-func (e *engines) Alive(_ context.Context, s backend.Server, _ bool) error {
-	if e.find(s.Run.Name) == nil {
-		return syscall.ECONNREFUSED
-	}
-	return nil
-}
-
-// Refuses implements relay.Backend.
-func (e *engines) Refuses(_ context.Context, address string) bool {
-	time.Sleep(2 * oneWay)
-	return e.find(address) == nil
-}
-
-// Forget implements relay.Backend.
-func (e *engines) Forget(string) {}
-
-// answerOf is a stream of one event that ends when it is whole, or broken off with its server.
-type answerOf struct {
-	run   *engine
-	ctx   context.Context
-	whole time.Time
-	text  io.Reader
-}
-
-func (a *answerOf) Read(p []byte) (int, error) {
-	if a.text != nil {
-		return a.text.Read(p)
-	}
-	select {
-	case <-time.After(time.Until(a.whole)):
-		a.text = strings.NewReader("id: 1\ndata: x\n\n")
-		return a.text.Read(p)
-	case <-a.run.ended:
-		return 0, io.ErrUnexpectedEOF
-	case <-a.ctx.Done():
-		return 0, context.Cause(a.ctx)
-	}
-}
-
-func (a *answerOf) Close() error { return nil }
-
 // asker is one request's caller.
 type asker struct {
 	refusal *fault.Error
@@ -218,8 +64,9 @@
 	// beside is how many other requests run at any time.
 	beside int
 	seed   uint64
-	// during is called in the middle of the play.
-	during func(f *fleet, e *engines)
+	// during is called in the middle of the play. It returns a time up to which arrivals do
+	// not count, as daemons have just started.
+	during func(f *fleet) (excused time.Time)
 }
 
 // deadlyResult is what a play did to servers and callers.
@@ -247,7 +94,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newStore(t, p.daemons, []string{address(0), address(1), address(2)}, serving)
 		f.store.Put("op", "config", []byte("5"))
-		e := newEngines(f, p.servers)
+		f.store.Put("servers", "a", nil)
+		f.store.Put("servers", "b", nil)
+		e := enginetest.New(p.servers, func(id string, value []byte) { f.store.Put("servers", id, value) })
+		f.backend = e
 		for i := range p.daemons {
 			f.start(i)
 		}
@@ -264,16 +114,17 @@
 		for d := range max(1, p.deadly) {
 			callers.Go(func() { p.harmful(f, d, &mu, &out) })
 		}
+		var excused time.Time
 		if p.during != nil {
 			time.Sleep(4 * time.Second)
-			p.during(f, e)
+			excused = p.during(f)
 		}
 		callers.Wait()
 		stop()
 		wg.Wait()
-		out.judge(e)
+		out.judge(e, excused)
 		f.end()
-		time.Sleep(2 * backAfter)
+		time.Sleep(2 * enginetest.BackAfter)
 	})
 	return out
 }
@@ -284,7 +135,7 @@
 	var wg sync.WaitGroup
 	for i := range 60 {
 		time.Sleep(time.Duration(40+rng.IntN(260)) * time.Millisecond)
-		to, body := rng.IntN(p.daemons), fmt.Sprint(deadly, " ", which)
+		to, body := rng.IntN(p.daemons), fmt.Sprint(enginetest.Deadly, " ", which)
 		wg.Go(func() {
 			a := f.ask(to, fmt.Sprint("d", which, ".", i), body)
 			mu.Lock()
@@ -322,19 +173,18 @@
 	}
 }
 
-func (r *deadlyResult) judge(e *engines) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for body, ends := range e.ends {
+func (r *deadlyResult) judge(e *enginetest.Engines, excused time.Time) {
+	sends := e.Sends()
+	for body, ends := range e.Ends() {
 		r.ends += len(ends)
 		if len(ends) < 3 {
 			continue
 		}
 		late := 0
-		for _, at := range e.sends[body] {
+		for _, at := range sends[body] {
 			after := at.Sub(ends[2])
 			r.settled = max(r.settled, after)
-			if after > allowedAfter && at.After(e.excused) {
+			if after > allowedAfter && at.After(excused) {
 				late++
 			}
 		}
@@ -372,7 +222,7 @@
 	for _, daemons := range fleetSizes() {
 		for name, first := range map[string]int{"all": 0, "all but one": 1} {
 			t.Run(fmt.Sprint(daemons, " daemons/", name), func(t *testing.T) {
-				killed := func(f *fleet, e *engines) {
+				killed := func(f *fleet) time.Time {
 					for i := first; i < daemons; i++ {
 						f.kill(i)
 					}
@@ -380,9 +230,7 @@
 					for i := first; i < daemons; i++ {
 						f.start(i)
 					}
-					e.mu.Lock()
-					e.excused = time.Now().Add(allowedAfter)
-					e.mu.Unlock()
+					return time.Now().Add(allowedAfter)
 				}
 				r := deadlyPlay{daemons: daemons, servers: max(9, daemons/3), beside: 8, seed: 1, during: killed}.run(t)
 				t.Logf("%+v", r)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -149,7 +149,7 @@
 func (x *exchange) attempt(ctx context.Context, t *target) (request.Outcome, bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x.run = x.relay.Guard.Enter(guarded(t.server), x.call.ID, x.fingerprint, cancel)
+	x.run = x.relay.Guard.Enter(guarded(t.server), x.fingerprint, cancel)
 	outcome, done := x.send(ctx, cancel, t)
 	x.relay.Guard.Leave(ctx, x.run, guarded(t.server), fateOf(ctx, outcome, done))
 	if x.succeeded {
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -160,7 +160,7 @@
 		}
 	})
 	for _, id := range []string{"e0", "e1", "e2"} {
-		u := w.relay.Guard.Enter(containment.Server{ID: id}, "id1", 7, func(error) {})
+		u := w.relay.Guard.Enter(containment.Server{ID: id}, 7, func(error) {})
 		w.relay.Guard.Leave(t.Context(), u, containment.Server{ID: id}, containment.Broke)
 	}
 	if s := w.relay.Guard.Check(7); s.Ends != 0 {
@@ -190,7 +190,7 @@
 	w := newWorld(t, answering(200, ""))
 	var causes []error
 	enter := func(server string) *containment.Run {
-		return w.relay.Guard.Enter(containment.Server{ID: server}, "id1", 7, func(err error) { causes = append(causes, err) })
+		return w.relay.Guard.Enter(containment.Server{ID: server}, 7, func(err error) { causes = append(causes, err) })
 	}
 	enter("e0")
 	w.relay.Guard.Pass(enter("e1"))
