A daemon that starts on a store's older copy serves no older configuration than others have

What callers could see: a key that had been taken away opens at a daemon that starts after the store came back from a copy and before the operator has written again. Cause: it took the copy's configuration. In a store that has lost nothing no daemon has read less and knows more, but for the moment in which it takes a record.

--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -74,7 +74,7 @@
 // Ready reports whether callers should be sent here. A daemon that is cut off from
 // the store serves on by the word of others, but those that reach it come first.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.state.Known() && n.state.Fresh(freshness.Configuration, readyAge) && n.ownAge() < n.ownEvery()+ownGrace
+	return !n.leaving.Load() && n.state.Known() && !n.isOutdated() && n.state.Fresh(freshness.Configuration, readyAge) && n.ownAge() < n.ownEvery()+ownGrace
 }
 
 // lookAfter keeps what this daemon knows of the store confirmed, until the context ends.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,6 +140,8 @@
 	roles roles
 	// returned says which subjects a store that came back from an older copy tells next.
 	returned returned
+	// outdated is the newest configuration that others have and the store does not.
+	outdated outdated
 	// stored are the held requests that the store tells of.
 	stored *storedHolds
 	// news has others told soon of what was learned of requests that end servers.
@@ -163,6 +165,7 @@
 	n.members.Heard, n.members.Worked = n.heard, n.state.AddPeerWork
 	n.members.Quarantined = n.Relay.Guard.Word
 	n.Relay.Guard.SetSpread(n.news.soon)
+	n.Relay.Outdated = n.isOutdated
 	n.members.Learn(c.Seeds...)
 	n.prepare(ctx)
 	return n
@@ -207,9 +210,7 @@
 		p.Nexts = append(p.Nexts, f.Next())
 	}
 	p.Placed, p.PlacedRound = n.placements.Current(n.state.Placements, time.Now())
-	if t := n.state.Table(); t != nil {
-		p.Version = t.Version
-	}
+	p.Version = n.version()
 	return p
 }
 
@@ -231,6 +232,7 @@
 	for i, f := range n.followers {
 		f.Expect(p.Next(i))
 	}
+	n.noteNewer(p)
 	if after != 0 {
 		n.confirmedBy(p, after)
 	}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -113,7 +113,7 @@
 		listed := map[string]bool{}
 		for _, r := range records {
 			listed[r.Key] = r.Value != nil
-			if restored && n.outdated(reg, r, now) {
+			if restored && n.passedOver(reg, r, now) {
 				continue
 			}
 			if run := n.server(reg, r, now, confirmed); run != nil {
@@ -129,9 +129,9 @@
 	}
 }
 
-// outdated reports whether an entry of a store that came back from a copy says less than this
+// passedOver reports whether an entry of a store that came back from a copy says less than this
 // daemon knows. A server that left would get requests again.
-func (n *Node) outdated(reg *backend.Registry, r feed.Record, now time.Duration) bool {
+func (n *Node) passedOver(reg *backend.Registry, r feed.Record, now time.Duration) bool {
 	s, err := n.ports.Translator.Server(r)
 	if err != nil || !reg.Outdated(s, now) {
 		return false
--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/feedtest"
 )
 
@@ -162,3 +163,39 @@
 		})
 	}
 }
+
+// Symptom: a key that had been taken away opened a daemon.
+// Sequence: the store comes back from a copy before the configuration that took it away; a daemon
+// starts before the operator writes again.
+// Cause: it took the copy's configuration, which was the newest that the store had.
+func TestDaemonThatStartsOnACopyServesNoOlderConfiguration(t *testing.T) {
+	for _, daemons := range fleetSizes() {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, daemons)
+			time.Sleep(4 * time.Second)
+			copied := f.store.Copy()
+			f.store.Put("op", "config", []byte("9"))
+			within(t, f.bound, "the configuration is in force", func() bool {
+				return f.count(func(m *member) bool { return m.version() == 9 }) == daemons
+			})
+			f.comesBack(copied, func() {})
+			f.kill(0)
+			m := f.start(0)
+			within(t, time.Second, "the copy's configuration is known to be outdated", m.isOutdated)
+			for range 20 {
+				time.Sleep(100 * time.Millisecond)
+				if a := f.ask(0, "x", "x"); a.refusal == nil || a.refusal.Kind != fault.ConfigurationStale || m.Ready() {
+					t.Fatalf("version %d, ready %t: %v", m.version(), m.Ready(), a.refusal)
+				}
+			}
+			f.store.Put("op", "config", []byte("9"))
+			within(t, f.bound, "the daemon serves", func() bool {
+				a := f.ask(0, "x", "x")
+				return m.Ready() && m.version() == 9 && a.refusal.Kind == fault.NotFound
+			})
+			if n := f.count(func(m *member) bool { return m.isOutdated() }); n > 0 {
+				t.Errorf("%d daemons are outdated", n)
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,6 +60,8 @@
 	watch    *watch
 	// Guard keeps requests from servers that end when they run them.
 	Guard *containment.Guard
+	// Outdated reports whether other daemons have a newer configuration than the store.
+	Outdated func() bool
 	// started is where the steady clock of the retry budget begins.
 	started time.Time
 
@@ -76,7 +78,7 @@
 // New returns a relay.
 func New(s *State, b Backend, rules Rules, m *Metrics, l *log.Logger) *Relay {
 	r := &Relay{
-		State: s, Rollouts: NewRollouts(rules.SessionSpan, time.Now, l), Metrics: m, backend: b, rules: rules, log: l, started: time.Now(),
+		State: s, Rollouts: NewRollouts(rules.SessionSpan, time.Now, l), Metrics: m, backend: b, rules: rules, log: l, started: time.Now(), Outdated: func() bool { return false },
 		shares: map[string]*request.Share{}, valuers: map[string]*cascade.Valuer{},
 	}
 	r.watch = newWatch(s, b, l, m)
@@ -215,6 +217,9 @@
 	if t == nil || !r.State.Known() {
 		return nil, fault.New(fault.ConfigurationStale, "no configuration is known yet").After(staleRetry)
 	}
+	if r.Outdated() {
+		return nil, fault.New(fault.ConfigurationStale, "other daemons have a newer configuration than the store").After(staleRetry)
+	}
 	rt := t.Match(c.Host, c.Path)
 	if rt == nil {
 		return nil, fault.New(fault.NotFound, "no route leads to this host and path")
