--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -85,6 +85,8 @@
 			x.relay.Metrics.CallersLeft.Inc(1)
 			return
 		}
+		// One that servers may end by asks the larger model of the same server: its cancelled
+		// run may end that one all the same, and a second would end with it.
 		if outcome != request.Unconvincing || x.standing.Ends == 0 {
 			x.tried = append(x.tried, t.server.ID)
 		}
