A long stream at a quiet server no longer breaks what looks it over

Cause: looking over a server's requests shortened their list in its place without keeping the shorter one, so that the next look met empty places. The test failed with the same panic.

--- a/internal/containment/guard_test.go
+++ b/internal/containment/guard_test.go
@@ -76,3 +76,23 @@
 		}
 	})
 }
+
+// Symptom: a daemon closed callers' connections without an answer, and its log had a panic.
+// Sequence: a server has a stream that lasts and requests that are over; it gets nothing new for
+// ten seconds, and is looked over twice.
+// Cause: what was looked over was shortened in its place, and the list kept its length.
+func TestLongStreamOutlastsWhatIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay()
+		s, other := Server{ID: "e", Address: "a"}, Server{ID: "f", Address: "b"}
+		p.Enter(s, 2, func(error) {})
+		p.Leave(t.Context(), p.Enter(s, 1, func(error) {}), s, Finished)
+		for range 4 {
+			time.Sleep(runsKept + time.Second)
+			p.Leave(t.Context(), p.Enter(other, 3, func(error) {}), other, Finished)
+		}
+		if list := p.runs.suspects(s.ID, 0); len(list) != 1 || list[0].fingerprint != 2 {
+			t.Errorf("%d requests are known at the server", len(list))
+		}
+	})
+}
--- a/internal/containment/runs.go
+++ b/internal/containment/runs.go
@@ -168,6 +168,7 @@
 	}
 }
 
+// keepSuspects shortens a list in its place to the runs that may still have ended their server.
 func keepSuspects(list []*Run, now time.Time) []*Run {
 	out := list[:0]
 	for _, u := range list {
@@ -187,7 +188,8 @@
 	r.swept = now
 	maps.DeleteFunc(r.heard, func(_ quarantine.RunKey, at time.Time) bool { return now.Sub(at) > runsKept })
 	for id, s := range r.servers {
-		if now.Sub(s.used) > runsKept && len(keepSuspects(s.list, now)) == 0 {
+		s.list = keepSuspects(s.list, now)
+		if now.Sub(s.used) > runsKept && len(s.list) == 0 {
 			delete(r.servers, id)
 			delete(r.byKey, RunKey(id))
 		}
