A clearance that is heard again is told for a while only

Found on reading the change once more: a clearance is taken for a little younger by each daemon that hears it, by the time it was on its way, which made it news each time. So daemons told each other of the same ones for as long as ends are kept, several times in each word. Only one that is younger by more than ends are taken for one, or that ends a hold, is told on. Test first failing: after ten times the time of news both of two daemons still told it.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -237,14 +237,14 @@
 	return l.clear(f, at, now, true)
 }
 
+// clear takes a clearance, and has others told of it unless they know: one that is heard again is
+// a little younger each time, by the time that it was on its way.
 func (l *Ledger) clear(f Fingerprint, at, now time.Duration, tell bool) (out Change) {
-	if before, any := l.cleared[f]; any && before >= at {
+	before, any := l.cleared[f]
+	if any && before >= at {
 		return out
 	}
 	l.cleared[f] = at
-	if tell {
-		l.news = append(l.news, newsItem{fingerprint: f, cleared: true, learned: now})
-	}
 	for _, id := range slices.Clone(l.of[f]) {
 		if l.ends[id].at <= at {
 			delete(l.ends[id].suspects, f)
@@ -255,6 +255,9 @@
 		delete(l.holds, f)
 		out.News, out.Released = true, []Fingerprint{f}
 	}
+	if tell && (!any || at-before > SameEnd || out.News) {
+		l.news = append(l.news, newsItem{fingerprint: f, cleared: true, learned: now})
+	}
 	return out
 }
 
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -217,3 +217,32 @@
 		t.Fatalf("stands %+v", s)
 	}
 }
+
+// Symptom: daemons told each other of the same clearances without an end.
+// Sequence: a word is on its way for some milliseconds, so that the one who hears it takes the
+// clearance for a little younger than the one who told it.
+// Cause: a clearance that was younger by anything was news, and was told on.
+func TestClearanceIsToldForAWhileOnly(t *testing.T) {
+	const way = 3 * time.Millisecond
+	now := time.Second
+	all := []*Ledger{NewLedger(), NewLedger()}
+	for _, l := range all {
+		for run := range RunKey(2) {
+			l.Ended(run, now, []Fingerprint{7}, now)
+		}
+	}
+	all[0].Succeeded(7, now+100*time.Millisecond)
+	for now += 100 * time.Millisecond; now < 10*newsFor; now += 50 * time.Millisecond {
+		for i, l := range all {
+			all[1-i].Hear(l.Word(now, false), now+way)
+		}
+	}
+	for i, l := range all {
+		if l.Standing(7, now).Ends != 0 {
+			t.Errorf("daemon %d: not cleared", i)
+		}
+		if w := l.Word(now, false); !w.Empty() || len(l.news) > 0 {
+			t.Errorf("daemon %d still tells %+v, %d items of news", i, w, len(l.news))
+		}
+	}
+}
