--- a/internal/containment/runs.go
+++ b/internal/containment/runs.go
@@ -47,12 +47,15 @@
 	over time.Time
 }
 
-// suspect reports whether the run may have ended its server by a moment.
-func (r *Run) suspect(now time.Time) bool {
+// suspect reports whether the run may have ended its server by a moment. Broken is how long
+// before it a connection may have broken by that end.
+func (r *Run) suspect(now time.Time, broken time.Duration) bool {
 	switch r.fate {
 	case running:
 		return true
-	case Broke, Left:
+	case Broke:
+		return now.Sub(r.over) <= broken
+	case Left:
 		return now.Sub(r.over) <= afterEffect
 	}
 	return false
@@ -172,7 +175,7 @@
 func keepSuspects(list []*Run, now time.Time) []*Run {
 	out := list[:0]
 	for _, u := range list {
-		if u.suspect(now) || u.fate == Broke && now.Sub(u.over) <= restartSeen {
+		if u.suspect(now, restartSeen) {
 			out = append(out, u)
 		}
 	}
@@ -198,7 +201,10 @@
 
 // suspects returns the requests that were at a server when it ended some time ago.
 func (r *runs) suspects(server string, age time.Duration) (out []*Run) {
-	now := time.Now().Add(-age)
+	return r.suspectsBy(server, time.Now().Add(-age), afterEffect)
+}
+
+func (r *runs) suspectsBy(server string, at time.Time, broken time.Duration) (out []*Run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.servers[server]
@@ -206,7 +212,7 @@
 		return nil
 	}
 	for _, u := range s.list {
-		if u.suspect(now) {
+		if u.suspect(at, broken) {
 			out = append(out, u)
 		}
 	}
@@ -217,19 +223,7 @@
 // connections broke there since it may have ended, and whether the end is news.
 func (r *runs) restarted(server string) (list []*Run, news bool) {
 	news = r.answer(server, true)
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.servers[server]
-	if s == nil {
-		return nil, false
-	}
-	for _, u := range s.list {
-		if u.suspect(now) || u.fate == Broke && now.Sub(u.over) <= restartSeen {
-			list = append(list, u)
-		}
-	}
-	return list, news
+	return r.suspectsBy(server, time.Now(), restartSeen), news
 }
 
 // ask returns a channel that is closed when it is known whether a server has ended, and
