How news of ended servers is told on is one loop of the guard, for both routers; no change

The opaque side and the own interface each had the same loop with the same signal beside the guard, which had to be given a function for it.

--- a/internal/containment/guard.go
+++ b/internal/containment/guard.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 )
 
@@ -42,9 +43,7 @@
 	// it ends as it said, and nothing is to blame.
 	Leaving func(s Server) bool
 	// Lost is told that a server has ended.
-	Lost func(run quarantine.RunKey)
-	// Spread has others told soon of what was learned.
-	Spread func()
+	Lost   func(run quarantine.RunKey)
 	Logger *log.Logger
 	// Ended counts servers that ended with requests of this daemon, and Held shows how
 	// many requests are held.
@@ -56,6 +55,8 @@
 type Guard struct {
 	ports Ports
 	runs  *runs
+	// news says that there is something to tell.
+	news chan struct{}
 
 	mu     sync.Mutex
 	ledger *quarantine.Ledger
@@ -63,14 +64,34 @@
 
 // New returns a guard that knows of no end.
 func New(p Ports) *Guard {
-	return &Guard{ports: p, runs: newRuns(), ledger: quarantine.NewLedger()}
+	return &Guard{ports: p, runs: newRuns(), news: make(chan struct{}, 1), ledger: quarantine.NewLedger()}
 }
 
 // RunKey names a run of a server among daemons.
 func RunKey(id string) quarantine.RunKey { return quarantine.RunKey(xxhash.Sum64String(id)) }
 
-// SetSpread replaces how others are told.
-func (g *Guard) SetSpread(f func()) { g.ports.Spread = f }
+// TellOn has some others told whenever there is something to tell, with a pause after each
+// round, until the context ends. Each daemon that hears something new tells it on in turn, so
+// that all of some hundred know within a few rounds.
+func (g *Guard) TellOn(ctx context.Context, pause time.Duration, tell func(ctx context.Context)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.news:
+			tell(ctx)
+		}
+		loop.Pause(ctx, pause)
+	}
+}
+
+// soon has the next round told, and does not wait.
+func (g *Guard) soon() {
+	select {
+	case g.news <- struct{}{}:
+	default: // a round is due already, and tells all there is
+	}
+}
 
 // with runs f on the ledger, and carries out what it has changed.
 func (g *Guard) with(f func(l *quarantine.Ledger, now time.Duration) quarantine.Change) {
@@ -89,7 +110,7 @@
 		g.ports.Held.Update(float64(len(g.Holds())))
 	}
 	if c.News {
-		g.ports.Spread()
+		g.soon()
 	}
 }
 
--- a/internal/containment/guard_test.go
+++ b/internal/containment/guard_test.go
@@ -30,7 +30,7 @@
 		Boot: func() time.Duration { return time.Since(began) }, Logger: log.New(io.Discard),
 		Refuses: func(context.Context, Server) bool { p.asked.Add(1); time.Sleep(time.Millisecond); return p.refuses },
 		Leaving: func(Server) bool { return false }, Lost: func(r quarantine.RunKey) { p.lost = append(p.lost, r) },
-		Spread: func() { p.spread++ }, Ended: tally.NoopScope.Counter("e"), Held: tally.NoopScope.Gauge("h"),
+		Ended: tally.NoopScope.Counter("e"), Held: tally.NoopScope.Gauge("h"),
 	})
 	return p
 }
@@ -41,11 +41,13 @@
 func TestEndThatIsToldAgainIsOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPlay()
+		go p.TellOn(t.Context(), time.Millisecond, func(context.Context) { p.spread++ })
 		word := quarantine.Word{Ends: []quarantine.End{{Run: RunKey("e"), Suspects: []quarantine.Fingerprint{1}}}}
 		for range 20 {
 			p.Hear(word)
 			time.Sleep(50 * time.Millisecond)
 		}
+		synctest.Wait()
 		if len(p.lost) != 1 || p.spread != 1 {
 			t.Errorf("%d times lost, told on %d times", len(p.lost), p.spread)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/engine"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
@@ -62,7 +63,7 @@
 	orders   *orders
 	burn     *burn
 	retries  *retries
-	guard    *guarding
+	guard    *containment.Guard
 
 	inFlight atomic.Int64
 	leaving  atomic.Bool
@@ -86,7 +87,7 @@
 	d.config = newConfiguration(d)
 	d.members = newMembers(d)
 	d.pools = newPools(d)
-	d.guard = newGuarding(d)
+	d.guard = newGuard(d)
 	d.usage = newUsage(d)
 	d.claims = newClaims(d)
 	d.limits = newLimits(d)
@@ -117,7 +118,7 @@
 	loops := []func(context.Context){
 		d.config.loop, d.members.loop, d.pools.loop, d.usage.loop,
 		d.rollouts.loop, d.cascades.loop, d.orders.loop, d.claims.loop, d.limits.loop,
-		func(ctx context.Context) { d.guard.loop(ctx, d.members) },
+		d.tellOn,
 	}
 	var wg sync.WaitGroup
 	for _, loop := range loops {
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -16,52 +16,25 @@
 const (
 	// spreadPause is the least time between two rounds in which this daemon calls others
 	// to tell what it has learned of requests that end servers, and spreadTo how many it
-	// calls in each. Whoever hears something new tells it on.
+	// calls in each.
 	spreadPause = 100 * time.Millisecond
 	spreadTo    = 4
 )
 
-// guarding keeps requests from servers that end when they run them.
-type guarding struct {
-	*containment.Guard
-	news chan struct{}
-}
-
-func newGuarding(d *Daemon) *guarding {
-	g := &guarding{news: make(chan struct{}, 1)}
+// newGuard returns what keeps requests from servers that end when they run them.
+func newGuard(d *Daemon) *containment.Guard {
 	started := time.Now()
-	g.Guard = containment.New(containment.Ports{
+	return containment.New(containment.Ports{
 		Boot: func() time.Duration { return time.Since(started) }, Logger: d.log,
 		Refuses: func(ctx context.Context, s containment.Server) bool { return d.engine.Refuses(ctx, s.Address) },
 		Leaving: func(s containment.Server) bool { return d.pools.isLeaving(s.ID) },
-		Lost:    d.pools.lost, Spread: g.soon, Ended: d.metrics.serversEnded, Held: d.metrics.requestsHeld,
+		Lost:    d.pools.lost, Ended: d.metrics.serversEnded, Held: d.metrics.requestsHeld,
 	})
-	return g
-}
-
-// soon has others told, and does not wait.
-func (g *guarding) soon() {
-	select {
-	case g.news <- struct{}{}:
-	default: // a round is due already, and tells all there is
-	}
 }
 
-// loop tells some other daemons whenever there is something to tell.
-func (g *guarding) loop(ctx context.Context, m *members) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.news:
-			m.tellSome(ctx, spreadTo)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(spreadPause):
-		}
-	}
+// tellOn tells others what was learned of requests that end servers, until the context ends.
+func (d *Daemon) tellOn(ctx context.Context) {
+	d.guard.TellOn(ctx, spreadPause, func(ctx context.Context) { d.members.tellSome(ctx, spreadTo) })
 }
 
 // tellSome exchanges heartbeats with some daemons that live.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,15 +144,13 @@
 	outdated outdated
 	// stored are the held requests that the store tells of.
 	stored *storedHolds
-	// news has others told soon of what was learned of requests that end servers.
-	news signal
 	// lookFrom is when the store may be looked at again; only lookAfter uses it.
 	lookFrom time.Time
 }
 
 // New returns a daemon that is not running yet.
 func New(ctx context.Context, c Config, p Ports) *Node {
-	n := &Node{config: c, ports: p, log: p.Logger, topics: p.Translator.Topics(), plan: upkeep(c.InForce, c.Leave), faults: faults{}, born: p.Boot(), news: newSignal(), stored: newStoredHolds()}
+	n := &Node{config: c, ports: p, log: p.Logger, topics: p.Translator.Topics(), plan: upkeep(c.InForce, c.Leave), faults: faults{}, born: p.Boot(), stored: newStoredHolds()}
 	n.incarnation = c.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
 	n.state = relay.NewState(c.Name, p.Boot)
 	n.Relay = relay.New(n.state, p.Backend, c.Rules, p.Metrics, p.Logger)
@@ -164,7 +162,6 @@
 	n.members = gossip.New(c.Name, c.Control, n.incarnation, n.pulse, peers, p.Boot, p.Logger)
 	n.members.Heard, n.members.Worked = n.heard, n.state.AddPeerWork
 	n.members.Quarantined = n.Relay.Guard.Word
-	n.Relay.Guard.SetSpread(n.news.soon)
 	n.Relay.Outdated = n.isOutdated
 	n.members.Learn(c.Seeds...)
 	n.prepare(ctx)
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -14,7 +14,7 @@
 // newGuard returns what keeps requests from servers that end when they run them.
 func newGuard(r *Relay) *containment.Guard {
 	return containment.New(containment.Ports{
-		Boot: r.State.boot, Logger: r.log, Ended: r.Metrics.ServersEnded, Held: r.Metrics.Held, Spread: func() {},
+		Boot: r.State.boot, Logger: r.log, Ended: r.Metrics.ServersEnded, Held: r.Metrics.Held,
 		Refuses: func(ctx context.Context, s containment.Server) bool { return r.backend.Refuses(ctx, s.Address) },
 		Leaving: func(s containment.Server) bool { return r.State.leaving(s.ID) },
 		Lost:    r.State.lost,
