--- a/internal/membership/livepeers.go
+++ b/internal/membership/livepeers.go
@@ -1,7 +1,9 @@
 package membership
 
 import (
+	"cmp"
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -97,14 +99,49 @@
 // expired with the address of each.
 func (l *LivePeers) ExpireSilent(now time.Time, timeout time.Duration, expired func(address string)) {
 	for element := l.byLastSeen.Front(); element != nil && now.Sub(element.Value.(*livePeer).lastSeen) > timeout; element = l.byLastSeen.Front() {
-		peer := element.Value.(*livePeer)
-		l.byLastSeen.Remove(element)
-		l.adjustCounts(peer, -1)
-		delete(l.byAddress, peer.address)
-		expired(peer.address)
+		address := element.Value.(*livePeer).address
+		l.Remove(address)
+		expired(address)
 	}
 }
 
+// Remove removes the daemon at an address.
+func (l *LivePeers) Remove(address string) {
+	element := l.byAddress[address]
+	if element == nil {
+		return
+	}
+	l.byLastSeen.Remove(element)
+	l.adjustCounts(element.Value.(*livePeer), -1)
+	delete(l.byAddress, address)
+}
+
+// First returns the addresses of the peers among the n daemons of the lowest ranks. SelfEligible
+// reports whether the own daemon is eligible.
+func (l *LivePeers) First(n int, selfEligible bool) []string {
+	type ranked struct {
+		hash    uint64
+		address string
+	}
+	var all []ranked
+	if selfEligible {
+		all = append(all, ranked{hash: l.ownHash})
+	}
+	for address, element := range l.byAddress {
+		if peer := element.Value.(*livePeer); peer.Eligible && !peer.Leaving {
+			all = append(all, ranked{peer.hash, address})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	var out []string
+	for _, r := range all[:min(n, len(all))] {
+		if r.address != "" {
+			out = append(out, r.address)
+		}
+	}
+	return out
+}
+
 // Len returns the number of live peers.
 func (l *LivePeers) Len() int { return l.byLastSeen.Len() }
 
