relay: refresh servers on use, and use as many shards as the load needs

Cause: each batch of entries rebuilt, copied and sorted the servers of all services, 2.5 times a second with 10,001 servers, in every daemon. And daemons were divided over all shards of a large service, 64 with 9,647 servers, so that a prompt that comes in by another daemon met a server that has not read it with 63 of 64. Change: a batch only marks the services; they are refreshed when a server is selected, and only the servers of the own shard are copied. The shards in use follow the demand, which is the mean number of own requests in flight times the number of daemons, with hysteresis. A service of up to 256 servers has one shard, as before. Counters for the view of a daemon and the alarms of roll-outs come with it.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -29,6 +30,8 @@
 // VM is suspended. A Registry is not safe for concurrent use.
 type Registry struct {
 	entries map[string]*entry
+	// lapsed holds the entries that lapsed, by server name.
+	lapsed map[string]*entry
 	// storeRecovered is when the store last recovered from an outage.
 	storeRecovered time.Duration
 	hadOutage      bool
@@ -48,7 +51,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{entries: map[string]*entry{}, removed: map[string]removedServer{}}
+	return &Registry{entries: map[string]*entry{}, lapsed: map[string]*entry{}, removed: map[string]removedServer{}}
 }
 
 // Put adds or updates the entry of a server and sets its ID. It returns the previous
@@ -71,6 +74,7 @@
 		replaced = &old.server
 	}
 	r.entries[s.Incarnation.Name] = &entry{server: s}
+	delete(r.lapsed, s.Incarnation.Name)
 	return replaced, nil
 }
 
@@ -92,6 +96,7 @@
 	}
 	if r.hadOutage && now < r.storeRecovered+recoveryGrace && !e.server.Leaving && !e.unusable {
 		e.lapsed, e.expiresAt = true, min(r.storeRecovered+recoveryGrace, now+maxLapse)
+		r.lapsed[name] = e
 		return
 	}
 	r.evict(name, now)
@@ -106,6 +111,7 @@
 	}
 	r.removed[name] = removedServer{r.entries[name].server.Incarnation, now}
 	delete(r.entries, name)
+	delete(r.lapsed, name)
 }
 
 // Stale reports whether an entry from a restored backup of the store is older than what is
@@ -122,6 +128,9 @@
 // StoreRecovered records that the store has recovered from an outage.
 func (r *Registry) StoreRecovered(now time.Duration) { r.storeRecovered, r.hadOutage = now, true }
 
+// Len returns the number of known servers.
+func (r *Registry) Len() int { return len(r.entries) }
+
 // Retain removes all servers that are not listed, as after a gap in the log.
 func (r *Registry) Retain(listed map[string]bool, now time.Duration) {
 	for name := range r.entries {
@@ -144,10 +153,22 @@
 
 // ForService returns the usable servers of a service, sorted by ID, and removes expired ones.
 func (r *Registry) ForService(service string, now time.Duration) []Server {
-	starts := r.latestStarts(now)
-	var out []Server
+	return r.Select(service, now, func(string) bool { return true })
+}
+
+// Select is ForService for the servers whose ID keep accepts.
+func (r *Registry) Select(service string, now time.Duration, keep func(id string) bool) []Server {
+	r.evictExpired(now)
+	var kept []*entry
 	for _, e := range r.entries {
-		if e.server.Service == service && !e.unusable && !e.addressReused(starts) {
+		if e.server.Service == service && !e.unusable && keep(e.server.ID) {
+			kept = append(kept, e)
+		}
+	}
+	starts := r.latestStarts(kept)
+	out := make([]Server, 0, len(kept))
+	for _, e := range kept {
+		if !e.addressReused(starts) {
 			out = append(out, e.server)
 		}
 	}
@@ -155,14 +176,47 @@
 	return out
 }
 
-// latestStarts returns the latest server start at each address.
-func (r *Registry) latestStarts(now time.Duration) map[string]int64 {
-	out := make(map[string]int64, len(r.entries))
-	for name, e := range r.entries {
+// Count returns the number of servers of a service that are not leaving.
+func (r *Registry) Count(service string, now time.Duration) int {
+	r.evictExpired(now)
+	n := 0
+	for _, e := range r.entries {
+		if e.server.Service == service && !e.unusable && !e.server.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// ByID returns the usable server with an ID, and whether there is one.
+func (r *Registry) ByID(id string, now time.Duration) (Server, bool) {
+	e := r.entries[id]
+	if separator := strings.LastIndexByte(id, '@'); e == nil && separator >= 0 {
+		e = r.entries[id[:separator]]
+	}
+	if e == nil || e.server.ID != id || e.unusable || r.expired(e, now) {
+		return Server{}, false
+	}
+	return e.server, true
+}
+
+func (r *Registry) evictExpired(now time.Duration) {
+	for name, e := range r.lapsed {
 		if r.expired(e, now) {
 			r.evict(name, now)
-		} else if !e.unusable {
-			out[e.server.Address] = max(out[e.server.Address], e.server.Incarnation.StartMillis)
+		}
+	}
+}
+
+// latestStarts returns the latest server start at each address of some entries.
+func (r *Registry) latestStarts(of []*entry) map[string]int64 {
+	out := make(map[string]int64, len(of))
+	for _, e := range of {
+		out[e.server.Address] = e.server.Incarnation.StartMillis
+	}
+	for _, e := range r.entries {
+		if start, wanted := out[e.server.Address]; wanted && !e.unusable {
+			out[e.server.Address] = max(start, e.server.Incarnation.StartMillis)
 		}
 	}
 	return out
@@ -178,8 +232,8 @@
 // NextExpiry returns when the next lapsed server expires, and whether there is one.
 func (r *Registry) NextExpiry() (time.Duration, bool) {
 	next, any := time.Duration(0), false
-	for _, e := range r.entries {
-		if e.lapsed && (!any || e.expiresAt < next) {
+	for _, e := range r.lapsed {
+		if !any || e.expiresAt < next {
 			next, any = e.expiresAt, true
 		}
 	}
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -76,7 +76,7 @@
 	s.gate.ServerTerminated(id, now)
 }
 
-// WarmingServers counts the servers that are warming up according to their entries.
+// WarmingServers counts the servers that were warming up when their service last selected one.
 func (s *State) WarmingServers() (n int) {
 	now := s.bootTime()
 	s.mu.Lock()
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -36,6 +36,9 @@
 	// DomainsEvacuated is the number of evacuated failure domains, ServersWarming
 	// the number of servers that are warming up.
 	DomainsEvacuated, ServersWarming tally.Gauge
+	// DaemonsLive is the number of live daemons that this one knows, GossipPartners the number
+	// of those with which it exchanges messages, and ServersKnown that of backend servers.
+	DaemonsLive, GossipPartners, ServersKnown tally.Gauge
 	// WarmingSends counts sends to servers that are warming up.
 	WarmingSends tally.Counter
 	// Panics counts panics of handlers.
@@ -61,7 +64,8 @@
 		Probes: s.Counter("alive_checks"), SendsRerouted: s.Counter("sends_moved"), ServerRestarts: s.Counter("server_restarts"),
 		ServersTerminated: s.Counter("servers_ended"), RequestsHeld: s.Gauge("requests_held"),
 		DomainsEvacuated: s.Gauge("domains_evacuated"), ServersWarming: s.Gauge("servers_warming"), WarmingSends: s.Counter("warming_sends"),
-		Panics:          s.Counter("panics"),
+		Panics:      s.Counter("panics"),
+		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
 	}
 	for subject := range freshness.Subjects {
@@ -114,6 +118,9 @@
 		"domains_evacuated":     "Evacuated failure domains.",
 		"servers_warming":       "Servers that are warming up after their start.",
 		"warming_sends":         "Sends to servers that are warming up.",
+		"daemons_live":          "Live daemons that this daemon knows, including itself.",
+		"gossip_partners":       "Daemons with which this daemon exchanges messages.",
+		"servers_known":         "Backend servers that this daemon knows.",
 		"panics":                "Panics of handlers, each a defect; the log lines have the stack.",
 		"server_restarts":       "Servers that restarted under the same name.",
 		"server_entries_bad":    "Invalid server entries, by fault.",
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -191,6 +191,7 @@
 	candidate := sel.candidates[sel.decision.Index]
 	tracker, blocks := sel.service.tracker, sel.request.Blocks
 	tracker.RecordSend(candidate.ID, blocks, req.urgent, now)
+	sel.service.concurrency.Add(1, now)
 	t := &target{
 		server: sel.service.servers[candidate.ID], service: req.service, model: req.model, urgent: req.urgent, slowStart: req.slowStart,
 		expectedLatency: sel.decision.Expected,
@@ -326,7 +327,9 @@
 func (s *State) recordSendEnd(t *target, elapsed time.Duration, failed bool) {
 	s.withService(t.service, func(sv *service) {
 		s.removePending(sv, t)
-		sv.tracker.RecordCompletion(t.server.ID, elapsed, failed, t.urgent, time.Now())
+		now := time.Now()
+		sv.concurrency.Add(-1, now)
+		sv.tracker.RecordCompletion(t.server.ID, elapsed, failed, t.urgent, now)
 	})
 }
 
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -57,7 +57,8 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, sv := range s.services {
+	for name := range s.services {
+		sv := s.serviceFor(name)
 		if id, known := sv.idByKey[ServerKey(run)]; known {
 			sv.tracker.RecordUnreachable(id, now)
 			s.gate.ServerTerminated(id, s.bootTime())
@@ -69,10 +70,8 @@
 func (s *State) isLeaving(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, sv := range s.services {
-		if b, known := sv.servers[id]; known {
-			return b.Leaving
-		}
+	if b, known := s.registry.ByID(id, s.bootTime()); known {
+		return b.Leaving
 	}
 	return true
 }
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -28,6 +28,8 @@
 	// storedPhases are the phases in the store, by service. A phase may be read before
 	// its order.
 	storedPhases map[string]datedPhase
+	// alarms counts the bad answers of new versions.
+	alarms uint64
 	// lostPhases holds the services whose phase is missing from a store that was
 	// restored from an older copy, with the time at which this was found.
 	// storeEraChanged is set once the store was restored.
@@ -248,16 +250,30 @@
 		baseline.Observe(ratio)
 	}
 	counts.Counts.Requests++
-	if failed {
+	slow := !failed && ratio > 0 && baseline.IsSlow(ratio, order.phase)
+	switch {
+	case failed:
 		counts.Counts.Errors++
-		return
-	}
-	if ratio > 0 {
+	case ratio > 0:
 		counts.Counts.Timed++
-		if baseline.IsSlow(ratio, order.phase) {
-			counts.Counts.Slow++
-		}
 	}
+	if slow {
+		counts.Counts.Slow++
+	}
+	if counts.New && (failed || slow) {
+		r.alarms++
+	}
+}
+
+// Alarms reports whether a roll-out is running, and counts the bad answers of new versions that
+// this daemon got.
+func (r *Rollouts) Alarms() (active bool, alarms uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, order := range r.orders {
+		active = active || !order.phase.Final()
+	}
+	return active, r.alarms
 }
 
 // Reports returns this daemon's reports for a peer, with or without its evidence.
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -41,8 +41,8 @@
 	peerWork peerWork
 	// pendingPlacements are the placements not yet sent to the other daemons.
 	pendingPlacements []Placement
-	// nextExpiry is when the next lapsed server is dropped; zero if there is none.
-	nextExpiry time.Duration
+	// registryVersion counts the changes of the registry.
+	registryVersion uint64
 	// gate filters every selection of a server.
 	gate *gate.Gate
 }
@@ -51,10 +51,16 @@
 type service struct {
 	tracker *routing.LoadTracker
 	members []routing.Member
-	servers map[string]backend.Server
+	// concurrency is the mean number of this daemon's requests in flight. It decides
+	// shardsInUse, of shards in all.
+	concurrency         routing.Concurrency
+	shardsInUse, shards int
+	servers             map[string]backend.Server
 	// idByKey maps the keys in peers' reports to the members' ids.
 	idByKey map[ServerKey]string
 	models  modelLatencies
+	// registryVersion is the version of the registry that members reflect.
+	registryVersion uint64
 	// peerWorkVersion is the version of the peer work applied to the tracker.
 	peerWorkVersion uint64
 	// partition assigns engines to models; nil until the first selection.
@@ -176,63 +182,65 @@
 	change(s.registry, now)
 	s.serversLoaded = true
 	s.signalReady()
-	s.refreshAll(now)
-}
-
-func (s *State) refreshAll(now time.Duration) {
-	for name := range s.services {
-		s.refresh(name, now)
-	}
-	s.nextExpiry = 0
-	if next, any := s.registry.NextExpiry(); any {
-		s.nextExpiry = next
-	}
+	s.registryVersion++
 }
 
 // dropExpired drops lapsed servers whose grace period is over. It runs before each
 // selection, because no record announces the end of the period. Callers hold mu.
 func (s *State) dropExpired() {
-	if s.nextExpiry == 0 {
-		return
-	}
-	if now := s.bootTime(); now >= s.nextExpiry {
-		s.refreshAll(now)
+	if next, any := s.registry.NextExpiry(); any && s.bootTime() >= next {
+		s.registryVersion++
 	}
 }
 
+// newService creates the state of a service. Callers hold mu.
+func (s *State) newService(name string) *service {
+	sv := &service{tracker: routing.NewLoadTracker(), models: modelLatencies{}}
+	sv.tracker.ExactPeerLoad = true
+	sv.tracker.Prefix.SetCapacity(prefixCapacity)
+	s.services[name] = sv
+	return sv
+}
+
 // refresh updates a service's members and tracker from the registry. Callers hold mu.
-func (s *State) refresh(name string, now time.Duration) *service {
-	sv := s.services[name]
-	if sv == nil {
-		sv = &service{tracker: routing.NewLoadTracker(), models: modelLatencies{}}
-		sv.tracker.ExactPeerLoad = true
-		sv.tracker.Prefix.SetCapacity(prefixCapacity)
-		s.services[name] = sv
-	}
-	all := s.registry.ForService(name, now)
-	sv.servers = make(map[string]backend.Server, len(all))
-	members := make([]routing.Member, 0, len(all))
-	for _, b := range all {
-		sv.servers[b.ID] = b
-		if !b.Leaving {
-			members = append(members, routing.Member{ID: b.ID, Address: b.Address, FailureDomain: b.FailureDomain, Slots: b.Slots})
+func (s *State) refresh(name string, sv *service) {
+	sv.registryVersion = s.registryVersion
+	now := s.bootTime()
+	sv.shards = routing.ShardCount(s.registry.Count(name, now))
+	sv.shardsInUse = s.shardsFor(sv)
+	inShard := routing.ShardFilter(s.daemon, sv.shards, sv.shardsInUse)
+	sv.servers, sv.members = map[string]backend.Server{}, nil
+	for _, b := range s.registry.Select(name, now, inShard) {
+		if !b.Leaving && len(sv.members) < routing.MaxCandidates {
+			sv.servers[b.ID] = b
+			sv.members = append(sv.members, routing.Member{ID: b.ID, Address: b.Address, FailureDomain: b.FailureDomain, Slots: b.Slots})
 		}
 	}
-	sv.members = routing.Shard(s.daemon, members)
 	sv.tracker.Update(sv.members)
 	sv.idByKey = make(map[ServerKey]string, len(sv.members))
 	for _, m := range sv.members {
 		sv.idByKey[ServerKeyOf(m.ID)] = m.ID
 	}
 	s.peerWork.apply(sv)
-	return sv
 }
 
-// serviceFor returns a service's state. Callers hold mu.
+// shardsFor returns the number of shards of a service to use under the present load. It assumes
+// that the daemons have the same load. Callers hold mu.
+func (s *State) shardsFor(sv *service) int {
+	demand := float64(s.daemons) * sv.concurrency.Mean(time.Now())
+	return routing.ShardsInUse(sv.shardsInUse, sv.shards, demand)
+}
+
+// serviceFor returns a service's state. Its servers are refreshed on use, since entries of a
+// large fleet change more often than a daemon selects a server. Callers hold mu.
 func (s *State) serviceFor(name string) *service {
 	sv := s.services[name]
 	if sv == nil {
-		return s.refresh(name, s.bootTime())
+		sv = s.newService(name)
+		s.refresh(name, sv)
+	}
+	if sv.registryVersion != s.registryVersion || s.shardsFor(sv) != sv.shardsInUse {
+		s.refresh(name, sv)
 	}
 	if sv.peerWorkVersion != s.peerWork.version {
 		s.peerWork.apply(sv)
@@ -279,7 +287,11 @@
 func (s *State) ApplyPlacements(list []Placement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, sv := range s.services {
+	if len(list) == 0 {
+		return
+	}
+	for name := range s.services {
+		sv := s.serviceFor(name)
 		for _, placement := range list {
 			if id, known := sv.idByKey[placement.Server]; known {
 				sv.tracker.RecordCachedBlocks(id, placement.Blocks)
@@ -373,6 +385,21 @@
 	s.registry.StoreRecovered(now)
 }
 
+// ServerCount returns the number of known servers.
+func (s *State) ServerCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Len()
+}
+
+// ServerUsable reports whether the server with an ID may get requests.
+func (s *State) ServerUsable(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, known := s.registry.ByID(id, s.bootTime())
+	return known && !b.Leaving
+}
+
 // EachServer calls f for every eligible server of a service.
 func (s *State) EachServer(service string, f func(id string)) {
 	s.mu.Lock()
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -8,7 +8,7 @@
 import "time"
 
 // MaxCandidates bounds the servers of one snapshot. For larger services a daemon uses a
-// shard, see Shard.
+// shard, see ShardFilter.
 const MaxCandidates = 256
 
 // Candidate is the state of one backend server in a snapshot.
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -39,29 +39,3 @@
 	}
 	return subset
 }
-
-// meanShardSize bounds the average size of a shard, so that a single shard is unlikely to
-// exceed MaxCandidates.
-const meanShardSize = 184
-
-// Shard returns the servers of a service that a daemon uses: all up to MaxCandidates,
-// beyond that those of its shard. All daemons of a shard use the same servers, so that
-// partitions, canary shares and homes agree. The number of shards is a power of two:
-// doubling it splits each shard and moves no server between others.
-func Shard(daemon string, members []Member) []Member {
-	if len(members) <= MaxCandidates {
-		return members
-	}
-	shards := uint64(2)
-	for uint64(len(members)) > shards*meanShardSize {
-		shards *= 2
-	}
-	ownShard := xxhash.Sum64String(daemon) % shards
-	var shard []Member
-	for _, m := range members {
-		if xxhash.Sum64String(m.ID)%shards == ownShard {
-			shard = append(shard, m)
-		}
-	}
-	return shard[:min(len(shard), MaxCandidates)]
-}
--- a/internal/routing/subset_test.go
+++ b/internal/routing/subset_test.go
@@ -50,7 +50,7 @@
 	for _, n := range []int{6, 63, 126, 256, 257, 400, 1600} {
 		members, shards, uses := poolMembers(n), map[string][]Member{}, map[string]int{}
 		for d := range daemons {
-			shard := Shard(fmt.Sprint("daemon-", d), members)
+			shard := shardOf(fmt.Sprint("daemon-", d), members, ShardCount(n))
 			shards[shard[0].ID] = shard
 			for _, m := range shard {
 				uses[m.ID]++
