freshness: let the first ranks poll early enough that others hear of it

Cause: with more daemons than a round of gossip reaches, a confirmation takes up to a second to reach all, and the daemons that it has not reached poll the store themselves. Change: RefreshPolicy.WithPropagation moves the first poll forward by the time of propagation.

--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -37,3 +37,16 @@
 		t.Error("the limit is not exclusive")
 	}
 }
+
+// Guards against daemons that poll the store because a confirmation has not reached them yet.
+func TestPollsLeaveTimeForPropagation(t *testing.T) {
+	const delay = 800 * time.Millisecond
+	for subject, policy := range plan.WithPropagation(delay) {
+		if gap := policy.RefreshAge(1000) - policy.RefreshAge(0); gap < delay {
+			t.Errorf("%v: the last rank polls %s after the first", subject, gap)
+		}
+		if policy.RefreshAge(0) > plan[subject].RefreshAge(0) || policy.RefreshAge(1000) != plan[subject].RefreshAge(1000) {
+			t.Errorf("%v: polls at %s to %s", subject, policy.RefreshAge(0), policy.RefreshAge(1000))
+		}
+	}
+}
--- a/internal/freshness/refresh.go
+++ b/internal/freshness/refresh.go
@@ -25,6 +25,26 @@
 	return min(first+time.Duration(rank)*p.RankDelay, last)
 }
 
+// WithPropagation returns the policy for a fleet in which a confirmation takes a time to reach all
+// daemons: the first ranks poll early enough that the others receive it before they poll.
+func (p RefreshPolicy) WithPropagation(delay time.Duration) RefreshPolicy {
+	if delay == 0 {
+		return p
+	}
+	last := scale(p.LastFraction, p.MaxAge)
+	p.FirstFraction = min(p.FirstFraction, max(minFirstFraction, float64(last-delay)/float64(p.MaxAge)))
+	p.RankDelay = max(p.RankDelay, delay/propagationRanks)
+	return p
+}
+
+const (
+	// minFirstFraction bounds the rate of polls.
+	minFirstFraction = 0.1
+	// propagationRanks is the number of ranks that poll while a confirmation propagates, if the
+	// ranks before them do not.
+	propagationRanks = 3
+)
+
 // outageFraction is the fraction of MaxAge from which a gap between confirmations counts as
 // an outage of the store. It exceeds the age at which every daemon polls by the response
 // time, and is less than the time after which entries lapse.
@@ -42,6 +62,18 @@
 // Plan holds the refresh policies of the subjects that are polled.
 type Plan map[Subject]RefreshPolicy
 
+// WithPropagation applies RefreshPolicy.WithPropagation to all subjects.
+func (p Plan) WithPropagation(delay time.Duration) Plan {
+	if delay == 0 {
+		return p
+	}
+	out := make(Plan, len(p))
+	for subject, policy := range p {
+		out[subject] = policy.WithPropagation(delay)
+	}
+	return out
+}
+
 // Next returns the subject to poll next and the time until the poll is due; zero or negative
 // means now. storeDue is the time until a response from the store itself is required; if
 // that is earlier, the subject due next at rank 0 is polled in place of that daemon. any is
