feed: fetch a large topic from other readers, in compressed pages

Cause: a daemon that starts reads the newest record of each key from the store, 500 a page: 21 calls and 2.5 MB for 10,001 servers. When all 985 start again that is 20,700 calls and 2.4 GB. And the tail that a reader hands on was found by a walk over all records, sorted for each request. Records are kept in the order of their positions, so that a page costs what it holds; pages of server entries are compressed. A topic of one page is loaded as before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -28,6 +28,9 @@
 // position: the topic has to be loaded again.
 var ErrEraChanged = errors.New("the store was restored from an older copy")
 
+// ErrPartial reports that the newest records of a topic were not all read.
+var ErrPartial = errors.New("the topic is large and was not read to its end")
+
 // ConflictError reports that a topic does not end where a conditional append expected.
 type ConflictError struct{ End Position }
 
@@ -37,8 +40,10 @@
 // Log is the platform's log.
 type Log interface {
 	// Newest returns the newest record of each key, and the position from which to read
-	// on. Progress is called for each received part of the response.
-	Newest(ctx context.Context, topic string, progress func()) ([]Record, Position, error)
+	// on. Progress is called for each received part of the response. The records of a large
+	// topic take several calls; more is called before each further one, and if it returns
+	// false, the error is ErrPartial.
+	Newest(ctx context.Context, topic string, progress func(), more func() bool) ([]Record, Position, error)
 	// Read returns the records from a position on, and the end of the topic. If there are
 	// none, it waits for one up to the given time. Progress is called for each received
 	// part of the response. The error is ErrEraChanged if the store is in a later era.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -22,7 +22,7 @@
 	end       context.CancelFunc
 }
 
-func (s *scriptedLog) Newest(context.Context, string, func()) ([]Record, Position, error) {
+func (s *scriptedLog) Newest(context.Context, string, func(), func() bool) ([]Record, Position, error) {
 	return s.newest()
 }
 
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -54,6 +54,9 @@
 	// reads the log.
 	FetchTail func(ctx context.Context, topic string, from Position) (Tail, error)
 	ReadsLog  func() bool
+	// FetchSnapshot fetches all records of the topic from another reader. It is used for a
+	// large topic while ReadsLog returns false. If nil, the log is read.
+	FetchSnapshot func(ctx context.Context, topic string) (Tail, error)
 	// IsDesignatedReader reports whether this follower always reads the log, on behalf of
 	// others too; nil means yes. MaxStandbyBackoff is the maximum backoff of one that
 	// does not.
@@ -78,10 +81,8 @@
 	unavailable atomic.Bool
 
 	mu sync.Mutex
-	// latest holds the newest record of each key, for other readers. It includes removals
-	// since snapshotAt, the position of the last snapshot.
-	latest     map[string]Record
-	snapshotAt Position
+	// records holds the newest record of each key, for other readers.
+	records *recordLog
 	// mustReadLog reports that the log holds records that cannot be fetched from peers.
 	mustReadLog atomic.Bool
 	// peerAhead is signalled when another reader is ahead.
@@ -96,7 +97,7 @@
 
 // New initializes a follower, so that its methods can be called before Run.
 func New(f *Follower) *Follower {
-	f.latest, f.peerAhead = map[string]Record{}, make(chan struct{}, 1)
+	f.records, f.peerAhead = newRecordLog(), make(chan struct{}, 1)
 	return f
 }
 
@@ -107,14 +108,13 @@
 	}
 	f.Apply(records, snapshot)
 	f.mu.Lock()
-	if f.latest == nil || snapshot {
-		f.latest = map[string]Record{}
+	if f.records == nil {
+		f.records = newRecordLog()
 	}
 	if snapshot {
-		f.snapshotAt = next
-	}
-	for _, r := range records {
-		f.latest[r.Key] = r
+		f.records.reset(records, next)
+	} else {
+		f.records.add(records)
 	}
 	f.next.Store(uint64(next))
 	if next >= f.peerPosition {
@@ -286,14 +286,6 @@
 	return records, end, wrapCause(ctx, err)
 }
 
-// readNewest reads the newest record of each key.
-func (f *Follower) readNewest(ctx context.Context) ([]Record, Position, error) {
-	ctx, done := f.beginRead(ctx, 0)
-	defer done()
-	records, end, err := f.Log.Newest(ctx, f.Topic, f.noteProgress)
-	return records, end, wrapCause(ctx, err)
-}
-
 // logRetry logs the first retry after a failure, and then each time that the number of
 // failures has doubled.
 func (f *Follower) logRetry() {
@@ -302,18 +294,6 @@
 	}
 }
 
-func (f *Follower) loadSnapshot(ctx context.Context, sentAt time.Duration) error {
-	records, next, err := f.readNewest(ctx)
-	if err != nil {
-		return err
-	}
-	f.recordSuccess()
-	f.apply(f.dropUnreadable(records), true, next)
-	f.loaded.Store(true)
-	f.OnConfirmed(sentAt)
-	return nil
-}
-
 func (f *Follower) recordSuccess() {
 	if f.failures > 0 || !f.loaded.Load() {
 		outage := f.BootTime() - f.unavailableSince
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -1,9 +1,9 @@
 package feed
 
 import (
-	"cmp"
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 )
@@ -38,29 +38,44 @@
 // the position precedes the last snapshot, the tail is empty: the snapshot omits removed
 // keys, so the removals before it would be lost. A position of an earlier era gets a full
 // snapshot instead.
-func (f *Follower) TailFrom(from Position) Tail {
+func (f *Follower) TailFrom(from Position) Tail { return f.TailPage(from, false, math.MaxInt) }
+
+// TailPage returns the first part of TailFrom, up to a size in bytes. With snapshot, the part is of
+// a snapshot whose earlier parts end at the position.
+func (f *Follower) TailPage(from Position, snapshot bool, maxBytes int) Tail {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	eraChanged := from.Era() < f.snapshotAt.Era()
-	if from < f.snapshotAt && !eraChanged {
+	end := f.Next()
+	switch {
+	case !f.loaded.Load() && f.records.snapshotAt == 0 && snapshot:
+		return Tail{Next: from}
+	case from.Era() < f.records.snapshotAt.Era():
+		from, snapshot = 0, true
+	case from < f.records.snapshotAt && !snapshot:
 		return Tail{Next: from}
 	}
-	var out []Record
-	for _, r := range f.latest {
-		if r.At >= from && (!eraChanged || r.Value != nil) {
-			out = append(out, r)
-		}
+	records, next := f.records.since(from, maxBytes)
+	if next != 0 && len(records) == 0 {
+		return Tail{Next: from, TooLong: true}
+	}
+	if snapshot {
+		records = slices.DeleteFunc(records, func(r Record) bool { return r.Value == nil })
+	}
+	if next == 0 {
+		return Tail{Records: records, Next: end, End: end, Snapshot: snapshot}
 	}
-	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.At, b.At) })
-	return Tail{Records: out, Next: f.Next(), Snapshot: eraChanged}
+	return Tail{Records: records, Next: next, End: end, Snapshot: snapshot, More: true}
 }
 
 // Tail holds the newest record of each key from a position on, and the next position to
-// read. Snapshot reports that Records holds all keys of the topic.
+// read. Snapshot reports that it holds all keys of the topic, or a part of them. More reports that
+// further parts follow, up to End. TooLong reports that the first record exceeds the size.
 type Tail struct {
-	Records  []Record
-	Next     Position
-	Snapshot bool
+	Records   []Record
+	Next, End Position
+	Snapshot  bool
+	More      bool
+	TooLong   bool
 }
 
 // peerPollInterval is how often a follower of peers checks whether to read the log.
--- a/internal/feed/pending_test.go
+++ b/internal/feed/pending_test.go
@@ -42,7 +42,7 @@
 	return nil, 0, ErrCompacted
 }
 
-func (l *compactedLog) Newest(ctx context.Context, topic string, progress func()) ([]Record, Position, error) {
+func (l *compactedLog) Newest(ctx context.Context, topic string, progress func(), _ func() bool) ([]Record, Position, error) {
 	return l.chunkedLog.Read(ctx, topic, 0, 0, progress)
 }
 
--- a/internal/feedtest/store.go
+++ b/internal/feedtest/store.go
@@ -260,8 +260,11 @@
 	return nil
 }
 
-// Newest implements feed.Log.
-func (c *Client) Newest(ctx context.Context, topicName string, progress func()) ([]feed.Record, feed.Position, error) {
+// newestPageSize is the number of records that one call of Newest returns.
+const newestPageSize = 500
+
+// Newest implements feed.Log. Each page counts as a call.
+func (c *Client) Newest(ctx context.Context, topicName string, progress func(), more func() bool) ([]feed.Record, feed.Position, error) {
 	if err := c.startCall(ctx, CallNewest, topicName); err != nil {
 		return nil, 0, err
 	}
@@ -278,6 +281,15 @@
 			out = append(out, r)
 		}
 	}
+	for left := len(out) - newestPageSize; left > 0; left -= newestPageSize {
+		progress()
+		if !more() {
+			return nil, 0, errors.Join(feed.ErrPartial, c.respond(ctx))
+		}
+		if err := c.startCall(ctx, CallNewest, topicName); err != nil {
+			return nil, 0, err
+		}
+	}
 	progress()
 	return out, end, c.respond(ctx)
 }
--- a/internal/gossip/calls.go
+++ b/internal/gossip/calls.go
@@ -4,25 +4,30 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
+	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 )
 
+// TailSource returns records of a topic for another daemon, see feed.Follower.TailPage.
+type TailSource func(topic string, from feed.Position, snapshot bool, maxBytes int) feed.Tail
+
 // HandleRecords answers a request for records with as many of the first ones as fit into
-// one message. A snapshot is not divided: if it, or the first record, does not fit, the
-// response is marked TooLong.
-func HandleRecords(req RecordsRequest, tailFrom func(topic string, from feed.Position) feed.Tail) RecordsResponse {
-	tail := tailFrom(req.Topic, req.From)
-	page := firstPage(tail.Records)
-	switch {
-	case len(page) == len(tail.Records):
-		return RecordsResponse{Records: tail.Records, Next: tail.Next, Snapshot: tail.Snapshot}
-	case len(page) == 0 || tail.Snapshot:
+// one message. If the first record does not fit, the response is marked TooLong.
+func HandleRecords(req RecordsRequest, source TailSource) RecordsResponse {
+	tail := source(req.Topic, req.From, req.Snapshot, maxRecordsBytes)
+	if tail.TooLong {
 		return RecordsResponse{Next: tail.Next, TooLong: true}
 	}
-	return RecordsResponse{Records: page, Next: page[len(page)-1].At.Next()}
+	resp := RecordsResponse{Next: tail.Next, End: tail.End, Snapshot: tail.Snapshot, More: tail.More}
+	if req.AcceptsPacked && len(tail.Records) >= minPackedRecords {
+		resp.Packed = packRecords(tail.Records)
+	}
+	if resp.Packed == nil {
+		resp.Records = tail.Records
+	}
+	return resp
 }
 
 // Transport calls other daemons by their peer addresses.
@@ -53,42 +58,108 @@
 // would saturate its link.
 const maxRecordsBytes = 16 << 10
 
-// firstPage returns the longest prefix of records within maxRecordsBytes.
-func firstPage(records []feed.Record) []feed.Record {
-	size := 0
-	for i, r := range records {
-		if size += len(r.Key) + len(r.Value); size > maxRecordsBytes {
-			return records[:i]
-		}
-	}
-	return records
-}
-
 // FetchRecords fetches records from one of the live daemons for which ahead reports that
 // they have read further. It is picked at random to spread the load. The error is
 // feed.ErrTooLong if the records do not fit into one message.
 func (m *Members) FetchRecords(ctx context.Context, topic string, from feed.Position, ahead func(target Message) bool) (feed.Tail, error) {
-	candidates := slices.DeleteFunc(m.LiveMessages(), func(target Message) bool { return !ahead(target) })
-	if len(candidates) == 0 {
+	address, found := m.pickSource(ahead)
+	if !found {
 		return feed.Tail{}, errNoPeerAhead
 	}
-	target := candidates[rand.IntN(len(candidates))]
-	resp, err := m.transport.FetchRecords(ctx, target.Address, RecordsRequest{topic, from})
+	resp, err := m.fetchPage(ctx, address, RecordsRequest{Topic: topic, From: from})
+	if err != nil || !resp.Snapshot || !resp.More {
+		return resp.tail(), err
+	}
+	return m.fetchRemaining(ctx, address, topic, resp)
+}
+
+// FetchSnapshot fetches all records of a topic from one of the live daemons that loaded accepts.
+func (m *Members) FetchSnapshot(ctx context.Context, topic string, loaded func(target Message) bool) (feed.Tail, error) {
+	address, found := m.pickSource(loaded)
+	if !found {
+		return feed.Tail{}, errNoPeerAhead
+	}
+	resp, err := m.fetchPage(ctx, address, RecordsRequest{Topic: topic, Snapshot: true})
 	if err != nil {
 		return feed.Tail{}, err
 	}
-	if resp.TooLong {
-		return feed.Tail{}, feed.ErrTooLong
+	if !resp.Snapshot {
+		return feed.Tail{}, errNoSnapshot
 	}
-	return feed.Tail{Records: resp.Records, Next: resp.Next, Snapshot: resp.Snapshot}, nil
+	return m.fetchRemaining(ctx, address, topic, resp)
 }
 
-var errNoPeerAhead = errors.New("no live daemon has read further")
+// fetchRemaining fetches the parts of a snapshot after the first one. The snapshot ends where the
+// topic ended at the first part, so that later changes are fetched again.
+func (m *Members) fetchRemaining(ctx context.Context, address, topic string, first RecordsResponse) (feed.Tail, error) {
+	all, last := first.Records, first
+	for last.More {
+		resp, err := m.fetchPage(ctx, address, RecordsRequest{Topic: topic, From: last.Next, Snapshot: true})
+		switch {
+		case err != nil:
+			return feed.Tail{}, err
+		case !resp.Snapshot || resp.End.Era() != first.End.Era():
+			return feed.Tail{}, errNoSnapshot
+		}
+		all, last = append(all, resp.Records...), resp
+	}
+	return feed.Tail{Records: all, Next: first.End, End: first.End, Snapshot: true}, nil
+}
+
+// fetchPage requests records from a daemon, and unpacks them.
+func (m *Members) fetchPage(ctx context.Context, address string, req RecordsRequest) (RecordsResponse, error) {
+	req.AcceptsPacked = true
+	resp, err := m.transport.FetchRecords(ctx, address, req)
+	switch {
+	case err != nil:
+		return RecordsResponse{}, err
+	case resp.TooLong:
+		return RecordsResponse{}, feed.ErrTooLong
+	case len(resp.Packed) > 0:
+		resp.Records, err = unpackRecords(resp.Packed)
+	}
+	return resp, err
+}
+
+// pickSource returns the address of a live daemon that ahead accepts.
+func (m *Members) pickSource(ahead func(target Message) bool) (address string, found bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expireSilent(time.Now())
+	var sources sample
+	for address, other := range m.members {
+		if m.live.Contains(address) && !other.lastCallFailed && ahead(other.latest) {
+			sources.add(address)
+		}
+	}
+	return sources.picked, sources.seen > 0
+}
+
+// sample picks one of the added addresses, each with the same probability.
+type sample struct {
+	picked string
+	seen   int
+}
+
+func (s *sample) add(address string) {
+	if s.seen++; rand.IntN(s.seen) == 0 {
+		s.picked = address
+	}
+}
+
+var (
+	errNoPeerAhead = errors.New("no live daemon has read further")
+	errNoSnapshot  = errors.New("the daemon has no snapshot of the topic")
+)
 
 // RecordsRequest requests the records of a topic from a position on.
 type RecordsRequest struct {
 	Topic string        `cbor:"1,keyasint"`
 	From  feed.Position `cbor:"2,keyasint"`
+	// Snapshot requests all records in parts, of which From is the position of the next.
+	Snapshot bool `cbor:"3,keyasint,omitempty"`
+	// AcceptsPacked reports that the sender reads RecordsResponse.Packed.
+	AcceptsPacked bool `cbor:"4,keyasint,omitempty"`
 }
 
 // RecordsResponse holds the newest record of each key, and the next position to read.
@@ -97,8 +168,17 @@
 	Next    feed.Position `cbor:"2,keyasint"`
 	// TooLong reports that the records do not fit and have to be read from the log.
 	TooLong bool `cbor:"3,keyasint,omitempty"`
-	// Snapshot reports that Records holds all keys of the topic.
+	// Snapshot reports that the records are all keys of the topic, or a part of them.
 	Snapshot bool `cbor:"4,keyasint,omitempty"`
+	// More reports that further records follow, up to the position End.
+	More bool          `cbor:"5,keyasint,omitempty"`
+	End  feed.Position `cbor:"6,keyasint,omitempty"`
+	// Packed replaces Records: see packRecords.
+	Packed []byte `cbor:"7,keyasint,omitempty"`
+}
+
+func (r RecordsResponse) tail() feed.Tail {
+	return feed.Tail{Records: r.Records, Next: r.Next, End: r.End, Snapshot: r.Snapshot, More: r.More}
 }
 
 const recordsKind = "records"
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -12,7 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
-	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
@@ -119,9 +118,9 @@
 }
 
 // RegisterHandlers registers the handlers of gossip calls at a peer server.
-func (m *Members) RegisterHandlers(s *peer.Server, tailFrom func(topic string, from feed.Position) feed.Tail) {
+func (m *Members) RegisterHandlers(s *peer.Server, source TailSource) {
 	peer.Handle(s, recordsKind, func(_ context.Context, _ string, req RecordsRequest) (RecordsResponse, error) {
-		return HandleRecords(req, tailFrom), nil
+		return HandleRecords(req, source), nil
 	})
 	peer.Handle(s, exchangeKind, func(_ context.Context, _ string, msg Message) (Message, error) {
 		return m.HandleExchange(msg), nil
--- /dev/null
+++ b/internal/gossip/pack.go
@@ -0,0 +1,46 @@
+package gossip
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/damaskrudder/damaskrudder/internal/feed"
+)
+
+const (
+	// minPackedRecords is the number of records from which a response is compressed. Entries of
+	// servers resemble each other, and shrink to a fraction.
+	minPackedRecords = 16
+	// maxUnpackedBytes bounds the memory for a compressed response.
+	maxUnpackedBytes = 8 << 20
+)
+
+// packRecords encodes records as compressed CBOR, or returns nil if it cannot.
+func packRecords(records []feed.Record) []byte {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil
+	}
+	if cbor.NewEncoder(w).Encode(records) != nil || w.Close() != nil {
+		return nil
+	}
+	return out.Bytes()
+}
+
+// unpackRecords decodes the result of packRecords.
+func unpackRecords(packed []byte) ([]feed.Record, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes))
+	if err != nil {
+		return nil, fmt.Errorf("unpack records: %w", err)
+	}
+	var records []feed.Record
+	if err := cbor.Unmarshal(data, &records); err != nil {
+		return nil, fmt.Errorf("unpack records: %w", err)
+	}
+	return records, nil
+}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -33,7 +33,7 @@
 		f := feed.New(&feed.Follower{
 			Log: n.deps.Log, Topic: topic, MaxWait: wait, BatchDelay: batchDelay, BootTime: n.deps.BootTime,
 			Apply: apply, OnEraChange: func() { n.eraChanges.mark(subject) }, OnConfirmed: func(sent time.Duration) { n.confirmFromStore(subject, sent) }, OnReadFailed: n.recordUnanswered, Logger: n.log,
-			FetchTail: n.fetchRecords, ReadsLog: n.readsOperatorTopic, IsDesignatedReader: n.isReader, MaxStandbyBackoff: n.maxStandbyBackoff,
+			FetchTail: n.fetchRecords, FetchSnapshot: n.fetchSnapshot, ReadsLog: n.readsOperatorTopic, IsDesignatedReader: n.isReader, MaxStandbyBackoff: n.maxStandbyBackoff,
 		})
 		n.followers = append(n.followers, f)
 		return f
@@ -57,16 +57,21 @@
 	return n.members.FetchRecords(ctx, topic, from, func(p gossip.Message) bool { return p.NextPosition(n.topicIndex(topic)) > from })
 }
 
+// fetchSnapshot fetches all records of a topic from a daemon that has loaded it.
+func (n *Node) fetchSnapshot(ctx context.Context, topic string) (feed.Tail, error) {
+	return n.members.FetchSnapshot(ctx, topic, func(p gossip.Message) bool { return p.NextPosition(n.topicIndex(topic)) > 0 })
+}
+
 // topicIndex returns the index of a topic in gossip.Message.NextPositions.
 func (n *Node) topicIndex(topic string) int {
 	return slices.IndexFunc(n.followers, func(f *feed.Follower) bool { return f.Topic == topic })
 }
 
 // recordsSince returns the records of a topic from a position on, for other daemons.
-func (n *Node) recordsSince(topic string, from feed.Position) feed.Tail {
+func (n *Node) recordsSince(topic string, from feed.Position, snapshot bool, maxBytes int) feed.Tail {
 	for _, f := range n.followers {
 		if f.Topic == topic {
-			return f.TailFrom(from)
+			return f.TailPage(from, snapshot, maxBytes)
 		}
 	}
 	return feed.Tail{Next: from}
