gossip: exchange messages with few partners in a large fleet

Cause: with 985 daemons each one calls 32 others a second in turn and is called by as many: two connections with each other daemon (43 KB for both ends of one, measured), 985 addresses every 2 s, work and confirmations of others as old as a cycle of 15 s, and a dead daemon live for 46 s. Change: beyond 256 daemons, each one exchanges messages with at most 12 partners, every 0.5 s, in turn, since the response to a call states the age of confirmations exactly. Partners pass on the records of all daemons, each change once over each link, compare digests, and detect failures for all. Evaluators of roll-outs, two of them, are called by all with evidence: rarely, and at once after a bad answer. A daemon of which less than a quarter of the partners respond accuses nobody. Records of the store are fetched in the own failure domain where possible. New servers no longer cause a broadcast of each daemon; the end of an outage does. Small fleets stay a mesh. The time that a confirmation takes to spread decides how early the first ranks poll the store, also in a mesh of more than 16 daemons. Idle connections between daemons close after 10 s.

--- a/internal/gossip/calls.go
+++ b/internal/gossip/calls.go
@@ -59,8 +59,9 @@
 const maxRecordsBytes = 16 << 10
 
 // FetchRecords fetches records from one of the live daemons for which ahead reports that
-// they have read further. It is picked at random to spread the load. The error is
-// feed.ErrTooLong if the records do not fit into one message.
+// they have read further. It is picked at random to spread the load, and in the own failure
+// domain if possible, where traffic is cheap. The error is feed.ErrTooLong if the records do
+// not fit into one message.
 func (m *Members) FetchRecords(ctx context.Context, topic string, from feed.Position, ahead func(target Message) bool) (feed.Tail, error) {
 	address, found := m.pickSource(ahead)
 	if !found {
@@ -126,13 +127,21 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expireSilent(time.Now())
-	var sources sample
+	domain := m.table.Self().FailureDomain
+	var local, remote sample
 	for address, other := range m.members {
-		if m.live.Contains(address) && !other.lastCallFailed && ahead(other.latest) {
-			sources.add(address)
+		switch {
+		case !m.live.Contains(address) || other.lastCallFailed || !ahead(other.latest):
+		case other.latest.FailureDomain == domain:
+			local.add(address)
+		default:
+			remote.add(address)
 		}
 	}
-	return sources.picked, sources.seen > 0
+	if local.seen == 0 {
+		local = remote
+	}
+	return local.picked, local.seen > 0
 }
 
 // sample picks one of the added addresses, each with the same probability.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,9 +3,7 @@
 package gossip
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -72,6 +70,10 @@
 	lastCallFailed bool
 	// suspected reports that another daemon failed to call it. It is called first.
 	suspected bool
+	// sendsEvidence reports that the pending call carries evidence on new versions.
+	sendsEvidence bool
+	// link is the exchange of records with this member in the overlay.
+	link link
 }
 
 // Members tracks the other known daemons. It is safe for concurrent use.
@@ -91,12 +93,20 @@
 	// daemon that just joined.
 	QuarantineUpdate func(recentlyJoined bool) quarantine.Update
 
+	// EvidenceState returns whether there is evidence for the evaluators of roll-outs.
+	EvidenceState func() Evidence
+
 	mu           sync.Mutex
 	members      map[string]*member
 	leavingSince map[string]time.Time
 	address      string
-	// live holds the members that were in contact recently.
+	// live holds the members that are alive: those in contact recently and, in the overlay,
+	// those that others pass on.
 	live *membership.LivePeers
+	// table holds the records of all daemons.
+	table *membership.PeerTable
+	// overlay is the choice of partners; it is inactive in a small fleet.
+	overlay overlay
 	// failedMembers are the members whose last call failed, the most recent last.
 	failedMembers []*member
 	// firstContact is the time of the first contact with another daemon, or zero.
@@ -108,12 +118,26 @@
 	addressesSentAt time.Time
 }
 
+// Self identifies the own daemon.
+type Self struct {
+	Name, FailureDomain string
+	// Address is the address for daemons, ClientAddress the one for clients.
+	Address, ClientAddress string
+	// Incarnation identifies this run.
+	Incarnation string
+}
+
 // New returns an empty set of members. LocalMessage builds the local part of a
 // message, with the evidence on new versions if requested.
-func New(name, address, incarnation string, localMessage func(evidence bool) Message, transport Transport, bootTime func() time.Duration, l *log.Logger) *Members {
+func New(self Self, localMessage func(evidence bool) Message, transport Transport, bootTime func() time.Duration, l *log.Logger) *Members {
+	record := membership.PeerRecord{
+		Address: self.Address, ClientAddress: self.ClientAddress, Name: self.Name, FailureDomain: self.FailureDomain,
+		Incarnation: self.Incarnation, Started: time.Now().UnixMilli(),
+	}
 	return &Members{
-		localMessage: localMessage, transport: transport, log: l, address: address, incarnation: incarnation, OnMessage: func(Message, time.Duration) {}, BootTime: bootTime,
-		OnWorkChanged: func([]relay.ServerWork) {}, QuarantineUpdate: func(bool) quarantine.Update { return quarantine.Update{} }, members: map[string]*member{}, leavingSince: map[string]time.Time{}, live: membership.NewLivePeers(name),
+		localMessage: localMessage, transport: transport, log: l, address: self.Address, incarnation: self.Incarnation, OnMessage: func(Message, time.Duration) {}, BootTime: bootTime,
+		OnWorkChanged: func([]relay.ServerWork) {}, QuarantineUpdate: func(bool) quarantine.Update { return quarantine.Update{} }, EvidenceState: func() Evidence { return Evidence{} }, members: map[string]*member{}, leavingSince: map[string]time.Time{},
+		live: membership.NewLivePeers(self.Name), table: membership.NewPeerTable(record),
 	}
 }
 
@@ -138,13 +162,22 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, address := range addresses {
-		if address == "" || address == m.address || m.members[address] != nil {
-			continue
+		if address != "" && address != m.address {
+			m.addMember(address)
 		}
-		m.members[address] = &member{address: address, added: time.Now(), tiebreak: xxhash.Sum64String(m.address + "\x00" + address)}
 	}
 }
 
+// addMember returns the member at an address, which it adds if it is new. Callers hold mu.
+func (m *Members) addMember(address string) *member {
+	other := m.members[address]
+	if other == nil {
+		other = &member{address: address, added: time.Now(), tiebreak: xxhash.Sum64String(m.address + "\x00" + address)}
+		m.members[address] = other
+	}
+	return other
+}
+
 // newMessage builds a message for the daemon at an address.
 func (m *Members) newMessage(to string, evidence bool) Message {
 	msg := m.localMessage(evidence)
@@ -152,9 +185,14 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	m.expireSilent(now)
+	m.table.SetSelf(msg.Ready, msg.Eligible, msg.Leaving)
+	msg.Started, msg.Sequence = m.table.Self().Started, m.table.Self().Sequence
 	msg.Suspects = m.recentFailures(now)
 	msg.Quarantine = m.QuarantineUpdate(m.recentlyJoined(to, now))
+	m.addPeerRecords(&msg, to)
 	switch other := m.members[to]; {
+	case m.overlay.active:
+		// The records replace the addresses.
 	case now.Sub(m.addressesSentAt) >= addressesInterval:
 		m.addressesSentAt = now
 		msg.KnownAddresses = m.sampleLiveAddresses(len(m.members))
@@ -222,10 +260,10 @@
 		return
 	}
 	m.expireSilent(now)
-	if !m.live.Contains(address) || other.latest.Incarnation != msg.Incarnation {
+	if !m.overlay.active && (!m.live.Contains(address) || other.latest.Incarnation != msg.Incarnation) {
 		m.log.Info("daemon discovered", "daemon", msg.Name, "address", address, "incarnation", msg.Incarnation, "config", msg.ConfigVersion, "ready", msg.Ready)
 	}
-	if msg.Leaving && !other.latest.Leaving {
+	if msg.Leaving && !other.latest.Leaving && !m.overlay.active {
 		m.log.Info("daemon leaves", "daemon", msg.Name, "address", address)
 	}
 	if msg.Leaving {
@@ -242,12 +280,16 @@
 		other.incarnationSince = now
 	}
 	changes := workDelta(other.latest.Work, msg.Work)
-	m.live.Update(address, membership.PeerStatus{Name: msg.Name, Incarnation: msg.Incarnation, Eligible: msg.Eligible, Leaving: msg.Leaving}, now)
+	record := msg.record()
+	record.Address = address
+	m.live.Update(address, record.Status(), now)
+	m.table.Observe(record)
+	m.receivePeerRecords(other, msg, now)
 	other.latest, other.lastContact, other.lastCallFailed, other.suspected = msg, now, false, false
 	m.markSuspected(msg.Suspects, now)
 	// Fields that are passed on at once are not retained, to save memory.
 	other.latest.KnownAddresses, other.latest.Placed, other.latest.Orders, other.latest.Suspects = nil, nil, nil, nil
-	other.latest.Quarantine = quarantine.Update{}
+	other.latest.Quarantine, other.latest.Peers = quarantine.Update{}, nil
 	m.mu.Unlock()
 	m.OnWorkChanged(changes)
 	m.OnMessage(msg, m.sentAfter(msg))
@@ -256,11 +298,16 @@
 // expireSilent removes silent daemons from the live set, along with their work. Callers
 // hold mu.
 func (m *Members) expireSilent(now time.Time) {
-	m.live.ExpireSilent(now, m.livenessTimeout(), func(address string) {
-		other := m.members[address]
-		m.expiredWork = append(m.expiredWork, workDelta(other.latest.Work, nil)...)
-		other.latest.Work = nil
-	})
+	if m.overlay.active {
+		return // see expirePartners
+	}
+	m.live.ExpireSilent(now, m.livenessTimeout(), func(address string) { m.dropWork(m.members[address]) })
+}
+
+// dropWork drops the work of a daemon that is no longer live. Callers hold mu.
+func (m *Members) dropWork(other *member) {
+	m.expiredWork = append(m.expiredWork, workDelta(other.latest.Work, nil)...)
+	other.latest.Work = nil
 }
 
 // withLive calls f with the current live set, holding mu.
@@ -296,19 +343,3 @@
 	m.withLive(func(r *membership.LivePeers) { live = r.HasIncarnation(incarnation) })
 	return live
 }
-
-// LiveMessages returns the latest messages of the live daemons, sorted by name. It copies
-// all of them, and must not be used per message or per request.
-func (m *Members) LiveMessages() []Message {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.expireSilent(time.Now())
-	out := make([]Message, 0, m.live.Len())
-	for _, other := range m.members {
-		if m.live.Contains(other.address) {
-			out = append(out, other.latest)
-		}
-	}
-	slices.SortFunc(out, func(a, b Message) int { return cmp.Compare(a.Name, b.Name) })
-	return out
-}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -15,14 +15,14 @@
 )
 
 func newTestMembers() *Members {
-	return New("self", "self:1", "self/1", func(bool) Message { return Message{} }, PeerTransport{peer.NewClient("self", "", nil)}, func() time.Duration { return 0 }, log.New(io.Discard))
+	return New(Self{Name: "self", Address: "self:1", Incarnation: "self/1"}, func(bool) Message { return Message{} }, PeerTransport{peer.NewClient("self", "", nil)}, func() time.Duration { return 0 }, log.New(io.Discard))
 }
 
 func TestDaemonsAreDiscoveredThroughPeers(t *testing.T) {
 	m := newTestMembers()
 	m.Receive("a:1", Message{Incarnation: "a/1", Name: "a", KnownAddresses: []string{"b:1", "self:1"}})
-	if live := m.LiveMessages(); len(live) != 1 || live[0].Name != "a" {
-		t.Fatalf("live daemons %v", live)
+	if r, _ := m.table.Get("a:1"); m.LiveCount() != 1 || r.Name != "a" {
+		t.Fatalf("%d live daemons, record %+v", m.LiveCount(), r)
 	}
 	var calls []string
 	for _, other := range m.nextCalls(time.Now().Add(time.Second)) {
@@ -100,7 +100,7 @@
 	if got := m.sentAfter(Message{}); got != 0 {
 		t.Errorf("a message without an echo was sent after %s", got)
 	}
-	other := New("a", "a:1", "a/1", func(bool) Message { return Message{} }, PeerTransport{peer.NewClient("a", "", nil)}, func() time.Duration { return time.Hour }, log.New(io.Discard))
+	other := New(Self{Name: "a", Address: "a:1", Incarnation: "a/1"}, func(bool) Message { return Message{} }, PeerTransport{peer.NewClient("a", "", nil)}, func() time.Duration { return time.Hour }, log.New(io.Discard))
 	msg := other.newStampedMessage("self:1", "self/1", 5000, false)
 	if got := m.sentAfter(msg); got != 5*time.Second {
 		t.Errorf("sent after %s, want 5s", got)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 )
@@ -51,6 +52,19 @@
 	Suspects []string `cbor:"20,keyasint,omitempty"`
 	// Quarantine holds recent changes of the quarantine.
 	Quarantine quarantine.Update `cbor:"22,keyasint,omitempty"`
+	// Started and Sequence are those of the sender's record, see membership.PeerRecord.
+	Started  int64  `cbor:"23,keyasint,omitempty"`
+	Sequence uint64 `cbor:"24,keyasint,omitempty"`
+	// Peers holds records of other daemons that changed up to the version PeersUpTo of the
+	// sender's table. PeersMore reports that further changes follow.
+	Peers     []membership.PeerRecord `cbor:"25,keyasint,omitempty"`
+	PeersUpTo uint64                  `cbor:"26,keyasint,omitempty"`
+	PeersMore bool                    `cbor:"27,keyasint,omitempty"`
+	// PeersSeen is the PeersUpTo of the last message that the sender received from the run
+	// EchoIncarnation.
+	PeersSeen uint64 `cbor:"28,keyasint,omitempty"`
+	// PeersDigest identifies the sender's set of records; zero in a small fleet.
+	PeersDigest uint64 `cbor:"29,keyasint,omitempty"`
 	// NextPositions holds the next position to read, by topic.
 	NextPositions []feed.Position `cbor:"15,keyasint,omitempty"`
 }
@@ -74,3 +88,11 @@
 	}
 	return m.NextPositions[topic]
 }
+
+// record returns the sender's record in the message.
+func (m Message) record() membership.PeerRecord {
+	return membership.PeerRecord{
+		Address: m.Address, ClientAddress: m.ClientAddress, Name: m.Name, FailureDomain: m.FailureDomain, Incarnation: m.Incarnation,
+		Started: m.Started, Sequence: m.Sequence, Ready: m.Ready, Eligible: m.Eligible, Leaving: m.Leaving,
+	}
+}
--- a/internal/gossip/rounds.go
+++ b/internal/gossip/rounds.go
@@ -22,7 +22,7 @@
 	m.expireSilent(time.Now())
 	var targets []*member
 	for address, other := range m.members {
-		if len(targets) < fanout && !other.callPending && m.live.Contains(address) {
+		if len(targets) < fanout && !other.callPending && m.live.Contains(address) && m.overlay.includes(address) {
 			other.callPending = true
 			targets = append(targets, other)
 		}
@@ -52,9 +52,16 @@
 
 // nextCalls drops unreachable addresses and returns the members to call in this round.
 func (m *Members) nextCalls(now time.Time) []*member {
+	evidence := m.EvidenceState() // locks the roll-outs, which must precede the members
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expireSilent(now)
+	m.forgetLeaving(now)
+	m.updateOverlay(now)
+	if m.overlay.active {
+		m.expirePartners(now)
+		return m.nextOverlayCalls(evidence, now)
+	}
 	var due []*member
 	for address, other := range m.members {
 		lastEvidence := other.lastContact
@@ -75,39 +82,53 @@
 		}
 		due = append(due, other)
 	}
-	for incarnation, at := range m.leavingSince {
-		if now.Sub(at) > leavingRetention {
-			delete(m.leavingSince, incarnation)
-		}
-	}
 	slices.SortFunc(due, compareCallPriority)
-	due = due[:min(fanout, len(due))]
+	return beginCalls(due[:min(fanout, len(due))], now)
+}
+
+// beginCalls marks members as called.
+func beginCalls(due []*member, now time.Time) []*member {
 	for _, other := range due {
 		other.callPending, other.lastAttempt = true, now
 	}
 	return due
 }
 
-func (m *Members) call(ctx context.Context, other *member) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// forgetLeaving drops the runs that left long ago. Callers hold mu.
+func (m *Members) forgetLeaving(now time.Time) {
+	for incarnation, at := range m.leavingSince {
+		if now.Sub(at) > leavingRetention {
+			delete(m.leavingSince, incarnation)
+		}
+	}
+}
+
+func (m *Members) call(parent context.Context, other *member) {
+	ctx, cancel := context.WithTimeout(parent, callTimeout)
 	defer cancel()
 	sentAt := time.Now()
 	m.mu.Lock()
 	last := other.latest
+	evidence := last.WantsEvidence || other.sendsEvidence
+	other.sendsEvidence = false
 	m.mu.Unlock()
-	msg, err := m.transport.Exchange(ctx, other.address, m.newStampedMessage(other.address, last.Incarnation, last.Timestamp, last.WantsEvidence))
+	msg, err := m.transport.Exchange(ctx, other.address, m.newStampedMessage(other.address, last.Incarnation, last.Timestamp, evidence))
 	m.mu.Lock()
 	other.callPending = false
 	other.lastCallFailed, other.suspected = err != nil && other.lastContact.Before(sentAt), false
 	m.updateFailedMembers(other)
 	m.expireSilent(time.Now())
-	lost := err != nil && !other.lastContact.IsZero() && !m.live.Contains(other.address) && sentAt.Sub(other.lastContact) <= m.livenessTimeout()
+	lost := err != nil && !m.overlay.active && !other.lastContact.IsZero() && !m.live.Contains(other.address) && sentAt.Sub(other.lastContact) <= m.livenessTimeout()
 	m.mu.Unlock()
 	if lost {
 		m.log.Warn("daemon lost", "daemon", other.latest.Name, "address", other.address, "err", err)
 	}
-	if err == nil {
-		m.Receive(other.address, msg)
+	if err != nil {
+		return
+	}
+	m.Receive(other.address, msg)
+	if msg.PeersMore && len(msg.Peers) > 0 {
+		m.call(parent, other) // fetch the remaining records at once
 	}
 }
 
--- a/internal/gossip/suspects.go
+++ b/internal/gossip/suspects.go
@@ -11,6 +11,9 @@
 
 // markSuspected marks the members that another daemon reported. Callers hold mu.
 func (m *Members) markSuspected(addresses []string, now time.Time) {
+	if m.overlay.active {
+		return // the partners of a daemon detect its failure
+	}
 	for _, address := range addresses {
 		if other := m.members[address]; other != nil && m.live.Contains(address) && !other.lastCallFailed && now.Sub(other.lastContact) >= Interval {
 			other.suspected = true
--- a/internal/gossip/views.go
+++ b/internal/gossip/views.go
@@ -36,9 +36,11 @@
 	m.expireSilent(time.Now())
 	out := make([]membership.Endpoint, 0, m.live.Len()+1)
 	for address, other := range m.members {
-		if m.live.Contains(address) && !other.lastCallFailed {
-			msg := other.latest
-			out = append(out, membership.Endpoint{Address: msg.ClientAddress, FailureDomain: msg.FailureDomain, Ready: msg.Ready, Leaving: msg.Leaving})
+		if !m.live.Contains(address) || other.lastCallFailed {
+			continue
+		}
+		if r, known := m.table.Get(address); known {
+			out = append(out, membership.Endpoint{Address: r.ClientAddress, FailureDomain: r.FailureDomain, Ready: r.Ready, Leaving: r.Leaving})
 		}
 	}
 	return out
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -67,6 +67,11 @@
 	return time.Duration(fraction * float64(n.config.ConfigPropagationLimit))
 }
 
+// currentCheckPlan returns the plan for the present size of the fleet.
+func (n *Node) currentCheckPlan() freshness.Plan {
+	return n.checkPlan.WithPropagation(n.members.Propagation())
+}
+
 // Ready reports whether clients should be sent to this daemon. A daemon that is partitioned from
 // the store still serves with confirmations from peers, but is not ready.
 func (n *Node) Ready() bool {
@@ -99,7 +104,7 @@
 // checkStore checks the end of a topic if that is due, and returns the time until the next check
 // may be due. It skips a topic whose follower is already retrying.
 func (n *Node) checkStore(ctx context.Context, now time.Time) time.Duration {
-	subject, due, ok := n.state.NextCheck(n.checkPlan, n.rank(), n.ownCheckDue())
+	subject, due, ok := n.state.NextCheck(n.currentCheckPlan(), n.rank(), n.ownCheckDue())
 	f := n.followers[subject]
 	switch {
 	case !ok || f.Unavailable():
@@ -155,6 +160,9 @@
 	}
 	if u, checked := n.checkPlan[subject]; checked && u.IsOutage(gap) {
 		n.restartReads()
+		if n.members.InOverlay() {
+			n.broadcast() // others wait for the store as well
+		}
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,6 +126,10 @@
 	statusFollower   *feed.Follower
 	daemonFollower   *feed.Follower
 	placements       gossip.Placements
+	// broadcast sends a message to some peers at once.
+	broadcast func()
+	// serversChanged reports that known servers changed in the entries applied last.
+	serversChanged atomic.Bool
 	// invalidEntries holds the server entries that could not be used.
 	invalidEntries invalidEntries
 	registered     atomic.Bool
@@ -167,12 +171,18 @@
 	if deps.PeerTransport != nil {
 		peers = deps.PeerTransport
 	}
-	n.members = gossip.New(config.Name, config.ControlAddress, n.incarnation, n.buildMessage, peers, deps.BootTime, deps.Logger)
+	self := gossip.Self{Name: config.Name, FailureDomain: config.FailureDomain, Address: config.ControlAddress, ClientAddress: config.ClientAddress, Incarnation: n.incarnation}
+	n.members = gossip.New(self, n.buildMessage, peers, deps.BootTime, deps.Logger)
 	n.members.OnMessage, n.members.OnWorkChanged = n.handleMessage, n.state.AddPeerWork
 	n.members.QuarantineUpdate = n.Relay.Guard.Update
+	n.members.EvidenceState = func() gossip.Evidence {
+		active, alarms := n.Relay.Rollouts.Alarms()
+		return gossip.Evidence{Active: active, Alarms: alarms}
+	}
 	n.Relay.ConfigOutdated = n.configOutdated
 	n.members.AddAddresses(config.Seeds...)
-	n.initFollowers(ctx)
+	n.broadcast = func() { n.members.Broadcast(ctx) }
+	n.initFollowers()
 	return n
 }
 
@@ -183,6 +193,16 @@
 	return s
 }
 
+// HandleExchange processes the gossip message of another daemon, and returns the response.
+func (n *Node) HandleExchange(msg gossip.Message) gossip.Message {
+	return n.members.HandleExchange(msg)
+}
+
+// HandleRecords answers another daemon's request for records of the store.
+func (n *Node) HandleRecords(req gossip.RecordsRequest) gossip.RecordsResponse {
+	return gossip.HandleRecords(req, n.recordsSince)
+}
+
 // Run starts the daemon's loops, which stop with the context, and returns.
 func (n *Node) Run(ctx context.Context) {
 	for _, f := range n.followers {
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -28,7 +28,7 @@
 
 // initFollowers creates the followers of the store's topics. It precedes Run, since gossip reads
 // their positions.
-func (n *Node) initFollowers(ctx context.Context) {
+func (n *Node) initFollowers() {
 	add := func(subject freshness.Subject, topic string, wait, batchDelay time.Duration, apply func([]feed.Record, bool)) *feed.Follower {
 		f := feed.New(&feed.Follower{
 			Log: n.deps.Log, Topic: topic, MaxWait: wait, BatchDelay: batchDelay, BootTime: n.deps.BootTime,
@@ -45,10 +45,13 @@
 	for _, f := range n.followers[1:] {
 		f.DependsOn, f.ReadsLog = n.operatorFollower, n.readsDependentTopics
 	}
-	for _, f := range []*feed.Follower{n.operatorFollower, servers} {
-		f.OnApplied = func() { n.members.Broadcast(ctx) }
+	n.operatorFollower.OnApplied, n.statusFollower.OnApplied = n.broadcast, n.broadcast
+	servers.OnApplied = func() {
+		// In a large fleet new servers are frequent, and not urgent.
+		if n.serversChanged.Swap(false) || !n.members.InOverlay() {
+			n.broadcast()
+		}
 	}
-	n.statusFollower.OnApplied = n.operatorFollower.OnApplied
 	n.daemonFollower.Enabled = func() bool { return n.isBootstrapPeer() || n.isReader() }
 }
 
@@ -131,6 +134,9 @@
 		}
 	})
 	lines.close()
+	if lines.lines > 0 {
+		n.serversChanged.Store(true)
+	}
 	for _, old := range ended {
 		n.Relay.ServerRestarted(old)
 	}
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -1,6 +1,10 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/gossip"
+)
 
 // A daemon's roles follow from its rank among the live daemons. Intervals and the number of
 // readers scale with the number of daemons.
@@ -113,7 +117,12 @@
 const maxEvaluators = 8
 
 // isEvaluator reports whether this daemon evaluates roll-outs with the evidence of all daemons.
-func (n *Node) isEvaluator() bool { return n.rank() < maxEvaluators }
+func (n *Node) isEvaluator() bool {
+	if n.members.InOverlay() {
+		return n.rank() < gossip.OverlayEvaluators
+	}
+	return n.rank() < maxEvaluators
+}
 
 // isRolloutLeader reports whether this daemon writes roll-out phases. Conditional appends
 // protect against two daemons that lead at the same time.
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -20,7 +20,7 @@
 	case testing.Short():
 		return []int{6, 60}
 	}
-	return []int{6, 60, 195}
+	return []int{6, 60, 195, 300}
 }
 
 // Guards against many calls to the store when all daemons start at once.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -28,7 +28,7 @@
 	endpointPath = "/peer"
 	// idleTimeout closes unused connections. Probes reach the whole fleet over time, and
 	// would otherwise keep a connection to every daemon.
-	idleTimeout = 30 * time.Second
+	idleTimeout = 10 * time.Second
 )
 
 // envelope is the encoding of a request or response. Seq matches a response to its request.
