--- a/lab/emulate/measure.go
+++ b/lab/emulate/measure.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"os"
 	"runtime"
 	"slices"
 	"testing"
@@ -52,18 +54,23 @@
 	before := heapInUse()
 	f := newFleet(t, servers)
 	defer f.stopAll()
-	steps := []func() error{
-		func() error { return r.measureStart(f) },
-		func() error { return r.measureIdle(f, idle) },
-		func() error { r.heap = (heapInUse() - before) / float64(daemons); return nil },
-		func() error { return r.measureChanges(f) },
-		func() error { return r.measureFailures(f) },
-		func() error { return r.measureRestart(f) },
+	steps := []struct {
+		name string
+		run  func() error
+	}{
+		{"start", func() error { return r.measureStart(f) }},
+		{"idle", func() error { return r.measureIdle(f, idle) }},
+		{"memory", func() error { r.heap = (heapInUse() - before) / float64(daemons); return nil }},
+		{"changes", func() error { return r.measureChanges(f) }},
+		{"failures", func() error { return r.measureFailures(f) }},
+		{"restart", func() error { return r.measureRestart(f) }},
 	}
 	for _, step := range steps {
-		if err := step(); err != nil {
+		started := time.Now()
+		if err := step.run(); err != nil {
 			return r, err
 		}
+		fmt.Fprintf(os.Stderr, "%d daemons: %s measured, %s of virtual time\n", daemons, step.name, time.Since(started).Round(time.Millisecond))
 	}
 	return r, nil
 }
