gossip: pass on long records compressed, and few records across failure domains

Change: the limit of a page counts what is sent, compressed; one daemon in eight passes a record on to another failure domain of 64 daemons or more, and all of them after digests differed for long; partners are chosen again when a daemon comes or goes; partners send neither work nor placements. Measured by its tests only.

--- a/internal/gossip/calls.go
+++ b/internal/gossip/calls.go
@@ -14,22 +14,33 @@
 type TailSource func(topic string, from feed.Position, snapshot bool, maxBytes int) feed.Tail
 
 // HandleRecords answers a request for records with as many of the first ones as fit into
-// one message. If the first record does not fit, the response is marked TooLong.
+// one message. If the first record does not fit, even compressed, the response is marked TooLong.
 func HandleRecords(req RecordsRequest, source TailSource) RecordsResponse {
 	tail := source(req.Topic, req.From, req.Snapshot, maxRecordsBytes)
-	if tail.TooLong {
-		return RecordsResponse{Next: tail.Next, TooLong: true}
+	if tail.TooLong && req.AcceptsPacked {
+		tail = source(req.Topic, req.From, req.Snapshot, maxUnpackedBytes/2)
 	}
-	resp := RecordsResponse{Next: tail.Next, End: tail.End, Snapshot: tail.Snapshot, More: tail.More}
-	if req.AcceptsPacked && len(tail.Records) >= minPackedRecords {
+	resp := RecordsResponse{Next: tail.Next, End: tail.End, Snapshot: tail.Snapshot, More: tail.More, TooLong: tail.TooLong}
+	if req.AcceptsPacked && recordsSize(tail.Records) >= minPackedBytes {
 		resp.Packed = packRecords(tail.Records)
 	}
-	if resp.Packed == nil {
+	switch {
+	case len(resp.Packed) > maxRecordsBytes:
+		return RecordsResponse{Next: req.From, TooLong: true}
+	case resp.Packed == nil:
 		resp.Records = tail.Records
 	}
 	return resp
 }
 
+// recordsSize returns the size of records in bytes.
+func recordsSize(records []feed.Record) (size int) {
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	return size
+}
+
 // Transport calls other daemons by their peer addresses.
 type Transport interface {
 	// Exchange sends a message to a daemon and returns its message.
@@ -53,8 +64,8 @@
 
 const exchangeKind = "pulse"
 
-// maxRecordsBytes bounds the size of the records in one response, in bytes. Longer ones
-// are read from the log, since many daemons that fetch them from one peer at the same time
+// maxRecordsBytes bounds the size of the records in one response, in bytes, compressed if the
+// requester accepts that. Longer ones are read from the log, since many daemons that fetch them from one peer at the same time
 // would saturate its link.
 const maxRecordsBytes = 16 << 10
 
--- a/internal/gossip/overlay.go
+++ b/internal/gossip/overlay.go
@@ -39,8 +39,8 @@
 	active bool
 	// partners are the addresses of the partners, with the time since which they are.
 	partners map[string]time.Time
-	// tableVersion is the version of the table for which the partners were chosen.
-	tableVersion uint64
+	// nodesVersion is that of the table for which the partners were chosen.
+	nodesVersion uint64
 	// sweptAt is the time of the last sweep.
 	sweptAt time.Time
 	// evidenceAt is when evidence was last sent to the evaluators, with alarms bad answers.
@@ -61,7 +61,8 @@
 	received uint64
 	// digest is the last digest of its table.
 	digest uint64
-	// resyncedAt is when all records were last sent again.
+	// sendsAll reports that all records are sent again, since resyncedAt.
+	sendsAll   bool
 	resyncedAt time.Time
 }
 
@@ -110,17 +111,18 @@
 	}
 	if active := daemons > membership.MeshLimit; active != m.overlay.active {
 		m.log.Info("gossip topology", "overlay", active, "daemons", daemons)
-		m.overlay.active, m.overlay.tableVersion = active, 0
+		m.overlay.active, m.overlay.nodesVersion = active, 0
 		m.syncLive(now)
+		m.dropAllWork()
 	}
 	if !m.overlay.active {
 		m.overlay.partners = nil
 		return
 	}
-	if m.overlay.tableVersion == m.table.Version() {
+	if m.overlay.nodesVersion == m.table.NodesVersion() {
 		return
 	}
-	m.overlay.tableVersion = m.table.Version()
+	m.overlay.nodesVersion = m.table.NodesVersion()
 	self := m.table.Self()
 	partners := map[string]time.Time{}
 	for _, address := range membership.Partners(membership.OverlayNode{Address: self.Address, FailureDomain: self.FailureDomain}, m.table.Nodes()) {
@@ -143,6 +145,13 @@
 	}
 }
 
+// dropAllWork drops the work of others, which partners do not send. Callers hold mu.
+func (m *Members) dropAllWork() {
+	for _, other := range m.members {
+		m.dropWork(other)
+	}
+}
+
 // nextOverlayCalls returns the members to call in this round. Callers hold mu.
 func (m *Members) nextOverlayCalls(evidence Evidence, now time.Time) []*member {
 	var due []*member
@@ -236,7 +245,9 @@
 	if !m.overlay.active {
 		return
 	}
-	msg.Peers, msg.PeersUpTo = m.table.Since(l.sent, to, maxPeerRecords)
+	record, known := m.table.Get(to)
+	receiver := membership.Receiver{Address: to, FailureDomain: record.FailureDomain, All: l.sendsAll || !known}
+	msg.Peers, msg.PeersUpTo = m.table.Since(l.sent, receiver, maxPeerRecords)
 	msg.PeersMore = msg.PeersUpTo < m.table.Version()
 	msg.PeersDigest = m.table.Digest()
 	l.lastUpTo = msg.PeersUpTo
@@ -270,9 +281,9 @@
 	}
 	switch {
 	case msg.PeersDigest == own:
-		l.sent = m.table.Version()
+		l.sent, l.sendsAll = m.table.Version(), false
 	case msg.PeersDigest == l.digest && l.sent == m.table.Version() && now.Sub(m.overlay.digestSince) > resyncDelay && now.Sub(l.resyncedAt) > resyncDelay:
-		l.sent, l.lastUpTo, l.resyncedAt = 0, 0, now
+		l.sent, l.lastUpTo, l.sendsAll, l.resyncedAt = 0, 0, true, now
 	}
 	l.digest = msg.PeersDigest
 }
--- a/internal/gossip/overlay_test.go
+++ b/internal/gossip/overlay_test.go
@@ -98,7 +98,7 @@
 		if r, _ := m.table.Get(partners[0]); !r.Gone || m.live.Contains(partners[0]) {
 			t.Errorf("record %+v", r)
 		}
-		records, _ := m.table.Since(0, "x", 1000)
+		records, _ := m.table.Since(0, membership.Receiver{Address: "x"}, 1000)
 		if last := records[len(records)-1]; last.Address != partners[0] || !last.Gone {
 			t.Errorf("the failure is not passed on: %+v", last)
 		}
--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// minPackedRecords is the number of records from which a response is compressed. Entries of
-	// servers resemble each other, and shrink to a fraction.
-	minPackedRecords = 16
+	// minPackedBytes is the size of the records from which a response is compressed. Entries of
+	// servers and routes of a configuration resemble each other, and shrink to a fraction.
+	minPackedBytes = 2 << 10
 	// maxUnpackedBytes bounds the memory for a compressed response.
 	maxUnpackedBytes = 8 << 20
 )
--- a/internal/membership/peertable.go
+++ b/internal/membership/peertable.go
@@ -65,9 +65,13 @@
 	// changes in the list, which are skipped.
 	version uint64
 	changes []peerChange
+	// nodesVersion counts the changes of the set of daemons that are not gone.
+	nodesVersion uint64
 	// digest combines the digests of the records that are not gone.
 	digest uint64
 	alive  int
+	// domainSizes counts the daemons that are not gone by failure domain.
+	domainSizes map[string]int
 }
 
 type peerEntry struct {
@@ -85,7 +89,7 @@
 
 // NewPeerTable returns a table with the record of the own daemon only.
 func NewPeerTable(self PeerRecord) *PeerTable {
-	t := &PeerTable{self: self, entries: map[string]*peerEntry{}}
+	t := &PeerTable{self: self, entries: map[string]*peerEntry{}, domainSizes: map[string]int{}}
 	t.put(self, "")
 	return t
 }
@@ -111,6 +115,9 @@
 // put stores a record as the newest change.
 func (t *PeerTable) put(r PeerRecord, source string) *peerEntry {
 	e := t.entries[r.Address]
+	if e == nil || e.Gone != r.Gone || e.FailureDomain != r.FailureDomain {
+		t.nodesVersion++
+	}
 	if e == nil {
 		e = &peerEntry{}
 		t.entries[r.Address] = e
@@ -135,6 +142,7 @@
 	if !e.Gone {
 		t.digest ^= e.PeerRecord.digest()
 		t.alive += delta
+		t.domainSizes[e.FailureDomain] += delta
 	}
 }
 
@@ -237,6 +245,9 @@
 	return out
 }
 
+// NodesVersion changes whenever the result of Nodes does.
+func (t *PeerTable) NodesVersion() uint64 { return t.nodesVersion }
+
 // Version returns the version after the newest change.
 func (t *PeerTable) Version() uint64 { return t.version }
 
@@ -244,12 +255,21 @@
 // the same digest.
 func (t *PeerTable) Digest() uint64 { return t.digest }
 
+// Receiver is a daemon that gets records.
+type Receiver struct {
+	Address, FailureDomain string
+	// All reports that it gets all records, since its table differs for long.
+	All bool
+}
+
 // Since returns up to limit records that changed after a version, oldest first, and the version
-// that they reach. Records that the receiver passed on itself are left out.
-func (t *PeerTable) Since(version uint64, receiver string, limit int) (records []PeerRecord, upTo uint64) {
+// that they reach. Records that the receiver passed on itself are left out, and most of those for
+// another failure domain, which few daemons of this one pass on.
+func (t *PeerTable) Since(version uint64, receiver Receiver, limit int) (records []PeerRecord, upTo uint64) {
 	upTo = version
+	across := !receiver.All && receiver.FailureDomain != t.self.FailureDomain && t.domainSizes[receiver.FailureDomain] >= minCrossedDomain
 	for _, c := range t.changes[t.firstAfter(version):] {
-		if c.version == c.entry.changedAt && c.entry.source != receiver {
+		if c.version == c.entry.changedAt && c.entry.source != receiver.Address && (!across || t.passesAcross(c.entry)) {
 			if len(records) == limit {
 				return records, upTo
 			}
@@ -260,6 +280,20 @@
 	return records, t.version
 }
 
+// crossingFraction is the fraction of the daemons, as a divisor, that pass a record on to other
+// failure domains.
+const crossingFraction = 8
+
+// minCrossedDomain is the size of a failure domain from which enough links lead there that few of
+// them have to carry a record.
+const minCrossedDomain = 64
+
+// passesAcross reports whether this daemon passes a record on to other failure domains: its own,
+// and those for which a hash selects it.
+func (t *PeerTable) passesAcross(e *peerEntry) bool {
+	return e.Address == t.self.Address || xxhash.Sum64String(t.self.Address+"\x00"+e.Address)%crossingFraction == 0
+}
+
 // firstAfter returns the index of the first change after a version.
 func (t *PeerTable) firstAfter(version uint64) int {
 	low, high := 0, len(t.changes)
--- a/internal/membership/peertable_test.go
+++ b/internal/membership/peertable_test.go
@@ -39,7 +39,7 @@
 	if a.Alive() != 1 {
 		t.Fatalf("%d daemons alive", a.Alive())
 	}
-	for _, r := range must(a.Since(0, b.Self().Address, 10)) {
+	for _, r := range must(a.Since(0, Receiver{Address: b.Self().Address, All: true}, 10)) {
 		b.Merge(r, "x")
 	}
 	a.Merge(b.Self(), "x")
@@ -74,7 +74,7 @@
 	seen, version := map[string]int{}, uint64(0)
 	for rounds := 0; version < table.Version(); rounds++ {
 		var records []PeerRecord
-		records, version = table.Since(version, "y", 16)
+		records, version = table.Since(version, Receiver{Address: "y", FailureDomain: "d0"}, 16)
 		for _, r := range records {
 			seen[r.Address]++
 		}
@@ -125,3 +125,37 @@
 }
 
 func must(records []PeerRecord, _ uint64) []PeerRecord { return records }
+
+// Guards against a record that crosses to other failure domains over every link, and against one
+// that crosses over none.
+func TestFewDaemonsPassRecordsAcrossDomains(t *testing.T) {
+	const daemons, records = 160, 50
+	passed := map[string]int{}
+	for d := range daemons {
+		self := peerRecord(1000 + d)
+		self.FailureDomain = "here"
+		table := NewPeerTable(self)
+		for i := range records {
+			table.Merge(peerRecord(i), "x")
+		}
+		if got := must(table.Since(0, Receiver{Address: "y", FailureDomain: "d1"}, 1000)); len(got) != records+1 {
+			t.Fatalf("%d records for a small failure domain", len(got))
+		}
+		for i := range minCrossedDomain {
+			r := peerRecord(500 + i)
+			r.FailureDomain = "there"
+			table.Merge(r, "y")
+		}
+		for _, r := range must(table.Since(0, Receiver{Address: "y", FailureDomain: "there"}, 1000)) {
+			passed[r.Address]++
+		}
+		if got := must(table.Since(0, Receiver{Address: "y", FailureDomain: "here"}, 1000)); len(got) != records+1 {
+			t.Fatalf("%d records within the failure domain", len(got))
+		}
+	}
+	for i := range records {
+		if n := passed[peerRecord(i).Address]; n < 5 || n > daemons/4 {
+			t.Errorf("%d of %d daemons pass on a record", n, daemons)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -229,12 +229,16 @@
 	message := gossip.Message{
 		Incarnation: n.incarnation, Name: n.config.Name, Address: n.config.ControlAddress, ClientAddress: n.config.ClientAddress,
 		FailureDomain: n.config.FailureDomain, Ready: n.Ready(), Leaving: n.leaving.Load(), Eligible: n.eligible(),
-		Work: n.state.OwnWork(), Orders: n.Relay.Rollouts.Reports(n.state.InFlightOnOtherVersions, evidence, evaluator), Ages: n.confirmationAges(), WantsEvidence: evaluator,
+		Orders: n.Relay.Rollouts.Reports(n.state.InFlightOnOtherVersions, evidence, evaluator), Ages: n.confirmationAges(), WantsEvidence: evaluator,
 	}
 	for _, f := range n.followers {
 		message.NextPositions = append(message.NextPositions, f.Next())
 	}
-	message.Placed, message.PlacedRound = n.placements.CurrentRound(n.state.DrainPlacements, time.Now())
+	if !n.members.InOverlay() {
+		// The work and the placements of few others say nothing of a large fleet's servers.
+		message.Work = n.state.OwnWork()
+		message.Placed, message.PlacedRound = n.placements.CurrentRound(n.state.DrainPlacements, time.Now())
+	}
 	message.ConfigVersion = n.configVersion()
 	return message
 }
