gossip: drop a reported daemon that was in contact just before

Cause, found by the emulator (a killed daemon live at 3 of 299 daemons after a minute): a report of a failure is not applied to a daemon that was in contact within 1.5 s, and such a daemon is no partner any more, so that nobody there notices its silence. The first ranks poll for 2.5 s of propagation in place of 1.75. The emulator measures readiness, ages, and servers that register at 360 a second.

--- a/internal/gossip/overlay.go
+++ b/internal/gossip/overlay.go
@@ -18,7 +18,7 @@
 	overlayInterval = 500 * time.Millisecond
 	// overlayPropagation is the time within which a confirmation reaches all daemons through
 	// partners, and meshPropagation that in a mesh in which a round does not reach all.
-	overlayPropagation = 1750 * time.Millisecond
+	overlayPropagation = 2500 * time.Millisecond
 	meshPropagation    = time.Second
 	// partnerTimeout is the silence after which a partner counts as gone.
 	partnerTimeout = 3 * overlayInterval
@@ -180,6 +180,9 @@
 	var unknown []*member
 	for address, other := range m.members {
 		record, known := m.table.Get(address)
+		if record.Gone && now.Sub(other.lastContact) > partnerTimeout {
+			m.removeLive(other) // it was in contact when it was reported
+		}
 		switch {
 		case other.callPending || m.overlay.includes(address) || known && !record.Gone:
 		case now.Sub(other.added) > addressRetention && now.Sub(other.lastContact) > addressRetention:
--- a/internal/gossip/overlay_test.go
+++ b/internal/gossip/overlay_test.go
@@ -137,6 +137,24 @@
 	})
 }
 
+// Guards against a daemon that stays live for good where it was in contact just before the report of
+// its failure.
+func TestReportedDaemonIsDroppedWithoutFurtherContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newOverlayMembers(400)
+		partners := m.partnerAddresses()
+		m.contact(partners)
+		r, _ := m.table.Get(partners[0])
+		r.Gone = true
+		m.Receive("seed:1", Message{Incarnation: "seed/1", Name: "seed", Address: "seed:1", Peers: []membership.PeerRecord{r}, PeersUpTo: 10, PeersDigest: 8})
+		time.Sleep(2 * partnerTimeout)
+		m.nextCalls(time.Now())
+		if m.live.Contains(partners[0]) {
+			t.Error("the daemon is still live")
+		}
+	})
+}
+
 // Guards against work of a daemon that counts on after the daemon is gone.
 func TestWorkOfGonePartnerIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/lab/emulate/codec.go
+++ b/lab/emulate/codec.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"strconv"
 	"time"
@@ -29,7 +30,8 @@
 }
 
 func (codec) DecodeOperator(r feed.Record) (node.OperatorRecord, error) {
-	version, err := strconv.ParseInt(string(r.Value), 10, 64)
+	first, _, _ := bytes.Cut(r.Value, []byte("\n"))
+	version, err := strconv.ParseInt(string(first), 10, 64)
 	if err != nil {
 		return node.OperatorRecord{}, err
 	}
--- a/lab/emulate/fleet.go
+++ b/lab/emulate/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -35,6 +36,8 @@
 	seeds = 3
 	// pollInterval is how often conditions are checked.
 	pollInterval = 10 * time.Millisecond
+	// configRoutes is the number of routes of the configuration.
+	configRoutes = 600
 	// sampledMessages is the fraction of messages, as a divisor, whose size is measured.
 	sampledMessages = 8
 )
@@ -65,13 +68,23 @@
 
 func newFleet(t *testing.T, servers int) *fleet {
 	f := &fleet{t: t, store: feedtest.New(), nodes: map[string]*daemon{}}
-	f.store.Put(topicOperator, "config", []byte("1"))
+	f.store.Put(topicOperator, "config", configRecord(1))
 	for i := range servers {
 		f.store.Put(topicServers, serverID(i), []byte("ready"))
 	}
 	return f
 }
 
+// configRecord returns a configuration of the length that one has with hundreds of routes.
+func configRecord(version int) []byte {
+	var out bytes.Buffer
+	fmt.Fprintln(&out, version)
+	for i := range configRoutes {
+		fmt.Fprintf(&out, `{"host":"h%d.example","path_prefix":"/r%d/","service":"lm","timeout_ms":6000,"attempts":3,"kind":"streaming"}`, i*7919%1000, i)
+	}
+	return out.Bytes()
+}
+
 func address(i int) string  { return fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255) }
 func serverID(i int) string { return fmt.Sprintf("server-%05d", i) }
 
--- a/lab/emulate/measure.go
+++ b/lab/emulate/measure.go
@@ -16,7 +16,13 @@
 	// startCalls are the calls of the store per daemon until all daemons are ready, and
 	// idleCalls those of all daemons per second afterwards.
 	startCalls, idleCalls float64
-	ready, complete       time.Duration
+	// unready is the share of the daemons' time in which they are not ready while nothing
+	// changes, and oldestConfig the greatest age of a confirmation of the configuration.
+	unready         float64
+	oldestConfig    time.Duration
+	ready, complete time.Duration
+	// registeringUnready and registeringCalls are the same while servers register.
+	registeringUnready, registeringCalls float64
 	// heap is the memory of a daemon in bytes.
 	heap float64
 	// median and busiest are the traffic of a daemon, leader that of the first by rank.
@@ -61,6 +67,7 @@
 		{"start", func() error { return r.measureStart(f) }},
 		{"idle", func() error { return r.measureIdle(f, idle) }},
 		{"memory", func() error { r.heap = (heapInUse() - before) / float64(daemons); return nil }},
+		{"registration", func() error { return r.measureRegistration(f) }},
 		{"changes", func() error { return r.measureChanges(f) }},
 		{"failures", func() error { return r.measureFailures(f) }},
 		{"restart", func() error { return r.measureRestart(f) }},
@@ -114,7 +121,7 @@
 		d.seenPeers.Clear()
 	}
 	calls := f.store.TotalCalls()
-	time.Sleep(idle)
+	r.unready = r.watchReadiness(all, idle)
 	r.idleCalls = float64(f.store.TotalCalls()-calls) / idle.Seconds()
 	var rates []traffic
 	for _, d := range all {
@@ -130,6 +137,43 @@
 	return nil
 }
 
+// watchReadiness samples the daemons' readiness and ages for a while, and returns the share of the
+// time in which a daemon was not ready.
+func (r *result) watchReadiness(all []*daemon, span time.Duration) float64 {
+	samples, unready := 0, 0
+	for start := time.Now(); time.Since(start) < span; time.Sleep(samplePeriod) {
+		for _, d := range all {
+			if samples++; !d.Ready() {
+				unready++
+			}
+			r.oldestConfig = max(r.oldestConfig, d.Status().ConfigAge)
+		}
+	}
+	return float64(unready) / float64(samples)
+}
+
+// measureRegistration lets servers register all the time.
+func (r *result) measureRegistration(f *fleet) error {
+	const span, period, rate = 8 * time.Second, 50 * time.Millisecond, 360
+	calls, done := f.store.TotalCalls(), make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range int(span / period * rate / time.Duration(time.Second/period)) {
+			f.store.Put(topicServers, fmt.Sprintf("new-%05d", i), []byte("ready"))
+			if i%int(rate*period/time.Second) == 0 {
+				time.Sleep(period)
+			}
+		}
+	}()
+	r.registeringUnready = r.watchReadiness(f.all(), span)
+	<-done
+	r.registeringCalls = float64(f.store.TotalCalls()-calls) / span.Seconds()
+	return nil
+}
+
+// samplePeriod is the period of watchReadiness.
+const samplePeriod = 130 * time.Millisecond
+
 func (d *daemon) traffic(over time.Duration) traffic {
 	peers := 0
 	d.seenPeers.Range(func(any, any) bool { peers++; return true })
@@ -141,7 +185,7 @@
 
 // measureChanges writes a configuration and the leaving of a server.
 func (r *result) measureChanges(f *fleet) (err error) {
-	f.store.Put(topicOperator, "config", []byte("2"))
+	f.store.Put(topicOperator, "config", configRecord(2))
 	if r.config, err = f.waitAll("configuration in force", waitLimit, func(d *daemon) bool { return d.Status().ConfigVersion == 2 }); err != nil {
 		return err
 	}
