node: apply confirmations of peers once their position is read

Cause, read: a confirmation by a peer that has read further was dropped. While servers register all the time some peer always has, so that each daemon polls the store for itself, and the poll of the servers' topic, never current, comes before that of the configuration again and again. Change: such confirmations wait until the daemon has read as far; after a poll that found unread records the other subject is polled next.

--- a/internal/freshness/refresh.go
+++ b/internal/freshness/refresh.go
@@ -1,6 +1,9 @@
 package freshness
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // RefreshPolicy determines when a daemon polls the store for a subject in addition to its
 // watch. An idle watch confirms nothing, since its connection may be broken.
@@ -74,6 +77,18 @@
 	return out
 }
 
+// Without returns the plan without some subjects.
+func (p Plan) Without(subjects []Subject) Plan {
+	if len(subjects) == 0 {
+		return p
+	}
+	out := maps.Clone(p)
+	for _, s := range subjects {
+		delete(out, s)
+	}
+	return out
+}
+
 // Next returns the subject to poll next and the time until the poll is due; zero or negative
 // means now. storeDue is the time until a response from the store itself is required; if
 // that is earlier, the subject due next at rank 0 is polled in place of that daemon. any is
--- /dev/null
+++ b/internal/node/deferred_confirmations.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"sync"
+
+	"github.com/damaskrudder/damaskrudder/internal/feed"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
+)
+
+// maxDeferred bounds the deferred confirmations of a subject.
+const maxDeferred = 8
+
+// deferredConfirmations holds confirmations by peers that have read further than this daemon. While
+// a topic changes all the time, a daemon is always behind some peer; each confirmation holds once
+// the daemon has read as far as the peer had.
+type deferredConfirmations struct {
+	mu        sync.Mutex
+	bySubject [freshness.Subjects][]deferredConfirmation
+}
+
+type deferredConfirmation struct {
+	position feed.Position
+	freshness.Confirmation
+}
+
+// add defers a confirmation until a position has been read. Of more than maxDeferred, the oldest
+// ones are kept, since their positions are reached first.
+func (d *deferredConfirmations) add(subject freshness.Subject, position feed.Position, c freshness.Confirmation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.bySubject[subject]) < maxDeferred {
+		d.bySubject[subject] = append(d.bySubject[subject], deferredConfirmation{position, c})
+	}
+}
+
+// take returns the newest confirmation that holds at a position, and drops those up to it.
+func (d *deferredConfirmations) take(subject freshness.Subject, next feed.Position) (newest freshness.Confirmation, found bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var left []deferredConfirmation
+	for _, c := range d.bySubject[subject] {
+		switch {
+		case c.position > next:
+			left = append(left, c)
+		case !found || c.At > newest.At:
+			newest, found = c.Confirmation, true
+		}
+	}
+	d.bySubject[subject] = left
+	return newest, found
+}
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -104,7 +104,8 @@
 // checkStore checks the end of a topic if that is due, and returns the time until the next check
 // may be due. It skips a topic whose follower is already retrying.
 func (n *Node) checkStore(ctx context.Context, now time.Time) time.Duration {
-	subject, due, ok := n.state.NextCheck(n.currentCheckPlan(), n.rank(), n.ownCheckDue())
+	subject, due, ok := n.state.NextCheck(n.currentCheckPlan().Without(n.behind), n.rank(), n.ownCheckDue())
+	n.behind = nil
 	f := n.followers[subject]
 	switch {
 	case !ok || f.Unavailable():
@@ -122,6 +123,7 @@
 		n.log.Debug("store check failed", "subject", subject, "err", err)
 	case !current:
 		n.nextCheckAt = now.Add(catchUpPause)
+		n.behind = []freshness.Subject{subject} // another subject is next, or this one would delay it
 	}
 	return 0
 }
@@ -207,14 +209,24 @@
 	return n.ownCheckInterval() - n.storeContactAge()
 }
 
-// applyPeerConfirmations applies another daemon's confirmations, if this daemon has read at least
+// applyPeerConfirmations applies another daemon's confirmations, once this daemon has read at least
 // as far. Their ages count from after, a boot time before which the message was not built, so that
 // delay in transit does not make them appear fresher.
 func (n *Node) applyPeerConfirmations(message gossip.Message, after time.Duration) {
 	for subject := range freshness.Subjects {
+		next := n.followers[subject].Next()
+		if c, found := n.deferred.take(subject, next); found {
+			n.applyConfirmation(subject, c)
+		}
 		age, known := message.Age(subject)
-		if known && n.followers[subject].Next() >= message.NextPosition(int(subject)) {
-			n.applyConfirmation(subject, freshness.Confirmation{At: after - age, Source: message.Name})
+		if !known {
+			continue
+		}
+		c := freshness.Confirmation{At: after - age, Source: message.Name}
+		if position := message.NextPosition(int(subject)); next < position {
+			n.deferred.add(subject, position, c)
+			continue
 		}
+		n.applyConfirmation(subject, c)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,6 +156,11 @@
 	newerConfig newerConfig
 	// storedHolds are the holds recorded in the store.
 	storedHolds *storedHolds
+	// deferred are confirmations by peers that have read further.
+	deferred deferredConfirmations
+	// behind holds the subject whose last check found unread records; only maintainFreshness
+	// uses it.
+	behind []freshness.Subject
 	// nextCheckAt is the earliest time of the next store check; only maintainFreshness uses it.
 	nextCheckAt time.Time
 }
