--- a/internal/gossip/pack.go
+++ b/internal/gossip/pack.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -19,13 +20,21 @@
 	maxUnpackedBytes = 8 << 20
 )
 
+// compressors are reused, since each holds buffers of about a megabyte.
+var compressors = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is valid
+	}
+	return w
+}}
+
 // packRecords encodes records as compressed CBOR, or returns nil if it cannot.
 func packRecords(records []feed.Record) []byte {
 	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil
-	}
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(&out)
 	if cbor.NewEncoder(w).Encode(records) != nil || w.Close() != nil {
 		return nil
 	}
--- a/internal/gossip/pack_test.go
+++ b/internal/gossip/pack_test.go
@@ -32,3 +32,12 @@
 		t.Error("invalid bytes are accepted")
 	}
 }
+
+// Guards against buffers of a megabyte for each compressed response.
+func BenchmarkPackRecords(b *testing.B) {
+	records := []feed.Record{{Key: "server-00001", Value: make([]byte, 8<<10)}}
+	b.ReportAllocs()
+	for b.Loop() {
+		packRecords(records)
+	}
+}
