feed: do not skip a long record at the first position of a topic

Cause: the tail for another daemon said by a next position of zero that nothing follows, also when the first record, at position zero, was longer than a page. Change: whether more follows is said by itself. Also: new servers are counted in one line a batch; the counts by domain made 12 lines of it. Measured: TestLongFirstRecordIsNotSkipped, failing before.

--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -54,14 +54,14 @@
 	case from < f.records.snapshotAt && !snapshot:
 		return Tail{Next: from}
 	}
-	records, next := f.records.since(from, maxBytes)
-	if next != 0 && len(records) == 0 {
+	records, next, more := f.records.since(from, maxBytes)
+	if more && len(records) == 0 {
 		return Tail{Next: from, TooLong: true}
 	}
 	if snapshot {
 		records = slices.DeleteFunc(records, func(r Record) bool { return r.Value == nil })
 	}
-	if next == 0 {
+	if !more {
 		return Tail{Records: records, Next: end, End: end, Snapshot: snapshot}
 	}
 	return Tail{Records: records, Next: next, End: end, Snapshot: snapshot, More: true}
--- a/internal/feed/recordlog.go
+++ b/internal/feed/recordlog.go
@@ -55,8 +55,8 @@
 }
 
 // since returns the newest records from a position on, including removals, up to a size in bytes.
-// Next is the position after them, or zero if there are no more.
-func (l *recordLog) since(from Position, maxBytes int) (records []Record, next Position) {
+// More reports that further ones follow, from next on.
+func (l *recordLog) since(from Position, maxBytes int) (records []Record, next Position, more bool) {
 	start, _ := slices.BinarySearchFunc(l.order, from, func(p recordPosition, at Position) int { return cmp.Compare(p.at, at) })
 	size := 0
 	for _, p := range l.order[start:] {
@@ -65,9 +65,9 @@
 			continue
 		}
 		if size += len(r.Key) + len(r.Value); size > maxBytes {
-			return records, r.At
+			return records, r.At, true
 		}
 		records = append(records, r)
 	}
-	return records, 0
+	return records, 0, false
 }
--- a/internal/feed/recordlog_test.go
+++ b/internal/feed/recordlog_test.go
@@ -34,11 +34,11 @@
 		}
 		got := map[string]Position{}
 		for at := from; ; {
-			page, next := l.since(at, 100)
+			page, next, more := l.since(at, 100)
 			for _, r := range page {
 				got[r.Key] = r.At
 			}
-			if next == 0 {
+			if !more {
 				break
 			}
 			at = next
@@ -104,3 +104,16 @@
 		})
 	}
 }
+
+// Guards against a long record at the first position of a topic that other readers skip, so that no
+// daemon but the first learns of the configuration.
+func TestLongFirstRecordIsNotSkipped(t *testing.T) {
+	f := New(&Follower{Logger: log.New(io.Discard), Apply: func([]Record, bool) {}})
+	f.apply([]Record{{Key: "config", Value: make([]byte, 1000), At: 0}}, false, 1)
+	if got := f.TailPage(0, false, 100); !got.TooLong || got.Next != 0 {
+		t.Errorf("got %d records, next %d, too long %t", len(got.Records), got.Next, got.TooLong)
+	}
+	if got := f.TailPage(0, false, 2000); len(got.Records) != 1 || got.Next != 1 {
+		t.Errorf("got %d records, next %d", len(got.Records), got.Next)
+	}
+}
--- a/internal/node/entry_log.go
+++ b/internal/node/entry_log.go
@@ -1,9 +1,9 @@
 package node
 
 import (
-	"cmp"
-	"maps"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -16,7 +16,7 @@
 const maxEntryLines = 16
 
 // entryLog logs one batch of server entries. Servers that are new to the daemon are counted by
-// service and failure domain. Changes of known servers get a line each, up to maxEntryLines.
+// service and failure domain, in one line. Changes of known servers get a line each, up to maxEntryLines.
 type entryLog struct {
 	log *log.Logger
 	// confirmed is the age of the newest confirmation of the entries before the batch.
@@ -57,11 +57,14 @@
 
 // close logs the counts of the batch.
 func (e *entryLog) close() {
-	groups := slices.SortedFunc(maps.Keys(e.added), func(a, b serverGroup) int {
-		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.domain, b.domain))
-	})
-	for _, g := range groups {
-		e.log.Info("servers added", "service", g.service, "domain", g.domain, "servers", e.added[g], "confirmed_ms", e.confirmed.Milliseconds())
+	if len(e.added) > 0 {
+		total, groups := 0, make([]string, 0, len(e.added))
+		for g, n := range e.added {
+			total += n
+			groups = append(groups, fmt.Sprintf("%s/%s:%d", g.service, g.domain, n))
+		}
+		slices.Sort(groups)
+		e.log.Info("servers added", "servers", total, "by_domain", strings.Join(groups, " "), "confirmed_ms", e.confirmed.Milliseconds())
 	}
 	if e.omitted > 0 {
 		e.log.Info("further server entries changed", "servers", e.omitted, "confirmed_ms", e.confirmed.Milliseconds())
--- a/lab/emulate/fleet.go
+++ b/lab/emulate/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/feedtest"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/node"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 )
@@ -26,6 +27,8 @@
 const (
 	// startWindow is the time in which all daemons start.
 	startWindow = 300 * time.Millisecond
+	// linkBytesPerSecond is the rate at which a daemon sends.
+	linkBytesPerSecond = 1.25e6
 	// networkDelay is the one-way delay between daemons.
 	networkDelay = time.Millisecond
 	// failureDomains is the number of failure domains of the fleet.
@@ -53,15 +56,18 @@
 // daemon is one daemon of a fleet and its traffic.
 type daemon struct {
 	*node.Node
-	fleet           *fleet
-	name, domain    string
-	client          *feedtest.Client
-	stop            context.CancelFunc
-	messages        atomic.Int64
-	bytes           atomic.Int64
-	bytesAcross     atomic.Int64
-	sampled         atomic.Int64
-	seenPeers       sync.Map
+	fleet        *fleet
+	name, domain string
+	client       *feedtest.Client
+	stop         context.CancelFunc
+	messages     atomic.Int64
+	bytes        atomic.Int64
+	bytesAcross  atomic.Int64
+	sampled      atomic.Int64
+	seenPeers    sync.Map
+	// linkFreeAt is when the daemon's link has sent all that was given to it.
+	linkMu          sync.Mutex
+	linkFreeAt      time.Time
 	transportServer func(req gossip.RecordsRequest) gossip.RecordsResponse
 	exchange        func(msg gossip.Message) gossip.Message
 }
@@ -190,7 +196,13 @@
 	if err != nil {
 		return gossip.Message{}, err
 	}
+	if err := p.from.send(ctx, gossipBytes(msg)); err != nil {
+		return gossip.Message{}, err
+	}
 	resp := to.exchange(msg)
+	if err := to.send(ctx, gossipBytes(resp)); err != nil {
+		return gossip.Message{}, err
+	}
 	time.Sleep(networkDelay)
 	p.from.seenPeers.Store(address, true)
 	countTraffic(p.from, to, msg)
@@ -205,11 +217,40 @@
 		return gossip.RecordsResponse{}, err
 	}
 	resp := to.transportServer(req)
+	if err := to.send(ctx, len(resp.Packed)); err != nil {
+		return gossip.RecordsResponse{}, err
+	}
 	time.Sleep(networkDelay)
 	countTraffic(p.from, to, resp)
 	return resp, nil
 }
 
+// send takes the time that a message needs on the daemon's link, behind those before it. A message
+// whose caller has given up takes it as well.
+func (d *daemon) send(ctx context.Context, size int) error {
+	d.linkMu.Lock()
+	now := time.Now()
+	if d.linkFreeAt.Before(now) {
+		d.linkFreeAt = now
+	}
+	d.linkFreeAt = d.linkFreeAt.Add(time.Duration(float64(size) / linkBytesPerSecond * float64(time.Second)))
+	wait := d.linkFreeAt.Sub(now)
+	d.linkMu.Unlock()
+	loop.Sleep(ctx, wait)
+	return ctx.Err()
+}
+
+const (
+	// messageOverhead, recordBytes and addressBytes estimate the size of a gossip message.
+	messageOverhead = 250
+	recordBytes     = 110
+	addressBytes    = 18
+)
+
+func gossipBytes(msg gossip.Message) int {
+	return messageOverhead + recordBytes*len(msg.Peers) + addressBytes*len(msg.KnownAddresses)
+}
+
 // countTraffic counts a message for both sides.
 func countTraffic(a, b *daemon, msg any) {
 	a.messages.Add(1)
