--- a/internal/gossip/calls.go
+++ b/internal/gossip/calls.go
@@ -65,8 +65,8 @@
 const exchangeKind = "pulse"
 
 // maxRecordsBytes bounds the size of the records in one response, in bytes, compressed if the
-// requester accepts that. Longer ones are read from the log, since many daemons that fetch them from one peer at the same time
-// would saturate its link.
+// requester accepts that. Longer ones are read from the log, since many daemons that fetch them
+// from one peer at the same time would saturate its link.
 const maxRecordsBytes = 16 << 10
 
 // FetchRecords fetches records from one of the live daemons for which ahead reports that
--- a/internal/gossip/overlay.go
+++ b/internal/gossip/overlay.go
@@ -145,7 +145,8 @@
 	}
 }
 
-// dropAllWork drops the work of others, which partners do not send. Callers hold mu.
+// dropAllWork drops the work of all members, since messages in the overlay carry none. Callers hold
+// mu.
 func (m *Members) dropAllWork() {
 	for _, other := range m.members {
 		m.dropWork(other)
@@ -266,7 +267,7 @@
 		l.sent = max(l.sent, l.lastUpTo)
 	}
 	if msg.PeersDigest == 0 {
-		return // it has no records of others to pass on
+		return // a daemon in a mesh sends no peer records
 	}
 	for _, r := range msg.Peers {
 		m.mergeRecord(r, other.address, now)
--- a/internal/gossip/overlay_test.go
+++ b/internal/gossip/overlay_test.go
@@ -132,7 +132,7 @@
 			t.Error("the daemon is no longer live")
 		}
 		if reply := m.newMessage(partner, false); len(reply.Peers) == 0 {
-			t.Error("the daemon is not told, and cannot refute")
+			t.Error("the reply lacks the report that the daemon has to refute")
 		}
 	})
 }
--- a/internal/membership/overlay.go
+++ b/internal/membership/overlay.go
@@ -8,7 +8,7 @@
 )
 
 // MeshLimit is the largest number of daemons that all exchange messages with each other. Beyond
-// it, each daemon exchanges messages with its partners only, which pass on the state of others.
+// it, each daemon exchanges messages with its partners only, which forward peer records.
 const MeshLimit = 256
 
 // ringsPerScope is the number of rings in which a daemon has two neighbors, among the daemons of
