rollout, relay: no session uses a new version in the first half of its roll-out

Cause: the canary took the sessions of its share that no daemon had seen before. Each daemon listed its own sessions and told the list in its own calls until 1.2 s after the order. With 195 daemons a daemon hears some 80 others in that time, and sessions that began after its last call are in no list at all. A fixed delay stood for the end of an exchange.

Change: sessions stay on the old version until half of the order's time, which each daemon knows by itself; requests without a session use the canary from the start. From half on, the canary takes its share of the sessions by hash. It ends with 20 requests or at 0.62 of the time, the ramp with 60 requests or at 0.75 with 20; the full phase keeps its minimum length when it starts late. The list, its exchange and the tracker of sessions are removed.

--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +18,8 @@
 
 	mu     sync.Mutex
 	orders map[string]*orderState
-	// sessions holds the sessions seen within the idle timeout.
-	sessions sessionTracker
+	// sessionIdleTimeout is the maximum time between two requests of a session.
+	sessionIdleTimeout time.Duration
 	// baselines are the typical latency ratios of services, without the responses of
 	// versions being rolled out.
 	baselines map[string]*rollout.LatencyBaseline
@@ -49,48 +47,6 @@
 	peerReports map[string]OrderReport
 	// oldInFlight counts this daemon's requests on old servers.
 	oldInFlight int
-	// pinnedSessions are the sessions that this daemon saw before the canary began and
-	// that the canary share would move.
-	pinnedSessions map[uint64]bool
-}
-
-// sessionTracker records when the sessions of a service were last seen.
-type sessionTracker struct {
-	// idleTimeout is the maximum time between two requests of a session.
-	idleTimeout time.Duration
-	lastSeen    map[string]map[uint64]time.Time
-	nextSweep   time.Time
-}
-
-// add records a session, and periodically removes expired ones.
-func (s *sessionTracker) add(service string, session uint64, now time.Time) {
-	if s.lastSeen[service] == nil {
-		s.lastSeen[service] = map[uint64]time.Time{}
-	}
-	s.lastSeen[service][session] = now
-	if now.Before(s.nextSweep) {
-		return
-	}
-	s.nextSweep = now.Add(s.idleTimeout)
-	for _, sessions := range s.lastSeen {
-		for id, at := range sessions {
-			if now.Sub(at) > s.idleTimeout {
-				delete(sessions, id)
-			}
-		}
-	}
-}
-
-// canarySessions lists the recent sessions of a service that fall into the canary share.
-func (s *sessionTracker) canarySessions(service string, now time.Time) map[uint64]bool {
-	out := map[uint64]bool{}
-	share := rollout.DefaultOrderPolicy().Share(rollout.Canary) * shareResolution
-	for id, at := range s.lastSeen[service] {
-		if now.Sub(at) <= s.idleTimeout && float64(id>>versionHashShift%shareResolution) < share {
-			out[id] = true
-		}
-	}
-	return out
 }
 
 // OrderReport is a daemon's report on an order to its peers.
@@ -104,8 +60,6 @@
 	// Suspended is set if a daemon that evaluates the evidence of all has suspended the
 	// new version. Peers suspend it too, since the store may be unreachable.
 	Suspended bool `cbor:"8,keyasint,omitempty"`
-	// PinnedSessions were on the old version when the canary began.
-	PinnedSessions []uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // NewRollouts returns Rollouts without orders. SessionIdleTimeout is the maximum time
@@ -113,7 +67,7 @@
 func NewRollouts(sessionIdleTimeout time.Duration, now func() time.Time, logger *log.Logger) *Rollouts {
 	return &Rollouts{
 		log: logger, now: now, orders: map[string]*orderState{}, baselines: map[string]*rollout.LatencyBaseline{}, storedPhases: map[string]datedPhase{}, lostPhases: map[string]time.Time{},
-		sessions: sessionTracker{idleTimeout: sessionIdleTimeout, lastSeen: map[string]map[uint64]time.Time{}},
+		sessionIdleTimeout: sessionIdleTimeout,
 	}
 }
 
@@ -132,7 +86,7 @@
 		r.reconcile(order.Service)
 		return
 	}
-	order.SessionIdleTimeout = r.sessions.idleTimeout
+	order.SessionIdleTimeout = r.sessionIdleTimeout
 	r.orders[order.Service] = &orderState{
 		Order: order, orderedAt: r.now(),
 		ownEvidence: map[string]*rollout.ServerCounts{}, peerReports: map[string]OrderReport{},
@@ -149,6 +103,9 @@
 	order.suspended = order.suspended && !phase.Final()
 	r.log.Info("roll-out phase", "service", order.Service, "target", order.Target, "from", order.phase, "to", phase, "why", reason, "since_ms", r.now().Sub(order.orderedAt).Milliseconds())
 	order.phase = phase
+	if phase == rollout.Full {
+		order.FullSince = r.now().Sub(order.orderedAt)
+	}
 }
 
 // VersionChoice is the set of server versions that a request may use.
@@ -165,16 +122,14 @@
 
 func anyVersion(string) bool { return true }
 
-// ChooseVersion selects the server versions for a request. Sessions seen shortly before
-// the canary stay on the old version during it. Others are assigned by their hash, which
-// is the same on every daemon; as the share never shrinks, no session moves back.
+// ChooseVersion selects the server versions for a request. In the first half of a roll-out,
+// sessions stay on the old version. Later they are assigned by their hash, which is the same
+// on every daemon; as the share never shrinks, no session moves back.
 func (r *Rollouts) ChooseVersion(service, session string, hash uint64) VersionChoice {
-	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if session != "" {
 		hash = xxhash.Sum64String(session)
-		defer r.sessions.add(service, hash, now)
 	}
 	order := r.orders[service]
 	if order == nil {
@@ -183,42 +138,34 @@
 	target := order.Target
 	onNew := func(v string) bool { return v == target }
 	onOld := func(v string) bool { return v != target }
-	if order.phase == rollout.RolledBack {
+	age := r.now().Sub(order.orderedAt)
+	if order.phase == rollout.RolledBack || session != "" && order.keepsSessions(age) {
 		return VersionChoice{Preferred: onOld, Fallback: onOld}
 	}
-	if order.suspended {
+	if order.suspended || !order.inShare(hash, age) {
 		return VersionChoice{Preferred: onOld, Fallback: anyVersion}
 	}
-	share := rollout.DefaultOrderPolicy().Share(order.phase)
-	if order.phase == rollout.Canary && (now.Sub(order.orderedAt) < canaryDelay || session != "" && order.pinned(hash)) {
-		share = 0
-	}
-	if float64(hash>>versionHashShift%shareResolution) >= share*shareResolution {
-		if order.phase == rollout.Canary && session != "" {
-			return VersionChoice{Preferred: onOld, Fallback: onOld}
-		}
-		return VersionChoice{Preferred: onOld, Fallback: anyVersion}
-	}
-	return VersionChoice{Preferred: onNew, Fallback: anyVersion, Fraction: share}
+	return VersionChoice{Preferred: onNew, Fallback: anyVersion, Fraction: rollout.DefaultOrderPolicy().Share(order.phase)}
 }
 
-// canaryDelay is the time before the first request uses a new version. Meanwhile the
-// daemons exchange their sessions and new servers register.
-const canaryDelay = 1200 * time.Millisecond
+// keepsSessions reports whether all sessions stay on the old version. No daemon knows whether
+// a session had requests at others, so its first requests here may not use the new version either.
+func (o *orderState) keepsSessions(age time.Duration) bool {
+	return o.phase == rollout.Canary && rollout.DefaultOrderPolicy().KeepsSessions(o.Order, age)
+}
 
-// pinned reports whether a session was on the old version before the canary began.
-func (o *orderState) pinned(session uint64) bool {
-	if o.pinnedSessions[session] {
-		return true
-	}
-	for _, report := range o.peerReports {
-		if slices.Contains(report.PinnedSessions, session) {
-			return true
-		}
+// inShare reports whether requests or sessions with a hash use the new version.
+func (o *orderState) inShare(hash uint64, age time.Duration) bool {
+	if o.phase == rollout.Canary && age < canaryDelay {
+		return false
 	}
-	return false
+	return float64(hash>>versionHashShift%shareResolution) < rollout.DefaultOrderPolicy().Share(o.phase)*shareResolution
 }
 
+// canaryDelay is the time before the first request uses a new version. Meanwhile new
+// servers register; the canary's load would be too much for the first alone.
+const canaryDelay = 1200 * time.Millisecond
+
 // versionHashShift selects hash bits that are independent of those for the choice of
 // the service.
 const versionHashShift = 16
@@ -288,13 +235,9 @@
 			continue
 		}
 		order.oldInFlight = oldInFlight(order.Service, order.Target)
-		if order.phase == rollout.Canary && r.now().Sub(order.orderedAt) < canaryDelay {
-			// Until the canary begins, every session is on the old version.
-			order.pinnedSessions = r.sessions.canarySessions(order.Service, r.now())
-		}
 		report := OrderReport{
 			Service: order.Service, OrderOffset: order.Offset, Phase: order.phase, OrderAgeMs: r.now().Sub(order.orderedAt).Milliseconds(),
-			OldInFlight: order.oldInFlight, PinnedSessions: slices.Collect(maps.Keys(order.pinnedSessions)), Suspended: evaluates && order.suspended,
+			OldInFlight: order.oldInFlight, Suspended: evaluates && order.suspended,
 		}
 		if evidence {
 			report.Evidence = order.evidence()
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -15,6 +15,8 @@
 	Duration time.Duration
 	// SessionIdleTimeout is the maximum time between consecutive requests of a session.
 	SessionIdleTimeout time.Duration
+	// FullSince is the time from the order to its full phase, or zero before.
+	FullSince time.Duration
 	// Offset is the order's offset in the operator log and identifies it.
 	Offset uint64
 }
@@ -50,13 +52,18 @@
 	// CanaryShare and RampShare are the fractions of requests sent to the new version in
 	// each phase.
 	CanaryShare, RampShare float64
-	// CanaryEnd and RampEnd are the earliest ends of the phases. Sessions stay on their
-	// version for the first half of the duration, so the ramp starts no sooner.
-	CanaryEnd, RampEnd float64
+	// SessionsFrom is when the first sessions may move to the new version. The canary has
+	// only requests without a session until then, so the ramp starts no sooner.
+	SessionsFrom float64
+	// CanaryEnd is when the ramp starts without CanaryRequests, which few callers may not reach.
+	CanaryEnd float64
+	// RampEnd is the earliest and RampLimit the latest end of the ramp; see RampRequests.
+	RampEnd, RampLimit float64
 	// CompleteBy is when the order is completed even if streams still run on old servers.
 	CompleteBy float64
-	// MinRequests is the number of requests to the new version required for the ramp.
-	MinRequests int64
+	// CanaryRequests is the number of requests to the new version that ends the canary, and
+	// is required for the full phase. RampRequests ends the ramp between RampEnd and RampLimit.
+	CanaryRequests, RampRequests int64
 	// RollBackThreshold is the e-value at which the order is rolled back; see StagePolicy.
 	RollBackThreshold float64
 	// LeaveOneOutThreshold is the e-value that must remain for a rollback without any one
@@ -73,9 +80,10 @@
 func DefaultOrderPolicy() OrderPolicy {
 	return OrderPolicy{
 		CanaryShare: 0.1, RampShare: 0.4,
-		CanaryEnd: 0.5, RampEnd: 0.58,
-		CompleteBy:           0.93,
-		MinRequests:          20,
+		SessionsFrom: 0.5, CanaryEnd: 0.62,
+		RampEnd: 0.58, RampLimit: 0.75,
+		CompleteBy:     0.93,
+		CanaryRequests: 20, RampRequests: 60,
 		RollBackThreshold:    100,
 		LeaveOneOutThreshold: 3,
 		MinSlowShare:         0.5,
@@ -111,11 +119,11 @@
 	switch {
 	case progress >= 1 && phase < Full:
 		return RolledBack, "the deadline passed without enough evidence"
-	case phase == Canary && progress >= p.CanaryEnd && newCounts.Requests >= p.MinRequests:
+	case phase == Canary && progress >= p.SessionsFrom && (newCounts.Requests >= p.CanaryRequests || progress >= p.CanaryEnd):
 		return Ramp, fmt.Sprintf("%d requests on the new version without an alarm", newCounts.Requests)
-	case phase == Ramp && progress >= p.RampEnd:
+	case phase == Ramp && p.rampDone(progress, newCounts.Requests):
 		return Full, fmt.Sprintf("%d requests on the new version without an alarm", newCounts.Requests)
-	case phase == Full && oldRunning == 0 && progress >= p.RampEnd+o.minFullShare():
+	case phase == Full && oldRunning == 0 && progress >= max(p.RampEnd, float64(o.FullSince)/float64(o.Duration))+o.minFullShare():
 		return Completed, "nothing runs on old servers"
 	case phase == Full && progress >= p.CompleteBy:
 		return Completed, fmt.Sprintf("%d requests still run on old servers at the latest moment", oldRunning)
@@ -123,6 +131,19 @@
 	return phase, ""
 }
 
+// KeepsSessions reports whether all sessions stay on their version at a time since the order.
+func (p OrderPolicy) KeepsSessions(o Order, elapsed time.Duration) bool {
+	return float64(elapsed) < p.SessionsFrom*float64(o.Duration)
+}
+
+// rampDone reports whether the requests to the new version suffice for the full phase.
+func (p OrderPolicy) rampDone(progress float64, requests int64) bool {
+	if progress >= p.RampLimit {
+		return requests >= p.CanaryRequests
+	}
+	return progress >= p.RampEnd && requests >= p.RampRequests
+}
+
 // minFullPhase is the minimum length of the full phase, as a fraction of the duration.
 // Some faults show under full load only, and a completed order can't be rolled back.
 const minFullPhase = 0.2
--- a/internal/rollout/order_test.go
+++ b/internal/rollout/order_test.go
@@ -35,6 +35,7 @@
 func TestNextPhase(t *testing.T) {
 	o := Order{Duration: 24 * time.Second}
 	good := evidenceOf(0, 60, 3, 600, false)
+	few := evidenceOf(0, 20, 3, 200, false)
 	for _, tt := range []struct {
 		name       string
 		at         Phase
@@ -46,6 +47,10 @@
 		{"canary before its end", Canary, 5 * time.Second, good, 9, Canary},
 		{"canary at its end", Canary, 12 * time.Second, good, 9, Ramp},
 		{"canary without evidence", Canary, 13 * time.Second, nil, 9, Canary},
+		{"canary with few requests at its latest end", Canary, 15 * time.Second, few, 9, Ramp},
+		{"ramp with few requests at its end", Ramp, 14 * time.Second, few, 9, Ramp},
+		{"ramp with few requests at its latest end", Ramp, 18 * time.Second, few, 9, Full},
+		{"ramp without evidence at its latest end", Ramp, 18 * time.Second, nil, 9, Ramp},
 		{"deadline without evidence", Canary, 24 * time.Second, nil, 9, RolledBack},
 		{"ramp", Ramp, 13 * time.Second, good, 9, Ramp},
 		{"ramp at its end", Ramp, 14 * time.Second, good, 9, Full},
@@ -97,3 +102,15 @@
 		t.Errorf("%s after the session window, want completed", got)
 	}
 }
+
+// Guards against completing an order right after a late start of its full phase, since some
+// faults show under full load only.
+func TestLateFullPhaseHasItsMinimumLength(t *testing.T) {
+	o := Order{Duration: 24 * time.Second, FullSince: 17 * time.Second}
+	good := evidenceOf(0, 60, 3, 600, false)
+	for at, want := range map[time.Duration]Phase{20 * time.Second: Full, 22 * time.Second: Completed} {
+		if got, _ := DefaultOrderPolicy().NextPhase(o, Full, at, good, 0); got != want {
+			t.Errorf("%s at %s, want %s", got, at, want)
+		}
+	}
+}
