relay: a daemon that starts during a roll-out takes the order's age from its peers

A daemon dropped the reports on an order that it had not read yet, and took the order for new when it read it, until the next message of a peer. In the second half it sent sessions back to the old version meanwhile. The test failed before.

A retry in the canary's share stays on the new version: tested, no change was needed.

--- a/internal/relay/pick_test.go
+++ b/internal/relay/pick_test.go
@@ -74,3 +74,23 @@
 		}
 	}
 }
+
+// Guards against moving a session back to the old version when the canary's servers are
+// tried or refused while others of the new version are free.
+func TestRetryOfCanaryRequestStaysOnNewVersion(t *testing.T) {
+	for _, engines := range []int{12, 63, 240} {
+		s, rng := engineState("d", engines), rand.New(rand.NewPCG(1, 2))
+		req := engineRequirements(rng)
+		req.versions = VersionChoice{Preferred: func(v string) bool { return v == "v2" }, Fallback: anyVersion, Fraction: 0.1}
+		for range engines / 2 {
+			target, err := s.pick(req, 1000)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if target.server.Version != "v2" {
+				t.Fatalf("%d engines: version %s after %d servers of v2", engines, target.server.Version, len(req.tried))
+			}
+			req.tried = append(req.tried, target.server.ID)
+		}
+	}
+}
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -20,6 +20,8 @@
 	orders map[string]*orderState
 	// sessionIdleTimeout is the maximum time between two requests of a session.
 	sessionIdleTimeout time.Duration
+	// reportedOrders are the newest orders that peers reported and this daemon has not read.
+	reportedOrders map[string]reportedOrder
 	// baselines are the typical latency ratios of services, without the responses of
 	// versions being rolled out.
 	baselines map[string]*rollout.LatencyBaseline
@@ -35,6 +37,12 @@
 	storeEraChanged bool
 }
 
+// reportedOrder is an order as known from reports of peers.
+type reportedOrder struct {
+	offset    uint64
+	orderedAt time.Time
+}
+
 type orderState struct {
 	rollout.Order
 	phase rollout.Phase
@@ -66,7 +74,7 @@
 // between two requests of a session; now reads the clock.
 func NewRollouts(sessionIdleTimeout time.Duration, now func() time.Time, logger *log.Logger) *Rollouts {
 	return &Rollouts{
-		log: logger, now: now, orders: map[string]*orderState{}, baselines: map[string]*rollout.LatencyBaseline{}, storedPhases: map[string]datedPhase{}, lostPhases: map[string]time.Time{},
+		log: logger, now: now, orders: map[string]*orderState{}, baselines: map[string]*rollout.LatencyBaseline{}, storedPhases: map[string]datedPhase{}, reportedOrders: map[string]reportedOrder{}, lostPhases: map[string]time.Time{},
 		sessionIdleTimeout: sessionIdleTimeout,
 	}
 }
@@ -87,8 +95,12 @@
 		return
 	}
 	order.SessionIdleTimeout = r.sessionIdleTimeout
+	orderedAt := r.now()
+	if reported, known := r.reportedOrders[order.Service]; known && reported.offset == order.Offset {
+		orderedAt = reported.orderedAt
+	}
 	r.orders[order.Service] = &orderState{
-		Order: order, orderedAt: r.now(),
+		Order: order, orderedAt: orderedAt,
 		ownEvidence: map[string]*rollout.ServerCounts{}, peerReports: map[string]OrderReport{},
 	}
 	r.log.Info("roll-out ordered", "service", order.Service, "target", order.Target, "offset", order.Offset, "duration", order.Duration)
@@ -262,7 +274,9 @@
 	defer r.mu.Unlock()
 	for _, report := range reports {
 		order := r.orders[report.Service]
+		orderedAt := r.now().Add(-time.Duration(report.OrderAgeMs) * time.Millisecond)
 		if order == nil || order.Offset != report.OrderOffset {
+			r.rememberReported(report, orderedAt)
 			continue
 		}
 		if report.Evidence == nil {
@@ -273,8 +287,8 @@
 		if report.Suspended {
 			r.suspend(order, "suspended by an evaluating daemon")
 		}
-		if age := time.Duration(report.OrderAgeMs) * time.Millisecond; age > r.now().Sub(order.orderedAt) {
-			order.orderedAt = r.now().Add(-age)
+		if orderedAt.Before(order.orderedAt) {
+			order.orderedAt = orderedAt
 		}
 		if !report.Phase.Final() {
 			r.advance(order, report.Phase, "reported by another daemon")
@@ -282,6 +296,15 @@
 	}
 }
 
+// rememberReported keeps the time of an order that this daemon has not read yet. A daemon
+// that starts during a roll-out would otherwise take the order for new. Callers hold mu.
+func (r *Rollouts) rememberReported(report OrderReport, orderedAt time.Time) {
+	known := r.reportedOrders[report.Service]
+	if report.OrderOffset > known.offset || report.OrderOffset == known.offset && orderedAt.Before(known.orderedAt) {
+		r.reportedOrders[report.Service] = reportedOrder{report.OrderOffset, orderedAt}
+	}
+}
+
 // PhaseChange is a transition of an order to a phase. Age is the time since the order.
 type PhaseChange struct {
 	Order    rollout.Order
--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -92,6 +92,23 @@
 	}
 }
 
+// Guards against a daemon that starts in the second half of a roll-out, takes the order for
+// new and sends sessions back to the old version.
+func TestDaemonStartedDuringRolloutKnowsAgeOfOrder(t *testing.T) {
+	none := func(string, string) int { return 0 }
+	running := testRollouts()
+	running.orders["s"].orderedAt = time.Now().Add(-13 * time.Second)
+	started := NewRollouts(5*time.Second, time.Now, log.New(io.Discard))
+	started.ApplyReports("running/1", running.Reports(none, false, false))
+	started.AddOrder(rollout.Order{Service: "s", Target: "v2", Duration: 24 * time.Second, Offset: 7})
+	for i := range 1000 {
+		session := fmt.Sprint("session-", i)
+		if running.ChooseVersion("s", session, 0).Preferred("v2") != started.ChooseVersion("s", session, 0).Preferred("v2") {
+			t.Fatal("a session changes its version between two daemons")
+		}
+	}
+}
+
 // Guards against losing a peer's evidence when it sends a report without evidence.
 func TestReportWithoutEvidenceKeepsEarlierEvidence(t *testing.T) {
 	one, evaluator := testRollouts(), testRollouts()
