gate, relay, daemon: keep to the request rates that servers state

Cause: no daemon read the limit; the choice of a server knew nothing of it.

Change: the gate, which all sends of both routers pass, divides a stated rate among few daemons chosen by rendezvous hashing, as it does for servers that warm up: one sender for each request a second and two more, each at its own interval. All may send at the same moment, so that a window of 4 s holds at most five times the rate and two, of six times and five that are allowed; the rest is for daemons that do not yet agree on who is there. Without another server the request is refused at once as server_limited, with a Retry-After that is spread from the time at which a server has capacity.

--- a/internal/daemon/account.go
+++ b/internal/daemon/account.go
@@ -34,7 +34,7 @@
 
 // capacityKinds are the refusals caused by missing capacity. Unlike other
 // refusals, they count against service-level objectives.
-var capacityKinds = []fault.Kind{fault.Overloaded, fault.NoServer, fault.Warming, fault.Evacuated}
+var capacityKinds = []fault.Kind{fault.Overloaded, fault.NoServer, fault.Warming, fault.ServerLimited, fault.Evacuated}
 
 // recordOutcome counts a finished request against the objectives of its workspace. Requests
 // that were refused before they ran count only if capacity was missing.
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -164,6 +164,8 @@
 	switch reason, remaining := refused.Primary(); reason {
 	case gate.Warming:
 		return fault.New(fault.Warming, "the servers of pool %s that are left are warming up", pool).WithRetryAfter(remaining)
+	case gate.Limited:
+		return fault.New(fault.ServerLimited, "the servers of pool %s that are left have stated limits", pool).WithRetryAfter(remaining)
 	case gate.Evacuated:
 		return fault.New(fault.Evacuated, "the servers of pool %s that are left stand in evacuated failure domains", pool)
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -38,6 +38,7 @@
 	DeadlineExceeded   Kind = "deadline_exceeded"
 	NoServer           Kind = "no_server"
 	Warming            Kind = "warming"
+	ServerLimited      Kind = "server_limited"
 	Evacuated          Kind = "evacuated"
 	VersionWithdrawn   Kind = "version_withdrawn"
 	SessionRefused     Kind = "session_refused"
@@ -86,6 +87,7 @@
 	{DeadlineExceeded, http.StatusGatewayTimeout, Unknown, false, 0, "The deadline passed before the response was complete."},
 	{NoServer, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "No live backend server serves an allowed version."},
 	{Warming, http.StatusServiceUnavailable, NotRun, true, time.Second, "The remaining backend servers are warming up and have reached their request rate limit."},
+	{ServerLimited, http.StatusServiceUnavailable, NotRun, true, time.Second, "The remaining backend servers have stated a limit on their requests, and this daemon's share of it is used up."},
 	{Evacuated, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "The remaining backend servers are in failure domains that an operator has evacuated."},
 	{VersionWithdrawn, http.StatusGone, NotRun, false, 0, "The requested version is withdrawn and has no successor that the workspace may use."},
 	{SessionRefused, http.StatusForbidden, NotRun, false, 0, "The session token has an invalid signature, was signed with a retired key, or belongs to another workspace."},
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -26,12 +26,14 @@
 	Evacuated Reason = "evacuated"
 	// Warming servers have started recently, and this daemon has no share of their limit left.
 	Warming Reason = "warming"
+	// Limited servers have stated a request rate, and this daemon has no share of it left.
+	Limited Reason = "limited"
 	// RegionExcluded servers are in a region that the request must not be sent to.
 	RegionExcluded Reason = "region_excluded"
 )
 
 // Reasons returns all reasons for refusal, the most informative for callers first.
-func Reasons() []Reason { return []Reason{Held, RegionExcluded, Evacuated, Warming, Leaving} }
+func Reasons() []Reason { return []Reason{Held, RegionExcluded, Evacuated, Warming, Limited, Leaving} }
 
 // Server is the state of one incarnation of a backend server.
 type Server struct {
@@ -64,8 +66,10 @@
 	pacers     map[string]*pacer
 	// restarts are servers that have terminated and may restart under the same name.
 	restarts map[string]*restart
-	// limits are the request rates that servers state, by the hash of the server's ID.
-	limits *serverlimit.Table
+	// limits are the request rates that servers state, and limitPacers the pacers of sends to
+	// such servers, both by the hash of the server's ID.
+	limits      *serverlimit.Table
+	limitPacers map[uint64]*limitPacer
 }
 
 // restart describes a terminated server and its next incarnation.
@@ -87,12 +91,20 @@
 	warmAt time.Duration
 }
 
+// limitPacer paces the sends of this daemon to a server with a stated rate.
+type limitPacer struct {
+	slowstart.Pacer
+	share     slowstart.Share
+	sender    bool
+	perSecond float64
+}
+
 // New returns a gate without evacuations and with an empty view.
 func New() *Gate {
-	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[string]*restart{}, limits: serverlimit.NewTable()}
+	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[string]*restart{}, limits: serverlimit.NewTable(), limitPacers: map[uint64]*limitPacer{}}
 }
 
-// Limits returns the request rates that servers state.
+// Limits returns the request rates that servers state. They apply to the following checks.
 func (g *Gate) Limits() *serverlimit.Table { return g.limits }
 
 // Evacuate stops sends to a failure domain and reports whether they were allowed before.
@@ -149,7 +161,7 @@
 	}
 }
 
-// SetView sets the daemons that share the limits of warming servers.
+// SetView sets the daemons that share the limits of servers.
 func (g *Gate) SetView(v slowstart.View, now time.Duration) {
 	g.view = v
 	for id, p := range g.pacers {
@@ -161,6 +173,11 @@
 		p.share = slowstart.Share{}
 	}
 	g.limits.Expire(now)
+	for server, p := range g.limitPacers {
+		if p.perSecond = 0; g.limits.Rate(server) == 0 {
+			delete(g.limitPacers, server)
+		}
+	}
 	for id, r := range g.restarts {
 		if r.responded && now >= r.warmAt || now-r.terminatedAt > restartRetention {
 			delete(g.restarts, id)
@@ -200,16 +217,26 @@
 	if warmAt := g.WarmAt(s, now); now < warmAt && !g.warmupReady(s, warmAt, now) {
 		return Warming
 	}
+	if p := g.limitPacer(s); p != nil && !p.ready(now) {
+		return Limited
+	}
 	return Allowed
 }
 
 // Admit reports whether a request may be sent to a server, and counts a refusal.
 func (g *Gate) Admit(r Request, s Server, now time.Duration, refusals *Refusals) bool {
 	reason := g.Check(r, s, now)
-	if reason != Allowed {
+	switch reason {
+	case Allowed:
+		return true
+	case Warming:
 		refusals.Add(reason, g.WarmAt(s, now)-now)
+	case Limited:
+		refusals.Add(reason, g.limitPacer(s).remaining(now))
+	default:
+		refusals.Add(reason, 0)
 	}
-	return reason == Allowed
+	return false
 }
 
 func (g *Gate) isEvacuated(domain string) bool {
@@ -232,8 +259,41 @@
 	return p.sender && p.Ready(p.share, now)
 }
 
+// limitPacer returns the pacer of a server with a stated rate, or nil.
+func (g *Gate) limitPacer(s Server) *limitPacer {
+	perSecond := g.limits.Rate(s.Hash)
+	if perSecond == 0 {
+		return nil
+	}
+	p := g.limitPacers[s.Hash]
+	if p == nil {
+		p = &limitPacer{}
+		g.limitPacers[s.Hash] = p
+	}
+	if p.perSecond != perSecond {
+		p.perSecond, p.share = perSecond, serverlimit.ShareOf(perSecond, len(g.view.Peers)+1)
+		p.sender = g.view.IsSender(s.Hash, p.share.Senders)
+	}
+	return p
+}
+
+// ready reports whether this daemon may send to the server now.
+func (p *limitPacer) ready(now time.Duration) bool { return p.sender && p.Ready(p.share, now) }
+
+// remaining returns the time until the server has capacity for a request: of this daemon, or
+// of another if this one does not send to it.
+func (p *limitPacer) remaining(now time.Duration) time.Duration {
+	if !p.sender {
+		return p.share.Interval / time.Duration(p.share.Senders)
+	}
+	return p.Remaining(p.share, now)
+}
+
 // RecordSend records a send to a server for which Check returned Allowed.
 func (g *Gate) RecordSend(s Server, now time.Duration) {
+	if p := g.limitPacer(s); p != nil {
+		p.RecordSend(now)
+	}
 	if now >= g.WarmAt(s, now) {
 		return
 	}
@@ -246,18 +306,19 @@
 // usable server.
 type Refusals struct {
 	counts map[Reason]int
-	// warmupRemaining is the time until the first warming server is warm.
-	warmupRemaining time.Duration
+	// remaining is the least time until the reason ends for a server.
+	remaining map[Reason]time.Duration
 }
 
-// Add counts a refused server. warmIn is the time until it is warm, for warming servers.
-func (rs *Refusals) Add(r Reason, warmIn time.Duration) {
+// Add counts a refused server. Remaining is the time until the reason ends, or zero if that
+// is unknown.
+func (rs *Refusals) Add(r Reason, remaining time.Duration) {
 	if rs.counts == nil {
-		rs.counts = map[Reason]int{}
+		rs.counts, rs.remaining = map[Reason]int{}, map[Reason]time.Duration{}
 	}
 	rs.counts[r]++
-	if r == Warming && (rs.warmupRemaining == 0 || warmIn < rs.warmupRemaining) {
-		rs.warmupRemaining = warmIn
+	if least := rs.remaining[r]; least == 0 || remaining < least {
+		rs.remaining[r] = remaining
 	}
 }
 
@@ -265,13 +326,9 @@
 // time until the reason ends; zero if unknown.
 func (rs *Refusals) Primary() (Reason, time.Duration) {
 	for _, r := range Reasons() {
-		if rs.counts[r] == 0 {
-			continue
-		}
-		if r == Warming {
-			return r, rs.warmupRemaining
+		if rs.counts[r] > 0 {
+			return r, rs.remaining[r]
 		}
-		return r, 0
 	}
 	return Allowed, 0
 }
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -92,10 +92,12 @@
 }
 
 // noServerError returns the refusal for a request that no server can take.
-func noServerError(sel *selection, req *requirements) *fault.Error {
+func (s *State) noServerError(sel *selection, req *requirements) *fault.Error {
 	switch reason, left := sel.refusals.Primary(); reason {
 	case gate.Warming:
 		return fault.New(fault.Warming, "the servers of %s that are left are warming up", req.service).WithRetryAfter(max(left, minWarmingRetryAfter))
+	case gate.Limited:
+		return fault.New(fault.ServerLimited, "the servers of %s that are left have stated limits", req.service).WithRetryAfter(s.limitedRetryAfter(left))
 	case gate.Evacuated:
 		return fault.New(fault.Evacuated, "the servers of %s that are left stand in evacuated failure domains", req.service)
 	}
@@ -106,6 +108,20 @@
 // short, as their limit admits further requests meanwhile.
 const minWarmingRetryAfter = 100 * time.Millisecond
 
+const (
+	// minLimitedRetryAfter and maxLimitedRetryAfter bound the Retry-After while servers state
+	// limits, before it is spread.
+	minLimitedRetryAfter = 100 * time.Millisecond
+	maxLimitedRetryAfter = 2 * time.Second
+)
+
+// limitedRetryAfter returns a random time from the one at which a server has capacity for a
+// request, so that refused clients do not return together. Callers hold mu.
+func (s *State) limitedRetryAfter(remaining time.Duration) time.Duration {
+	remaining = min(max(remaining, minLimitedRetryAfter), maxLimitedRetryAfter)
+	return remaining + time.Duration(s.rng.Int64N(int64(remaining)))
+}
+
 // slowStartLimit returns the limit of a warming server of the call's service.
 func (r *Relay) slowStartLimit(x *exchange) slowstart.Limit {
 	return slowstart.Limit{
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -188,7 +188,7 @@
 		return nil, fault.New(fault.Overloaded, "the first server of %s would begin after %s", req.service, sel.decision.Expected.Round(time.Millisecond))
 	}
 	if sel.decision.Index < 0 {
-		return nil, noServerError(&sel, req)
+		return nil, s.noServerError(&sel, req)
 	}
 	candidate := sel.candidates[sel.decision.Index]
 	tracker, blocks := sel.service.tracker, sel.request.Blocks
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -97,5 +97,13 @@
 	return !p.sent || now-p.lastSend >= s.Interval
 }
 
+// Remaining returns the time until a share allows a send.
+func (p *Pacer) Remaining(s Share, now time.Duration) time.Duration {
+	if p.Ready(s, now) {
+		return 0
+	}
+	return p.lastSend + s.Interval - now
+}
+
 // RecordSend records the time of a send.
 func (p *Pacer) RecordSend(now time.Duration) { p.lastSend, p.sent = now, true }
