engine, daemon: the own interface keeps to limits that engines state

The own interface had the same fault: no header of an engine's answer was read. Heartbeats tell other daemons of changes, the member table all rates. The gate is the one of the platform's router. Retry-After of both is spread by serverlimit.RetryAfter. The stand-in engine can state a limit.

--- a/internal/daemon/gate_test.go
+++ b/internal/daemon/gate_test.go
@@ -107,3 +107,57 @@
 		}
 	}
 }
+
+// Guards against sending a server more than the limit that it states, and against a limit that
+// is kept after the server has lifted it.
+func TestPickKeepsToStatedLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, cfg := newSlowStartBalancer(t)
+		picked, err := b.sendOne(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.observeLimit(picked.candidate.Address, 2, time.Now())
+		const window = 4 * time.Second
+		sent := b.sendsTo(cfg, picked.candidate.ID, window)
+		if allowed := 1.5*2*window.Seconds() + 5; sent < 4 || float64(sent) > allowed {
+			t.Errorf("%d requests sent in %s, allowed %.0f", sent, window, allowed)
+		}
+		time.Sleep(time.Millisecond)
+		b.observeLimit(picked.candidate.Address, 0, time.Now())
+		if sent := b.sendsTo(cfg, picked.candidate.ID, window); sent < 100 {
+			t.Errorf("%d requests sent after the limit was lifted", sent)
+		}
+	})
+}
+
+// sendsTo counts the requests to a server in a period of constant load.
+func (b *balancer) sendsTo(cfg *fleet.Config, server string, period time.Duration) (sent int) {
+	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if got, err := b.sendOne(cfg); err == nil && got.candidate.ID == server {
+			sent++
+		}
+	}
+	return sent
+}
+
+// Guards against a refusal with another kind, or without Retry-After, if all servers state limits.
+func TestAllServersLimitedIsRefusedAsServerLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, cfg := newSlowStartBalancer(t)
+		if _, err := b.sendOne(cfg); err != nil { // creates the pool's candidates
+			t.Fatal(err)
+		}
+		for _, server := range cfg.Pools["p"].Servers {
+			b.observeLimit(server.Address, 0.5, time.Now())
+		}
+		for range cfg.Pools["p"].Servers {
+			if _, err := b.sendOne(cfg); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := b.sendOne(cfg); !fault.Is(err, fault.ServerLimited) || fault.FromError(err).RetryDelay() <= 0 {
+			t.Errorf("got %v", err)
+		}
+	})
+}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -44,7 +44,7 @@
 	peer.Handle(server, "members", func(context.Context, string, peer.MembersRequest) (peer.MembersResponse, error) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		return peer.MembersResponse{Members: m.table.Snapshot(), Quarantine: m.d.guard.Update(true)}, nil
+		return peer.MembersResponse{Members: m.table.Snapshot(), Quarantine: m.d.guard.Update(true), ServerLimits: m.d.balancer.serverLimits(true)}, nil
 	})
 }
 
@@ -118,6 +118,7 @@
 		return
 	}
 	m.d.guard.Merge(resp.Quarantine)
+	m.d.balancer.mergeLimits(resp.ServerLimits)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.syncedAt = time.Now()
@@ -127,14 +128,15 @@
 func (m *memberlist) heartbeat() peer.Heartbeat {
 	next := m.d.config.nextOffset()
 	at, _ := m.d.balancer.leavingServers()
-	quarantined := m.d.guard.Update(false)
+	quarantined, limits := m.d.guard.Update(false), m.d.balancer.serverLimits(false)
 	table := m.lockTable()
 	defer m.mu.Unlock()
-	return peer.Heartbeat{Sender: table.Self(), Rumors: table.NextRumors(), ConfigNext: next, LeavingReadAt: at, Quarantine: quarantined}
+	return peer.Heartbeat{Sender: table.Self(), Rumors: table.NextRumors(), ConfigNext: next, LeavingReadAt: at, Quarantine: quarantined, ServerLimits: limits}
 }
 
 func (m *memberlist) applyHeartbeat(hb peer.Heartbeat) {
 	m.d.guard.Merge(hb.Quarantine)
+	m.d.balancer.mergeLimits(hb.ServerLimits)
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -36,6 +36,7 @@
 	claimsLost          tally.Counter
 	leaseRequestsFailed tally.Counter
 	serversTerminated   tally.Counter
+	serversLimited      tally.Gauge
 	requestsHeld        tally.Gauge
 	panics              tally.Counter
 }
@@ -69,6 +70,7 @@
 		"usage_pending":        "Usage records not yet confirmed by the log.",
 		"members_alive":        "Members in the alive state, including this daemon.",
 		"first_token_seconds":  "Time to the first token.",
+		"servers_limited":      "Backend servers that state a limit on their requests per second.",
 		"servers_ended":        "Backend servers that terminated while running requests of this daemon.",
 		"panics":               "Panics recovered in request handlers; the stack is in the log.",
 		"requests_held":        "Requests held because servers terminated while running them.",
@@ -103,6 +105,7 @@
 		claimsLost:          s.Counter("claims_lost"),
 		leaseRequestsFailed: s.Counter("limits_homeless"),
 		serversTerminated:   s.Counter("servers_ended"),
+		serversLimited:      s.Gauge("servers_limited"),
 		requestsHeld:        s.Gauge("requests_held"),
 		panics:              s.Counter("panics"),
 		configurationNumber: s.Gauge("configuration_number"),
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -12,6 +12,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/gate"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
+	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
 )
 
@@ -145,7 +146,7 @@
 	p.load.Prefix.Lookup(r)
 	decision := routing.DefaultPipeline().Pick(r, candidates, b.rng)
 	if decision.Index < 0 {
-		return pick{}, pickError(decision, poolName, &refused)
+		return pick{}, b.pickError(decision, poolName, &refused)
 	}
 	chosen := candidates[decision.Index]
 	b.recordSend(p, cfg.Pools[poolName].SlowStart, &chosen)
@@ -157,7 +158,8 @@
 	}, nil
 }
 
-func pickError(decision routing.Decision, pool string, refused *gate.Refusals) *fault.Error {
+// pickError returns the refusal for a request that no server can take. Callers hold mu.
+func (b *balancer) pickError(decision routing.Decision, pool string, refused *gate.Refusals) *fault.Error {
 	if decision.Refusal == routing.BudgetExceeded {
 		return fault.New(fault.Overloaded, "pool %s would answer in %s, after the deadline", pool, decision.Expected.Round(time.Millisecond)).WithRetryAfter(max(time.Second, decision.Expected/2))
 	}
@@ -165,7 +167,7 @@
 	case gate.Warming:
 		return fault.New(fault.Warming, "the servers of pool %s that are left are warming up", pool).WithRetryAfter(remaining)
 	case gate.Limited:
-		return fault.New(fault.ServerLimited, "the servers of pool %s that are left have stated limits", pool).WithRetryAfter(remaining)
+		return fault.New(fault.ServerLimited, "the servers of pool %s that are left have stated limits", pool).WithRetryAfter(serverlimit.RetryAfter(remaining, b.rng.Float64()))
 	case gate.Evacuated:
 		return fault.New(fault.Evacuated, "the servers of pool %s that are left stand in evacuated failure domains", pool)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -50,6 +50,8 @@
 	unpooled *http.Client
 	// idleTimeout is the longest time between two lines of a stream.
 	idleTimeout time.Duration
+	// ObserveLimit is called with every response to a run or call, if it is set.
+	ObserveLimit LimitObserver
 }
 
 const (
@@ -83,24 +85,30 @@
 		return nil, oops.In("engine").Wrapf(err, "encode run")
 	}
 	header := http.Header{"X-Run-Id": {run.ID}, "X-Priority": {strconv.Itoa(run.Priority)}, "Content-Type": {"application/json"}}
-	return c.stream(ctx, c.pooled, http.MethodPost, "http://"+address+"/v1/chat/completions", header, data)
+	sentAt := time.Now()
+	resp, stream, err := c.stream(ctx, c.pooled, http.MethodPost, "http://"+address+"/v1/chat/completions", header, data)
+	if resp != nil {
+		c.observeLimit(address, sentAt, resp.Header)
+	}
+	return stream, err
 }
 
 // Resume continues the stream of a run after the event with an offset. It always opens
 // a new connection, since a pooled one may have been dropped silently by a middlebox.
 func (c *Client) Resume(ctx context.Context, address, runID string, lastEvent int) (*Stream, error) {
 	header := http.Header{"Last-Event-ID": {strconv.Itoa(lastEvent)}}
-	return c.stream(ctx, c.unpooled, http.MethodGet, "http://"+address+"/v1/runs/"+url.PathEscape(runID)+"/events", header, nil)
+	_, stream, err := c.stream(ctx, c.unpooled, http.MethodGet, "http://"+address+"/v1/runs/"+url.PathEscape(runID)+"/events", header, nil)
+	return stream, err
 }
 
 // stream sends a request whose response is a stream. The idle timeout also applies to
-// the wait for the response header.
-func (c *Client) stream(ctx context.Context, client *http.Client, method, target string, header http.Header, body []byte) (*Stream, error) {
+// the wait for the response header. It returns the response also with an error status.
+func (c *Client) stream(ctx context.Context, client *http.Client, method, target string, header http.Header, body []byte) (*http.Response, *Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		cancel()
-		return nil, oops.In("engine").Wrapf(err, "build request")
+		return nil, nil, oops.In("engine").Wrapf(err, "build request")
 	}
 	req.Header = header
 	idleTimer := time.AfterFunc(c.idleTimeout, cancel)
@@ -108,15 +116,15 @@
 	if err != nil {
 		idleTimer.Stop()
 		cancel()
-		return nil, wrapDialError(err)
+		return nil, nil, wrapDialError(err)
 	}
 	if err := checkStatus(resp); err != nil {
 		idleTimer.Stop()
 		_ = resp.Body.Close()
 		cancel()
-		return nil, err
+		return resp, nil, err
 	}
-	return newStream(resp.Body, cancel, idleTimer, c.idleTimeout), nil
+	return resp, newStream(resp.Body, cancel, idleTimer, c.idleTimeout), nil
 }
 
 // RefusesConnections reports whether the VM refuses connections to an address, which means
@@ -236,11 +244,13 @@
 	// Without GetBody the transport cannot resend the request after a lost
 	// connection, so that a non-idempotent request does not run twice.
 	req.GetBody = nil
+	sentAt := time.Now()
 	resp, err := c.unpooled.Do(req)
 	if err != nil {
 		return 0, nil, wrapDialError(err)
 	}
 	defer resp.Body.Close()
+	c.observeLimit(address, sentAt, resp.Header)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	return resp.StatusCode, data, oops.In("engine").Wrapf(err, "read response")
 }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -8,6 +8,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/quota"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
+	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/slo"
 )
 
@@ -23,6 +24,8 @@
 	LeavingServers []string `cbor:"5,keyasint,omitempty"`
 	// Quarantine holds recent changes of the quarantine.
 	Quarantine quarantine.Update `cbor:"6,keyasint,omitempty"`
+	// ServerLimits holds the recent changes of the request rates that servers state.
+	ServerLimits []serverlimit.Update `cbor:"7,keyasint,omitempty"`
 }
 
 // MembersRequest requests the membership table of a daemon.
@@ -33,6 +36,8 @@
 	Members []membership.Rumor `cbor:"1,keyasint"`
 	// Quarantine holds the whole quarantine.
 	Quarantine quarantine.Update `cbor:"2,keyasint,omitempty"`
+	// ServerLimits holds all request rates that servers state.
+	ServerLimits []serverlimit.Update `cbor:"3,keyasint,omitempty"`
 }
 
 // ConfigRequest requests configuration records from an offset on.
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -6,6 +6,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
+	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
 )
 
@@ -91,13 +92,13 @@
 	return n
 }
 
-// noServerError returns the refusal for a request that no server can take.
+// noServerError returns the refusal for a request that no server can take. Callers hold mu.
 func (s *State) noServerError(sel *selection, req *requirements) *fault.Error {
 	switch reason, left := sel.refusals.Primary(); reason {
 	case gate.Warming:
 		return fault.New(fault.Warming, "the servers of %s that are left are warming up", req.service).WithRetryAfter(max(left, minWarmingRetryAfter))
 	case gate.Limited:
-		return fault.New(fault.ServerLimited, "the servers of %s that are left have stated limits", req.service).WithRetryAfter(s.limitedRetryAfter(left))
+		return fault.New(fault.ServerLimited, "the servers of %s that are left have stated limits", req.service).WithRetryAfter(serverlimit.RetryAfter(left, s.rng.Float64()))
 	case gate.Evacuated:
 		return fault.New(fault.Evacuated, "the servers of %s that are left stand in evacuated failure domains", req.service)
 	}
@@ -108,20 +109,6 @@
 // short, as their limit admits further requests meanwhile.
 const minWarmingRetryAfter = 100 * time.Millisecond
 
-const (
-	// minLimitedRetryAfter and maxLimitedRetryAfter bound the Retry-After while servers state
-	// limits, before it is spread.
-	minLimitedRetryAfter = 100 * time.Millisecond
-	maxLimitedRetryAfter = 2 * time.Second
-)
-
-// limitedRetryAfter returns a random time from the one at which a server has capacity for a
-// request, so that refused clients do not return together. Callers hold mu.
-func (s *State) limitedRetryAfter(remaining time.Duration) time.Duration {
-	remaining = min(max(remaining, minLimitedRetryAfter), maxLimitedRetryAfter)
-	return remaining + time.Duration(s.rng.Int64N(int64(remaining)))
-}
-
 // slowStartLimit returns the limit of a warming server of the call's service.
 func (r *Relay) slowStartLimit(x *exchange) slowstart.Limit {
 	return slowstart.Limit{
--- /dev/null
+++ b/internal/relay/serverlimits_test.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/slowstart"
+)
+
+// limited adds a stated limit to responses.
+func limited(perSecond float64, respond func(BackendRequest) (*BackendResponse, error)) func(BackendRequest) (*BackendResponse, error) {
+	return func(r BackendRequest) (*BackendResponse, error) {
+		resp, err := respond(r)
+		if err == nil {
+			resp.StatedLimit = perSecond
+		}
+		return resp, err
+	}
+}
+
+// Guards against sends beyond a stated limit by first sends, retries and larger models, and
+// against refusals that hide the reason or claim too much.
+func TestEverySendKeepsToStatedLimits(t *testing.T) {
+	const perSecond, window, servers = 1.0, 4 * time.Second, 3
+	for name, tt := range map[string]struct {
+		path    string
+		respond func(BackendRequest) (*BackendResponse, error)
+	}{
+		"plain":            {"/p/x", respond(200, "ok")},
+		"retry of failure": {"/l/x", respond(500, "bad")},
+		"retry of refusal": {"/l/x", respondNotRun},
+		"stream":           {"/s/x", respondStream(99, nil, 0, 1)},
+		"escalation":       {"/s/x", respondStream(1, nil, 0, 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, limited(perSecond, tt.respond))
+			h.relay.State.SetSlowStartView(slowstart.View{Self: 1, Trusted: true})
+			refused := 0
+			for end := h.clock.now + window; h.clock.now < end; h.clock.now += 10 * time.Millisecond {
+				sends := len(h.backend.sends)
+				out := h.call(tt.path)
+				if out.refusal == nil || len(h.backend.sends) > sends {
+					continue
+				}
+				refused++
+				if out.refusal.Kind != fault.ServerLimited || out.refusal.ExecutionState() != fault.NotRun || out.refusal.RetryDelay() <= 0 {
+					t.Fatalf("got %v", out.refusal)
+				}
+			}
+			if allowed := servers * (1.5*perSecond*window.Seconds() + 5); float64(len(h.backend.sends)) > allowed || refused == 0 {
+				t.Errorf("%d sends to %d servers, allowed %.0f; %d refused", len(h.backend.sends), servers, allowed, refused)
+			}
+		})
+	}
+}
+
+// Guards against a limit that is known only to the daemon that got the response.
+func TestStatedLimitsAreToldToOtherDaemons(t *testing.T) {
+	one, other := newHarness(t, limited(2, respond(200, "ok"))), newHarness(t, respond(200, "ok"))
+	for range 20 {
+		one.call("/p/x")
+	}
+	other.relay.MergeServerLimits(one.relay.State.ServerLimits(false))
+	if n := other.relay.State.LimitedServers(); n == 0 || n != one.relay.State.LimitedServers() {
+		t.Errorf("%d limited servers known, want %d", n, one.relay.State.LimitedServers())
+	}
+	other.relay.MergeServerLimits([]serverlimit.Update{{Server: 1, PerSecond: -1}, {Server: 2, PerSecond: 1, AgeMs: -1}})
+	if n := other.relay.State.LimitedServers(); n != one.relay.State.LimitedServers() {
+		t.Errorf("invalid reports were applied: %d limited servers", n)
+	}
+}
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -171,3 +171,16 @@
 	interval := jitterFactor * float64(senders) / max(perSecond, minRate)
 	return slowstart.Share{Senders: senders, Interval: time.Duration(interval * float64(time.Second))}
 }
+
+const (
+	// minRetryAfter and maxRetryAfter bound the Retry-After of refusals before it is spread.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// RetryAfter returns when a refused caller should return, given the time until a server has
+// capacity for a request. Random, in [0, 1), spreads the callers, who would return together.
+func RetryAfter(remaining time.Duration, random float64) time.Duration {
+	remaining = min(max(remaining, minRetryAfter), maxRetryAfter)
+	return remaining + time.Duration(random*float64(remaining))
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -59,6 +59,8 @@
 	canceledRuns int
 	// onCrash is called when a run crashes the engine.
 	onCrash func()
+	// statedLimit is the stated number of requests per second; zero states none.
+	statedLimit int
 }
 
 // CrashMarker in a request crashes the fake server that starts to run it.
@@ -179,7 +181,20 @@
 	} `json:"messages"`
 }
 
+// SetStatedLimit makes responses state a number of requests per second; zero states none.
+func (e *Engine) SetStatedLimit(perSecond int) { e.mu.Lock(); e.statedLimit = perSecond; e.mu.Unlock() }
+
+// writeStatedLimit adds the stated limit to a response.
+func (e *Engine) writeStatedLimit(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.statedLimit > 0 {
+		w.Header().Set("RateLimit-Policy", fmt.Sprintf(`"engine";q=%d;w=1`, e.statedLimit))
+	}
+}
+
 func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	e.writeStatedLimit(w)
 	var in completionRequest
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		rejectNotStarted(w, http.StatusBadRequest, err.Error())
