--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -31,6 +31,7 @@
 	startMillis   int64
 	runHistory    []Run
 	onCrash       func()
+	statedLimit   float64
 }
 
 // Run is a request whose execution has started.
@@ -100,6 +101,13 @@
 // SetLoseResponses sets whether the server executes requests but aborts their connections.
 func (s *BackendServer) SetLoseResponses(on bool) { s.mu.Lock(); s.loseResponses = on; s.mu.Unlock() }
 
+// SetStatedLimit makes responses state a number of requests per second; zero states none.
+func (s *BackendServer) SetStatedLimit(perSecond float64) {
+	s.mu.Lock()
+	s.statedLimit = perSecond
+	s.mu.Unlock()
+}
+
 // RunCount returns how often a request was executed.
 func (s *BackendServer) RunCount(id string) int {
 	s.mu.Lock()
@@ -142,6 +150,9 @@
 	}
 	s.mu.Lock()
 	shedding, failureStatus, loseResponse, breakAtEvent := s.shedding, s.failureStatus, s.loseResponses, s.breakAtEvent
+	if s.statedLimit > 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(s.statedLimit, 'f', -1, 64))
+	}
 	if !shedding {
 		s.runCounts[id]++
 		s.runHistory = append(s.runHistory, Run{id, time.Now()})
--- a/lab/soak/cluster.go
+++ b/lab/soak/cluster.go
@@ -53,6 +53,7 @@
 	// crashTimes are the times at which deadly requests crashed servers.
 	crashTimes  []time.Time
 	warmups     []warmup
+	limits      []limitPeriod
 	evacuations []evacuation
 	// restarting is the set of servers, by index, that are down until their next start.
 	restarting map[int]bool
@@ -126,7 +127,7 @@
 	stopClients()
 	<-done
 	r := &result{requests: len(gen.calls), faults: fmt.Sprintf("%s (the store returned %d times)", strings.Join(cl.faults, " "), cl.restoreCount)}
-	r.violations = slices.Concat(checkCalls(gen.calls, cl.executions, cl.revoked), checkInvalidEntries(cl.invalidEntries, cl.servers), checkFalseQuarantines(gen.calls), checkQuarantine(cl.crashTimes, cl.crashingArrivals(gen.calls)), cl.checkAdmission(), checkPanics(cl.daemons))
+	r.violations = slices.Concat(checkCalls(gen.calls, cl.executions, cl.revoked), checkInvalidEntries(cl.invalidEntries, cl.servers), checkFalseQuarantines(gen.calls), checkQuarantine(cl.crashTimes, cl.crashingArrivals(gen.calls)), cl.checkAdmission(), cl.checkLimits(), checkPanics(cl.daemons))
 	r.successRate, _ = successRate(gen.calls, faultStart, recoveryStart, cl.revoked)
 	r.recoveryRate, _ = successRate(gen.calls, recoveryStart, recoveryEnd, cl.revoked)
 	r.recoveryOutcomes = countOutcomes(gen.calls, recoveryStart, recoveryEnd)
@@ -259,6 +260,8 @@
 			c.injectRestartFault()
 		case opts.warming:
 			c.injectWarmupFault()
+		case opts.limits:
+			c.injectLimitFault()
 		default:
 			c.injectFault(time.Duration(c.rng.Int64N(int64(maxFaultDuration))))
 		}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -37,6 +37,7 @@
 		{"store restored from older snapshots", 5, options{duration: 6 * time.Second, daemons: 3, storeRestores: true}},
 		{"requests that crash servers", 3, options{duration: 6 * time.Second, daemons: 3, crashingRequests: true}},
 		{"warm-ups and evacuations", 4, options{duration: 6 * time.Second, daemons: 3, warming: true}},
+		{"servers that state limits", 6, options{duration: 10 * time.Second, daemons: 3, limits: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			r, err := runSeed(t.Context(), tt.seed, tt.options, binary, filepath.Join(dir, strconv.FormatUint(tt.seed, 10)))
@@ -117,6 +118,28 @@
 	}
 }
 
+// Guards against a check that misses a limited server with too many requests.
+func TestCheckLimitsReportsViolations(t *testing.T) {
+	now := time.Now()
+	var runs []standin.Run
+	for i := range 12 {
+		runs = append(runs, standin.Run{ID: strconv.Itoa(i), At: now.Add(limitNotice + time.Duration(i+1)*100*time.Millisecond)})
+	}
+	arrivals := func(int) []standin.Run { return runs }
+	if violations := checkLimits([]limitPeriod{{0, 1, now, now.Add(limitDuration)}}, arrivals); len(violations) != 1 {
+		t.Errorf("12 requests, 11 are allowed: %v", violations)
+	}
+	for name, limit := range map[string]limitPeriod{
+		"higher limit":      {0, 2, now, now.Add(limitDuration)},
+		"before the notice": {0, 1, now.Add(limitNotice), now.Add(limitDuration)},
+		"lifted":            {0, 1, now.Add(-limitDuration), now},
+	} {
+		if violations := checkLimits([]limitPeriod{limit}, arrivals); len(violations) != 0 {
+			t.Errorf("%s: %v", name, violations)
+		}
+	}
+}
+
 // Guards against checks that miss overloaded warming servers, late sends to evacuated
 // domains, or panics.
 func TestCheckAdmissionAndPanicsReportViolations(t *testing.T) {
