--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -70,8 +70,15 @@
 	// such servers, both by the hash of the server's ID.
 	limits      *serverlimit.Table
 	limitPacers map[uint64]*limitPacer
+	// fleetSize is the largest number of daemons in a recent view, at fleetSizeAt.
+	fleetSize   int
+	fleetSizeAt time.Duration
 }
 
+// fleetSizeMemory is how long stated rates are divided among daemons that left the view. They
+// may still send, unknown to this daemon.
+const fleetSizeMemory = 10 * time.Second
+
 // restart describes a terminated server and its next incarnation.
 type restart struct {
 	terminatedAt time.Duration
@@ -172,6 +179,9 @@
 	for _, p := range g.pacers {
 		p.share = slowstart.Share{}
 	}
+	if size := len(v.Peers) + 1; size >= g.fleetSize || now-g.fleetSizeAt > fleetSizeMemory {
+		g.fleetSize, g.fleetSizeAt = size, now
+	}
 	g.limits.Expire(now)
 	for server, p := range g.limitPacers {
 		if p.perSecond = 0; g.limits.Rate(server) == 0 {
@@ -271,7 +281,7 @@
 		g.limitPacers[s.Hash] = p
 	}
 	if p.perSecond != perSecond {
-		p.perSecond, p.share = perSecond, serverlimit.ShareOf(perSecond, len(g.view.Peers)+1)
+		p.perSecond, p.share = perSecond, serverlimit.ShareOf(perSecond, g.fleetSize)
 		p.sender = g.view.IsSender(s.Hash, p.share.Senders)
 	}
 	return p
--- a/internal/gate/limit_fleet_test.go
+++ b/internal/gate/limit_fleet_test.go
@@ -181,3 +181,28 @@
 		}
 	}
 }
+
+// Guards against a daemon that sends more because it lost contact with the others for a while.
+func TestLostContactDoesNotRaiseShareOfLimit(t *testing.T) {
+	f := newLimitFleet(6, []float64{6})
+	g, server := f.gates[0], f.servers[0]
+	view := g.view
+	g.Limits().Observe(server.Hash, 6, 0, 0)
+	sends := func(v slowstart.View) (n int) {
+		for end := f.now + limitWindow; f.now < end; f.now += limitStep {
+			if f.now%limitGossipInterval == 0 {
+				g.SetView(v, f.now)
+			}
+			if g.Check(Request{}, server, f.now) == Allowed {
+				g.RecordSend(server, f.now)
+				n++
+			}
+		}
+		return n
+	}
+	all := sends(view)
+	view.Peers = view.Peers[:2]
+	if part := sends(view); all == 0 || part > all {
+		t.Errorf("%d sends with 3 daemons in the view, %d with 6", part, all)
+	}
+}
--- a/lab/experiments/main.go
+++ b/lab/experiments/main.go
@@ -23,6 +23,7 @@
 	{"rollout", rolloutTable},
 	{"limits", limitsTable},
 	{"slowstart", slowStartTable},
+	{"serverlimit", serverLimitTable},
 }
 
 func main() {
