--- a/internal/cascade/calibration.go
+++ b/internal/cascade/calibration.go
@@ -12,7 +12,7 @@
 
 const (
 	// midpointConfidence is the confidence, in percent, at which half of the answers are
-	// correct.
+	// correct: a model that doubts an answer more than it trusts it states less.
 	midpointConfidence = 50
 	// confidenceScale is the scale of the logistic function from confidence to
 	// probability, in points.
--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -12,7 +12,7 @@
 	// ConfidenceBands is the number of intervals of the cheap model's confidence.
 	ConfidenceBands = 8
 	// ratingWindow is the time constant, in ratings, of the exponentially decaying pass
-	// rates.
+	// rates. A drift of a model's quality shows within about as many ratings.
 	ratingWindow = 60
 	// priorWeight is the weight of the prior pass rate, in ratings.
 	priorWeight = 2
@@ -54,7 +54,8 @@
 }
 
 // DriftDetector detects a drop of the cheap model's pass rate by a cumulative sum (CUSUM)
-// of log-likelihood ratios. It reacts sooner than the decaying pass rate.
+// of log-likelihood ratios. It reacts sooner than the decaying pass rate, which would follow
+// only after some hundred bad answers.
 type DriftDetector struct{ cusum float64 }
 
 const (
--- a/internal/cascade/escalator.go
+++ b/internal/cascade/escalator.go
@@ -64,7 +64,8 @@
 
 const (
 	// valuePerCost is the assumed ratio of the value of an average answer to the cost of a
-	// run of the most expensive model.
+	// run of the most expensive model. No setting states it; operators use a model because
+	// its answers are worth several times its price.
 	valuePerCost = 6
 	// lateValueShare is the fraction of its value that an answer retains if its first
 	// event is late.
--- a/internal/cascade/forecast.go
+++ b/internal/cascade/forecast.go
@@ -13,7 +13,8 @@
 }
 
 const (
-	// priorStdDev is the initial standard deviation of the ratio's logarithm.
+	// priorStdDev is the initial standard deviation of the ratio's logarithm: two thirds of
+	// the times lie within 0.55 to 1.8 of the expected one.
 	priorStdDev = 0.6
 	// priorSamples is the weight of the prior, in samples.
 	priorSamples = 10
@@ -22,7 +23,7 @@
 	maxForecastWeight = 100
 	// minStdDev bounds the standard deviation from below.
 	minStdDev = 0.1
-	// maxFactor bounds the ratio of one sample.
+	// maxFactor bounds the ratio of one sample. A longer wait is a lost connection.
 	maxFactor = 100
 	// minExpected bounds times from below, in seconds, to keep ratios finite.
 	minExpected = 0.001
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -26,7 +26,8 @@
 	minStandbyBackoff       = 3 * time.Second
 	standbyBackoffPerDaemon = 50 * time.Millisecond
 	// maxBootstrapPeers is how many daemons register their address in the store. A daemon
-	// that reaches none of its seeds discovers all others through any of them.
+	// that reaches none of its seeds discovers all others through any of them; an entry of
+	// each daemon would cost two calls of the store at each of its starts.
 	maxBootstrapPeers = 16
 	// rankStableAfter is the time after the first contact from which the rank is reliable.
 	rankStableAfter = 3 * time.Second
--- a/internal/rollout/baseline.go
+++ b/internal/rollout/baseline.go
@@ -15,7 +15,8 @@
 	baselineSamples = 128
 	// minBaselineSamples is the number of ratios below which no answer counts as slow.
 	minBaselineSamples = 24
-	// slowFraction is the fraction of the baseline's answers that count as slow.
+	// slowFraction is the fraction of the baseline's answers that count as slow. A new version
+	// that is as fast has this fraction of slow answers or less.
 	slowFraction = 0.25
 	// fullPhaseFactor multiplies the threshold from the full phase on, when the new
 	// version carries the whole load and the old one no longer serves as a reference.
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -72,7 +72,8 @@
 	// MinSlowShare is the fraction of slow answers of the new version required for a
 	// rollback due to slowness; see LatencyBaseline.
 	MinSlowShare float64
-	// MinBadEvents is the number of bad answers required for a rollback.
+	// MinBadEvents is the number of bad answers required for a rollback. Single ones happen on
+	// any version.
 	MinBadEvents int64
 }
 
--- a/internal/rollout/stage.go
+++ b/internal/rollout/stage.go
@@ -45,7 +45,8 @@
 	// alarms.
 	LeaveOneOutThreshold float64
 	// HoldThreshold is the e-value at which evidence from a single server or failure
-	// domain holds the rollout.
+	// domain holds the rollout. Until then, a bad event elsewhere may still turn the
+	// evidence into a rollback.
 	HoldThreshold float64
 	// MinStageDuration is the minimum duration of a stage.
 	MinStageDuration time.Duration
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -65,7 +65,8 @@
 	// interrupted.
 	prefillDelayedPerSecond = 4
 	// partitionPenalty is the delay from running among another model's requests, whose
-	// steps alternate with the request's own.
+	// steps alternate with the request's own. With a low penalty, a busy part of the engines
+	// spills over into the other, and both models become slow.
 	partitionPenalty = 1200 * time.Millisecond
 )
 
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -38,7 +38,7 @@
 	// from lagging reports.
 	ownMeanHalfLife = 2 * time.Second
 	// suspectAfterTimeouts is the number of consecutive timeouts after which a server is
-	// suspect.
+	// suspect. New connections often work while old ones hang, so one is not enough.
 	suspectAfterTimeouts = 2
 	// initialSuspectTime is how long a server stays suspect at first. It doubles with
 	// every consecutive failure, up to maxSuspectTime.
@@ -70,8 +70,9 @@
 }
 
 // surgeFactor returns the ratio of this daemon's current load to its load at the time of
-// the reports, less one standard deviation of the count. The load of other daemons is
-// assumed to have grown by the same factor.
+// the reports, less one standard deviation of the count, so that noise is not taken for a
+// surge. The load of other daemons is assumed to have grown by the same factor, since
+// clients spread over all daemons.
 func (t *LoadTracker) surgeFactor() float64 {
 	baseline := 0.0
 	for i := range t.servers {
