--- a/internal/daemon/gate_test.go
+++ b/internal/daemon/gate_test.go
@@ -94,7 +94,7 @@
 // Guards against refusing a request as not run although an earlier attempt may have
 // run it.
 func TestRefusalAfterRunIsNotReportedAsNotRun(t *testing.T) {
-	for _, kind := range []fault.Kind{fault.Warming, fault.Evacuated, fault.NoServer, fault.Quarantined} {
+	for _, kind := range []fault.Kind{fault.Warming, fault.ServerLimited, fault.Evacuated, fault.NoServer, fault.Quarantined} {
 		state := &request.RetryState{Repeatable: true}
 		if got := withExecutionState(fault.New(kind, "none"), state); got.Kind != kind || got.ExecutionState() != fault.NotRun {
 			t.Errorf("%s before a run: %v", kind, got)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -42,9 +42,10 @@
 		return reply, nil
 	})
 	peer.Handle(server, "members", func(context.Context, string, peer.MembersRequest) (peer.MembersResponse, error) {
+		limits := m.d.balancer.serverLimits(true)
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		return peer.MembersResponse{Members: m.table.Snapshot(), Quarantine: m.d.guard.Update(true), ServerLimits: m.d.balancer.serverLimits(true)}, nil
+		return peer.MembersResponse{Members: m.table.Snapshot(), Quarantine: m.d.guard.Update(true), ServerLimits: limits}, nil
 	})
 }
 
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -108,7 +108,9 @@
 		switch {
 		case e == nil:
 			t.entries[u.Server] = &entry{perSecond: u.PerSecond, observedAt: observedAt, announcedAt: now}
-			changed = append(changed, u.Server)
+			if u.PerSecond > 0 {
+				changed = append(changed, u.Server)
+			}
 		case observedAt <= e.observedAt:
 		case u.PerSecond != e.perSecond:
 			e.perSecond, e.observedAt, e.announcedAt = u.PerSecond, observedAt, now
