--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -101,8 +101,9 @@
 // limitPacer paces the sends of this daemon to a server with a stated rate.
 type limitPacer struct {
 	slowstart.Pacer
-	share     slowstart.Share
-	sender    bool
+	share  slowstart.Share
+	sender bool
+	// perSecond is the rate for which share was computed; zero computes it anew.
 	perSecond float64
 }
 
@@ -179,15 +180,9 @@
 	for _, p := range g.pacers {
 		p.share = slowstart.Share{}
 	}
-	if size := len(v.Peers) + 1; size >= g.fleetSize || now-g.fleetSizeAt > fleetSizeMemory {
-		g.fleetSize, g.fleetSizeAt = size, now
-	}
+	g.recordFleetSize(len(v.Peers)+1, now)
 	g.limits.Expire(now)
-	for server, p := range g.limitPacers {
-		if p.perSecond = 0; g.limits.Rate(server) == 0 {
-			delete(g.limitPacers, server)
-		}
-	}
+	g.resetLimitPacers()
 	for id, r := range g.restarts {
 		if r.responded && now >= r.warmAt || now-r.terminatedAt > restartRetention {
 			delete(g.restarts, id)
@@ -195,6 +190,24 @@
 	}
 }
 
+// recordFleetSize keeps the largest number of daemons within fleetSizeMemory.
+func (g *Gate) recordFleetSize(size int, now time.Duration) {
+	if size >= g.fleetSize || now-g.fleetSizeAt > fleetSizeMemory {
+		g.fleetSize, g.fleetSizeAt = size, now
+	}
+}
+
+// resetLimitPacers makes the pacers compute their shares anew, and removes those of servers
+// without a limit.
+func (g *Gate) resetLimitPacers() {
+	for server, p := range g.limitPacers {
+		p.perSecond = 0
+		if g.limits.Rate(server) == 0 {
+			delete(g.limitPacers, server)
+		}
+	}
+}
+
 // WarmAt returns when a server is warm; a time in the past for a warm server.
 func (g *Gate) WarmAt(s Server, now time.Duration) time.Duration {
 	if !s.Limit.Limited() {
