relay: a response of another server does not change a server's limit

A 421 comes from the server that now has the address. It states no limit of the expected one, and ended that limit at the daemon and, by its report, at all. Found by reading the change once more; the test failed before.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -101,6 +101,8 @@
 	Body   io.ReadCloser
 	// NotRun is set if the server states that it did not run the request.
 	NotRun bool
+	// Misdirected is set if another server than the expected one has responded.
+	Misdirected bool
 	// Authenticated is set if the response carries the proof that a server made it.
 	Authenticated bool
 	// Confidence is the model's own rating of its answer, 0 to 100; negative if
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -242,7 +242,7 @@
 // handleReply checks the header of a reply and forwards the response.
 func (x *exchange) handleReply(ctx context.Context, t *target, a *attempt, reply *BackendResponse, sentAt time.Time) (request.SendOutcome, bool) {
 	defer func() { _ = reply.Body.Close() }() // cancels an unfinished run; an error has no effect on the call
-	if reply.Authenticated || reply.NotRun {
+	if (reply.Authenticated || reply.NotRun) && !reply.Misdirected {
 		x.relay.observeLimit(t, reply.StatedLimit)
 	}
 	if reply.NotRun {
--- a/internal/relay/serverlimits_test.go
+++ b/internal/relay/serverlimits_test.go
@@ -71,3 +71,23 @@
 		t.Errorf("invalid reports were applied: %d limited servers", n)
 	}
 }
+
+// Guards against changing a server's limit by the response of another server that now has its
+// address, which states another limit or none.
+func TestMisdirectedResponseDoesNotChangeLimit(t *testing.T) {
+	misdirected := func(r BackendRequest) (*BackendResponse, error) {
+		resp, err := respondNotRun(r)
+		resp.Misdirected = true
+		return resp, err
+	}
+	h := newHarness(t, limited(50, respond(200, "ok")), misdirected)
+	h.relay.State.SetSlowStartView(slowstart.View{Self: 1, Trusted: true})
+	h.call("/p/x")
+	for range 100 {
+		h.clock.now += 10 * time.Millisecond
+		h.call("/p/x")
+	}
+	if n := h.relay.State.LimitedServers(); n != 1 || len(h.backend.sends) < 10 {
+		t.Errorf("%d limited servers after %d sends, want 1", n, len(h.backend.sends))
+	}
+}
