relay: a version whose servers were away for a while is not new

When all servers of a version were gone and came back, the version waited for a confirmation again, and sessions on it went to the other version meanwhile. Versions that were seen once are kept: a few strings a service. The test failed before.

--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -197,7 +197,7 @@
 
 // newService creates the state of a service. Callers hold mu.
 func (s *State) newService(name string) *service {
-	sv := &service{tracker: routing.NewLoadTracker(), models: modelLatencies{}}
+	sv := &service{tracker: routing.NewLoadTracker(), models: modelLatencies{}, versionSeen: map[string]time.Duration{}}
 	sv.tracker.ExactPeerLoad = true
 	sv.tracker.Prefix.SetCapacity(prefixCapacity)
 	s.services[name] = sv
--- a/internal/relay/versions.go
+++ b/internal/relay/versions.go
@@ -7,21 +7,15 @@
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 )
 
-// observeVersions records when this daemon first knew a server of each version. Callers hold
-// the State's mu.
+// observeVersions records when this daemon first knew a server of each version. Versions are not
+// forgotten, or one whose servers are away for a while would be taken for new. Callers hold the
+// State's mu.
 func (sv *service) observeVersions(now time.Duration) {
-	seen := map[string]time.Duration{}
 	for _, b := range sv.servers {
-		if _, known := seen[b.Version]; known {
-			continue
-		}
-		if at, known := sv.versionSeen[b.Version]; known {
-			seen[b.Version] = at
-		} else {
-			seen[b.Version] = now
+		if _, known := sv.versionSeen[b.Version]; !known {
+			sv.versionSeen[b.Version] = now
 		}
 	}
-	sv.versionSeen = seen
 }
 
 // confirmedVersions restricts a choice of versions to those whose roll-out order this daemon
--- a/internal/relay/versions_test.go
+++ b/internal/relay/versions_test.go
@@ -34,6 +34,13 @@
 		}
 		return versions
 	}
+	remove := func(version string) {
+		s.UpdateServers(func(r *backend.Registry, now time.Duration) {
+			for i := range 3 {
+				r.Remove(fmt.Sprint(version, i), now)
+			}
+		})
+	}
 	put("v1")
 	used()
 	clock.now += time.Second
@@ -48,4 +55,11 @@
 	if versions := used(); !versions["v1"] || !versions["v2"] {
 		t.Errorf("versions used without an order: %v", versions)
 	}
+	remove("v2")
+	used()
+	clock.now += time.Second
+	put("v2")
+	if versions := used(); !versions["v2"] {
+		t.Error("a known version is taken for new after its servers were away")
+	}
 }
