serverlimit: pass on each report in a bounded number of messages

Reports were passed on for 3 s of every 5 in every message, up to 64 in each: with 60 limited servers some 40 in each of 64 messages a second of a daemon in a mesh (computed), far beyond what control may cost. A daemon passes a report on in 32 messages, 16 reports each at most, and an unchanged rate is reported again after 15 s instead of 5.

--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,15 +15,16 @@
 	// retention is how long a rate is kept that no daemon has observed again.
 	retention = 30 * time.Second
 	// reannounceInterval is the time after which an unchanged rate is reported again.
-	reannounceInterval = 5 * time.Second
-	// announcePeriod is how long a report is passed on.
-	announcePeriod = 3 * time.Second
+	reannounceInterval = retention / 2
+	// sendsPerReport is the number of messages in which a daemon passes on a report. Each daemon
+	// that receives it does so, which makes it unlikely that one in a large fleet is missed.
+	sendsPerReport = 32
 	// minAdvance is the least time by which a report of the same rate must be newer to be
 	// passed on again. Network delay makes each repetition of a report look newer.
 	minAdvance = 2 * time.Second
 	// maxUpdates is the maximum number of reports in a message, maxInitialUpdates that in a
 	// message to a daemon that just joined.
-	maxUpdates        = 64
+	maxUpdates        = 16
 	maxInitialUpdates = 1024
 	// minRate and maxRate bound the rates accepted from servers, in requests per second.
 	minRate = 0.01
@@ -43,18 +45,22 @@
 type entry struct {
 	perSecond  float64
 	observedAt time.Duration
-	// announcedAt is when the entry was last reported or changed.
+	// announcedAt is when the entry was last to be reported, and sendsLeft in how many messages
+	// it still is.
 	announcedAt time.Duration
+	sendsLeft   int
 }
 
 // Table holds the stated rates of servers by the hash of their ID. Times are readings of a
 // clock that advances while the VM is suspended. A Table is not safe for concurrent use.
 type Table struct {
 	entries map[uint64]*entry
+	// pending holds the servers with sendsLeft.
+	pending map[uint64]bool
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[uint64]*entry{}} }
+func NewTable() *Table { return &Table{entries: map[uint64]*entry{}, pending: map[uint64]bool{}} }
 
 // Rate returns the stated rate of a server, or zero.
 func (t *Table) Rate(server uint64) float64 {
@@ -86,17 +92,23 @@
 		return false
 	}
 	if e == nil {
-		e = &entry{announcedAt: now - reannounceInterval}
+		e = &entry{}
 		t.entries[server] = e
 	}
 	changed := e.perSecond != perSecond
 	e.perSecond, e.observedAt = perSecond, now
 	if changed || now-e.announcedAt >= reannounceInterval {
-		e.announcedAt = now
+		t.announce(server, e, now)
 	}
 	return changed
 }
 
+// announce makes an entry be reported to other daemons.
+func (t *Table) announce(server uint64, e *entry, now time.Duration) {
+	e.announcedAt, e.sendsLeft = now, sendsPerReport
+	t.pending[server] = true
+}
+
 // Merge applies the reports of another daemon and returns the servers whose rate has changed.
 func (t *Table) Merge(updates []Update, now time.Duration) (changed []uint64) {
 	for _, u := range updates {
@@ -107,17 +119,20 @@
 		e := t.entries[u.Server]
 		switch {
 		case e == nil:
-			t.entries[u.Server] = &entry{perSecond: u.PerSecond, observedAt: observedAt, announcedAt: now}
+			e = &entry{perSecond: u.PerSecond, observedAt: observedAt}
+			t.entries[u.Server] = e
+			t.announce(u.Server, e, now)
 			if u.PerSecond > 0 {
 				changed = append(changed, u.Server)
 			}
 		case observedAt <= e.observedAt:
 		case u.PerSecond != e.perSecond:
-			e.perSecond, e.observedAt, e.announcedAt = u.PerSecond, observedAt, now
+			e.perSecond, e.observedAt = u.PerSecond, observedAt
+			t.announce(u.Server, e, now)
 			changed = append(changed, u.Server)
 		default:
 			if observedAt-e.observedAt >= minAdvance {
-				e.announcedAt = now
+				t.announce(u.Server, e, now)
 			}
 			e.observedAt = observedAt
 		}
@@ -125,26 +140,32 @@
 	return changed
 }
 
-// Updates returns the recent reports for another daemon, the newest first, or all of them for
-// a daemon that just joined.
+// Updates returns the reports for a message to another daemon, those sent least first, or all
+// rates for a daemon that just joined.
 func (t *Table) Updates(recentlyJoined bool, now time.Duration) []Update {
-	var due []uint64
-	for server, e := range t.entries {
-		if recentlyJoined || now-e.announcedAt < announcePeriod {
-			due = append(due, server)
-		}
+	if recentlyJoined {
+		all := slices.Collect(maps.Keys(t.entries))
+		return t.updates(all[:min(len(all), maxInitialUpdates)], now)
 	}
+	due := slices.Collect(maps.Keys(t.pending))
 	slices.SortFunc(due, func(a, b uint64) int {
-		return cmp.Or(cmp.Compare(t.entries[b].announcedAt, t.entries[a].announcedAt), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(t.entries[b].sendsLeft, t.entries[a].sendsLeft), cmp.Compare(a, b))
 	})
-	limit := maxUpdates
-	if recentlyJoined {
-		limit = maxInitialUpdates
+	due = due[:min(len(due), maxUpdates)]
+	for _, server := range due {
+		e := t.entries[server]
+		if e.sendsLeft--; e.sendsLeft == 0 {
+			delete(t.pending, server)
+		}
 	}
-	out := make([]Update, 0, min(len(due), limit))
-	for _, server := range due[:min(len(due), limit)] {
+	return t.updates(due, now)
+}
+
+func (t *Table) updates(servers []uint64, now time.Duration) []Update {
+	out := make([]Update, len(servers))
+	for i, server := range servers {
 		e := t.entries[server]
-		out = append(out, Update{Server: server, PerSecond: e.perSecond, AgeMs: (now - e.observedAt).Milliseconds()})
+		out[i] = Update{Server: server, PerSecond: e.perSecond, AgeMs: (now - e.observedAt).Milliseconds()}
 	}
 	return out
 }
@@ -154,6 +175,7 @@
 	for server, e := range t.entries {
 		if now-e.observedAt > retention {
 			delete(t.entries, server)
+			delete(t.pending, server)
 		}
 	}
 }
--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -22,8 +22,8 @@
 	}
 }
 
-// Guards against reports that daemons pass on for ever, and against a limit that returns from
-// a daemon that has not heard of its end.
+// Guards against reports that daemons keep passing on, and against a limit that returns from a
+// daemon that does not know its end.
 func TestReportsSpreadOnceAndEndingWins(t *testing.T) {
 	a, b := NewTable(), NewTable()
 	a.Observe(1, 5, 0, time.Second)
@@ -77,3 +77,26 @@
 		}
 	})
 }
+
+// Guards against messages that grow with the number of limited servers, and against servers that
+// are left out of them.
+func TestMessagesAreBoundedAndNameEveryServer(t *testing.T) {
+	const servers = 500
+	table, named := NewTable(), map[uint64]bool{}
+	for server := range uint64(servers) {
+		table.Observe(server, 5, 0, 0)
+	}
+	messages := 0
+	for updates := table.Updates(false, 0); len(updates) > 0; updates = table.Updates(false, 0) {
+		messages++
+		if len(updates) > maxUpdates {
+			t.Fatalf("%d reports in a message", len(updates))
+		}
+		for _, u := range updates {
+			named[u.Server] = true
+		}
+	}
+	if most := servers*sendsPerReport/maxUpdates + 1; len(named) != servers || messages > most {
+		t.Errorf("%d of %d servers named in %d messages, want at most %d", len(named), servers, messages, most)
+	}
+}
