--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
@@ -42,6 +44,9 @@
 	serversUpdatedAt time.Time
 	probeCursor      int
 	rng              *rand.Rand
+	// idByAddress and idByHash map the configured servers' addresses and hashes to their ids.
+	idByAddress map[string]string
+	idByHash    map[uint64]string
 	// gate limits requests to warming servers and excludes evacuated ones.
 	gate *gate.Gate
 	// startedAt is the zero of the gate's clock.
@@ -83,7 +88,11 @@
 	}
 	b.configNumber = cfg.Number
 	b.syncEvacuations(cfg)
+	b.idByAddress, b.idByHash = map[string]string{}, map[uint64]string{}
 	for name, poolCfg := range cfg.Pools {
+		for _, s := range poolCfg.Servers {
+			b.idByAddress[s.Address], b.idByHash[xxhash.Sum64String(s.ID)] = s.ID, s.ID
+		}
 		if len(b.d.settings.Pools) > 0 && !slices.Contains(b.d.settings.Pools, name) {
 			continue
 		}
