containment: end the wait for a probe once the crash is recorded

A send that lost its connection waits for the probe of its server, so that the next send knows whether the request crashed it. The wait ended when the probe had its result and before the crash was recorded, so that now and then the next send of the same request did not know, and a held request was sent again.

--- a/internal/containment/attempts.go
+++ b/internal/containment/attempts.go
@@ -78,7 +78,8 @@
 type serverAttempts struct {
 	list     []*Attempt
 	lastUsed time.Time
-	// probed is closed when it is known whether the server has terminated; nil if no probe runs.
+	// probed is closed when it is known whether the server has terminated and its crash is
+	// recorded; nil if no probe runs.
 	probed chan struct{}
 	// terminated reports whether the server has terminated, and terminatedAt when it was noticed.
 	terminated   bool
@@ -253,13 +254,36 @@
 	if s.terminated && s.probed == nil {
 		s.probed = make(chan struct{})
 	}
-	if s.probed != nil && (isNew || !s.terminated) {
+	return isNew
+}
+
+// finishProbe ends the wait for the result of a probe. If the server has terminated, only the
+// caller that has recorded its crash ends the wait, or the next send would not know of the crash.
+func (r *attemptRegistry) finishProbe(server string, recorded bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[server]
+	if s == nil || s.probed == nil || s.terminated && !recorded {
+		return
+	}
+	select {
+	case <-s.probed: // closed already
+	default:
 		close(s.probed)
 	}
 	if !s.terminated {
 		s.probed = nil
 	}
-	return isNew
+}
+
+// finishPeerReport ends the wait for a probe after the crash that a peer reported is recorded.
+func (r *attemptRegistry) finishPeerReport(key quarantine.IncarnationKey) {
+	r.mu.Lock()
+	server, known := r.byKey[key]
+	r.mu.Unlock()
+	if known {
+		r.finishProbe(server, true)
+	}
 }
 
 // maxLoggedFingerprints bounds the fingerprints in a log line.
--- a/internal/containment/guard.go
+++ b/internal/containment/guard.go
@@ -183,9 +183,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	refused := g.opts.RefusesConnections(ctx, s)
-	if g.attempts.setTerminated(s.ID, refused) {
+	isNew := g.attempts.setTerminated(s.ID, refused)
+	if isNew {
 		g.serverTerminated(s)
 	}
+	g.attempts.finishProbe(s.ID, isNew)
 }
 
 // serverTerminated reports a termination, and records it as a crash unless the server has
@@ -215,6 +217,7 @@
 	if list, isNew := g.attempts.restarted(s.ID); isNew {
 		g.reportTermination(s, "restarted", list)
 		g.recordCrash(IncarnationKey(s.ID), 0, list)
+		g.attempts.finishProbe(s.ID, true)
 	}
 }
 
@@ -252,6 +255,7 @@
 		if list, isNew := g.attempts.peerReported(c.Incarnation, age); isNew {
 			g.opts.OnTerminated(c.Incarnation)
 			g.recordCrash(c.Incarnation, age, list)
+			g.attempts.finishPeerReport(c.Incarnation)
 		}
 	}
 }
--- a/internal/containment/guard_test.go
+++ b/internal/containment/guard_test.go
@@ -93,3 +93,19 @@
 		}
 	})
 }
+
+// Guards against a send that does not know of a crash because it goes on between the probe of the
+// server and the record of its crash.
+func TestCrashIsRecordedBeforeItsSendEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture()
+		fx.refuses = true
+		fx.opts.OnTerminated = func(quarantine.IncarnationKey) { time.Sleep(probeWait / 2) }
+		s := Server{ID: "e", Address: "a"}
+		attempt := fx.Begin(s, 1, func(error) {})
+		fx.End(t.Context(), attempt, s, ConnectionLost)
+		if crashes := fx.Check(1).Crashes; crashes != 1 {
+			t.Errorf("%d crashes known when the send ends, want 1", crashes)
+		}
+	})
+}
