gate, platform: failing tests of limits that end while their server still states them

The limit of a server is lost by a single response that does not state it: an error or a refusal written by something before the service, a value of zero or one that can't be read, a response in ten that leaves it out. It is also lost after 30 s without a request, and exceeded by daemons that become senders one after the other while views differ. Counted are all requests that begin in a window over the bound, at 1 to 2,000 daemons.

--- a/internal/gate/limit_fleet_test.go
+++ b/internal/gate/limit_fleet_test.go
@@ -28,6 +28,7 @@
 	rng     *rand.Rand
 	now     time.Duration
 	gates   []*Gate
+	views   []slowstart.View
 	servers []Server
 	// rates are the limits that the servers state, 0 for none. They apply until liftedAt.
 	rates    []float64
@@ -35,6 +36,10 @@
 	sends    [][]time.Duration
 	pending  []limitResponse
 	refused  int
+	// omits reports whether a response leaves out the limit of its server; nil for none.
+	omits func(r limitResponse) bool
+	// hidden is the part of the peers that each view lacks, drawn anew in each gossip round.
+	hidden float64
 }
 
 type limitResponse struct {
@@ -61,11 +66,22 @@
 			}
 		}
 		g.SetView(view, 0)
-		f.gates = append(f.gates, g)
+		f.gates, f.views = append(f.gates, g), append(f.views, view)
 	}
 	return f
 }
 
+// setViews sets the views of all gates, without the hidden part of the peers.
+func (f *limitFleet) setViews() {
+	for i, g := range f.gates {
+		view := f.views[i]
+		if f.hidden > 0 {
+			view.Peers = slices.DeleteFunc(slices.Clone(view.Peers), func(uint64) bool { return f.rng.Float64() < f.hidden })
+		}
+		g.SetView(view, f.now)
+	}
+}
+
 // run sends requests at a rate to random daemons until a time.
 func (f *limitFleet) run(perSecond float64, until time.Duration) {
 	due := 0.0
@@ -73,6 +89,7 @@
 		f.respond()
 		if f.now%limitGossipInterval == 0 {
 			f.gossip()
+			f.setViews()
 		}
 		for due += perSecond * limitStep.Seconds(); due >= 1; due-- {
 			f.send(f.rng.IntN(len(f.gates)))
@@ -99,7 +116,7 @@
 		r := f.pending[0]
 		f.pending = f.pending[1:]
 		rate := f.rates[r.server]
-		if r.at < limitsStatedAt || r.at >= f.liftedAt {
+		if r.at < limitsStatedAt || r.at >= f.liftedAt || f.omits != nil && f.omits(r) {
 			rate = 0
 		}
 		f.gates[r.daemon].Limits().Observe(f.servers[r.server].Hash, rate, r.sentAt, f.now)
@@ -128,6 +145,34 @@
 	return most
 }
 
+// breaches counts the sends to a server that exceed what it may get in a window, and returns the
+// most sends in one.
+func (f *limitFleet) breaches(server int, from time.Duration) (count, most int) {
+	first, _ := slices.BinarySearch(f.sends[server], from)
+	sends := f.sends[server][first:]
+	oldest := 0
+	for i := range sends {
+		for sends[i]-sends[oldest] >= limitWindow {
+			oldest++
+		}
+		n := i - oldest + 1
+		if most = max(most, n); float64(n) > allowedInWindow(f.rates[server]) {
+			count++
+		}
+	}
+	return count, most
+}
+
+// checkBreaches reports every limited server that got more than allowed after a time.
+func (f *limitFleet) checkBreaches(t *testing.T, from time.Duration) {
+	t.Helper()
+	for i, rate := range f.rates {
+		if count, most := f.breaches(i, from); rate > 0 && count > 0 {
+			t.Errorf("%d sends beyond a limit of %g: up to %d in %s, allowed %.1f", count, rate, most, limitWindow, allowedInWindow(rate))
+		}
+	}
+}
+
 // allowedInWindow is the target for a server that states a limit.
 func allowedInWindow(perSecond float64) float64 { return 1.5*perSecond*limitWindow.Seconds() + 5 }
 
@@ -206,3 +251,52 @@
 		t.Errorf("%d sends with 3 daemons in the view, %d with 6", part, all)
 	}
 }
+
+// limitFleetSizes are the numbers of daemons that limits are tested with.
+var limitFleetSizes = []int{1, 6, 60, 195, 520, 2000}
+
+// Guards against a limit that is lost because some responses of its server do not state it.
+func TestResponsesWithoutLimitDoNotLiftIt(t *testing.T) {
+	for name, omits := range map[string]func(f *limitFleet, r limitResponse) bool{
+		"one in ten":           func(f *limitFleet, _ limitResponse) bool { return f.rng.IntN(10) == 0 },
+		"one in four":          func(f *limitFleet, _ limitResponse) bool { return f.rng.IntN(4) == 0 },
+		"300 ms of each 2 s":   func(_ *limitFleet, r limitResponse) bool { return r.at%(2*time.Second) < 300*time.Millisecond },
+		"one daemon in twenty": func(_ *limitFleet, r limitResponse) bool { return r.daemon%20 == 1 },
+	} {
+		for _, n := range limitFleetSizes {
+			t.Run(fmt.Sprint(n, " daemons, ", name), func(t *testing.T) {
+				if n == 1 && name == "one daemon in twenty" {
+					t.Skip("the only daemon is not among them")
+				}
+				f := newLimitFleet(n, []float64{0.5, 1.1, 4, 10.8, 0, 0})
+				f.omits = func(r limitResponse) bool { return omits(f, r) }
+				f.run(300, 24*time.Second)
+				f.checkBreaches(t, limitsStatedAt+limitNotice)
+			})
+		}
+	}
+}
+
+// Guards against a limit that is forgotten while no request is sent to its server.
+func TestLimitOutlivesIdlePeriod(t *testing.T) {
+	for _, n := range limitFleetSizes {
+		f := newLimitFleet(n, []float64{0.5, 1.1, 4, 10.8})
+		f.run(300, 8*time.Second)
+		f.run(0, 98*time.Second)
+		resumed := f.now
+		f.run(300, 110*time.Second)
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) { f.checkBreaches(t, resumed) })
+	}
+}
+
+// Guards against sends by more daemons than a limit is divided among, while views differ.
+func TestChangingViewsStayWithinStatedLimits(t *testing.T) {
+	for n, seeds := range map[int]uint64{6: 10, 7: 40, 9: 40, 12: 40, 60: 4, 195: 2, 520: 1} {
+		for seed := range seeds {
+			f := newLimitFleet(n, []float64{0.5, 1.1, 4, 10.8, 0, 0})
+			f.rng, f.hidden = rand.New(rand.NewPCG(seed, uint64(n))), 0.2
+			f.run(300, 24*time.Second)
+			t.Run(fmt.Sprint(n, " daemons, seed ", seed), func(t *testing.T) { f.checkBreaches(t, limitsStatedAt+limitNotice) })
+		}
+	}
+}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -31,7 +31,9 @@
 	startMillis   int64
 	runHistory    []Run
 	onCrash       func()
-	statedLimit   float64
+	// limitField returns the limit that the next response states; empty for none.
+	limitField func() string
+	arrivals   []Run
 }
 
 // Run is a request whose execution has started.
@@ -42,7 +44,7 @@
 
 // NewBackendServer returns a server whose streams have the given number of events.
 func NewBackendServer(id string, streamEvents int) *BackendServer {
-	return &BackendServer{ID: id, StreamEvents: streamEvents, ConfidenceByModel: map[string]int{}, runCounts: map[string]int{}, startMillis: time.Now().UnixMilli()}
+	return &BackendServer{ID: id, StreamEvents: streamEvents, ConfidenceByModel: map[string]int{}, runCounts: map[string]int{}, startMillis: time.Now().UnixMilli(), limitField: func() string { return "" }}
 }
 
 // StartMillis returns the start time of the current incarnation in Unix milliseconds.
@@ -101,13 +103,26 @@
 // SetLoseResponses sets whether the server executes requests but aborts their connections.
 func (s *BackendServer) SetLoseResponses(on bool) { s.mu.Lock(); s.loseResponses = on; s.mu.Unlock() }
 
-// SetStatedLimit makes responses state a number of requests per second; zero states none.
-func (s *BackendServer) SetStatedLimit(perSecond float64) {
+// SetStatedLimit makes all responses state a limit; empty states none.
+func (s *BackendServer) SetStatedLimit(value string) {
+	s.SetLimitField(func() string { return value })
+}
+
+// SetLimitField sets the function that returns the limit which a response states; empty for
+// a response without one.
+func (s *BackendServer) SetLimitField(field func() string) {
 	s.mu.Lock()
-	s.statedLimit = perSecond
+	s.limitField = field
 	s.mu.Unlock()
 }
 
+// Arrivals returns all requests that were received, also those that did not run.
+func (s *BackendServer) Arrivals() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.arrivals...)
+}
+
 // RunCount returns how often a request was executed.
 func (s *BackendServer) RunCount(id string) int {
 	s.mu.Lock()
@@ -150,8 +165,9 @@
 	}
 	s.mu.Lock()
 	shedding, failureStatus, loseResponse, breakAtEvent := s.shedding, s.failureStatus, s.loseResponses, s.breakAtEvent
-	if s.statedLimit > 0 {
-		h.Set("Server-Limit", strconv.FormatFloat(s.statedLimit, 'f', -1, 64))
+	s.arrivals = append(s.arrivals, Run{id, time.Now()})
+	if stated := s.limitField(); stated != "" {
+		h.Set("Server-Limit", stated)
 	}
 	if !shedding {
 		s.runCounts[id]++
--- a/lab/soak/limits.go
+++ b/lab/soak/limits.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/standin"
@@ -53,15 +54,15 @@
 		return
 	}
 	c.limits = append(c.limits, limitPeriod{server, perSecond, now, now.Add(limitDuration)})
-	c.servers[server].SetStatedLimit(perSecond)
-	time.AfterFunc(limitDuration, func() { c.servers[server].SetStatedLimit(0) })
+	c.servers[server].SetStatedLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+	time.AfterFunc(limitDuration, func() { c.servers[server].SetStatedLimit("") })
 }
 
 // checkLimits checks the requests that reached servers with a stated limit.
 func (c *cluster) checkLimits() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return checkLimits(c.limits, func(server int) []standin.Run { return c.servers[server].RunHistory() })
+	return checkLimits(c.limits, func(server int) []standin.Run { return c.servers[server].Arrivals() })
 }
 
 // checkLimits reports limits that were exceeded in a window, later than limitNotice.
