slowstart, gate: a daemon that becomes a sender waits for an interval

What callers saw: a server that states 1.1 requests a second gets up to 13 in 4 s, where 11.6 are allowed; one that warms up gets up to 8 in a second, where 6 are.

Cause: a limit is divided among few senders, which each daemon finds in its own view. While views differ or change, daemons become senders one after the other, and each sends at once: all of them together send more than those among whom the limit was divided.

A new sender now waits for one interval of its share, the time for which the one that it replaces may have just sent. A daemon that is a sender only for moments sends nothing. The first sender of a server does not wait.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -94,15 +94,13 @@
 type pacer struct {
 	slowstart.Pacer
 	share  slowstart.Share
-	sender bool
 	warmAt time.Duration
 }
 
 // limitPacer paces the sends of this daemon to a server with a stated rate.
 type limitPacer struct {
 	slowstart.Pacer
-	share  slowstart.Share
-	sender bool
+	share slowstart.Share
 	// perSecond is the rate for which share was computed; zero computes it anew.
 	perSecond float64
 }
@@ -240,7 +238,7 @@
 	if warmAt := g.WarmAt(s, now); now < warmAt && !g.warmupReady(s, warmAt, now) {
 		return Warming
 	}
-	if p := g.limitPacer(s); p != nil && !p.ready(now) {
+	if p := g.limitPacer(s, now); p != nil && !p.Ready(p.share, now) {
 		return Limited
 	}
 	return Allowed
@@ -255,7 +253,7 @@
 	case Warming:
 		refusals.Add(reason, g.WarmAt(s, now)-now)
 	case Limited:
-		refusals.Add(reason, g.limitPacer(s).remaining(now))
+		refusals.Add(reason, g.limitPacer(s, now).remaining(now))
 	default:
 		refusals.Add(reason, 0)
 	}
@@ -277,13 +275,13 @@
 	p.warmAt = warmAt
 	if p.share.Senders == 0 {
 		p.share = s.Limit.Share()
-		p.sender = g.view.IsSender(s.Hash, p.share.Senders)
+		p.SetSender(g.view.IsSender(s.Hash, p.share.Senders), p.share, now)
 	}
-	return p.sender && p.Ready(p.share, now)
+	return p.Ready(p.share, now)
 }
 
 // limitPacer returns the pacer of a server with a stated rate, or nil.
-func (g *Gate) limitPacer(s Server) *limitPacer {
+func (g *Gate) limitPacer(s Server, now time.Duration) *limitPacer {
 	perSecond := g.limits.Rate(s.Hash)
 	if perSecond == 0 {
 		return nil
@@ -295,18 +293,15 @@
 	}
 	if p.perSecond != perSecond {
 		p.perSecond, p.share = perSecond, serverlimit.ShareOf(perSecond, g.fleetSize)
-		p.sender = g.view.IsSender(s.Hash, p.share.Senders)
+		p.SetSender(g.view.IsSender(s.Hash, p.share.Senders), p.share, now)
 	}
 	return p
 }
 
-// ready reports whether this daemon may send to the server now.
-func (p *limitPacer) ready(now time.Duration) bool { return p.sender && p.Ready(p.share, now) }
-
 // remaining returns the time until the server has capacity for a request: of this daemon, or
 // of another if this one does not send to it.
 func (p *limitPacer) remaining(now time.Duration) time.Duration {
-	if !p.sender {
+	if !p.Sender() {
 		return p.share.Interval / time.Duration(p.share.Senders)
 	}
 	return p.Remaining(p.share, now)
@@ -314,7 +309,7 @@
 
 // RecordSend records a send to a server for which Check returned Allowed.
 func (g *Gate) RecordSend(s Server, now time.Duration) {
-	if p := g.limitPacer(s); p != nil {
+	if p := g.limitPacer(s, now); p != nil {
 		p.RecordSend(now)
 	}
 	if now >= g.WarmAt(s, now) {
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -86,23 +86,44 @@
 	return h ^ h>>29
 }
 
-// Pacer spaces one daemon's sends to one warming server.
+// Pacer spaces one daemon's sends to one server.
 type Pacer struct {
 	lastSend time.Duration
 	sent     bool
+	// sender reports whether the daemon sends to the server, since senderSince.
+	sender      bool
+	senderSince time.Duration
+	// initialized is set once SetSender was called.
+	initialized bool
 }
 
-// Ready reports whether the interval since the last send has passed.
+// SetSender sets whether the daemon is a sender. One that becomes a sender waits for an
+// interval, because the sender that it replaces may have just sent.
+func (p *Pacer) SetSender(sender bool, s Share, now time.Duration) {
+	if sender && !p.sender {
+		p.senderSince = now
+		if !p.initialized {
+			p.senderSince -= s.Interval
+		}
+	}
+	p.sender, p.initialized = sender, true
+}
+
+// Sender reports whether the daemon is a sender.
+func (p *Pacer) Sender() bool { return p.sender }
+
+// Ready reports whether the daemon may send.
 func (p *Pacer) Ready(s Share, now time.Duration) bool {
-	return !p.sent || now-p.lastSend >= s.Interval
+	return p.sender && p.Remaining(s, now) == 0
 }
 
-// Remaining returns the time until a share allows a send.
+// Remaining returns the time until a share allows a sender to send.
 func (p *Pacer) Remaining(s Share, now time.Duration) time.Duration {
-	if p.Ready(s, now) {
-		return 0
+	next := p.senderSince + s.Interval
+	if p.sent {
+		next = max(next, p.lastSend+s.Interval)
 	}
-	return p.lastSend + s.Interval - now
+	return max(0, next-now)
 }
 
 // RecordSend records the time of a send.
--- a/internal/slowstart/slowstart_test.go
+++ b/internal/slowstart/slowstart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -27,12 +28,18 @@
 // maxSendsPerSecond simulates daemons that send whenever allowed, and returns the most sends in
 // any second.
 func maxSendsPerSecond(l Limit, server uint64, views []View) (most int) {
+	return maxSendsWithChangingViews(l, server, len(views), func(i int, _ time.Duration) View { return views[i] })
+}
+
+// maxSendsWithChangingViews is maxSendsPerSecond for views that depend on the time.
+func maxSendsWithChangingViews(l Limit, server uint64, daemons int, view func(i int, now time.Duration) View) (most int) {
 	const step = 5 * time.Millisecond
-	share, pacers := l.Share(), make([]Pacer, len(views))
+	share, pacers := l.Share(), make([]Pacer, daemons)
 	var sent []time.Duration
 	for now := time.Duration(0); now < 4*time.Second; now += step {
-		for i, v := range views {
-			if v.IsSender(server, share.Senders) && pacers[i].Ready(share, now) {
+		for i := range daemons {
+			pacers[i].SetSender(view(i, now).IsSender(server, share.Senders), share, now)
+			if pacers[i].Ready(share, now) {
 				pacers[i].RecordSend(now)
 				sent = append(sent, now)
 			}
@@ -79,6 +86,32 @@
 	}
 }
 
+// Guards against sends by more daemons than a limit is divided among, while views differ.
+func TestChangingViewsStayWithinWarmupLimit(t *testing.T) {
+	const hidden, viewPeriod = 0.3, 250 * time.Millisecond
+	for _, n := range []int{6, 12, 59, 195} {
+		for _, l := range []Limit{limit, {WarmupPeriod: 3 * time.Second, PerSecond: 2, BurstFactor: 1.5, Burst: 3}} {
+			for seed := range uint64(20) {
+				rng := rand.New(rand.NewPCG(seed, uint64(n)))
+				views, drawnAt := make([]View, n), time.Duration(-1)
+				most := maxSendsWithChangingViews(l, hash(1000), n, func(i int, now time.Duration) View {
+					if at := now / viewPeriod; at != drawnAt {
+						drawnAt = at
+						for j := range views {
+							views[j] = viewOf(j, 0, n, true)
+							views[j].Peers = slices.DeleteFunc(views[j].Peers, func(uint64) bool { return rng.Float64() < hidden })
+						}
+					}
+					return views[i]
+				})
+				if most > l.MaxPerSecond() {
+					t.Errorf("%d daemons, %g per second, seed %d: %d sends in a second, limit %d", n, l.PerSecond, seed, most, l.MaxPerSecond())
+				}
+			}
+		}
+	}
+}
+
 // Guards against shares that add up to more than the limit.
 func TestSharesStayWithinLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
