serverlimit: a limit ends only by several successful responses in a row without it

What callers and servers saw: a server that states a limit gets a multiple of it: 112 requests in 4 s where 70 are allowed, 75 where 12 are, if one response in ten leaves the limit out; over 1,700 in 2 s after errors, refusals, a zero or a value that can't be read; and 25 where 12 are allowed when requests return after 30 s without any.

Cause: silence was taken for the end of a limit. One response without it, of any kind, ended it at all daemons; zero and unreadable values counted as none; after 30 s without a response it was forgotten, although only responses show its end.

The adapter of each router tells apart a rate, none, and an unreadable value; zero is a rate. Only successful responses may show an end, six in a row for requests at least 150 ms apart. Each halves the interval of the daemon that got it, so that a limit which may have ended is tested by that daemon's requests alone. The end is reported with the time at which the run began and applied a second later; a daemon with a later statement objects, and the daemon whose responses leave the limit out reports no further end for 30 s. Limits are kept while their server is known; one that a daemon has heard nothing of for 30 s is reported again, and who knows better corrects it.

Price: a limit of 10.8 a second ends 2 to 6 s after the server lifts it, one of 1.1 after 3 to 12 s, as demand allows.

Replaced tests: TestOnlyLaterResponsesEndLimit and TestUnconfirmedLimitExpires asked for the fault (one response ends a limit, time ends one). TestOnlySuccessiveLaterResponsesEndLimit keeps the first's other checks; TestLimitIsKeptWhileServerIsKnown and TestMissedEndIsCorrected guard against what the second did, limits that pile up or are never ended. TestStatedLimit and TestServerLimitIsDecoded expect the three kinds of values.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -80,7 +80,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.gate.SetView(view, b.uptime())
-	b.d.metrics.serversLimited.Update(float64(b.gate.Limits().Limited()))
+	b.sweepLimits()
+	b.d.metrics.serversLimited.Update(float64(b.gate.Limits().Limited(b.uptime())))
 }
 
 // peerView returns the live daemons. The view is trusted if this daemon is in the
--- a/internal/daemon/serverlimits.go
+++ b/internal/daemon/serverlimits.go
@@ -8,13 +8,18 @@
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 )
 
-// observeLimit records the request rate that the server at an address states, or zero.
-func (b *balancer) observeLimit(address string, perSecond float64, sentAt time.Time) {
+// observeLimit records what a response says about the limit of the server at an address.
+func (b *balancer) observeLimit(address string, s serverlimit.Statement, sentAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	id, known := b.idByAddress[address]
-	if known && b.gate.Limits().Observe(xxhash.Sum64String(id), perSecond, sentAt.Sub(b.startedAt), b.uptime()) {
-		b.d.log.Info("server limit", "server", id, "per_second", perSecond, "by", "response")
+	switch {
+	case !known:
+	case s.Kind == serverlimit.Unreadable:
+		b.d.metrics.unreadableLimits.Inc(1)
+		b.d.log.Warn("server limit unreadable", "server", id)
+	case b.gate.Limits().Observe(xxhash.Sum64String(id), s, sentAt.Sub(b.startedAt), b.uptime()):
+		b.d.log.Info("server limit", "server", id, "per_second", b.gate.Limits().Reported(xxhash.Sum64String(id)), "by", "response")
 	}
 }
 
@@ -25,11 +30,23 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, server := range b.gate.Limits().Merge(updates, b.uptime()) {
-		b.d.log.Info("server limit", "server", b.idByHash[server], "per_second", b.gate.Limits().Rate(server), "by", "peer")
+	for _, change := range b.gate.Limits().Merge(updates, b.uptime()) {
+		b.d.log.Info("server limit", "server", b.idByHash[change.Server], "per_second", change.PerSecond, "by", "peer")
 	}
 }
 
+// sweepLimits drops the limits of servers that are not configured. Callers hold mu.
+func (b *balancer) sweepLimits() {
+	if !b.gate.Limits().SweepDue(b.uptime()) {
+		return
+	}
+	known := map[uint64]bool{}
+	for server := range b.idByHash {
+		known[server] = true
+	}
+	b.gate.Limits().Sweep(known, b.uptime())
+}
+
 // serverLimits returns the recent changes of the servers' request rates, or all rates.
 func (b *balancer) serverLimits(all bool) []serverlimit.Update {
 	b.mu.Lock()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -100,9 +100,11 @@
 // limitPacer paces the sends of this daemon to a server with a stated rate.
 type limitPacer struct {
 	slowstart.Pacer
-	share slowstart.Share
-	// perSecond is the rate for which share was computed; zero computes it anew.
+	// share is this daemon's share of the rate perSecond; zero computes it anew.
+	share     slowstart.Share
 	perSecond float64
+	// interval is the current interval of sends, at most that of share.
+	interval time.Duration
 }
 
 // New returns a gate without evacuations and with an empty view.
@@ -179,8 +181,7 @@
 		p.share = slowstart.Share{}
 	}
 	g.recordFleetSize(len(v.Peers)+1, now)
-	g.limits.Expire(now)
-	g.resetLimitPacers()
+	g.resetLimitPacers(now)
 	for id, r := range g.restarts {
 		if r.responded && now >= r.warmAt || now-r.terminatedAt > restartRetention {
 			delete(g.restarts, id)
@@ -197,10 +198,10 @@
 
 // resetLimitPacers makes the pacers compute their shares anew, and removes those of servers
 // without a limit.
-func (g *Gate) resetLimitPacers() {
+func (g *Gate) resetLimitPacers(now time.Duration) {
 	for server, p := range g.limitPacers {
 		p.perSecond = 0
-		if g.limits.Rate(server) == 0 {
+		if g.limits.Limit(server, now).PerSecond == 0 {
 			delete(g.limitPacers, server)
 		}
 	}
@@ -238,7 +239,7 @@
 	if warmAt := g.WarmAt(s, now); now < warmAt && !g.warmupReady(s, warmAt, now) {
 		return Warming
 	}
-	if p := g.limitPacer(s, now); p != nil && !p.Ready(p.share, now) {
+	if p := g.limitPacer(s, now); p != nil && !p.ready(now) {
 		return Limited
 	}
 	return Allowed
@@ -282,8 +283,8 @@
 
 // limitPacer returns the pacer of a server with a stated rate, or nil.
 func (g *Gate) limitPacer(s Server, now time.Duration) *limitPacer {
-	perSecond := g.limits.Rate(s.Hash)
-	if perSecond == 0 {
+	limit := g.limits.Limit(s.Hash, now)
+	if limit.PerSecond == 0 {
 		return nil
 	}
 	p := g.limitPacers[s.Hash]
@@ -291,20 +292,29 @@
 		p = &limitPacer{}
 		g.limitPacers[s.Hash] = p
 	}
-	if p.perSecond != perSecond {
-		p.perSecond, p.share = perSecond, serverlimit.ShareOf(perSecond, g.fleetSize)
+	if p.perSecond != limit.PerSecond {
+		p.perSecond = limit.PerSecond
+		p.share = serverlimit.ShareOf(limit.PerSecond, g.fleetSize)
 		p.SetSender(g.view.IsSender(s.Hash, p.share.Senders), p.share, now)
 	}
+	p.interval = limit.Interval(p.share.Interval)
 	return p
 }
 
+// ready reports whether this daemon may send to the server now.
+func (p *limitPacer) ready(now time.Duration) bool { return p.Ready(p.currentShare(), now) }
+
+func (p *limitPacer) currentShare() slowstart.Share {
+	return slowstart.Share{Senders: p.share.Senders, Interval: p.interval}
+}
+
 // remaining returns the time until the server has capacity for a request: of this daemon, or
 // of another if this one does not send to it.
 func (p *limitPacer) remaining(now time.Duration) time.Duration {
 	if !p.Sender() {
 		return p.share.Interval / time.Duration(p.share.Senders)
 	}
-	return p.Remaining(p.share, now)
+	return p.Remaining(p.currentShare(), now)
 }
 
 // RecordSend records a send to a server for which Check returned Allowed.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 )
 
 // AnyModel as a call's model selects among the models of the route.
@@ -110,9 +111,9 @@
 	Confidence float64
 	// ContentLength is the body's length in bytes, or -1.
 	ContentLength int64
-	// StatedLimit is the number of requests per second that the server states to accept from
-	// all daemons together; zero if it states no limit.
-	StatedLimit float64
+	// Limit is what the response says about the number of requests per second that the server
+	// accepts from all daemons together.
+	Limit serverlimit.Statement
 }
 
 // Backend sends requests to backend servers. Its errors are *upstream.Error.
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -39,6 +39,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gate.SetView(v, now)
+	s.sweepLimits(now)
 }
 
 // gateServer converts a server to the gate's type.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -47,6 +47,8 @@
 	Panics tally.Counter
 	// ServerRestarts counts servers that restarted under the same name.
 	ServerRestarts tally.Counter
+	// UnreadableLimits counts responses whose stated limit could not be parsed.
+	UnreadableLimits tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
 	ResponseLatency tally.Histogram
 	// FirstEventLatency is the time to the first event of a stream.
@@ -66,8 +68,9 @@
 		Probes: s.Counter("alive_checks"), SendsRerouted: s.Counter("sends_moved"), ServerRestarts: s.Counter("server_restarts"),
 		ServersTerminated: s.Counter("servers_ended"), RequestsHeld: s.Gauge("requests_held"),
 		DomainsEvacuated: s.Gauge("domains_evacuated"), ServersWarming: s.Gauge("servers_warming"), ServersLimited: s.Gauge("servers_limited"), WarmingSends: s.Counter("warming_sends"),
-		Panics:      s.Counter("panics"),
-		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
+		UnreadableLimits: s.Counter("server_limits_unreadable"),
+		Panics:           s.Counter("panics"),
+		DaemonsLive:      s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
 	}
 	for subject := range freshness.Subjects {
@@ -110,32 +113,33 @@
 // MetricDescriptions returns the description of every metric, by name.
 func MetricDescriptions() map[string]string {
 	return map[string]string{
-		"requests":              "Client requests.",
-		"repeats":               "Sends after the first of a request.",
-		"escalations":           "Responses replaced by a larger model's.",
-		"sends_failed":          "Sends without a response.",
-		"sends_moved":           "Sends cancelled and continued on another server.",
-		"servers_ended":         "Servers that ended while running requests of this daemon.",
-		"requests_held":         "Quarantined requests: servers ended while running them.",
-		"domains_evacuated":     "Evacuated failure domains.",
-		"servers_warming":       "Servers that are warming up after their start.",
-		"servers_limited":       "Servers that state a limit on their requests per second.",
-		"warming_sends":         "Sends to servers that are warming up.",
-		"daemons_live":          "Live daemons that this daemon knows, including itself.",
-		"gossip_partners":       "Daemons with which this daemon exchanges messages.",
-		"servers_known":         "Backend servers that this daemon knows.",
-		"panics":                "Panics of handlers, each a defect; the log lines have the stack.",
-		"server_restarts":       "Servers that restarted under the same name.",
-		"server_entries_bad":    "Invalid server entries, by fault.",
-		"answers_cut":           "Responses aborted after their start.",
-		"answers_ok":            "Complete responses of servers that succeeded.",
-		"answers_failed":        "Complete responses of servers that failed.",
-		"callers_left":          "Clients that disconnected before their response.",
-		"alive_checks":          "Liveness probes of silent servers.",
-		"refusals":              "Requests refused by the daemon, by kind.",
-		"answer_seconds":        "Time to a complete non-streaming response.",
-		"first_event_seconds":   "Time to the first event of a stream.",
-		"confirmed_age_seconds": "Age of the last confirmation that the known records are complete, by subject.",
-		"learned_late_seconds":  "Upper bound of the delay with which records were read: the age of the confirmation before them, by subject.",
+		"requests":                 "Client requests.",
+		"repeats":                  "Sends after the first of a request.",
+		"escalations":              "Responses replaced by a larger model's.",
+		"sends_failed":             "Sends without a response.",
+		"sends_moved":              "Sends cancelled and continued on another server.",
+		"servers_ended":            "Servers that ended while running requests of this daemon.",
+		"requests_held":            "Quarantined requests: servers ended while running them.",
+		"domains_evacuated":        "Evacuated failure domains.",
+		"servers_warming":          "Servers that are warming up after their start.",
+		"servers_limited":          "Servers that state a limit on their requests per second.",
+		"server_limits_unreadable": "Responses whose stated limit could not be parsed.",
+		"warming_sends":            "Sends to servers that are warming up.",
+		"daemons_live":             "Live daemons that this daemon knows, including itself.",
+		"gossip_partners":          "Daemons with which this daemon exchanges messages.",
+		"servers_known":            "Backend servers that this daemon knows.",
+		"panics":                   "Panics of handlers, each a defect; the log lines have the stack.",
+		"server_restarts":          "Servers that restarted under the same name.",
+		"server_entries_bad":       "Invalid server entries, by fault.",
+		"answers_cut":              "Responses aborted after their start.",
+		"answers_ok":               "Complete responses of servers that succeeded.",
+		"answers_failed":           "Complete responses of servers that failed.",
+		"callers_left":             "Clients that disconnected before their response.",
+		"alive_checks":             "Liveness probes of silent servers.",
+		"refusals":                 "Requests refused by the daemon, by kind.",
+		"answer_seconds":           "Time to a complete non-streaming response.",
+		"first_event_seconds":      "Time to the first event of a stream.",
+		"confirmed_age_seconds":    "Age of the last confirmation that the known records are complete, by subject.",
+		"learned_late_seconds":     "Upper bound of the delay with which records were read: the age of the confirmation before them, by subject.",
 	}
 }
--- a/internal/relay/serverlimits.go
+++ b/internal/relay/serverlimits.go
@@ -1,23 +1,37 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 )
 
-// observeLimit records the request rate that a response of a server states, or zero.
-func (r *Relay) observeLimit(t *target, perSecond float64) {
-	if r.State.observeLimit(t, perSecond) {
-		r.log.Info("server limit", "server", t.server.ID, "service", t.service, "per_second", perSecond, "by", "response")
+// observeLimit records what a response says about the limit of its server. Only a successful
+// response shows that a server states none: errors and refusals may be written by something
+// that does not know its limit.
+func (r *Relay) observeLimit(t *target, s serverlimit.Statement, ok bool) {
+	switch {
+	case s.Kind == serverlimit.Unreadable:
+		r.Metrics.UnreadableLimits.Inc(1)
+		r.log.Warn("server limit unreadable", "server", t.server.ID, "service", t.service)
+		return
+	case s.Kind == serverlimit.None && !ok:
+		return
+	}
+	if limit, changed := r.State.observeLimit(t, s); changed {
+		r.log.Info("server limit", "server", t.server.ID, "service", t.service, "per_second", limit, "by", "response")
 	}
 }
 
-func (s *State) observeLimit(t *target, perSecond float64) (changed bool) {
-	now := s.bootTime()
+// observeLimit returns the rate that the server now has, zero for none, and whether it has changed.
+func (s *State) observeLimit(t *target, statement serverlimit.Statement) (perSecond float64, changed bool) {
+	now, server := s.bootTime(), xxhash.Sum64String(t.server.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gate.Limits().Observe(xxhash.Sum64String(t.server.ID), perSecond, t.pickedAt, now)
+	changed = s.gate.Limits().Observe(server, statement, t.pickedAt, now)
+	return s.gate.Limits().Reported(server), changed
 }
 
 // MergeServerLimits applies the request rates of servers that another daemon reported.
@@ -42,8 +56,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rates := map[uint64]float64{}
-	for _, server := range s.gate.Limits().Merge(updates, now) {
-		rates[server] = s.gate.Limits().Rate(server)
+	for _, change := range s.gate.Limits().Merge(updates, now) {
+		rates[change.Server] = change.PerSecond
 	}
 	if len(rates) == 0 {
 		return nil
@@ -69,7 +83,20 @@
 
 // LimitedServers counts the servers that state a request rate.
 func (s *State) LimitedServers() int {
+	now := s.bootTime()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gate.Limits().Limited()
+	return s.gate.Limits().Limited(now)
+}
+
+// sweepLimits drops the limits of servers without an entry. Callers hold mu.
+func (s *State) sweepLimits(now time.Duration) {
+	if !s.gate.Limits().SweepDue(now) {
+		return
+	}
+	known := map[uint64]bool{}
+	for _, id := range s.registry.IDs() {
+		known[xxhash.Sum64String(id)] = true
+	}
+	s.gate.Limits().Sweep(known, now)
 }
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -3,181 +3,57 @@
 package serverlimit
 
 import (
-	"cmp"
-	"maps"
-	"slices"
+	"math"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
 )
 
 const (
-	// retention is how long a rate is kept that no daemon has observed again.
-	retention = 30 * time.Second
-	// reannounceInterval is the time after which an unchanged rate is reported again.
-	reannounceInterval = retention / 2
-	// sendsPerReport is the number of messages in which a daemon passes on a report. Each daemon
-	// that receives it does so, which makes it unlikely that one in a large fleet is missed.
-	sendsPerReport = 32
-	// minAdvance is the least time by which a report of the same rate must be newer to be
-	// passed on again. Network delay makes each repetition of a report look newer.
-	minAdvance = 2 * time.Second
-	// maxUpdates is the maximum number of reports in a message, maxInitialUpdates that in a
-	// message to a daemon that just joined.
-	maxUpdates        = 16
-	maxInitialUpdates = 1024
-	// minRate and maxRate bound the rates accepted from servers, in requests per second.
-	minRate = 0.01
+	// minRate is the least rate, in requests per second, at which requests are sent to a server
+	// that states less, as only responses show the end of its limit.
+	minRate = 0.1
+	// maxRate is the largest rate that is kept.
 	maxRate = 1e6
 )
 
-// Update reports the rate of a server to other daemons.
-type Update struct {
-	// Server is the hash of the server's ID.
-	Server uint64 `cbor:"1,keyasint"`
-	// PerSecond is the rate that the server accepts from all daemons together, or zero for a
-	// server that states no rate any more.
-	PerSecond float64 `cbor:"2,keyasint,omitempty"`
-	// AgeMs is the time since a response of the server was observed.
-	AgeMs int64 `cbor:"3,keyasint,omitempty"`
+// Statement is what a response says about the limit of its server.
+type Statement struct {
+	Kind StatementKind
+	// PerSecond is the stated number of requests per second, for all daemons together. It is
+	// set if Kind is Rate.
+	PerSecond float64
 }
 
-type entry struct {
-	perSecond  float64
-	observedAt time.Duration
-	// announcedAt is when the entry was last to be reported, and sendsLeft in how many messages
-	// it still is.
-	announcedAt time.Duration
-	sendsLeft   int
-}
-
-// Table holds the stated rates of servers by the hash of their ID. Times are readings of a
-// clock that advances while the VM is suspended. A Table is not safe for concurrent use.
-type Table struct {
-	entries map[uint64]*entry
-	// pending holds the servers with sendsLeft.
-	pending map[uint64]bool
-}
-
-// NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[uint64]*entry{}, pending: map[uint64]bool{}} }
-
-// Rate returns the stated rate of a server, or zero.
-func (t *Table) Rate(server uint64) float64 {
-	if e := t.entries[server]; e != nil {
-		return e.perSecond
-	}
-	return 0
-}
-
-// Limited counts the servers with a stated rate.
-func (t *Table) Limited() (n int) {
-	for _, e := range t.entries {
-		if e.perSecond > 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// Observe applies a response of a server and reports whether its rate has changed. PerSecond is
-// the stated rate, or zero if the response states none. Such a response ends a rate only if its
-// request was sent after the rate was last observed: others may be older than the rate.
-func (t *Table) Observe(server uint64, perSecond float64, sentAt, now time.Duration) bool {
-	if perSecond > 0 {
-		perSecond = min(max(perSecond, minRate), maxRate)
-	}
-	e := t.entries[server]
-	if perSecond <= 0 && (e == nil || e.perSecond == 0 || sentAt <= e.observedAt) {
-		return false
-	}
-	if e == nil {
-		e = &entry{}
-		t.entries[server] = e
-	}
-	changed := e.perSecond != perSecond
-	e.perSecond, e.observedAt = perSecond, now
-	if changed || now-e.announcedAt >= reannounceInterval {
-		t.announce(server, e, now)
-	}
-	return changed
-}
+// StatementKind is the kind of a Statement.
+type StatementKind int
 
-// announce makes an entry be reported to other daemons.
-func (t *Table) announce(server uint64, e *entry, now time.Duration) {
-	e.announcedAt, e.sendsLeft = now, sendsPerReport
-	t.pending[server] = true
-}
-
-// Merge applies the reports of another daemon and returns the servers whose rate has changed.
-func (t *Table) Merge(updates []Update, now time.Duration) (changed []uint64) {
-	for _, u := range updates {
-		observedAt := now - time.Duration(u.AgeMs)*time.Millisecond
-		if u.AgeMs < 0 || u.PerSecond < 0 || u.PerSecond > maxRate || now-observedAt > retention {
-			continue
-		}
-		e := t.entries[u.Server]
-		switch {
-		case e == nil:
-			e = &entry{perSecond: u.PerSecond, observedAt: observedAt}
-			t.entries[u.Server] = e
-			t.announce(u.Server, e, now)
-			if u.PerSecond > 0 {
-				changed = append(changed, u.Server)
-			}
-		case observedAt <= e.observedAt:
-		case u.PerSecond != e.perSecond:
-			e.perSecond, e.observedAt = u.PerSecond, observedAt
-			t.announce(u.Server, e, now)
-			changed = append(changed, u.Server)
-		default:
-			if observedAt-e.observedAt >= minAdvance {
-				t.announce(u.Server, e, now)
-			}
-			e.observedAt = observedAt
-		}
-	}
-	return changed
-}
-
-// Updates returns the reports for a message to another daemon, those sent least first, or all
-// rates for a daemon that just joined.
-func (t *Table) Updates(recentlyJoined bool, now time.Duration) []Update {
-	if recentlyJoined {
-		all := slices.Collect(maps.Keys(t.entries))
-		return t.updates(all[:min(len(all), maxInitialUpdates)], now)
-	}
-	due := slices.Collect(maps.Keys(t.pending))
-	slices.SortFunc(due, func(a, b uint64) int {
-		return cmp.Or(cmp.Compare(t.entries[b].sendsLeft, t.entries[a].sendsLeft), cmp.Compare(a, b))
-	})
-	due = due[:min(len(due), maxUpdates)]
-	for _, server := range due {
-		e := t.entries[server]
-		if e.sendsLeft--; e.sendsLeft == 0 {
-			delete(t.pending, server)
-		}
-	}
-	return t.updates(due, now)
-}
+const (
+	// None means that the response states no limit.
+	None StatementKind = iota
+	// Rate means that the response states a limit, which may be zero.
+	Rate
+	// Unreadable means that the response states a limit that could not be parsed.
+	Unreadable
+)
 
-func (t *Table) updates(servers []uint64, now time.Duration) []Update {
-	out := make([]Update, len(servers))
-	for i, server := range servers {
-		e := t.entries[server]
-		out[i] = Update{Server: server, PerSecond: e.perSecond, AgeMs: (now - e.observedAt).Milliseconds()}
+// StatedRate returns the statement of a rate, in requests per second. A rate that is negative or
+// not finite is unreadable.
+func StatedRate(perSecond float64) Statement {
+	if math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return Statement{Kind: Unreadable}
 	}
-	return out
+	return Statement{Rate, perSecond}
 }
 
-// Expire removes the rates that no daemon has observed for a while.
-func (t *Table) Expire(now time.Duration) {
-	for server, e := range t.entries {
-		if now-e.observedAt > retention {
-			delete(t.entries, server)
-			delete(t.pending, server)
-		}
+// Lowest returns the statement with the lower rate. A readable statement takes precedence over
+// an unreadable one, and that over none.
+func Lowest(a, b Statement) Statement {
+	switch {
+	case a.Kind == None, a.Kind == Unreadable && b.Kind == Rate, b.Kind == Rate && b.PerSecond < a.PerSecond:
+		return b
 	}
+	return a
 }
 
 const (
