gate: a limit outlives a restart of its server

What servers saw: one that restarts while it states a limit gets a multiple of it: up to 67 requests in 4 s where 11.6 are allowed, when it restarts each second before 6 daemons.

Cause: limits were kept by the incarnation. The next incarnation had none until its first response came, and its responses could not end the earlier one's limit.

Evidence: TestLimitOutlivesServerRestart at 1 to 2,000 daemons failed with the incarnation's key, and passes with the server's name. A server that no longer needs the limit after its restart shows that as any other: by successful responses without it.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -188,14 +189,8 @@
 	return n
 }
 
-// IDs returns the IDs of all servers that have an entry, in no order.
-func (r *Registry) IDs() []string {
-	ids := make([]string, 0, len(r.entries))
-	for _, e := range r.entries {
-		ids = append(ids, e.server.ID)
-	}
-	return ids
-}
+// Names returns the names of all servers that have an entry, in no order.
+func (r *Registry) Names() []string { return slices.Collect(maps.Keys(r.entries)) }
 
 // ByID returns the usable server with an ID, and whether there is one.
 func (r *Registry) ByID(id string, now time.Duration) (Server, bool) {
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -30,7 +30,7 @@
 
 // gateServer converts a candidate to the input of the gate. Callers hold mu.
 func (b *balancer) gateServer(p *pool, s *fleet.SlowStart, cand *routing.Candidate) gate.Server {
-	return gate.Server{ID: cand.ID, Hash: cand.Hash, FailureDomain: cand.FailureDomain, Leaving: cand.Leaving, WarmAt: p.warmAt[cand.ID], Limit: slowStartLimit(s)}
+	return gate.Server{ID: cand.ID, Name: cand.ID, Hash: cand.Hash, FailureDomain: cand.FailureDomain, Leaving: cand.Leaving, WarmAt: p.warmAt[cand.ID], Limit: slowStartLimit(s)}
 }
 
 // excludeRefused marks the candidates that the gate refuses as tried and counts the
--- a/internal/daemon/serverlimits.go
+++ b/internal/daemon/serverlimits.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 )
 
@@ -18,8 +16,8 @@
 	case s.Kind == serverlimit.Unreadable:
 		b.d.metrics.unreadableLimits.Inc(1)
 		b.d.log.Warn("server limit unreadable", "server", id)
-	case b.gate.Limits().Observe(xxhash.Sum64String(id), s, sentAt.Sub(b.startedAt), b.uptime()):
-		b.d.log.Info("server limit", "server", id, "per_second", b.gate.Limits().Reported(xxhash.Sum64String(id)), "by", "response")
+	case b.gate.Limits().Observe(serverlimit.Key(id), s, sentAt.Sub(b.startedAt), b.uptime()):
+		b.d.log.Info("server limit", "server", id, "per_second", b.gate.Limits().Reported(serverlimit.Key(id)), "by", "response")
 	}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -38,6 +38,8 @@
 // Server is the state of one incarnation of a backend server.
 type Server struct {
 	ID string
+	// Name identifies the server across its incarnations.
+	Name string
 	// Hash is the hash of ID. It is the same on all daemons.
 	Hash          uint64
 	FailureDomain string
@@ -67,7 +69,8 @@
 	// restarts are servers that have terminated and may restart under the same name.
 	restarts map[string]*restart
 	// limits are the request rates that servers state, and limitPacers the pacers of sends to
-	// such servers, both by the hash of the server's ID.
+	// such servers, both by the hash of the server's name: a server that restarts may still be
+	// in need.
 	limits      *serverlimit.Table
 	limitPacers map[uint64]*limitPacer
 	// fleetSize is the largest number of daemons in a recent view, at fleetSizeAt.
@@ -283,19 +286,23 @@
 
 // limitPacer returns the pacer of a server with a stated rate, or nil.
 func (g *Gate) limitPacer(s Server, now time.Duration) *limitPacer {
-	limit := g.limits.Limit(s.Hash, now)
+	if g.limits.Len() == 0 {
+		return nil
+	}
+	server := serverlimit.Key(s.Name)
+	limit := g.limits.Limit(server, now)
 	if limit.PerSecond == 0 {
 		return nil
 	}
-	p := g.limitPacers[s.Hash]
+	p := g.limitPacers[server]
 	if p == nil {
 		p = &limitPacer{}
-		g.limitPacers[s.Hash] = p
+		g.limitPacers[server] = p
 	}
 	if p.perSecond != limit.PerSecond {
 		p.perSecond = limit.PerSecond
 		p.share = serverlimit.ShareOf(limit.PerSecond, g.fleetSize)
-		p.SetSender(g.view.IsSender(s.Hash, p.share.Senders), p.share, now)
+		p.SetSender(g.view.IsSender(server, p.share.Senders), p.share, now)
 	}
 	p.interval = limit.Interval(p.share.Interval)
 	return p
--- a/internal/gate/limit_fleet_test.go
+++ b/internal/gate/limit_fleet_test.go
@@ -54,8 +54,8 @@
 	f := &limitFleet{rng: rand.New(rand.NewPCG(1, uint64(daemons))), rates: rates, liftedAt: time.Hour, sends: make([][]time.Duration, len(rates)), known: map[uint64]bool{}}
 	for i := range rates {
 		id := fmt.Sprint("server-", i)
-		f.servers = append(f.servers, Server{ID: id, Hash: xxhash.Sum64String(id)})
-		f.known[xxhash.Sum64String(id)] = true
+		f.servers = append(f.servers, Server{ID: id, Name: id, Hash: xxhash.Sum64String(id)})
+		f.known[serverlimit.Key(id)] = true
 	}
 	var hashes []uint64
 	for i := range daemons {
@@ -126,7 +126,7 @@
 		if f.rates[r.server] == 0 || r.at < limitsStatedAt || r.at >= f.liftedAt || f.omits != nil && f.omits(r) {
 			statement = serverlimit.Statement{}
 		}
-		f.gates[r.daemon].Limits().Observe(f.servers[r.server].Hash, statement, r.sentAt, f.now)
+		f.gates[r.daemon].Limits().Observe(serverlimit.Key(f.servers[r.server].Name), statement, r.sentAt, f.now)
 	}
 }
 
@@ -239,7 +239,7 @@
 	f := newLimitFleet(6, []float64{6})
 	g, server := f.gates[0], f.servers[0]
 	view := g.view
-	g.Limits().Observe(server.Hash, serverlimit.StatedRate(6), 0, 0)
+	g.Limits().Observe(serverlimit.Key(server.Name), serverlimit.StatedRate(6), 0, 0)
 	sends := func(v slowstart.View) (n int) {
 		for end := f.now + limitWindow; f.now < end; f.now += limitStep {
 			if f.now%limitGossipInterval == 0 {
@@ -296,6 +296,21 @@
 	}
 }
 
+// Guards against a limit that is lost when its server restarts, before the new incarnation responds.
+func TestLimitOutlivesServerRestart(t *testing.T) {
+	for _, n := range limitFleetSizes {
+		f := newLimitFleet(n, []float64{0.5, 1.1, 4, 10.8, 0, 0})
+		for restart := range 20 {
+			f.run(300, time.Duration(restart+1)*time.Second)
+			for i := range f.servers {
+				id := fmt.Sprint(f.servers[i].Name, "@", restart)
+				f.servers[i].ID, f.servers[i].Hash = id, xxhash.Sum64String(id)
+			}
+		}
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) { f.checkBreaches(t, limitsStatedAt+limitNotice) })
+	}
+}
+
 // Guards against sends by more daemons than a limit is divided among, while views differ.
 func TestChangingViewsStayWithinStatedLimits(t *testing.T) {
 	for n, seeds := range map[int]uint64{6: 10, 7: 40, 9: 40, 12: 40, 60: 4, 195: 2, 520: 1} {
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -44,7 +44,7 @@
 
 // gateServer converts a server to the gate's type.
 func gateServer(b backend.Server, hash uint64, limit slowstart.Limit) gate.Server {
-	return gate.Server{ID: b.ID, Hash: hash, FailureDomain: b.FailureDomain, Leaving: b.Leaving, WarmAt: b.WarmAt, Limit: limit}
+	return gate.Server{ID: b.ID, Name: b.Incarnation.Name, Hash: hash, FailureDomain: b.FailureDomain, Leaving: b.Leaving, WarmAt: b.WarmAt, Limit: limit}
 }
 
 // excludeRefused excludes the servers that the gate refuses, and counts the refusals by reason.
--- a/internal/relay/serverlimits.go
+++ b/internal/relay/serverlimits.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 )
 
@@ -27,7 +25,7 @@
 
 // observeLimit returns the rate that the server now has, zero for none, and whether it has changed.
 func (s *State) observeLimit(t *target, statement serverlimit.Statement) (perSecond float64, changed bool) {
-	now, server := s.bootTime(), xxhash.Sum64String(t.server.ID)
+	now, server := s.bootTime(), serverlimit.Key(t.server.Incarnation.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed = s.gate.Limits().Observe(server, statement, t.pickedAt, now)
@@ -63,8 +61,8 @@
 		return nil
 	}
 	for _, sv := range s.services {
-		for id := range sv.servers {
-			if rate, any := rates[xxhash.Sum64String(id)]; any {
+		for id, server := range sv.servers {
+			if rate, any := rates[serverlimit.Key(server.Incarnation.Name)]; any {
 				changed = append(changed, limitedServer{id, rate})
 			}
 		}
@@ -95,8 +93,8 @@
 		return
 	}
 	known := map[uint64]bool{}
-	for _, id := range s.registry.IDs() {
-		known[xxhash.Sum64String(id)] = true
+	for _, name := range s.registry.Names() {
+		known[serverlimit.Key(name)] = true
 	}
 	s.gate.Limits().Sweep(known, now)
 }
--- a/internal/serverlimit/report.go
+++ b/internal/serverlimit/report.go
@@ -29,7 +29,7 @@
 
 // Update reports the rate of a server to other daemons.
 type Update struct {
-	// Server is the hash of the server's ID.
+	// Server is the server's Key.
 	Server uint64 `cbor:"1,keyasint"`
 	// PerSecond is the rate that the server accepts from all daemons together, or zero for a
 	// server that states no rate any more.
--- a/internal/serverlimit/table.go
+++ b/internal/serverlimit/table.go
@@ -1,6 +1,10 @@
 package serverlimit
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// minUnstated is the number of successive responses without a limit that end one. Fewer may
@@ -81,7 +85,10 @@
 	e.stated(perSecond, at)
 }
 
-// Table holds the stated rates of servers by the hash of their ID. Times are readings of a
+// Key returns the key of a server's limit. Name identifies the server across its incarnations.
+func Key(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Table holds the stated rates of servers by their Key. Times are readings of a
 // clock that advances while the VM is suspended. A Table is not safe for concurrent use.
 type Table struct {
 	entries map[uint64]*entry
@@ -117,6 +124,9 @@
 	return Limit{}
 }
 
+// Len returns the number of servers of which a limit is or was known.
+func (t *Table) Len() int { return len(t.entries) }
+
 // Limited counts the servers with a limit.
 func (t *Table) Limited(now time.Duration) (n int) {
 	for _, e := range t.entries {
