gate, relay, daemon: a refusal for stated limits names the server that has room first

The line of a refused request told only that the servers which are left have stated limits. It now gives the server, its rate, when that was stated and when it has room, so that those on call get from a request's id to the limit. On the own interface this goes to the log alone, not to callers.

--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -172,11 +173,12 @@
 	if decision.Refusal == routing.BudgetExceeded {
 		return fault.New(fault.Overloaded, "pool %s would answer in %s, after the deadline", pool, decision.Expected.Round(time.Millisecond)).WithRetryAfter(max(time.Second, decision.Expected/2))
 	}
-	switch reason, remaining := refused.Primary(); reason {
+	switch nearest := refused.Primary(); nearest.Reason {
 	case gate.Warming:
-		return fault.New(fault.Warming, "the servers of pool %s that are left are warming up", pool).WithRetryAfter(remaining)
+		return fault.New(fault.Warming, "the servers of pool %s that are left are warming up", pool).WithRetryAfter(nearest.Remaining)
 	case gate.Limited:
-		return fault.New(fault.ServerLimited, "the servers of pool %s that are left have stated limits", pool).WithRetryAfter(serverlimit.RetryAfter(remaining, b.rng.Float64()))
+		e := fault.New(fault.ServerLimited, "the servers of pool %s that are left have stated limits", pool).WithRetryAfter(serverlimit.RetryAfter(nearest.Remaining, b.rng.Float64()))
+		return e.WithCause(errors.New(b.gate.DescribeLimit(nearest, b.uptime())))
 	case gate.Evacuated:
 		return fault.New(fault.Evacuated, "the servers of pool %s that are left stand in evacuated failure domains", pool)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,6 +4,7 @@
 package gate
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -255,11 +256,11 @@
 	case Allowed:
 		return true
 	case Warming:
-		refusals.Add(reason, g.WarmAt(s, now)-now)
+		refusals.Add(Refusal{reason, s.Name, g.WarmAt(s, now) - now})
 	case Limited:
-		refusals.Add(reason, g.limitPacer(s, now).remaining(now))
+		refusals.Add(Refusal{reason, s.Name, g.limitPacer(s, now).remaining(now)})
 	default:
-		refusals.Add(reason, 0)
+		refusals.Add(Refusal{Reason: reason, Server: s.Name})
 	}
 	return false
 }
@@ -324,6 +325,12 @@
 	return p.Remaining(p.currentShare(), now)
 }
 
+// DescribeLimit describes the limit of a refused server, for the log.
+func (g *Gate) DescribeLimit(r Refusal, now time.Duration) string {
+	limit := g.limits.Limit(serverlimit.Key(r.Server), now)
+	return fmt.Sprintf("%s stated %g requests a second %s ago and has room in %s", r.Server, limit.PerSecond, (now - limit.StatedAt).Round(time.Millisecond), r.Remaining.Round(time.Millisecond))
+}
+
 // RecordSend records a send to a server for which Check returned Allowed.
 func (g *Gate) RecordSend(s Server, now time.Duration) {
 	if p := g.limitPacer(s, now); p != nil {
@@ -340,30 +347,35 @@
 // Refusals counts why the servers of a service were refused, to explain a request without a
 // usable server.
 type Refusals struct {
-	counts map[Reason]int
-	// remaining is the least time until the reason ends for a server.
-	remaining map[Reason]time.Duration
+	// nearest is the refused server that is usable first, by reason.
+	nearest map[Reason]Refusal
+}
+
+// Refusal is a refused server.
+type Refusal struct {
+	Reason Reason
+	Server string
+	// Remaining is the time until the reason ends, or zero if that is unknown.
+	Remaining time.Duration
 }
 
-// Add counts a refused server. Remaining is the time until the reason ends, or zero if that
-// is unknown.
-func (rs *Refusals) Add(r Reason, remaining time.Duration) {
-	if rs.counts == nil {
-		rs.counts, rs.remaining = map[Reason]int{}, map[Reason]time.Duration{}
+// Add counts a refused server.
+func (rs *Refusals) Add(r Refusal) {
+	if rs.nearest == nil {
+		rs.nearest = map[Reason]Refusal{}
 	}
-	rs.counts[r]++
-	if least := rs.remaining[r]; least == 0 || remaining < least {
-		rs.remaining[r] = remaining
+	if nearest, any := rs.nearest[r.Reason]; !any || nearest.Remaining == 0 || r.Remaining < nearest.Remaining {
+		rs.nearest[r.Reason] = r
 	}
 }
 
-// Primary returns the most informative reason counted, or Allowed if there is none, and the
-// time until the reason ends; zero if unknown.
-func (rs *Refusals) Primary() (Reason, time.Duration) {
-	for _, r := range Reasons() {
-		if rs.counts[r] > 0 {
-			return r, rs.remaining[r]
+// Primary returns the refusal with the most informative reason, and of these the server that is
+// usable first. The reason is Allowed if no server was refused.
+func (rs *Refusals) Primary() Refusal {
+	for _, reason := range Reasons() {
+		if r, any := rs.nearest[reason]; any {
+			return r
 		}
 	}
-	return Allowed, 0
+	return Refusal{}
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -111,14 +111,14 @@
 // Guards against a retry time later than the first warm server.
 func TestRefusalsReportEarliestWarmup(t *testing.T) {
 	var refusals Refusals
-	if r, _ := refusals.Primary(); r != Allowed {
-		t.Errorf("without refusals: %q", r)
-	}
-	refusals.Add(Leaving, 0)
-	refusals.Add(Warming, 2*time.Second)
-	refusals.Add(Warming, time.Second)
-	if r, left := refusals.Primary(); r != Warming || left != time.Second {
-		t.Errorf("got %q, %s left", r, left)
+	if r := refusals.Primary(); r.Reason != Allowed {
+		t.Errorf("without refusals: %+v", r)
+	}
+	refusals.Add(Refusal{Reason: Leaving})
+	refusals.Add(Refusal{Warming, "late", 2 * time.Second})
+	refusals.Add(Refusal{Warming, "early", time.Second})
+	if r := refusals.Primary(); r != (Refusal{Warming, "early", time.Second}) {
+		t.Errorf("got %+v", r)
 	}
 }
 
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -95,11 +95,12 @@
 
 // noServerError returns the refusal for a request that no server can take. Callers hold mu.
 func (s *State) noServerError(sel *selection, req *requirements) *fault.Error {
-	switch reason, left := sel.refusals.Primary(); reason {
+	switch refused := sel.refusals.Primary(); refused.Reason {
 	case gate.Warming:
-		return fault.New(fault.Warming, "the servers of %s that are left are warming up", req.service).WithRetryAfter(max(left, minWarmingRetryAfter))
+		return fault.New(fault.Warming, "the servers of %s that are left are warming up", req.service).WithRetryAfter(max(refused.Remaining, minWarmingRetryAfter))
 	case gate.Limited:
-		return fault.New(fault.ServerLimited, "the servers of %s that are left have stated limits", req.service).WithRetryAfter(serverlimit.RetryAfter(left, s.rng.Float64()))
+		limit := s.gate.DescribeLimit(refused, s.bootTime())
+		return fault.New(fault.ServerLimited, "the servers of %s that are left have stated limits: %s", req.service, limit).WithRetryAfter(serverlimit.RetryAfter(refused.Remaining, s.rng.Float64()))
 	case gate.Evacuated:
 		return fault.New(fault.Evacuated, "the servers of %s that are left stand in evacuated failure domains", req.service)
 	}
--- a/internal/relay/serverlimits_test.go
+++ b/internal/relay/serverlimits_test.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"errors"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
+	"github.com/damaskrudder/damaskrudder/internal/upstream"
 )
 
 // limited adds a stated limit to responses.
@@ -20,6 +23,15 @@
 	}
 }
 
+// alternate uses its responses in turn.
+func alternate(responses ...func(BackendRequest) (*BackendResponse, error)) func(BackendRequest) (*BackendResponse, error) {
+	sends := 0
+	return func(r BackendRequest) (*BackendResponse, error) {
+		sends++
+		return responses[sends%len(responses)](r)
+	}
+}
+
 // Guards against sends beyond a stated limit by first sends, retries and larger models, and
 // against refusals that hide the reason or claim too much.
 func TestEverySendKeepsToStatedLimits(t *testing.T) {
@@ -33,6 +45,8 @@
 		"retry of refusal": {"/l/x", respondNotRun},
 		"stream":           {"/s/x", respondStream(99, nil, 0, 1)},
 		"escalation":       {"/s/x", respondStream(1, nil, 0, 1)},
+		"resumed stream":   {"/s/x", respondStream(99, errors.New("reset"), 0)},
+		"retry after loss": {"/l/x", alternate(respond(200, "ok"), failSend(upstream.ConnectionLost, true))},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, limited(perSecond, tt.respond))
@@ -45,6 +59,9 @@
 					continue
 				}
 				refused++
+				if !strings.Contains(out.refusal.Detail, "stated 1 requests a second") {
+					t.Fatalf("the refusal does not name the limit: %v", out.refusal)
+				}
 				if out.refusal.Kind != fault.ServerLimited || out.refusal.ExecutionState() != fault.NotRun || out.refusal.RetryDelay() <= 0 {
 					t.Fatalf("got %v", out.refusal)
 				}
