daemon: a resumed stream counts for the stated limit of its server

Cause: on the own interface a stream whose connection was lost is resumed at its server without passing the gate, so that a server with a limit got these requests beside its whole rate. A resume is still not refused, since its run would be lost; the daemon's next sends wait for it.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -148,6 +148,7 @@
 			return decision
 		}
 		d.metrics.resumes.Inc(1)
+		d.balancer.recordResume(picked)
 		stream, err = d.engine.Resume(ctx, picked.candidate.Address, runID, assembler.LastOffset())
 	}
 }
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -28,20 +28,20 @@
 	return slowstart.Limit{WarmupPeriod: time.Duration(s.Seconds * float64(time.Second)), PerSecond: s.PerSecond, BurstFactor: 1, Burst: s.Burst}
 }
 
-// gateServer converts a candidate to the input of the gate. Callers hold mu.
-func (b *balancer) gateServer(p *pool, s *fleet.SlowStart, cand *routing.Candidate) gate.Server {
-	return gate.Server{ID: cand.ID, Name: cand.ID, Hash: cand.Hash, FailureDomain: cand.FailureDomain, Leaving: cand.Leaving, WarmAt: p.warmAt[cand.ID], Limit: slowStartLimit(s)}
+// gateServer converts a candidate to the input of the gate.
+func gateServer(p *pool, limit slowstart.Limit, cand *routing.Candidate) gate.Server {
+	return gate.Server{ID: cand.ID, Name: cand.ID, Hash: cand.Hash, FailureDomain: cand.FailureDomain, Leaving: cand.Leaving, WarmAt: p.warmAt[cand.ID], Limit: limit}
 }
 
 // excludeRefused marks the candidates that the gate refuses as tried and counts the
 // refusals by reason. Callers hold mu.
 func (b *balancer) excludeRefused(p *pool, s *fleet.SlowStart, candidates []routing.Candidate, r *routing.Request) (refused gate.Refusals) {
-	now := b.uptime()
+	now, limit := b.uptime(), slowStartLimit(s)
 	for i := range candidates {
 		if candidates[i].ID == "" {
 			continue
 		}
-		if !b.gate.Admit(gate.Request{}, b.gateServer(p, s, &candidates[i]), now, &refused) {
+		if !b.gate.Admit(gate.Request{}, gateServer(p, limit, &candidates[i]), now, &refused) {
 			r.Tried.Add(i)
 		}
 	}
@@ -53,11 +53,6 @@
 	b.gate.ServerResponded(picked.candidate.ID, picked.slowStart, b.uptime())
 }
 
-// recordSend reports to the gate that a request is sent to a server. Callers hold mu.
-func (b *balancer) recordSend(p *pool, s *fleet.SlowStart, cand *routing.Candidate) {
-	b.gate.RecordSend(b.gateServer(p, s, cand), b.uptime())
-}
-
 // syncEvacuations applies the evacuations of the configuration to the gate.
 // Callers hold mu.
 func (b *balancer) syncEvacuations(cfg *fleet.Config) {
--- a/internal/daemon/gate_test.go
+++ b/internal/daemon/gate_test.go
@@ -134,6 +134,24 @@
 	})
 }
 
+// Guards against resumed streams that reach a limited server beside its other requests.
+func TestResumedStreamCountsForStatedLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, cfg := newSlowStartBalancer(t)
+		picked, err := b.sendOne(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.observeLimit(picked.candidate.Address, serverlimit.StatedRate(2), time.Now())
+		for range 40 {
+			b.recordResume(picked)
+			if sent := b.sendsTo(cfg, picked.candidate.ID, 100*time.Millisecond); sent > 0 {
+				t.Fatalf("%d requests sent beside resumed streams", sent)
+			}
+		}
+	})
+}
+
 // sendsTo counts the requests to a server in a period of constant load.
 func (b *balancer) sendsTo(cfg *fleet.Config, server string, period time.Duration) (sent int) {
 	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -159,7 +159,7 @@
 		return pick{}, b.pickError(decision, poolName, &refused)
 	}
 	chosen := candidates[decision.Index]
-	b.recordSend(p, cfg.Pools[poolName].SlowStart, &chosen)
+	b.gate.RecordSend(gateServer(p, slowStartLimit(cfg.Pools[poolName].SlowStart), &chosen), b.uptime())
 	p.load.RecordSend(chosen.ID, r.Blocks, r.Urgent, time.Now())
 	return pick{
 		pool: poolName, candidate: chosen, expectedFirstToken: decision.Expected, urgent: r.Urgent, slowStart: slowStartLimit(cfg.Pools[poolName].SlowStart),
@@ -203,6 +203,14 @@
 	return queueWait
 }
 
+// recordResume reports to the gate that the stream of a run is resumed. It is not refused, as the
+// run would be lost, but counts for the limits of its server.
+func (b *balancer) recordResume(picked pick) {
+	b.withPool(picked.pool, func(p *pool) {
+		b.gate.RecordSend(gateServer(p, picked.slowStart, &picked.candidate), b.uptime())
+	})
+}
+
 // recordCompletion records the end of an attempt and how long it occupied a slot.
 func (b *balancer) recordCompletion(picked pick, slotTime time.Duration, failed bool) {
 	b.withPool(picked.pool, func(p *pool) {
