soak: servers state limits in several ways beside failures of daemons, servers and the store

Servers leave their limit out of one response in ten or for 300 ms in each 2 s, state 0, less or what can't be read; daemons are killed, stopped, paused and reloaded, the store refuses or is silent for one daemon, keys rotate, servers fail, refuse and restart with their limit. All requests that arrive are counted, also those that do not run, and every request beyond the bound is reported.

--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -23,7 +23,7 @@
 	deadly := flag.Bool("deadly", false, "a request that ends its servers comes again and again, beside daemons that stop and start, in place of all other faults")
 	storeRestores := flag.Bool("returns", false, "the store comes back from copies of up to some seconds ago, beside all other faults")
 	warming := flag.Bool("warming", false, "servers warm up after each start and failure domains are evacuated, beside daemons that stop and start, in place of all other faults")
-	limits := flag.Bool("limits", false, "servers state limits on their requests per second, beside daemons that stop and start, in place of all other faults")
+	limits := flag.Bool("limits", false, "servers state limits on their requests per second, beside daemons, servers and a store that fail, in place of all other faults")
 	flag.Parse()
 	if err := run(*firstSeed, *seeds, options{*duration, *daemons, *restarts, *deadly, *storeRestores, *warming, *limits}, *keep, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -126,13 +126,13 @@
 		runs = append(runs, standin.Run{ID: strconv.Itoa(i), At: now.Add(limitNotice + time.Duration(i+1)*100*time.Millisecond)})
 	}
 	arrivals := func(int) []standin.Run { return runs }
-	if violations := checkLimits([]limitPeriod{{0, 1, now, now.Add(limitDuration)}}, arrivals); len(violations) != 1 {
+	if violations := checkLimits([]limitPeriod{{0, 1, "", now, now.Add(limitDuration)}}, arrivals); len(violations) != 1 {
 		t.Errorf("12 requests, 11 are allowed: %v", violations)
 	}
 	for name, limit := range map[string]limitPeriod{
-		"higher limit":      {0, 2, now, now.Add(limitDuration)},
-		"before the notice": {0, 1, now.Add(limitNotice), now.Add(limitDuration)},
-		"lifted":            {0, 1, now.Add(-limitDuration), now},
+		"higher limit":      {0, 2, "", now, now.Add(limitDuration)},
+		"before the notice": {0, 1, "", now.Add(limitNotice), now.Add(limitDuration)},
+		"lifted":            {0, 1, "", now.Add(-limitDuration), now},
 	} {
 		if violations := checkLimits([]limitPeriod{limit}, arrivals); len(violations) != 0 {
 			t.Errorf("%s: %v", name, violations)
