node, daemon: tell other daemons at once when a limit begins, ends, or has not ended

Cause: reports of limits waited for the next regular message of each daemon on the way. At 300 daemons a limit was known everywhere after 1.0 s and an end after 1.2 s, so that an objection could come too late: an end applies one second after its report. On the own interface, whose heartbeats are rarer, both take longer.

Beginnings, ends and objections are broadcast as holds of requests are, 200 ms apart at the least; a rate that only changes still waits for regular messages. The trigger of holds moves to loop.Signal, which both use.

--- a/internal/containment/guard.go
+++ b/internal/containment/guard.go
@@ -55,7 +55,7 @@
 	opts     Options
 	attempts *attemptRegistry
 	// pending signals that an update is to be broadcast.
-	pending chan struct{}
+	pending loop.Signal
 
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
@@ -63,7 +63,7 @@
 
 // New returns a guard without recorded crashes or holds.
 func New(opts Options) *Guard {
-	return &Guard{opts: opts, attempts: newAttemptRegistry(), pending: make(chan struct{}, 1), tracker: quarantine.NewTracker()}
+	return &Guard{opts: opts, attempts: newAttemptRegistry(), pending: loop.NewSignal(), tracker: quarantine.NewTracker()}
 }
 
 // IncarnationKey returns the key of a server ID in messages between daemons.
@@ -74,23 +74,7 @@
 // Broadcast calls send whenever an update is pending, with a pause after each round, until
 // the context is done. Daemons rebroadcast what is new to them.
 func (g *Guard) Broadcast(ctx context.Context, pause time.Duration, send func(ctx context.Context)) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.pending:
-			send(ctx)
-		}
-		loop.Sleep(ctx, pause)
-	}
-}
-
-// requestBroadcast schedules a round. It does not block.
-func (g *Guard) requestBroadcast() {
-	select {
-	case g.pending <- struct{}{}:
-	default: // a round is already scheduled
-	}
+	g.pending.Run(ctx, pause, send)
 }
 
 // apply runs update on the tracker and carries out the change: it cancels sends of newly held
@@ -111,7 +95,7 @@
 		g.opts.RequestsHeld.Update(float64(len(g.Holds())))
 	}
 	if c.Broadcast {
-		g.requestBroadcast()
+		g.pending.Request()
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -119,7 +119,7 @@
 	loops := []func(context.Context){
 		d.config.run, d.members.run, d.balancer.run, d.usage.run,
 		d.rollouts.run, d.cascades.run, d.orders.run, d.claims.run, d.limits.run,
-		d.broadcastHolds,
+		d.broadcastHolds, d.broadcastLimits,
 	}
 	var wg sync.WaitGroup
 	for _, loop := range loops {
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -13,6 +13,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
@@ -50,6 +51,8 @@
 	idByHash    map[uint64]string
 	// gate limits requests to warming servers and excludes evacuated ones.
 	gate *gate.Gate
+	// limitBroadcast requests broadcasts of urgent reports of limits.
+	limitBroadcast loop.Signal
 	// startedAt is the zero of the gate's clock.
 	startedAt time.Time
 }
@@ -66,7 +69,7 @@
 
 func newBalancer(d *Daemon) *balancer {
 	return &balancer{
-		d: d, pools: map[string]*pool{}, leaving: map[string]bool{}, gate: gate.New(), startedAt: time.Now(),
+		d: d, pools: map[string]*pool{}, leaving: map[string]bool{}, gate: gate.New(), limitBroadcast: loop.NewSignal(), startedAt: time.Now(),
 		rng: rand.New(rand.NewPCG(d.incarnation, uint64(len(d.settings.ID)))),
 	}
 }
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -16,8 +16,11 @@
 const (
 	// minBroadcastInterval is the minimum interval between two broadcasts of
 	// quarantine updates, and broadcastFanout the number of daemons called in each.
-	minBroadcastInterval = 100 * time.Millisecond
-	broadcastFanout      = 4
+	// minLimitBroadcastInterval is the interval for servers' limits, which change at many
+	// servers at a time when a service is overloaded.
+	minBroadcastInterval      = 100 * time.Millisecond
+	minLimitBroadcastInterval = 200 * time.Millisecond
+	broadcastFanout           = 4
 )
 
 // newGuard returns the guard that holds requests whose execution terminates servers.
@@ -38,6 +41,11 @@
 	d.guard.Broadcast(ctx, minBroadcastInterval, func(ctx context.Context) { d.members.exchangeWithRandom(ctx, broadcastFanout) })
 }
 
+// broadcastLimits sends urgent reports of servers' limits to other daemons until the context ends.
+func (d *Daemon) broadcastLimits(ctx context.Context) {
+	d.balancer.limitBroadcast.Run(ctx, minLimitBroadcastInterval, func(ctx context.Context) { d.members.exchangeWithRandom(ctx, broadcastFanout) })
+}
+
 // exchangeWithRandom exchanges heartbeats with up to n random live daemons.
 func (m *memberlist) exchangeWithRandom(ctx context.Context, n int) {
 	members := m.lockTable().Members()
--- a/internal/daemon/serverlimits.go
+++ b/internal/daemon/serverlimits.go
@@ -10,6 +10,7 @@
 func (b *balancer) observeLimit(address string, s serverlimit.Statement, sentAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer b.requestLimitBroadcast()
 	id, known := b.idByAddress[address]
 	switch {
 	case !known:
@@ -28,11 +29,19 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer b.requestLimitBroadcast()
 	for _, change := range b.gate.Limits().Merge(updates, b.uptime()) {
 		b.d.log.Info("server limit", "server", b.idByHash[change.Server], "per_second", change.PerSecond, "by", "peer")
 	}
 }
 
+// requestLimitBroadcast requests a broadcast if there are urgent reports. Callers hold mu.
+func (b *balancer) requestLimitBroadcast() {
+	if b.gate.Limits().TakeUrgent() {
+		b.limitBroadcast.Request()
+	}
+}
+
 // sweepLimits drops the limits of servers that are not configured. Callers hold mu.
 func (b *balancer) sweepLimits() {
 	if !b.gate.Limits().SweepDue(b.uptime()) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -214,7 +214,7 @@
 	for _, f := range n.followers {
 		go f.Run(ctx)
 	}
-	for _, loop := range []func(context.Context){n.Relay.Run, n.members.Run, n.runRollouts, n.maintainFreshness, n.maintainRegistration, n.broadcastHolds, n.syncHolds, n.refreshSlowStartView} {
+	for _, loop := range []func(context.Context){n.Relay.Run, n.members.Run, n.runRollouts, n.maintainFreshness, n.maintainRegistration, n.broadcastHolds, n.broadcastLimits, n.syncHolds, n.refreshSlowStartView} {
 		go loop(ctx)
 	}
 	n.log.Info("started", "daemon", n.config.Name, "incarnation", n.incarnation, "front", n.config.ClientAddress, "control", n.config.ControlAddress)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/route"
@@ -59,6 +60,8 @@
 	liveness *livenessMonitor
 	// Guard quarantines requests that are suspected of crashing servers.
 	Guard *containment.Guard
+	// limitBroadcast requests broadcasts of urgent reports of limits.
+	limitBroadcast loop.Signal
 	// ConfigOutdated reports whether other daemons have a newer configuration than the store.
 	ConfigOutdated func() bool
 	// started is the origin of the retry budget's monotonic time.
@@ -77,7 +80,7 @@
 // New returns a relay.
 func New(state *State, b Backend, options Options, m *Metrics, logger *log.Logger) *Relay {
 	r := &Relay{
-		State: state, Rollouts: NewRollouts(options.SessionIdleTimeout, time.Now, logger), Metrics: m, backend: b, options: options, log: logger, started: time.Now(), ConfigOutdated: func() bool { return false },
+		State: state, Rollouts: NewRollouts(options.SessionIdleTimeout, time.Now, logger), Metrics: m, backend: b, options: options, log: logger, started: time.Now(), ConfigOutdated: func() bool { return false }, limitBroadcast: loop.NewSignal(),
 		retryBudgets: map[string]*request.WindowedRetryBudget{}, escalators: map[string]*cascade.Escalator{},
 	}
 	r.liveness = newLivenessMonitor(state, b, logger, m)
--- a/internal/relay/serverlimits.go
+++ b/internal/relay/serverlimits.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
@@ -18,56 +19,86 @@
 	case s.Kind == serverlimit.None && !ok:
 		return
 	}
-	if limit, changed := r.State.observeLimit(t, s); changed {
-		r.log.Info("server limit", "server", t.server.ID, "service", t.service, "per_second", limit, "by", "response")
+	change := r.State.observeLimit(t, s)
+	if change.urgent {
+		r.limitBroadcast.Request()
 	}
+	if change.changed {
+		r.log.Info("server limit", "server", t.server.ID, "service", t.service, "per_second", change.perSecond, "by", "response")
+	}
+}
+
+// limitChange is the effect of a response on the limit of its server.
+type limitChange struct {
+	changed bool
+	// perSecond is the rate that the server now has, zero for none.
+	perSecond float64
+	// urgent is set if other daemons should be told at once.
+	urgent bool
 }
 
-// observeLimit returns the rate that the server now has, zero for none, and whether it has changed.
-func (s *State) observeLimit(t *target, statement serverlimit.Statement) (perSecond float64, changed bool) {
+func (s *State) observeLimit(t *target, statement serverlimit.Statement) limitChange {
 	now, server := s.bootTime(), serverlimit.Key(t.server.Incarnation.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed = s.gate.Limits().Observe(server, statement, t.pickedAt, now)
-	return s.gate.Limits().Reported(server), changed
+	limits := s.gate.Limits()
+	changed := limits.Observe(server, statement, t.pickedAt, now)
+	return limitChange{changed, limits.Reported(server), limits.TakeUrgent()}
 }
 
 // MergeServerLimits applies the request rates of servers that another daemon reported.
 func (r *Relay) MergeServerLimits(updates []serverlimit.Update) {
-	for _, server := range r.State.mergeServerLimits(updates) {
+	changed, urgent := r.State.mergeServerLimits(updates)
+	if urgent {
+		r.limitBroadcast.Request()
+	}
+	for _, server := range changed {
 		r.log.Info("server limit", "server", server.id, "per_second", server.perSecond, "by", "peer")
 	}
 }
 
+// BroadcastLimits calls send whenever there are urgent reports of limits, with a pause after each
+// call, until the context ends.
+func (r *Relay) BroadcastLimits(ctx context.Context, pause time.Duration, send func(ctx context.Context)) {
+	r.limitBroadcast.Run(ctx, pause, send)
+}
+
 // limitedServer is a server whose stated rate has changed.
 type limitedServer struct {
 	id        string
 	perSecond float64
 }
 
-// mergeServerLimits returns the known servers whose rate has changed.
-func (s *State) mergeServerLimits(updates []serverlimit.Update) (changed []limitedServer) {
+// mergeServerLimits returns the known servers whose rate has changed, and whether other daemons
+// should be told at once.
+func (s *State) mergeServerLimits(updates []serverlimit.Update) (changed []limitedServer, urgent bool) {
 	if len(updates) == 0 {
-		return nil
+		return nil, false
 	}
 	now := s.bootTime()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	changes := s.gate.Limits().Merge(updates, now)
+	return s.limitedServers(changes), s.gate.Limits().TakeUrgent()
+}
+
+// limitedServers returns the known servers of some changes. Callers hold mu.
+func (s *State) limitedServers(changes []serverlimit.Change) (out []limitedServer) {
+	if len(changes) == 0 {
+		return nil
+	}
 	rates := map[uint64]float64{}
-	for _, change := range s.gate.Limits().Merge(updates, now) {
+	for _, change := range changes {
 		rates[change.Server] = change.PerSecond
 	}
-	if len(rates) == 0 {
-		return nil
-	}
 	for _, sv := range s.services {
 		for id, server := range sv.servers {
 			if rate, any := rates[serverlimit.Key(server.Incarnation.Name)]; any {
-				changed = append(changed, limitedServer{id, rate})
+				out = append(out, limitedServer{id, rate})
 			}
 		}
 	}
-	return changed
+	return out
 }
 
 // ServerLimits returns the recent changes of the servers' request rates for another daemon, or
--- a/internal/serverlimit/report.go
+++ b/internal/serverlimit/report.go
@@ -77,6 +77,19 @@
 	t.pending[server] = true
 }
 
+// announceUrgent is announce for what others should know before the next regular message.
+func (t *Table) announceUrgent(server uint64, e *entry, now time.Duration) {
+	t.announce(server, e, now)
+	t.urgent = true
+}
+
+// TakeUrgent reports whether there are urgent reports since the last call.
+func (t *Table) TakeUrgent() bool {
+	urgent := t.urgent
+	t.urgent = false
+	return urgent
+}
+
 func (t *Table) announceStale(server uint64, e *entry, now time.Duration) {
 	e.announcedAt, e.sendsLeft = now, max(e.sendsLeft, sendsPerStaleReport)
 	t.pending[server] = true
@@ -109,12 +122,15 @@
 		t.entries[u.Server] = e
 	case asOf <= e.asOf():
 		if outdated := (u.PerSecond == 0) != e.ended(); outdated && e.sendsLeft == 0 {
-			t.announce(u.Server, e, now)
+			t.announceUrgent(u.Server, e, now)
 		}
 		return false
 	}
 	changed = u.PerSecond != e.reportedRate()
-	if changed || asOf-e.asOf() >= minAdvance {
+	switch {
+	case (u.PerSecond == 0) != (e.reportedRate() == 0):
+		t.announceUrgent(u.Server, e, now)
+	case changed || asOf-e.asOf() >= minAdvance:
 		t.announce(u.Server, e, now)
 	}
 	if u.PerSecond == 0 {
--- a/internal/serverlimit/table.go
+++ b/internal/serverlimit/table.go
@@ -94,6 +94,8 @@
 	entries map[uint64]*entry
 	// pending holds the servers that are to be reported to other daemons.
 	pending map[uint64]bool
+	// urgent is set if a report should not wait for the next regular message.
+	urgent  bool
 	sweptAt time.Duration
 }
 
@@ -155,9 +157,13 @@
 		e = newEntry(now)
 		t.entries[server] = e
 	}
-	changed = e.perSecond != perSecond || e.ended()
+	isNew := e.reportedRate() == 0
+	changed = e.perSecond != perSecond || isNew
 	e.stated(perSecond, now)
-	if changed || now-e.announcedAt >= reannounceInterval {
+	switch {
+	case isNew:
+		t.announceUrgent(server, e, now)
+	case changed || now-e.announcedAt >= reannounceInterval:
 		t.announce(server, e, now)
 	}
 	return changed
@@ -181,7 +187,7 @@
 		return false
 	}
 	e.end(e.run.since, now, true)
-	t.announce(server, e, now)
+	t.announceUrgent(server, e, now)
 	return true
 }
 
