gate: a server that returns late warms up

A server that had terminated was remembered for a minute; one that returned later under its name got full load at once until its entry or its next load report told that it warms up. Its state is now kept while the server is known, and swept together with limits. TestServerThatReturnsLateWarmsUp failed before: the server counts as warm after an hour.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -3,7 +3,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -189,8 +188,14 @@
 	return n
 }
 
-// Names returns the names of all servers that have an entry, in no order.
-func (r *Registry) Names() []string { return slices.Collect(maps.Keys(r.entries)) }
+// Names returns the names of all servers that have an entry, by their ID.
+func (r *Registry) Names() map[string]string {
+	names := make(map[string]string, len(r.entries))
+	for name, e := range r.entries {
+		names[e.server.ID] = name
+	}
+	return names
+}
 
 // ByID returns the usable server with an ID, and whether there is one.
 func (r *Registry) ByID(id string, now time.Duration) (Server, bool) {
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -75,7 +75,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.gate.SetView(view, b.uptime())
-	b.sweepLimits()
+	b.sweepGate()
 	b.d.metrics.serversLimited.Update(float64(b.gate.Limits().Limited(b.uptime())))
 }
 
--- a/internal/daemon/serverlimits.go
+++ b/internal/daemon/serverlimits.go
@@ -42,16 +42,16 @@
 	}
 }
 
-// sweepLimits drops the limits of servers that are not configured. Callers hold mu.
-func (b *balancer) sweepLimits() {
-	if !b.gate.Limits().SweepDue(b.uptime()) {
+// sweepGate drops the state of servers that are not configured. Callers hold mu.
+func (b *balancer) sweepGate() {
+	if !b.gate.SweepDue(b.uptime()) {
 		return
 	}
-	known := map[uint64]bool{}
-	for server := range b.idByHash {
-		known[server] = true
+	known := map[string]string{}
+	for _, id := range b.idByHash {
+		known[id] = id
 	}
-	b.gate.Limits().Sweep(known, b.uptime())
+	b.gate.Sweep(known, b.uptime())
 }
 
 // serverLimits returns the recent changes of the servers' request rates, or all rates.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -77,6 +77,7 @@
 	// fleetSize is the largest number of daemons in a recent view, at fleetSizeAt.
 	fleetSize   int
 	fleetSizeAt time.Duration
+	sweptAt     time.Duration
 }
 
 // fleetSizeMemory is how long stated rates are divided among daemons that left the view. They
@@ -91,9 +92,12 @@
 	warmAt    time.Duration
 }
 
-// restartRetention is how long a terminated server that does not restart is remembered.
+// restartRetention is how long a terminated server that is not known any more is remembered.
 const restartRetention = time.Minute
 
+// sweepInterval is the time between two sweeps.
+const sweepInterval = 15 * time.Second
+
 // pacer paces the sends of this daemon to a warming server.
 type pacer struct {
 	slowstart.Pacer
@@ -187,7 +191,29 @@
 	g.recordFleetSize(len(v.Peers)+1, now)
 	g.resetLimitPacers(now)
 	for id, r := range g.restarts {
-		if r.responded && now >= r.warmAt || now-r.terminatedAt > restartRetention {
+		if r.responded && now >= r.warmAt {
+			delete(g.restarts, id)
+		}
+	}
+}
+
+// SweepDue reports whether it is time for a sweep.
+func (g *Gate) SweepDue(now time.Duration) bool {
+	return (g.limits.Len() > 0 || len(g.restarts) > 0) && now-g.sweptAt >= sweepInterval
+}
+
+// Sweep drops the state of servers that are not known any more; known holds the names of servers by
+// their ID. That of a known server is kept however long it gets no requests: only its responses
+// show that it is warm, or that its limit has ended.
+func (g *Gate) Sweep(known map[string]string, now time.Duration) {
+	g.sweptAt = now
+	limited := map[uint64]bool{}
+	for _, name := range known {
+		limited[serverlimit.Key(name)] = true
+	}
+	g.limits.Sweep(limited, now)
+	for id, r := range g.restarts {
+		if _, any := known[id]; !any && now-r.terminatedAt > restartRetention {
 			delete(g.restarts, id)
 		}
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -152,3 +152,27 @@
 		t.Errorf("%d restarts are kept", len(g.restarts))
 	}
 }
+
+// Guards against a rush at a server that returns long after it terminated, before its entry changes.
+func TestServerThatReturnsLateWarmsUp(t *testing.T) {
+	g, now := soleDaemonGate(), time.Minute
+	s := Server{ID: "a", Name: "a", Limit: limit}
+	g.ServerTerminated("a", now)
+	g.ServerTerminated("gone", now)
+	for ; now < time.Hour; now += sweepInterval {
+		g.SetView(slowstart.View{Self: 1, Trusted: true}, now)
+		if g.SweepDue(now) {
+			g.Sweep(map[string]string{"a": "a"}, now)
+		}
+	}
+	if g.WarmAt(s, now) <= now {
+		t.Error("the server counts as warm")
+	}
+	if _, any := g.restarts["gone"]; any {
+		t.Error("a server that is not known any more is remembered")
+	}
+	g.ServerResponded("a", limit, now)
+	if warmAt := g.WarmAt(s, now); warmAt != now+limit.WarmupPeriod {
+		t.Errorf("warm %s after its first response, want %s", warmAt-now, limit.WarmupPeriod)
+	}
+}
--- a/internal/gate/limit_fleet_test.go
+++ b/internal/gate/limit_fleet_test.go
@@ -39,8 +39,8 @@
 	refused  int
 	// omits reports whether a response leaves out the limit of its server; nil for none.
 	omits func(r limitResponse) bool
-	// known are the hashes of the servers.
-	known map[uint64]bool
+	// known are the names of the servers.
+	known map[string]string
 	// hidden is the part of the peers that each view lacks, drawn anew in each gossip round.
 	hidden float64
 }
@@ -51,11 +51,11 @@
 }
 
 func newLimitFleet(daemons int, rates []float64) *limitFleet {
-	f := &limitFleet{rng: rand.New(rand.NewPCG(1, uint64(daemons))), rates: rates, liftedAt: time.Hour, sends: make([][]time.Duration, len(rates)), known: map[uint64]bool{}}
+	f := &limitFleet{rng: rand.New(rand.NewPCG(1, uint64(daemons))), rates: rates, liftedAt: time.Hour, sends: make([][]time.Duration, len(rates)), known: map[string]string{}}
 	for i := range rates {
 		id := fmt.Sprint("server-", i)
 		f.servers = append(f.servers, Server{ID: id, Name: id, Hash: xxhash.Sum64String(id)})
-		f.known[serverlimit.Key(id)] = true
+		f.known[id] = id
 	}
 	var hashes []uint64
 	for i := range daemons {
@@ -83,8 +83,8 @@
 			view.Peers = slices.DeleteFunc(slices.Clone(view.Peers), func(uint64) bool { return f.rng.Float64() < f.hidden })
 		}
 		g.SetView(view, f.now)
-		if g.Limits().SweepDue(f.now) {
-			g.Limits().Sweep(f.known, f.now)
+		if g.SweepDue(f.now) {
+			g.Sweep(f.known, f.now)
 		}
 	}
 }
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -39,7 +39,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gate.SetView(v, now)
-	s.sweepLimits(now)
+	if s.gate.SweepDue(now) {
+		s.gate.Sweep(s.registry.Names(), now)
+	}
 }
 
 // gateServer converts a server to the gate's type.
--- a/internal/relay/serverlimits.go
+++ b/internal/relay/serverlimits.go
@@ -117,15 +117,3 @@
 	defer s.mu.Unlock()
 	return s.gate.Limits().Limited(now)
 }
-
-// sweepLimits drops the limits of servers without an entry. Callers hold mu.
-func (s *State) sweepLimits(now time.Duration) {
-	if !s.gate.Limits().SweepDue(now) {
-		return
-	}
-	known := map[uint64]bool{}
-	for _, name := range s.registry.Names() {
-		known[serverlimit.Key(name)] = true
-	}
-	s.gate.Limits().Sweep(known, now)
-}
--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -97,11 +97,8 @@
 	}
 	for b.Limit(1, now).PerSecond > 0 && now < 2*time.Minute {
 		now += time.Second
-		for _, table := range []*Table{a, b} {
-			if table.SweepDue(now) {
-				table.Sweep(known, now)
-			}
-		}
+		a.Sweep(known, now)
+		b.Sweep(known, now)
 		a.Merge(b.Updates(false, now), now)
 		b.Merge(a.Updates(false, now), now)
 	}
@@ -144,7 +141,7 @@
 	table, known := NewTable(), map[uint64]bool{1: true}
 	table.Observe(1, StatedRate(5), 0, 0)
 	table.Observe(2, StatedRate(5), 0, 0)
-	for now := time.Duration(0); now <= time.Hour; now += sweepInterval {
+	for now := time.Duration(0); now <= time.Hour; now += time.Second {
 		table.Sweep(known, now)
 		if now < retention && table.Limit(2, now).PerSecond != 5 {
 			t.Fatal("limit of a server that may return is gone early")
--- a/internal/serverlimit/table.go
+++ b/internal/serverlimit/table.go
@@ -20,8 +20,6 @@
 	objectionBackoff = 30 * time.Second
 	// retention is how long the limit of a server that this daemon does not know is kept.
 	retention = 30 * time.Second
-	// sweepInterval is the time between two sweeps.
-	sweepInterval = retention / 2
 )
 
 // entry is what is known of the limit of a server.
@@ -95,8 +93,7 @@
 	// pending holds the servers that are to be reported to other daemons.
 	pending map[uint64]bool
 	// urgent is set if a report should not wait for the next regular message.
-	urgent  bool
-	sweptAt time.Duration
+	urgent bool
 }
 
 // NewTable returns an empty table.
@@ -191,16 +188,10 @@
 	return true
 }
 
-// SweepDue reports whether it is time for a sweep.
-func (t *Table) SweepDue(now time.Duration) bool {
-	return len(t.entries) > 0 && now-t.sweptAt >= sweepInterval
-}
-
 // Sweep removes the servers that this daemon has not known for a while, and reports again the
 // limits of which nothing was heard for long. The limit of a server that gets no requests is
 // kept, since only responses show its end.
 func (t *Table) Sweep(known map[uint64]bool, now time.Duration) {
-	t.sweptAt = now
 	for server, e := range t.entries {
 		if known[server] {
 			e.knownAt = now
