experiments: chosen senders take part again

The pacer sends only for a daemon that was made a sender, which the experiments did not do, so that their chosen daemons sent nothing since that change.

--- a/lab/experiments/serverlimit.go
+++ b/lab/experiments/serverlimit.go
@@ -32,11 +32,11 @@
 }{
 	{"chosen daemons, more for higher limits", func(_ *rand.Rand, v slowstart.View, server uint64, rate float64) sender {
 		s := serverlimit.ShareOf(rate, len(v.Peers)+1)
-		return &selectedSender{share: s, selected: v.IsSender(server, s.Senders)}
+		return newSelectedSender(s, v.IsSender(server, s.Senders))
 	}},
 	{"four chosen daemons", func(_ *rand.Rand, v slowstart.View, server uint64, rate float64) sender {
 		s := slowstart.Limit{PerSecond: rate, BurstFactor: limitFactor, Burst: limitSlack}.Share()
-		return &selectedSender{share: s, selected: v.IsSender(server, s.Senders)}
+		return newSelectedSender(s, v.IsSender(server, s.Senders))
 	}},
 	{"rate divided by the daemons known", func(rng *rand.Rand, v slowstart.View, _ uint64, rate float64) sender {
 		interval := time.Duration(float64(len(v.Peers)+1) / rate * float64(time.Second))
--- a/lab/experiments/slowstart.go
+++ b/lab/experiments/slowstart.go
@@ -74,11 +74,16 @@
 // selectedSender sends a share of the rate if the daemon is selected as a sender.
 type selectedSender struct {
 	slowstart.Pacer
-	share    slowstart.Share
-	selected bool
+	share slowstart.Share
 }
 
-func (s *selectedSender) canSend(now time.Duration) bool { return s.selected && s.Ready(s.share, now) }
+func newSelectedSender(share slowstart.Share, selected bool) *selectedSender {
+	s := &selectedSender{share: share}
+	s.SetSender(selected, share, 0)
+	return s
+}
+
+func (s *selectedSender) canSend(now time.Duration) bool { return s.Ready(s.share, now) }
 func (s *selectedSender) recordSend(now time.Duration)   { s.RecordSend(now) }
 
 // dividedRate divides the rate by the number of known daemons.
@@ -101,7 +106,7 @@
 }{
 	{"few chosen daemons, a fixed part each", func(_ *rand.Rand, v slowstart.View, server uint64) sender {
 		s := warmupLimit.Share()
-		return &selectedSender{share: s, selected: v.IsSender(server, s.Senders)}
+		return newSelectedSender(s, v.IsSender(server, s.Senders))
 	}},
 	{"rate divided by the daemons known", func(rng *rand.Rand, v slowstart.View, _ uint64) sender {
 		interval := time.Duration(float64(len(v.Peers)+1) / warmupLimit.PerSecond * float64(time.Second))
