--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -188,13 +189,15 @@
 	return n
 }
 
-// Names returns the names of all servers that have an entry, by their ID.
-func (r *Registry) Names() map[string]string {
-	names := make(map[string]string, len(r.entries))
-	for name, e := range r.entries {
-		names[e.server.ID] = name
+// Names yields the IDs and names of all servers that have an entry, in no order.
+func (r *Registry) Names() iter.Seq2[string, string] {
+	return func(yield func(id, name string) bool) {
+		for name, e := range r.entries {
+			if !yield(e.server.ID, name) {
+				return
+			}
+		}
 	}
-	return names
 }
 
 // ByID returns the usable server with an ID, and whether there is one.
--- a/internal/daemon/serverlimits.go
+++ b/internal/daemon/serverlimits.go
@@ -47,11 +47,13 @@
 	if !b.gate.SweepDue(b.uptime()) {
 		return
 	}
-	known := map[string]string{}
-	for _, id := range b.idByHash {
-		known[id] = id
-	}
-	b.gate.Sweep(known, b.uptime())
+	b.gate.Sweep(func(yield func(id, name string) bool) {
+		for _, id := range b.idByHash {
+			if !yield(id, id) {
+				return
+			}
+		}
+	}, b.uptime())
 }
 
 // serverLimits returns the recent changes of the servers' request rates, or all rates.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 	"time"
 
@@ -86,7 +87,8 @@
 
 // restart describes a terminated server and its next incarnation.
 type restart struct {
-	terminatedAt time.Duration
+	// knownAt is when the server was last known to this daemon.
+	knownAt time.Duration
 	// responded reports whether the server has responded since, and warmAt when it is then warm.
 	responded bool
 	warmAt    time.Duration
@@ -167,7 +169,7 @@
 // ServerTerminated records that a server has terminated. If it returns under the same name, it
 // warms up from its first response, whatever its entry says.
 func (g *Gate) ServerTerminated(id string, now time.Duration) {
-	g.restarts[id] = &restart{terminatedAt: now}
+	g.restarts[id] = &restart{knownAt: now}
 }
 
 // ServerResponded records that a server has responded.
@@ -202,18 +204,20 @@
 	return (g.limits.Len() > 0 || len(g.restarts) > 0) && now-g.sweptAt >= sweepInterval
 }
 
-// Sweep drops the state of servers that are not known any more; known holds the names of servers by
-// their ID. That of a known server is kept however long it gets no requests: only its responses
+// Sweep drops the state of servers that are not known any more; known yields the IDs and names of
+// servers. That of a known server is kept however long it gets no requests: only its responses
 // show that it is warm, or that its limit has ended.
-func (g *Gate) Sweep(known map[string]string, now time.Duration) {
+func (g *Gate) Sweep(known iter.Seq2[string, string], now time.Duration) {
 	g.sweptAt = now
-	limited := map[uint64]bool{}
-	for _, name := range known {
-		limited[serverlimit.Key(name)] = true
+	for id, name := range known {
+		g.limits.MarkKnown(serverlimit.Key(name), now)
+		if r := g.restarts[id]; r != nil {
+			r.knownAt = now
+		}
 	}
-	g.limits.Sweep(limited, now)
+	g.limits.Sweep(now)
 	for id, r := range g.restarts {
-		if _, any := known[id]; !any && now-r.terminatedAt > restartRetention {
+		if now-r.knownAt > restartRetention {
 			delete(g.restarts, id)
 		}
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -162,7 +163,7 @@
 	for ; now < time.Hour; now += sweepInterval {
 		g.SetView(slowstart.View{Self: 1, Trusted: true}, now)
 		if g.SweepDue(now) {
-			g.Sweep(map[string]string{"a": "a"}, now)
+			g.Sweep(maps.All(map[string]string{"a": "a"}), now)
 		}
 	}
 	if g.WarmAt(s, now) <= now {
--- a/internal/gate/limit_fleet_test.go
+++ b/internal/gate/limit_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -84,7 +85,7 @@
 		}
 		g.SetView(view, f.now)
 		if g.SweepDue(f.now) {
-			g.Sweep(f.known, f.now)
+			g.Sweep(maps.All(f.known), f.now)
 		}
 	}
 }
--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -88,7 +88,7 @@
 // Guards against a limit that a daemon keeps for good because it missed its end.
 func TestMissedEndIsCorrected(t *testing.T) {
 	a, b := NewTable(), NewTable()
-	now, known := time.Second, map[uint64]bool{1: true}
+	now := time.Second
 	a.Observe(1, StatedRate(5), 0, now)
 	b.Merge(a.Updates(true, now), now)
 	now = observeUnstated(a, minUnstated, now)
@@ -97,8 +97,10 @@
 	}
 	for b.Limit(1, now).PerSecond > 0 && now < 2*time.Minute {
 		now += time.Second
-		a.Sweep(known, now)
-		b.Sweep(known, now)
+		for _, table := range []*Table{a, b} {
+			table.MarkKnown(1, now)
+			table.Sweep(now)
+		}
 		a.Merge(b.Updates(false, now), now)
 		b.Merge(a.Updates(false, now), now)
 	}
@@ -138,11 +140,12 @@
 // Guards against limits that pile up for servers that are gone, and against forgetting that of a
 // server which gets no requests.
 func TestLimitIsKeptWhileServerIsKnown(t *testing.T) {
-	table, known := NewTable(), map[uint64]bool{1: true}
+	table := NewTable()
 	table.Observe(1, StatedRate(5), 0, 0)
 	table.Observe(2, StatedRate(5), 0, 0)
 	for now := time.Duration(0); now <= time.Hour; now += time.Second {
-		table.Sweep(known, now)
+		table.MarkKnown(1, now)
+		table.Sweep(now)
 		if now < retention && table.Limit(2, now).PerSecond != 5 {
 			t.Fatal("limit of a server that may return is gone early")
 		}
--- a/internal/serverlimit/table.go
+++ b/internal/serverlimit/table.go
@@ -188,14 +188,18 @@
 	return true
 }
 
+// MarkKnown records that this daemon knows a server.
+func (t *Table) MarkKnown(server uint64, now time.Duration) {
+	if e := t.entries[server]; e != nil {
+		e.knownAt = now
+	}
+}
+
 // Sweep removes the servers that this daemon has not known for a while, and reports again the
 // limits of which nothing was heard for long. The limit of a server that gets no requests is
 // kept, since only responses show its end.
-func (t *Table) Sweep(known map[uint64]bool, now time.Duration) {
+func (t *Table) Sweep(now time.Duration) {
 	for server, e := range t.entries {
-		if known[server] {
-			e.knownAt = now
-		}
 		switch {
 		case now-e.knownAt > retention:
 			delete(t.entries, server)
