serverlimit: a later need of a server is no objection to an earlier end

A daemon that had shown the end of a limit took the next statement of another daemon, however late, for an objection, and showed no end for 30 s. Only a statement within 30 s of the end counts now. TestLaterNeedIsNoObjection failed before.

--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -85,6 +85,22 @@
 	}
 }
 
+// Guards against a need long after an end that is taken for an objection to it, so that its own end
+// is noticed late.
+func TestLaterNeedIsNoObjection(t *testing.T) {
+	a, b := NewTable(), NewTable()
+	a.Observe(1, StatedRate(5), 0, time.Second)
+	now := observeUnstated(a, minUnstated, time.Second) + time.Hour
+	b.Observe(1, StatedRate(5), now, now)
+	a.Merge(b.Updates(false, now), now)
+	if a.Limit(1, now).PerSecond != 5 {
+		t.Fatal("the later limit is not applied")
+	}
+	if now = observeUnstated(a, minUnstated, now); a.Limit(1, now+objectionPeriod).PerSecond != 0 {
+		t.Error("the end of the later limit is not noticed")
+	}
+}
+
 // Guards against a limit that a daemon keeps for good because it missed its end.
 func TestMissedEndIsCorrected(t *testing.T) {
 	a, b := NewTable(), NewTable()
--- a/internal/serverlimit/table.go
+++ b/internal/serverlimit/table.go
@@ -77,7 +77,7 @@
 
 // statedToOthers applies a statement that another daemon reports.
 func (e *entry) statedToOthers(perSecond float64, at, now time.Duration) {
-	if e.endedHere {
+	if e.endedHere && at-e.endsAt < objectionBackoff {
 		e.noRunBefore = now + objectionBackoff
 	}
 	e.stated(perSecond, at)
