serverlimit: notice the end of a limit near zero within seconds

Cause: three servers had stated 0 last. Such a server got one request in 10 s, from two daemons 21 s apart each, and only responses show the end of a limit: six in a row would have taken 42 s.

A server now gets at least one request in two seconds, whatever it states. The bound allows five in 4 s beside the limit.

--- a/internal/gate/limit_fleet_test.go
+++ b/internal/gate/limit_fleet_test.go
@@ -219,6 +219,24 @@
 	}
 }
 
+// Guards against a server that states next to nothing and gets more than the bound, and against
+// callers who are refused long after it has lifted that limit.
+func TestLimitNearZeroIsKeptAndEndsSoon(t *testing.T) {
+	const endsWithin = 15 * time.Second
+	for _, n := range limitFleetSizes {
+		f := newLimitFleet(n, []float64{0.001, 0.001})
+		f.liftedAt = 20 * time.Second
+		f.run(max(300, 3*float64(n)), f.liftedAt)
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			f.checkBreaches(t, limitsStatedAt+limitNotice)
+			f.run(max(300, 3*float64(n)), f.liftedAt+endsWithin)
+			if limited := f.gates[0].Limits().Limited(f.now); limited > 0 {
+				t.Errorf("%d servers are still limited", limited)
+			}
+		})
+	}
+}
+
 // Guards against shares so small that servers with limits are left idle in an overload.
 func TestFleetUsesStatedLimits(t *testing.T) {
 	for _, n := range []int{1, 6, 60, 195} {
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -12,7 +12,7 @@
 const (
 	// minRate is the least rate, in requests per second, at which requests are sent to a server
 	// that states less, as only responses show the end of its limit.
-	minRate = 0.1
+	minRate = 0.5
 	// maxRate is the largest rate that is kept.
 	maxRate = 1e6
 )
