--- a/lab/soak/cluster.go
+++ b/lab/soak/cluster.go
@@ -303,6 +303,7 @@
 // clearFaults reverts all persistent faults.
 func (c *cluster) clearFaults() {
 	c.restoreEntries()
+	c.liftLimits()
 	for _, p := range append(append([]*proxy(nil), c.serverProxies...), c.storeProxies...) {
 		p.setMode(modeForward)
 	}
--- a/lab/soak/limits.go
+++ b/lab/soak/limits.go
@@ -120,6 +120,19 @@
 	time.AfterFunc(limitDuration, func() { c.servers[server].SetStatedLimit("") })
 }
 
+// liftLimits ends all stated limits.
+func (c *cluster) liftLimits() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for i := range c.limits {
+		if l := &c.limits[i]; now.Before(l.to) {
+			l.to = now
+			c.servers[l.server].SetStatedLimit("")
+		}
+	}
+}
+
 // checkLimits checks the requests that reached servers with a stated limit.
 func (c *cluster) checkLimits() []string {
 	c.mu.Lock()
