--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -25,7 +25,7 @@
 			report(5)
 			took := waitFor(t, maxLimitSpread, "the limit is known", func() bool { return limited() == daemons })
 			t.Logf("%d daemons: known after %s", daemons, took)
-			time.Sleep(time.Minute)
+			time.Sleep(40 * time.Second)
 			if n := limited(); n < daemons {
 				t.Errorf("%d of %d daemons keep the limit of a server without requests", n, daemons)
 			}
