gate: a daemon that just started is told which servers have terminated

Cause, from the logs: all sends beyond the bound are of a daemon that had started 65 to 80 ms before. The others had been refused by the server's VM while it was away and paced it; the new one had not seen that, and the entry of the last run said warm until the next was read, 0.1 to 0.4 s later.

The message to a daemon that just joined now lists servers that have terminated and are not warm since, on both routers; a report does not change what the daemon has seen itself. TestDaemonThatMissedTerminationIsTold and TestStartedDaemonLearnsOfTerminatedServers (6 to 195 daemons, within 500 ms) have no counterpart on the code before, which had no such report. What the new daemon sends before the first message, a few milliseconds, is left.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -53,6 +53,20 @@
 	b.gate.ServerResponded(picked.candidate.ID, picked.slowStart, b.uptime())
 }
 
+// terminatedServers returns the servers that have terminated and are not warm since.
+func (b *balancer) terminatedServers() []uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.gate.Terminated()
+}
+
+// addTerminatedServers records the servers that another daemon reports as terminated.
+func (b *balancer) addTerminatedServers(servers []uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gate.AddTerminated(servers, b.uptime())
+}
+
 // syncEvacuations applies the evacuations of the configuration to the gate.
 // Callers hold mu.
 func (b *balancer) syncEvacuations(cfg *fleet.Config) {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -42,10 +42,10 @@
 		return reply, nil
 	})
 	peer.Handle(server, "members", func(context.Context, string, peer.MembersRequest) (peer.MembersResponse, error) {
-		limits := m.d.balancer.serverLimits(true)
+		limits, terminated := m.d.balancer.serverLimits(true), m.d.balancer.terminatedServers()
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		return peer.MembersResponse{Members: m.table.Snapshot(), Quarantine: m.d.guard.Update(true), ServerLimits: limits}, nil
+		return peer.MembersResponse{Members: m.table.Snapshot(), Quarantine: m.d.guard.Update(true), ServerLimits: limits, TerminatedServers: terminated}, nil
 	})
 }
 
@@ -120,6 +120,7 @@
 	}
 	m.d.guard.Merge(resp.Quarantine)
 	m.d.balancer.mergeLimits(resp.ServerLimits)
+	m.d.balancer.addTerminatedServers(resp.TerminatedServers)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.syncedAt = time.Now()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -6,9 +6,12 @@
 import (
 	"fmt"
 	"iter"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
 )
@@ -68,8 +71,9 @@
 	readmitted map[string]time.Duration
 	view       slowstart.View
 	pacers     map[string]*pacer
-	// restarts are servers that have terminated and may restart under the same name.
-	restarts map[string]*restart
+	// restarts are servers that have terminated and may restart under the same name, by the hash
+	// of their ID.
+	restarts map[uint64]*restart
 	// limits are the request rates that servers state, and limitPacers the pacers of sends to
 	// such servers, both by the hash of the server's name: a server that restarts may still be
 	// in need.
@@ -119,7 +123,7 @@
 
 // New returns a gate without evacuations and with an empty view.
 func New() *Gate {
-	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[string]*restart{}, limits: serverlimit.NewTable(), limitPacers: map[uint64]*limitPacer{}}
+	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[uint64]*restart{}, limits: serverlimit.NewTable(), limitPacers: map[uint64]*limitPacer{}}
 }
 
 // Limits returns the request rates that servers state. They apply to the following checks.
@@ -169,12 +173,39 @@
 // ServerTerminated records that a server has terminated. If it returns under the same name, it
 // warms up from its first response, whatever its entry says.
 func (g *Gate) ServerTerminated(id string, now time.Duration) {
-	g.restarts[id] = &restart{knownAt: now}
+	g.restarts[xxhash.Sum64String(id)] = &restart{knownAt: now}
+}
+
+// maxTerminated is the maximum number of servers that Terminated returns.
+const maxTerminated = 256
+
+// Terminated returns the hashes of the IDs of servers that have terminated and are not warm since.
+func (g *Gate) Terminated() []uint64 {
+	servers := slices.Collect(maps.Keys(g.restarts))
+	return servers[:min(len(servers), maxTerminated)]
+}
+
+// AddTerminated records the servers that another daemon reports as terminated. A daemon that
+// started while they were away has not seen it.
+func (g *Gate) AddTerminated(servers []uint64, now time.Duration) {
+	for _, server := range servers {
+		if g.restarts[server] == nil {
+			g.restarts[server] = &restart{knownAt: now}
+		}
+	}
+}
+
+// restart returns the state of a server that has terminated, or nil.
+func (g *Gate) restart(id string) *restart {
+	if len(g.restarts) == 0 {
+		return nil
+	}
+	return g.restarts[xxhash.Sum64String(id)]
 }
 
 // ServerResponded records that a server has responded.
 func (g *Gate) ServerResponded(id string, limit slowstart.Limit, now time.Duration) {
-	if r := g.restarts[id]; r != nil && !r.responded {
+	if r := g.restart(id); r != nil && !r.responded {
 		r.responded, r.warmAt = true, now+limit.WarmupPeriod
 	}
 }
@@ -211,7 +242,7 @@
 	g.sweptAt = now
 	for id, name := range known {
 		g.limits.MarkKnown(serverlimit.Key(name), now)
-		if r := g.restarts[id]; r != nil {
+		if r := g.restart(id); r != nil {
 			r.knownAt = now
 		}
 	}
@@ -247,7 +278,7 @@
 		return 0
 	}
 	at := s.WarmAt
-	if r := g.restarts[s.ID]; r != nil && r.responded {
+	if r := g.restart(s.ID); r != nil && r.responded {
 		at = max(at, r.warmAt)
 	} else if r != nil {
 		at = max(at, now+s.Limit.WarmupPeriod)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -169,7 +169,7 @@
 	if g.WarmAt(s, now) <= now {
 		t.Error("the server counts as warm")
 	}
-	if _, any := g.restarts["gone"]; any {
+	if g.restart("gone") != nil {
 		t.Error("a server that is not known any more is remembered")
 	}
 	g.ServerResponded("a", limit, now)
@@ -177,3 +177,19 @@
 		t.Errorf("warm %s after its first response, want %s", warmAt-now, limit.WarmupPeriod)
 	}
 }
+
+// Guards against a rush at a returning server by a daemon that started while the server was away.
+func TestDaemonThatMissedTerminationIsTold(t *testing.T) {
+	old, started := soleDaemonGate(), soleDaemonGate()
+	s := Server{ID: "a", Name: "a", Limit: limit}
+	old.ServerTerminated("a", time.Minute)
+	started.AddTerminated(old.Terminated(), time.Minute)
+	if started.WarmAt(s, time.Minute) <= time.Minute {
+		t.Fatal("the server counts as warm")
+	}
+	started.ServerResponded("a", limit, time.Minute)
+	started.AddTerminated(old.Terminated(), time.Minute+time.Second)
+	if warmAt := started.WarmAt(s, time.Minute+time.Second); warmAt != time.Minute+limit.WarmupPeriod {
+		t.Errorf("a repeated report changes the end of the warm-up to %s", warmAt)
+	}
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -98,6 +98,9 @@
 	// rates for a daemon that just joined.
 	ServerLimits func(recentlyJoined bool) []serverlimit.Update
 
+	// TerminatedServers returns the servers that have terminated and are not warm since.
+	TerminatedServers func() []uint64
+
 	// EvidenceState returns whether there is evidence for the evaluators of roll-outs.
 	EvidenceState func() Evidence
 
@@ -141,7 +144,7 @@
 	}
 	return &Members{
 		localMessage: localMessage, transport: transport, log: l, address: self.Address, incarnation: self.Incarnation, OnMessage: func(Message, time.Duration) {}, BootTime: bootTime,
-		OnWorkChanged: func([]relay.ServerWork) {}, QuarantineUpdate: func(bool) quarantine.Update { return quarantine.Update{} }, ServerLimits: func(bool) []serverlimit.Update { return nil }, EvidenceState: func() Evidence { return Evidence{} }, members: map[string]*member{}, leavingSince: map[string]time.Time{},
+		OnWorkChanged: func([]relay.ServerWork) {}, QuarantineUpdate: func(bool) quarantine.Update { return quarantine.Update{} }, ServerLimits: func(bool) []serverlimit.Update { return nil }, TerminatedServers: func() []uint64 { return nil }, EvidenceState: func() Evidence { return Evidence{} }, members: map[string]*member{}, leavingSince: map[string]time.Time{},
 		live: membership.NewLivePeers(self.Name), table: membership.NewPeerTable(record),
 	}
 }
@@ -196,6 +199,9 @@
 	recentlyJoined := m.recentlyJoined(to, now)
 	msg.Quarantine = m.QuarantineUpdate(recentlyJoined)
 	msg.ServerLimits = m.ServerLimits(recentlyJoined)
+	if recentlyJoined {
+		msg.TerminatedServers = m.TerminatedServers()
+	}
 	m.addPeerRecords(&msg, to)
 	switch other := m.members[to]; {
 	case m.overlay.active:
@@ -296,7 +302,7 @@
 	m.markSuspected(msg.Suspects, now)
 	// Fields that are passed on at once are not retained, to save memory.
 	other.latest.KnownAddresses, other.latest.Placed, other.latest.Orders, other.latest.Suspects = nil, nil, nil, nil
-	other.latest.Quarantine, other.latest.Peers, other.latest.ServerLimits = quarantine.Update{}, nil, nil
+	other.latest.Quarantine, other.latest.Peers, other.latest.ServerLimits, other.latest.TerminatedServers = quarantine.Update{}, nil, nil, nil
 	m.mu.Unlock()
 	m.OnWorkChanged(changes)
 	m.OnMessage(msg, m.sentAfter(msg))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -55,6 +55,9 @@
 	Quarantine quarantine.Update `cbor:"22,keyasint,omitempty"`
 	// ServerLimits holds the recent changes of the request rates that servers state.
 	ServerLimits []serverlimit.Update `cbor:"30,keyasint,omitempty"`
+	// TerminatedServers lists, for a daemon that just joined, the servers that have terminated
+	// and are not warm since, by the hash of their ID.
+	TerminatedServers []uint64 `cbor:"31,keyasint,omitempty"`
 	// Started and Sequence are those of the sender's record, see membership.PeerRecord.
 	Started  int64  `cbor:"23,keyasint,omitempty"`
 	Sequence uint64 `cbor:"24,keyasint,omitempty"`
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -144,3 +144,18 @@
 		})
 	}
 }
+
+// Guards against a daemon that starts while a server is away and does not learn that it terminated.
+func TestStartedDaemonLearnsOfTerminatedServers(t *testing.T) {
+	const maxDelay = 500 * time.Millisecond
+	for _, daemons := range fleetSizes() {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, daemons)
+			time.Sleep(4 * time.Second)
+			f.each(func(m *member) { m.state.AddTerminatedServers([]uint64{1}) })
+			f.kill(daemons - 1)
+			m := f.start(daemons - 1)
+			waitFor(t, maxDelay, "the server is known as terminated", func() bool { return slices.Contains(m.state.TerminatedServers(), 1) })
+		})
+	}
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -38,6 +38,9 @@
 	Quarantine quarantine.Update `cbor:"2,keyasint,omitempty"`
 	// ServerLimits holds all request rates that servers state.
 	ServerLimits []serverlimit.Update `cbor:"3,keyasint,omitempty"`
+	// TerminatedServers lists the servers that have terminated and are not warm since, by the
+	// hash of their ID.
+	TerminatedServers []uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // ConfigRequest requests configuration records from an offset on.
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -80,6 +80,22 @@
 	s.gate.ServerTerminated(id, now)
 }
 
+// TerminatedServers returns the servers that have terminated and are not warm since, for a daemon
+// that just joined.
+func (s *State) TerminatedServers() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Terminated()
+}
+
+// AddTerminatedServers records the servers that another daemon reports as terminated.
+func (s *State) AddTerminatedServers(servers []uint64) {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.AddTerminated(servers, now)
+}
+
 // WarmingServers counts the servers that were warming up when their service last selected one.
 func (s *State) WarmingServers() (n int) {
 	now := s.bootTime()
