--- a/internal/relay/serverlimits.go
+++ b/internal/relay/serverlimits.go
@@ -33,7 +33,7 @@
 	changed bool
 	// perSecond is the rate that the server now has, zero for none.
 	perSecond float64
-	// urgent is set if other daemons should be told at once.
+	// urgent is set if the change is to be broadcast.
 	urgent bool
 }
 
@@ -69,8 +69,8 @@
 	perSecond float64
 }
 
-// mergeServerLimits returns the known servers whose rate has changed, and whether other daemons
-// should be told at once.
+// mergeServerLimits returns the known servers whose rate has changed, and whether there are
+// changes to broadcast.
 func (s *State) mergeServerLimits(updates []serverlimit.Update) (changed []limitedServer, urgent bool) {
 	if len(updates) == 0 {
 		return nil, false
--- a/internal/serverlimit/report.go
+++ b/internal/serverlimit/report.go
@@ -13,8 +13,8 @@
 	// sendsPerReport is the number of messages in which a daemon passes on a report. Each daemon
 	// that receives it does so, which makes it unlikely that one in a large fleet is missed.
 	sendsPerReport = 32
-	// sendsPerStaleReport is the number of messages in which a daemon reports a limit of which
-	// it has heard nothing for long. Those who know better respond with a report.
+	// sendsPerStaleReport is the number of messages in which a daemon reports a limit without
+	// recent reports of others. A daemon that has a later observation responds with it.
 	sendsPerStaleReport = 2
 	// minAdvance is the least time by which a report of the same rate must be newer to be
 	// passed on again. Network delay makes each repetition of a report look newer.
@@ -77,19 +77,20 @@
 	t.pending[server] = true
 }
 
-// announceUrgent is announce for what others should know before the next regular message.
+// announceUrgent is announce for reports that should be broadcast.
 func (t *Table) announceUrgent(server uint64, e *entry, now time.Duration) {
 	t.announce(server, e, now)
 	t.urgent = true
 }
 
-// TakeUrgent reports whether there are urgent reports since the last call.
+// TakeUrgent reports whether there are reports to broadcast since the last call.
 func (t *Table) TakeUrgent() bool {
 	urgent := t.urgent
 	t.urgent = false
 	return urgent
 }
 
+// announceStale makes an entry without recent reports be reported in few messages.
 func (t *Table) announceStale(server uint64, e *entry, now time.Duration) {
 	e.announcedAt, e.sendsLeft = now, max(e.sendsLeft, sendsPerStaleReport)
 	t.pending[server] = true
--- a/internal/serverlimit/table.go
+++ b/internal/serverlimit/table.go
@@ -92,7 +92,7 @@
 	entries map[uint64]*entry
 	// pending holds the servers that are to be reported to other daemons.
 	pending map[uint64]bool
-	// urgent is set if a report should not wait for the next regular message.
+	// urgent is set if there are reports to broadcast.
 	urgent bool
 }
 
@@ -195,9 +195,9 @@
 	}
 }
 
-// Sweep removes the servers that this daemon has not known for a while, and reports again the
-// limits of which nothing was heard for long. The limit of a server that gets no requests is
-// kept, since only responses show its end.
+// Sweep removes the servers that this daemon has not known for a while, and reports limits
+// without recent reports again. The limit of a server that gets no requests is kept, since only
+// responses show its end.
 func (t *Table) Sweep(now time.Duration) {
 	for server, e := range t.entries {
 		switch {
