gate: forget terminated servers after a minute again, report only own observations

Found on reading the change: a daemon that is not among the senders of a terminated server gets no response that would end the warm-up, so that without the minute it would never send to that server again; and a daemon that was told would tell others in turn without end. The minute is back, with the reason at the constant, and a daemon reports only terminations that it has noticed itself.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"iter"
-	"maps"
 	"slices"
 	"time"
 
@@ -91,14 +90,16 @@
 
 // restart describes a terminated server and its next incarnation.
 type restart struct {
-	// knownAt is when the server was last known to this daemon.
-	knownAt time.Duration
+	terminatedAt time.Duration
+	// reported is set if another daemon has reported the termination.
+	reported bool
 	// responded reports whether the server has responded since, and warmAt when it is then warm.
 	responded bool
 	warmAt    time.Duration
 }
 
-// restartRetention is how long a terminated server that is not known any more is remembered.
+// restartRetention is how long a terminated server that does not respond is remembered. A daemon
+// that is not among its senders gets no response that would end the warm-up.
 const restartRetention = time.Minute
 
 // sweepInterval is the time between two sweeps.
@@ -173,16 +174,21 @@
 // ServerTerminated records that a server has terminated. If it returns under the same name, it
 // warms up from its first response, whatever its entry says.
 func (g *Gate) ServerTerminated(id string, now time.Duration) {
-	g.restarts[xxhash.Sum64String(id)] = &restart{knownAt: now}
+	g.restarts[xxhash.Sum64String(id)] = &restart{terminatedAt: now}
 }
 
 // maxTerminated is the maximum number of servers that Terminated returns.
 const maxTerminated = 256
 
-// Terminated returns the hashes of the IDs of servers that have terminated and are not warm since.
-func (g *Gate) Terminated() []uint64 {
-	servers := slices.Collect(maps.Keys(g.restarts))
-	return servers[:min(len(servers), maxTerminated)]
+// Terminated returns the hashes of the IDs of servers whose termination this daemon has noticed
+// itself and that are not warm since.
+func (g *Gate) Terminated() (servers []uint64) {
+	for server, r := range g.restarts {
+		if !r.reported && len(servers) < maxTerminated {
+			servers = append(servers, server)
+		}
+	}
+	return servers
 }
 
 // AddTerminated records the servers that another daemon reports as terminated. A daemon that
@@ -190,7 +196,7 @@
 func (g *Gate) AddTerminated(servers []uint64, now time.Duration) {
 	for _, server := range servers {
 		if g.restarts[server] == nil {
-			g.restarts[server] = &restart{knownAt: now}
+			g.restarts[server] = &restart{terminatedAt: now, reported: true}
 		}
 	}
 }
@@ -224,7 +230,7 @@
 	g.recordFleetSize(len(v.Peers)+1, now)
 	g.resetLimitPacers(now)
 	for id, r := range g.restarts {
-		if r.responded && now >= r.warmAt {
+		if r.responded && now >= r.warmAt || now-r.terminatedAt > restartRetention {
 			delete(g.restarts, id)
 		}
 	}
@@ -232,26 +238,18 @@
 
 // SweepDue reports whether it is time for a sweep.
 func (g *Gate) SweepDue(now time.Duration) bool {
-	return (g.limits.Len() > 0 || len(g.restarts) > 0) && now-g.sweptAt >= sweepInterval
+	return g.limits.Len() > 0 && now-g.sweptAt >= sweepInterval
 }
 
-// Sweep drops the state of servers that are not known any more; known yields the IDs and names of
-// servers. That of a known server is kept however long it gets no requests: only its responses
-// show that it is warm, or that its limit has ended.
+// Sweep drops the limits of servers that are not known any more; known yields the IDs and names of
+// servers. The limit of a known server is kept however long it gets no requests: only its
+// responses show that it has ended.
 func (g *Gate) Sweep(known iter.Seq2[string, string], now time.Duration) {
 	g.sweptAt = now
-	for id, name := range known {
+	for _, name := range known {
 		g.limits.MarkKnown(serverlimit.Key(name), now)
-		if r := g.restart(id); r != nil {
-			r.knownAt = now
-		}
 	}
 	g.limits.Sweep(now)
-	for id, r := range g.restarts {
-		if now-r.knownAt > restartRetention {
-			delete(g.restarts, id)
-		}
-	}
 }
 
 // recordFleetSize keeps the largest number of daemons within fleetSizeMemory.
