gate, relay, daemon: log and count servers that state that they leave or want a pause

Both adapters now decode all statements of a response in one place (serverstatus.Statements), the gate keeps them for both routers, and a line names the request whose answer told it. Nothing is decided by them yet. The own interface gets X-Draining and Retry-After of 503 for it.

--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -15,7 +15,7 @@
 
 // purePackages lists the packages that must not do I/O, read the clock or use global
 // randomness.
-var purePackages = []string{"fault", "fleet", "routing", "cascade", "rollout", "session", "request", "quota", "billing", "membership", "lease", "slo", "invariant", "route", "backend", "freshness", "quarantine", "slowstart", "serverlimit", "gate"}
+var purePackages = []string{"fault", "fleet", "routing", "cascade", "rollout", "session", "request", "quota", "billing", "membership", "lease", "slo", "invariant", "route", "backend", "freshness", "quarantine", "slowstart", "serverlimit", "serverstatus", "gate"}
 
 // forbiddenImports lists the packages, with their subpackages, that a pure package
 // must not import.
@@ -24,8 +24,9 @@
 // importExceptions maps a pure package and an import, separated by a space, to the reason
 // why the import is allowed.
 var importExceptions = map[string]string{
-	"fault net/http":  "names of status codes",
-	"fleet net/netip": "parsing of addresses, no I/O",
+	"fault net/http":        "names of status codes",
+	"fleet net/netip":       "parsing of addresses, no I/O",
+	"serverstatus net/http": "parsing of dates, no I/O",
 }
 
 func TestDecisionPackagesArePure(t *testing.T) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,7 +87,7 @@
 	d.config = newConfigFollower(d)
 	d.members = newMemberlist(d)
 	d.balancer = newBalancer(d)
-	d.engine.ObserveLimit = d.balancer.observeLimit
+	d.engine.ObserveStatements = d.balancer.observe
 	d.guard = newGuard(d)
 	d.usage = newUsageRecorder(d)
 	d.claims = newClaimManager(d)
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -91,6 +91,8 @@
 	b.gate.SetView(view, b.uptime())
 	b.sweepGate()
 	b.d.metrics.serversLimited.Update(float64(b.gate.Limits().Limited(b.uptime())))
+	b.d.metrics.serversLeaving.Update(float64(b.gate.Departures().Count()))
+	b.d.metrics.serversPaused.Update(float64(b.gate.PausedServers(b.uptime())))
 }
 
 // peerView returns the live daemons. The view is trusted if this daemon is in the
--- a/internal/daemon/gate_test.go
+++ b/internal/daemon/gate_test.go
@@ -15,6 +15,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 	"github.com/damaskrudder/damaskrudder/internal/settings"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
 )
@@ -118,7 +119,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		b.observeLimit(picked.candidate.Address, serverlimit.StatedRate(2), time.Now())
+		b.observe(picked.candidate.Address, serverstatus.Statements{Limit: serverlimit.StatedRate(2)}, true, time.Now())
 		const window = 4 * time.Second
 		sent := b.sendsTo(cfg, picked.candidate.ID, window)
 		if allowed := 1.5*2*window.Seconds() + 5; sent < 4 || float64(sent) > allowed {
@@ -126,7 +127,7 @@
 		}
 		for range 10 {
 			time.Sleep(200 * time.Millisecond)
-			b.observeLimit(picked.candidate.Address, serverlimit.Statement{}, time.Now())
+			b.observe(picked.candidate.Address, serverstatus.Statements{}, true, time.Now())
 		}
 		if sent := b.sendsTo(cfg, picked.candidate.ID, window); sent < 100 {
 			t.Errorf("%d requests sent after the limit was lifted", sent)
@@ -142,7 +143,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		b.observeLimit(picked.candidate.Address, serverlimit.StatedRate(2), time.Now())
+		b.observe(picked.candidate.Address, serverstatus.Statements{Limit: serverlimit.StatedRate(2)}, true, time.Now())
 		for range 40 {
 			b.recordResume(picked)
 			if sent := b.sendsTo(cfg, picked.candidate.ID, 100*time.Millisecond); sent > 0 {
@@ -170,7 +171,7 @@
 			t.Fatal(err)
 		}
 		for _, server := range cfg.Pools["p"].Servers {
-			b.observeLimit(server.Address, serverlimit.StatedRate(0.5), time.Now())
+			b.observe(server.Address, serverstatus.Statements{Limit: serverlimit.StatedRate(0.5)}, true, time.Now())
 		}
 		for range cfg.Pools["p"].Servers {
 			if _, err := b.sendOne(cfg); err != nil {
--- a/internal/daemon/serverlimits.go
+++ b/internal/daemon/statements.go
@@ -3,22 +3,43 @@
 import (
 	"time"
 
+	"github.com/damaskrudder/damaskrudder/internal/gate"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 )
 
-// observeLimit records what a response says about the limit of the server at an address.
-func (b *balancer) observeLimit(address string, s serverlimit.Statement, sentAt time.Time) {
+// observe records what a response says about the server at an address.
+func (b *balancer) observe(address string, s serverstatus.Statements, succeeded bool, sentAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.requestLimitBroadcast()
 	id, known := b.idByAddress[address]
-	switch {
-	case !known:
-	case s.Kind == serverlimit.Unreadable:
+	if !known {
+		return
+	}
+	b.logUnreadable(id, s)
+	change := b.gate.Observe(gate.Response{ServerID: id, ServerName: id, Statements: s, Succeeded: succeeded, SentAt: sentAt.Sub(b.startedAt)}, b.uptime())
+	if change.Leaving {
+		b.d.log.Info("server leaving", "server", id, "by", "response")
+	}
+	if change.Pause > 0 {
+		b.d.metrics.pauses.Inc(1)
+		b.d.log.Info("server pause", "server", id, "pause_ms", change.Pause.Milliseconds())
+	}
+	if change.LimitChanged {
+		b.d.log.Info("server limit", "server", id, "per_second", change.PerSecond, "by", "response")
+	}
+}
+
+// logUnreadable logs and counts the statements of a response that could not be parsed.
+func (b *balancer) logUnreadable(id string, s serverstatus.Statements) {
+	if s.Limit.Kind == serverlimit.Unreadable {
 		b.d.metrics.unreadableLimits.Inc(1)
 		b.d.log.Warn("server limit unreadable", "server", id)
-	case b.gate.Limits().Observe(serverlimit.Key(id), s, sentAt.Sub(b.startedAt), b.uptime()):
-		b.d.log.Info("server limit", "server", id, "per_second", b.gate.Limits().Reported(serverlimit.Key(id)), "by", "response")
+	}
+	if s.Leaving == serverstatus.Unreadable || s.Pause.Kind == serverstatus.Unreadable {
+		b.d.metrics.unreadableStatements.Inc(1)
+		b.d.log.Warn("server statement unreadable", "server", id, "leaving", s.Leaving == serverstatus.Unreadable, "pause", s.Pause.Kind == serverstatus.Unreadable)
 	}
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -50,8 +50,8 @@
 	unpooled *http.Client
 	// idleTimeout is the longest time between two lines of a stream.
 	idleTimeout time.Duration
-	// ObserveLimit is called with the responses to runs and calls, if it is set.
-	ObserveLimit LimitObserver
+	// ObserveStatements is called with the responses to runs and calls, if it is set.
+	ObserveStatements StatementObserver
 }
 
 const (
@@ -88,7 +88,7 @@
 	sentAt := time.Now()
 	resp, stream, err := c.stream(ctx, c.pooled, http.MethodPost, "http://"+address+"/v1/chat/completions", header, data)
 	if resp != nil {
-		c.observeLimit(address, sentAt, resp.Header, err == nil)
+		c.observe(address, sentAt, resp, err == nil)
 	}
 	return stream, err
 }
@@ -250,7 +250,7 @@
 		return 0, nil, wrapDialError(err)
 	}
 	defer resp.Body.Close()
-	c.observeLimit(address, sentAt, resp.Header, resp.StatusCode < http.StatusMultipleChoices)
+	c.observe(address, sentAt, resp, resp.StatusCode < http.StatusMultipleChoices)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	return resp.StatusCode, data, oops.In("engine").Wrapf(err, "read response")
 }
--- a/internal/engine/limit.go
+++ b/internal/engine/statements.go
@@ -7,12 +7,25 @@
 	"github.com/dunglas/httpsfv"
 
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 )
 
-// LimitObserver receives what a response to a run or call says about the server's limit. SentAt
-// is when the request was sent. A response without a statement is only passed if it succeeded:
-// others may be written by something that does not know the limit.
-type LimitObserver func(address string, s serverlimit.Statement, sentAt time.Time)
+// StatementObserver receives what a response to a run or call says about its server. Succeeded
+// is set if the server has handled the request, and sentAt is when it was sent.
+type StatementObserver func(address string, s serverstatus.Statements, succeeded bool, sentAt time.Time)
+
+// drainingHeader is the response field in which a server states that it terminates after its
+// runs.
+const drainingHeader = "X-Draining"
+
+// statements returns what a response says about its server.
+func statements(status int, header http.Header, now time.Time) serverstatus.Statements {
+	out := serverstatus.Statements{Leaving: serverstatus.ParseLeaving(header.Values(drainingHeader)), Limit: statedLimit(header)}
+	if status == http.StatusServiceUnavailable {
+		out.Pause = serverstatus.ParseRetryAfter(header.Values("Retry-After"), now)
+	}
+	return out
+}
 
 // limitHeader is the response field in which a server states its limits, see
 // draft-ietf-httpapi-ratelimit-headers.
@@ -60,9 +73,14 @@
 	return -1
 }
 
-func (c *Client) observeLimit(address string, sentAt time.Time, header http.Header, ok bool) {
-	s := statedLimit(header)
-	if c.ObserveLimit != nil && (ok || s.Kind != serverlimit.None) {
-		c.ObserveLimit(address, s, sentAt)
+// observe passes what a response says about its server to the observer.
+func (c *Client) observe(address string, sentAt time.Time, resp *http.Response, succeeded bool) {
+	if c.ObserveStatements == nil {
+		return
+	}
+	now := time.Now()
+	if date, err := http.ParseTime(resp.Header.Get("Date")); err == nil {
+		now = date
 	}
+	c.ObserveStatements(address, statements(resp.StatusCode, resp.Header, now), succeeded, sentAt)
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
 )
 
@@ -78,6 +79,10 @@
 	// in need.
 	limits      *serverlimit.Table
 	limitPacers map[uint64]*limitPacer
+	// departures are the incarnations that have stated that they leave, and pauses the servers
+	// that want no requests from this daemon.
+	departures *serverstatus.Departures
+	pauses     *serverstatus.Pauses
 	// fleetSize is the largest number of daemons in a recent view, at fleetSizeAt.
 	fleetSize   int
 	fleetSizeAt time.Duration
@@ -124,7 +129,7 @@
 
 // New returns a gate without evacuations and with an empty view.
 func New() *Gate {
-	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[uint64]*restart{}, limits: serverlimit.NewTable(), limitPacers: map[uint64]*limitPacer{}}
+	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[uint64]*restart{}, limits: serverlimit.NewTable(), limitPacers: map[uint64]*limitPacer{}, departures: serverstatus.NewDepartures(), pauses: serverstatus.NewPauses()}
 }
 
 // Limits returns the request rates that servers state. They apply to the following checks.
@@ -238,18 +243,21 @@
 
 // SweepDue reports whether it is time for a sweep.
 func (g *Gate) SweepDue(now time.Duration) bool {
-	return g.limits.Len() > 0 && now-g.sweptAt >= sweepInterval
+	return g.limits.Len()+g.departures.Len()+g.pauses.Len() > 0 && now-g.sweptAt >= sweepInterval
 }
 
-// Sweep drops the limits of servers that are not known any more; known yields the IDs and names of
-// servers. The limit of a known server is kept however long it gets no requests: only its
-// responses show that it has ended.
+// Sweep drops what servers have stated that are not known any more, and pauses that have ended;
+// known yields the IDs and names of servers. The limit of a known server is kept however long it
+// gets no requests: only its responses show that it has ended.
 func (g *Gate) Sweep(known iter.Seq2[string, string], now time.Duration) {
 	g.sweptAt = now
-	for _, name := range known {
+	for id, name := range known {
 		g.limits.MarkKnown(serverlimit.Key(name), now)
+		g.departures.MarkKnown(xxhash.Sum64String(id), now)
 	}
 	g.limits.Sweep(now)
+	g.departures.Sweep(now)
+	g.pauses.Sweep(now)
 }
 
 // recordFleetSize keeps the largest number of daemons within fleetSizeMemory.
--- /dev/null
+++ b/internal/gate/observe.go
@@ -0,0 +1,63 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
+)
+
+// Response is a response of a server, as far as it tells about the server.
+type Response struct {
+	// ServerID and ServerName are those of the server that the request was sent to.
+	ServerID, ServerName string
+	serverstatus.Statements
+	// Succeeded is set if the server has handled the request. Errors and refusals may be written
+	// by something that does not know the server's limit.
+	Succeeded bool
+	// SentAt is when the request was sent.
+	SentAt time.Duration
+}
+
+// Change is the effect of a response on what is known of its server.
+type Change struct {
+	// Leaving is set if the server was not known to leave.
+	Leaving bool
+	// Pause is the remaining pause if the server has begun or notably prolonged one.
+	Pause time.Duration
+	// LimitChanged is set if the server has another limit now: PerSecond, or zero for none.
+	LimitChanged bool
+	PerSecond    float64
+}
+
+// minPauseChange is the least prolongation of a pause that is reported as a change.
+const minPauseChange = 500 * time.Millisecond
+
+// Observe applies what a response says about its server. The response must be one of the server
+// that the request was sent to, unless Replaced is set.
+func (g *Gate) Observe(r Response, now time.Duration) (c Change) {
+	if r.Replaced {
+		c.Leaving = g.departures.State(xxhash.Sum64String(r.ServerID), now)
+		return c
+	}
+	if r.Leaving == serverstatus.Stated {
+		c.Leaving = g.departures.State(xxhash.Sum64String(r.ServerID), now)
+	}
+	server := serverlimit.Key(r.ServerName)
+	if r.Pause.Kind == serverstatus.Stated && g.pauses.Ask(server, r.Pause.Duration, now) >= minPauseChange {
+		c.Pause = g.pauses.Remaining(server, now)
+	}
+	if r.Limit.Kind != serverlimit.None || r.Succeeded {
+		c.LimitChanged = g.limits.Observe(server, r.Limit, r.SentAt, now)
+		c.PerSecond = g.limits.Reported(server)
+	}
+	return c
+}
+
+// Departures returns the servers that have stated that they leave.
+func (g *Gate) Departures() *serverstatus.Departures { return g.departures }
+
+// PausedServers counts the servers that want no requests from this daemon.
+func (g *Gate) PausedServers(now time.Duration) int { return g.pauses.Count(now) }
--- a/internal/node/evacuations.go
+++ b/internal/node/evacuations.go
@@ -55,6 +55,8 @@
 		n.deps.Metrics.DomainsEvacuated.Update(float64(len(n.state.Evacuations())))
 		n.deps.Metrics.ServersWarming.Update(float64(n.state.WarmingServers()))
 		n.deps.Metrics.ServersLimited.Update(float64(n.state.LimitedServers()))
+		n.deps.Metrics.ServersLeaving.Update(float64(n.state.LeavingServers()))
+		n.deps.Metrics.ServersPaused.Update(float64(n.state.PausedServers()))
 		n.reportStatus()
 	})
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -11,7 +11,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
-	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 )
 
 // AnyModel as a call's model selects among the models of the route.
@@ -111,9 +111,8 @@
 	Confidence float64
 	// ContentLength is the body's length in bytes, or -1.
 	ContentLength int64
-	// Limit is what the response says about the number of requests per second that the server
-	// accepts from all daemons together.
-	Limit serverlimit.Statement
+	// Statements is what the response says about the server.
+	serverstatus.Statements
 }
 
 // Backend sends requests to backend servers. Its errors are *upstream.Error.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -243,9 +243,7 @@
 func (x *exchange) handleReply(ctx context.Context, t *target, a *attempt, reply *BackendResponse, sentAt time.Time) (request.SendOutcome, bool) {
 	defer func() { _ = reply.Body.Close() }() // cancels an unfinished run; an error has no effect on the call
 	ok := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
-	if (reply.Authenticated || reply.NotRun) && !reply.Misdirected {
-		x.relay.observeLimit(t, reply.Limit, ok && !reply.NotRun)
-	}
+	x.observe(t, reply, ok && !reply.NotRun)
 	if reply.NotRun {
 		x.logEvent("server did not run request", t, "status", reply.Status)
 		return request.NotStarted, false
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -47,8 +47,13 @@
 	Panics tally.Counter
 	// ServerRestarts counts servers that restarted under the same name.
 	ServerRestarts tally.Counter
-	// UnreadableLimits counts responses whose stated limit could not be parsed.
-	UnreadableLimits tally.Counter
+	// UnreadableLimits counts responses whose stated limit could not be parsed, and
+	// UnreadableStatements those with another statement that could not.
+	UnreadableLimits, UnreadableStatements tally.Counter
+	// ServersLeaving is the number of servers that have stated that they leave, ServersPaused
+	// that of servers that want no requests. Pauses counts the latter's statements.
+	ServersLeaving, ServersPaused tally.Gauge
+	Pauses                        tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
 	ResponseLatency tally.Histogram
 	// FirstEventLatency is the time to the first event of a stream.
@@ -68,9 +73,10 @@
 		Probes: s.Counter("alive_checks"), SendsRerouted: s.Counter("sends_moved"), ServerRestarts: s.Counter("server_restarts"),
 		ServersTerminated: s.Counter("servers_ended"), RequestsHeld: s.Gauge("requests_held"),
 		DomainsEvacuated: s.Gauge("domains_evacuated"), ServersWarming: s.Gauge("servers_warming"), ServersLimited: s.Gauge("servers_limited"), WarmingSends: s.Counter("warming_sends"),
-		UnreadableLimits: s.Counter("server_limits_unreadable"),
-		Panics:           s.Counter("panics"),
-		DaemonsLive:      s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
+		UnreadableLimits: s.Counter("server_limits_unreadable"), UnreadableStatements: s.Counter("server_statements_unreadable"),
+		ServersLeaving: s.Gauge("servers_leaving"), ServersPaused: s.Gauge("servers_paused"), Pauses: s.Counter("server_pauses"),
+		Panics:      s.Counter("panics"),
+		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
 	}
 	for subject := range freshness.Subjects {
@@ -113,33 +119,37 @@
 // MetricDescriptions returns the description of every metric, by name.
 func MetricDescriptions() map[string]string {
 	return map[string]string{
-		"requests":                 "Client requests.",
-		"repeats":                  "Sends after the first of a request.",
-		"escalations":              "Responses replaced by a larger model's.",
-		"sends_failed":             "Sends without a response.",
-		"sends_moved":              "Sends cancelled and continued on another server.",
-		"servers_ended":            "Servers that ended while running requests of this daemon.",
-		"requests_held":            "Quarantined requests: servers ended while running them.",
-		"domains_evacuated":        "Evacuated failure domains.",
-		"servers_warming":          "Servers that are warming up after their start.",
-		"servers_limited":          "Servers that state a limit on their requests per second.",
-		"server_limits_unreadable": "Responses whose stated limit could not be parsed.",
-		"warming_sends":            "Sends to servers that are warming up.",
-		"daemons_live":             "Live daemons that this daemon knows, including itself.",
-		"gossip_partners":          "Daemons with which this daemon exchanges messages.",
-		"servers_known":            "Backend servers that this daemon knows.",
-		"panics":                   "Panics of handlers, each a defect; the log lines have the stack.",
-		"server_restarts":          "Servers that restarted under the same name.",
-		"server_entries_bad":       "Invalid server entries, by fault.",
-		"answers_cut":              "Responses aborted after their start.",
-		"answers_ok":               "Complete responses of servers that succeeded.",
-		"answers_failed":           "Complete responses of servers that failed.",
-		"callers_left":             "Clients that disconnected before their response.",
-		"alive_checks":             "Liveness probes of silent servers.",
-		"refusals":                 "Requests refused by the daemon, by kind.",
-		"answer_seconds":           "Time to a complete non-streaming response.",
-		"first_event_seconds":      "Time to the first event of a stream.",
-		"confirmed_age_seconds":    "Age of the last confirmation that the known records are complete, by subject.",
-		"learned_late_seconds":     "Upper bound of the delay with which records were read: the age of the confirmation before them, by subject.",
+		"requests":                     "Client requests.",
+		"repeats":                      "Sends after the first of a request.",
+		"escalations":                  "Responses replaced by a larger model's.",
+		"sends_failed":                 "Sends without a response.",
+		"sends_moved":                  "Sends cancelled and continued on another server.",
+		"servers_ended":                "Servers that ended while running requests of this daemon.",
+		"requests_held":                "Quarantined requests: servers ended while running them.",
+		"domains_evacuated":            "Evacuated failure domains.",
+		"servers_warming":              "Servers that are warming up after their start.",
+		"servers_limited":              "Servers that state a limit on their requests per second.",
+		"server_limits_unreadable":     "Responses whose stated limit could not be parsed.",
+		"server_statements_unreadable": "Responses whose statement that the server leaves or wants a pause could not be parsed.",
+		"servers_leaving":              "Servers that have stated in a response that they leave, or that another server has replaced at their address.",
+		"servers_paused":               "Servers that want no requests from this daemon for a while.",
+		"server_pauses":                "Pauses that servers have asked for or prolonged.",
+		"warming_sends":                "Sends to servers that are warming up.",
+		"daemons_live":                 "Live daemons that this daemon knows, including itself.",
+		"gossip_partners":              "Daemons with which this daemon exchanges messages.",
+		"servers_known":                "Backend servers that this daemon knows.",
+		"panics":                       "Panics of handlers, each a defect; the log lines have the stack.",
+		"server_restarts":              "Servers that restarted under the same name.",
+		"server_entries_bad":           "Invalid server entries, by fault.",
+		"answers_cut":                  "Responses aborted after their start.",
+		"answers_ok":                   "Complete responses of servers that succeeded.",
+		"answers_failed":               "Complete responses of servers that failed.",
+		"callers_left":                 "Clients that disconnected before their response.",
+		"alive_checks":                 "Liveness probes of silent servers.",
+		"refusals":                     "Requests refused by the daemon, by kind.",
+		"answer_seconds":               "Time to a complete non-streaming response.",
+		"first_event_seconds":          "Time to the first event of a stream.",
+		"confirmed_age_seconds":        "Age of the last confirmation that the known records are complete, by subject.",
+		"learned_late_seconds":         "Upper bound of the delay with which records were read: the age of the confirmation before them, by subject.",
 	}
 }
--- /dev/null
+++ b/internal/relay/statements.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/gate"
+	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
+)
+
+// observe records what a response says about its server. A response counts if it is one of the
+// server that the request was sent to: it bears that server's proof, or states that the request
+// was not run.
+func (x *exchange) observe(t *target, reply *BackendResponse, succeeded bool) {
+	if !reply.Replaced && (reply.Misdirected || !reply.Authenticated && !reply.NotRun) {
+		return
+	}
+	x.logUnreadable(t, reply.Statements)
+	change, urgent := x.relay.State.observe(t, reply.Statements, succeeded)
+	if urgent {
+		x.relay.limitBroadcast.Request()
+	}
+	switch {
+	case change.Leaving && reply.Replaced:
+		x.logEvent("server replaced", t, "address", t.server.Address)
+	case change.Leaving:
+		x.logEvent("server leaving", t, "by", "response")
+	}
+	if change.Pause > 0 {
+		x.relay.Metrics.Pauses.Inc(1)
+		x.logEvent("server pause", t, "pause_ms", change.Pause.Milliseconds())
+	}
+	if change.LimitChanged {
+		x.relay.log.Info("server limit", "server", t.server.ID, "service", t.service, "per_second", change.PerSecond, "by", "response")
+	}
+}
+
+// logUnreadable logs and counts the statements of a response that could not be parsed.
+func (x *exchange) logUnreadable(t *target, s serverstatus.Statements) {
+	if s.Limit.Kind == serverlimit.Unreadable {
+		x.relay.Metrics.UnreadableLimits.Inc(1)
+		x.relay.log.Warn("server limit unreadable", "server", t.server.ID, "service", t.service)
+	}
+	if s.Leaving == serverstatus.Unreadable || s.Pause.Kind == serverstatus.Unreadable {
+		x.relay.Metrics.UnreadableStatements.Inc(1)
+		x.logEvent("server statement unreadable", t, "leaving", s.Leaving == serverstatus.Unreadable, "pause", s.Pause.Kind == serverstatus.Unreadable)
+	}
+}
+
+// observe applies what a response says about its server. Urgent is set if there are reports to
+// broadcast.
+func (s *State) observe(t *target, statements serverstatus.Statements, succeeded bool) (change gate.Change, urgent bool) {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change = s.gate.Observe(gate.Response{
+		ServerID: t.server.ID, ServerName: t.server.Incarnation.Name, Statements: statements, Succeeded: succeeded, SentAt: t.pickedAt,
+	}, now)
+	return change, s.gate.Limits().TakeUrgent()
+}
+
+// MergeServerLimits applies the request rates of servers that another daemon reported.
+func (r *Relay) MergeServerLimits(updates []serverlimit.Update) {
+	changed, urgent := r.State.mergeServerLimits(updates)
+	if urgent {
+		r.limitBroadcast.Request()
+	}
+	for _, server := range changed {
+		r.log.Info("server limit", "server", server.id, "per_second", server.perSecond, "by", "peer")
+	}
+}
+
+// BroadcastLimits calls send whenever there are urgent reports of limits, with a pause after each
+// call, until the context ends.
+func (r *Relay) BroadcastLimits(ctx context.Context, pause time.Duration, send func(ctx context.Context)) {
+	r.limitBroadcast.Run(ctx, pause, send)
+}
+
+// limitedServer is a server whose stated rate has changed.
+type limitedServer struct {
+	id        string
+	perSecond float64
+}
+
+// mergeServerLimits returns the known servers whose rate has changed, and whether there are
+// changes to broadcast.
+func (s *State) mergeServerLimits(updates []serverlimit.Update) (changed []limitedServer, urgent bool) {
+	if len(updates) == 0 {
+		return nil, false
+	}
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changes := s.gate.Limits().Merge(updates, now)
+	return s.limitedServers(changes), s.gate.Limits().TakeUrgent()
+}
+
+// limitedServers returns the known servers of some changes. Callers hold mu.
+func (s *State) limitedServers(changes []serverlimit.Change) (out []limitedServer) {
+	if len(changes) == 0 {
+		return nil
+	}
+	rates := map[uint64]float64{}
+	for _, change := range changes {
+		rates[change.Server] = change.PerSecond
+	}
+	for _, sv := range s.services {
+		for id, server := range sv.servers {
+			if rate, any := rates[serverlimit.Key(server.Incarnation.Name)]; any {
+				out = append(out, limitedServer{id, rate})
+			}
+		}
+	}
+	return out
+}
+
+// ServerLimits returns the recent changes of the servers' request rates for another daemon, or
+// all rates for one that just joined.
+func (s *State) ServerLimits(recentlyJoined bool) []serverlimit.Update {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Limits().Updates(recentlyJoined, now)
+}
+
+// LimitedServers counts the servers that state a request rate.
+func (s *State) LimitedServers() int {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Limits().Limited(now)
+}
+
+// LeavingServers counts the servers that have stated that they leave.
+func (s *State) LeavingServers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Departures().Count()
+}
+
+// PausedServers counts the servers that want no requests from this daemon.
+func (s *State) PausedServers() int {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.PausedServers(now)
+}
