--- /dev/null
+++ b/internal/daemon/statements_test.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
+)
+
+// Guards against runs on a server whose response has said that it leaves, or that wants a pause,
+// and against a refusal without a kind that says so.
+func TestPickAvoidsServersThatLeaveOrPause(t *testing.T) {
+	const pause, notice = 3 * time.Second, 500 * time.Millisecond
+	for name, tt := range map[string]struct {
+		statements serverstatus.Statements
+		refusal    fault.Kind
+	}{
+		"leaving": {serverstatus.Statements{Leaving: serverstatus.Stated}, fault.NoServer},
+		"pause":   {serverstatus.Statements{Pause: serverstatus.Pause{Kind: serverstatus.Stated, Duration: pause}}, fault.ServerPaused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, cfg := newSlowStartBalancer(t)
+				picked, err := b.sendOne(cfg)
+				if err != nil {
+					t.Fatal(err)
+				}
+				b.observe(picked.candidate.Address, tt.statements, false, time.Now())
+				b.observe(picked.candidate.Address, serverstatus.Statements{}, true, time.Now())
+				if sent := b.sendsTo(cfg, picked.candidate.ID, pause-notice); sent > 0 {
+					t.Errorf("%d requests sent", sent)
+				}
+				for _, server := range cfg.Pools["p"].Servers {
+					b.observe(server.Address, tt.statements, false, time.Now())
+				}
+				if _, err := b.sendOne(cfg); !fault.Is(err, tt.refusal) || fault.FromError(err).RetryDelay() <= 0 {
+					t.Errorf("with all servers: %v", err)
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -33,9 +33,19 @@
 	onCrash       func()
 	// limitField returns the limit that the next response states; empty for none.
 	limitField func() string
+	// statements returns what the response to the nth request states.
+	statements func(n int) Statements
 	arrivals   []Run
 }
 
+// Statements is what a response states about its server.
+type Statements struct {
+	// Leaving and RetryAfter are the values of the fields; empty for none.
+	Leaving, RetryAfter string
+	// Shed makes the server reject the request without executing it.
+	Shed bool
+}
+
 // Run is a request whose execution has started.
 type Run struct {
 	ID string
@@ -44,7 +54,7 @@
 
 // NewBackendServer returns a server whose streams have the given number of events.
 func NewBackendServer(id string, streamEvents int) *BackendServer {
-	return &BackendServer{ID: id, StreamEvents: streamEvents, ConfidenceByModel: map[string]int{}, runCounts: map[string]int{}, startMillis: time.Now().UnixMilli(), limitField: func() string { return "" }}
+	return &BackendServer{ID: id, StreamEvents: streamEvents, ConfidenceByModel: map[string]int{}, runCounts: map[string]int{}, startMillis: time.Now().UnixMilli(), limitField: func() string { return "" }, statements: func(int) Statements { return Statements{} }}
 }
 
 // StartMillis returns the start time of the current incarnation in Unix milliseconds.
@@ -116,6 +126,24 @@
 	s.mu.Unlock()
 }
 
+// SetStatements sets the function that returns what the response to a request states, by the
+// number of requests that the server has received.
+func (s *BackendServer) SetStatements(statements func(n int) Statements) {
+	s.mu.Lock()
+	s.statements = statements
+	s.mu.Unlock()
+}
+
+// set adds the statements to a response.
+func (st Statements) set(h http.Header) {
+	if st.Leaving != "" {
+		h.Set("Server-Leaving", st.Leaving)
+	}
+	if st.RetryAfter != "" {
+		h.Set("Retry-After", st.RetryAfter)
+	}
+}
+
 // Arrivals returns all requests that were received, also those that did not run.
 func (s *BackendServer) Arrivals() []Run {
 	s.mu.Lock()
@@ -166,8 +194,11 @@
 	s.mu.Lock()
 	shedding, failureStatus, loseResponse, breakAtEvent := s.shedding, s.failureStatus, s.loseResponses, s.breakAtEvent
 	s.arrivals = append(s.arrivals, Run{id, time.Now()})
-	if stated := s.limitField(); stated != "" {
-		h.Set("Server-Limit", stated)
+	stated := s.statements(len(s.arrivals))
+	stated.set(h)
+	shedding = shedding || stated.Shed
+	if limit := s.limitField(); limit != "" {
+		h.Set("Server-Limit", limit)
 	}
 	if !shedding {
 		s.runCounts[id]++
