gate, relay, daemon: send nothing to a server whose response has said that it leaves

Cause: a server was leaving by its entry alone. The gate, which every send of both routers passes, now refuses the incarnation from its first such response until the incarnation ends: responses without the statement, entries that say ready and an older copy of the store do not end it. Other daemons are told with gossip (12 bytes a server, in 32 messages of each daemon), a daemon that starts is told all. On the own interface X-Draining and a draining load report count alike; three later load reports in a row without it, or a refused connection, end it, as an ID outlives its process there.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -42,10 +42,10 @@
 		return reply, nil
 	})
 	peer.Handle(server, "members", func(context.Context, string, peer.MembersRequest) (peer.MembersResponse, error) {
-		limits, terminated := m.d.balancer.serverLimits(true), m.d.balancer.terminatedServers()
+		limits, terminated, departures := m.d.balancer.serverLimits(true), m.d.balancer.terminatedServers(), m.d.balancer.departures(true)
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		return peer.MembersResponse{Members: m.table.Snapshot(), Quarantine: m.d.guard.Update(true), ServerLimits: limits, TerminatedServers: terminated}, nil
+		return peer.MembersResponse{Members: m.table.Snapshot(), Quarantine: m.d.guard.Update(true), ServerLimits: limits, TerminatedServers: terminated, Departures: departures}, nil
 	})
 }
 
@@ -120,6 +120,7 @@
 	}
 	m.d.guard.Merge(resp.Quarantine)
 	m.d.balancer.mergeLimits(resp.ServerLimits)
+	m.d.balancer.mergeDepartures(resp.Departures)
 	m.d.balancer.addTerminatedServers(resp.TerminatedServers)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -130,15 +131,16 @@
 func (m *memberlist) heartbeat() peer.Heartbeat {
 	next := m.d.config.nextOffset()
 	at, _ := m.d.balancer.leavingServers()
-	quarantined, limits := m.d.guard.Update(false), m.d.balancer.serverLimits(false)
+	quarantined, limits, departures := m.d.guard.Update(false), m.d.balancer.serverLimits(false), m.d.balancer.departures(false)
 	table := m.lockTable()
 	defer m.mu.Unlock()
-	return peer.Heartbeat{Sender: table.Self(), Rumors: table.NextRumors(), ConfigNext: next, LeavingReadAt: at, Quarantine: quarantined, ServerLimits: limits}
+	return peer.Heartbeat{Sender: table.Self(), Rumors: table.NextRumors(), ConfigNext: next, LeavingReadAt: at, Quarantine: quarantined, ServerLimits: limits, Departures: departures}
 }
 
 func (m *memberlist) applyHeartbeat(hb peer.Heartbeat) {
 	m.d.guard.Merge(hb.Quarantine)
 	m.d.balancer.mergeLimits(hb.ServerLimits)
+	m.d.balancer.mergeDepartures(hb.Departures)
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -249,8 +250,12 @@
 	if !ok {
 		return
 	}
+	requestedAt := b.uptime()
 	load, err := b.d.engine.Load(ctx, cand.Address)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			b.observeRefusedConnection(cand.ID)
+		}
 		return
 	}
 	b.withPool(name, func(p *pool) {
@@ -258,7 +263,8 @@
 		if load.Versions != nil {
 			p.versions[cand.ID] = load.Versions
 		}
-		p.load.SetLeaving(cand.ID, load.Draining || b.leaving[cand.ID])
+		b.observeDraining(cand.ID, load.Draining, requestedAt)
+		p.load.SetLeaving(cand.ID, b.leaves(cand.ID))
 		if load.WarmupRemainingMillis > 0 {
 			p.warmAt[cand.ID] = b.uptime() + time.Duration(load.WarmupRemainingMillis)*time.Millisecond
 		}
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -98,11 +98,11 @@
 	return containment.ConnectionLost
 }
 
-// isLeaving reports whether the VM list marks a server as leaving.
+// isLeaving reports whether a server leaves, by the VM list or by its own statement.
 func (b *balancer) isLeaving(id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.leaving[id]
+	return b.leaves(id)
 }
 
 // recordServerTerminated records that the server with an incarnation key has terminated.
--- a/internal/daemon/statements.go
+++ b/internal/daemon/statements.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/damaskrudder/damaskrudder/internal/gate"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
@@ -83,3 +85,49 @@
 	defer b.mu.Unlock()
 	return b.gate.Limits().Updates(all, b.uptime())
 }
+
+// leaves reports whether a server leaves, by the VM list or by its own statement. Callers hold mu.
+func (b *balancer) leaves(id string) bool {
+	return b.leaving[id] || b.gate.Departures().Leaving(xxhash.Sum64String(id))
+}
+
+// observeDraining records what a load report, requested at a time, says about its server. Callers
+// hold mu.
+func (b *balancer) observeDraining(id string, draining bool, requestedAt time.Duration) {
+	server := xxhash.Sum64String(id)
+	if draining && b.gate.Departures().State(server, b.uptime()) {
+		b.d.log.Info("server leaving", "server", id, "by", "load report")
+	}
+	if !draining && b.gate.Departures().StateStaying(server, requestedAt, b.uptime()) {
+		b.d.log.Info("server stays", "server", id, "by", "load report")
+	}
+}
+
+// observeRefusedConnection records that no process listens at the address of a server. The next
+// one there does not leave.
+func (b *balancer) observeRefusedConnection(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.gate.Departures().End(xxhash.Sum64String(id), b.uptime()) {
+		b.d.log.Info("server that was leaving has terminated", "server", id)
+	}
+}
+
+// mergeDepartures applies the reports of another daemon of servers that have stated that they leave.
+func (b *balancer) mergeDepartures(reports []serverstatus.DepartureReport) {
+	if len(reports) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, server := range b.gate.Departures().Merge(reports, b.uptime()) {
+		b.d.log.Info("server leaving", "server", b.idByHash[server], "by", "peer")
+	}
+}
+
+// departures returns the recent reports of servers that have stated that they leave, or all.
+func (b *balancer) departures(all bool) []serverstatus.DepartureReport {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.gate.Departures().Reports(all, b.uptime())
+}
--- a/internal/daemon/statements_test.go
+++ b/internal/daemon/statements_test.go
@@ -42,3 +42,39 @@
 		})
 	}
 }
+
+// Guards against a leaving server that is used again by a report from before its statement, and
+// against its next process never being used.
+func TestDepartureEndsWithProcess(t *testing.T) {
+	for name, end := range map[string]func(b *balancer, server string){
+		"connection refused": func(b *balancer, server string) { b.observeRefusedConnection(server) },
+		"later load reports": func(b *balancer, server string) {
+			for range 3 {
+				b.observeDraining(server, false, b.uptime())
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, cfg := newSlowStartBalancer(t)
+				picked, err := b.sendOne(cfg)
+				if err != nil {
+					t.Fatal(err)
+				}
+				server, requestedAt := picked.candidate.ID, b.uptime()
+				time.Sleep(time.Second)
+				b.observe(picked.candidate.Address, serverstatus.Statements{Leaving: serverstatus.Stated}, true, time.Now())
+				for range 10 {
+					b.observeDraining(server, false, requestedAt)
+				}
+				if sent := b.sendsTo(cfg, server, time.Second); sent > 0 || !b.isLeaving(server) {
+					t.Errorf("%d requests sent to a leaving server", sent)
+				}
+				end(b, server)
+				if sent := b.sendsTo(cfg, server, time.Second); sent == 0 {
+					t.Error("the next process gets no requests")
+				}
+			})
+		})
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -25,7 +25,8 @@
 	Allowed Reason = ""
 	// Held requests are refused for all servers because they crashed servers.
 	Held Reason = "held"
-	// Leaving servers finish their running requests and accept no new ones.
+	// Leaving servers finish their running requests and accept no new ones, by their entry or by
+	// their own statement.
 	Leaving Reason = "leaving"
 	// Evacuated servers are in a failure domain that an operator has evacuated.
 	Evacuated Reason = "evacuated"
@@ -45,7 +46,7 @@
 	ID string
 	// Name identifies the server across its incarnations.
 	Name string
-	// Hash is the hash of ID. It is the same on all daemons.
+	// Hash is the xxhash of ID. It is the same on all daemons.
 	Hash          uint64
 	FailureDomain string
 	Region        string
@@ -304,7 +305,7 @@
 		return RegionExcluded
 	case g.isEvacuated(s.FailureDomain):
 		return Evacuated
-	case s.Leaving:
+	case s.Leaving || g.departures.Leaving(s.Hash):
 		return Leaving
 	}
 	if warmAt := g.WarmAt(s, now); now < warmAt && !g.warmupReady(s, warmAt, now) {
--- a/internal/gate/limit_fleet_test.go
+++ b/internal/gate/limit_fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
 )
 
@@ -40,6 +41,10 @@
 	refused  int
 	// omits reports whether a response leaves out the limit of its server; nil for none.
 	omits func(r limitResponse) bool
+	// states returns what a response states, in place of rates; nil for none.
+	states func(r limitResponse) serverstatus.Statements
+	// sentBy are the daemons of sends.
+	sentBy [][]int
 	// known are the names of the servers.
 	known map[string]string
 	// hidden is the part of the peers that each view lacks, drawn anew in each gossip round.
@@ -52,7 +57,7 @@
 }
 
 func newLimitFleet(daemons int, rates []float64) *limitFleet {
-	f := &limitFleet{rng: rand.New(rand.NewPCG(1, uint64(daemons))), rates: rates, liftedAt: time.Hour, sends: make([][]time.Duration, len(rates)), known: map[string]string{}}
+	f := &limitFleet{rng: rand.New(rand.NewPCG(1, uint64(daemons))), rates: rates, liftedAt: time.Hour, sends: make([][]time.Duration, len(rates)), sentBy: make([][]int, len(rates)), known: map[string]string{}}
 	for i := range rates {
 		id := fmt.Sprint("server-", i)
 		f.servers = append(f.servers, Server{ID: id, Name: id, Hash: xxhash.Sum64String(id)})
@@ -112,7 +117,7 @@
 			continue
 		}
 		f.gates[daemon].RecordSend(f.servers[server], f.now)
-		f.sends[server] = append(f.sends[server], f.now)
+		f.sends[server], f.sentBy[server] = append(f.sends[server], f.now), append(f.sentBy[server], daemon)
 		f.pending = append(f.pending, limitResponse{f.now + limitResponseTime, f.now, daemon, server})
 		return
 	}
@@ -127,7 +132,12 @@
 		if f.rates[r.server] == 0 || r.at < limitsStatedAt || r.at >= f.liftedAt || f.omits != nil && f.omits(r) {
 			statement = serverlimit.Statement{}
 		}
-		f.gates[r.daemon].Limits().Observe(serverlimit.Key(f.servers[r.server].Name), statement, r.sentAt, f.now)
+		statements := serverstatus.Statements{Limit: statement}
+		if f.states != nil {
+			statements = f.states(r)
+		}
+		server := f.servers[r.server]
+		f.gates[r.daemon].Observe(Response{ServerID: server.ID, ServerName: server.Name, Statements: statements, Succeeded: statements.Pause.Kind == serverstatus.None, SentAt: r.sentAt}, f.now)
 	}
 }
 
@@ -137,6 +147,8 @@
 			if other := f.rng.IntN(len(f.gates)); other != i {
 				f.gates[other].Limits().Merge(g.Limits().Updates(false, f.now), f.now)
 				g.Limits().Merge(f.gates[other].Limits().Updates(false, f.now), f.now)
+				f.gates[other].Departures().Merge(g.Departures().Reports(false, f.now), f.now)
+				g.Departures().Merge(f.gates[other].Departures().Reports(false, f.now), f.now)
 			}
 		}
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 )
 
 const (
@@ -98,6 +99,10 @@
 	// rates for a daemon that just joined.
 	ServerLimits func(recentlyJoined bool) []serverlimit.Update
 
+	// Departures returns the recent reports of servers that have stated that they leave, or all
+	// for a daemon that just joined.
+	Departures func(recentlyJoined bool) []serverstatus.DepartureReport
+
 	// TerminatedServers returns the servers that have terminated and are not warm since.
 	TerminatedServers func() []uint64
 
@@ -144,7 +149,7 @@
 	}
 	return &Members{
 		localMessage: localMessage, transport: transport, log: l, address: self.Address, incarnation: self.Incarnation, OnMessage: func(Message, time.Duration) {}, BootTime: bootTime,
-		OnWorkChanged: func([]relay.ServerWork) {}, QuarantineUpdate: func(bool) quarantine.Update { return quarantine.Update{} }, ServerLimits: func(bool) []serverlimit.Update { return nil }, TerminatedServers: func() []uint64 { return nil }, EvidenceState: func() Evidence { return Evidence{} }, members: map[string]*member{}, leavingSince: map[string]time.Time{},
+		OnWorkChanged: func([]relay.ServerWork) {}, QuarantineUpdate: func(bool) quarantine.Update { return quarantine.Update{} }, ServerLimits: func(bool) []serverlimit.Update { return nil }, TerminatedServers: func() []uint64 { return nil }, Departures: func(bool) []serverstatus.DepartureReport { return nil }, EvidenceState: func() Evidence { return Evidence{} }, members: map[string]*member{}, leavingSince: map[string]time.Time{},
 		live: membership.NewLivePeers(self.Name), table: membership.NewPeerTable(record),
 	}
 }
@@ -199,6 +204,7 @@
 	recentlyJoined := m.recentlyJoined(to, now)
 	msg.Quarantine = m.QuarantineUpdate(recentlyJoined)
 	msg.ServerLimits = m.ServerLimits(recentlyJoined)
+	msg.Departures = m.Departures(recentlyJoined)
 	if recentlyJoined {
 		msg.TerminatedServers = m.TerminatedServers()
 	}
@@ -302,7 +308,8 @@
 	m.markSuspected(msg.Suspects, now)
 	// Fields that are passed on at once are not retained, to save memory.
 	other.latest.KnownAddresses, other.latest.Placed, other.latest.Orders, other.latest.Suspects = nil, nil, nil, nil
-	other.latest.Quarantine, other.latest.Peers, other.latest.ServerLimits, other.latest.TerminatedServers = quarantine.Update{}, nil, nil, nil
+	other.latest.Quarantine, other.latest.Peers = quarantine.Update{}, nil
+	other.latest.ServerLimits, other.latest.Departures, other.latest.TerminatedServers = nil, nil, nil
 	m.mu.Unlock()
 	m.OnWorkChanged(changes)
 	m.OnMessage(msg, m.sentAfter(msg))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -9,6 +9,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 )
 
 // Message is the state that daemons exchange.
@@ -58,6 +59,8 @@
 	// TerminatedServers lists, for a daemon that just joined, the servers that have terminated
 	// and are not warm since, by the hash of their ID.
 	TerminatedServers []uint64 `cbor:"31,keyasint,omitempty"`
+	// Departures holds recent reports of servers that have stated that they leave.
+	Departures []serverstatus.DepartureReport `cbor:"32,keyasint,omitempty"`
 	// Started and Sequence are those of the sender's record, see membership.PeerRecord.
 	Started  int64  `cbor:"23,keyasint,omitempty"`
 	Sequence uint64 `cbor:"24,keyasint,omitempty"`
--- /dev/null
+++ b/internal/node/departures_test.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/damaskrudder/damaskrudder/internal/feedtest"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
+)
+
+// Guards against daemons that use a server on while the store is silent, after its response has
+// told another daemon that it leaves, and against its entry undoing that.
+func TestServerThatLeavesIsDroppedWhileStoreIsSilent(t *testing.T) {
+	for _, daemons := range scaleSizes() {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, daemons)
+			time.Sleep(4 * time.Second)
+			f.store.SetMode(feedtest.Unresponsive)
+			f.member(address(daemons / 2)).Relay.MergeDepartures([]serverstatus.DepartureReport{{Server: xxhash.Sum64String("a")}})
+			took := waitFor(t, f.limit, "the server is dropped", func() bool { return f.countUsing("a") == 0 })
+			t.Logf("%d daemons: dropped after %s", daemons, took)
+			f.store.SetMode(feedtest.Serving)
+			f.store.Put("servers", "a", []byte("ready"))
+			time.Sleep(2 * f.limit)
+			if n := f.countUsing("a"); n > 0 {
+				t.Errorf("%d of %d daemons use the server after its entry was written again", n, daemons)
+			}
+			f.kill(0)
+			time.Sleep(time.Second)
+			f.start(0)
+			time.Sleep(2 * f.limit)
+			if n := f.countUsing("a"); n > 0 {
+				t.Errorf("%d of %d daemons use the server after one has started", n, daemons)
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,6 +181,7 @@
 	n.members.OnMessage, n.members.OnWorkChanged = n.handleMessage, n.state.AddPeerWork
 	n.members.QuarantineUpdate = n.Relay.Guard.Update
 	n.members.ServerLimits = n.state.ServerLimits
+	n.members.Departures = n.state.Departures
 	n.members.TerminatedServers = n.state.TerminatedServers
 	n.members.EvidenceState = func() gossip.Evidence {
 		active, alarms := n.Relay.Rollouts.Alarms()
@@ -275,6 +276,7 @@
 	n.Relay.Rollouts.ApplyReports(message.Incarnation, message.Orders)
 	n.Relay.Guard.Merge(message.Quarantine)
 	n.Relay.MergeServerLimits(message.ServerLimits)
+	n.Relay.MergeDepartures(message.Departures)
 	n.state.AddTerminatedServers(message.TerminatedServers)
 	if n.placements.MarkSeen(message.Incarnation, message.PlacedRound) {
 		n.state.ApplyPlacements(message.Placed)
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -9,6 +9,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/quota"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 	"github.com/damaskrudder/damaskrudder/internal/slo"
 )
 
@@ -26,6 +27,8 @@
 	Quarantine quarantine.Update `cbor:"6,keyasint,omitempty"`
 	// ServerLimits holds the recent changes of the request rates that servers state.
 	ServerLimits []serverlimit.Update `cbor:"7,keyasint,omitempty"`
+	// Departures holds recent reports of servers that have stated that they leave.
+	Departures []serverstatus.DepartureReport `cbor:"8,keyasint,omitempty"`
 }
 
 // MembersRequest requests the membership table of a daemon.
@@ -41,6 +44,8 @@
 	// TerminatedServers lists the servers that have terminated and are not warm since, by the
 	// hash of their ID.
 	TerminatedServers []uint64 `cbor:"4,keyasint,omitempty"`
+	// Departures reports all servers that have stated that they leave.
+	Departures []serverstatus.DepartureReport `cbor:"5,keyasint,omitempty"`
 }
 
 // ConfigRequest requests configuration records from an offset on.
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -66,12 +66,12 @@
 	}
 }
 
-// isLeaving reports whether a server has announced its shutdown or has no entry.
+// isLeaving reports whether a server has announced that it leaves or has no entry.
 func (s *State) isLeaving(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if b, known := s.registry.ByID(id, s.bootTime()); known {
-		return b.Leaving
+		return s.leaves(b)
 	}
 	return true
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -213,7 +213,7 @@
 	inShard := routing.ShardFilter(s.daemon, sv.shards, sv.shardsInUse)
 	sv.servers, sv.members = map[string]backend.Server{}, nil
 	for _, b := range s.registry.Select(name, now, inShard) {
-		if !b.Leaving && len(sv.members) < routing.MaxCandidates {
+		if !s.leaves(b) && len(sv.members) < routing.MaxCandidates {
 			sv.servers[b.ID] = b
 			sv.members = append(sv.members, routing.Member{ID: b.ID, Address: b.Address, FailureDomain: b.FailureDomain, Slots: b.Slots})
 		}
@@ -400,7 +400,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, known := s.registry.ByID(id, s.bootTime())
-	return known && !b.Leaving
+	return known && !s.leaves(b)
+}
+
+// leaves reports whether a server leaves, by its entry or by its own statement. Callers hold mu.
+func (s *State) leaves(b backend.Server) bool {
+	return b.Leaving || s.gate.Departures().Leaving(xxhash.Sum64String(b.ID))
 }
 
 // EachServer calls f for every eligible server of a service.
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/damaskrudder/damaskrudder/internal/gate"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
@@ -57,9 +60,51 @@
 	change = s.gate.Observe(gate.Response{
 		ServerID: t.server.ID, ServerName: t.server.Incarnation.Name, Statements: statements, Succeeded: succeeded, SentAt: t.pickedAt,
 	}, now)
+	if change.Leaving {
+		s.registryVersion++
+	}
 	return change, s.gate.Limits().TakeUrgent()
 }
 
+// MergeDepartures applies the reports of another daemon of servers that have stated that they leave.
+func (r *Relay) MergeDepartures(reports []serverstatus.DepartureReport) {
+	for _, server := range r.State.mergeDepartures(reports) {
+		r.log.Info("server leaving", "server", server, "by", "peer")
+	}
+}
+
+// mergeDepartures returns the known servers that were not known to leave.
+func (s *State) mergeDepartures(reports []serverstatus.DepartureReport) (leaving []string) {
+	if len(reports) == 0 {
+		return nil
+	}
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	added := s.gate.Departures().Merge(reports, now)
+	if len(added) == 0 {
+		return nil
+	}
+	s.registryVersion++
+	for _, sv := range s.services {
+		for id := range sv.servers {
+			if slices.Contains(added, xxhash.Sum64String(id)) {
+				leaving = append(leaving, id)
+			}
+		}
+	}
+	return leaving
+}
+
+// Departures returns the recent reports of servers that have stated that they leave, or all for a
+// daemon that just joined.
+func (s *State) Departures(recentlyJoined bool) []serverstatus.DepartureReport {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Departures().Reports(recentlyJoined, now)
+}
+
 // MergeServerLimits applies the request rates of servers that another daemon reported.
 func (r *Relay) MergeServerLimits(updates []serverlimit.Update) {
 	changed, urgent := r.State.mergeServerLimits(updates)
--- a/internal/serverstatus/departures.go
+++ b/internal/serverstatus/departures.go
@@ -12,8 +12,8 @@
 	// older copy of the store may contain the server again.
 	departureRetention = 2 * time.Minute
 	// sendsPerDeparture is the number of messages in which a daemon passes on a departure. Each
-	// daemon that receives it does so, and every response of the server states it again.
-	sendsPerDeparture = 8
+	// daemon that receives it does so, which makes it unlikely that one in a large fleet is missed.
+	sendsPerDeparture = 32
 	// maxDepartures is the maximum number of departures in a message, maxInitialDepartures that
 	// in a message to a daemon that just joined.
 	maxDepartures        = 16
