gate, relay, daemon: send nothing to a server in the pause that its 503 asks for

Callers saw second sends and refusals: a server that turned requests away and asked for 3 s without any got 36 to 70 a second for 9 s, because Retry-After of a server was read by nobody and a server that refuses at once looks idle (expected latency 70 ms before, 8 ms then); second sends rose from 22 to 93 a second. The gate now refuses a server by name until the latest end that it has asked this daemon for; a shorter or unreadable value, a success or a restart does not end it, time does. Then all daemons together send 16 requests a second, twice as many each half second for 2.5 s, divided as stated limits are, so that they do not return at the same moment. If only such servers are left, callers are refused at once as server_paused, not run, with the time of the first that is back. At 1 to 2,000 daemons no daemon sends more than two in a pause, and the server gets at most 64 requests in the second after it.

--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -18,6 +18,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/platform"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
 )
 
@@ -183,6 +184,9 @@
 	case gate.Limited:
 		e := fault.New(fault.ServerLimited, "the servers of pool %s that are left have stated limits", pool).WithRetryAfter(serverlimit.RetryAfter(nearest.Remaining, b.rng.Float64()))
 		return e.WithCause(errors.New(b.gate.DescribeLimit(nearest, b.uptime())))
+	case gate.Paused:
+		e := fault.New(fault.ServerPaused, "the servers of pool %s that are left have asked for a pause", pool).WithRetryAfter(serverstatus.RetryAfter(nearest.Remaining, b.rng.Float64()))
+		return e.WithCause(errors.New(b.gate.DescribePause(nearest, b.uptime())))
 	case gate.Evacuated:
 		return fault.New(fault.Evacuated, "the servers of pool %s that are left stand in evacuated failure domains", pool)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -34,12 +34,17 @@
 	Warming Reason = "warming"
 	// Limited servers have stated a request rate, and this daemon has no share of it left.
 	Limited Reason = "limited"
+	// Paused servers want no requests from this daemon for a while, or have just wanted none and
+	// this daemon has no share left of what they get then.
+	Paused Reason = "paused"
 	// RegionExcluded servers are in a region that the request must not be sent to.
 	RegionExcluded Reason = "region_excluded"
 )
 
 // Reasons returns all reasons for refusal, the most informative for callers first.
-func Reasons() []Reason { return []Reason{Held, RegionExcluded, Evacuated, Warming, Limited, Leaving} }
+func Reasons() []Reason {
+	return []Reason{Held, RegionExcluded, Evacuated, Warming, Limited, Paused, Leaving}
+}
 
 // Server is the state of one incarnation of a backend server.
 type Server struct {
@@ -84,6 +89,9 @@
 	// that want no requests from this daemon.
 	departures *serverstatus.Departures
 	pauses     *serverstatus.Pauses
+	// returnPacers are the pacers of sends to servers whose pause has ended, by the hash of the
+	// server's name.
+	returnPacers map[uint64]*limitPacer
 	// fleetSize is the largest number of daemons in a recent view, at fleetSizeAt.
 	fleetSize   int
 	fleetSizeAt time.Duration
@@ -130,7 +138,7 @@
 
 // New returns a gate without evacuations and with an empty view.
 func New() *Gate {
-	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[uint64]*restart{}, limits: serverlimit.NewTable(), limitPacers: map[uint64]*limitPacer{}, departures: serverstatus.NewDepartures(), pauses: serverstatus.NewPauses()}
+	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[uint64]*restart{}, limits: serverlimit.NewTable(), limitPacers: map[uint64]*limitPacer{}, departures: serverstatus.NewDepartures(), pauses: serverstatus.NewPauses(), returnPacers: map[uint64]*limitPacer{}}
 }
 
 // Limits returns the request rates that servers state. They apply to the following checks.
@@ -269,7 +277,7 @@
 }
 
 // resetLimitPacers makes the pacers compute their shares anew, and removes those of servers
-// without a limit.
+// without a limit or pause.
 func (g *Gate) resetLimitPacers(now time.Duration) {
 	for server, p := range g.limitPacers {
 		p.perSecond = 0
@@ -277,6 +285,12 @@
 			delete(g.limitPacers, server)
 		}
 	}
+	for server, p := range g.returnPacers {
+		p.perSecond = 0
+		if _, limited := g.pauses.ReturnRate(server, now); !limited {
+			delete(g.returnPacers, server)
+		}
+	}
 }
 
 // WarmAt returns when a server is warm; a time in the past for a warm server.
@@ -311,6 +325,9 @@
 	if warmAt := g.WarmAt(s, now); now < warmAt && !g.warmupReady(s, warmAt, now) {
 		return Warming
 	}
+	if g.pauseRemaining(s, now) > 0 {
+		return Paused
+	}
 	if p := g.limitPacer(s, now); p != nil && !p.ready(now) {
 		return Limited
 	}
@@ -327,6 +344,8 @@
 		refusals.Add(Refusal{reason, s.Name, g.WarmAt(s, now) - now})
 	case Limited:
 		refusals.Add(Refusal{reason, s.Name, g.limitPacer(s, now).remaining(now)})
+	case Paused:
+		refusals.Add(Refusal{reason, s.Name, g.pauseRemaining(s, now)})
 	default:
 		refusals.Add(Refusal{Reason: reason, Server: s.Name})
 	}
@@ -368,15 +387,57 @@
 		p = &limitPacer{}
 		g.limitPacers[server] = p
 	}
-	if p.perSecond != limit.PerSecond {
-		p.perSecond = limit.PerSecond
-		p.share = serverlimit.ShareOf(limit.PerSecond, g.fleetSize)
-		p.SetSender(g.view.IsSender(server, p.share.Senders), p.share, now)
-	}
+	g.setRate(p, server, limit.PerSecond, now)
 	p.interval = limit.Interval(p.share.Interval)
 	return p
 }
 
+// setRate sets the rate that a pacer divides.
+func (g *Gate) setRate(p *limitPacer, server uint64, perSecond float64, now time.Duration) {
+	if p.perSecond == perSecond {
+		return
+	}
+	p.perSecond = perSecond
+	p.share = serverlimit.ShareOf(perSecond, g.fleetSize)
+	p.interval = p.share.Interval
+	p.SetSender(g.view.IsSender(server, p.share.Senders), p.share, now)
+}
+
+// pauseRemaining returns the time until this daemon may send to a server that has asked for a
+// pause, or zero.
+func (g *Gate) pauseRemaining(s Server, now time.Duration) time.Duration {
+	if g.pauses.Len() == 0 {
+		return 0
+	}
+	if remaining := g.pauses.Remaining(serverlimit.Key(s.Name), now); remaining > 0 {
+		return remaining
+	}
+	p := g.returnPacer(s, now)
+	if p == nil || p.ready(now) {
+		return 0
+	}
+	return max(p.remaining(now), time.Millisecond)
+}
+
+// returnPacer returns the pacer of a server whose pause has just ended, or nil.
+func (g *Gate) returnPacer(s Server, now time.Duration) *limitPacer {
+	if g.pauses.Len() == 0 {
+		return nil
+	}
+	server := serverlimit.Key(s.Name)
+	perSecond, limited := g.pauses.ReturnRate(server, now)
+	if !limited {
+		return nil
+	}
+	p := g.returnPacers[server]
+	if p == nil {
+		p = &limitPacer{}
+		g.returnPacers[server] = p
+	}
+	g.setRate(p, server, perSecond, now)
+	return p
+}
+
 // ready reports whether this daemon may send to the server now.
 func (p *limitPacer) ready(now time.Duration) bool { return p.Ready(p.currentShare(), now) }
 
@@ -399,8 +460,17 @@
 	return fmt.Sprintf("%s stated %g requests a second %s ago and has room in %s", r.Server, limit.PerSecond, (now - limit.StatedAt).Round(time.Millisecond), r.Remaining.Round(time.Millisecond))
 }
 
+// DescribePause describes the pause of a refused server, for the log.
+func (g *Gate) DescribePause(r Refusal, now time.Duration) string {
+	askedAt, _ := g.pauses.AskedAt(serverlimit.Key(r.Server))
+	return fmt.Sprintf("%s asked for a pause %s ago and is back in %s", r.Server, (now - askedAt).Round(time.Millisecond), r.Remaining.Round(time.Millisecond))
+}
+
 // RecordSend records a send to a server for which Check returned Allowed.
 func (g *Gate) RecordSend(s Server, now time.Duration) {
+	if p := g.returnPacer(s, now); p != nil {
+		p.RecordSend(now)
+	}
 	if p := g.limitPacer(s, now); p != nil {
 		p.RecordSend(now)
 	}
@@ -438,12 +508,18 @@
 }
 
 // Primary returns the refusal with the most informative reason, and of these the server that is
-// usable first. The reason is Allowed if no server was refused.
+// usable first. Of servers that are limited and paused, the one that is usable first counts. The
+// reason is Allowed if no server was refused.
 func (rs *Refusals) Primary() Refusal {
 	for _, reason := range Reasons() {
-		if r, any := rs.nearest[reason]; any {
-			return r
+		r, any := rs.nearest[reason]
+		if !any {
+			continue
+		}
+		if paused, any := rs.nearest[Paused]; any && reason == Limited && paused.Remaining < r.Remaining {
+			return paused
 		}
+		return r
 	}
 	return Refusal{}
 }
--- a/internal/gate/statement_fleet_test.go
+++ b/internal/gate/statement_fleet_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -10,7 +11,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 )
 
-// statedAt is when the first server begins to make statements.
+// statedAt is when the first server begins to state that it leaves or wants a pause.
 const statedAt = time.Second
 
 // statingServer returns statements of the first server from statedAt until a time.
@@ -64,3 +65,47 @@
 		t.Errorf("%d departures of unknown servers are kept", n)
 	}
 }
+
+// Guards against sends in a pause that a server has asked each daemon for, and against all
+// daemons returning at its end, at any number of daemons.
+func TestPausedServerGetsLoadBackInSteps(t *testing.T) {
+	const pause, notice, perDaemon = 3 * time.Second, 500 * time.Millisecond, 2
+	const refusesUntil, maxInFirstSecond = statedAt + 200*time.Millisecond, 64
+	for _, n := range limitFleetSizes {
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			f := newLimitFleet(n, make([]float64, 8))
+			asked := make([]time.Duration, n)
+			refuse := statingServer(refusesUntil, serverstatus.Statements{Pause: serverstatus.Pause{Kind: serverstatus.Stated, Duration: pause}})
+			f.states = func(r limitResponse) serverstatus.Statements {
+				s := refuse(r)
+				if s.Pause.Kind == serverstatus.Stated {
+					asked[r.daemon] = r.at
+				}
+				return s
+			}
+			f.run(fleetLoad(n), 9*time.Second)
+			inPause, inFirstSecond := map[int]int{}, 0
+			for i, at := range f.sends[0] {
+				daemon := f.sentBy[0][i]
+				since := at - asked[daemon]
+				if asked[daemon] > 0 && since > notice && since < pause {
+					inPause[daemon]++
+				}
+				if at >= statedAt+pause && at < statedAt+pause+time.Second && asked[daemon] > 0 {
+					inFirstSecond++
+				}
+			}
+			for daemon, sends := range inPause {
+				if sends > perDaemon {
+					t.Errorf("daemon %d sent %d requests in the pause", daemon, sends)
+				}
+			}
+			if inFirstSecond > maxInFirstSecond {
+				t.Errorf("%d requests in the second after the pause, allowed %d", inFirstSecond, maxInFirstSecond)
+			}
+			if last := f.sends[0][len(f.sends[0])-1]; f.now-last > time.Second {
+				t.Errorf("no request since %s, %s after the pause", last, f.now-statedAt-pause)
+			}
+		})
+	}
+}
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -7,6 +7,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
 )
 
@@ -119,6 +120,9 @@
 	case gate.Limited:
 		limit := s.gate.DescribeLimit(refused, s.bootTime())
 		return fault.New(fault.ServerLimited, "the servers of %s that are left have stated limits: %s", req.service, limit).WithRetryAfter(serverlimit.RetryAfter(refused.Remaining, s.rng.Float64()))
+	case gate.Paused:
+		pause := s.gate.DescribePause(refused, s.bootTime())
+		return fault.New(fault.ServerPaused, "the servers of %s that are left have asked for a pause: %s", req.service, pause).WithRetryAfter(serverstatus.RetryAfter(refused.Remaining, s.rng.Float64()))
 	case gate.Evacuated:
 		return fault.New(fault.Evacuated, "the servers of %s that are left stand in evacuated failure domains", req.service)
 	}
