upstream, relay: ask the gate again once a connection is open

A request selected before an answer said that the server leaves, wants a pause, or before its domain was evacuated or its entry removed, reached it all the same. It is now withdrawn before anything is sent, the connection is kept, and the request goes to another server as one that was not started. TestSendIsCheckedWhenConnectionIsOpen and TestWithdrawnCallSendsNothing; without the check every such send arrived. The test of sends now confirms the configuration, without which it sent nothing after 4 of its 10 s.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -334,6 +334,13 @@
 	return Allowed
 }
 
+// StillAdmits reports whether a request for which Check returned Allowed may still be sent. It does
+// not take a share of a rate again.
+func (g *Gate) StillAdmits(s Server, now time.Duration) bool {
+	leaves := s.Leaving || g.departures.Leaving(s.Hash)
+	return !leaves && !g.isEvacuated(s.FailureDomain) && g.pauses.Remaining(serverlimit.Key(s.Name), now) == 0
+}
+
 // Admit reports whether a request may be sent to a server, and counts a refusal.
 func (g *Gate) Admit(r Request, s Server, now time.Duration, refusals *Refusals) bool {
 	reason := g.Check(r, s, now)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -91,6 +91,8 @@
 	Priority int
 	// MaxConnections limits the connections to the server; zero is unlimited.
 	MaxConnections int
+	// Admit reports whether the request may still be sent, once a connection is open.
+	Admit func() bool
 }
 
 // BackendResponse is a server's response header and body. Closing the body before
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -182,6 +182,7 @@
 	req := BackendRequest{
 		Call: x.call, Server: t.server, Workspace: x.workspace, Model: x.modelOverride(), LastEvent: x.lastEvent,
 		Timeout: time.Until(x.deadline) - deadlineMargin, Priority: x.sendPriority(), MaxConnections: t.maxConnections,
+		Admit: func() bool { return x.relay.State.admits(t) },
 	}
 	reply, err := x.relay.backend.Send(ctx, req)
 	if err != nil {
@@ -223,7 +224,7 @@
 	if !errors.As(err, &e) {
 		e = &upstream.Error{Reason: upstream.ConnectionLost, Sent: true, Err: err}
 	}
-	failed := e.Reason != upstream.Canceled && e.Reason != upstream.ConnectionLimit
+	failed := e.Reason != upstream.Canceled && e.Reason != upstream.ConnectionLimit && e.Reason != upstream.Withdrawn
 	x.relay.State.recordSendEnd(t, time.Since(sentAt), failed)
 	if e.Reason == upstream.Unreachable {
 		x.relay.State.recordUnreachable(t)
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
@@ -73,6 +75,16 @@
 	return now < s.gate.WarmAt(server, now)
 }
 
+// admits reports whether a request may still be sent to its server. It is asked once a connection
+// is open, which may be long after the server was selected.
+func (s *State) admits(t *target) bool {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, known := s.registry.ByID(t.server.ID, now)
+	return known && s.gate.StillAdmits(gateServer(b, xxhash.Sum64String(b.ID), t.slowStart), now)
+}
+
 // recordServerTerminated records that a server's run has ended, as its VM refuses connections.
 func (s *State) recordServerTerminated(id string) {
 	now := s.bootTime()
--- a/internal/relay/statement_sends_test.go
+++ b/internal/relay/statement_sends_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
@@ -66,6 +67,7 @@
 func (h *harness) sendTimes(period time.Duration, path string, prepare func(h *harness), match func(BackendRequest) bool) (times []time.Duration, refusals []*fault.Error) {
 	const interval = 10 * time.Millisecond
 	for end := h.clock.now + period; h.clock.now < end; h.clock.now += interval {
+		h.relay.State.Confirm(freshness.Configuration, freshness.Confirmation{At: h.clock.now, Source: freshness.FromStore})
 		if prepare != nil {
 			prepare(h)
 		}
--- a/internal/relay/statements_test.go
+++ b/internal/relay/statements_test.go
@@ -6,8 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
+	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
 	"github.com/damaskrudder/damaskrudder/internal/upstream"
 )
@@ -108,3 +112,44 @@
 		t.Errorf("%d limited servers after %d sends, want 1", n, len(h.backend.sends))
 	}
 }
+
+// Guards against a request that reaches a server because it waited for a connection while the
+// server said that it leaves or wants a pause, or its failure domain was evacuated.
+func TestSendIsCheckedWhenConnectionIsOpen(t *testing.T) {
+	for name, change := range map[string]func(h *harness, r BackendRequest){
+		"leaves": func(h *harness, r BackendRequest) {
+			h.relay.MergeDepartures([]serverstatus.DepartureReport{{Server: xxhash.Sum64String(r.Server.ID)}})
+		},
+		"wants a pause": func(h *harness, r BackendRequest) {
+			h.relay.State.observe(&target{server: r.Server}, *pauseOf(time.Second), false)
+		},
+		"is evacuated": func(h *harness, r BackendRequest) { h.relay.State.Evacuate(r.Server.FailureDomain) },
+		"is removed": func(h *harness, r BackendRequest) {
+			h.relay.State.UpdateServers(func(registry *backend.Registry, now time.Duration) { registry.Remove(r.Server.Incarnation.Name, now) })
+		},
+		"does not change": func(*harness, BackendRequest) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			arrived, withdrawn := 0, 0
+			h := newHarness(t, nil)
+			h.backend.script[0] = func(r BackendRequest) (*BackendResponse, error) {
+				if arrived+withdrawn == 0 {
+					change(h, r)
+				}
+				if !r.Admit() {
+					withdrawn++
+					return nil, &upstream.Error{Reason: upstream.Withdrawn, Err: errors.New("test")}
+				}
+				arrived++
+				return respond(200, "ok")(r)
+			}
+			out := h.call("/p/x")
+			if want := name != "does not change"; want != (withdrawn > 0) {
+				t.Errorf("%d sends withdrawn, %d arrived", withdrawn, arrived)
+			}
+			if served := out.status == 200; served == (name == "is evacuated") {
+				t.Errorf("status %d, refused with %v", out.status, out.refusal)
+			}
+		})
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -62,6 +62,8 @@
 	InvalidResponse Reason = "garbled"
 	// Canceled means that the context of the call was done.
 	Canceled Reason = "canceled"
+	// Withdrawn means that the call was not admitted any more when a connection was open.
+	Withdrawn Reason = "withdrawn"
 )
 
 // Error is a failed call.
@@ -142,6 +144,9 @@
 	// Match reports whether a response belongs to this request; nil accepts any. A
 	// server may send a duplicate response to an earlier request first.
 	Match func(*http.Response) bool
+	// Admit reports whether the request may still be sent, once a connection is open; nil
+	// always admits it.
+	Admit func() bool
 }
 
 // Do sends a request and returns its response once the header has been read. ctx
@@ -152,6 +157,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if call.Admit != nil && !call.Admit() {
+		c.putIdle(c.remainingIdleTime())
+		return nil, &Error{Withdrawn, false, errWithdrawn}
+	}
 	stop := context.AfterFunc(ctx, c.discard)
 	written, err := send(c, call.Request)
 	if err != nil {
@@ -177,6 +186,17 @@
 	return &Error{reason, sent, err}
 }
 
+// remainingIdleTime returns how long a connection may stay idle that has not been used since it was
+// acquired.
+func (c *conn) remainingIdleTime() time.Duration {
+	if c.reused {
+		return time.Until(c.expires)
+	}
+	return defaultKeepAlive - keepAliveMargin
+}
+
+var errWithdrawn = errors.New("not admitted any more when a connection was open")
+
 var errUnmatchedResponse = errors.New("received only responses to other requests")
 
 // classify distinguishes a lost connection from an invalid response.
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -229,3 +229,31 @@
 		}
 	}
 }
+
+// Guards against sending a request that is not admitted any more when its connection is open, and
+// against losing that connection.
+func TestWithdrawnCallSendsNothing(t *testing.T) {
+	received := make(chan string, 8)
+	address := startServer(t, func(_ int, r *http.Request, w io.Writer) bool {
+		received <- r.Header.Get("Id")
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 1\r\n\r\na", r.Header.Get("Id"))
+		return true
+	})
+	p := NewPool()
+	dials := 0
+	p.OnDial = func(string) { dials++ }
+	for range 3 {
+		req := &http.Request{Method: "POST", URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"Id": {"withdrawn"}}}
+		_, err := p.Do(context.Background(), Call{Address: address, Request: req, Admit: func() bool { return false }})
+		var e *Error
+		if !errors.As(err, &e) || e.Reason != Withdrawn || e.Sent {
+			t.Fatalf("got %v", err)
+		}
+	}
+	if body, err := do(p, address, "next"); err != nil || body != "a" || dials != 1 {
+		t.Errorf("got %q, %v after %d dials", body, err, dials)
+	}
+	if id := <-received; id != "next" {
+		t.Errorf("the server received %q", id)
+	}
+}
