--- a/internal/relay/liveness.go
+++ b/internal/relay/liveness.go
@@ -263,7 +263,8 @@
 func (m *livenessMonitor) probe(ctx context.Context, a *attempt) {
 	m.metrics.Probes.Inc(1)
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	err := m.backend.Probe(probeCtx, a.target.server, a.engine)
+	// A paused server wants no requests, so it is only connected to.
+	err := m.backend.Probe(probeCtx, a.target.server, a.engine && !m.state.isPaused(a.target))
 	cancel()
 	id := a.target.server.ID
 	var waiting []*attempt
--- a/internal/relay/liveness_test.go
+++ b/internal/relay/liveness_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -125,3 +126,34 @@
 		t.Errorf("closed connections of %v", h.backend.closed)
 	}
 }
+
+// probedBackend counts the probes that request something of the server.
+type probedBackend struct {
+	*fakeBackend
+	requests int
+}
+
+func (b *probedBackend) Probe(_ context.Context, _ backend.Server, engine bool) error {
+	if engine {
+		b.requests++
+	}
+	return nil
+}
+
+// Guards against probes that request something of a server in the pause that it has asked for.
+func TestPausedServerIsOnlyConnectedTo(t *testing.T) {
+	h := newHarness(t, respond(200, ""))
+	b := &probedBackend{fakeBackend: h.backend}
+	monitor := newLivenessMonitor(h.relay.State, b, h.relay.log, h.relay.Metrics)
+	on := &target{server: backend.Server{ID: "e0", Incarnation: backend.Incarnation{Name: "e0"}, Address: "10.0.0.0:1"}, service: "lm"}
+	a := monitor.track(on, true, &route.Route{}, 4, func(bool) bool { return true })
+	h.relay.State.observe(on, *pauseOf(time.Second), false)
+	monitor.probe(t.Context(), a)
+	if b.requests > 0 {
+		t.Error("a report was requested in the pause")
+	}
+	h.clock.now += time.Second
+	if monitor.probe(t.Context(), a); b.requests != 1 {
+		t.Error("no report was requested after the pause")
+	}
+}
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -184,6 +184,14 @@
 	return s.gate.Departures().Count()
 }
 
+// isPaused reports whether a server wants no requests from this daemon.
+func (s *State) isPaused(t *target) bool {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.IsPaused(t.server.Incarnation.Name, now)
+}
+
 // PausedServers counts the servers that want no requests from this daemon.
 func (s *State) PausedServers() int {
 	now := s.bootTime()
