engine, daemon: a refused run does not mean that the server lacks its version

Any refusal of a run (X-Started: false) removed the version from what the server had reported, until its next load report: an engine that was busy, or wanted a pause, was taken for one without the version. Only 409 says that.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -134,7 +134,9 @@
 		}
 		switch event {
 		case request.AttemptRefused:
-			d.balancer.recordMissingVersion(picked, s.model+"@"+s.version)
+			if errors.Is(err, engine.ErrVersionNotLoaded) {
+				d.balancer.recordMissingVersion(picked, s.model+"@"+s.version)
+			}
 		case request.ConnectFailed, request.RunNotFound:
 			d.balancer.recordUnreachable(picked)
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -37,6 +37,10 @@
 // ErrNotStarted means that the server stated that it did not start the run.
 var ErrNotStarted = errors.New("run was not started by the server")
 
+// ErrVersionNotLoaded means that a run was not started because the server lacks its version. It
+// comes with ErrNotStarted.
+var ErrVersionNotLoaded = errors.New("version is not loaded on the server")
+
 // ErrNotConnected means that no connection was opened, so nothing was sent.
 var ErrNotConnected = errors.New("cannot connect to the server")
 
@@ -151,6 +155,8 @@
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		return nil
+	case resp.Header.Get("X-Started") == "false" && resp.StatusCode == http.StatusConflict:
+		return fmt.Errorf("%w: %w: %s", ErrNotStarted, ErrVersionNotLoaded, resp.Status)
 	case resp.Header.Get("X-Started") == "false":
 		return fmt.Errorf("%w: %s", ErrNotStarted, resp.Status)
 	case resp.StatusCode == http.StatusNotFound:
