relay: test that a server that another one has replaced gets no requests

A 421 that names another instance says that the expected one is not at its address any more. Fails without Replaced being observed: every third request goes there.

--- a/internal/relay/statements_test.go
+++ b/internal/relay/statements_test.go
@@ -113,6 +113,29 @@
 	}
 }
 
+// Guards against requests to an address at which another server has said that it stands there,
+// and against the next incarnation getting none.
+func TestReplacedServerGetsNoRequests(t *testing.T) {
+	h, ok := newHarness(t, nil), respond(200, "ok")
+	h.backend.script[0] = func(r BackendRequest) (*BackendResponse, error) {
+		if !isFirst(r) || r.Server.Incarnation.StartMillis != 0 {
+			return ok(r)
+		}
+		resp, err := respondNotRun(r)
+		resp.Misdirected, resp.Replaced = true, true
+		return resp, err
+	}
+	if times, _ := h.sendTimes(5*time.Second, "/l/x", nil, isFirst); len(times) != 1 {
+		t.Errorf("%d requests were sent to the replaced server", len(times))
+	}
+	h.relay.State.UpdateServers(func(r *backend.Registry, _ time.Duration) {
+		_, _ = r.Put(backend.Server{Incarnation: backend.Incarnation{Name: "a0", StartMillis: 7}, Service: "app", Address: "10.0.1.9:1", Slots: 4, Version: "v1"})
+	})
+	if times, _ := h.sendTimes(5*time.Second, "/l/x", nil, isFirst); len(times) == 0 {
+		t.Error("no request was sent to the next incarnation")
+	}
+}
+
 // Guards against a request that reaches a server because it waited for a connection while the
 // server said that it leaves or wants a pause, or its failure domain was evacuated.
 func TestSendIsCheckedWhenConnectionIsOpen(t *testing.T) {
