serverlimit: a repeated report is no later statement

The age in a report leaves out the time in the network, so that each repetition makes a limit look stated later: 3 to 4 ms after five exchanges of 1 ms. An end that began in that time was refused by the very daemon that reported it, and in general passed for void, with an objection and 30 s in which no end is reported. Traced in TestStatedLimitsReachAllDaemons: at 195 daemons all 195 kept the limit, stated at 64.006 to 64.009 s by their view, which had ended at 64.005. A report of the same rate counts only if it is 2 s newer. TestRepeatedReportDoesNotVoidEnd.

--- a/internal/serverlimit/report.go
+++ b/internal/serverlimit/report.go
@@ -16,8 +16,9 @@
 	// sendsPerStaleReport is the number of messages in which a daemon reports a limit without
 	// recent reports of others. A daemon that has a later observation responds with it.
 	sendsPerStaleReport = 2
-	// minAdvance is the least time by which a report of the same rate must be newer to be
-	// passed on again. Network delay makes each repetition of a report look newer.
+	// minAdvance is the least time by which a report of the same rate must be newer to count.
+	// Network delay makes each repetition of a report look newer, and could make a statement
+	// look later than the end that followed it.
 	minAdvance = 2 * time.Second
 	// maxUpdates is the maximum number of reports in a message, maxInitialUpdates that in a
 	// message to a daemon that just joined.
@@ -121,6 +122,8 @@
 	case e == nil:
 		e = newEntry(now)
 		t.entries[u.Server] = e
+	case u.PerSecond == e.reportedRate() && asOf-e.asOf() < minAdvance:
+		return false
 	case asOf <= e.asOf():
 		if outdated := (u.PerSecond == 0) != e.ended(); outdated && e.sendsLeft == 0 {
 			t.announceUrgent(u.Server, e, now)
@@ -128,10 +131,9 @@
 		return false
 	}
 	changed = u.PerSecond != e.reportedRate()
-	switch {
-	case (u.PerSecond == 0) != (e.reportedRate() == 0):
+	if (u.PerSecond == 0) != (e.reportedRate() == 0) {
 		t.announceUrgent(u.Server, e, now)
-	case changed || asOf-e.asOf() >= minAdvance:
+	} else {
 		t.announce(u.Server, e, now)
 	}
 	if u.PerSecond == 0 {
--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -218,3 +218,23 @@
 		t.Errorf("%d of %d servers named in %d messages, want at most %d", len(named), servers, messages, most)
 	}
 }
+
+// Guards against a limit that outlives its end because repetitions of its report, each of which
+// looks newer by the network delay, pass for later statements.
+func TestRepeatedReportDoesNotVoidEnd(t *testing.T) {
+	const delay, hops = time.Millisecond, 20
+	server, now := Key("a"), time.Minute
+	tables := [2]*Table{NewTable(), NewTable()}
+	tables[0].Observe(server, StatedRate(5), now, now)
+	for hop := range hops {
+		updates := tables[hop%2].Updates(false, now)
+		now += delay
+		tables[(hop+1)%2].Merge(updates, now)
+	}
+	end := Update{Server: server, AgeMs: (hops / 2 * delay).Milliseconds()}
+	for i, table := range tables {
+		if table.Merge([]Update{end}, now); table.Reported(server) != 0 {
+			t.Errorf("table %d: a later end is void", i)
+		}
+	}
+}
