serverstatus: a report that may be from before a termination does not count

As with limits, a report looks newer by its time in the network, and could make the next process of a server on the own interface leave. Case added to TestDepartureEndsByLaterReportsOrTermination.

--- a/internal/serverstatus/departures.go
+++ b/internal/serverstatus/departures.go
@@ -21,6 +21,9 @@
 	// minStaying is the number of successive later reports that end a departure. Fewer may be
 	// older than the statement.
 	minStaying = 3
+	// reportSkew is how much newer a report may look than its statement: its age does not
+	// include the time in the network.
+	reportSkew = 2 * time.Second
 )
 
 // departure is a server's statement that it leaves.
@@ -154,7 +157,11 @@
 		if r.AgeMs < 0 || r.AgeMs > maxPause.Milliseconds() {
 			continue
 		}
-		if ds.apply(r.Server, now-time.Duration(r.AgeMs)*time.Millisecond, now) {
+		at := now - time.Duration(r.AgeMs)*time.Millisecond
+		if d := ds.entries[r.Server]; d != nil && at-max(d.statedAt, d.endedAt) < reportSkew {
+			continue
+		}
+		if ds.apply(r.Server, at, now) {
 			added = append(added, r.Server)
 		}
 	}
--- a/internal/serverstatus/serverstatus_test.go
+++ b/internal/serverstatus/serverstatus_test.go
@@ -74,8 +74,13 @@
 	if !ds.End(1, 14*time.Second) || ds.Leaving(1) || ds.End(1, 15*time.Second) {
 		t.Error("a termination does not end a departure")
 	}
-	if ds.Merge([]DepartureReport{{Server: 1, AgeMs: 2000}}, 15*time.Second); ds.Leaving(1) {
-		t.Error("a report from before the termination is applied")
+	for _, ageMs := range []int64{2000, 900} {
+		if ds.Merge([]DepartureReport{{Server: 1, AgeMs: ageMs}}, 15*time.Second); ds.Leaving(1) {
+			t.Errorf("a report of %d ms ago, which may be from before the termination, is applied", ageMs)
+		}
+	}
+	if ds.Merge([]DepartureReport{{Server: 1}}, 17*time.Second); !ds.Leaving(1) {
+		t.Error("a report of the next process is not applied")
 	}
 }
 
