soak: servers leave or want a pause beside failures of daemons, servers and the store

Mode -statements: servers state both in several ways, some leave out or garble later ones, entries are written again, while daemons are killed, stopped, paused and reloaded and the store is silent or refuses. Checked are the users' two rules for each daemon; a restart or pause of it excuses.

--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -46,10 +46,12 @@
 	Shed bool
 }
 
-// Run is a request whose execution has started.
+// Run is a request whose execution has started, or one that was received.
 type Run struct {
 	ID string
 	At time.Time
+	// Stated is what the response to a received request states.
+	Stated Statements
 }
 
 // NewBackendServer returns a server whose streams have the given number of events.
@@ -193,8 +195,8 @@
 	}
 	s.mu.Lock()
 	shedding, failureStatus, loseResponse, breakAtEvent := s.shedding, s.failureStatus, s.loseResponses, s.breakAtEvent
-	s.arrivals = append(s.arrivals, Run{id, time.Now()})
-	stated := s.statements(len(s.arrivals))
+	stated := s.statements(len(s.arrivals) + 1)
+	s.arrivals = append(s.arrivals, Run{id, time.Now(), stated})
 	stated.set(h)
 	shedding = shedding || stated.Shed
 	if limit := s.limitField(); limit != "" {
@@ -202,7 +204,7 @@
 	}
 	if !shedding {
 		s.runCounts[id]++
-		s.runHistory = append(s.runHistory, Run{id, time.Now()})
+		s.runHistory = append(s.runHistory, Run{ID: id, At: time.Now()})
 		s.runHeaders = append(s.runHeaders, r.Header.Clone())
 		s.breakAtEvent = 0
 	}
--- a/lab/soak/cluster.go
+++ b/lab/soak/cluster.go
@@ -54,6 +54,7 @@
 	crashTimes  []time.Time
 	warmups     []warmup
 	limits      []limitPeriod
+	statements  []statementPeriod
 	evacuations []evacuation
 	// restarting is the set of servers, by index, that are down until their next start.
 	restarting map[int]bool
@@ -127,7 +128,7 @@
 	stopClients()
 	<-done
 	r := &result{requests: len(gen.calls), faults: fmt.Sprintf("%s (the store returned %d times)", strings.Join(cl.faults, " "), cl.restoreCount)}
-	r.violations = slices.Concat(checkCalls(gen.calls, cl.executions, cl.revoked), checkInvalidEntries(cl.invalidEntries, cl.servers), checkFalseQuarantines(gen.calls), checkQuarantine(cl.crashTimes, cl.crashingArrivals(gen.calls)), cl.checkAdmission(), cl.checkLimits(), checkPanics(cl.daemons))
+	r.violations = slices.Concat(checkCalls(gen.calls, cl.executions, cl.revoked), checkInvalidEntries(cl.invalidEntries, cl.servers), checkFalseQuarantines(gen.calls), checkQuarantine(cl.crashTimes, cl.crashingArrivals(gen.calls)), cl.checkAdmission(), cl.checkLimits(), cl.checkStatements(gen.calls), checkPanics(cl.daemons))
 	r.successRate, _ = successRate(gen.calls, faultStart, recoveryStart, cl.revoked)
 	r.recoveryRate, _ = successRate(gen.calls, recoveryStart, recoveryEnd, cl.revoked)
 	r.recoveryOutcomes = countOutcomes(gen.calls, recoveryStart, recoveryEnd)
@@ -262,6 +263,8 @@
 			c.injectWarmupFault()
 		case opts.limits:
 			c.injectLimitFault()
+		case opts.statements:
+			c.injectStatementFault()
 		default:
 			c.injectFault(time.Duration(c.rng.Int64N(int64(maxFaultDuration))))
 		}
@@ -304,6 +307,7 @@
 func (c *cluster) clearFaults() {
 	c.restoreEntries()
 	c.liftLimits()
+	c.endStatements()
 	for _, p := range append(append([]*proxy(nil), c.serverProxies...), c.storeProxies...) {
 		p.setMode(modeForward)
 	}
--- a/lab/soak/loadgen.go
+++ b/lab/soak/loadgen.go
@@ -43,6 +43,8 @@
 	body       string
 	seal       string
 	err        error
+	// leaving is set if the response states that its server leaves.
+	leaving bool
 	// crashing marks a request that crashes every server that runs it.
 	crashing bool
 }
@@ -123,6 +125,7 @@
 		body, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close() // the body has been read
 		rec.status, rec.body, rec.seal, rec.err = resp.StatusCode, string(body), resp.Header.Get("X-Damaskrudder-Server-Seal"), err
+		rec.leaving = resp.Header.Get("Server-Leaving") == "1"
 	}
 	rec.endedAt = time.Now()
 	g.mu.Lock()
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -24,8 +24,9 @@
 	storeRestores := flag.Bool("returns", false, "the store comes back from copies of up to some seconds ago, beside all other faults")
 	warming := flag.Bool("warming", false, "servers warm up after each start and failure domains are evacuated, beside daemons that stop and start, in place of all other faults")
 	limits := flag.Bool("limits", false, "servers state limits on their requests per second, beside daemons, servers and a store that fail, in place of all other faults")
+	statements := flag.Bool("statements", false, "servers state that they leave or want a pause, beside daemons, servers and a store that fail, in place of all other faults")
 	flag.Parse()
-	if err := run(*firstSeed, *seeds, options{*duration, *daemons, *restarts, *deadly, *storeRestores, *warming, *limits}, *keep, os.Stdout); err != nil {
+	if err := run(*firstSeed, *seeds, options{*duration, *daemons, *restarts, *deadly, *storeRestores, *warming, *limits, *statements}, *keep, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -47,6 +48,9 @@
 	warming bool
 	// limits injects servers that state limits, and daemon restarts, instead of the default faults.
 	limits bool
+	// statements injects servers that leave or want a pause, and failures of daemons, servers
+	// and the store instead of the default faults.
+	statements bool
 }
 
 var errViolations = errors.New("promises were broken")
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -27,7 +27,9 @@
 	lastTermAt time.Time
 	// lastFaultAt is the time of the last signal other than SIGTERM and SIGHUP.
 	lastFaultAt time.Time
-	startCount  int
+	// interruptions are the times of all signals other than SIGHUP.
+	interruptions []time.Time
+	startCount    int
 }
 
 // Daemons listen below the ephemeral port range. Otherwise an outgoing connection could
@@ -146,6 +148,9 @@
 	} else if sig != syscall.SIGHUP {
 		p.lastFaultAt = time.Now()
 	}
+	if sig != syscall.SIGHUP {
+		p.interruptions = append(p.interruptions, time.Now())
+	}
 	_ = p.cmd.Process.Signal(sig) // the process may have exited
 }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -37,6 +37,7 @@
 		{"store restored from older snapshots", 5, options{duration: 6 * time.Second, daemons: 3, storeRestores: true}},
 		{"requests that crash servers", 3, options{duration: 6 * time.Second, daemons: 3, crashingRequests: true}},
 		{"warm-ups and evacuations", 4, options{duration: 6 * time.Second, daemons: 3, warming: true}},
+		{"servers that leave or want a pause", 7, options{duration: 8 * time.Second, daemons: 3, statements: true}},
 		{"servers that state limits", 6, options{duration: 10 * time.Second, daemons: 3, limits: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -170,3 +171,33 @@
 		t.Errorf("panic in the output: %v", violations)
 	}
 }
+
+// Guards against a check that misses requests to a server that leaves or wants a pause.
+func TestCheckStatementsReportsViolations(t *testing.T) {
+	now := time.Now()
+	const daemon = "d"
+	told := call{id: "1", clientAddr: daemon, sentAt: now.Add(time.Millisecond), endedAt: now.Add(2 * time.Millisecond), leaving: true, seal: "seal-s-1"}
+	late := call{id: "2", clientAddr: daemon, sentAt: now.Add(maxDrainDelay + time.Second)}
+	byID := map[string]call{"1": told, "2": late}
+	p := statementPeriod{from: now, to: now.Add(statementDuration), leaves: true}
+	arrivals := []standin.Run{{ID: "1", At: told.sentAt}, {ID: "2", At: late.sentAt}}
+	departures := func(interruptions map[string][]time.Time) int {
+		return len(checkDeparture(p, "s", arrivals, []call{told, late}, byID, interruptions))
+	}
+	if n := departures(nil); n != 1 {
+		t.Errorf("%d violations by a late request", n)
+	}
+	if n := departures(map[string][]time.Time{daemon: {now.Add(time.Second)}}); n != 0 {
+		t.Errorf("%d violations by a daemon that was stopped", n)
+	}
+	asked := []standin.Run{{ID: "1", At: now.Add(time.Millisecond), Stated: standin.Statements{RetryAfter: "3", Shed: true}}}
+	for i := range maxInPause + 1 {
+		if n := len(checkPauses(p, asked, byID, nil)); n != 0 {
+			t.Errorf("%d violations by %d requests", n, i)
+		}
+		asked = append(asked, standin.Run{ID: "2", At: now.Add(time.Second)})
+	}
+	if n := len(checkPauses(p, asked, byID, nil)); n != 1 {
+		t.Errorf("%d violations by %d requests", n, maxInPause+1)
+	}
+}
