soak: only restarts and pauses of a daemon since a statement excuse it

Any signal within 12 s before excused it, which covered every daemon: the check found nothing on code that ignores the statements.

--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -27,7 +27,7 @@
 	lastTermAt time.Time
 	// lastFaultAt is the time of the last signal other than SIGTERM and SIGHUP.
 	lastFaultAt time.Time
-	// interruptions are the times of all signals other than SIGHUP.
+	// interruptions are the times at which it started, was paused and went on.
 	interruptions []time.Time
 	startCount    int
 }
@@ -119,6 +119,7 @@
 	p.cmd.Env = append(os.Environ(), "DAMASKRUDDER_BOOT="+p.configPath())
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.startCount++
+	p.interruptions = append(p.interruptions, time.Now())
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
@@ -148,7 +149,7 @@
 	} else if sig != syscall.SIGHUP {
 		p.lastFaultAt = time.Now()
 	}
-	if sig != syscall.SIGHUP {
+	if sig == syscall.SIGSTOP || sig == syscall.SIGCONT {
 		p.interruptions = append(p.interruptions, time.Now())
 	}
 	_ = p.cmd.Process.Signal(sig) // the process may have exited
--- a/lab/soak/statements.go
+++ b/lab/soak/statements.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -24,9 +25,6 @@
 	// requests of a daemon that may arrive in it.
 	pauseNotice = 500 * time.Millisecond
 	maxInPause  = 2
-	// interruptionMemory is the time for which a signal excuses a daemon: one that is stopped
-	// may serve for the grace period before it starts again.
-	interruptionMemory = 12 * time.Second
 )
 
 // statementPeriod is a period during which a server makes statements.
@@ -156,7 +154,9 @@
 	defer c.mu.Unlock()
 	interruptions := map[string][]time.Time{}
 	for _, d := range c.daemons {
-		interruptions[d.clientAddr] = d.interruptions
+		d.mu.Lock()
+		interruptions[d.clientAddr] = slices.Clone(d.interruptions)
+		d.mu.Unlock()
 	}
 	byID := make(map[string]call, len(calls))
 	for _, rec := range calls {
@@ -174,10 +174,10 @@
 	return violations
 }
 
-// interrupted reports whether a daemon was interrupted in a period, or shortly before.
+// interrupted reports whether a daemon started, was paused or went on in a period.
 func interrupted(at []time.Time, from, to time.Time) bool {
 	for _, t := range at {
-		if t.After(from.Add(-interruptionMemory)) && t.Before(to) {
+		if t.After(from) && t.Before(to) {
 			return true
 		}
 	}
