relay: the end of a server that leaves is no evidence against its version

A stream that a leaving server broke off counted as a failure of the version that a roll-out brings in. TestStreamOfLeavingServerIsNoEvidence: one failure before, none now. With it a test that a pause outlives its server's restart.

--- a/internal/gate/statement_fleet_test.go
+++ b/internal/gate/statement_fleet_test.go
@@ -109,3 +109,19 @@
 		})
 	}
 }
+
+// Guards against a pause that ends because its server restarts or succeeds.
+func TestPauseEndsByTimeAlone(t *testing.T) {
+	g := soleDaemonGate()
+	g.Observe(Response{ServerID: "a@1", ServerName: "a", Statements: serverstatus.Statements{Pause: serverstatus.Pause{Kind: serverstatus.Stated, Duration: time.Hour}}}, 0)
+	for now := time.Second; now < time.Hour; now += time.Minute {
+		g.Observe(Response{ServerID: "a@2", ServerName: "a", Succeeded: true, SentAt: now}, now)
+		g.Sweep(func(func(id, name string) bool) {}, now)
+		if got := g.Check(Request{}, Server{ID: "a@2", Name: "a"}, now); got != Paused {
+			t.Fatalf("after %s: %q", now, got)
+		}
+	}
+	if got := g.Check(Request{}, Server{ID: "a@2", Name: "a"}, time.Hour); got != Allowed {
+		t.Errorf("after the pause: %q", got)
+	}
+}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -117,7 +117,10 @@
 	case errors.Is(err, errClientDisconnected):
 		return request.ResponseLost, false
 	}
-	x.relay.Rollouts.recordResponse(t, ctx.Err() == nil, 0)
+	if !x.relay.State.isLeaving(t.server.ID) {
+		// A server that leaves ends its streams, whatever its version.
+		x.relay.Rollouts.recordResponse(t, ctx.Err() == nil, 0)
+	}
 	x.logEvent("stream interrupted", t, "last_event", x.lastEvent, "err", err, "cause", context.Cause(ctx))
 	return request.Truncated, false
 }
--- a/internal/relay/statements_test.go
+++ b/internal/relay/statements_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/rollout"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
@@ -176,3 +177,22 @@
 		})
 	}
 }
+
+// Guards against taking the end of a server that leaves for a failure of its version.
+func TestStreamOfLeavingServerIsNoEvidence(t *testing.T) {
+	for kind, want := range map[serverstatus.Kind]uint64{serverstatus.None: 1, serverstatus.Stated: 0} {
+		broken := respondStream(99, errors.New("reset"), 0)
+		h := newStatingHarness(t, respondStream(99, nil, 0, 1), func(BackendRequest, time.Duration, int) *serverstatus.Statements { return nil })
+		rest := h.backend.script[0]
+		h.backend.script = []func(BackendRequest) (*BackendResponse, error){func(r BackendRequest) (*BackendResponse, error) {
+			resp, err := broken(r)
+			resp.Leaving = kind
+			return resp, err
+		}, rest}
+		h.relay.Rollouts.AddOrder(rollout.Order{Service: "lm", Target: "v1", Duration: 24 * time.Second, Offset: 7})
+		h.call("/s/x")
+		if _, alarms := h.relay.Rollouts.Alarms(); alarms != want {
+			t.Errorf("leaving %t: %d failures of the version, want %d", kind == serverstatus.Stated, alarms, want)
+		}
+	}
+}
