--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -39,9 +39,13 @@
 	portCount = 18000
 )
 
-// portIndex is the position of the search for a free port. It starts at the process id, so
-// that concurrent soak runs use different ports.
-var portIndex = os.Getpid()
+// portIndex is the position of the search for a free port. It starts at a position that the
+// process id decides, so that concurrent soak runs use different ports.
+var portIndex = os.Getpid() * portsPerProcess
+
+// portsPerProcess is the number of ports that a run may use before it reaches those of the next
+// process. It is coprime with portCount.
+const portsPerProcess = 997
 
 // freeAddress returns a loopback address whose port was free when checked.
 func freeAddress() (string, error) {
