--- a/internal/daemon/statements.go
+++ b/internal/daemon/statements.go
@@ -95,10 +95,10 @@
 // hold mu.
 func (b *balancer) observeDraining(id string, draining bool, requestedAt time.Duration) {
 	server := xxhash.Sum64String(id)
-	if draining && b.gate.Departures().State(server, b.uptime()) {
+	if draining && b.gate.Departures().Observe(server, b.uptime()) {
 		b.d.log.Info("server leaving", "server", id, "by", "load report")
 	}
-	if !draining && b.gate.Departures().StateStaying(server, requestedAt, b.uptime()) {
+	if !draining && b.gate.Departures().ObserveStaying(server, requestedAt, b.uptime()) {
 		b.d.log.Info("server stays", "server", id, "by", "load report")
 	}
 }
@@ -121,7 +121,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, server := range b.gate.Departures().Merge(reports, b.uptime()) {
-		b.d.log.Info("server leaving", "server", b.idByHash[server], "by", "peer")
+		if id, known := b.idByHash[server]; known {
+			b.d.log.Info("server leaving", "server", id, "by", "peer")
+		}
 	}
 }
 
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -39,14 +39,14 @@
 // that the request was sent to, unless Replaced is set.
 func (g *Gate) Observe(r Response, now time.Duration) (c Change) {
 	if r.Replaced {
-		c.Leaving = g.departures.State(xxhash.Sum64String(r.ServerID), now)
+		c.Leaving = g.departures.Observe(xxhash.Sum64String(r.ServerID), now)
 		return c
 	}
 	if r.Leaving == serverstatus.Stated {
-		c.Leaving = g.departures.State(xxhash.Sum64String(r.ServerID), now)
+		c.Leaving = g.departures.Observe(xxhash.Sum64String(r.ServerID), now)
 	}
 	server := serverlimit.Key(r.ServerName)
-	if r.Pause.Kind == serverstatus.Stated && g.pauses.Ask(server, r.Pause.Duration, now) >= minPauseChange {
+	if r.Pause.Kind == serverstatus.Stated && g.pauses.Observe(server, r.Pause.Duration, now) >= minPauseChange {
 		c.Pause = g.pauses.Remaining(server, now)
 	}
 	if r.Limit.Kind != serverlimit.None || r.Succeeded {
--- a/internal/serverstatus/departures.go
+++ b/internal/serverstatus/departures.go
@@ -77,8 +77,8 @@
 	return n
 }
 
-// State applies a statement and reports whether it is new.
-func (ds *Departures) State(server uint64, now time.Duration) (isNew bool) {
+// Observe applies a statement that a server leaves and reports whether it is new.
+func (ds *Departures) Observe(server uint64, now time.Duration) (isNew bool) {
 	return ds.apply(server, now, now)
 }
 
@@ -98,9 +98,9 @@
 	return true
 }
 
-// StateStaying applies an explicit report that a server does not leave, requested at a time, and
+// ObserveStaying applies an explicit report that a server does not leave, requested at a time, and
 // reports whether it ended a departure.
-func (ds *Departures) StateStaying(server uint64, requestedAt, now time.Duration) (ended bool) {
+func (ds *Departures) ObserveStaying(server uint64, requestedAt, now time.Duration) (ended bool) {
 	d := ds.entries[server]
 	if d == nil || !d.leaving() || requestedAt <= d.statedAt {
 		return false
--- a/internal/serverstatus/pauses.go
+++ b/internal/serverstatus/pauses.go
@@ -21,9 +21,9 @@
 // NewPauses returns an empty set.
 func NewPauses() *Pauses { return &Pauses{map[uint64]*pause{}} }
 
-// Ask applies a server's statement and returns by how much it prolongs the server's pause. Of
+// Observe applies a statement that a server wants a pause and returns by how much it prolongs the server's pause. Of
 // overlapping pauses the later end counts.
-func (ps *Pauses) Ask(server uint64, duration, now time.Duration) (prolonged time.Duration) {
+func (ps *Pauses) Observe(server uint64, duration, now time.Duration) (prolonged time.Duration) {
 	until := now + duration
 	p := ps.entries[server]
 	if p == nil {
--- a/internal/serverstatus/serverstatus_test.go
+++ b/internal/serverstatus/serverstatus_test.go
@@ -57,20 +57,20 @@
 // that outlives its process.
 func TestDepartureEndsByLaterReportsOrTermination(t *testing.T) {
 	ds := NewDepartures()
-	ds.State(1, 10*time.Second)
+	ds.Observe(1, 10*time.Second)
 	for range 10 {
-		ds.StateStaying(1, 9*time.Second, 11*time.Second)
+		ds.ObserveStaying(1, 9*time.Second, 11*time.Second)
 	}
 	for i := range minStaying {
 		if !ds.Leaving(1) {
 			t.Fatalf("ended by %d later reports", i)
 		}
-		ds.StateStaying(1, 11*time.Second, 12*time.Second)
+		ds.ObserveStaying(1, 11*time.Second, 12*time.Second)
 	}
 	if ds.Leaving(1) {
 		t.Error("later reports do not end a departure")
 	}
-	ds.State(1, 13*time.Second)
+	ds.Observe(1, 13*time.Second)
 	if !ds.End(1, 14*time.Second) || ds.Leaving(1) || ds.End(1, 15*time.Second) {
 		t.Error("a termination does not end a departure")
 	}
@@ -88,7 +88,7 @@
 func TestDeparturesAreReported(t *testing.T) {
 	from, to := NewDepartures(), NewDepartures()
 	for server := range uint64(40) {
-		from.State(server, time.Second)
+		from.Observe(server, time.Second)
 	}
 	messages := 0
 	for len(from.pending) > 0 {
@@ -113,11 +113,11 @@
 // Guards against a pause that a shorter one, or time before its end, shortens.
 func TestLaterEndOfPausesCounts(t *testing.T) {
 	ps := NewPauses()
-	ps.Ask(1, 3*time.Second, 0)
-	if ps.Ask(1, time.Second, time.Second) != 0 || ps.Remaining(1, time.Second) != 2*time.Second {
+	ps.Observe(1, 3*time.Second, 0)
+	if ps.Observe(1, time.Second, time.Second) != 0 || ps.Remaining(1, time.Second) != 2*time.Second {
 		t.Errorf("a shorter pause leaves %s", ps.Remaining(1, time.Second))
 	}
-	if got := ps.Ask(1, 3*time.Second, time.Second); got != time.Second {
+	if got := ps.Observe(1, 3*time.Second, time.Second); got != time.Second {
 		t.Errorf("prolonged by %s", got)
 	}
 	if ps.Sweep(3 * time.Second); ps.Remaining(1, 3*time.Second) != time.Second || ps.Count(3*time.Second) != 1 {
@@ -126,7 +126,7 @@
 	if ps.Sweep(4*time.Second + returnPeriod); ps.Len() != 0 {
 		t.Error("a pause is kept after its end")
 	}
-	if ps.Ask(2, 0, 0); ps.Len() != 0 {
+	if ps.Observe(2, 0, 0); ps.Len() != 0 {
 		t.Error("a pause of no time is kept")
 	}
 }
