standin: a stalled stream has its tokens before the stall

A stream whose handler ran late found more tokens than it may send, stopped without any, and so stalled again at each resumption. It sends its two tokens now, however far the run is ahead.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -386,19 +386,23 @@
 		e.mu.Lock()
 		tokens, done, failed, changed := ru.tokens, ru.done, ru.failed, ru.updated
 		e.mu.Unlock()
-		if stalls && len(tokens) > tokensBeforeStall {
-			<-r.Context().Done()
-			return
+		stall := stalls && len(tokens) > tokensBeforeStall
+		if stall {
+			tokens = tokens[:tokensBeforeStall]
 		}
 		for ; from < len(tokens); from++ {
 			writeEvent(w, from+1, map[string]any{"run": ru.id, "choices": []any{map[string]any{"index": 0, "delta": map[string]string{"content": tokens[from]}}}})
 		}
-		if done {
+		if done && !stall {
 			e.writeEnd(w, ru, from, failed)
 			_ = rc.Flush()
 			return
 		}
 		_ = rc.Flush()
+		if stall {
+			<-r.Context().Done()
+			return
+		}
 		select {
 		case <-changed:
 		case <-r.Context().Done():
