--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -84,14 +84,14 @@
 	// such servers, both by the hash of the server's name: a server that restarts may still be
 	// in need.
 	limits      *serverlimit.Table
-	limitPacers map[uint64]*limitPacer
+	limitPacers map[uint64]*ratePacer
 	// departures are the incarnations that have stated that they leave, and pauses the servers
 	// that want no requests from this daemon.
 	departures *serverstatus.Departures
 	pauses     *serverstatus.Pauses
 	// returnPacers are the pacers of sends to servers whose pause has ended, by the hash of the
 	// server's name.
-	returnPacers map[uint64]*limitPacer
+	returnPacers map[uint64]*ratePacer
 	// fleetSize is the largest number of daemons in a recent view, at fleetSizeAt.
 	fleetSize   int
 	fleetSizeAt time.Duration
@@ -126,8 +126,8 @@
 	warmAt time.Duration
 }
 
-// limitPacer paces the sends of this daemon to a server with a stated rate.
-type limitPacer struct {
+// ratePacer paces the sends of this daemon to a server with a rate that daemons share.
+type ratePacer struct {
 	slowstart.Pacer
 	// share is this daemon's share of the rate perSecond; zero computes it anew.
 	share     slowstart.Share
@@ -138,7 +138,7 @@
 
 // New returns a gate without evacuations and with an empty view.
 func New() *Gate {
-	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[uint64]*restart{}, limits: serverlimit.NewTable(), limitPacers: map[uint64]*limitPacer{}, departures: serverstatus.NewDepartures(), pauses: serverstatus.NewPauses(), returnPacers: map[uint64]*limitPacer{}}
+	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[uint64]*restart{}, limits: serverlimit.NewTable(), limitPacers: map[uint64]*ratePacer{}, departures: serverstatus.NewDepartures(), pauses: serverstatus.NewPauses(), returnPacers: map[uint64]*ratePacer{}}
 }
 
 // Limits returns the request rates that servers state. They apply to the following checks.
@@ -242,7 +242,7 @@
 		p.share = slowstart.Share{}
 	}
 	g.recordFleetSize(len(v.Peers)+1, now)
-	g.resetLimitPacers(now)
+	g.resetRatePacers(now)
 	for id, r := range g.restarts {
 		if r.responded && now >= r.warmAt || now-r.terminatedAt > restartRetention {
 			delete(g.restarts, id)
@@ -276,9 +276,9 @@
 	}
 }
 
-// resetLimitPacers makes the pacers compute their shares anew, and removes those of servers
+// resetRatePacers makes the pacers of rates compute their shares anew, and removes those of servers
 // without a limit or pause.
-func (g *Gate) resetLimitPacers(now time.Duration) {
+func (g *Gate) resetRatePacers(now time.Duration) {
 	for server, p := range g.limitPacers {
 		p.perSecond = 0
 		if g.limits.Limit(server, now).PerSecond == 0 {
@@ -380,7 +380,7 @@
 }
 
 // limitPacer returns the pacer of a server with a stated rate, or nil.
-func (g *Gate) limitPacer(s Server, now time.Duration) *limitPacer {
+func (g *Gate) limitPacer(s Server, now time.Duration) *ratePacer {
 	if g.limits.Len() == 0 {
 		return nil
 	}
@@ -391,7 +391,7 @@
 	}
 	p := g.limitPacers[server]
 	if p == nil {
-		p = &limitPacer{}
+		p = &ratePacer{}
 		g.limitPacers[server] = p
 	}
 	g.setRate(p, server, limit.PerSecond, now)
@@ -400,7 +400,7 @@
 }
 
 // setRate sets the rate that a pacer divides.
-func (g *Gate) setRate(p *limitPacer, server uint64, perSecond float64, now time.Duration) {
+func (g *Gate) setRate(p *ratePacer, server uint64, perSecond float64, now time.Duration) {
 	if p.perSecond == perSecond {
 		return
 	}
@@ -410,51 +410,16 @@
 	p.SetSender(g.view.IsSender(server, p.share.Senders), p.share, now)
 }
 
-// pauseRemaining returns the time until this daemon may send to a server that has asked for a
-// pause, or zero.
-func (g *Gate) pauseRemaining(s Server, now time.Duration) time.Duration {
-	if g.pauses.Len() == 0 {
-		return 0
-	}
-	if remaining := g.pauses.Remaining(serverlimit.Key(s.Name), now); remaining > 0 {
-		return remaining
-	}
-	p := g.returnPacer(s, now)
-	if p == nil || p.ready(now) {
-		return 0
-	}
-	return max(p.remaining(now), time.Millisecond)
-}
-
-// returnPacer returns the pacer of a server whose pause has just ended, or nil.
-func (g *Gate) returnPacer(s Server, now time.Duration) *limitPacer {
-	if g.pauses.Len() == 0 {
-		return nil
-	}
-	server := serverlimit.Key(s.Name)
-	perSecond, limited := g.pauses.ReturnRate(server, now)
-	if !limited {
-		return nil
-	}
-	p := g.returnPacers[server]
-	if p == nil {
-		p = &limitPacer{}
-		g.returnPacers[server] = p
-	}
-	g.setRate(p, server, perSecond, now)
-	return p
-}
-
 // ready reports whether this daemon may send to the server now.
-func (p *limitPacer) ready(now time.Duration) bool { return p.Ready(p.currentShare(), now) }
+func (p *ratePacer) ready(now time.Duration) bool { return p.Ready(p.currentShare(), now) }
 
-func (p *limitPacer) currentShare() slowstart.Share {
+func (p *ratePacer) currentShare() slowstart.Share {
 	return slowstart.Share{Senders: p.share.Senders, Interval: p.interval}
 }
 
 // remaining returns the time until the server has capacity for a request: of this daemon, or
 // of another if this one does not send to it.
-func (p *limitPacer) remaining(now time.Duration) time.Duration {
+func (p *ratePacer) remaining(now time.Duration) time.Duration {
 	if !p.Sender() {
 		return p.share.Interval / time.Duration(p.share.Senders)
 	}
@@ -467,12 +432,6 @@
 	return fmt.Sprintf("%s stated %g requests a second %s ago and has room in %s", r.Server, limit.PerSecond, (now - limit.StatedAt).Round(time.Millisecond), r.Remaining.Round(time.Millisecond))
 }
 
-// DescribePause describes the pause of a refused server, for the log.
-func (g *Gate) DescribePause(r Refusal, now time.Duration) string {
-	askedAt, _ := g.pauses.AskedAt(serverlimit.Key(r.Server))
-	return fmt.Sprintf("%s asked for a pause %s ago and is back in %s", r.Server, (now - askedAt).Round(time.Millisecond), r.Remaining.Round(time.Millisecond))
-}
-
 // RecordSend records a send to a server for which Check returned Allowed.
 func (g *Gate) RecordSend(s Server, now time.Duration) {
 	if p := g.returnPacer(s, now); p != nil {
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -58,11 +58,3 @@
 
 // Departures returns the servers that have stated that they leave.
 func (g *Gate) Departures() *serverstatus.Departures { return g.departures }
-
-// IsPaused reports whether the server with a name wants no requests from this daemon.
-func (g *Gate) IsPaused(name string, now time.Duration) bool {
-	return g.pauses.Remaining(serverlimit.Key(name), now) > 0
-}
-
-// PausedServers counts the servers that want no requests from this daemon.
-func (g *Gate) PausedServers(now time.Duration) int { return g.pauses.Count(now) }
