--- a/internal/daemon/statements_test.go
+++ b/internal/daemon/statements_test.go
@@ -9,8 +9,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 )
 
-// Guards against runs on a server whose response has said that it leaves, or that wants a pause,
-// and against a refusal without a kind that says so.
+// Guards against runs on a server that leaves or wants a pause, and unnamed refusals for it.
 func TestPickAvoidsServersThatLeaveOrPause(t *testing.T) {
 	const pause, notice = 3 * time.Second, 500 * time.Millisecond
 	for name, tt := range map[string]struct {
@@ -43,8 +42,7 @@
 	}
 }
 
-// Guards against a leaving server that is used again by a report from before its statement, and
-// against its next process never being used.
+// Guards against earlier reports that end a departure, and departures that outlive the process.
 func TestDepartureEndsWithProcess(t *testing.T) {
 	for name, end := range map[string]func(b *balancer, server string){
 		"connection refused": func(b *balancer, server string) { b.observeRefusedConnection(server) },
--- a/internal/gate/statement_fleet_test.go
+++ b/internal/gate/statement_fleet_test.go
@@ -17,8 +17,7 @@
 // fleetLoad is a load under which every daemon sends several requests a second.
 func fleetLoad(daemons int) float64 { return max(300, 3*float64(daemons)) }
 
-// Guards against daemons that send on to a server which has told only others that it leaves, at
-// any number of daemons and while the store is silent.
+// Guards against sends to a server that has told only other daemons that it leaves.
 func TestFleetStopsSendingToServerThatLeaves(t *testing.T) {
 	const drainLimit = 2 * time.Second
 	for _, n := range limitFleetSizes {
@@ -37,8 +36,7 @@
 	}
 }
 
-// Guards against a daemon that forgets that a server leaves before its incarnation ends, or takes
-// the next incarnation for leaving.
+// Guards against a departure that ends before its incarnation, or holds for the next.
 func TestDepartureHoldsForIncarnation(t *testing.T) {
 	g := soleDaemonGate()
 	s := Server{ID: "a@1", Name: "a", Hash: xxhash.Sum64String("a@1")}
@@ -61,8 +59,7 @@
 	}
 }
 
-// Guards against sends in a pause that a server has asked each daemon for, and against all
-// daemons returning at its end, at any number of daemons.
+// Guards against sends in a pause, and against all daemons returning at its end.
 func TestPausedServerGetsLoadBackInSteps(t *testing.T) {
 	const refusesUntil, pauseEnd, end = 4 * time.Second, 8 * time.Second, 13 * time.Second
 	const notice, maxPerDaemon, maxInFirstSecond = 500 * time.Millisecond, 2, 64
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -11,8 +11,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 )
 
-// Guards against daemons that use a server on while the store is silent, after its response has
-// told another daemon that it leaves, and against its entry undoing that.
+// Guards against a departure that does not spread in an outage, or that an old entry undoes.
 func TestServerThatLeavesIsDroppedWhileStoreIsSilent(t *testing.T) {
 	for _, daemons := range scaleSizes() {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/relay/statements_test.go
+++ b/internal/relay/statements_test.go
@@ -114,8 +114,7 @@
 	}
 }
 
-// Guards against requests to an address at which another server has said that it stands there,
-// and against the next incarnation getting none.
+// Guards against requests to an address that another server has taken over.
 func TestReplacedServerGetsNoRequests(t *testing.T) {
 	h, ok := newHarness(t, nil), respond(200, "ok")
 	h.backend.script[0] = func(r BackendRequest) (*BackendResponse, error) {
@@ -137,8 +136,7 @@
 	}
 }
 
-// Guards against a request that reaches a server because it waited for a connection while the
-// server said that it leaves or wants a pause, or its failure domain was evacuated.
+// Guards against a late arrival at a server that refused requests while a connection was opened.
 func TestSendIsCheckedWhenConnectionIsOpen(t *testing.T) {
 	for name, change := range map[string]func(h *harness, r BackendRequest){
 		"leaves": func(h *harness, r BackendRequest) {
--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -219,8 +219,7 @@
 	}
 }
 
-// Guards against a limit that outlives its end because repetitions of its report, each of which
-// looks newer by the network delay, pass for later statements.
+// Guards against a limit that outlives its end because repeated reports of it look newer.
 func TestRepeatedReportDoesNotVoidEnd(t *testing.T) {
 	const delay, hops = time.Millisecond, 20
 	server, now := Key("a"), time.Minute
--- a/internal/serverstatus/serverstatus_test.go
+++ b/internal/serverstatus/serverstatus_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// Guards against a pause that is taken from an unreadable value, overflows, or is shorter than the
-// longest that was asked for.
+// Guards against a pause that is unreadable, overflows, or is not the longest asked for.
 func TestParseRetryAfter(t *testing.T) {
 	now := time.Date(2030, time.January, 1, 0, 0, 0, 0, time.UTC)
 	unreadable := Pause{Kind: Unreadable}
@@ -53,8 +52,7 @@
 	}
 }
 
-// Guards against a departure that reports of the past or a few older ones end, and against one
-// that outlives its process.
+// Guards against a departure that old reports end, or that outlives its process.
 func TestDepartureEndsByLaterReportsOrTermination(t *testing.T) {
 	ds := NewDepartures()
 	ds.Observe(1, 10*time.Second)
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -9,8 +9,7 @@
 	"time"
 )
 
-// Guards against a stalled stream without any token, which can't be resumed after one, when the
-// run is ahead of its stream.
+// Guards against a stalled stream without a token, which cannot be resumed after one.
 func TestStalledStreamHasTokens(t *testing.T) {
 	e := NewEngine(EngineConfig{Slots: 1, CompletionTokens: 5, DecodePerToken: time.Microsecond}, "m@v1")
 	server := httptest.NewServer(e)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -230,8 +230,7 @@
 	}
 }
 
-// Guards against sending a request that is not admitted any more when its connection is open, and
-// against losing that connection.
+// Guards against sending a request that was withdrawn, and against losing its connection.
 func TestWithdrawnCallSendsNothing(t *testing.T) {
 	received := make(chan string, 8)
 	address := startServer(t, func(_ int, r *http.Request, w io.Writer) bool {
