--- a/internal/gate/statement_fleet_test.go
+++ b/internal/gate/statement_fleet_test.go
@@ -17,7 +17,7 @@
 // fleetLoad is a load under which every daemon sends several requests a second.
 func fleetLoad(daemons int) float64 { return max(300, 3*float64(daemons)) }
 
-// Guards against sends to a server that has told only other daemons that it leaves.
+// Guards against sends to a server whose departure only other daemons have observed.
 func TestFleetStopsSendingToServerThatLeaves(t *testing.T) {
 	const drainLimit = 2 * time.Second
 	for _, n := range limitFleetSizes {
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -176,13 +176,13 @@
 func TestCheckStatementsReportsViolations(t *testing.T) {
 	now := time.Now()
 	const daemon = "d"
-	told := call{id: "1", clientAddr: daemon, sentAt: now.Add(time.Millisecond), endedAt: now.Add(2 * time.Millisecond), leaving: true, seal: "seal-s-1"}
+	stating := call{id: "1", clientAddr: daemon, sentAt: now.Add(time.Millisecond), endedAt: now.Add(2 * time.Millisecond), leaving: true, seal: "seal-s-1"}
 	late := call{id: "2", clientAddr: daemon, sentAt: now.Add(maxDrainDelay + time.Second)}
-	byID := map[string]call{"1": told, "2": late}
+	byID := map[string]call{"1": stating, "2": late}
 	p := statementPeriod{from: now, to: now.Add(statementDuration), leaves: true}
-	arrivals := []standin.Run{{ID: "1", At: told.sentAt}, {ID: "2", At: late.sentAt}}
+	arrivals := []standin.Run{{ID: "1", At: stating.sentAt}, {ID: "2", At: late.sentAt}}
 	departures := func(interruptions map[string][]time.Time) int {
-		return len(checkDeparture(p, "s", arrivals, []call{told, late}, byID, interruptions))
+		return len(checkDeparture(p, "s", arrivals, []call{stating, late}, byID, interruptions))
 	}
 	if n := departures(nil); n != 1 {
 		t.Errorf("%d violations by a late request", n)
--- a/lab/soak/statements.go
+++ b/lab/soak/statements.go
@@ -197,10 +197,10 @@
 	}
 	for _, r := range arrivals {
 		rec, sent := byID[r.ID]
-		told, known := passedOn[rec.clientAddr]
-		late := sent && known && r.At.Before(p.to) && rec.sentAt.After(told.Add(maxDrainDelay))
-		if late && !interrupted(interruptions[rec.clientAddr], told, r.At) {
-			violations = append(violations, fmt.Sprintf("request %s: reached server %s from %s %s after that had passed on that the server leaves", r.ID, server, rec.clientAddr, r.At.Sub(told).Round(time.Millisecond)))
+		passedOnAt, known := passedOn[rec.clientAddr]
+		late := sent && known && r.At.Before(p.to) && rec.sentAt.After(passedOnAt.Add(maxDrainDelay))
+		if late && !interrupted(interruptions[rec.clientAddr], passedOnAt, r.At) {
+			violations = append(violations, fmt.Sprintf("request %s: reached server %s from %s %s after that had passed on that the server leaves", r.ID, server, rec.clientAddr, r.At.Sub(passedOnAt).Round(time.Millisecond)))
 		}
 	}
 	return violations
