reachability: log and count services of which a daemon reaches no server

A daemon whose connections to all servers fail could not be told from servers that all fail: each line is about one server. The tracker only observes; nothing is decided by it yet.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -189,6 +189,7 @@
 		return x.handleSendError(t, sentAt, err), false
 	}
 	x.relay.liveness.recordHeader(a)
+	x.relay.recordReached(t)
 	outcome, done := x.handleReply(ctx, t, a, reply, sentAt)
 	failed := !done && outcome != request.LowConfidence && outcome != request.NotStarted
 	x.relay.State.recordSendEnd(t, time.Since(sentAt), failed)
@@ -229,6 +230,9 @@
 	if e.Reason == upstream.Unreachable {
 		x.relay.State.recordUnreachable(t)
 	}
+	if e.Reason == upstream.Unreachable || e.Reason == upstream.ConnectionLost {
+		x.relay.recordUnreached(t, e.Err)
+	}
 	if errors.Is(e.Err, syscall.ECONNREFUSED) {
 		x.relay.State.recordServerTerminated(t.server.ID)
 	}
--- a/internal/relay/liveness.go
+++ b/internal/relay/liveness.go
@@ -50,6 +50,9 @@
 	backend Backend
 	log     *log.Logger
 	metrics *Metrics
+	// onReached and onUnreached are called with the result of a probe. They are set before use.
+	onReached   func(t *target)
+	onUnreached func(t *target, err error)
 
 	mu           sync.Mutex
 	servers      map[string]*monitoredServer
@@ -94,7 +97,7 @@
 }
 
 func newLivenessMonitor(s *State, b Backend, l *log.Logger, m *Metrics) *livenessMonitor {
-	return &livenessMonitor{state: s, backend: b, log: l, metrics: m, servers: map[string]*monitoredServer{}, lastActivity: map[string]time.Time{}}
+	return &livenessMonitor{state: s, backend: b, log: l, metrics: m, onReached: func(*target) {}, onUnreached: func(*target, error) {}, servers: map[string]*monitoredServer{}, lastActivity: map[string]time.Time{}}
 }
 
 func (m *livenessMonitor) recordActivity(address string) {
@@ -281,9 +284,14 @@
 		}
 	}
 	m.mu.Unlock()
-	if err == nil || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return
 	}
+	if err == nil {
+		m.onReached(a.target)
+		return
+	}
+	m.onUnreached(a.target, err)
 	m.log.Warn("server silent", "server", id, "requests", len(waiting), "err", err)
 	m.state.recordUnreachable(a.target)
 	for _, other := range waiting {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,6 +84,7 @@
 		retryBudgets: map[string]*request.WindowedRetryBudget{}, escalators: map[string]*cascade.Escalator{},
 	}
 	r.liveness = newLivenessMonitor(state, b, logger, m)
+	r.liveness.onReached, r.liveness.onUnreached = r.recordReached, r.recordUnreached
 	r.Guard = newGuard(r)
 	return r
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -12,6 +12,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
+	"github.com/damaskrudder/damaskrudder/internal/reachability"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
@@ -45,6 +46,8 @@
 	registryVersion uint64
 	// gate filters every selection of a server.
 	gate *gate.Gate
+	// reachability holds which services this daemon reaches itself.
+	reachability *reachability.Tracker
 }
 
 // service is the state of one service's servers.
@@ -73,7 +76,7 @@
 // VM is suspended.
 func NewState(daemon, failureDomain string, bootTime func() time.Duration) *State {
 	return &State{
-		bootTime: bootTime, ready: make(chan struct{}), registry: backend.NewRegistry(), gate: gate.New(), services: map[string]*service{}, daemon: daemon, failureDomain: failureDomain, daemons: 1,
+		bootTime: bootTime, ready: make(chan struct{}), registry: backend.NewRegistry(), gate: gate.New(), reachability: reachability.NewTracker(), services: map[string]*service{}, daemon: daemon, failureDomain: failureDomain, daemons: 1,
 		peerWork: peerWork{byServer: map[ServerKey]ServerWork{}}, rng: rand.New(rand.NewPCG(xxhash.Sum64String(daemon), uint64(bootTime()))),
 	}
 }
