--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -61,8 +61,11 @@
 	return logger
 }
 
+// Option changes the dependencies of a daemon.
+type Option func(deps *daemon.Dependencies)
+
 // Start listens on the addresses in the settings and starts a daemon.
-func Start(s settings.Settings, secrets settings.Secrets, logger *log.Logger) (*Node, error) {
+func Start(s settings.Settings, secrets settings.Secrets, logger *log.Logger, options ...Option) (*Node, error) {
 	callerListener, err := net.Listen("tcp", s.ListenAddress)
 	if err != nil {
 		return nil, oops.In("app").Wrapf(err, "listen: %s", s.ListenAddress)
@@ -72,12 +75,12 @@
 		_ = callerListener.Close()
 		return nil, oops.In("app").Wrapf(err, "peer_listen: %s", s.PeerListenAddress)
 	}
-	return StartWithListeners(s, secrets, logger, callerListener, peerListener)
+	return StartWithListeners(s, secrets, logger, callerListener, peerListener, options...)
 }
 
 // StartWithListeners starts a daemon on open listeners. Their addresses replace those in
 // the settings.
-func StartWithListeners(s settings.Settings, secrets settings.Secrets, logger *log.Logger, callerListener, peerListener net.Listener) (*Node, error) {
+func StartWithListeners(s settings.Settings, secrets settings.Secrets, logger *log.Logger, callerListener, peerListener net.Listener, options ...Option) (*Node, error) {
 	s.ListenAddress, s.PeerListenAddress = callerListener.Addr().String(), peerListener.Addr().String()
 	scope, handler, closer := newMetricsScope()
 	deps := daemon.Dependencies{Log: platform.NewClient(s.LogURL, platformTimeout), Logger: logger, Metrics: scope}
@@ -99,6 +102,9 @@
 		deps.PeerTLS = certs.peerClientConfig()
 		callerListener, peerListener = certs.clientListener(callerListener), certs.peerListener(peerListener)
 	}
+	for _, apply := range options {
+		apply(&deps)
+	}
 	n.Daemon = daemon.New(s, secrets, deps)
 	panicCounter := n.Daemon.PanicCounter()
 	n.clientServer = serve(callerListener, recovery.Handler(api.New(n.Daemon, logger, handler), panicCounter, logger))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,8 @@
 	Metrics tally.Scope
 	// PeerTLS encrypts connections to other daemons when set.
 	PeerTLS *tls.Config
+	// DialServer opens connections to backend servers; nil selects TCP.
+	DialServer engine.DialFunc
 }
 
 // Daemon routes requests to backend servers.
@@ -78,7 +80,7 @@
 		settings: s, secrets: secrets, deps: deps, log: deps.Logger,
 		incarnation: uint64(time.Now().UnixNano()),
 		metrics:     newMetrics(deps.Metrics),
-		engine:      engine.NewClient(time.Duration(s.StreamIdleTimeout)),
+		engine:      engine.NewClient(time.Duration(s.StreamIdleTimeout), deps.DialServer),
 		peers:       peer.NewClient(s.ID, secrets.PeerKey, deps.PeerTLS),
 		stopping:    make(chan struct{}),
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -49,6 +49,7 @@
 
 // Client sends requests to backend servers.
 type Client struct {
+	dial   DialFunc
 	pooled *http.Client
 	// unpooled opens a new connection for each request.
 	unpooled *http.Client
@@ -67,12 +68,18 @@
 	maxResponseBytes = 1 << 20
 )
 
-// NewClient returns a client that closes streams without data for idleTimeout.
-func NewClient(idleTimeout time.Duration) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	pooled := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute}
-	unpooled := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
-	return &Client{pooled: &http.Client{Transport: pooled}, unpooled: &http.Client{Transport: unpooled}, idleTimeout: idleTimeout}
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client that closes streams without data for idleTimeout. If dial is nil, it
+// opens TCP connections.
+func NewClient(idleTimeout time.Duration, dial DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute}
+	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	return &Client{dial: dial, pooled: &http.Client{Transport: pooled}, unpooled: &http.Client{Transport: unpooled}, idleTimeout: idleTimeout}
 }
 
 // Start starts a run and returns its stream. The run has certainly not started if the
@@ -134,8 +141,7 @@
 // RefusesConnections reports whether the VM refuses connections to an address, which means
 // that no process listens there.
 func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
