peer: streams as responses, one connection each

Requests that one daemon serves for another need responses that arrive in pieces, with back-pressure and cancellation; calls share a connection and have one message as response. An error of the closed list can be encoded in a message, and helper_unable is its kind for a daemon that cannot serve for another.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -57,6 +57,7 @@
 	CallerLeft         Kind = "caller_left"
 	Quarantined        Kind = "quarantined"
 	ShuttingDown       Kind = "shutting_down"
+	HelperUnable       Kind = "helper_unable"
 	Internal           Kind = "internal"
 )
 
@@ -107,6 +108,7 @@
 	{CallerLeft, 499, Unknown, false, 0, "The caller closed its connection."},
 	{Quarantined, http.StatusServiceUnavailable, NotRun, false, time.Hour, "Backend servers terminated while running this request, so it is not sent to them until the advised time has passed. If an attempt already ran, engine_failed is returned instead."},
 	{ShuttingDown, http.StatusServiceUnavailable, NotRun, false, time.Second, "This daemon is shutting down; get another address from /v1/endpoints."},
+	{HelperUnable, http.StatusServiceUnavailable, NotRun, true, time.Second, "This daemon cannot send a request on behalf of another daemon, which cannot reach the backend servers itself."},
 	{Internal, http.StatusInternalServerError, Unknown, false, 0, "An internal error of the router."},
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -31,12 +31,14 @@
 	idleTimeout = 10 * time.Second
 )
 
-// envelope is the encoding of a request or response. Seq matches a response to its request.
+// envelope is the encoding of a request or response. Seq matches a response to its request. More
+// is set in all messages of a stream but the last, which is empty.
 type envelope struct {
 	Seq   uint64          `cbor:"1,keyasint"`
 	Kind  string          `cbor:"2,keyasint,omitempty"`
 	Error string          `cbor:"3,keyasint,omitempty"`
 	Body  cbor.RawMessage `cbor:"4,keyasint,omitempty"`
+	More  bool            `cbor:"5,keyasint,omitempty"`
 }
 
 // decMode limits the memory that decoding a peer's message may use.
@@ -80,6 +82,7 @@
 	tls       *tls.Config
 	mu        sync.Mutex
 	conns     map[string]*clientConn
+	streams   streamPool
 	// OnBytes is called with the size of each message sent or received.
 	OnBytes func(n int)
 }
@@ -131,19 +134,10 @@
 	if conn != nil {
 		return conn, nil
 	}
-	scheme, httpClient := "ws://", &http.Client{}
-	if c.tls != nil {
-		scheme = "wss://"
-		httpClient.Transport = &http.Transport{TLSClientConfig: c.tls}
-	}
-	ws, _, err := websocket.Dial(ctx, scheme+address+endpointPath, &websocket.DialOptions{
-		HTTPClient: httpClient,
-		HTTPHeader: http.Header{"Authorization": {sign(c.key, c.self, time.Now())}},
-	})
+	ws, err := c.dial(ctx, address)
 	if err != nil {
-		return nil, oops.In("peer").Wrapf(err, "dial %s", address)
+		return nil, err
 	}
-	ws.SetReadLimit(maxMessageBytes)
 	fresh := &clientConn{ws: ws, pending: map[uint64]chan envelope{}}
 	fresh.idleTimer = time.AfterFunc(idleTimeout, func() { c.closeConn(address, fresh) })
 	c.mu.Lock()
@@ -160,6 +154,24 @@
 	return fresh, nil
 }
 
+// dial opens a connection to a peer.
+func (c *Client) dial(ctx context.Context, address string) (*websocket.Conn, error) {
+	scheme, httpClient := "ws://", &http.Client{}
+	if c.tls != nil {
+		scheme = "wss://"
+		httpClient.Transport = &http.Transport{TLSClientConfig: c.tls}
+	}
+	ws, _, err := websocket.Dial(ctx, scheme+address+endpointPath, &websocket.DialOptions{
+		HTTPClient: httpClient,
+		HTTPHeader: http.Header{"Authorization": {sign(c.key, c.self, time.Now())}},
+	})
+	if err != nil {
+		return nil, oops.In("peer").Wrapf(err, "dial %s", address)
+	}
+	ws.SetReadLimit(maxMessageBytes)
+	return ws, nil
+}
+
 func (c *Client) readLoop(address string, conn *clientConn) {
 	for {
 		_, data, err := conn.ws.Read(context.Background())
@@ -212,6 +224,7 @@
 	for address, conn := range all {
 		c.closeConn(address, conn)
 	}
+	c.streams.closeAll()
 }
 
 func (conn *clientConn) roundTrip(ctx context.Context, c *Client, kind string, body []byte) (envelope, error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,10 +12,15 @@
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 )
 
+// streamWriteTimeout bounds the wait for a client that does not read its stream.
+const streamWriteTimeout = 30 * time.Second
+
 // Server accepts connections from other daemons and dispatches their calls.
 type Server struct {
 	key      string
 	handlers map[string]func(ctx context.Context, from string, body []byte) ([]byte, error)
+	// streamHandlers handle requests whose response is a stream.
+	streamHandlers map[string]func(ctx context.Context, from string, body []byte, send func(envelope) error)
 	// OnRefused is called for each connection without a valid signature.
 	OnRefused func()
 	// OnBytes is called with the size of each message sent or received.
@@ -28,7 +33,7 @@
 
 // NewServer returns a server that accepts clients with the peer key.
 func NewServer(key string) *Server {
-	return &Server{key: key, handlers: map[string]func(context.Context, string, []byte) ([]byte, error){}, OnRefused: func() {}, OnBytes: func(int) {}, conns: map[*websocket.Conn]bool{}}
+	return &Server{key: key, handlers: map[string]func(context.Context, string, []byte) ([]byte, error){}, streamHandlers: map[string]func(context.Context, string, []byte, func(envelope) error){}, OnRefused: func() {}, OnBytes: func(int) {}, conns: map[*websocket.Conn]bool{}}
 }
 
 // Close closes all connections and rejects new ones. http.Server.Close does not close
@@ -92,6 +97,17 @@
 
 func (s *Server) serveConn(ctx context.Context, from string, conn *websocket.Conn) {
 	var writeMu sync.Mutex
+	streamCtx, cancelStreams := context.WithCancel(ctx)
+	defer cancelStreams()
+	write := func(ctx context.Context, data []byte) error {
+		writeMu.Lock()
+		defer writeMu.Unlock()
+		err := conn.Write(ctx, websocket.MessageBinary, data)
+		if err == nil {
+			s.OnBytes(len(data))
+		}
+		return err
+	}
 	for {
 		_, data, err := conn.Read(ctx)
 		if err != nil {
@@ -102,13 +118,20 @@
 		if decMode.Unmarshal(data, &request) != nil {
 			return
 		}
+		if handler := s.streamHandlers[request.Kind]; handler != nil {
+			go handler(streamCtx, from, request.Body, func(message envelope) error {
+				data, err := cbor.Marshal(message)
+				if err != nil {
+					return err
+				}
+				writeCtx, cancel := context.WithTimeout(streamCtx, streamWriteTimeout)
+				defer cancel()
+				return write(writeCtx, data)
+			})
+			continue
+		}
 		go func() {
-			reply := s.dispatch(ctx, from, request)
-			writeMu.Lock()
-			defer writeMu.Unlock()
-			if conn.Write(ctx, websocket.MessageBinary, reply) == nil {
-				s.OnBytes(len(reply))
-			}
+			_ = write(ctx, s.dispatch(ctx, from, request)) // the client has disconnected
 		}()
 	}
 }
