relay, node: serve requests through another daemon while servers are out of reach

A daemon had no way to a server but its own connection, although it exchanges messages with daemons that reach them.

A request that failed to reach two servers, or any request while a service counts as out of reach, is forwarded to another daemon, one hop at most. That daemon admits it, selects the server and answers for limits, pauses, retries and evidence; the response comes back over a stream of its own. A daemon that cannot serve says so unrun, and up to four are tried, spread at random over those that served lately. A link that breaks leaves the execution unknown, so that only repeatable requests go on, with the runs that were reported counted against their attempts. Sends that reached no server draw on no retry budget. One connection each 200 ms finds out when a service is in reach again; the failures recorded meanwhile are forgotten.

--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -61,6 +61,8 @@
 	TerminatedServers []uint64 `cbor:"31,keyasint,omitempty"`
 	// Departures holds recent reports of servers that have stated that they leave.
 	Departures []serverstatus.DepartureReport `cbor:"32,keyasint,omitempty"`
+	// OutOfReach reports that the sender reaches no server of some service.
+	OutOfReach bool `cbor:"33,keyasint,omitempty"`
 	// Started and Sequence are those of the sender's record, see membership.PeerRecord.
 	Started  int64  `cbor:"23,keyasint,omitempty"`
 	Sequence uint64 `cbor:"24,keyasint,omitempty"`
--- a/internal/gossip/views.go
+++ b/internal/gossip/views.go
@@ -27,6 +27,21 @@
 	return slowstart.View{Self: own, Peers: others, Trusted: 2*m.live.Len() >= len(m.members)}
 }
 
+// ForwardTargets returns the addresses of the ready daemons that are not known to have lost the
+// servers.
+func (m *Members) ForwardTargets() (out []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expireSilent(time.Now())
+	for address, other := range m.members {
+		r, known := m.table.Get(address)
+		if known && r.Ready && !r.Leaving && m.live.Contains(address) && !other.lastCallFailed && !other.latest.OutOfReach {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // Endpoints returns the live daemons as endpoints for clients, in no order. Daemons whose
 // last call failed are omitted until the next contact, since the liveness timeout is long
 // in large deployments.
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -132,7 +132,7 @@
 	}
 	m.Node = New(ctx, c, Dependencies{
 		Log: m.storeClient, Backend: backend, Codec: fakeCodec{}, Metrics: relay.NewMetrics(tally.NoopScope), Logger: log.New(io.Discard),
-		BootTime: func() time.Duration { return time.Minute + time.Since(start) }, PeerTransport: &fakeTransport{f, address(i)},
+		BootTime: func() time.Duration { return time.Minute + time.Since(start) }, PeerTransport: &fakeTransport{f, address(i)}, CallForwarder: &fakeTransport{f, address(i)},
 	})
 	f.mu.Lock()
 	f.nodes[address(i)] = m
@@ -220,6 +220,49 @@
 	return response, nil
 }
 
+// Forward implements CallForwarder.
+func (p *fakeTransport) Forward(ctx context.Context, address string, call relay.ForwardedCall) (relay.ForwardStream, bool, error) {
+	m, err := p.connect(ctx, address)
+	if err != nil {
+		return nil, false, err
+	}
+	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stream := &fakeForwardStream{frames: make(chan relay.ForwardFrame), cancel: cancel}
+	go func() {
+		defer close(stream.frames)
+		m.Relay.ServeForwarded(serveCtx, p.ownAddress, call, func(f relay.ForwardFrame) error {
+			time.Sleep(latency)
+			select {
+			case stream.frames <- f:
+				return nil
+			case <-serveCtx.Done():
+				return serveCtx.Err()
+			}
+		})
+	}()
+	return stream, true, nil
+}
+
+// fakeForwardStream implements relay.ForwardStream.
+type fakeForwardStream struct {
+	frames chan relay.ForwardFrame
+	cancel context.CancelFunc
+}
+
+func (s *fakeForwardStream) Receive(ctx context.Context) (relay.ForwardFrame, error) {
+	select {
+	case f, open := <-s.frames:
+		if !open {
+			return f, io.EOF
+		}
+		return f, nil
+	case <-ctx.Done():
+		return relay.ForwardFrame{}, context.Cause(ctx)
+	}
+}
+
+func (s *fakeForwardStream) Close() { s.cancel() }
+
 // usesServer reports whether a server is usable for this daemon.
 func (n *Node) usesServer(id string) (found bool) {
 	n.EachServer("s", func(other string) { found = found || other == id })
--- /dev/null
+++ b/internal/node/forwarding.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/peer"
+	"github.com/damaskrudder/damaskrudder/internal/relay"
+)
+
+// CallForwarder forwards a call to the daemon at an address. If sent is false, that daemon has not
+// received it.
+type CallForwarder interface {
+	Forward(ctx context.Context, address string, call relay.ForwardedCall) (stream relay.ForwardStream, sent bool, err error)
+}
+
+// forwardKind is the kind of the streams of forwarded calls.
+const forwardKind = "forward"
+
+// targetsLifetime is how long the list of daemons to forward to is reused.
+const targetsLifetime = gossip.Interval
+
+// forwarder implements relay.Forwarder. It keeps the list of targets for targetsLifetime, as its
+// computation takes time in proportion to the number of daemons.
+type forwarder struct {
+	CallForwarder
+	members *gossip.Members
+
+	mu       sync.Mutex
+	targets  []string
+	listedAt time.Time
+}
+
+func (n *Node) newForwarder() *forwarder {
+	f := &forwarder{CallForwarder: streamForwarder{n.peerClient}, members: n.members}
+	if n.deps.CallForwarder != nil {
+		f.CallForwarder = n.deps.CallForwarder
+	}
+	return f
+}
+
+// Targets implements relay.Forwarder.
+func (f *forwarder) Targets() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := time.Now(); now.Sub(f.listedAt) >= targetsLifetime {
+		f.targets, f.listedAt = f.members.ForwardTargets(), now
+	}
+	return f.targets
+}
+
+// streamForwarder forwards calls over peer streams.
+type streamForwarder struct{ client *peer.Client }
+
+// Forward implements CallForwarder.
+func (f streamForwarder) Forward(ctx context.Context, address string, call relay.ForwardedCall) (relay.ForwardStream, bool, error) {
+	stream, sent, err := f.client.OpenStream(ctx, address, forwardKind, call)
+	if err != nil {
+		return nil, sent, err
+	}
+	return peerStream{stream}, true, nil
+}
+
+// peerStream implements relay.ForwardStream.
+type peerStream struct{ *peer.Stream }
+
+// Receive implements relay.ForwardStream.
+func (s peerStream) Receive(ctx context.Context) (frame relay.ForwardFrame, err error) {
+	more, err := s.Stream.Receive(ctx, &frame)
+	if err == nil && !more {
+		err = io.EOF
+	}
+	return frame, err
+}
+
+// registerForwarding registers the handler of forwarded calls.
+func (n *Node) registerForwarding(s *peer.Server) {
+	peer.HandleStream(s, forwardKind, func(ctx context.Context, from string, call relay.ForwardedCall, send func(any) error) {
+		n.Relay.ServeForwarded(ctx, from, call, func(f relay.ForwardFrame) error { return send(f) })
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,8 @@
 	BootTime func() time.Duration
 	// PeerTransport calls other daemons; nil selects gossip.PeerTransport.
 	PeerTransport gossip.Transport
+	// CallForwarder forwards calls to other daemons; nil selects peer streams.
+	CallForwarder CallForwarder
 }
 
 // Node is one running daemon.
@@ -188,6 +190,7 @@
 		return gossip.Evidence{Active: active, Alarms: alarms}
 	}
 	n.Relay.ConfigOutdated = n.configOutdated
+	n.Relay.Forwarder = n.newForwarder()
 	n.members.AddAddresses(config.Seeds...)
 	n.broadcast = func() { n.members.Broadcast(ctx) }
 	n.initFollowers()
@@ -198,6 +201,7 @@
 func (n *Node) PeerServer() *peer.Server {
 	s := peer.NewServer("")
 	n.members.RegisterHandlers(s, n.recordsSince)
+	n.registerForwarding(s)
 	return s
 }
 
@@ -238,6 +242,7 @@
 		Incarnation: n.incarnation, Name: n.config.Name, Address: n.config.ControlAddress, ClientAddress: n.config.ClientAddress,
 		FailureDomain: n.config.FailureDomain, Ready: n.Ready(), Leaving: n.leaving.Load(), Eligible: n.eligible(),
 		Orders: n.Relay.Rollouts.Reports(n.state.InFlightOnOtherVersions, evidence, evaluator), Ages: n.confirmationAges(), WantsEvidence: evaluator,
+		OutOfReach: n.state.OutOfReach(),
 	}
 	for _, f := range n.followers {
 		message.NextPositions = append(message.NextPositions, f.Next())
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -52,6 +52,21 @@
 	serverFailure *bufferedResponse
 	// firstEventAt is when the first event was forwarded.
 	firstEventAt time.Time
+	// forwarded is set if another daemon has forwarded the call, forwardFrom, and reportRuns then
+	// reports the number of runs to it.
+	forwarded  bool
+	reportRuns func(runs int)
+	// unreached is the number of sends that reached no server, and sentToServer is set once a send
+	// may have reached one.
+	unreached    int
+	sentToServer bool
+	// forwards are the daemons to which the call was forwarded, and forwardRefusal is the refusal
+	// of the last one.
+	forwards       []string
+	forwardRefusal *fault.Error
+	// withoutArrival is set if the last send reached no server, so that the next one draws on no
+	// budget.
+	withoutArrival bool
 	// retryWithdrawn is set if the budget was already charged for the retry after a reroute.
 	retryWithdrawn atomic.Bool
 }
@@ -67,36 +82,21 @@
 			x.fail(refusal)
 			return
 		}
-		t, refusal := x.selectServer()
-		if refusal != nil {
-			x.fail(refusal)
-			return
-		}
-		if x.retryState.Sends() == 0 {
-			x.relay.recordFirstSend(x.service.Name)
-		}
-		x.retryState.RecordSend()
-		if t.warming {
-			x.relay.Metrics.WarmingSends.Inc(1)
-		}
-		x.recordSend(t)
-		outcome, done := x.attempt(ctx, t)
+		outcome, done, refusal := x.sendOnce(ctx)
 		if done {
 			return
 		}
-		if ctx.Err() != nil {
-			x.logEvent("client disconnected", t)
+		if refusal == nil && ctx.Err() != nil {
+			x.logEvent("client disconnected", nil)
 			x.relay.Metrics.ClientsDisconnected.Inc(1)
 			return
 		}
-		// A request suspected of crashing servers is escalated on the same server:
-		// its cancelled run may still crash that one, and must not crash a second.
-		if outcome != request.LowConfidence || x.quarantineStatus.Crashes == 0 {
-			x.tried = append(x.tried, t.server.ID)
+		if refusal == nil {
+			refusal = x.retryState.Next(outcome, time.Now(), func() bool { return x.takeRetry(outcome) })
+		}
+		if final := x.finalForwardRefusal(); final != nil {
+			refusal = final
 		}
-		refusal = x.retryState.Next(outcome, time.Now(), func() bool {
-			return outcome == request.LowConfidence || x.retryWithdrawn.Swap(false) || x.relay.withdrawRetry(x.service.Name, 0)
-		})
 		if refusal != nil {
 			x.fail(refusal)
 			return
@@ -105,6 +105,46 @@
 	}
 }
 
+// sendOnce sends the call to a server, or to another daemon if the servers are out of reach. It
+// returns true if the client has the final response, and a refusal if there is nowhere to send it.
+func (x *exchange) sendOnce(ctx context.Context) (outcome request.SendOutcome, done bool, refusal *fault.Error) {
+	x.withoutArrival = false
+	if helper, found := x.pickHelper(); found {
+		x.retryState.RecordSend()
+		outcome, done = x.forward(ctx, helper)
+		x.withoutArrival = outcome == request.NotStarted
+		x.sentToServer = x.sentToServer || !x.withoutArrival
+		return outcome, done, nil
+	}
+	t, refusal := x.selectServer()
+	if refusal != nil {
+		return outcome, false, refusal
+	}
+	if !x.sentToServer {
+		x.sentToServer = true
+		x.relay.recordFirstSend(x.service.Name)
+	}
+	x.retryState.RecordSend()
+	x.reportRuns(x.retryState.Runs())
+	if t.warming {
+		x.relay.Metrics.WarmingSends.Inc(1)
+	}
+	x.recordSend(t)
+	outcome, done = x.attempt(ctx, t)
+	// A request suspected of crashing servers is escalated on the same server:
+	// its cancelled run may still crash that one, and must not crash a second.
+	if !done && (outcome != request.LowConfidence || x.quarantineStatus.Crashes == 0) {
+		x.tried = append(x.tried, t.server.ID)
+	}
+	return outcome, done, nil
+}
+
+// takeRetry reports whether the call may be sent again after an outcome, and draws on the retry
+// budget if the next send is a repeat for the servers.
+func (x *exchange) takeRetry(outcome request.SendOutcome) bool {
+	return outcome == request.LowConfidence || x.withoutArrival || x.retryWithdrawn.Swap(false) || x.relay.withdrawRetry(x.service.Name, 0)
+}
+
 // modelOverride returns the model to request from the server; empty keeps the call's.
 func (x *exchange) modelOverride() string {
 	if x.choosesModel() {
@@ -232,7 +272,9 @@
 	}
 	if e.Reason == upstream.Unreachable || e.Reason == upstream.ConnectionLost {
 		x.relay.recordUnreached(t, e.Err)
+		x.unreached++
 	}
+	x.withoutArrival = e.Reason == upstream.Unreachable
 	if errors.Is(e.Err, syscall.ECONNREFUSED) {
 		x.relay.State.recordServerTerminated(t.server.ID)
 	}
--- /dev/null
+++ b/internal/relay/forward.go
@@ -0,0 +1,297 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/request"
+	"github.com/damaskrudder/damaskrudder/internal/route"
+)
+
+const (
+	// maxUnreachedSends is the number of servers that a request may fail to reach before it is
+	// forwarded to another daemon.
+	maxUnreachedSends = 2
+	// maxForwards is the number of daemons to which one request may be forwarded.
+	maxForwards = 4
+	// forwardOpenTimeout bounds the wait for a connection to another daemon.
+	forwardOpenTimeout = 400 * time.Millisecond
+	// forwardAcceptTimeout bounds the wait until another daemon has accepted a call that may be
+	// repeated.
+	forwardAcceptTimeout = 500 * time.Millisecond
+	// forwardDeadlineMargin is the part of the remaining time that is kept for the way back.
+	forwardDeadlineMargin = 10 * time.Millisecond
+)
+
+// ForwardedCall is a call that a daemon forwards to another one, as it does not reach the servers.
+// The other daemon selects the server and must not forward the call again.
+type ForwardedCall struct {
+	Call Call `cbor:"1,keyasint"`
+	// RemainingMillis is the time until the deadline.
+	RemainingMillis int64 `cbor:"2,keyasint"`
+	// MaxRuns is the number of servers that may still run the call.
+	MaxRuns int `cbor:"3,keyasint"`
+	// Resent is set if the forwarding daemon has sent the call to a server before, and thus
+	// accounts for it in its retry budget.
+	Resent bool `cbor:"4,keyasint,omitempty"`
+	// Model is the index of the current model in the route's models.
+	Model int `cbor:"5,keyasint,omitempty"`
+	// ConfigVersion is the forwarding daemon's version of the configuration. An older one must not
+	// be applied.
+	ConfigVersion int64 `cbor:"6,keyasint"`
+}
+
+// ForwardFrame is a part of the response to a forwarded call. The first one is empty and states
+// that the call was accepted.
+type ForwardFrame struct {
+	// Refusal ends the response.
+	Refusal *fault.Encoded `cbor:"1,keyasint,omitempty"`
+	// Status and Header begin the response; Length is that of the body in bytes, or -1.
+	Status int         `cbor:"2,keyasint,omitempty"`
+	Header http.Header `cbor:"3,keyasint,omitempty"`
+	Length int64       `cbor:"4,keyasint,omitempty"`
+	Body   []byte      `cbor:"5,keyasint,omitempty"`
+	// Aborted is set if the response ends before it is complete.
+	Aborted bool `cbor:"6,keyasint,omitempty"`
+	// Runs is the number of servers that have run the call so far or may have.
+	Runs int `cbor:"7,keyasint,omitempty"`
+}
+
+// ForwardStream is the response to a forwarded call.
+type ForwardStream interface {
+	// Receive returns the next frame, or io.EOF after the last one.
+	Receive(ctx context.Context) (ForwardFrame, error)
+	// Close ends the stream. An incomplete call is canceled.
+	Close()
+}
+
+// Forwarder sends calls to other daemons.
+type Forwarder interface {
+	// Targets returns the addresses of the daemons that may reach the servers.
+	Targets() []string
+	// Forward sends a call to a daemon. If sent is false, the daemon has not received it.
+	Forward(ctx context.Context, address string, call ForwardedCall) (stream ForwardStream, sent bool, err error)
+}
+
+// pickHelper returns the daemon to forward the call to, if it should be forwarded.
+func (x *exchange) pickHelper() (address string, found bool) {
+	r := x.relay
+	if r.Forwarder == nil || x.forwarded || len(x.forwards) >= maxForwards {
+		return "", false
+	}
+	lost := r.State.outOfReach(x.service.Name)
+	if !lost && x.unreached < maxUnreachedSends {
+		return "", false
+	}
+	return r.State.pickHelper(r.Forwarder.Targets(), x.forwards)
+}
+
+// forward sends the call through another daemon. It returns true if the client has the final
+// response.
+func (x *exchange) forward(ctx context.Context, address string) (request.SendOutcome, bool) {
+	x.forwards = append(x.forwards, address)
+	x.forwardRefusal = nil
+	x.relay.Metrics.Forwards.Inc(1)
+	x.logEvent("forwarded", nil, "daemon", address, "out_of_reach", x.relay.State.outOfReach(x.service.Name), "unreached", x.unreached, "sends", x.retryState.Sends())
+	ctx, stop := context.WithDeadline(ctx, x.deadline)
+	defer stop()
+	openCtx, cancel := context.WithTimeout(ctx, forwardOpenTimeout)
+	stream, sent, err := x.relay.Forwarder.Forward(openCtx, address, x.forwardedCall())
+	cancel()
+	if err != nil {
+		return x.handleForwardError(address, sent, err), false
+	}
+	defer stream.Close()
+	reply := &forwardReply{x: x, ctx: ctx, stream: stream, address: address, counted: 1}
+	return reply.deliver()
+}
+
+func (x *exchange) forwardedCall() ForwardedCall {
+	call := *x.call
+	call.LastEvent = x.lastEvent
+	version := int64(0)
+	if t := x.relay.State.Table(); t != nil {
+		version = t.Version
+	}
+	// The retry state counts the forwarding as a run, which it may become.
+	return ForwardedCall{
+		Call: call, RemainingMillis: (time.Until(x.deadline) - forwardDeadlineMargin).Milliseconds(), MaxRuns: x.retryState.RemainingRuns() + 1,
+		Resent: x.sentToServer, Model: x.modelIndex, ConfigVersion: version,
+	}
+}
+
+// handleForwardError records a call that got no response from another daemon.
+func (x *exchange) handleForwardError(address string, sent bool, err error) request.SendOutcome {
+	x.relay.State.recordHelper(address, false)
+	x.logEvent("forwarding failed", nil, "daemon", address, "sent", sent, "err", err)
+	if sent {
+		return request.ResponseLost
+	}
+	return request.NotStarted
+}
+
+// forwardReply receives the response of another daemon.
+type forwardReply struct {
+	x       *exchange
+	ctx     context.Context
+	stream  ForwardStream
+	address string
+	// runs is the number of servers that the other daemon has reported to have run the call, and
+	// counted the part of it in the call's retry state, of which the forwarding itself is one.
+	runs, counted int
+	// rest is the received part of the body that has not been read.
+	rest []byte
+}
+
+var (
+	errForwardAborted    = errors.New("the other daemon aborted the response")
+	errForwardNotStarted = errors.New("the other daemon did not accept the call in time")
+)
+
+// deliver forwards the response to the client.
+func (f *forwardReply) deliver() (request.SendOutcome, bool) {
+	header, err := f.receiveHeader()
+	f.countRuns()
+	switch {
+	case err != nil:
+		return f.x.handleForwardError(f.address, true, err), false
+	case header.Refusal != nil:
+		return f.refused(header.Refusal.Decode()), false
+	}
+	f.x.relay.State.recordHelper(f.address, true)
+	reply := &BackendResponse{Status: header.Status, Header: header.Header, Body: f, ContentLength: header.Length, Authenticated: true, Confidence: -1}
+	ok := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
+	if ok && f.x.route.Kind == route.Stream {
+		return f.deliverStream(reply)
+	}
+	return f.deliverBuffered(reply, ok)
+}
+
+// countRuns adds the reported runs to the call's retry state.
+func (f *forwardReply) countRuns() {
+	if more := f.runs - f.counted; more > 0 {
+		f.counted += more
+		f.x.retryState.AddRuns(more)
+	}
+}
+
+// receiveHeader returns the first frame with a response or a refusal.
+func (f *forwardReply) receiveHeader() (ForwardFrame, error) {
+	ctx, cancel := f.ctx, context.CancelFunc(func() {})
+	if f.x.retryState.Repeatable {
+		ctx, cancel = context.WithTimeoutCause(f.ctx, forwardAcceptTimeout, errForwardNotStarted)
+	}
+	defer func() { cancel() }()
+	for {
+		frame, err := f.receive(ctx)
+		if err != nil || frame.Refusal != nil || frame.Status != 0 {
+			return frame, err
+		}
+		cancel() // the call was accepted
+		ctx, cancel = f.ctx, func() {}
+	}
+}
+
+func (f *forwardReply) receive(ctx context.Context) (ForwardFrame, error) {
+	frame, err := f.stream.Receive(ctx)
+	if err == nil {
+		f.runs = max(f.runs, frame.Runs)
+	}
+	return frame, err
+}
+
+// refused records a refusal by another daemon.
+func (f *forwardReply) refused(e *fault.Error) request.SendOutcome {
+	x := f.x
+	x.logEvent("forwarded call refused", nil, "daemon", f.address, "kind", e.Kind, "ran", e.ExecutionState(), "why", e.Detail)
+	x.forwardRefusal = e
+	x.relay.State.recordHelper(f.address, !helperAtFault(e.Kind))
+	if e.ExecutionState() == fault.NotRun {
+		return request.NotStarted
+	}
+	return request.ResponseLost
+}
+
+// helperAtFault reports whether a refusal is due to the state of the daemon that refuses, so that
+// another daemon may serve the call.
+func helperAtFault(kind fault.Kind) bool {
+	switch kind {
+	case fault.ConfigurationStale, fault.ShuttingDown, fault.EngineRefused, fault.NoServer, fault.HelperUnable:
+		return true
+	}
+	return false
+}
+
+// finalForwardRefusal returns the refusal of another daemon that would also be that of this one.
+func (x *exchange) finalForwardRefusal() *fault.Error {
+	e := x.forwardRefusal
+	if e == nil || helperAtFault(e.Kind) && e.ExecutionState() == fault.NotRun {
+		return nil
+	}
+	return x.retryState.Fail(e.Kind, e.Detail).WithRetryAfter(e.RetryAfter)
+}
+
+// Read implements io.Reader for the body of the response.
+func (f *forwardReply) Read(p []byte) (int, error) {
+	for len(f.rest) == 0 {
+		frame, err := f.receive(f.ctx)
+		switch {
+		case err != nil:
+			return 0, err
+		case frame.Aborted || frame.Refusal != nil:
+			return 0, errForwardAborted
+		}
+		f.rest = frame.Body
+	}
+	n := copy(p, f.rest)
+	f.rest = f.rest[n:]
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (f *forwardReply) Close() error { return nil }
+
+// deliverBuffered forwards a response that is not a stream.
+func (f *forwardReply) deliverBuffered(reply *BackendResponse, ok bool) (request.SendOutcome, bool) {
+	x := f.x
+	if x.headerSent {
+		return request.ErrorResponse, false
+	}
+	body, err := io.ReadAll(io.LimitReader(f, maxBufferedBody+1))
+	if err == nil && len(body) > maxBufferedBody {
+		return x.forwardUnbuffered(nil, reply, body)
+	}
+	if err != nil {
+		return x.handleForwardError(f.address, true, err), false
+	}
+	x.succeeded = ok
+	x.relay.Metrics.Responses(ok).Inc(1)
+	x.relay.Metrics.ResponseLatency.RecordDuration(time.Since(x.call.Received))
+	x.logEvent("answered", nil, "daemon", f.address, "status", reply.Status, "bytes", len(body))
+	(&bufferedResponse{reply.Status, reply.Header, body}).writeTo(x.out)
+	return request.ErrorResponse, true
+}
+
+// deliverStream forwards the events of a stream.
+func (f *forwardReply) deliverStream(reply *BackendResponse) (request.SendOutcome, bool) {
+	x := f.x
+	s := &streamForwarder{x: x, reply: reply, sentAt: time.Now(), observer: forwardedStream{}}
+	err := s.copy()
+	f.countRuns()
+	switch {
+	case err == nil:
+		x.succeeded = true
+		x.relay.Metrics.Responses(true).Inc(1)
+		x.logEvent("streamed", nil, "daemon", f.address, "last_event", x.lastEvent, "events", s.events)
+		return request.ErrorResponse, true
+	case errors.Is(err, errClientDisconnected):
+		return request.ResponseLost, false
+	}
+	x.relay.State.recordHelper(f.address, false)
+	x.logEvent("forwarded stream interrupted", nil, "daemon", f.address, "last_event", x.lastEvent, "err", err, "cause", context.Cause(f.ctx))
+	return request.Truncated, false
+}
--- /dev/null
+++ b/internal/relay/forwarded.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+)
+
+const (
+	// maxForwardedCalls bounds the requests served for other daemons at a time, and thus their
+	// memory. Each occupies a connection.
+	maxForwardedCalls = 256
+	// maxForwardBody is the largest body of a frame in bytes.
+	maxForwardBody = 256 << 10
+)
+
+// ServeForwarded serves a call of another daemon, which cannot reach the servers, and passes the
+// response to send.
+func (r *Relay) ServeForwarded(ctx context.Context, from string, f ForwardedCall, send func(ForwardFrame) error) {
+	out := &forwardWriter{send: send}
+	call := f.Call
+	call.Received = time.Now()
+	call.Timeout = time.Duration(f.RemainingMillis) * time.Millisecond
+	r.log.Info("forwarded request received", "request", call.ID, "from", from, "remaining_ms", f.RemainingMillis)
+	r.Metrics.ForwardedRequests.Inc(1)
+	if !r.beginForwarded() {
+		r.refuse(&call, out, fault.New(fault.HelperUnable, "%d requests of other daemons are being served", maxForwardedCalls))
+		return
+	}
+	defer r.endForwarded()
+	if send(ForwardFrame{}) != nil {
+		return
+	}
+	r.serve(ctx, &call, out, func(x *exchange) *fault.Error { return x.prepareForwarded(f, out) })
+}
+
+func (r *Relay) beginForwarded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.forwardedCalls >= maxForwardedCalls {
+		return false
+	}
+	r.forwardedCalls++
+	return true
+}
+
+func (r *Relay) endForwarded() {
+	r.mu.Lock()
+	r.forwardedCalls--
+	r.mu.Unlock()
+}
+
+// prepareForwarded applies the state of a forwarded call. It refuses one that this daemon cannot
+// serve either.
+func (x *exchange) prepareForwarded(f ForwardedCall, out *forwardWriter) *fault.Error {
+	if t := x.relay.State.Table(); t == nil || t.Version < f.ConfigVersion {
+		return fault.New(fault.ConfigurationStale, "the forwarding daemon has a newer configuration")
+	}
+	if x.relay.State.outOfReach(x.service.Name) {
+		return fault.New(fault.HelperUnable, "the servers of %s are out of reach here as well", x.service.Name)
+	}
+	x.forwarded = true
+	x.sentToServer = f.Resent
+	x.reportRuns = out.reportRuns
+	x.modelIndex = min(max(0, f.Model), max(0, len(x.route.Models)-1))
+	x.retryState.MaxRuns = min(max(1, f.MaxRuns), max(1, x.retryState.MaxRuns))
+	return nil
+}
+
+// forwardWriter sends a response to another daemon. It implements ResponseWriter.
+type forwardWriter struct {
+	send func(ForwardFrame) error
+	runs int
+	err  error
+}
+
+func (w *forwardWriter) write(f ForwardFrame) {
+	if w.err == nil {
+		f.Runs = w.runs
+		w.err = w.send(f)
+	}
+}
+
+// reportRuns reports the number of servers that have run the call or may have.
+func (w *forwardWriter) reportRuns(runs int) {
+	if runs == w.runs {
+		return
+	}
+	w.runs = runs
+	w.write(ForwardFrame{})
+}
+
+// Refuse implements ResponseWriter.
+func (w *forwardWriter) Refuse(e *fault.Error) { w.write(ForwardFrame{Refusal: e.Encode()}) }
+
+// WriteHeader implements ResponseWriter.
+func (w *forwardWriter) WriteHeader(status int, h http.Header, length int64) {
+	w.write(ForwardFrame{Status: status, Header: h, Length: length})
+}
+
+// WriteBody implements ResponseWriter.
+func (w *forwardWriter) WriteBody(p []byte) error {
+	for len(p) > 0 && w.err == nil {
+		n := min(len(p), maxForwardBody)
+		w.write(ForwardFrame{Body: p[:n]})
+		p = p[n:]
+	}
+	return w.err
+}
+
+// Abort implements ResponseWriter.
+func (w *forwardWriter) Abort() { w.write(ForwardFrame{Aborted: true}) }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -56,6 +56,9 @@
 	Pauses                        tally.Counter
 	// ServicesOutOfReach is the number of services of which this daemon reaches no server itself.
 	ServicesOutOfReach tally.Gauge
+	// Forwards counts sends of requests to other daemons, and ForwardedRequests the requests served
+	// for other daemons.
+	Forwards, ForwardedRequests tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
 	ResponseLatency tally.Histogram
 	// FirstEventLatency is the time to the first event of a stream.
@@ -77,9 +80,9 @@
 		DomainsEvacuated: s.Gauge("domains_evacuated"), ServersWarming: s.Gauge("servers_warming"), ServersLimited: s.Gauge("servers_limited"), WarmingSends: s.Counter("warming_sends"),
 		UnreadableLimits: s.Counter("server_limits_unreadable"), UnreadableStatements: s.Counter("server_statements_unreadable"),
 		ServersLeaving: s.Gauge("servers_leaving"), ServersPaused: s.Gauge("servers_paused"), Pauses: s.Counter("server_pauses"),
-		ServicesOutOfReach: s.Gauge("services_out_of_reach"),
-		Panics:             s.Counter("panics"),
-		DaemonsLive:        s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
+		ServicesOutOfReach: s.Gauge("services_out_of_reach"), Forwards: s.Counter("forwards"), ForwardedRequests: s.Counter("forwarded_requests"),
+		Panics:      s.Counter("panics"),
+		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
 	}
 	for subject := range freshness.Subjects {
@@ -137,6 +140,8 @@
 		"servers_leaving":              "Servers that have stated in a response that they leave, or that another server has replaced at their address.",
 		"servers_paused":               "Servers that want no requests from this daemon for a while.",
 		"server_pauses":                "Pauses that servers have asked for or prolonged.",
+		"forwards":                     "Sends of requests to other daemons, because the backend servers were out of reach.",
+		"forwarded_requests":           "Requests served for other daemons that could not reach the backend servers.",
 		"services_out_of_reach":        "Services of which this daemon reaches no backend server itself.",
 		"warming_sends":                "Sends to servers that are warming up.",
 		"daemons_live":                 "Live daemons that this daemon knows, including itself.",
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -1,11 +1,25 @@
 package relay
 
+import (
+	"context"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/backend"
+)
+
+// reachabilityCheckInterval is the interval at which a server of each service that is out of reach
+// is connected to.
+const reachabilityCheckInterval = 200 * time.Millisecond
+
 // recordReached records contact with a server.
 func (r *Relay) recordReached(t *target) {
 	now := r.State.bootTime()
 	r.State.mu.Lock()
 	regained, lostFor := r.State.reachability.Reached(t.service, now)
 	lost := len(r.State.reachability.LostServices())
+	if regained {
+		r.State.serviceFor(t.service).tracker.ClearFailures()
+	}
 	r.State.mu.Unlock()
 	if !regained {
 		return
@@ -28,3 +42,80 @@
 	r.Metrics.ServicesOutOfReach.Update(float64(lost))
 	r.log.Warn("service out of reach", "service", t.service, "server", t.server.ID, "unreached", unreached, "servers", servers, "err", err)
 }
+
+// outOfReach reports whether this daemon reaches no server of a service.
+func (s *State) outOfReach(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reachability.Lost(service)
+}
+
+// OutOfReach reports whether this daemon reaches no server of some service.
+func (s *State) OutOfReach() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.reachability.LostServices()) > 0
+}
+
+// pickHelper picks the daemon to forward a call to.
+func (s *State) pickHelper(candidates, excluded []string) (address string, found bool) {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.helpers.Pick(candidates, excluded, now, s.rng)
+}
+
+// recordHelper records whether a daemon could serve a forwarded call.
+func (s *State) recordHelper(address string, served bool) {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if served {
+		s.helpers.Served(address, now)
+	} else {
+		s.helpers.Refused(address, now)
+	}
+}
+
+// checkReachability connects to one server of each service that is out of reach.
+func (r *Relay) checkReachability(ctx context.Context, _ time.Time) {
+	for _, t := range r.State.lostTargets() {
+		go r.checkServer(ctx, t)
+	}
+}
+
+func (r *Relay) checkServer(ctx context.Context, t *target) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	r.Metrics.Probes.Inc(1)
+	if r.backend.Probe(ctx, t.server, false) == nil {
+		r.recordReached(t)
+	}
+}
+
+// lostTargets returns a random server of each service that is out of reach.
+func (s *State) lostTargets() (out []*target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range s.reachability.LostServices() {
+		if server, found := s.randomServer(name, ""); found {
+			out = append(out, &target{server: server, service: name})
+		}
+	}
+	return out
+}
+
+// randomServer returns a random server of a service other than the excluded one. Callers hold mu.
+func (s *State) randomServer(service, excluded string) (backend.Server, bool) {
+	sv := s.serviceFor(service)
+	var ids []string
+	for _, m := range sv.members {
+		if m.ID != excluded {
+			ids = append(ids, m.ID)
+		}
+	}
+	if len(ids) == 0 {
+		return backend.Server{}, false
+	}
+	return sv.servers[ids[s.rng.IntN(len(ids))]], true
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,6 +62,9 @@
 	Guard *containment.Guard
 	// limitBroadcast requests broadcasts of urgent reports of limits.
 	limitBroadcast loop.Signal
+	// Forwarder sends calls to other daemons while the servers are out of reach; nil if there are
+	// none. It is set before use.
+	Forwarder Forwarder
 	// ConfigOutdated reports whether other daemons have a newer configuration than the store.
 	ConfigOutdated func() bool
 	// started is the origin of the retry budget's monotonic time.
@@ -71,6 +74,8 @@
 	retryBudgets   map[string]*request.WindowedRetryBudget
 	escalators     map[string]*cascade.Escalator
 	activeRequests int
+	// forwardedCalls is the number of requests being served for other daemons.
+	forwardedCalls int
 	// shutdownAt is when the daemon stops; zero unless it is draining.
 	shutdownAt time.Time
 	// lastAdmitted is when the last request was admitted.
@@ -89,8 +94,11 @@
 	return r
 }
 
-// Run monitors the liveness of servers until the context ends.
-func (r *Relay) Run(ctx context.Context) { r.liveness.run(ctx) }
+// Run monitors the liveness and the reachability of servers until the context ends.
+func (r *Relay) Run(ctx context.Context) {
+	go loop.Every(ctx, reachabilityCheckInterval, r.checkReachability)
+	r.liveness.run(ctx)
+}
 
 // ServerRestarted handles the end of a server's run, known from its restart.
 // Requests that wait for the run are rerouted, and its connections are closed. State
@@ -175,6 +183,11 @@
 
 // Serve forwards one call and writes its response.
 func (r *Relay) Serve(ctx context.Context, c *Call, out ResponseWriter) {
+	r.serve(ctx, c, out, func(*exchange) *fault.Error { return nil })
+}
+
+// serve forwards one call. Prepare is called once the call is admitted and may refuse it.
+func (r *Relay) serve(ctx context.Context, c *Call, out ResponseWriter, prepare func(x *exchange) *fault.Error) {
 	r.mu.Lock()
 	r.activeRequests++
 	shutdownAt := r.shutdownAt
@@ -189,6 +202,9 @@
 		r.State.WaitReady(ctx, startupWait)
 	}
 	x, refusal := r.admit(c, shutdownAt)
+	if refusal == nil {
+		refusal = prepare(x)
+	}
 	if refusal != nil {
 		r.refuse(c, out, refusal)
 		return
@@ -226,7 +242,7 @@
 	if rt == nil {
 		return nil, fault.New(fault.NotFound, "no route leads to this host and path")
 	}
-	x := &exchange{relay: r, call: c, route: rt, lastEvent: c.LastEvent}
+	x := &exchange{relay: r, call: c, route: rt, lastEvent: c.LastEvent, reportRuns: func(int) {}}
 	x.hash = xxhash.Sum64String(c.ID)
 	workspace, known := t.WorkspaceByKey(c.Key)
 	keyed := t.KeyRequired() && !rt.Public
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -108,7 +108,7 @@
 	if x.escalate(t, reply.Confidence, sentAt) {
 		return request.LowConfidence, false
 	}
-	s := &streamForwarder{x: x, t: t, a: a, reply: reply, sentAt: sentAt}
+	s := &streamForwarder{x: x, t: t, reply: reply, sentAt: sentAt, observer: serverStream{x, t, a}}
 	err := s.copy()
 	switch {
 	case err == nil:
@@ -137,11 +137,39 @@
 	}
 }
 
+// streamObserver observes the arrival of a stream.
+type streamObserver interface {
+	// progress is called when data has arrived, and firstEvent when the first event is forwarded.
+	progress()
+	firstEvent(elapsed time.Duration)
+}
+
+// serverStream observes the stream of a server.
+type serverStream struct {
+	x *exchange
+	t *target
+	a *attempt
+}
+
+func (s serverStream) progress() { s.a.recordProgress() }
+
+func (s serverStream) firstEvent(elapsed time.Duration) {
+	s.x.relay.Guard.MarkForwarded(s.x.run)
+	s.x.relay.State.recordResponse(s.t, elapsed, true)
+	s.x.recordFirstEvent(s.t, elapsed)
+}
+
+// forwardedStream ignores a stream that another daemon observes.
+type forwardedStream struct{}
+
+func (forwardedStream) progress()                {}
+func (forwardedStream) firstEvent(time.Duration) {}
+
 // streamForwarder forwards one server's stream.
 type streamForwarder struct {
 	x            *exchange
 	t            *target
-	a            *attempt
+	observer     streamObserver
 	reply        *BackendResponse
 	sentAt       time.Time
 	firstEventAt time.Time
@@ -167,7 +195,7 @@
 	for {
 		n, err := s.reply.Body.Read(buf)
 		if n > 0 {
-			s.a.recordProgress()
+			s.observer.progress()
 			if e := s.process(buf[:n]); e != nil {
 				return e
 			}
@@ -243,10 +271,7 @@
 // recordFirstEvent records the first event of this server.
 func (s *streamForwarder) recordFirstEvent() {
 	s.firstEventAt = time.Now()
-	s.x.relay.Guard.MarkForwarded(s.x.run)
-	elapsed := s.firstEventAt.Sub(s.sentAt)
-	s.x.relay.State.recordResponse(s.t, elapsed, true)
-	s.x.recordFirstEvent(s.t, elapsed)
+	s.observer.firstEvent(s.firstEventAt.Sub(s.sentAt))
 	if !s.x.firstEventAt.IsZero() {
 		return
 	}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -48,6 +48,8 @@
 	gate *gate.Gate
 	// reachability holds which services this daemon reaches itself.
 	reachability *reachability.Tracker
+	// helpers picks the daemons to which calls are forwarded.
+	helpers *reachability.Helpers
 }
 
 // service is the state of one service's servers.
@@ -76,7 +78,7 @@
 // VM is suspended.
 func NewState(daemon, failureDomain string, bootTime func() time.Duration) *State {
 	return &State{
-		bootTime: bootTime, ready: make(chan struct{}), registry: backend.NewRegistry(), gate: gate.New(), reachability: reachability.NewTracker(), services: map[string]*service{}, daemon: daemon, failureDomain: failureDomain, daemons: 1,
+		bootTime: bootTime, ready: make(chan struct{}), registry: backend.NewRegistry(), gate: gate.New(), reachability: reachability.NewTracker(), helpers: reachability.NewHelpers(), services: map[string]*service{}, daemon: daemon, failureDomain: failureDomain, daemons: 1,
 		peerWork: peerWork{byServer: map[ServerKey]ServerWork{}}, rng: rand.New(rand.NewPCG(xxhash.Sum64String(daemon), uint64(bootTime()))),
 	}
 }
--- a/internal/request/proxy_retry_state.go
+++ b/internal/request/proxy_retry_state.go
@@ -48,6 +48,10 @@
 // RecordSend counts a send as started.
 func (s *ProxyRetryState) RecordSend() { s.sends++; s.runs++ }
 
+// AddRuns counts further servers that another daemon reports to have run the request or that may
+// have.
+func (s *ProxyRetryState) AddRuns(n int) { s.runs += n }
+
 // Sends returns the number of sends started.
 func (s *ProxyRetryState) Sends() int { return s.sends }
 
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -107,6 +107,14 @@
 	return &LoadTracker{indexByID: map[string]int{}, Prefix: NewPrefixIndex()}
 }
 
+// ClearFailures forgets the failures of all servers, which were those of the network of this daemon.
+func (t *LoadTracker) ClearFailures() {
+	for i := range t.servers {
+		s := &t.servers[i]
+		s.timeouts, s.suspectUntil, s.ErrorRate = 0, time.Time{}, 0
+	}
+}
+
 // Update sets the members. A server keeps its index and its estimates while its id and
 // address stay the same; a new address resets them.
 func (t *LoadTracker) Update(members []Member) {
