relay, containment: a refused connection is no crash until other servers and daemons tell

A daemon that lost its links took twelve of thirteen running servers for ended and had three harmless requests held by all daemons, since their sends had been reset at three servers each. It concluded from its own connections alone.

A server that refuses a connection counts as terminated only if another server accepts one from the same daemon, and two other daemons, which make the same check, do not reach it. A daemon without any contact has no verdict. Both conclusions use it: the crash of requests in flight, and the warm-up of a server that was only found away.

--- a/internal/containment/guard.go
+++ b/internal/containment/guard.go
@@ -36,8 +36,9 @@
 type Options struct {
 	// BootTime reads a clock that advances while the VM is suspended.
 	BootTime func() time.Duration
-	// RefusesConnections reports whether a server's VM refuses connections.
-	RefusesConnections func(ctx context.Context, s Server) bool
+	// HasTerminated reports whether a server's process has ended. A lost link of this daemon to the
+	// server must not be taken for it.
+	HasTerminated func(ctx context.Context, s Server) bool
 	// Leaving reports whether a server has announced that it leaves, or its entry is gone. Its
 	// termination is then not a crash.
 	Leaving func(s Server) bool
@@ -166,8 +167,8 @@
 func (g *Guard) probe(s Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	refused := g.opts.RefusesConnections(ctx, s)
-	isNew := g.attempts.setTerminated(s.ID, refused)
+	terminated := g.opts.HasTerminated(ctx, s)
+	isNew := g.attempts.setTerminated(s.ID, terminated)
 	if isNew {
 		g.serverTerminated(s)
 	}
--- a/internal/containment/guard_test.go
+++ b/internal/containment/guard_test.go
@@ -28,8 +28,8 @@
 	began := time.Now()
 	fx.Guard = New(Options{
 		BootTime: func() time.Duration { return time.Since(began) }, Logger: log.New(io.Discard),
-		RefusesConnections: func(context.Context, Server) bool { fx.probes.Add(1); time.Sleep(time.Millisecond); return fx.refuses },
-		Leaving:            func(Server) bool { return false }, OnTerminated: func(key quarantine.IncarnationKey) { fx.terminated = append(fx.terminated, key) },
+		HasTerminated: func(context.Context, Server) bool { fx.probes.Add(1); time.Sleep(time.Millisecond); return fx.refuses },
+		Leaving:       func(Server) bool { return false }, OnTerminated: func(key quarantine.IncarnationKey) { fx.terminated = append(fx.terminated, key) },
 		ServersTerminated: tally.NoopScope.Counter("e"), RequestsHeld: tally.NoopScope.Gauge("h"),
 	})
 	return fx
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -28,7 +28,7 @@
 	started := time.Now()
 	return containment.New(containment.Options{
 		BootTime: func() time.Duration { return time.Since(started) }, Logger: d.log,
-		RefusesConnections: func(ctx context.Context, s containment.Server) bool {
+		HasTerminated: func(ctx context.Context, s containment.Server) bool {
 			return d.engine.RefusesConnections(ctx, s.Address)
 		},
 		Leaving:      func(s containment.Server) bool { return d.balancer.isLeaving(s.ID) },
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/feedtest"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 )
 
@@ -132,7 +133,7 @@
 	}
 	m.Node = New(ctx, c, Dependencies{
 		Log: m.storeClient, Backend: backend, Codec: fakeCodec{}, Metrics: relay.NewMetrics(tally.NoopScope), Logger: log.New(io.Discard),
-		BootTime: func() time.Duration { return time.Minute + time.Since(start) }, PeerTransport: &fakeTransport{f, address(i)}, CallForwarder: &fakeTransport{f, address(i)},
+		BootTime: func() time.Duration { return time.Minute + time.Since(start) }, PeerTransport: &fakeTransport{f, address(i)}, CallForwarder: &fakeTransport{f, address(i)}, VerdictTransport: &fakeTransport{f, address(i)},
 	})
 	f.mu.Lock()
 	f.nodes[address(i)] = m
@@ -220,6 +221,17 @@
 	return response, nil
 }
 
+// RequestVerdict implements VerdictTransport.
+func (p *fakeTransport) RequestVerdict(ctx context.Context, address string, request peer.VerdictRequest) (peer.VerdictResponse, error) {
+	m, err := p.connect(ctx, address)
+	if err != nil {
+		return peer.VerdictResponse{}, err
+	}
+	response := m.HandleVerdict(ctx, request)
+	time.Sleep(latency)
+	return response, nil
+}
+
 // Forward implements CallForwarder.
 func (p *fakeTransport) Forward(ctx context.Context, address string, call relay.ForwardedCall) (relay.ForwardStream, bool, error) {
 	m, err := p.connect(ctx, address)
--- a/internal/node/forwarding.go
+++ b/internal/node/forwarding.go
@@ -78,6 +78,9 @@
 
 // registerForwarding registers the handler of forwarded calls.
 func (n *Node) registerForwarding(s *peer.Server) {
+	peer.Handle(s, verdictKind, func(ctx context.Context, _ string, req peer.VerdictRequest) (peer.VerdictResponse, error) {
+		return n.HandleVerdict(ctx, req), nil
+	})
 	peer.HandleStream(s, forwardKind, func(ctx context.Context, from string, call relay.ForwardedCall, send func(any) error) {
 		n.Relay.ServeForwarded(ctx, from, call, func(f relay.ForwardFrame) error { return send(f) })
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,8 @@
 	PeerTransport gossip.Transport
 	// CallForwarder forwards calls to other daemons; nil selects peer streams.
 	CallForwarder CallForwarder
+	// VerdictTransport asks other daemons about servers; nil selects peer calls.
+	VerdictTransport VerdictTransport
 }
 
 // Node is one running daemon.
@@ -191,6 +193,7 @@
 	}
 	n.Relay.ConfigOutdated = n.configOutdated
 	n.Relay.Forwarder = n.newForwarder()
+	n.Relay.Verdicts = n
 	n.members.AddAddresses(config.Seeds...)
 	n.broadcast = func() { n.members.Broadcast(ctx) }
 	n.initFollowers()
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -3,10 +3,12 @@
 
 import (
 	"github.com/damaskrudder/damaskrudder/internal/billing"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/quota"
+	"github.com/damaskrudder/damaskrudder/internal/reachability"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
@@ -103,3 +105,75 @@
 
 // Empty is the response to calls without a result.
 type Empty struct{}
+
+// VerdictRequest asks a daemon whether it reaches a server.
+type VerdictRequest struct {
+	Server string `cbor:"1,keyasint"`
+}
+
+// VerdictResponse is the response to VerdictRequest.
+type VerdictResponse struct {
+	Verdict reachability.Verdict `cbor:"1,keyasint,omitempty"`
+}
+
+// ForwardedStep is a request on one model that a daemon forwards, as it does not reach the servers.
+// The other daemon selects the server and must not forward the step again.
+type ForwardedStep struct {
+	RequestID       string `cbor:"1,keyasint"`
+	Workspace       string `cbor:"2,keyasint"`
+	Model           string `cbor:"3,keyasint"`
+	Version         string `cbor:"4,keyasint"`
+	FallbackVersion string `cbor:"5,keyasint,omitempty"`
+	Priority        int    `cbor:"6,keyasint,omitempty"`
+	Prompt          string `cbor:"7,keyasint"`
+	// Body is the caller's request in JSON.
+	Body []byte `cbor:"8,keyasint"`
+	// RemainingMillis is the time until the deadline.
+	RemainingMillis int64 `cbor:"9,keyasint"`
+	// Attempts is the number of attempts made so far.
+	Attempts   int  `cbor:"10,keyasint,omitempty"`
+	Repeatable bool `cbor:"11,keyasint,omitempty"`
+	// Streamed requests the text in pieces, as it arrives.
+	Streamed    bool                   `cbor:"12,keyasint,omitempty"`
+	Fingerprint quarantine.Fingerprint `cbor:"13,keyasint"`
+	// ConfigNumber is the number of the forwarding daemon's configuration. An older one must not be
+	// applied.
+	ConfigNumber uint64 `cbor:"14,keyasint"`
+}
+
+// ForwardedServiceCall is a call of a plain service that a daemon forwards.
+type ForwardedServiceCall struct {
+	RequestID       string `cbor:"1,keyasint"`
+	Workspace       string `cbor:"2,keyasint"`
+	Service         string `cbor:"3,keyasint"`
+	Body            []byte `cbor:"4,keyasint"`
+	Repeatable      bool   `cbor:"5,keyasint,omitempty"`
+	RemainingMillis int64  `cbor:"6,keyasint"`
+	ConfigNumber    uint64 `cbor:"7,keyasint"`
+}
+
+// ForwardResponse is a message of the response to a forwarded request. One with Result, Call or
+// Refusal is the last.
+type ForwardResponse struct {
+	Text    string         `cbor:"1,keyasint,omitempty"`
+	Result  *StepResult    `cbor:"2,keyasint,omitempty"`
+	Call    *CallResult    `cbor:"3,keyasint,omitempty"`
+	Refusal *fault.Encoded `cbor:"4,keyasint,omitempty"`
+}
+
+// StepResult describes the complete response to a ForwardedStep.
+type StepResult struct {
+	Version          string   `cbor:"1,keyasint"`
+	PromptTokens     int64    `cbor:"2,keyasint"`
+	CompletionTokens int64    `cbor:"3,keyasint"`
+	Confidence       *float64 `cbor:"4,keyasint,omitempty"`
+	FinishReason     string   `cbor:"5,keyasint,omitempty"`
+	Server           string   `cbor:"6,keyasint"`
+	FailureDomain    string   `cbor:"7,keyasint,omitempty"`
+}
+
+// CallResult is the response of a plain service.
+type CallResult struct {
+	Status int    `cbor:"1,keyasint"`
+	Body   []byte `cbor:"2,keyasint"`
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -276,7 +276,7 @@
 	}
 	x.withoutArrival = e.Reason == upstream.Unreachable
 	if errors.Is(e.Err, syscall.ECONNREFUSED) {
-		x.relay.State.recordServerTerminated(t.server.ID)
+		x.relay.checkTermination(t)
 	}
 	x.relay.Metrics.SendsFailed.Inc(1)
 	x.logEvent("send failed", t, "reason", e.Reason, "sent", e.Sent, "err", e.Err, "after_ms", time.Since(sentAt).Milliseconds())
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -15,11 +15,9 @@
 func newGuard(r *Relay) *containment.Guard {
 	return containment.New(containment.Options{
 		BootTime: r.State.bootTime, Logger: r.log, ServersTerminated: r.Metrics.ServersTerminated, RequestsHeld: r.Metrics.RequestsHeld,
-		RefusesConnections: func(ctx context.Context, s containment.Server) bool {
-			return r.backend.RefusesConnections(ctx, s.Address)
-		},
-		Leaving:      func(s containment.Server) bool { return r.State.isLeaving(s.ID) },
-		OnTerminated: r.State.recordIncarnationTerminated,
+		HasTerminated: r.hasTerminated,
+		Leaving:       func(s containment.Server) bool { return r.State.isLeaving(s.ID) },
+		OnTerminated:  r.State.recordIncarnationTerminated,
 	})
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,6 +65,11 @@
 	// Forwarder sends calls to other daemons while the servers are out of reach; nil if there are
 	// none. It is set before use.
 	Forwarder Forwarder
+	// Verdicts asks other daemons whether they reach a server; nil if there are none. It is set
+	// before use.
+	Verdicts VerdictSource
+	// terminationChecks holds the IDs of the servers that checkTermination checks.
+	terminationChecks sync.Map
 	// ConfigOutdated reports whether other daemons have a newer configuration than the store.
 	ConfigOutdated func() bool
 	// started is the origin of the retry budget's monotonic time.
--- /dev/null
+++ b/internal/relay/termination.go
@@ -0,0 +1,127 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/containment"
+	"github.com/damaskrudder/damaskrudder/internal/reachability"
+)
+
+const (
+	// controlServers is the number of other servers that are connected to when one refuses.
+	controlServers = 2
+	// verdictTimeout bounds the wait for the verdicts of other daemons.
+	verdictTimeout = 100 * time.Millisecond
+)
+
+// VerdictSource returns what some other daemons find when they connect to a server.
+type VerdictSource interface {
+	Verdicts(ctx context.Context, server string) []reachability.Verdict
+}
+
+// hasTerminated reports whether a server's process has ended: its VM refuses connections, and it is
+// not the network of this daemon.
+func (r *Relay) hasTerminated(ctx context.Context, s containment.Server) bool {
+	if !r.backend.RefusesConnections(ctx, s.Address) {
+		return false
+	}
+	return r.confirmTermination(ctx, s.ID)
+}
+
+// confirmTermination reports whether a server that has refused a connection of this daemon has
+// terminated.
+func (r *Relay) confirmTermination(ctx context.Context, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
+	defer cancel()
+	var others []reachability.Verdict
+	var wg sync.WaitGroup
+	if r.Verdicts != nil {
+		wg.Go(func() { others = r.Verdicts.Verdicts(ctx, id) })
+	}
+	own := r.refusalVerdict(ctx, id)
+	wg.Wait()
+	terminated := reachability.Terminated(own, others)
+	r.log.Info("server refused connection", "server", id, "own", own, "others", others, "terminated", terminated)
+	return terminated
+}
+
+// Verdict connects to a server on behalf of another daemon.
+func (r *Relay) Verdict(ctx context.Context, id string) reachability.Verdict {
+	server, known := r.State.server(id)
+	if !known {
+		return reachability.Unknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
+	defer cancel()
+	switch {
+	case r.backend.Probe(ctx, server, false) == nil:
+		return reachability.Connected
+	case ctx.Err() != nil:
+		return reachability.Unknown
+	}
+	return r.refusalVerdict(ctx, id)
+}
+
+// refusalVerdict returns the verdict on a server that has refused a connection: other servers tell
+// whether the network of this daemon is the cause.
+func (r *Relay) refusalVerdict(ctx context.Context, id string) reachability.Verdict {
+	servers := r.State.otherServers(id, controlServers)
+	accepted := make(chan bool, len(servers))
+	for _, server := range servers {
+		go func() { accepted <- r.backend.Probe(ctx, server, false) == nil }()
+	}
+	for range servers {
+		if <-accepted {
+			return reachability.Refused
+		}
+	}
+	return reachability.Unknown
+}
+
+// checkTermination checks in the background whether a server that has refused a connection has
+// terminated. Concurrent refusals of a server share one check.
+func (r *Relay) checkTermination(t *target) {
+	id := t.server.ID
+	if _, running := r.terminationChecks.LoadOrStore(id, true); running {
+		return
+	}
+	go func() {
+		defer r.terminationChecks.Delete(id)
+		if r.confirmTermination(context.Background(), id) {
+			r.State.recordServerTerminated(id)
+		}
+	}()
+}
+
+// server returns a known server.
+func (s *State) server(id string) (backend.Server, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.ByID(id, s.bootTime())
+}
+
+// otherServers returns up to n random servers of the service of a server, or of all services if it
+// is the only one.
+func (s *State) otherServers(id string, n int) (out []backend.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own, _ := s.registry.ByID(id, s.bootTime())
+	services := []string{own.Service}
+	for name := range s.services {
+		if name != own.Service {
+			services = append(services, name)
+		}
+	}
+	for _, service := range services {
+		sv := s.serviceFor(service)
+		for _, i := range s.rng.Perm(len(sv.members)) {
+			if m := sv.members[i]; m.ID != id && len(out) < n {
+				out = append(out, sv.servers[m.ID])
+			}
+		}
+	}
+	return out
+}
