daemon: the own interface forwards requests and confirms terminations as well

The router of the own interface had both faults: a daemon without links to engines served no chat, stream or call (for a minute, in the test), and a refused connection or load report ended warm-ups and departures by its own view alone. A step or service call is forwarded to a daemon that reaches the pool; claim, limits, bill and cascade stay at the first daemon. A connection attempt waits one second, so that silent links are noticed within three. TestDaemonCutOffFromEnginesServesRequests failed before and passes. TestPickLimitsRestartedServer records the termination directly, which now needs a confirmation.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,11 +67,15 @@
 	retryBudget *retryBudget
 	guard       *containment.Guard
 
-	inFlight       atomic.Int64
-	leaving        atomic.Bool
-	stopping       chan struct{}
-	stopOnce       sync.Once
-	activeRequests sync.WaitGroup
+	inFlight atomic.Int64
+	// forwardedRequests is the number of requests being served for other daemons.
+	forwardedRequests atomic.Int64
+	// terminationChecks holds the IDs of the servers that checkTermination checks.
+	terminationChecks sync.Map
+	leaving           atomic.Bool
+	stopping          chan struct{}
+	stopOnce          sync.Once
+	activeRequests    sync.WaitGroup
 }
 
 // New returns a daemon. Run starts its background work.
@@ -113,6 +117,8 @@
 	d.limits.register(s)
 	d.rollouts.register(s)
 	d.slo.register(s)
+	d.registerForwarding(s)
+	d.registerVerdicts(s)
 	return s
 }
 
@@ -213,6 +219,7 @@
 	info.ConfigNumber = d.config.current().Number
 	info.Serving, info.Leaving = d.Ready(), d.leaving.Load()
 	info.InFlight = int(d.inFlight.Load())
+	info.OutOfReach = d.balancer.anyOutOfReach()
 	info.LogAgeMillis = membership.LogAgeUnknown
 	if readAt := d.config.lastLogRead(); !readAt.IsZero() {
 		info.LogAgeMillis = time.Since(readAt).Milliseconds()
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -33,6 +33,8 @@
 	deadline        time.Time
 	// fingerprint identifies the request across repeats by the caller.
 	fingerprint quarantine.Fingerprint
+	// forwarding is the state of forwarding to other daemons.
+	forwarding
 	// onText receives each piece of the response. An error means that the caller
 	// disconnected.
 	onText func(text string) error
@@ -69,6 +71,13 @@
 		if !ok || !cfg.MayDispatch(s.workspace, s.model, s.version) {
 			return res, d.versionDisallowed(s)
 		}
+		if helper, found := d.pickHelper(v.Pool, &s.forwarding); found {
+			done, err := d.forwardStep(ctx, s, res, helper)
+			if done {
+				return res, err
+			}
+			continue
+		}
 		routeReq.Budget = time.Until(s.deadline)
 		picked, err := d.balancer.pickServer(cfg, v.Pool, s.model+"@"+s.version, &routeReq, tried)
 		if err != nil {
@@ -123,6 +132,9 @@
 	})
 	for {
 		started = started || err == nil
+		if err == nil {
+			d.balancer.recordReached(picked.pool, picked.candidate.ID)
+		}
 		event = d.readFrames(s, res, picked, assembler, stream, err, start)
 		if res.complete {
 			failed = false
@@ -140,6 +152,7 @@
 		case request.ConnectFailed, request.RunNotFound:
 			d.balancer.recordUnreachable(picked)
 		}
+		d.recordContact(&s.forwarding, picked, event, err)
 		decision := d.nextAction(s.retryState, event)
 		if errors.Is(context.Cause(ctx), containment.ErrHeld) {
 			decision = request.Decision{Action: request.Retry} // runStep then refuses the held request
@@ -155,7 +168,12 @@
 	}
 }
 
+// nextAction decides what follows an event. An attempt that reached no server loads none, so its
+// retry is not charged to the budget.
 func (d *Daemon) nextAction(state *request.RetryState, event request.AttemptEvent) request.Decision {
+	if event == request.ConnectFailed {
+		return state.Next(event, time.Now(), request.NewRetryBudget())
+	}
 	d.retryBudget.mu.Lock()
 	defer d.retryBudget.mu.Unlock()
 	return state.Next(event, time.Now(), d.retryBudget.budget)
--- /dev/null
+++ b/internal/daemon/forward.go
@@ -0,0 +1,233 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/engine"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/peer"
+	"github.com/damaskrudder/damaskrudder/internal/request"
+	"github.com/damaskrudder/damaskrudder/internal/routing"
+)
+
+const (
+	// maxUnreachedAttempts is the number of servers that a request may fail to connect to before it
+	// is forwarded to another daemon.
+	maxUnreachedAttempts = 2
+	// maxForwards is the number of daemons to which one request may be forwarded.
+	maxForwards = 3
+	// forwardOpenTimeout bounds the wait for a connection to another daemon.
+	forwardOpenTimeout = time.Second
+	// maxForwardedRequests bounds the requests served for other daemons at a time, and thus their
+	// memory. Each occupies a connection.
+	maxForwardedRequests = 256
+)
+
+// Kinds of forwarding streams.
+const (
+	stepKind = "step"
+	callKind = "call"
+)
+
+// forwarding is the state of forwarding one request.
+type forwarding struct {
+	// forwarded is set if another daemon has forwarded the request, which then stays here.
+	forwarded bool
+	// unreached is the number of servers that could not be connected to.
+	unreached int
+	// helpers are the daemons to which the request was forwarded.
+	helpers []string
+}
+
+// pickHelper returns the daemon to forward a request for a pool to, if it should be forwarded.
+func (d *Daemon) pickHelper(poolName string, f *forwarding) (address string, found bool) {
+	if f.forwarded || len(f.helpers) >= maxForwards {
+		return "", false
+	}
+	if f.unreached < maxUnreachedAttempts && !d.balancer.outOfReach(poolName) {
+		return "", false
+	}
+	candidates := d.members.helpers()
+	b := d.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	address, found = b.helpers.Pick(candidates, f.helpers, b.uptime(), b.rng)
+	if found {
+		f.helpers = append(f.helpers, address)
+	}
+	return address, found
+}
+
+// recordHelper records whether a daemon could serve a forwarded request.
+func (b *balancer) recordHelper(address string, served bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if served {
+		b.helpers.Served(address, b.uptime())
+	} else {
+		b.helpers.Refused(address, b.uptime())
+	}
+}
+
+// forward sends a request to another daemon and calls receive with each message of its response,
+// until that reports the last one. The error is nil if receive did.
+func (d *Daemon) forward(ctx context.Context, address, kind, id string, req any, receive func(peer.ForwardResponse) bool) (sent bool, err error) {
+	d.metrics.forwards.Inc(1)
+	d.log.Info("forwarded", "request", id, "daemon", address)
+	openCtx, cancel := context.WithTimeout(ctx, forwardOpenTimeout)
+	stream, sent, err := d.peers.OpenStream(openCtx, address, kind, req)
+	cancel()
+	for err == nil {
+		var message peer.ForwardResponse
+		var more bool
+		more, err = stream.Receive(ctx, &message)
+		switch {
+		case err != nil:
+			sent = !errors.Is(err, peer.ErrRefused)
+		case !more:
+			err = errForwardIncomplete
+		case receive(message):
+			// The last message only ends the stream.
+			_, _ = stream.Receive(ctx, &peer.ForwardResponse{})
+			stream.Close()
+			return true, nil
+		}
+	}
+	if stream != nil {
+		stream.Close()
+	}
+	d.balancer.recordHelper(address, false)
+	d.log.Info("forwarding failed", "request", id, "daemon", address, "sent", sent, "err", err)
+	return sent, err
+}
+
+var errForwardIncomplete = errors.New("the response of the other daemon is incomplete")
+
+// forwardFailure returns the error for a forwarded request without a response, or nil if it may be
+// sent again.
+func (d *Daemon) forwardFailure(ctx context.Context, state *request.RetryState, sent bool) error {
+	event := request.ConnectFailed
+	switch {
+	case ctx.Err() != nil:
+		event = request.ClientDisconnected
+	case sent:
+		event = request.RunNotFound
+	}
+	if decision := d.nextAction(state, event); decision.Action != request.Retry {
+		return decision.Error
+	}
+	return nil
+}
+
+// forwardRefusal handles the refusal of another daemon. It returns nil if another one may serve the
+// request.
+func (d *Daemon) forwardRefusal(address, id string, refusal *fault.Encoded, state *request.RetryState) error {
+	e := refusal.Decode()
+	d.log.Info("forwarded request refused", "request", id, "daemon", address, "kind", e.Kind, "ran", e.ExecutionState(), "why", e.Detail)
+	if e.ExecutionState() == fault.NotRun && helperAtFault(e.Kind) {
+		d.balancer.recordHelper(address, false)
+		return nil
+	}
+	if e.ExecutionState() == fault.NotRun {
+		return withExecutionState(e, state)
+	}
+	return e
+}
+
+// helperAtFault reports whether a refusal is due to the state of the daemon that refuses, so that
+// another daemon may serve the request.
+func helperAtFault(kind fault.Kind) bool {
+	switch kind {
+	case fault.ConfigurationStale, fault.ShuttingDown, fault.EngineRefused, fault.NoServer, fault.HelperUnable, fault.VersionWithdrawn, fault.NotEntitled:
+		return true
+	}
+	return false
+}
+
+// forwardStep runs a step through another daemon. Done is set if the step has ended.
+func (d *Daemon) forwardStep(ctx context.Context, s *step, res *stepResult, address string) (done bool, err error) {
+	body, err := json.Marshal(s.body)
+	if err != nil {
+		return true, fault.FromError(err)
+	}
+	req := peer.ForwardedStep{
+		RequestID: s.requestID, Workspace: s.workspace, Model: s.model, Version: s.version, FallbackVersion: s.fallbackVersion, Priority: s.priority,
+		Prompt: s.prompt, Body: body, RemainingMillis: time.Until(s.deadline).Milliseconds(), Attempts: s.retryState.Attempts(), Repeatable: s.retryState.Repeatable,
+		Streamed: s.onText != nil, Fingerprint: s.fingerprint, ConfigNumber: d.config.current().Number,
+	}
+	start := time.Now()
+	res.text.Reset()
+	var last peer.ForwardResponse
+	var textErr error
+	sent, err := d.forward(ctx, address, stepKind, s.requestID, req, func(m peer.ForwardResponse) bool {
+		if m.Text != "" && textErr == nil {
+			textErr = d.receiveText(s, res, m.Text, start)
+		}
+		last = m
+		return m.Result != nil || m.Refusal != nil || textErr != nil
+	})
+	switch {
+	case textErr != nil:
+		return true, fault.New(fault.CallerLeft, "the caller left").WithExecution(fault.Ran)
+	case err != nil:
+		err = d.forwardFailure(ctx, s.retryState, sent)
+		return err != nil, err
+	case last.Refusal != nil:
+		err = d.forwardRefusal(address, s.requestID, last.Refusal, s.retryState)
+		return err != nil, err
+	}
+	d.balancer.recordHelper(address, true)
+	s.retryState.RecordExecution()
+	applyStepResult(res, s, last.Result, time.Since(start))
+	return true, nil
+}
+
+// receiveText passes a piece of a forwarded step's response to the caller.
+func (d *Daemon) receiveText(s *step, res *stepResult, text string, start time.Time) error {
+	if res.firstToken == 0 {
+		res.firstToken = time.Since(start)
+		d.metrics.firstToken.RecordDuration(res.firstToken)
+	}
+	res.text.WriteString(text)
+	if s.onText == nil {
+		return nil
+	}
+	s.retryState.RecordDelivery()
+	return s.onText(text)
+}
+
+func applyStepResult(res *stepResult, s *step, r *peer.StepResult, elapsed time.Duration) {
+	if res.firstToken == 0 {
+		res.firstToken = elapsed
+	}
+	s.version = r.Version
+	res.usage = engine.Usage{PromptTokens: r.PromptTokens, CompletionTokens: r.CompletionTokens, Confidence: r.Confidence}
+	res.finishReason, res.complete = r.FinishReason, true
+	res.pick = pick{candidate: routing.Candidate{ID: r.Server, FailureDomain: r.FailureDomain}}
+}
+
+// forwardCall calls a service through another daemon. Done is set if the call has ended.
+func (d *Daemon) forwardCall(ctx context.Context, id string, req ServiceRequest, state *request.RetryState, address string) (resp *ServiceResponse, done bool, err error) {
+	forwarded := peer.ForwardedServiceCall{
+		RequestID: id, Workspace: req.Workspace, Service: req.Service, Body: req.Body, Repeatable: state.Repeatable,
+		RemainingMillis: time.Until(state.Deadline).Milliseconds(), ConfigNumber: d.config.current().Number,
+	}
+	var last peer.ForwardResponse
+	sent, err := d.forward(ctx, address, callKind, id, forwarded, func(m peer.ForwardResponse) bool {
+		last = m
+		return m.Call != nil || m.Refusal != nil
+	})
+	switch {
+	case err != nil:
+		err = d.forwardFailure(ctx, state, sent)
+		return nil, err != nil, err
+	case last.Refusal != nil:
+		err = d.forwardRefusal(address, id, last.Refusal, state)
+		return nil, err != nil, err
+	}
+	d.balancer.recordHelper(address, true)
+	return &ServiceResponse{Status: last.Call.Status, Body: last.Call.Body}, true, nil
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -44,6 +44,9 @@
 	serversPaused        tally.Gauge
 	pauses               tally.Counter
 	requestsHeld         tally.Gauge
+	poolsOutOfReach      tally.Gauge
+	forwards             tally.Counter
+	forwardedRequests    tally.Counter
 	panics               tally.Counter
 }
 
@@ -84,6 +87,9 @@
 		"servers_limited":              "Backend servers that state a limit on their requests per second.",
 		"servers_ended":                "Backend servers that terminated while running requests of this daemon.",
 		"panics":                       "Panics recovered in request handlers; the stack is in the log.",
+		"pools_out_of_reach":           "Pools of which this daemon reaches no backend server itself.",
+		"forwards":                     "Sends of requests to other daemons, because the backend servers were out of reach.",
+		"forwarded_requests":           "Requests served for other daemons that could not reach the backend servers.",
 		"requests_held":                "Requests held because servers terminated while running them.",
 		"refusals":                     "Requests refused, by error kind.",
 	}
@@ -123,6 +129,9 @@
 		serversPaused:        s.Gauge("servers_paused"),
 		pauses:               s.Counter("server_pauses"),
 		requestsHeld:         s.Gauge("requests_held"),
+		poolsOutOfReach:      s.Gauge("pools_out_of_reach"),
+		forwards:             s.Counter("forwards"),
+		forwardedRequests:    s.Counter("forwarded_requests"),
 		panics:               s.Counter("panics"),
 		configurationNumber:  s.Gauge("configuration_number"),
 		inFlight:             s.Gauge("in_flight"),
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -16,6 +16,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/gate"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
+	"github.com/damaskrudder/damaskrudder/internal/reachability"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
@@ -57,6 +58,10 @@
 	limitBroadcast loop.Signal
 	// startedAt is the zero of the gate's clock.
 	startedAt time.Time
+	// reachability holds which pools this daemon reaches itself, and helpers picks the daemons to
+	// which requests are forwarded.
+	reachability *reachability.Tracker
+	helpers      *reachability.Helpers
 }
 
 type pool struct {
@@ -71,7 +76,7 @@
 
 func newBalancer(d *Daemon) *balancer {
 	return &balancer{
-		d: d, pools: map[string]*pool{}, leaving: map[string]bool{}, gate: gate.New(), limitBroadcast: loop.NewSignal(), startedAt: time.Now(),
+		d: d, pools: map[string]*pool{}, leaving: map[string]bool{}, gate: gate.New(), limitBroadcast: loop.NewSignal(), startedAt: time.Now(), reachability: reachability.NewTracker(), helpers: reachability.NewHelpers(),
 		rng: rand.New(rand.NewPCG(d.incarnation, uint64(len(d.settings.ID)))),
 	}
 }
@@ -80,6 +85,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { runPeriodically(ctx, loadProbeInterval, b.probeNext) })
 	wg.Go(func() { runPeriodically(ctx, peerViewInterval, b.updatePeerView) })
+	wg.Go(func() { runPeriodically(ctx, reachabilityCheckInterval, b.checkReachability) })
 	if b.d.deps.VMs != nil {
 		wg.Go(func() { runPeriodically(ctx, vmListInterval, b.pollVMs) })
 	}
@@ -233,11 +239,10 @@
 	b.withPool(picked.pool, func(p *pool) { p.load.RecordTimeout(picked.candidate.ID, time.Now()) })
 }
 
+// recordUnreachable records a server that accepts no connection or has lost a run.
 func (b *balancer) recordUnreachable(picked pick) {
-	b.withPool(picked.pool, func(p *pool) {
-		p.load.RecordUnreachable(picked.candidate.ID, time.Now())
-		b.gate.ServerTerminated(picked.candidate.ID, b.uptime())
-	})
+	b.withPool(picked.pool, func(p *pool) { p.load.RecordUnreachable(picked.candidate.ID, time.Now()) })
+	b.d.checkTermination(picked.candidate.ID, picked.candidate.Address)
 }
 
 // recordMissingVersion records that a server refused a version that it had reported.
@@ -257,11 +262,13 @@
 	requestedAt := b.uptime()
 	load, err := b.d.engine.Load(ctx, cand.Address)
 	if err != nil {
+		b.recordUnreached(name, cand.ID, err)
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			b.observeRefusedConnection(cand.ID)
+			b.d.checkTermination(cand.ID, cand.Address)
 		}
 		return
 	}
+	b.recordReached(name, cand.ID)
 	b.withPool(name, func(p *pool) {
 		p.load.RecordReport(cand.ID, load.Running+load.Waiting, time.Now())
 		if load.Versions != nil {
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -29,7 +29,7 @@
 	return containment.New(containment.Options{
 		BootTime: func() time.Duration { return time.Since(started) }, Logger: d.log,
 		HasTerminated: func(ctx context.Context, s containment.Server) bool {
-			return d.engine.RefusesConnections(ctx, s.Address)
+			return d.engine.RefusesConnections(ctx, s.Address) && d.confirmTermination(ctx, s.ID)
 		},
 		Leaving:      func(s containment.Server) bool { return d.balancer.isLeaving(s.ID) },
 		OnTerminated: d.balancer.recordServerTerminated, ServersTerminated: d.metrics.serversTerminated, RequestsHeld: d.metrics.requestsHeld,
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -25,6 +25,8 @@
 	// IdempotencyKey is the Idempotency-Key header, required for non-repeatable
 	// services.
 	IdempotencyKey string
+	// forwarded is set if another daemon has forwarded the call.
+	forwarded bool
 }
 
 // ServiceResponse is the response of a plain service.
@@ -122,6 +124,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	state := &request.RetryState{Repeatable: req.IdempotencyKey == "", Deadline: time.Now().Add(limit)}
+	forwarding := &forwarding{forwarded: req.forwarded}
 	d.retryBudget.deposit()
 	var tried []string
 	fingerprint := quarantine.FingerprintOf(req.Workspace, "", "call", req.Service, req.Body)
@@ -134,6 +137,13 @@
 			d.metrics.lastCheckRefused.Inc(1)
 			return nil, fault.New(fault.NotEntitled, "service %s is no longer allowed", req.Service).WithExecution(state.ExecutionState())
 		}
+		if helper, found := d.pickHelper(svc.Pool, forwarding); found {
+			resp, done, err := d.forwardCall(ctx, id, req, state, helper)
+			if done {
+				return resp, err
+			}
+			continue
+		}
 		picked, err := d.balancer.pickServer(cfg, svc.Pool, "", &routing.Request{}, tried)
 		if err != nil {
 			return nil, withExecutionState(fault.FromError(err), state)
@@ -145,6 +155,7 @@
 		status, body, err := d.guardedCall(ctx, id, picked, fingerprint, req.Body)
 		d.balancer.recordCompletion(picked, time.Since(start), err != nil || status >= http.StatusInternalServerError)
 		if err == nil {
+			d.balancer.recordReached(picked.pool, picked.candidate.ID)
 			return &ServiceResponse{Status: status, Body: body}, nil
 		}
 		event := request.RunNotFound
@@ -152,6 +163,7 @@
 			event = request.ConnectFailed
 			d.balancer.recordUnreachable(picked)
 		}
+		d.recordContact(forwarding, picked, event, err)
 		if decision := d.nextAction(state, event); decision.Action != request.Retry {
 			return nil, decision.Error
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -60,7 +60,7 @@
 }
 
 const (
-	dialTimeout = 2 * time.Second
+	dialTimeout = time.Second
 	// controlTimeout applies to load reports, orders and cancellations.
 	controlTimeout      = 2 * time.Second
 	maxIdleConnsPerHost = 64
@@ -138,6 +138,15 @@
 	return resp, newStream(resp.Body, cancel, idleTimer, c.idleTimeout), nil
 }
 
+// Connect opens and closes a connection, to check that a server accepts connections.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	conn, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // RefusesConnections reports whether the VM refuses connections to an address, which means
 // that no process listens there.
 func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -67,6 +67,8 @@
 	// Serving reports whether the daemon dispatches requests. It is false until a
 	// configuration is loaded.
 	Serving bool `cbor:"12,keyasint,omitempty" json:"serving"`
+	// OutOfReach reports that the daemon reaches no server of some pool.
+	OutOfReach bool `cbor:"13,keyasint,omitempty" json:"out_of_reach,omitempty"`
 	// InFlight is the number of requests in flight, used to balance clients.
 	InFlight int `cbor:"10,keyasint,omitempty" json:"in_flight"`
 	// LogAgeMillis is the time since the log was last read, in ms, or LogAgeUnknown.
