--- a/internal/enginetest/link.go
+++ b/internal/enginetest/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"syscall"
@@ -29,6 +30,8 @@
 // dialTimeout is how long a new connection waits on a silent link.
 const dialTimeout = 400 * time.Millisecond
 
+var errNoConnection = errors.New("no open connection")
+
 // Link is one daemon's network to the servers. It implements relay.Backend.
 type Link struct {
 	*Engines
@@ -67,7 +70,7 @@
 }
 
 // connect takes an open connection or opens one.
-func (l *Link) connect(ctx context.Context) error {
+func (l *Link) connect(ctx context.Context, reuseOnly bool) error {
 	l.mu.Lock()
 	state, reused := l.state, l.open > 0
 	if reused {
@@ -80,6 +83,8 @@
 		return &upstream.Error{Reason: upstream.ConnectionLost, Sent: true, Err: syscall.ECONNRESET}
 	case reused:
 		return nil
+	case reuseOnly:
+		return &upstream.Error{Reason: upstream.Unreachable, Err: errNoConnection}
 	}
 	return dial(ctx, state)
 }
@@ -102,7 +107,7 @@
 
 // Send implements relay.Backend.
 func (l *Link) Send(ctx context.Context, send relay.BackendRequest) (*relay.BackendResponse, error) {
-	if err := l.connect(ctx); err != nil {
+	if err := l.connect(ctx, send.ReuseOnly); err != nil {
 		return nil, err
 	}
 	state, _ := l.current()
--- a/internal/node/reachability_test.go
+++ b/internal/node/reachability_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/enginetest"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
 )
 
 const (
@@ -193,3 +194,30 @@
 		})
 	}
 }
+
+// maxRefusalTime is how long a request may be held that no daemon can serve.
+const maxRefusalTime = 100 * time.Millisecond
+
+// Guards against requests that are held although no daemon reaches a server, and refusals that do not
+// say when to come back.
+func TestRequestsAreRefusedAtOnceWhileNoDaemonReachesServers(t *testing.T) {
+	for failure, state := range map[string]enginetest.LinkState{"reset": enginetest.LinkReset, "silent": enginetest.LinkSilent} {
+		t.Run(failure, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCutFleet(t, 6, 6)
+				c.sendFor(time.Second, sample(0, 6), "before")
+				time.Sleep(time.Second)
+				c.setLinks(state)
+				c.sendFor(stableWindow, sample(0, 6), "cut")
+				for i := range 30 {
+					start := time.Now()
+					response := c.send(i%6, fmt.Sprint("late", i), "late")
+					held := time.Since(start)
+					if r := response.refusal; held > maxRefusalTime || r == nil || r.ExecutionState() != fault.NotRun || r.RetryDelay() == 0 {
+						t.Errorf("daemon %d: held for %s, refused with %v", i%6, held, r)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -91,6 +91,8 @@
 	Priority int
 	// MaxConnections limits the connections to the server; zero is unlimited.
 	MaxConnections int
+	// ReuseOnly sends the request on an open connection or not at all.
+	ReuseOnly bool
 	// Admit reports whether the request may still be sent, once a connection is open.
 	Admit func() bool
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -38,6 +38,8 @@
 	quarantineStatus quarantine.Status
 	// run is the containment record of the last send.
 	run *containment.Attempt
+	// interrupted is set if the stream of the last send broke off.
+	interrupted bool
 	// succeeded is set once a server has sent a complete, successful response.
 	succeeded bool
 	// modelIndex is the index of the current model in the route's models.
@@ -198,12 +200,25 @@
 	x.run = x.relay.Guard.Begin(containmentServer(t.server), x.fingerprint, cancel)
 	outcome, done := x.send(ctx, cancel, t)
 	x.relay.Guard.End(ctx, x.run, containmentServer(t.server), containmentOutcome(ctx, outcome, done))
+	x.recordInterruption(ctx, t)
 	if x.succeeded {
 		x.relay.Guard.RecordSuccess(x.fingerprint)
 	}
 	return outcome, done
 }
 
+// recordInterruption counts a stream that broke off as evidence against the version of its server.
+// It is none if the server leaves or if the daemon's own links are the cause.
+func (x *exchange) recordInterruption(ctx context.Context, t *target) {
+	if !x.interrupted {
+		return
+	}
+	x.interrupted = false
+	if !x.relay.State.isLeaving(t.server.ID) && !x.relay.State.linkFailed(t) {
+		x.relay.Rollouts.recordResponse(t, ctx.Err() == nil, 0)
+	}
+}
+
 // send makes one attempt. It returns true if the client has the final response.
 func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (request.SendOutcome, bool) {
 	by, age := x.relay.State.LastConfirmation(freshness.Servers)
@@ -222,7 +237,9 @@
 	req := BackendRequest{
 		Call: x.call, Server: t.server, Workspace: x.workspace, Model: x.modelOverride(), LastEvent: x.lastEvent,
 		Timeout: time.Until(x.deadline) - deadlineMargin, Priority: x.sendPriority(), MaxConnections: t.maxConnections,
-		Admit: func() bool { return x.relay.State.admits(t) },
+		// New connections are tried in the background while the servers are out of reach.
+		ReuseOnly: x.relay.State.outOfReach(t.service),
+		Admit:     func() bool { return x.relay.State.admits(t) },
 	}
 	reply, err := x.relay.backend.Send(ctx, req)
 	if err != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 	sends  []BackendRequest
 	// closed are the addresses whose connections were closed.
 	closed []string
+	// refuses makes all servers refuse new connections.
+	refuses bool
 }
 
 func (f *fakeBackend) Send(_ context.Context, s BackendRequest) (*BackendResponse, error) {
@@ -39,9 +42,14 @@
 	return f.script[at](s)
 }
 
-func (f *fakeBackend) Probe(context.Context, backend.Server, bool) error { return nil }
-func (f *fakeBackend) RefusesConnections(context.Context, string) bool   { return false }
-func (f *fakeBackend) CloseIdleConnections(address string)               { f.closed = append(f.closed, address) }
+func (f *fakeBackend) Probe(context.Context, backend.Server, bool) error {
+	if f.refuses {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+func (f *fakeBackend) RefusesConnections(context.Context, string) bool { return f.refuses }
+func (f *fakeBackend) CloseIdleConnections(address string)             { f.closed = append(f.closed, address) }
 
 // respond returns a complete response.
 func respond(status int, body string) func(BackendRequest) (*BackendResponse, error) {
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -117,10 +117,7 @@
 	case errors.Is(err, errClientDisconnected):
 		return request.ResponseLost, false
 	}
-	if !x.relay.State.isLeaving(t.server.ID) {
-		// A server that leaves ends its streams, whatever its version.
-		x.relay.Rollouts.recordResponse(t, ctx.Err() == nil, 0)
-	}
+	x.interrupted = true
 	x.logEvent("stream interrupted", t, "last_event", x.lastEvent, "err", err, "cause", context.Cause(ctx))
 	return request.Truncated, false
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -48,6 +48,9 @@
 	gate *gate.Gate
 	// reachability holds which services this daemon reaches itself.
 	reachability *reachability.Tracker
+	// linkFailures holds when a server refused a connection of this daemon and was found running, by
+	// its ID.
+	linkFailures map[string]time.Duration
 	// helpers picks the daemons to which calls are forwarded.
 	helpers *reachability.Helpers
 }
@@ -78,7 +81,7 @@
 // VM is suspended.
 func NewState(daemon, failureDomain string, bootTime func() time.Duration) *State {
 	return &State{
-		bootTime: bootTime, ready: make(chan struct{}), registry: backend.NewRegistry(), gate: gate.New(), reachability: reachability.NewTracker(), helpers: reachability.NewHelpers(), services: map[string]*service{}, daemon: daemon, failureDomain: failureDomain, daemons: 1,
+		bootTime: bootTime, ready: make(chan struct{}), registry: backend.NewRegistry(), gate: gate.New(), reachability: reachability.NewTracker(), helpers: reachability.NewHelpers(), linkFailures: map[string]time.Duration{}, services: map[string]*service{}, daemon: daemon, failureDomain: failureDomain, daemons: 1,
 		peerWork: peerWork{byServer: map[ServerKey]ServerWork{}}, rng: rand.New(rand.NewPCG(xxhash.Sum64String(daemon), uint64(bootTime()))),
 	}
 }
--- a/internal/relay/termination.go
+++ b/internal/relay/termination.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -45,6 +46,9 @@
 	wg.Wait()
 	terminated := reachability.Terminated(own, others)
 	r.log.Info("server refused connection", "server", id, "own", own, "others", others, "terminated", terminated)
+	if !terminated {
+		r.State.recordLinkFailure(id)
+	}
 	return terminated
 }
 
@@ -125,3 +129,25 @@
 	}
 	return out
 }
+
+// linkFailureMemory is how long a refused connection of a running server shows that the link to it
+// has failed.
+const linkFailureMemory = 2 * time.Second
+
+// recordLinkFailure records that this daemon's link to a server has failed.
+func (s *State) recordLinkFailure(id string) {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.linkFailures[id] = now
+	maps.DeleteFunc(s.linkFailures, func(_ string, at time.Duration) bool { return now-at > linkFailureMemory })
+}
+
+// linkFailed reports whether this daemon's link to a server has failed lately.
+func (s *State) linkFailed(t *target) bool {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, failed := s.linkFailures[t.server.ID]
+	return failed && now-at <= linkFailureMemory || s.reachability.Lost(t.service)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -30,9 +30,9 @@
 	// while the server closes the connection may or may not have run.
 	keepAliveMargin = 800 * time.Millisecond
 	// The kernel detects a dead peer after tcpKeepAliveIdle and tcpKeepAliveCount
-	// unanswered probes, one per tcpKeepAliveInterval.
+	// unanswered probes, one per tcpKeepAliveInterval. It counts whole seconds.
 	tcpKeepAliveIdle     = time.Second
-	tcpKeepAliveInterval = 400 * time.Millisecond
+	tcpKeepAliveInterval = time.Second
 	tcpKeepAliveCount    = 3
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 2048
@@ -141,6 +141,8 @@
 	Request *http.Request
 	// MaxConnections limits the connections to the address; 0 means no limit.
 	MaxConnections int
+	// ReuseOnly sends the request on an open connection or not at all.
+	ReuseOnly bool
 	// Match reports whether a response belongs to this request; nil accepts any. A
 	// server may send a duplicate response to an earlier request first.
 	Match func(*http.Response) bool
@@ -195,6 +197,8 @@
 	return defaultKeepAlive - keepAliveMargin
 }
 
+var errNoIdleConnection = errors.New("no open connection, and new ones are not opened")
+
 var errWithdrawn = errors.New("not admitted any more when a connection was open")
 
 var errUnmatchedResponse = errors.New("received only responses to other requests")
@@ -346,6 +350,9 @@
 		}
 		c.discard()
 	}
+	if call.ReuseOnly {
+		return nil, &Error{Unreachable, false, errNoIdleConnection}
+	}
 	p.mu.Lock()
 	limitReached := call.MaxConnections > 0 && p.open[call.Address] >= call.MaxConnections
 	if !limitReached {
