gate, gossip: running daemons are told of servers that were away

A daemon that had sent nothing to a server while it was away took it for warm when it was back: only daemons that start were told. Terminations are reported to all daemons for 1.5 s, passed on once by each, broadcast at once, on both routers.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -60,6 +60,22 @@
 	return b.gate.Terminated()
 }
 
+// terminations returns the recent terminations, for other daemons.
+func (b *balancer) terminations() []gate.Termination {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.gate.Terminations(b.uptime())
+}
+
+// mergeTerminations records the terminations that another daemon reports, and passes on new ones.
+func (b *balancer) mergeTerminations(list []gate.Termination) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.gate.MergeTerminations(list, b.uptime()) {
+		b.limitBroadcast.Request()
+	}
+}
+
 // addTerminatedServers records the servers that another daemon reports as terminated.
 func (b *balancer) addTerminatedServers(servers []uint64) {
 	b.mu.Lock()
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -132,15 +132,17 @@
 	next := m.d.config.nextOffset()
 	at, _ := m.d.balancer.leavingServers()
 	quarantined, limits, departures := m.d.guard.Update(false), m.d.balancer.serverLimits(false), m.d.balancer.departures(false)
+	terminations := m.d.balancer.terminations()
 	table := m.lockTable()
 	defer m.mu.Unlock()
-	return peer.Heartbeat{Sender: table.Self(), Rumors: table.NextRumors(), ConfigNext: next, LeavingReadAt: at, Quarantine: quarantined, ServerLimits: limits, Departures: departures}
+	return peer.Heartbeat{Sender: table.Self(), Rumors: table.NextRumors(), ConfigNext: next, LeavingReadAt: at, Quarantine: quarantined, ServerLimits: limits, Departures: departures, Terminations: terminations}
 }
 
 func (m *memberlist) applyHeartbeat(hb peer.Heartbeat) {
 	m.d.guard.Merge(hb.Quarantine)
 	m.d.balancer.mergeLimits(hb.ServerLimits)
 	m.d.balancer.mergeDepartures(hb.Departures)
+	m.d.balancer.mergeTerminations(hb.Terminations)
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/daemon/reachability.go
+++ b/internal/daemon/reachability.go
@@ -146,6 +146,7 @@
 	b.mu.Lock()
 	b.gate.ServerTerminated(id, b.uptime())
 	b.mu.Unlock()
+	b.limitBroadcast.Request()
 	b.observeRefusedConnection(id)
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -215,6 +215,48 @@
 	}
 }
 
+// Termination reports the termination of a server to other daemons.
+type Termination struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is the hash of the server's ID, and AgeMillis the time since its end was noticed.
+	Server    uint64
+	AgeMillis int64
+}
+
+const (
+	// terminationSpread is how long a termination is reported, by the daemon that noticed it and by
+	// those that learn of it. It is shorter than a warm-up, so that no report is later than its end.
+	terminationSpread = 1500 * time.Millisecond
+	// maxTerminations bounds the terminations in a message.
+	maxTerminations = 64
+)
+
+// Terminations returns the recent terminations, for other daemons.
+func (g *Gate) Terminations(now time.Duration) (out []Termination) {
+	for server, r := range g.restarts {
+		if age := now - r.terminatedAt; age <= terminationSpread && len(out) < maxTerminations {
+			out = append(out, Termination{Server: server, AgeMillis: age.Milliseconds()})
+		}
+	}
+	return out
+}
+
+// MergeTerminations records terminations that another daemon reports, and reports whether any was
+// not known.
+func (g *Gate) MergeTerminations(list []Termination, now time.Duration) (added bool) {
+	for _, t := range list {
+		age := time.Duration(max(0, t.AgeMillis)) * time.Millisecond
+		if g.restarts[t.Server] == nil && age <= terminationSpread {
+			g.restarts[t.Server] = &restart{terminatedAt: now - age, reported: true}
+			added = true
+		}
+	}
+	return added
+}
+
+// HasTerminated reports whether a server, by the hash of its ID, has terminated and is not warm since.
+func (g *Gate) HasTerminated(server uint64) bool { return g.restarts[server] != nil }
+
 // restart returns the state of a server that has terminated, or nil.
 func (g *Gate) restart(id string) *restart {
 	if len(g.restarts) == 0 {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
+	"github.com/damaskrudder/damaskrudder/internal/gate"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
@@ -63,6 +64,8 @@
 	Departures []serverstatus.DepartureReport `cbor:"32,keyasint,omitempty"`
 	// OutOfReach reports that the sender reaches no server of some service.
 	OutOfReach bool `cbor:"33,keyasint,omitempty"`
+	// Terminations holds the servers whose termination was noticed lately.
+	Terminations []gate.Termination `cbor:"34,keyasint,omitempty"`
 	// Started and Sequence are those of the sender's record, see membership.PeerRecord.
 	Started  int64  `cbor:"23,keyasint,omitempty"`
 	Sequence uint64 `cbor:"24,keyasint,omitempty"`
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/damaskrudder/damaskrudder/internal/billing"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/gate"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
@@ -31,6 +32,8 @@
 	ServerLimits []serverlimit.Update `cbor:"7,keyasint,omitempty"`
 	// Departures holds recent reports of servers that have stated that they leave.
 	Departures []serverstatus.DepartureReport `cbor:"8,keyasint,omitempty"`
+	// Terminations holds the servers whose termination was noticed lately.
+	Terminations []gate.Termination `cbor:"9,keyasint,omitempty"`
 }
 
 // MembersRequest requests the membership table of a daemon.
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -85,12 +85,43 @@
 	return known && s.gate.StillAdmits(gateServer(b, xxhash.Sum64String(b.ID), t.slowStart), now)
 }
 
-// recordServerTerminated records that a server's run has ended, as its VM refuses connections.
-func (s *State) recordServerTerminated(id string) {
+// RecordTermination records that a server's run has ended, and reports it to other daemons.
+func (r *Relay) RecordTermination(id string) {
+	now := r.State.bootTime()
+	r.State.mu.Lock()
+	r.State.gate.ServerTerminated(id, now)
+	r.State.mu.Unlock()
+	r.limitBroadcast.Request()
+}
+
+// MergeTerminations records the terminations that another daemon reports, and passes on new ones.
+func (r *Relay) MergeTerminations(list []gate.Termination) {
+	if len(list) == 0 {
+		return
+	}
+	now := r.State.bootTime()
+	r.State.mu.Lock()
+	added := r.State.gate.MergeTerminations(list, now)
+	r.State.mu.Unlock()
+	if added {
+		r.limitBroadcast.Request()
+	}
+}
+
+// Terminations returns the recent terminations, for other daemons.
+func (s *State) Terminations() []gate.Termination {
 	now := s.bootTime()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.gate.ServerTerminated(id, now)
+	return s.gate.Terminations(now)
+}
+
+// KnowsTermination reports whether a server, by the hash of its ID, has terminated and is not warm
+// since.
+func (s *State) KnowsTermination(server uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.HasTerminated(server)
 }
 
 // TerminatedServers returns the servers that have terminated and are not warm since, for a daemon
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -17,7 +17,10 @@
 		BootTime: r.State.bootTime, Logger: r.log, ServersTerminated: r.Metrics.ServersTerminated, RequestsHeld: r.Metrics.RequestsHeld,
 		HasTerminated: r.hasTerminated,
 		Leaving:       func(s containment.Server) bool { return r.State.isLeaving(s.ID) },
-		OnTerminated:  r.State.recordIncarnationTerminated,
+		OnTerminated: func(run quarantine.IncarnationKey) {
+			r.State.recordIncarnationTerminated(run)
+			r.limitBroadcast.Request()
+		},
 	})
 }
 
--- a/internal/relay/termination.go
+++ b/internal/relay/termination.go
@@ -95,7 +95,7 @@
 	go func() {
 		defer r.terminationChecks.Delete(id)
 		if r.confirmTermination(context.Background(), id) {
-			r.State.recordServerTerminated(id)
+			r.RecordTermination(id)
 		}
 	}()
 }
