daemon: a run lost before its response began may have ended its server

A run whose connection was lost before the response header, and whose resume was then refused, counted as never connected: the crash of its server was attributed to nobody, and the request was not held. The earlier guess, a probe that came too early, was wrong.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -138,7 +138,7 @@
 		ID: runID, Version: s.model + "@" + s.version, Priority: s.priority, Body: s.body,
 	})
 	for {
-		started = started || err == nil
+		started = started || mayHaveStarted(err)
 		if err == nil {
 			d.balancer.recordReached(picked.pool, picked.candidate.ID)
 		}
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/containment"
+	"github.com/damaskrudder/damaskrudder/internal/engine"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
@@ -84,8 +86,13 @@
 	return containment.Server{ID: cand.ID, Address: cand.Address}
 }
 
+// mayHaveStarted reports whether a server may run a request after the result of sending it.
+func mayHaveStarted(err error) bool {
+	return !errors.Is(err, engine.ErrNotConnected) && !errors.Is(err, engine.ErrNotStarted)
+}
+
 // containmentOutcome derives the outcome of an attempt from its last event. started
-// is set if the server had begun to respond.
+// is set if the server may have started the run.
 func containmentOutcome(event request.AttemptEvent, complete, started bool) containment.Outcome {
 	switch {
 	case complete, event == request.AttemptRefused, event == request.RunFailed:
