--- a/internal/daemon/reachability.go
+++ b/internal/daemon/reachability.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/damaskrudder/damaskrudder/internal/engine"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
@@ -125,8 +127,11 @@
 }
 
 // checkTermination checks in the background whether a server that has refused a connection or lost a
-// run has terminated. Concurrent checks of a server are one.
+// run has terminated, unless that is known. Concurrent checks of a server are one.
 func (d *Daemon) checkTermination(id, address string) {
+	if d.balancer.knowsTermination(id) && !d.balancer.isLeaving(id) {
+		return
+	}
 	if _, running := d.terminationChecks.LoadOrStore(id, true); running {
 		return
 	}
@@ -140,6 +145,13 @@
 	}()
 }
 
+// knowsTermination reports whether a server has terminated and is not warm since.
+func (b *balancer) knowsTermination(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.gate.HasTerminated(xxhash.Sum64String(id))
+}
+
 // recordTermination records that a server has terminated. The next one at its address may be cold,
 // and does not leave.
 func (b *balancer) recordTermination(id string) {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -107,8 +107,7 @@
 		if conn == nil {
 			break
 		}
-		conn.idleTimer.Stop()
-		if conn.open() {
+		if conn.idleTimer.Stop() && conn.open() {
 			return conn, nil
 		}
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -26,6 +26,9 @@
 	// forwardAcceptTimeout bounds the wait until another daemon has accepted a call that may be
 	// repeated.
 	forwardAcceptTimeout = 500 * time.Millisecond
+	// maxForwardedBody is the largest body of a call that is forwarded, in bytes. A message between
+	// daemons has room for it and the header.
+	maxForwardedBody = 6 << 20
 	// forwardDeadlineMargin is the part of the remaining time that is kept for the way back.
 	forwardDeadlineMargin = 10 * time.Millisecond
 )
@@ -80,10 +83,15 @@
 	Forward(ctx context.Context, address string, call ForwardedCall) (stream ForwardStream, sent bool, err error)
 }
 
+// mayForward reports whether the call may be forwarded at all.
+func (x *exchange) mayForward() bool {
+	return x.relay.Forwarder != nil && !x.forwarded && len(x.call.Body) <= maxForwardedBody
+}
+
 // pickHelper returns the daemon to forward the call to, if it should be forwarded.
 func (x *exchange) pickHelper() (address string, found bool) {
 	r := x.relay
-	if r.Forwarder == nil || x.forwarded || len(x.forwards) >= maxForwards {
+	if !x.mayForward() || len(x.forwards) >= maxForwards {
 		return "", false
 	}
 	lost := r.State.outOfReach(x.service.Name)
@@ -97,7 +105,7 @@
 // share left of the servers that tolerate few rejections.
 func (x *exchange) pickOverflow(refusal *fault.Error) (address string, found bool) {
 	r := x.relay
-	if refusal.Kind != fault.ServerSaturated || r.Forwarder == nil || x.forwarded || len(x.forwards) >= maxOverflows {
+	if refusal.Kind != fault.ServerSaturated || !x.mayForward() || len(x.forwards) >= maxOverflows {
 		return "", false
 	}
 	return r.State.pickHelper(r.Forwarder.Targets(), x.forwards)
--- a/internal/relay/termination.go
+++ b/internal/relay/termination.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/reachability"
@@ -86,9 +88,12 @@
 }
 
 // checkTermination checks in the background whether a server that has refused a connection has
-// terminated. Concurrent refusals of a server share one check.
+// terminated, unless that is known. Concurrent refusals of a server share one check.
 func (r *Relay) checkTermination(t *target) {
 	id := t.server.ID
+	if r.State.KnowsTermination(xxhash.Sum64String(id)) || r.State.linkFailed(t) {
+		return
+	}
 	if _, running := r.terminationChecks.LoadOrStore(id, true); running {
 		return
 	}
