--- a/internal/daemon/reachability.go
+++ b/internal/daemon/reachability.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/engine"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
@@ -221,20 +222,11 @@
 	return d.refusalVerdict(ctx, id)
 }
 
-// refusalVerdict returns the verdict on a server that has refused a connection: other servers tell
-// whether the network of this daemon is the cause.
+// refusalVerdict returns the verdict on a server that has refused a connection.
 func (d *Daemon) refusalVerdict(ctx context.Context, id string) reachability.Verdict {
-	addresses := d.balancer.otherServers(id, controlServers)
-	accepted := make(chan bool, len(addresses))
-	for _, address := range addresses {
-		go func() { accepted <- d.engine.Connect(ctx, address) == nil }()
-	}
-	for range addresses {
-		if <-accepted {
-			return reachability.Refused
-		}
-	}
-	return reachability.Unknown
+	return containment.RefusalVerdict(d.balancer.otherServers(id, controlServers), func(address string) bool {
+		return d.engine.Connect(ctx, address) == nil
+	})
 }
 
 // addressOf returns the address of a configured server.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -54,8 +54,8 @@
 	serverFailure *bufferedResponse
 	// firstEventAt is when the first event was forwarded.
 	firstEventAt time.Time
-	// forwarded is set if another daemon has forwarded the call, forwardFrom, and reportRuns then
-	// reports the number of runs to it.
+	// forwarded is set if another daemon has forwarded the call. reportRuns then reports the number
+	// of runs to it.
 	forwarded  bool
 	reportRuns func(runs int)
 	// unreached is the number of sends that reached no server, and sentToServer is set once a send
--- a/internal/relay/termination.go
+++ b/internal/relay/termination.go
@@ -71,20 +71,11 @@
 	return r.refusalVerdict(ctx, id)
 }
 
-// refusalVerdict returns the verdict on a server that has refused a connection: other servers tell
-// whether the network of this daemon is the cause.
+// refusalVerdict returns the verdict on a server that has refused a connection.
 func (r *Relay) refusalVerdict(ctx context.Context, id string) reachability.Verdict {
-	servers := r.State.otherServers(id, controlServers)
-	accepted := make(chan bool, len(servers))
-	for _, server := range servers {
-		go func() { accepted <- r.backend.Probe(ctx, server, false) == nil }()
-	}
-	for range servers {
-		if <-accepted {
-			return reachability.Refused
-		}
-	}
-	return reachability.Unknown
+	return containment.RefusalVerdict(r.State.otherServers(id, controlServers), func(s backend.Server) bool {
+		return r.backend.Probe(ctx, s, false) == nil
+	})
 }
 
 // checkTermination checks in the background whether a server that has refused a connection has
@@ -117,8 +108,11 @@
 func (s *State) otherServers(id string, n int) (out []backend.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	own, _ := s.registry.ByID(id, s.bootTime())
-	services := []string{own.Service}
+	own, known := s.registry.ByID(id, s.bootTime())
+	var services []string
+	if known {
+		services = append(services, own.Service)
+	}
 	for name := range s.services {
 		if name != own.Service {
 			services = append(services, name)
