node: a daemon that does not know forwarded calls refuses them unrun

A daemon of the version before answers 'unknown call', which counted as a lost response: a request that may run once at most failed as unknown while a fleet is replaced. Callers that leave are no fault of the daemon that serves for another.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -116,7 +116,9 @@
 	if stream != nil {
 		stream.Close()
 	}
-	d.balancer.recordHelper(address, false)
+	if ctx.Err() == nil {
+		d.balancer.recordHelper(address, false)
+	}
 	d.log.Info("forwarding failed", "request", id, "daemon", address, "sent", sent, "err", err)
 	return sent, err
 }
--- a/internal/node/forwarding.go
+++ b/internal/node/forwarding.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
 
+	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
@@ -70,8 +72,12 @@
 // Receive implements relay.ForwardStream.
 func (s peerStream) Receive(ctx context.Context) (frame relay.ForwardFrame, err error) {
 	more, err := s.Stream.Receive(ctx, &frame)
-	if err == nil && !more {
-		err = io.EOF
+	switch {
+	case errors.Is(err, peer.ErrRefused):
+		// The daemon has not handled the call; it may be of a version that cannot.
+		return relay.ForwardFrame{Refusal: fault.New(fault.HelperUnable, "%v", err).Encode()}, nil
+	case err == nil && !more:
+		return frame, io.EOF
 	}
 	return frame, err
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -124,7 +124,7 @@
 	stream, sent, err := x.relay.Forwarder.Forward(openCtx, address, x.forwardedCall())
 	cancel()
 	if err != nil {
-		return x.handleForwardError(address, sent, err), false
+		return x.handleForwardError(ctx, address, sent, err), false
 	}
 	defer stream.Close()
 	reply := &forwardReply{x: x, ctx: ctx, stream: stream, address: address, counted: 1}
@@ -145,9 +145,12 @@
 	}
 }
 
-// handleForwardError records a call that got no response from another daemon.
-func (x *exchange) handleForwardError(address string, sent bool, err error) request.SendOutcome {
-	x.relay.State.recordHelper(address, false)
+// handleForwardError records a call that got no response from another daemon. The daemon is not at
+// fault if ctx, the context of the call, is done.
+func (x *exchange) handleForwardError(ctx context.Context, address string, sent bool, err error) request.SendOutcome {
+	if ctx.Err() == nil {
+		x.relay.State.recordHelper(address, false)
+	}
 	x.logEvent("forwarding failed", nil, "daemon", address, "sent", sent, "err", err)
 	if sent {
 		return request.ResponseLost
@@ -179,7 +182,7 @@
 	f.countRuns()
 	switch {
 	case err != nil:
-		return f.x.handleForwardError(f.address, true, err), false
+		return f.x.handleForwardError(f.ctx, f.address, true, err), false
 	case header.Refusal != nil:
 		return f.refused(header.Refusal.Decode()), false
 	}
@@ -289,7 +292,7 @@
 		return x.forwardUnbuffered(nil, reply, body)
 	}
 	if err != nil {
-		return x.handleForwardError(f.address, true, err), false
+		return x.handleForwardError(f.ctx, f.address, true, err), false
 	}
 	x.succeeded = ok
 	x.relay.Metrics.Responses(ok).Inc(1)
@@ -314,7 +317,9 @@
 	case errors.Is(err, errClientDisconnected):
 		return request.ResponseLost, false
 	}
-	x.relay.State.recordHelper(f.address, false)
+	if f.ctx.Err() == nil {
+		x.relay.State.recordHelper(f.address, false)
+	}
 	x.logEvent("forwarded stream interrupted", nil, "daemon", f.address, "last_event", x.lastEvent, "err", err, "cause", context.Cause(f.ctx))
 	return request.Truncated, false
 }
