--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -40,6 +40,9 @@
 // ServerUsable reports whether the server with an ID may get requests.
 func (n *Node) ServerUsable(id string) bool { return n.state.ServerUsable(id) }
 
+// OutOfReach reports whether this daemon reaches no server of some service.
+func (n *Node) OutOfReach() bool { return n.state.OutOfReach() }
+
 // reportStatus updates the gauges of the daemon's view.
 func (n *Node) reportStatus() {
 	n.deps.Metrics.DaemonsLive.Update(float64(n.liveDaemons()))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -89,6 +89,8 @@
 	idle map[string][]*conn
 	// open is the number of connections by address, idle ones included.
 	open map[string]int
+	// Dial opens connections. Set it before the first call to replace TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnDial is called before a connection is opened. Set it before the first call.
 	OnDial func(address string)
 	// OnRead is called after each read that returned data. Set it before the first
@@ -98,7 +100,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: map[string][]*conn{}, open: map[string]int{}, OnDial: func(string) {}, OnRead: func(string) {}}
+	return &Pool{idle: map[string][]*conn{}, open: map[string]int{}, Dial: dial, OnDial: func(string) {}, OnRead: func(string) {}}
 }
 
 type conn struct {
@@ -369,7 +371,7 @@
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	c := &conn{pool: p, address: address}
 	p.OnDial(address)
-	raw, err := dial(ctx, address)
+	raw, err := p.Dial(ctx, address)
 	if err != nil {
 		p.mu.Lock()
 		p.open[address]--
@@ -392,7 +394,7 @@
 // Probe opens and closes a connection to check that a server accepts connections.
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	p.OnDial(address)
-	c, err := dial(ctx, address)
+	c, err := p.Dial(ctx, address)
 	if err != nil {
 		return err
 	}
