relay, daemon: one silent server makes the daemon connect to another

A daemon with few requests, each of which may run once at most, noticed the loss of all its servers only with its second request, which hung as well: one silent server alone shows nothing. After the first server that is out of reach another one is connected to.

--- a/internal/daemon/reachability.go
+++ b/internal/daemon/reachability.go
@@ -47,16 +47,34 @@
 	b.d.log.Info("pool in reach again", "pool", poolName, "server", server, "after_ms", lostFor.Milliseconds())
 }
 
-// recordUnreached records that a server could not be connected to.
+// recordUnreached records that a server could not be connected to. After the first one another is
+// connected to, since the requests of a daemon may be few.
 func (b *balancer) recordUnreached(poolName, server string, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	servers := len(b.candidates(poolName))
-	if !b.reachability.Unreached(poolName, server, servers, b.uptime()) {
+	candidates := b.candidates(poolName)
+	becameLost := b.reachability.Unreached(poolName, server, len(candidates), b.uptime())
+	unreached := b.reachability.UnreachedServers(poolName)
+	if becameLost {
+		b.d.metrics.poolsOutOfReach.Update(float64(len(b.reachability.LostServices())))
+		b.d.log.Warn("pool out of reach", "pool", poolName, "server", server, "unreached", unreached, "servers", len(candidates), "err", err)
 		return
 	}
-	b.d.metrics.poolsOutOfReach.Update(float64(len(b.reachability.LostServices())))
-	b.d.log.Warn("pool out of reach", "pool", poolName, "server", server, "unreached", b.reachability.UnreachedServers(poolName), "servers", servers, "err", err)
+	others := slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return c.ID == server })
+	if unreached == 1 && len(others) > 0 {
+		go b.checkServer(context.Background(), poolName, others[b.rng.IntN(len(others))])
+	}
+}
+
+// checkServer connects to a server and records the result.
+func (b *balancer) checkServer(ctx context.Context, poolName string, server routing.Candidate) {
+	ctx, cancel := context.WithTimeout(ctx, reachabilityCheckTimeout)
+	defer cancel()
+	if err := b.d.engine.Connect(ctx, server.Address); err != nil {
+		b.recordUnreached(poolName, server.ID, err)
+		return
+	}
+	b.recordReached(poolName, server.ID)
 }
 
 // recordContact records whether an attempt reached its server.
@@ -111,22 +129,11 @@
 	b.mu.Unlock()
 	var wg sync.WaitGroup
 	for name, cand := range picked {
-		wg.Go(func() {
-			if b.d.connects(ctx, cand.Address, reachabilityCheckTimeout) {
-				b.recordReached(name, cand.ID)
-			}
-		})
+		wg.Go(func() { b.checkServer(ctx, name, cand) })
 	}
 	wg.Wait()
 }
 
-// connects reports whether a server accepts a connection.
-func (d *Daemon) connects(ctx context.Context, address string, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return d.engine.Connect(ctx, address) == nil
-}
-
 // checkTermination checks in the background whether a server that has refused a connection or lost a
 // run has terminated, unless that is known. Concurrent checks of a server are one.
 func (d *Daemon) checkTermination(id, address string) {
--- a/internal/node/reachability_test.go
+++ b/internal/node/reachability_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/enginetest"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/route"
 )
 
 const (
@@ -29,7 +31,12 @@
 }
 
 func newCutFleet(t *testing.T, daemons, cut int) *cutFleet {
-	f := newStoppedFleet(t, daemons, []string{address(0), address(1), address(2)}, setStreamConfig)
+	return newCutFleetWith(t, daemons, cut, setStreamConfig)
+}
+
+// newCutFleetWith is newCutFleet with another configuration.
+func newCutFleetWith(t *testing.T, daemons, cut int, setConfig func(n *Node)) *cutFleet {
+	f := newStoppedFleet(t, daemons, []string{address(0), address(1), address(2)}, setConfig)
 	f.store.Put("op", "config", []byte("5"))
 	f.store.Put("servers", "a", nil)
 	f.store.Put("servers", "b", nil)
@@ -221,3 +228,37 @@
 		})
 	}
 }
+
+// setOnceConfig configures a service with a route of requests that may run once at most.
+func setOnceConfig(n *Node) {
+	t, err := route.NewTable(route.Document{
+		Version: 1 << 40, Services: []route.Service{{Name: "s", MaxConnections: 1 << 20}},
+		Routes: []route.Route{{Name: "r", Host: "h", PathPrefix: "/", Kind: route.NonIdempotent, MaxAttempts: 1, Timeout: 8 * time.Second, Backends: []route.Backend{{Service: "s", Weight: 1}}}},
+	})
+	if err != nil {
+		panic(errors.Join(errors.New("test configuration"), err))
+	}
+	n.state.SetTable(t)
+}
+
+// Guards against a daemon with little traffic that notices the loss of its servers late, since one
+// silent server alone shows nothing.
+func TestLossOfServersIsNoticedByOneRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCutFleetWith(t, 6, 1, setOnceConfig)
+		c.sendFor(time.Second, []int{0}, "before")
+		time.Sleep(time.Second)
+		c.setLinks(enginetest.LinkSilent)
+		var wg sync.WaitGroup
+		wg.Go(func() { c.send(0, "first", "first") })
+		time.Sleep(1500 * time.Millisecond)
+		if !c.member(address(0)).OutOfReach() {
+			t.Error("not noticed")
+		}
+		start := time.Now()
+		if r := c.send(0, "second", "second"); r.refusal != nil || r.bytes == 0 || time.Since(start) > time.Second {
+			t.Errorf("the second request took %s, %v", time.Since(start), r.refusal)
+		}
+		wg.Wait()
+	})
+}
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
 
 // reachabilityCheckInterval is the interval at which a server of each service that is out of reach
@@ -28,14 +32,20 @@
 	r.log.Info("service in reach again", "service", t.service, "server", t.server.ID, "after_ms", lostFor.Milliseconds())
 }
 
-// recordUnreached records that a server could not be reached.
+// recordUnreached records that a server could not be reached. After the first one another is
+// connected to, since the requests of a daemon may be few.
 func (r *Relay) recordUnreached(t *target, err error) {
 	now := r.State.bootTime()
 	r.State.mu.Lock()
 	servers := len(r.State.serviceFor(t.service).members)
 	becameLost := r.State.reachability.Unreached(t.service, t.server.ID, servers, now)
 	unreached, lost := r.State.reachability.UnreachedServers(t.service), len(r.State.reachability.LostServices())
+	other, any := r.State.nextServer(t)
 	r.State.mu.Unlock()
+	reset := errors.Is(err, syscall.ECONNRESET) // the server or the link responds
+	if unreached == 1 && any && !becameLost && !reset {
+		go r.checkServer(context.Background(), &target{server: other, service: t.service})
+	}
 	if !becameLost {
 		return
 	}
@@ -84,13 +94,16 @@
 	}
 }
 
+// checkServer connects to a server and records the result.
 func (r *Relay) checkServer(ctx context.Context, t *target) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	r.Metrics.Probes.Inc(1)
-	if r.backend.Probe(ctx, t.server, false) == nil {
-		r.recordReached(t)
+	if err := r.backend.Probe(ctx, t.server, false); err != nil {
+		r.recordUnreached(t, err)
+		return
 	}
+	r.recordReached(t)
 }
 
 // lostTargets returns a random server of each service that is out of reach.
@@ -98,24 +111,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, name := range s.reachability.LostServices() {
-		if server, found := s.randomServer(name, ""); found {
+		if server, found := s.randomServer(name); found {
 			out = append(out, &target{server: server, service: name})
 		}
 	}
 	return out
 }
 
-// randomServer returns a random server of a service other than the excluded one. Callers hold mu.
-func (s *State) randomServer(service, excluded string) (backend.Server, bool) {
+// randomServer returns a random server of a service. Callers hold mu.
+func (s *State) randomServer(service string) (backend.Server, bool) {
 	sv := s.serviceFor(service)
-	var ids []string
-	for _, m := range sv.members {
-		if m.ID != excluded {
-			ids = append(ids, m.ID)
-		}
+	if len(sv.members) == 0 {
+		return backend.Server{}, false
 	}
-	if len(ids) == 0 {
+	return sv.servers[sv.members[s.rng.IntN(len(sv.members))].ID], true
+}
+
+// nextServer returns the server that follows a target's among those of its service, if there are
+// several. Callers hold mu.
+func (s *State) nextServer(t *target) (backend.Server, bool) {
+	sv := s.serviceFor(t.service)
+	i := slices.IndexFunc(sv.members, func(m routing.Member) bool { return m.ID == t.server.ID })
+	if len(sv.members) < 2 {
 		return backend.Server{}, false
 	}
-	return sv.servers[ids[s.rng.IntN(len(ids))]], true
+	return sv.servers[sv.members[(i+1)%len(sv.members)].ID], true
 }
