relay, daemon: servers that have terminated are no loss of links

With most servers down at once, the two servers that were asked beside a refused one were mostly down as well: a crash was not confirmed, its request not held, and more servers crashed. And two refused sends in a row made a daemon take the service for out of reach, so that requests went from daemon to daemon and were refused while two servers ran.

Servers that are not known to have terminated are asked first, three of them; a confirmed termination is contact with the service; a terminated server tells nothing of the links. TestTerminatedServersAreNoLossOfLinks.

--- a/internal/daemon/reachability.go
+++ b/internal/daemon/reachability.go
@@ -26,7 +26,7 @@
 	reachabilityCheckTimeout  = 400 * time.Millisecond
 	// controlServers is the number of other servers that are connected to when one refuses, and
 	// verdictsPerServer that of the daemons that are asked about it.
-	controlServers    = 2
+	controlServers    = 3
 	verdictsPerServer = 2
 	// verdictTimeout bounds the wait for the verdicts of other daemons.
 	verdictTimeout = 100 * time.Millisecond
@@ -48,8 +48,12 @@
 }
 
 // recordUnreached records that a server could not be connected to. After the first one another is
-// connected to, since the requests of a daemon may be few.
+// connected to, since the requests of a daemon may be few. A server that has terminated tells nothing
+// of this daemon's links.
 func (b *balancer) recordUnreached(poolName, server string, err error) {
+	if b.knowsTermination(server) {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	candidates := b.candidates(poolName)
@@ -77,6 +81,16 @@
 	b.recordReached(poolName, server.ID)
 }
 
+// recordPoolReached records contact with the pool of a server.
+func (b *balancer) recordPoolReached(id string) {
+	b.mu.Lock()
+	name, _ := b.poolOf(id)
+	b.mu.Unlock()
+	if name != "" {
+		b.recordReached(name, id)
+	}
+}
+
 // recordContact records whether an attempt reached its server.
 func (d *Daemon) recordContact(f *forwarding, picked pick, event request.AttemptEvent, err error) {
 	switch {
@@ -181,6 +195,10 @@
 	wg.Wait()
 	terminated := reachability.Terminated(own, others)
 	d.log.Info("server refused connection", "server", id, "own", own, "others", others, "terminated", terminated)
+	if terminated && own == reachability.Refused {
+		// Other servers accept connections, so the pool is in reach.
+		d.balancer.recordPoolReached(id)
+	}
 	return terminated
 }
 
@@ -248,19 +266,26 @@
 	return "", false
 }
 
-// otherServers returns the addresses of up to n random servers other than one.
-func (b *balancer) otherServers(id string, n int) (out []string) {
+// otherServers returns the addresses of up to n random servers other than one, first those that are
+// not known to have terminated.
+func (b *balancer) otherServers(id string, n int) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var running, terminated []string
 	for name := range b.pools {
 		for _, cand := range b.candidates(name) {
-			if cand.ID != id {
-				out = append(out, cand.Address)
+			switch {
+			case cand.ID == id:
+			case b.gate.HasTerminated(cand.Hash):
+				terminated = append(terminated, cand.Address)
+			default:
+				running = append(running, cand.Address)
 			}
 		}
 	}
-	b.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(n, len(out))]
+	b.rng.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
+	all := slices.Concat(running, terminated)
+	return all[:min(n, len(all))]
 }
 
 // helpers returns the peer addresses of the daemons that may reach the servers.
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/upstream"
 )
@@ -217,3 +219,22 @@
 		}
 	}
 }
+
+// Guards against a daemon that takes servers that have terminated for a loss of its links, and then
+// refuses requests that the others could run.
+func TestTerminatedServersAreNoLossOfLinks(t *testing.T) {
+	for _, terminated := range []bool{false, true} {
+		h := newHarness(t, respond(200, "ok"))
+		var ids []string
+		h.relay.State.EachServer("app", func(id string) { ids = append(ids, id) })
+		for _, id := range ids[:2] {
+			if terminated {
+				h.relay.RecordTermination(id)
+			}
+			h.relay.recordUnreached(&target{server: backend.Server{ID: id}, service: "app"}, syscall.ECONNRESET)
+		}
+		if lost := h.relay.State.outOfReach("app"); lost == terminated {
+			t.Errorf("terminated %t: out of reach %t", terminated, lost)
+		}
+	}
+}
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
@@ -33,8 +35,12 @@
 }
 
 // recordUnreached records that a server could not be reached. After the first one another is
-// connected to, since the requests of a daemon may be few.
+// connected to, since the requests of a daemon may be few. A server that has terminated tells nothing
+// of this daemon's links.
 func (r *Relay) recordUnreached(t *target, err error) {
+	if r.State.KnowsTermination(xxhash.Sum64String(t.server.ID)) {
+		return
+	}
 	now := r.State.bootTime()
 	r.State.mu.Lock()
 	servers := len(r.State.serviceFor(t.service).members)
@@ -118,13 +124,16 @@
 	return out
 }
 
-// randomServer returns a random server of a service. Callers hold mu.
+// randomServer returns a random server of a service, if possible one that is not known to have
+// terminated. Callers hold mu.
 func (s *State) randomServer(service string) (backend.Server, bool) {
 	sv := s.serviceFor(service)
 	if len(sv.members) == 0 {
 		return backend.Server{}, false
 	}
-	return sv.servers[sv.members[s.rng.IntN(len(sv.members))].ID], true
+	order := s.rng.Perm(len(sv.members))
+	running := slices.IndexFunc(order, func(i int) bool { return !s.gate.HasTerminated(xxhash.Sum64String(sv.members[i].ID)) })
+	return sv.servers[sv.members[order[max(0, running)]].ID], true
 }
 
 // nextServer returns the server that follows a target's among those of its service, if there are
--- a/internal/relay/termination.go
+++ b/internal/relay/termination.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 
 const (
 	// controlServers is the number of other servers that are connected to when one refuses.
-	controlServers = 2
+	controlServers = 3
 	// verdictTimeout bounds the wait for the verdicts of other daemons.
 	verdictTimeout = 100 * time.Millisecond
 )
@@ -48,8 +49,13 @@
 	wg.Wait()
 	terminated := reachability.Terminated(own, others)
 	r.log.Info("server refused connection", "server", id, "own", own, "others", others, "terminated", terminated)
-	if !terminated {
+	server, known := r.State.server(id)
+	switch {
+	case !terminated:
 		r.State.recordLinkFailure(id)
+	case known && own == reachability.Refused:
+		// Other servers accept connections, so the service is in reach.
+		r.recordReached(&target{server: server, service: server.Service})
 	}
 	return terminated
 }
@@ -103,30 +109,30 @@
 	return s.registry.ByID(id, s.bootTime())
 }
 
-// otherServers returns up to n random servers of the service of a server, or of all services if it
-// is the only one.
-func (s *State) otherServers(id string, n int) (out []backend.Server) {
+// otherServers returns up to n random servers other than one: those of its service first, and of these
+// the ones that are not known to have terminated.
+func (s *State) otherServers(id string, n int) []backend.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	own, known := s.registry.ByID(id, s.bootTime())
-	var services []string
-	if known {
-		services = append(services, own.Service)
-	}
+	own, _ := s.registry.ByID(id, s.bootTime())
+	var running, terminated, elsewhere []backend.Server
 	for name := range s.services {
-		if name != own.Service {
-			services = append(services, name)
-		}
-	}
-	for _, service := range services {
-		sv := s.serviceFor(service)
+		sv := s.serviceFor(name)
 		for _, i := range s.rng.Perm(len(sv.members)) {
-			if m := sv.members[i]; m.ID != id && len(out) < n {
-				out = append(out, sv.servers[m.ID])
+			m := sv.members[i]
+			switch {
+			case m.ID == id:
+			case name != own.Service:
+				elsewhere = append(elsewhere, sv.servers[m.ID])
+			case s.gate.HasTerminated(xxhash.Sum64String(m.ID)):
+				terminated = append(terminated, sv.servers[m.ID])
+			default:
+				running = append(running, sv.servers[m.ID])
 			}
 		}
 	}
-	return out
+	all := slices.Concat(running, elsewhere, terminated)
+	return all[:min(n, len(all))]
 }
 
 // linkFailureMemory is how long a refused connection of a running server shows that the link to it
