relay: a send that has ended is not rerouted

Cause: check, probe and rerouteWaiting take the attempts of a server under the lock of the monitor and reroute them after it. An attempt whose call has gone on to its next send meanwhile was rerouted all the same: it drew a retry from the budget for nothing, left retryWithdrawn set for a retry that was never due to it, and read the retry state while the next send wrote it. Change: an attempt is rerouted under the lock of the monitor and only while it is tracked. The end of an unbuffered response is noted in a field of its own, since Repeatable was written while it may be read. Test: TestEndedSendIsNotRerouted failed before ("rerouted map[ended:true waiting:true]").

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -50,6 +50,8 @@
 	lastEvent int64
 	// headerSent is set once the response header has been sent to the client.
 	headerSent bool
+	// partlySent is set if the client received only a part of a response.
+	partlySent bool
 	// serverFailure is a server's error response, forwarded if no attempt succeeds.
 	serverFailure *bufferedResponse
 	// firstEventAt is when the first event was forwarded.
@@ -134,6 +136,9 @@
 	}
 	x.recordSend(t)
 	outcome, done = x.attempt(ctx, t)
+	if x.partlySent {
+		x.retryState.Repeatable = false
+	}
 	// A request suspected of crashing servers is escalated on the same server:
 	// its cancelled run may still crash that one, and must not crash a second.
 	if !done && (outcome != request.LowConfidence || x.quarantineStatus.Crashes == 0) {
--- a/internal/relay/liveness.go
+++ b/internal/relay/liveness.go
@@ -73,7 +73,8 @@
 	engine bool
 	sentAt time.Time
 	// reroute cancels the send if the request may continue elsewhere, and reports
-	// whether it did. Lost is set if the server has not responded to a probe.
+	// whether it did. Lost is set if the server has not responded to a probe. The monitor's lock
+	// is held.
 	reroute      func(lost bool) bool
 	stallTimeout time.Duration
 	// priority is the priority sent to the server; 0 is the highest.
@@ -162,6 +163,15 @@
 	}
 }
 
+// reroute reroutes an attempt that has not ended, and reports whether it did. The lock keeps the
+// attempt's call from going on to its next send meanwhile.
+func (m *livenessMonitor) reroute(a *attempt, lost bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	srv := m.servers[a.target.server.ID]
+	return srv != nil && srv.attempts[a] && a.reroute(lost)
+}
+
 // rerouteWaiting reroutes the requests that wait for a server that has restarted, which
 // will not respond to them. A stream that still makes progress is not rerouted.
 func (m *livenessMonitor) rerouteWaiting(id string, now time.Time) (rerouted int) {
@@ -176,7 +186,7 @@
 	}
 	m.mu.Unlock()
 	for _, a := range waiting {
-		if a.reroute(true) {
+		if m.reroute(a, true) {
 			rerouted++
 		}
 	}
@@ -205,7 +215,7 @@
 		go m.probe(ctx, a)
 	}
 	for _, a := range stuck {
-		if a.reroute(false) {
+		if m.reroute(a, false) {
 			a.rerouted = true
 			m.log.Warn("request stuck, moved", "server", a.target.server.ID, "model", a.target.model, "overtaken", a.overtaken, "waited_ms", now.Sub(a.sentAt).Milliseconds(), "expected_ms", a.target.expectedLatency.Milliseconds())
 			m.metrics.SendsRerouted.Inc(1)
@@ -295,6 +305,6 @@
 	m.log.Warn("server silent", "server", id, "requests", len(waiting), "err", err)
 	m.state.recordUnreachable(a.target)
 	for _, other := range waiting {
-		other.reroute(true)
+		m.reroute(other, true)
 	}
 }
--- a/internal/relay/liveness_test.go
+++ b/internal/relay/liveness_test.go
@@ -127,6 +127,25 @@
 	}
 }
 
+// Guards against a retry drawn from the budget, and a race with the next send, for a send that ended
+// while its server was probed.
+func TestEndedSendIsNotRerouted(t *testing.T) {
+	h := newHarness(t, respond(200, ""))
+	h.backend.refuses.Store(true)
+	monitor := h.relay.liveness
+	on := &target{server: backend.Server{ID: "e0", Address: "10.0.0.0:1"}, service: "lm"}
+	rerouted := map[string]bool{}
+	track := func(name string) *attempt {
+		return monitor.track(on, true, &route.Route{}, 3, func(bool) bool { rerouted[name] = true; return true })
+	}
+	waiting, ended := track("waiting"), track("ended")
+	monitor.onUnreached = func(*target, error) { monitor.untrack(ended) }
+	monitor.probe(t.Context(), waiting)
+	if !rerouted["waiting"] || rerouted["ended"] {
+		t.Errorf("rerouted %v", rerouted)
+	}
+}
+
 // probedBackend counts the probes that request something of the server.
 type probedBackend struct {
 	*fakeBackend
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -72,7 +72,7 @@
 	}
 	if err != nil {
 		x.logEvent("unbuffered response truncated", t, "status", reply.Status, "bytes", n, "err", err)
-		x.retryState.Repeatable = false // part of this response was already sent
+		x.partlySent = true
 		return request.ResponseLost, false
 	}
 	x.succeeded = true
