tests: relay and rejection tests without data races, with the same arrivals in each run

The daemon of a request is now drawn before its goroutine; the relay counts its checks in the background, and the harness waits for them after each call, so the verdict does not depend on their timing.

--- a/internal/node/rejections_test.go
+++ b/internal/node/rejections_test.go
@@ -83,7 +83,8 @@
 	perSecond := p.overload * float64(p.servers*p.slots) / serverRunTime.Seconds()
 	var wg sync.WaitGroup
 	for n := 0; time.Now().Before(end); n++ {
-		wg.Go(func() { f.send(rng.IntN(p.daemons), fmt.Sprint(n), fmt.Sprint(n)) })
+		daemon := rng.IntN(p.daemons)
+		wg.Go(func() { f.send(daemon, fmt.Sprint(n), fmt.Sprint(n)) })
 		time.Sleep(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
 	}
 	wg.Wait()
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"io"
 	"strings"
@@ -19,7 +18,7 @@
 // callWithBody sends a request with a body.
 func (h *harness) callWithBody(path, body string) *fakeResponseWriter {
 	out := &fakeResponseWriter{}
-	h.relay.Serve(context.Background(), newCall(path, body), out)
+	h.serve(newCall(path, body), out)
 	return out
 }
 
@@ -36,18 +35,13 @@
 	return quarantine.FingerprintOf("w", "h", "POST", path, []byte(body))
 }
 
-// refusingBackend is a backend whose servers refuse connections, as if they had ended.
-type refusingBackend struct{ *fakeBackend }
-
-func (refusingBackend) RefusesConnections(context.Context, string) bool { return true }
-
 func brokenStream(BackendRequest) (*BackendResponse, error) {
 	return &BackendResponse{Status: 200, Authenticated: true, Confidence: -1, ContentLength: -1, Body: io.NopCloser(failingReader{io.ErrUnexpectedEOF})}, nil
 }
 
 func TestHeldRequestIsNotSent(t *testing.T) {
 	h := newHarness(t, brokenStream)
-	h.relay.backend = refusingBackend{h.backend}
+	h.backend.terminated.Store(true)
 	first := h.callWithBody("/s/1", "x")
 	if first.refusal == nil || first.refusal.ExecutionState() == fault.NotRun || fault.Lookup(first.refusal.Kind).Execution == fault.NotRun {
 		t.Errorf("request that ran was refused with %v", first.refusal)
@@ -63,7 +57,7 @@
 	if len(h.backend.sends) != sent {
 		t.Error("held request was sent")
 	}
-	h.relay.backend = h.backend
+	h.backend.terminated.Store(false)
 	h.backend.script = []func(BackendRequest) (*BackendResponse, error){respondStream(90, nil, 1, 2)}
 	if other := h.callWithBody("/s/1", "y"); other.status != 200 {
 		t.Errorf("request with another body was refused with %v", other.refusal)
@@ -146,7 +140,7 @@
 		t.Errorf("healthy servers: %+v", s)
 	}
 	h = newHarness(t, failSend(upstream.ConnectionLost, true))
-	h.relay.backend = refusingBackend{h.backend}
+	h.backend.terminated.Store(true)
 	h.relay.State.UpdateServers(func(r *backend.Registry, _ time.Duration) {
 		for _, id := range []string{"e0", "e1", "e2"} {
 			s, _, _ := r.Get(id, 0)
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -50,7 +50,7 @@
 	r.State.mu.Unlock()
 	reset := errors.Is(err, syscall.ECONNRESET) // the server or the link responds
 	if unreached == 1 && any && !becameLost && !reset {
-		go r.checkServer(context.Background(), &target{server: other, service: t.service})
+		r.background.Go(func() { r.checkServer(context.Background(), &target{server: other, service: t.service}) })
 	}
 	if !becameLost {
 		return
@@ -96,7 +96,7 @@
 // checkReachability connects to one server of each service that is out of reach.
 func (r *Relay) checkReachability(ctx context.Context, _ time.Time) {
 	for _, t := range r.State.lostTargets() {
-		go r.checkServer(ctx, t)
+		r.background.Go(func() { r.checkServer(ctx, t) })
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,6 +70,8 @@
 	Verdicts VerdictSource
 	// terminationChecks holds the IDs of the servers that checkTermination checks.
 	terminationChecks sync.Map
+	// background counts the checks that may outlive the call which started them.
+	background sync.WaitGroup
 	// ConfigOutdated reports whether other daemons have a newer configuration than the store.
 	ConfigOutdated func() bool
 	// started is the origin of the retry budget's monotonic time.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,8 +31,9 @@
 	sends  []BackendRequest
 	// closed are the addresses whose connections were closed.
 	closed []string
-	// refuses makes all servers refuse new connections.
-	refuses bool
+	// refuses makes all servers refuse new connections, and terminated only those that a request
+	// has failed on.
+	refuses, terminated atomic.Bool
 }
 
 func (f *fakeBackend) Send(_ context.Context, s BackendRequest) (*BackendResponse, error) {
@@ -43,13 +45,17 @@
 }
 
 func (f *fakeBackend) Probe(context.Context, backend.Server, bool) error {
-	if f.refuses {
+	if f.refuses.Load() {
 		return syscall.ECONNREFUSED
 	}
 	return nil
 }
-func (f *fakeBackend) RefusesConnections(context.Context, string) bool { return f.refuses }
-func (f *fakeBackend) CloseIdleConnections(address string)             { f.closed = append(f.closed, address) }
+
+func (f *fakeBackend) RefusesConnections(context.Context, string) bool {
+	return f.refuses.Load() || f.terminated.Load()
+}
+
+func (f *fakeBackend) CloseIdleConnections(address string) { f.closed = append(f.closed, address) }
 
 // respond returns a complete response.
 func respond(status int, body string) func(BackendRequest) (*BackendResponse, error) {
@@ -147,10 +153,16 @@
 		call.Model = AnyModel
 		call.Prompt = Prompt{Tokens: 100, MaxCompletionTokens: 20, Parts: []PromptPart{{1, 50}, {2, 50}}}
 	}
-	h.relay.Serve(context.Background(), call, out)
+	h.serve(call, out)
 	return out
 }
 
+// serve serves a call to the end of the checks that it starts.
+func (h *harness) serve(call *Call, out *fakeResponseWriter) {
+	h.relay.Serve(context.Background(), call, out)
+	h.relay.background.Wait()
+}
+
 func (h *harness) inFlight() int {
 	n := 0
 	for _, v := range h.relay.State.OwnWork() {
@@ -274,7 +286,7 @@
 		h := newHarness(t, respondStream(tt.confidence, nil, 8, 9), respondStream(95, nil, 8, 9))
 		out := &fakeResponseWriter{}
 		prompt := Prompt{Tokens: 100, MaxCompletionTokens: 20, Parts: []PromptPart{{1, 50}, {2, 50}}}
-		h.relay.Serve(context.Background(), &Call{ID: "i", Host: "h", Path: "/s/1", Key: "k", Model: AnyModel, Prompt: prompt, LastEvent: 7, Received: time.Now()}, out)
+		h.serve(&Call{ID: "i", Host: "h", Path: "/s/1", Key: "k", Model: AnyModel, Prompt: prompt, LastEvent: 7, Received: time.Now()}, out)
 		var models []string
 		for _, s := range h.backend.sends {
 			models = append(models, s.Model)
@@ -308,7 +320,7 @@
 		t.Errorf("no route: %+v", out.refusal)
 	}
 	out := &fakeResponseWriter{}
-	h.relay.Serve(context.Background(), &Call{ID: "i", Host: "h", Path: "/l/1", Key: "other", Received: time.Now()}, out)
+	h.serve(&Call{ID: "i", Host: "h", Path: "/l/1", Key: "other", Received: time.Now()}, out)
 	if out.refusal == nil || out.refusal.Kind != fault.Unauthorized {
 		t.Errorf("no key: %+v", out.refusal)
 	}
@@ -398,7 +410,7 @@
 	h := newHarness(t, respond(500, "x"), respond(200, "y"))
 	out := &fakeResponseWriter{}
 	call := &Call{ID: "id1", Host: "h", Method: "GET", Target: "/l/x", Path: "/l/x", Key: "k", LastEvent: NoEvent, Received: time.Now().Add(-500 * time.Millisecond), Timeout: time.Second}
-	h.relay.Serve(context.Background(), call, out)
+	h.serve(call, out)
 	if len(h.backend.sends) != 2 {
 		t.Fatalf("%d sends", len(h.backend.sends))
 	}
@@ -416,7 +428,7 @@
 	}
 	out := &fakeResponseWriter{}
 	call := &Call{ID: "id1", Host: "h", Method: "POST", Target: "/p/x", Path: "/p/x", Key: "k", LastEvent: NoEvent, Received: time.Now().Add(-3 * time.Second), Timeout: time.Minute}
-	h.relay.Serve(context.Background(), call, out)
+	h.serve(call, out)
 	if out.refusal == nil || out.refusal.Kind != fault.DeadlineExceeded || out.refusal.ExecutionState() == fault.NotRun {
 		t.Errorf("refused with %+v after the route timeout", out.refusal)
 	}
--- a/internal/relay/statements_test.go
+++ b/internal/relay/statements_test.go
@@ -199,7 +199,7 @@
 func TestStreamsBrokenByOwnLinksAreNoEvidence(t *testing.T) {
 	for refuses, want := range map[bool]uint64{false: 1, true: 0} {
 		h := newHarness(t, respondStream(99, errors.New("reset"), 0), respondStream(99, nil, 0, 1))
-		h.backend.refuses = refuses
+		h.backend.refuses.Store(refuses)
 		h.relay.Rollouts.AddOrder(rollout.Order{Service: "lm", Target: "v1", Duration: 24 * time.Second, Offset: 7})
 		h.call("/s/x")
 		if _, alarms := h.relay.Rollouts.Alarms(); alarms != want {
--- a/internal/relay/termination.go
+++ b/internal/relay/termination.go
@@ -94,12 +94,12 @@
 	if _, running := r.terminationChecks.LoadOrStore(id, true); running {
 		return
 	}
-	go func() {
+	r.background.Go(func() {
 		defer r.terminationChecks.Delete(id)
 		if r.confirmTermination(context.Background(), id) {
 			r.RecordTermination(id)
 		}
-	}()
+	})
 }
 
 // server returns a known server.
