relay: the log of a moved request reads its counter without a race

The race detector, beside load: check logged attempt.overtaken while recordHeader counted it under the monitor's lock (TestServersThatTolerateFewRejectionsStayUp). The counter is atomic.

--- a/internal/relay/liveness.go
+++ b/internal/relay/liveness.go
@@ -83,7 +83,7 @@
 	// headerTimeout how long otherwise.
 	overtakenTimeout, headerTimeout time.Duration
 	// overtaken counts later sends to the server that were responded to first.
-	overtaken int
+	overtaken atomic.Int64
 	// progressNanos is when the last bytes arrived, in ns after sentAt; 0 before the header.
 	progressNanos atomic.Int64
 	rerouted      bool
@@ -120,7 +120,7 @@
 	}
 	for other := range srv.attempts {
 		if _, done := other.lastProgress(); !done && other.sentAt.Before(a.sentAt) && other.priority <= a.priority {
-			other.overtaken++
+			other.overtaken.Add(1)
 		}
 	}
 }
@@ -217,7 +217,7 @@
 	for _, a := range stuck {
 		if m.reroute(a, false) {
 			a.rerouted = true
-			m.log.Warn("request stuck, moved", "server", a.target.server.ID, "model", a.target.model, "overtaken", a.overtaken, "waited_ms", now.Sub(a.sentAt).Milliseconds(), "expected_ms", a.target.expectedLatency.Milliseconds())
+			m.log.Warn("request stuck, moved", "server", a.target.server.ID, "model", a.target.model, "overtaken", a.overtaken.Load(), "waited_ms", now.Sub(a.sentAt).Milliseconds(), "expected_ms", a.target.expectedLatency.Milliseconds())
 			m.metrics.SendsRerouted.Inc(1)
 		}
 	}
@@ -235,7 +235,7 @@
 		return a.engine && othersProgress && now.Sub(progressAt) > a.stallTimeout
 	}
 	waited := now.Sub(a.sentAt)
-	return waited > a.headerTimeout || a.overtaken >= minOvertaken && waited > a.overtakenTimeout
+	return waited > a.headerTimeout || a.overtaken.Load() >= minOvertaken && waited > a.overtakenTimeout
 }
 
 // progressing reports whether any stream of the server has made progress recently.
