daemon: a request within the limit waits for a restarting owner of it, also after a lease

Cause: a daemon that had ever had a lease asked the owner of a meter once; if the owner did not respond, its requests were refused as rate_limited, since what it may spend without a lease is what it has spent in the last minute, which in the first minute is nothing more. Those without a lease waited one after the other, each for up to four tries. By reading and in virtual time; the run's lines of TestRollingRestartLosesNoRequests were not kept, so that it was this that it saw is not proved. Change: a lease request without a response is repeated for 1.2 s from the first one, whatever leases there were; after that the requests that wait are refused together, and later ones ask once in 100 ms. The wait ends with the client, the lease request does not: a client that left counted as an owner that does not respond. The refusal names the reason. Tests: TestLeaseRequestIsRetriedWithSpentLease failed before (refused at once, twice); TestRequestsShareWaitForUnavailableOwner did not end before (a mutex held over the waits).

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -36,8 +37,11 @@
 
 type meterLimiter struct {
 	*quota.Limiter
-	// leaseMu serializes lease requests, so that one lease serves all waiting requests.
-	leaseMu sync.Mutex
+	// leasing is held during a lease request, so that one lease serves all waiting requests.
+	leasing chan struct{}
+	// unansweredSince is when the first lease request was sent that the owner has not responded to;
+	// zero after a response.
+	unansweredSince time.Time
 }
 
 func newRateLimits(d *Daemon) *rateLimits {
@@ -156,39 +160,65 @@
 	if ok {
 		return nil
 	}
-	limiter.leaseMu.Lock()
-	defer limiter.leaseMu.Unlock()
+	select {
+	case limiter.leasing <- struct{}{}:
+	case <-ctx.Done():
+		return fault.New(fault.RateLimited, "the client left before %s got a lease", meter)
+	}
+	defer func() { <-limiter.leasing }()
 	if _, ok := l.tryAcquire(meter, n); ok {
 		return nil
 	}
+	return l.acquireLease(ctx, limiter, meter, n, limit)
+}
+
+// acquireLease requests a lease that covers n and takes n of it. An owner that does not respond is
+// asked again for leaseRetryPeriod, since it may restart.
+func (l *rateLimits) acquireLease(ctx context.Context, limiter *meterLimiter, meter string, n, limit int64) error {
 	retryAfter := time.Duration(0)
-	for attempts := maxLeaseAttempts; attempts > 0 && !l.denied(limiter); attempts-- {
+	for !l.denied(limiter) {
 		var responded bool
 		retryAfter, responded = l.fetchLease(ctx, limiter, meter, n, limit)
 		if _, ok := l.tryAcquire(meter, n); ok {
 			return nil
 		}
-		if responded || l.everLeased(limiter) {
+		if responded {
 			break
 		}
+		since := l.unansweredSince(limiter)
+		if ctx.Err() != nil || time.Since(since) >= leaseRetryPeriod {
+			return fault.New(fault.RateLimited, "the owner of the limit for %s has not responded since %s", meter, since.Format(time.RFC3339)).WithRetryAfter(time.Second)
+		}
 		loop.Sleep(ctx, leaseRetryDelay)
 	}
 	return fault.New(fault.RateLimited, "the limit of %d a minute for %s is used up", limit, meter).WithRetryAfter(max(retryAfter, time.Second))
 }
 
 const (
-	// maxLeaseAttempts and leaseRetryDelay bound the retries of a daemon that has
-	// never had a lease of the meter. Without retries it would refuse requests within
-	// the limit while the owner restarts.
-	maxLeaseAttempts = 4
+	// leaseRetryPeriod is how long requests wait for an owner that does not respond, and
+	// leaseRetryDelay the pause between lease requests. Without retries, requests within the limit
+	// would be refused while the owner restarts.
+	leaseRetryPeriod = 1200 * time.Millisecond
 	leaseRetryDelay  = 100 * time.Millisecond
 )
 
-// everLeased reports whether this daemon has ever been granted a lease of the meter.
-func (l *rateLimits) everLeased(limiter *meterLimiter) bool {
+// unansweredSince returns since when the owner of a limiter's meter has not responded.
+func (l *rateLimits) unansweredSince(limiter *meterLimiter) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return limiter.LessorEpoch() != 0
+	return limiter.unansweredSince
+}
+
+// recordUnanswered records that the owner did not respond to a lease request. After
+// leaseRetryPeriod, the requests that wait for a lease are refused, and those of the next
+// leaseRetryDelay. Callers hold mu.
+func (m *meterLimiter) recordUnanswered(sentAt time.Time) {
+	if m.unansweredSince.IsZero() {
+		m.unansweredSince = sentAt
+	}
+	if now := time.Now(); now.Sub(m.unansweredSince) >= leaseRetryPeriod {
+		m.DenyUntil(now.Add(leaseRetryDelay))
+	}
 }
 
 func (l *rateLimits) tryAcquire(meter string, n int64) (*meterLimiter, bool) {
@@ -196,7 +226,7 @@
 	defer l.mu.Unlock()
 	limiter := l.limiters[meter]
 	if limiter == nil {
-		limiter = &meterLimiter{Limiter: quota.NewLimiter(meter)}
+		limiter = &meterLimiter{Limiter: quota.NewLimiter(meter), leasing: make(chan struct{}, 1)}
 		l.limiters[meter] = limiter
 	}
 	return limiter, limiter.TryAcquire(time.Now(), n)
@@ -211,22 +241,35 @@
 // fetchLease requests a lease and applies it. It reports whether the owner
 // responded, and the delay after which a refused request may be retried.
 func (l *rateLimits) fetchLease(ctx context.Context, limiter *meterLimiter, meter string, need, limit int64) (retryAfter time.Duration, responded bool) {
-	owner, found := l.findOwner(meter)
-	if !found {
-		return 0, false
-	}
-	now := time.Now()
-	l.mu.Lock()
-	req := limiter.NewLeaseRequest(now, need, limit, owner.Incarnation)
-	l.mu.Unlock()
-	lease, err := l.requestLease(ctx, owner, req)
+	sentAt := time.Now()
+	req, lease, err := l.callOwner(ctx, limiter, meter, need, limit)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
 		l.d.metrics.leaseRequestsFailed.Inc(1)
-		limiter.LeaseRequestFailed(now, req)
+		limiter.recordUnanswered(sentAt)
+		if !errors.Is(err, errNoOwner) {
+			limiter.LeaseRequestFailed(sentAt, req)
+		}
 		return 0, false
 	}
-	limiter.ApplyLease(now, lease)
+	limiter.unansweredSince = time.Time{}
+	limiter.ApplyLease(sentAt, lease)
 	return lease.RetryAfter, true
 }
+
+var errNoOwner = errors.New("no owner of the meter is known")
+
+// callOwner sends a lease request to the owner of a meter. The lease serves all requests that wait,
+// so the call does not end with the client's.
+func (l *rateLimits) callOwner(ctx context.Context, limiter *meterLimiter, meter string, need, limit int64) (req quota.LeaseRequest, lease quota.Lease, err error) {
+	owner, found := l.findOwner(meter)
+	if !found {
+		return req, lease, errNoOwner
+	}
+	l.mu.Lock()
+	req = limiter.NewLeaseRequest(time.Now(), need, limit, owner.Incarnation)
+	l.mu.Unlock()
+	lease, err = l.requestLease(context.WithoutCancel(ctx), owner, req)
+	return req, lease, err
+}
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,6 +64,47 @@
 	}
 }
 
+// Guards against a daemon with a spent lease refusing requests within the limit while the owner of
+// the meter restarts.
+func TestLeaseRequestIsRetriedWithSpentLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lessor := &unavailableLessor{lessor: quota.NewLessor(7)}
+		l := limitsWithLessor(lessor, func() bool { return true })
+		for _, restart := range []time.Duration{0, 500 * time.Millisecond, 500 * time.Millisecond} {
+			lessor.availableAt = time.Now().Add(restart)
+			if _, err := l.reserve(t.Context(), "w", fleet.Workspace{RequestsPerMinute: 100}, 0); err != nil {
+				t.Errorf("owner away for %s: %v", restart, err)
+			}
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
+
+// Guards against concurrent requests that wait for an unavailable owner one after the other, and
+// against each later one waiting anew.
+func TestRequestsShareWaitForUnavailableOwner(t *testing.T) {
+	const requests, maxWait = 50, 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		l := limitsWithLessor(&unavailableLessor{lessor: quota.NewLessor(7), availableAt: start.Add(time.Hour)}, func() bool { return true })
+		reserveAll := func() time.Duration {
+			start := time.Now()
+			var wg sync.WaitGroup
+			for range requests {
+				wg.Go(func() { _, _ = l.reserve(t.Context(), "w", fleet.Workspace{RequestsPerMinute: 100}, 0) })
+			}
+			wg.Wait()
+			return time.Since(start)
+		}
+		if took := reserveAll(); took > maxWait {
+			t.Errorf("the first requests were refused after %s", took)
+		}
+		if took := reserveAll(); took > leaseTimeout {
+			t.Errorf("later requests were refused after %s", took)
+		}
+	})
+}
+
 // Guards against waiting when the limit is exhausted, and against waiting indefinitely
 // for an unavailable owner.
 func TestExhaustedLimitIsRefusedWithoutWaiting(t *testing.T) {
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -87,7 +87,7 @@
 	// before it has tried the lessor again. Otherwise a new lessor could lease the same
 	// amount to other daemons.
 	offlineUntil time.Time
-	// deniedUntil is the earliest time of a lease request after a denied one.
+	// deniedUntil is the earliest time of a lease request after a denied or unanswered one.
 	deniedUntil time.Time
 	rate        float64
 	rateAt      time.Time
@@ -170,6 +170,9 @@
 // Denied reports whether a recent lease request was denied.
 func (l *Limiter) Denied(now time.Time) bool { return now.Before(l.deniedUntil) }
 
+// DenyUntil makes Denied report a denial until a time.
+func (l *Limiter) DenyUntil(until time.Time) { l.deniedUntil = until }
+
 // HasUnleasedSpend reports whether spending without a lease is not yet reported to the
 // lessor. It must be reported at once; otherwise a new lessor leases that amount again.
 func (l *Limiter) HasUnleasedSpend() bool { return l.unleasedSpend != 0 }
@@ -185,9 +188,6 @@
 	}
 }
 
-// LessorEpoch returns the epoch of the last lease, or 0.
-func (l *Limiter) LessorEpoch() uint64 { return l.lessorEpoch }
-
 // LeaseRequestFailed records that a lease request got no reply. The lessor may or may
 // not have applied it, so its unused amount counts as spent and its unleased spending
 // is reported again; neither can lead to spending over the limit.
