--- a/internal/feedtest/store.go
+++ b/internal/feedtest/store.go
@@ -48,6 +48,8 @@
 	changed    chan struct{}
 	mode       Mode
 	totalCalls int
+	// repliesToLose is the number of appends whose responses are lost.
+	repliesToLose int
 	// callCounts counts calls by kind and topic.
 	callCounts map[Call]int
 }
@@ -75,6 +77,13 @@
 	s.notifyChanged()
 }
 
+// LoseReplies makes the next n appends take effect but fail.
+func (s *Store) LoseReplies(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repliesToLose = n
+}
+
 // Put appends a record; a nil value removes the key.
 func (s *Store) Put(topicName, key string, value []byte) {
 	s.mu.Lock()
@@ -132,6 +141,18 @@
 	return newest
 }
 
+// Latest returns the newest value of a key, or "" if it has none.
+func (s *Store) Latest(topicName, key string) (value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.topic(topicName).records {
+		if r.Key == key {
+			value = string(r.Value)
+		}
+	}
+	return value
+}
+
 // end returns the end of a topic. Callers hold mu.
 func (s *Store) end(topicName string) feed.Position {
 	return feed.NewPosition(s.era, uint64(len(s.topic(topicName).records)))
@@ -365,5 +386,9 @@
 		return &feed.ConflictError{End: end}
 	}
 	c.store.put(topicName, key, value)
+	if c.store.repliesToLose > 0 {
+		c.store.repliesToLose--
+		return ErrReset
+	}
 	return nil
 }
