--- a/lab/experiments/main.go
+++ b/lab/experiments/main.go
@@ -24,6 +24,7 @@
 	{"limits", limitsTable},
 	{"slowstart", slowStartTable},
 	{"serverlimit", serverLimitTable},
+	{"limituse", limitUseTable},
 }
 
 func main() {
--- a/lab/experiments/serverlimit.go
+++ b/lab/experiments/serverlimit.go
@@ -88,12 +88,5 @@
 		}
 	}
 	slices.Sort(arrivals)
-	first, most := 0, 0
-	for i, at := range arrivals {
-		for at-arrivals[first] > limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return float64(most) / (limitFactor*rate*limitWindow.Seconds() + limitSlack), float64(len(arrivals)) / (rate * limitPeriod.Seconds())
+	return float64(mostInWindow(arrivals, limitWindow)) / (limitFactor*rate*limitWindow.Seconds() + limitSlack), float64(len(arrivals)) / (rate * limitPeriod.Seconds())
 }
--- a/lab/experiments/slowstart.go
+++ b/lab/experiments/slowstart.go
@@ -155,12 +155,5 @@
 		}
 	}
 	slices.Sort(arrivals)
-	first := 0
-	for i, at := range arrivals {
-		for at-arrivals[first] > time.Second {
-			first++
-		}
-		maxPerSecond = max(maxPerSecond, i-first+1)
-	}
-	return maxPerSecond, float64(len(arrivals)) / (warmupLimit.PerSecond * warmupLimit.WarmupPeriod.Seconds())
+	return mostInWindow(arrivals, time.Second), float64(len(arrivals)) / (warmupLimit.PerSecond * warmupLimit.WarmupPeriod.Seconds())
 }
