fleet: a patch that replaces a version is checked as a whole, and outcomes do not depend on map order

Cause: removesEntities compared numbers of versions, so a patch that removes one and adds another was checked without those that refer to it: a roll-out to a removed version was accepted, and daemons that load a checkpoint with it ignore it (Validate), while those that had read the records accepted it: different configurations. Beside it, entities of a section and versions of a model were taken in the order of a map, so the error text and the list of changes of one record differed between daemons. Change: names are compared, and taken in sorted order. A daemon of the code before accepts a patch that this one rejects; it was invalid for all that load it from a checkpoint.

--- a/internal/fleet/diff.go
+++ b/internal/fleet/diff.go
@@ -56,7 +56,7 @@
 }
 
 func diffSection[T any](section string, current, desired map[string]T, patch *map[string]json.RawMessage, changes *[]Change) error {
-	names := append(mapKeys(current), mapKeys(desired)...)
+	names := append(sortedKeys(current), sortedKeys(desired)...)
 	slices.Sort(names)
 	for _, name := range slices.Compact(names) {
 		c, err := diffEntity(section+"/"+name, current, desired, name)
--- a/internal/fleet/state_machine.go
+++ b/internal/fleet/state_machine.go
@@ -285,8 +285,8 @@
 	if out == nil {
 		out = map[string]T{}
 	}
-	for key, raw := range patches {
-		path := name + "/" + key
+	for _, key := range sortedKeys(patches) {
+		raw, path := patches[key], name+"/"+key
 		*changed = append(*changed, path)
 		if bytes.Equal(bytes.TrimSpace(raw), []byte("null")) {
 			delete(out, key)
--- a/internal/fleet/validate.go
+++ b/internal/fleet/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"regexp"
 	"slices"
@@ -24,7 +25,6 @@
 // all daemons report the same error.
 func (c *Config) Validate() error {
 	checkAll := func(names []string, check func(string) error) error {
-		slices.Sort(names)
 		for _, n := range names {
 			if err := check(n); err != nil {
 				return err
@@ -32,25 +32,25 @@
 		}
 		return nil
 	}
-	if err := checkAll(mapKeys(c.Pools), c.checkPool); err != nil {
+	if err := checkAll(sortedKeys(c.Pools), c.checkPool); err != nil {
 		return err
 	}
-	if err := checkAll(mapKeys(c.Models), c.checkModel); err != nil {
+	if err := checkAll(sortedKeys(c.Models), c.checkModel); err != nil {
 		return err
 	}
-	if err := checkAll(mapKeys(c.Cascades), c.checkCascade); err != nil {
+	if err := checkAll(sortedKeys(c.Cascades), c.checkCascade); err != nil {
 		return err
 	}
-	if err := checkAll(mapKeys(c.Services), c.checkService); err != nil {
+	if err := checkAll(sortedKeys(c.Services), c.checkService); err != nil {
 		return err
 	}
-	if err := checkAll(mapKeys(c.Rollouts), c.checkRollout); err != nil {
+	if err := checkAll(sortedKeys(c.Rollouts), c.checkRollout); err != nil {
 		return err
 	}
-	if err := checkAll(mapKeys(c.Evacuations), c.checkEvacuation); err != nil {
+	if err := checkAll(sortedKeys(c.Evacuations), c.checkEvacuation); err != nil {
 		return err
 	}
-	return checkAll(mapKeys(c.Workspaces), c.checkWorkspace)
+	return checkAll(sortedKeys(c.Workspaces), c.checkWorkspace)
 }
 
 // validatePatch checks only the entities in the patch, so that its cost depends on the
@@ -69,9 +69,7 @@
 		{p.Evacuations, c.checkEvacuation},
 	}
 	for _, part := range parts {
-		names := mapKeys(part.names)
-		slices.Sort(names)
-		for _, n := range names {
+		for _, n := range sortedKeys(part.names) {
 			if err := part.check(n); err != nil {
 				return err
 			}
@@ -80,41 +78,34 @@
 	return nil
 }
 
+// removesEntities reports whether other entities may refer to something that the patch removes, or
+// to a stable version that it changes.
 func (c *Config) removesEntities(old *Config, p *Patch) bool {
-	if len(c.Pools) < len(old.Pools)+countAdded(old.Pools, p.Pools) {
-		return true
-	}
-	if len(c.Cascades) < len(old.Cascades)+countAdded(old.Cascades, p.Cascades) {
-		return true
-	}
-	if len(c.Services) < len(old.Services)+countAdded(old.Services, p.Services) {
+	if removesAny(old.Pools, c.Pools, p.Pools) || removesAny(old.Cascades, c.Cascades, p.Cascades) || removesAny(old.Services, c.Services, p.Services) {
 		return true
 	}
 	for name := range p.Models {
-		if len(c.Models[name].Versions) < len(old.Models[name].Versions) || c.Models[name].Stable != old.Models[name].Stable {
+		before, after := old.Models[name].Versions, c.Models[name].Versions
+		if removesAny(before, after, before) || c.Models[name].Stable != old.Models[name].Stable {
 			return true
 		}
 	}
 	return false
 }
 
-func countAdded[T any](old map[string]T, patch map[string]json.RawMessage) int {
-	n := 0
-	for name := range patch {
-		if _, ok := old[name]; !ok {
-			n++
+// removesAny reports whether one of some names is in old and not in next.
+func removesAny[T, U any](old, next map[string]T, names map[string]U) bool {
+	for name := range names {
+		_, existed := old[name]
+		if _, kept := next[name]; existed && !kept {
+			return true
 		}
 	}
-	return n
+	return false
 }
 
-func mapKeys[T any](m map[string]T) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	return out
-}
+// sortedKeys returns the keys in an order that is the same on all daemons.
+func sortedKeys[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
 
 func invalidField(field, format string, args ...any) error {
 	return fault.NewField(fault.InvalidPatch, field, format, args...)
@@ -200,7 +191,8 @@
 	if _, ok := m.Versions[m.Stable]; !ok {
 		return invalidField(path+"/stable", "version %q does not exist", m.Stable)
 	}
-	for version, v := range m.Versions {
+	for _, version := range sortedKeys(m.Versions) {
+		v := m.Versions[version]
 		versionPath := path + "/versions/" + version
 		if err := checkEntityName(versionPath, version); err != nil {
 			return err
