--- a/lab/experiments/limituse.go
+++ b/lab/experiments/limituse.go
@@ -123,6 +123,7 @@
 			}
 		}
 	}},
+	{"permit of a sender, reserved", func(u *limitUse, daemon int, now time.Duration) { u.askSenders(daemon, now, permitHorizon) }},
 	{"permit of the home, now", func(u *limitUse, daemon int, now time.Duration) { u.askHomes(daemon, now, 0) }},
 	{"permit of the home, reserved", func(u *limitUse, daemon int, now time.Duration) { u.askHomes(daemon, now, permitHorizon) }},
 	{"permit of the home, few reserved", func(u *limitUse, daemon int, now time.Duration) {
@@ -140,6 +141,44 @@
 	return all[u.rng.IntN(len(all))]
 }
 
+// askSenders reserves a send of this daemon's or of another sender within a time. Senders that are known
+// to have no room are not asked.
+func (u *limitUse) askSenders(daemon int, now, horizon time.Duration) {
+	if u.send(daemon, now, 0) {
+		return
+	}
+	for _, server := range u.rng.Perm(useServers) {
+		if s := u.senders[server][daemon]; s != nil && s.Remaining(s.share, now) <= horizon {
+			u.reserve(s, server, now, 0)
+			return
+		}
+	}
+	asked := 0
+	for _, server := range u.rng.Perm(useServers) {
+		sender := u.anySender(server)
+		key, at := [2]int{daemon, server*u.daemons + sender}, now+time.Duration(2*asked+1)*hopDelay
+		if asked == maxAsked || sender == daemon || u.noneBefore[key] > at+horizon {
+			continue
+		}
+		asked++
+		u.messages += 2
+		s := u.senders[server][sender]
+		if remaining := s.Remaining(s.share, at); remaining > horizon {
+			u.noneBefore[key] = at + remaining
+			continue
+		}
+		u.reserve(s, server, now, at+hopDelay-now)
+		return
+	}
+}
+
+// reserve uses the next send of a sender for a request that arrived at a time.
+func (u *limitUse) reserve(s *selectedSender, server int, now, added time.Duration) {
+	added += s.Remaining(s.share, now+added)
+	s.recordSend(now + added)
+	u.serve(server, now, added)
+}
+
 // askHomes asks the homes of servers for a permit within a time. Homes that are known to have none
 // are not asked.
 func (u *limitUse) askHomes(daemon int, now, horizon time.Duration) {
