relay: requests use the next sends of other daemons to servers with stated rates

Change: a request that only stated rates keep from the servers left reserves its daemon's own next send, or asks a sender for one, within 500 ms and a quarter of its time, and is sent then. Asks are bounded by the daemon's part of the rates; a sender without room is not asked before it has some. All tests of limits in fleets of gates, views that differ included, now send with permits too. Not done: the own interface, servers that warm up, who gets the room by value.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -70,6 +70,9 @@
 	Slots, InFlight int
 	// Shards is the number of parts of the fleet of which one uses the server; 0 means 1.
 	Shards int
+	// Permitted is set if a send to the server is reserved, by this daemon or another one. Its stated
+	// rate is not checked then.
+	Permitted bool
 }
 
 // Request holds the properties of a request that the gate checks.
@@ -106,6 +109,7 @@
 	// holds this daemon's rank among those that use a server, by the hash of its ID.
 	concurrency *concurrencylimit.Table
 	ranks       map[uint64]rank
+	permits     permits
 	// fleetSize is the largest number of daemons in a recent view, at fleetSizeAt.
 	fleetSize   int
 	fleetSizeAt time.Duration
@@ -138,7 +142,7 @@
 
 // New returns a gate without evacuations and with an empty view.
 func New() *Gate {
-	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[uint64]*restart{}, limits: serverlimit.NewTable(), limitPacers: map[uint64]*ratePacer{}, departures: serverstatus.NewDepartures(), pauses: serverstatus.NewPauses(), returnPacers: map[uint64]*ratePacer{}, concurrency: concurrencylimit.NewTable(), ranks: map[uint64]rank{}}
+	return &Gate{evacuated: map[string]time.Duration{}, readmitted: map[string]time.Duration{}, pacers: map[string]*pacer{}, restarts: map[uint64]*restart{}, limits: serverlimit.NewTable(), limitPacers: map[uint64]*ratePacer{}, departures: serverstatus.NewDepartures(), pauses: serverstatus.NewPauses(), returnPacers: map[uint64]*ratePacer{}, concurrency: concurrencylimit.NewTable(), ranks: map[uint64]rank{}, permits: permits{noRoomUntil: map[senderOf]time.Duration{}}}
 }
 
 // Limits returns the request rates that servers state. They apply to the following checks.
@@ -189,6 +193,7 @@
 func (g *Gate) SetView(v slowstart.View, now time.Duration) {
 	g.view = v
 	clear(g.ranks)
+	g.expirePermits(now)
 	for id, p := range g.pacers {
 		if now >= p.warmAt {
 			delete(g.pacers, id)
@@ -285,7 +290,7 @@
 	if g.pauseRemaining(s, now) > 0 {
 		return Paused
 	}
-	if p := g.limitPacer(s, now); p != nil && !p.ready(now) {
+	if p := g.limitPacer(s, now); p != nil && !s.Permitted && !p.ready(now) {
 		return Limited
 	}
 	if g.saturated(s, now) {
@@ -399,7 +404,7 @@
 	if p := g.returnPacer(s, now); p != nil {
 		p.RecordSend(now)
 	}
-	if p := g.limitPacer(s, now); p != nil {
+	if p := g.limitPacer(s, now); p != nil && !s.Permitted {
 		p.RecordSend(now)
 	}
 	if now >= g.WarmAt(s, now) {
--- a/internal/gate/limit_fleet_test.go
+++ b/internal/gate/limit_fleet_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -24,6 +25,8 @@
 	limitsStatedAt = time.Second
 	limitNotice    = 3 * time.Second
 	limitWindow    = 4 * time.Second
+	// maxLimitAsks is the number of senders that a request asks.
+	maxLimitAsks = 3
 )
 
 // limitFleet is a fleet of gates in virtual time before servers that state limits.
@@ -47,6 +50,11 @@
 	sentBy [][]int
 	// known are the names of the servers.
 	known map[string]string
+	// withoutPermits makes requests without a share be refused, daemonOf holds the daemons by hash.
+	withoutPermits bool
+	daemonOf       map[uint64]int
+	// asks counts the asks for permits.
+	asks int
 	// hidden is the part of the peers that each view lacks, drawn anew in each gossip round.
 	hidden float64
 }
@@ -54,10 +62,12 @@
 type limitResponse struct {
 	at, sentAt     time.Duration
 	daemon, server int
+	// permitFrom is the daemon that gave the permit; the own one if none did.
+	permitFrom int
 }
 
 func newLimitFleet(daemons int, rates []float64) *limitFleet {
-	f := &limitFleet{rng: rand.New(rand.NewPCG(1, uint64(daemons))), rates: rates, liftedAt: time.Hour, sends: make([][]time.Duration, len(rates)), sentBy: make([][]int, len(rates)), known: map[string]string{}}
+	f := &limitFleet{rng: rand.New(rand.NewPCG(1, uint64(daemons))), rates: rates, liftedAt: time.Hour, sends: make([][]time.Duration, len(rates)), sentBy: make([][]int, len(rates)), known: map[string]string{}, daemonOf: map[uint64]int{}}
 	for i := range rates {
 		id := fmt.Sprint("server-", i)
 		f.servers = append(f.servers, Server{ID: id, Name: id, Hash: xxhash.Sum64String(id)})
@@ -66,6 +76,7 @@
 	var hashes []uint64
 	for i := range daemons {
 		hashes = append(hashes, xxhash.Sum64String(fmt.Sprint("daemon-", i)))
+		f.daemonOf[hashes[i]] = i
 	}
 	for i := range daemons {
 		g := New()
@@ -117,11 +128,52 @@
 			continue
 		}
 		f.gates[daemon].RecordSend(f.servers[server], f.now)
-		f.sends[server], f.sentBy[server] = append(f.sends[server], f.now), append(f.sentBy[server], daemon)
-		f.pending = append(f.pending, limitResponse{f.now + limitResponseTime, f.now, daemon, server})
+		f.recordSend(server, daemon, daemon, f.now)
 		return
 	}
-	f.refused++
+	if f.withoutPermits || !f.sendWithPermit(daemon) {
+		f.refused++
+	}
+}
+
+// recordSend records a send at a time, with the permit of a daemon.
+func (f *limitFleet) recordSend(server, daemon, permitFrom int, at time.Duration) {
+	i, _ := slices.BinarySearch(f.sends[server], at)
+	f.sends[server], f.sentBy[server] = slices.Insert(f.sends[server], i, at), slices.Insert(f.sentBy[server], i, daemon)
+	r := limitResponse{at + limitResponseTime, at, daemon, server, permitFrom}
+	j, _ := slices.BinarySearchFunc(f.pending, r, func(a, b limitResponse) int { return cmp.Compare(a.at, b.at) })
+	f.pending = slices.Insert(f.pending, j, r)
+}
+
+// sendWithPermit sends a request with a permit, and reports whether it got one.
+func (f *limitFleet) sendWithPermit(daemon int) bool {
+	g := f.gates[daemon]
+	var limited []Server
+	for _, s := range f.servers {
+		if g.Check(Request{}, s, f.now) == Limited {
+			limited = append(limited, s)
+		}
+	}
+	for _, i := range f.rng.Perm(len(limited)) {
+		if wait, reserved := g.Reserve(limited[i], f.now, PermitHorizon); reserved {
+			f.recordSend(slices.Index(f.servers, limited[i]), daemon, daemon, f.now+wait)
+			return true
+		}
+	}
+	for range maxLimitAsks {
+		s, sender, found := g.PickSender(limited, f.now, PermitHorizon, f.rng)
+		if !found {
+			return false
+		}
+		f.asks++
+		wait, reserved := f.gates[f.daemonOf[sender]].Reserve(s, f.now, PermitHorizon)
+		if reserved {
+			f.recordSend(slices.Index(f.servers, s), daemon, f.daemonOf[sender], f.now+wait)
+			return true
+		}
+		g.RecordNoRoom(sender, s, wait, f.now)
+	}
+	return false
 }
 
 func (f *limitFleet) respond() {
@@ -137,6 +189,9 @@
 			statements = f.states(r)
 		}
 		server := f.servers[r.server]
+		if r.permitFrom != r.daemon && statements.Limit.Kind == serverlimit.None && statements.Pause.Kind == serverstatus.None {
+			f.gates[r.permitFrom].Limits().Observe(serverlimit.Key(server.Name), serverlimit.Statement{}, r.sentAt, f.now)
+		}
 		f.gates[r.daemon].Observe(Response{ServerID: server.ID, ServerName: server.Name, Statements: statements, Succeeded: statements.Pause.Kind == serverstatus.None, SentAt: r.sentAt}, f.now)
 	}
 }
@@ -265,6 +320,36 @@
 	}
 }
 
+// Guards against servers with stated rates that stay idle in a fleet of many daemons, since few
+// requests reach those that have a share.
+func TestFleetUsesStatedLimitsAtModerateDemand(t *testing.T) {
+	const (
+		servers, demand = 9, 1.4
+		minUse          = 0.75
+		until           = 24 * time.Second
+	)
+	for _, n := range []int{1, 6, 60, 195, 520, 2000} {
+		for _, rate := range []float64{1, 5, 20} {
+			f := newLimitFleet(n, slices.Repeat([]float64{rate}, servers))
+			f.run(demand*rate*servers, until)
+			from, used := 8*time.Second, 0.0
+			for i := range f.servers {
+				first, _ := slices.BinarySearch(f.sends[i], from)
+				used += float64(len(f.sends[i])-first) / (until - from).Seconds() / rate / servers
+			}
+			t.Logf("%d daemons, %g a second: %.2f used, %.2f asks a daemon and second", n, rate, used, float64(f.asks)/until.Seconds()/float64(n))
+			if used < minUse {
+				t.Errorf("%d daemons: %.2f of a limit of %g is used", n, used, rate)
+			}
+			allowed := minAsksPerSecond + minAskBurst/until.Seconds() + asksPerPermit*rate*servers/float64(n)
+			if asks := float64(f.asks) / until.Seconds() / float64(n); asks > allowed {
+				t.Errorf("%d daemons: %.1f asks a daemon and second, allowed %.1f", n, asks, allowed)
+			}
+			f.checkBreaches(t, limitsStatedAt+limitNotice)
+		}
+	}
+}
+
 // Guards against a daemon that sends more because it lost contact with the others for a while.
 func TestLostContactDoesNotRaiseShareOfLimit(t *testing.T) {
 	f := newLimitFleet(6, []float64{6})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -359,6 +359,12 @@
 	return rank
 }
 
+// AddressOf returns the address of the live daemon whose name has a hash.
+func (m *Members) AddressOf(hash uint64) (address string, found bool) {
+	m.withLive(func(live *membership.LivePeers) { address, found = live.AddressOf(hash) })
+	return address, found
+}
+
 // IncarnationLive reports whether a run of a daemon is live.
 func (m *Members) IncarnationLive(incarnation string) (live bool) {
 	m.withLive(func(r *membership.LivePeers) { live = r.HasIncarnation(incarnation) })
--- a/internal/membership/livepeers.go
+++ b/internal/membership/livepeers.go
@@ -157,6 +157,16 @@
 	return l.ownHash, others
 }
 
+// AddressOf returns the address of the live peer whose name has a hash.
+func (l *LivePeers) AddressOf(hash uint64) (address string, found bool) {
+	for address, element := range l.byAddress {
+		if peer := element.Value.(*livePeer); peer.hash == hash {
+			return address, true
+		}
+	}
+	return "", false
+}
+
 // Contains reports whether the daemon at an address is live.
 func (l *LivePeers) Contains(address string) bool { return l.byAddress[address] != nil }
 
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -133,7 +133,7 @@
 	}
 	m.Node = New(ctx, c, Dependencies{
 		Log: m.storeClient, Backend: backend, Codec: fakeCodec{}, Metrics: relay.NewMetrics(tally.NoopScope), Logger: log.New(io.Discard),
-		BootTime: func() time.Duration { return time.Minute + time.Since(start) }, PeerTransport: &fakeTransport{f, address(i)}, CallForwarder: &fakeTransport{f, address(i)}, VerdictTransport: &fakeTransport{f, address(i)},
+		BootTime: func() time.Duration { return time.Minute + time.Since(start) }, PeerTransport: &fakeTransport{f, address(i)}, CallForwarder: &fakeTransport{f, address(i)}, VerdictTransport: &fakeTransport{f, address(i)}, PermitTransport: &fakeTransport{f, address(i)},
 	})
 	f.mu.Lock()
 	f.nodes[address(i)] = m
@@ -232,6 +232,26 @@
 	return response, nil
 }
 
+// RequestPermit implements PermitTransport.
+func (p *fakeTransport) RequestPermit(ctx context.Context, address string, request peer.PermitRequest) (peer.PermitResponse, error) {
+	m, err := p.connect(ctx, address)
+	if err != nil {
+		return peer.PermitResponse{}, err
+	}
+	response := m.Relay.GivePermit(request)
+	time.Sleep(latency)
+	return response, nil
+}
+
+// ReportUnstated implements PermitTransport.
+func (p *fakeTransport) ReportUnstated(ctx context.Context, address string, report peer.UnstatedLimit) error {
+	m, err := p.connect(ctx, address)
+	if err == nil {
+		m.Relay.ObserveUnstated(report)
+	}
+	return err
+}
+
 // Forward implements CallForwarder.
 func (p *fakeTransport) Forward(ctx context.Context, address string, call relay.ForwardedCall) (relay.ForwardStream, bool, error) {
 	m, err := p.connect(ctx, address)
--- a/internal/node/forwarding.go
+++ b/internal/node/forwarding.go
@@ -84,6 +84,7 @@
 
 // registerForwarding registers the handler of forwarded calls.
 func (n *Node) registerForwarding(s *peer.Server) {
+	n.registerPermits(s)
 	peer.Handle(s, verdictKind, func(ctx context.Context, _ string, req peer.VerdictRequest) (peer.VerdictResponse, error) {
 		return n.HandleVerdict(ctx, req), nil
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,6 +110,8 @@
 	CallForwarder CallForwarder
 	// VerdictTransport asks other daemons about servers; nil selects peer calls.
 	VerdictTransport VerdictTransport
+	// PermitTransport asks other daemons for permits; nil selects peer calls.
+	PermitTransport PermitTransport
 }
 
 // Node is one running daemon.
@@ -193,7 +195,7 @@
 	}
 	n.Relay.ConfigOutdated = n.configOutdated
 	n.Relay.Forwarder = n.newForwarder()
-	n.Relay.Verdicts = n
+	n.Relay.Verdicts, n.Relay.Permits = n, n
 	n.members.AddAddresses(config.Seeds...)
 	n.broadcast = func() { n.members.Broadcast(ctx) }
 	n.initFollowers()
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -122,6 +122,29 @@
 	Verdict reachability.Verdict `cbor:"1,keyasint,omitempty"`
 }
 
+// PermitRequest asks a daemon for its next send to a server with a stated rate.
+type PermitRequest struct {
+	Server string `cbor:"1,keyasint"`
+	// HorizonMillis is how long the request can wait.
+	HorizonMillis int64 `cbor:"2,keyasint"`
+}
+
+// PermitResponse is the response to PermitRequest.
+type PermitResponse struct {
+	// Granted is set if the send is reserved. It is to begin WaitMillis after the response arrives.
+	Granted bool `cbor:"1,keyasint,omitempty"`
+	// WaitMillis is the time until the daemon can send, also if it granted none; 0 if it does not send
+	// to the server.
+	WaitMillis int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// UnstatedLimit reports a response without a stated rate to the daemon that gave the permit.
+type UnstatedLimit struct {
+	Server string `cbor:"1,keyasint"`
+	// AgeMillis is the time since the request was sent.
+	AgeMillis int64 `cbor:"2,keyasint,omitempty"`
+}
+
 // ForwardedStep is a request on one model that a daemon forwards, as it does not reach the servers.
 // The other daemon selects the server and must not forward the step again.
 type ForwardedStep struct {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -118,6 +118,9 @@
 		return outcome, done, nil
 	}
 	t, refusal := x.selectServer()
+	if refusal != nil {
+		t, refusal = x.selectWithPermit(ctx, refusal)
+	}
 	if refusal != nil {
 		if helper, found := x.pickOverflow(refusal); found {
 			outcome, done = x.sendToDaemon(ctx, helper)
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -60,19 +60,29 @@
 		if !known {
 			continue
 		}
-		candidate := gateServer(server, sel.candidates[i].Hash, req.slowStart)
-		candidate.InFlight, candidate.Shards = sel.candidates[i].InFlight, sel.service.shardsInUse
+		if req.permitted != "" && server.ID != req.permitted {
+			sel.request.Tried.Add(i)
+			continue
+		}
+		candidate := sel.gateServer(i, req)
 		if !s.gate.Admit(req.gateRequest, candidate, now, &sel.refusals) {
 			sel.request.Tried.Add(i)
 		}
 	}
 }
 
+// gateServer returns the candidate of an index for the gate.
+func (sel *selection) gateServer(i int, req *requirements) gate.Server {
+	candidate := &sel.candidates[i]
+	out := gateServer(sel.service.servers[candidate.ID], candidate.Hash, req.slowStart)
+	out.InFlight, out.Shards, out.Permitted = candidate.InFlight, sel.service.shardsInUse, req.permitted == candidate.ID
+	return out
+}
+
 // recordSend records a send to the selected server at the gate, and reports whether
 // that server is warming up.
 func (s *State) recordSend(sel *selection, req *requirements, now time.Duration) (warming bool) {
-	candidate := &sel.candidates[sel.decision.Index]
-	server := gateServer(sel.service.servers[candidate.ID], candidate.Hash, req.slowStart)
+	server := sel.gateServer(sel.decision.Index, req)
 	s.gate.RecordSend(server, now)
 	return now < s.gate.WarmAt(server, now)
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -63,6 +63,9 @@
 	// Forwards counts sends of requests to other daemons, and ForwardedRequests the requests served
 	// for other daemons.
 	Forwards, ForwardedRequests tally.Counter
+	// PermitsAsked counts asks for a send of another daemon to a server with a stated rate,
+	// PermitsUsed requests that were sent with a permit, and PermitsGiven sends reserved for others.
+	PermitsAsked, PermitsUsed, PermitsGiven tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
 	ResponseLatency tally.Histogram
 	// FirstEventLatency is the time to the first event of a stream.
@@ -85,7 +88,7 @@
 		UnreadableLimits: s.Counter("server_limits_unreadable"), UnreadableStatements: s.Counter("server_statements_unreadable"),
 		ServersLeaving: s.Gauge("servers_leaving"), ServersPaused: s.Gauge("servers_paused"), Pauses: s.Counter("server_pauses"),
 		RejectionSensitiveServices: s.Gauge("services_rejection_sensitive"), Rejections: s.Counter("server_rejections"),
-		ServicesOutOfReach: s.Gauge("services_out_of_reach"), Forwards: s.Counter("forwards"), ForwardedRequests: s.Counter("forwarded_requests"),
+		ServicesOutOfReach: s.Gauge("services_out_of_reach"), PermitsAsked: s.Counter("permits_asked"), PermitsUsed: s.Counter("permits_used"), PermitsGiven: s.Counter("permits_given"), Forwards: s.Counter("forwards"), ForwardedRequests: s.Counter("forwarded_requests"),
 		Panics:      s.Counter("panics"),
 		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
@@ -145,6 +148,9 @@
 		"servers_leaving":              "Servers that have stated in a response that they leave, or that another server has replaced at their address.",
 		"servers_paused":               "Servers that want no requests from this daemon for a while.",
 		"server_pauses":                "Pauses that servers have asked for or prolonged.",
+		"permits_asked":                "Asks for a send of another daemon to a server with a stated rate.",
+		"permits_used":                 "Requests sent to servers with a stated rate by a reserved send, own or of another daemon.",
+		"permits_given":                "Sends to servers with a stated rate reserved for other daemons.",
 		"forwards":                     "Sends of requests to other daemons, because the backend servers were out of reach.",
 		"forwarded_requests":           "Requests served for other daemons that could not reach the backend servers.",
 		"services_rejection_sensitive": "Services whose backend servers state that they tolerate few rejections.",
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -34,6 +34,9 @@
 	// gateRequest is the request for the gate, slowStart the limit of warming servers.
 	gateRequest gate.Request
 	slowStart   slowstart.Limit
+	// permitted is the ID of the only server that the request may use, to which a send is reserved;
+	// empty if there is none.
+	permitted string
 }
 
 // target is a selected server and the expected cost of the request there.
@@ -58,6 +61,8 @@
 	// maxConnections is this daemon's share of the server's connections.
 	maxConnections int
 	urgent         bool
+	// permitFrom is the hash of the daemon that reserved the send; 0 if it was this one.
+	permitFrom uint64
 }
 
 // selection is the choice of a server and its inputs.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,12 +68,16 @@
 	// Verdicts asks other daemons whether they reach a server; nil if there are none. It is set
 	// before use.
 	Verdicts VerdictSource
+	// Permits asks other daemons for permits; nil if there are none. It is set before use.
+	Permits PermitSource
 	// terminationChecks holds the IDs of the servers that checkTermination checks.
 	terminationChecks sync.Map
 	// background counts the checks that may outlive the call which started them.
 	background sync.WaitGroup
 	// ConfigOutdated reports whether other daemons have a newer configuration than the store.
 	ConfigOutdated func() bool
+	// sleep waits for the time of a permit. Tests replace it.
+	sleep func(ctx context.Context, d time.Duration) (slept bool)
 	// started is the origin of the retry budget's monotonic time.
 	started time.Time
 
@@ -92,7 +96,7 @@
 // New returns a relay.
 func New(state *State, b Backend, options Options, m *Metrics, logger *log.Logger) *Relay {
 	r := &Relay{
-		State: state, Rollouts: NewRollouts(options.SessionIdleTimeout, time.Now, logger), Metrics: m, backend: b, options: options, log: logger, started: time.Now(), ConfigOutdated: func() bool { return false }, limitBroadcast: loop.NewSignal(),
+		State: state, Rollouts: NewRollouts(options.SessionIdleTimeout, time.Now, logger), Metrics: m, backend: b, options: options, log: logger, started: time.Now(), sleep: loop.Sleep, ConfigOutdated: func() bool { return false }, limitBroadcast: loop.NewSignal(),
 		retryBudgets: map[string]*request.WindowedRetryBudget{}, escalators: map[string]*cascade.Escalator{},
 	}
 	r.liveness = newLivenessMonitor(state, b, logger, m)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -143,7 +143,9 @@
 	})
 	s.Confirm(freshness.Configuration, freshness.Confirmation{At: clock.now, Source: freshness.FromStore})
 	options := Options{MaxKeyAge: 4 * time.Second, RetryBudgetWindow: 10 * time.Second, RetryBudgetRatio: 0.9, RetryBudgetReserve: 50}
-	return &harness{New(s, b, options, NewMetrics(tally.NoopScope), log.New(io.Discard)), b, clock}
+	h := &harness{New(s, b, options, NewMetrics(tally.NoopScope), log.New(io.Discard)), b, clock}
+	h.relay.sleep = func(_ context.Context, d time.Duration) bool { clock.now += d; return true }
+	return h
 }
 
 func (h *harness) call(path string) *fakeResponseWriter {
--- a/internal/relay/statements.go
+++ b/internal/relay/statements.go
@@ -43,6 +43,9 @@
 		x.relay.Metrics.Rejections.Inc(1)
 		x.logEvent("server rejected request", t)
 	}
+	if t.permitFrom != 0 && succeeded && reply.Limit.Kind == serverlimit.None {
+		x.reportUnstated(t)
+	}
 	if change.LimitChanged {
 		x.relay.log.Info("server limit", "server", t.server.ID, "service", t.service, "per_second", change.PerSecond, "by", "response")
 	}
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -6,7 +6,9 @@
 package slowstart
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -78,6 +80,19 @@
 	return true
 }
 
+// Senders returns the peers that are among the given number of senders to a server.
+func (v View) Senders(server uint64, senders int) []uint64 {
+	if !v.Trusted {
+		return nil
+	}
+	all := append(slices.Clone(v.Peers), v.Self)
+	slices.SortFunc(all, func(a, b uint64) int {
+		return cmp.Compare(rendezvousWeight(b, server), rendezvousWeight(a, server))
+	})
+	all = all[:min(senders, len(all))]
+	return slices.DeleteFunc(all, func(daemon uint64) bool { return daemon == v.Self })
+}
+
 // Precedes reports whether a daemon ranks before another one for a server.
 func Precedes(daemon, other, server uint64) bool {
 	return rendezvousWeight(daemon, server) > rendezvousWeight(other, server)
