relay: a request that waited for its permit is checked again before it is sent

The hold is checked after the wait, and what the request may use is asked anew. TestHoldIsCheckedAfterWaitForPermit failed before (status 200, one send).

--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -65,6 +65,11 @@
 		if !x.relay.sleep(ctx, wait) {
 			return nil, refusal
 		}
+		if held := x.checkHold(); held != nil {
+			return nil, held
+		}
+		// What the request may use can have changed during the wait.
+		req = x.requirements(x.effectiveModel())
 		req.permitted = option.server.ID
 		if t, err := x.relay.State.pick(&req, x.service.MaxConnections); err == nil {
 			t.permitFrom = option.daemon
--- a/internal/relay/permits_test.go
+++ b/internal/relay/permits_test.go
@@ -71,6 +71,20 @@
 	}
 }
 
+// Guards against a request that is sent after another daemon put it on hold while it waited for its
+// permit.
+func TestHoldIsCheckedAfterWaitForPermit(t *testing.T) {
+	h := newHarnessWithoutShare(t, &fakePermits{response: peer.PermitResponse{Granted: true, WaitMillis: 80}}, respond(200, "ok"))
+	h.relay.sleep = func(context.Context, time.Duration) bool {
+		h.relay.Guard.ApplyHold(fingerprintOf("/p/x", "x"), time.Minute)
+		return true
+	}
+	out := h.callWithBody("/p/x", "x")
+	if r := out.refusal; r == nil || r.Kind != fault.Quarantined || r.ExecutionState() != fault.NotRun || len(h.backend.sends) > 0 {
+		t.Errorf("status %d, refused with %v, %d sends", out.status, out.refusal, len(h.backend.sends))
+	}
+}
+
 // Guards against requests that are sent without a valid permit, and against senders that are asked
 // again and again.
 func TestRequestWithoutPermitIsRefused(t *testing.T) {
