--- a/internal/node/rollout_status_test.go
+++ b/internal/node/rollout_status_test.go
@@ -25,7 +25,7 @@
 // rolloutCodec is a fakeCodec with orders and statuses of roll-outs.
 type rolloutCodec struct{ fakeCodec }
 
-// DecodeOperator reads an order's version from the key of a status.
+// DecodeOperator reads orders, whose key is that of their status and whose value is the version.
 func (c rolloutCodec) DecodeOperator(r feed.Record) (OperatorRecord, error) {
 	if r.Key != statusKey {
 		return c.fakeCodec.DecodeOperator(r)
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// Guards against daemons that hold the roles of others while all start, since each knows of its own
-// readiness first.
+// Guards against many daemons that act as readers while all start, since each learns of its own
+// readiness before that of the others.
 func TestStartingDaemonsHoldOnlyTheirRoles(t *testing.T) {
 	const (
 		sampled, interval = 5 * time.Second, 10 * time.Millisecond
