routing, relay: sends are placed by the work that others have sent since their reports

Cause: 63 daemons hear each other once a second, so that all have the same late picture of the engines.

Change: a selection assumes that the others' unseen work has filled the least loaded engines of the model to a common level (UnseenWork); it affects the choice only. The reported load of plain servers counts by its age and the servers' response time (MixReportedLoad).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -293,6 +293,7 @@
 	if n.placements.MarkSeen(message.Incarnation, message.PlacedRound) {
 		n.state.ApplyPlacements(message.Placed)
 	}
+	n.state.RecordPeerReport()
 	n.state.SetDaemons(n.liveDaemons())
 	n.Relay.Rollouts.ObserveDaemons(n.liveDaemons())
 }
--- a/internal/relay/latency.go
+++ b/internal/relay/latency.go
@@ -18,6 +18,8 @@
 	eventInterval float64
 	// load is the rate at which this daemon sends prompts to the model.
 	load routing.PromptRate
+	// work is the rate of their prefill time in seconds.
+	work routing.PromptRate
 	// responseTime is the mean response time of a plain service in seconds.
 	responseTime float64
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -92,7 +92,9 @@
 	r := &sel.request
 	*r = routing.Request{PromptTokens: req.prompt.Tokens, Urgent: req.urgent, PrefillScale: latency.prefillScale(), Budget: req.remainingTime, FailureDomain: s.failureDomain, BodyBytes: req.bodyBytes}
 	pipeline := routing.DefaultPipeline()
-	if req.engine != nil {
+	if req.engine == nil {
+		routing.MixReportedLoad(sel.candidates, s.peerReportAge(now))
+	} else {
 		pipeline = routing.EnginePipeline()
 		r.Blocks, r.BlockEnds = prefixHashes(req.model, req.prompt.Parts)
 		if n := len(r.BlockEnds); n > 1 {
@@ -111,6 +113,9 @@
 			return sel
 		}
 	}
+	if req.engine != nil {
+		s.unseenWork(sv, req.model, now).Distribute(r, sel.candidates, pipeline, s.rng)
+	}
 	sel.decision = pipeline.Pick(r, sel.candidates, s.rng)
 	if sel.decision.Refusal == routing.NoCandidate {
 		sel.fallback = true
@@ -219,7 +224,9 @@
 	t.pendingPrefill = float64(t.uncached) * sel.request.PrefillScale
 	tracker.AddPendingPrefill(candidate.ID, t.pendingPrefill)
 	if req.engine != nil {
-		sel.service.models.get(req.model, req.engine).load.Record(now)
+		latency := sel.service.models.get(req.model, req.engine)
+		latency.load.Record(now)
+		latency.work.Add(sel.prefillTime().Seconds(), now)
 	}
 	if sel.service.partition != nil {
 		sel.service.partition.RecordWork(req.model, sel.prefillTime(), now)
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -38,8 +38,9 @@
 	failureDomain string
 	// daemons is how many daemons share the servers' connections.
 	daemons int
-	// peerWork is the work of the other daemons.
-	peerWork peerWork
+	// peerWork is the work of the other daemons, and peerReports the rate of their reports.
+	peerWork    peerWork
+	peerReports routing.PromptRate
 	// pendingPlacements are the placements not yet sent to the other daemons.
 	pendingPlacements []Placement
 	// registryVersion counts the changes of the registry.
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -10,8 +10,10 @@
 // cost.
 type Pipeline struct {
 	Filters []Filter
-	// Scorers add up to the expected time to first token.
+	// Scorers and Load add up to the expected time to first token. Load are those that depend on
+	// the server only.
 	Scorers []Scorer
+	Load    []Scorer
 	// Preferences are added to the cost for the choice only, not to the expected time:
 	// costs to other requests, and affinities.
 	Preferences []Scorer
@@ -51,9 +53,9 @@
 	// affinityPrefillShare is the assumed probability that a home server has cached the shared
 	// prefix.
 	affinityPrefillShare = 0.6
-	// batchCost is the delay that one running request adds to a new one over all its
+	// BatchCost is the delay that one running request adds to a new one over all its
 	// steps.
-	batchCost = 4 * time.Millisecond
+	BatchCost = 4 * time.Millisecond
 	// localityCostPerKB is the cost of sending 1,000 bytes to another failure domain when
 	// there are many local candidates, and localityHalfCostAt the number of local
 	// candidates at which half of it applies. The cost is below that of repeating the
@@ -76,10 +78,11 @@
 	return Pipeline{
 		Filters: []Filter{Live{}, Untried{}},
 		Scorers: []Scorer{
-			PrefillBacklog{}, Prefill{}, Network{}, Batch{PerRequest: batchCost}, FullBatch{}, Lateness{},
-			Reliability{RetryCost: defaultRetryCost},
+			Prefill{}, Network{}, Reliability{RetryCost: defaultRetryCost},
 		},
+		Load: []Scorer{PrefillBacklog{}, Batch{PerRequest: BatchCost}, FullBatch{}, Lateness{}},
 		Preferences: []Scorer{
+			StaleLoad{},
 			PartitionAffinity{Penalty: partitionPenalty}, RendezvousAffinity{RankCost: affinityRankCost, PrefillShare: affinityPrefillShare},
 			PrefillImpact{DelayedPerSecond: prefillDelayedPerSecond}, Locality{PerKB: localityCostPerKB, HalfCostAt: localityHalfCostAt},
 		},
@@ -98,7 +101,7 @@
 		if !p.passesFilters(r, &candidates[i], i) {
 			continue
 		}
-		expected[i] = totalCost(p.Scorers, r, &candidates[i], i)
+		expected[i] = totalCost(p.Scorers, r, &candidates[i], i) + totalCost(p.Load, r, &candidates[i], i)
 		if r.Budget > 0 && expected[i] > r.Budget {
 			earliest = minNonNegative(earliest, expected[i])
 			continue
@@ -172,7 +175,7 @@
 		for _, f := range p.Filters {
 			out = append(out, RuleResult{Server: c.ID, Rule: f.Name(), Kept: f.Keep(r, c, i)})
 		}
-		for _, s := range slices.Concat(p.Scorers, p.Preferences) {
+		for _, s := range slices.Concat(p.Scorers, p.Load, p.Preferences) {
 			out = append(out, RuleResult{Server: c.ID, Rule: s.Name(), Kept: true, Cost: s.Cost(r, c, i)})
 		}
 	}
--- a/internal/routing/rate.go
+++ b/internal/routing/rate.go
@@ -17,8 +17,11 @@
 const rateHalfLife = 2 * time.Second
 
 // Record counts a prompt sent to an engine.
-func (r *PromptRate) Record(now time.Time) {
-	r.decayedCount = r.decayedCount*decay(now.Sub(r.updatedAt), rateHalfLife) + 1
+func (r *PromptRate) Record(now time.Time) { r.Add(1, now) }
+
+// Add counts an amount, such as the seconds of a prompt's prefill.
+func (r *PromptRate) Add(amount float64, now time.Time) {
+	r.decayedCount = r.decayedCount*decay(now.Sub(r.updatedAt), rateHalfLife) + amount
 	r.updatedAt = now
 }
 
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -75,6 +75,9 @@
 	LocalCandidates int
 	// OutsidePartition marks, by index, the candidates assigned to other models.
 	OutsidePartition Set
+	// Unseen is the estimated work that other daemons have sent to each candidate, by index, since
+	// their last report. See UnseenWork.
+	Unseen [MaxCandidates]time.Duration
 	// Tried marks, by index, the candidates of earlier attempts.
 	Tried Set
 	// Budget is the time left to the first token; zero means unlimited.
--- /dev/null
+++ b/internal/routing/staleload.go
@@ -0,0 +1,97 @@
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// UnseenWork is the work that other daemons have sent to the engines of a partition and have not
+// reported yet. Daemons that follow the same late reports all choose the engine that was idle,
+// until its load is reported. A daemon therefore assumes that the others have filled up the least
+// loaded engines meanwhile, as in M. Dahlin, "Interpreting Stale Load Information" (ICDCS 1999).
+type UnseenWork struct {
+	// PerSecond is the engine time that other daemons send per second.
+	PerSecond time.Duration
+	// ReportAge is the mean age of their reports.
+	ReportAge time.Duration
+}
+
+// sample returns the unseen work at a random point between two reports, whose mean is that at
+// ReportAge.
+func (u UnseenWork) sample(rng *rand.Rand) time.Duration {
+	return time.Duration(2 * rng.Float64() * u.ReportAge.Seconds() * float64(u.PerSecond))
+}
+
+// Distribute estimates how much of the unseen work each eligible candidate has, by index: it
+// fills up the least loaded ones to a common level.
+func (u UnseenWork) Distribute(r *Request, candidates []Candidate, p Pipeline, rng *rand.Rand) {
+	r.Unseen = [MaxCandidates]time.Duration{}
+	work := u.sample(rng)
+	if work <= 0 {
+		return
+	}
+	var loads, sorted [MaxCandidates]time.Duration
+	n := 0
+	for i := range min(len(candidates), MaxCandidates) {
+		loads[i] = -1
+		if r.OutsidePartition.Has(i) || !p.passesFilters(r, &candidates[i], i) {
+			continue
+		}
+		loads[i] = totalCost(p.Load, r, &candidates[i], i)
+		sorted[n] = loads[i]
+		n++
+	}
+	level := waterLevel(sorted[:n], work)
+	for i := range min(len(candidates), MaxCandidates) {
+		if loads[i] >= 0 {
+			r.Unseen[i] = max(0, level-loads[i])
+		}
+	}
+}
+
+// waterLevel returns the level up to which an amount of work fills the loads. It sorts them.
+func waterLevel(loads []time.Duration, work time.Duration) time.Duration {
+	slices.Sort(loads)
+	sum := time.Duration(0)
+	for i, load := range loads {
+		sum += load
+		level := (sum + work) / time.Duration(i+1)
+		if i+1 == len(loads) || level <= loads[i+1] {
+			return level
+		}
+	}
+	return 0
+}
+
+// StaleLoad is the estimated unseen work of other daemons. It affects the choice only: an idle
+// engine may have processed that work since.
+type StaleLoad struct{}
+
+// Name implements Scorer.
+func (StaleLoad) Name() string { return "unseen" }
+
+// Cost implements Scorer.
+func (StaleLoad) Cost(r *Request, _ *Candidate, index int) time.Duration { return r.Unseen[index] }
+
+// MixReportedLoad moves the load that other daemons have reported towards the mean of all
+// candidates, in proportion to their slots. A request ends after ServiceTime, so that a report
+// of an age of several service times says how much the others send, but no longer where.
+func MixReportedLoad(candidates []Candidate, age time.Duration) {
+	load, slots := 0.0, 0
+	for i := range candidates {
+		if candidates[i].ID != "" {
+			load += candidates[i].OthersInFlight
+			slots += candidates[i].Slots
+		}
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		if c.ID == "" || c.ServiceTime <= 0 {
+			continue
+		}
+		mean := load / float64(slots) * float64(c.Slots)
+		c.OthersInFlight = mean + (c.OthersInFlight-mean)*math.Exp(-float64(age)/float64(c.ServiceTime))
+	}
+}
