routing, cascade, gossip: engines are divided, and their time is priced, by the load of all daemons

Cause: each daemon divided the engines among the models by its own few requests, so that the lines lay elsewhere on each and engines served several models, whose steps alternate; and it priced engine time by its last fifty sends of a model, some twenty seconds with 63 daemons, longer than a burst.

The cost of delay decays with a half-life of two seconds. A model whose requests wait longer than those of others gets more engines.

--- a/internal/cascade/escalator.go
+++ b/internal/cascade/escalator.go
@@ -13,11 +13,16 @@
 	firstEvent, remainder LatencyForecast
 	calibration           confidenceCalibration
 	sizeByRoute           map[string]*requestSize
-	// delayCostByModel is the recent mean cost, in the unit of prices, of one second of
-	// additional time to first event per request of a model.
-	delayCostByModel map[string]float64
+	// delayByModel and peerDelayByModel are the cost of delay of recent requests, those of this and
+	// those of the other daemons.
+	delayByModel, peerDelayByModel map[string]DelayCosts
+	delayUpdatedAt                 time.Time
 }
 
+// DelayCosts sums the cost, in the unit of prices, of one second of additional time to first event
+// over recent requests of a model.
+type DelayCosts struct{ Sum, Requests float64 }
+
 // Model is one of the models of a route. Models are ordered by price, cheapest first.
 type Model struct {
 	Name string
@@ -80,8 +85,11 @@
 	promptTokenPrice = 0.25
 	// priceTokens is the number of tokens that Model.Price refers to.
 	priceTokens = 1000
-	// delayWeight is the weight of a new request in the cost of delay.
-	delayWeight = 0.02
+	// delayHalfLife is the half-life of a request in the cost of delay. It is about the time in
+	// which an overload builds up.
+	delayHalfLife = 2 * time.Second
+	// delayPriorRequests is the weight of the assumption that a delay costs nothing.
+	delayPriorRequests = 2
 	// delayStep is the difference in time by which the cost of delay is computed.
 	delayStep = 100 * time.Millisecond
 )
@@ -104,6 +112,12 @@
 	return size
 }
 
+// add adds a request to the mean.
+func (s *requestSize) add(r Request) {
+	s.prompt += requestSizeWeight * (float64(r.PromptTokens) - s.prompt)
+	s.completion += requestSizeWeight * (float64(r.CompletionTokens) - s.completion)
+}
+
 // cost returns the price of a run with the given numbers of tokens.
 func (m Model) cost(prompt, answer float64) float64 {
 	return m.Price * (answer + promptTokenPrice*prompt) / priceTokens
@@ -153,7 +167,7 @@
 		return math.Inf(-1)
 	}
 	m, r := e.models[model], e.request
-	cost := m.cost(float64(r.PromptTokens), float64(r.CompletionTokens)) + estimate.EngineTime.Seconds()*estimate.DelayedPerSecond*e.delayCostByModel[m.Name]
+	cost := m.cost(float64(r.PromptTokens), float64(r.CompletionTokens)) + estimate.EngineTime.Seconds()*estimate.DelayedPerSecond*e.DelayCost(m)
 	next := 0.0
 	for to := model + 1; to < len(e.models); to++ {
 		next = max(next, e.escalationValue(to, estimate, runs-1))
@@ -163,11 +177,7 @@
 }
 
 // ObserveRequest adds a request to the mean size of its route.
-func (e *Escalator) ObserveRequest(r Request) {
-	size := e.meanRequestSize(r)
-	size.prompt += requestSizeWeight * (float64(r.PromptTokens) - size.prompt)
-	size.completion += requestSizeWeight * (float64(r.CompletionTokens) - size.completion)
-}
+func (e *Escalator) ObserveRequest(r Request) { e.meanRequestSize(r).add(r) }
 
 // Decide decides whether the answer of a model, given by index, is kept or escalated.
 // Current is the estimate for the rest of that answer. An answer without a stated
@@ -200,10 +210,8 @@
 // ObserveSend updates the cost of delay from a dispatched request: the larger of its
 // marginal cost and the average cost per second of the expected delay. The marginal cost
 // alone vanishes once all requests are late, which would prolong an overload.
-func (e *Escalator) ObserveSend(r Request, models []Model, model int, estimate Estimate) {
-	if e.delayCostByModel == nil {
-		e.delayCostByModel = map[string]float64{}
-	}
+func (e *Escalator) ObserveSend(r Request, models []Model, model int, estimate Estimate, now time.Time) {
+	e.decayDelayCosts(now)
 	share := e.expectedShare(r, estimate)
 	perSecond := (share - e.expectedShare(r, estimate.startingAfter(Estimate{FirstEvent: delayStep}))) / delayStep.Seconds()
 	if estimate.FirstEvent > 0 {
@@ -212,12 +220,42 @@
 		perSecond = max(perSecond, (e.expectedShare(r, immediate)-share)/estimate.FirstEvent.Seconds())
 	}
 	name := models[model].Name
-	e.delayCostByModel[name] += delayWeight * (e.AnswerValue(r, models)*perSecond - e.delayCostByModel[name])
+	costs := e.delayByModel[name]
+	e.delayByModel[name] = DelayCosts{costs.Sum + e.AnswerValue(r, models)*perSecond, costs.Requests + 1}
+}
+
+func (e *Escalator) decayDelayCosts(now time.Time) {
+	decay := math.Exp2(-max(0, now.Sub(e.delayUpdatedAt).Seconds()) / delayHalfLife.Seconds())
+	e.delayUpdatedAt = now
+	if e.delayByModel == nil {
+		e.delayByModel = map[string]DelayCosts{}
+	}
+	for name, costs := range e.delayByModel {
+		e.delayByModel[name] = DelayCosts{costs.Sum * decay, costs.Requests * decay}
+	}
+}
+
+// DelayCosts returns the recent cost of delay of this daemon's requests of a model.
+func (e *Escalator) DelayCosts(model string, now time.Time) DelayCosts {
+	e.decayDelayCosts(now)
+	return e.delayByModel[model]
+}
+
+// SetPeerDelayCosts sets the recent cost of delay of the other daemons' requests of a model. Each
+// daemon of many sends too little to know soon that an overload has begun.
+func (e *Escalator) SetPeerDelayCosts(model string, costs DelayCosts) {
+	if e.peerDelayByModel == nil {
+		e.peerDelayByModel = map[string]DelayCosts{}
+	}
+	e.peerDelayByModel[model] = costs
 }
 
 // DelayCost returns the recent cost, in the unit of prices, of one second of additional
 // time to first event for a request of a model.
-func (e *Escalator) DelayCost(m Model) float64 { return e.delayCostByModel[m.Name] }
+func (e *Escalator) DelayCost(m Model) float64 {
+	own, peers := e.delayByModel[m.Name], e.peerDelayByModel[m.Name]
+	return (own.Sum + peers.Sum) / (own.Requests + peers.Requests + delayPriorRequests)
+}
 
 // ObserveFirstEvent adds the expected and actual time to the first event of a run.
 func (e *Escalator) ObserveFirstEvent(expected, actual time.Duration) {
--- a/internal/cascade/escalator_test.go
+++ b/internal/cascade/escalator_test.go
@@ -54,7 +54,7 @@
 		{"no server for the larger model", two, []Estimate{{}, {Unavailable: true}}, 0, 10, maxRuns, "small"},
 		{"one model", two[:1], fastEstimates()[:1], 0, 5, maxRuns, "small"},
 	} {
-		escalator := Escalator{delayCostByModel: map[string]float64{"large": 0.1}}
+		escalator := Escalator{delayByModel: map[string]DelayCosts{"large": {Sum: 100, Requests: 1000 - delayPriorRequests}}}
 		got := escalator.Decide(testRequest(), tt.models, tt.estimates, tt.at, tt.confidence, Estimate{Remainder: time.Second}, tt.runs)
 		if name := tt.models[got.Model].Name; name != tt.want {
 			t.Errorf("%s: %s, want %s (%+v)", tt.name, name, tt.want, got)
@@ -156,7 +156,7 @@
 			escalator.ObserveRequest(request)
 			confidence := 100 * (float64(i) + 0.5) / (load * step)
 			if escalator.Decide(request, models, []Estimate{{Unavailable: true}, estimate}, 0, confidence, Estimate{}, maxRuns).Model == 1 {
-				escalator.ObserveSend(request, models, 1, estimate)
+				escalator.ObserveSend(request, models, 1, estimate, time.Unix(0, 0).Add(seconds(now)))
 				escalator.ObserveFirstEvent(first, first)
 				escalations++
 			}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -69,6 +69,8 @@
 	Terminations []gate.Termination `cbor:"34,keyasint,omitempty"`
 	// ConcurrencyLimits holds recent reports of servers that tolerate few rejections.
 	ConcurrencyLimits []concurrencylimit.Report `cbor:"35,keyasint,omitempty"`
+	// ModelLoad is the sender's recent load by model.
+	ModelLoad []relay.ModelLoad `cbor:"38,keyasint,omitempty"`
 	// Started and Sequence are those of the sender's record, see membership.PeerRecord.
 	Started  int64  `cbor:"23,keyasint,omitempty"`
 	Sequence uint64 `cbor:"24,keyasint,omitempty"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -257,6 +257,7 @@
 		message.Work = n.state.OwnWork()
 		message.Placed, message.PlacedRound = n.placements.CurrentRound(n.state.DrainPlacements, time.Now())
 	}
+	message.ModelLoad = n.Relay.OwnModelLoad()
 	message.ConfigVersion = n.configVersion()
 	return message
 }
@@ -294,10 +295,20 @@
 		n.state.ApplyPlacements(message.Placed)
 	}
 	n.state.RecordPeerReport()
+	n.applyModelLoad(message)
 	n.state.SetDaemons(n.liveDaemons())
 	n.Relay.Rollouts.ObserveDaemons(n.liveDaemons())
 }
 
+// applyModelLoad applies another daemon's load by model.
+func (n *Node) applyModelLoad(message gossip.Message) {
+	if n.state.ApplyModelLoad(message.Incarnation, message.ModelLoad) {
+		return
+	}
+	n.deps.Metrics.InvalidReports.Inc(1)
+	n.log.Warn("invalid report of load dropped", "daemon", message.Name, "models", len(message.ModelLoad))
+}
+
 // SelectEndpoints returns up to limit addresses at which a client should connect.
 func (n *Node) SelectEndpoints(c membership.Client, limit int) []string {
 	own := membership.Endpoint{Address: n.config.ClientAddress, FailureDomain: n.config.FailureDomain, Ready: n.Ready(), Leaving: n.leaving.Load()}
--- a/internal/relay/latency.go
+++ b/internal/relay/latency.go
@@ -20,6 +20,8 @@
 	load routing.PromptRate
 	// work is the rate of their prefill time in seconds.
 	work routing.PromptRate
+	// wait is the mean time to the first event beyond that of the prompt's prefill.
+	wait routing.DecayingMean
 	// responseTime is the mean response time of a plain service in seconds.
 	responseTime float64
 }
--- a/internal/relay/models.go
+++ b/internal/relay/models.go
@@ -93,7 +93,11 @@
 	delay := 0.0
 	previous := x.lastConfidence
 	x.lastConfidence = modelConfidence{x.modelIndex, confidence}
+	peerCosts := x.peerDelayCosts(models)
 	x.relay.withEscalator(x.service.Name, func(v *cascade.Escalator) {
+		for i, costs := range peerCosts {
+			v.SetPeerDelayCosts(models[i].Name, costs)
+		}
 		if previous.modelIndex < x.modelIndex {
 			v.ObserveEscalation(models[previous.modelIndex], models[x.modelIndex], previous.confidence, confidence)
 		}
@@ -123,7 +127,7 @@
 	}
 	r, models := x.cascadeRequest(), x.models()
 	estimate := cascade.Estimate{FirstEvent: t.expectedLatency, Remainder: x.relay.State.remainingStreamTime(t, x.expectedEvents())}
-	x.relay.withEscalator(x.service.Name, func(v *cascade.Escalator) { v.ObserveSend(r, models, x.modelIndex, estimate) })
+	x.relay.withEscalator(x.service.Name, func(v *cascade.Escalator) { v.ObserveSend(r, models, x.modelIndex, estimate, time.Now()) })
 }
 
 // recordFirstEvent records the time to the first event.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -103,7 +103,9 @@
 		sv.tracker.Prefix.Expire(now)
 		sv.tracker.Prefix.Lookup(r)
 		rankAffinity(affinityKey(req.model, req.prompt), sel.candidates, r)
-		r.OutsidePartition = sv.partitionFor(req.engine).IndicesOutside(req.model, sv.tracker.IndicesByHash())
+		partition := sv.partitionFor(req.engine)
+		s.addPeerWork(req.service, sv, req.engine, now)
+		r.OutsidePartition = partition.IndicesOutside(req.model, sv.tracker.IndicesByHash())
 	}
 	s.applyExclusions(&sel, req, s.confirmedVersions(sv, req.versions.Preferred), uptime)
 	limitToFraction(r, sel.candidates, sv.tracker.IndicesByHash(), req.versions.Fraction)
@@ -229,7 +231,7 @@
 		latency.work.Add(sel.prefillTime().Seconds(), now)
 	}
 	if sel.service.partition != nil {
-		sel.service.partition.RecordWork(req.model, sel.prefillTime(), now)
+		sel.service.partition.RecordWork(req.model, s.partitionWork(&sel, req.model, now), now)
 	}
 	if shared := len(blocks) - 1; shared > 0 && len(s.pendingPlacements) < maxPendingPlacements {
 		// The last part is unique to the request, so peers do not need it.
@@ -238,6 +240,17 @@
 	return t, nil
 }
 
+// partitionWork returns the weight of a send in the division of the engines among the models: its
+// prefill time, raised by the wait for the model's engines, so that more engines go to a model
+// whose requests wait longer than those of others.
+func (s *State) partitionWork(sel *selection, model string, now time.Time) time.Duration {
+	wait := sel.service.models.get(model, nil).wait.Mean(now)
+	return time.Duration(float64(sel.prefillTime()) * (1 + wait/noticeableWait.Seconds()))
+}
+
+// noticeableWait is the wait at which the engines of a model count double.
+const noticeableWait = 250 * time.Millisecond
+
 // partitionFor returns the assignment of the service's engines to its models.
 func (sv *service) partitionFor(e *route.Engine) *routing.Partition {
 	if sv.partition == nil {
@@ -332,6 +345,7 @@
 			updateMean(&latency.responseTime, elapsed.Seconds())
 			return
 		}
+		latency.wait.Observe(max(0, elapsed-latency.prefill.Predict(t.uncached)).Seconds(), time.Now())
 		sv.tracker.RecordLateness(t.server.ID, elapsed-t.backlog-latency.prefill.Predict(t.uncached), time.Now())
 		if t.idle {
 			latency.prefill.Observe(t.uncached, elapsed)
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -41,6 +41,8 @@
 	// peerWork is the work of the other daemons, and peerReports the rate of their reports.
 	peerWork    peerWork
 	peerReports routing.PromptRate
+	// modelLoad is the load of the other daemons by model.
+	modelLoad *routing.PooledLoad
 	// pendingPlacements are the placements not yet sent to the other daemons.
 	pendingPlacements []Placement
 	// registryVersion counts the changes of the registry.
@@ -83,7 +85,7 @@
 func NewState(daemon, failureDomain string, bootTime func() time.Duration) *State {
 	return &State{
 		bootTime: bootTime, ready: make(chan struct{}), registry: backend.NewRegistry(), gate: gate.New(), reachability: reachability.NewTracker(), helpers: reachability.NewHelpers(), linkFailures: map[string]time.Duration{}, services: map[string]*service{}, daemon: daemon, failureDomain: failureDomain, daemons: 1,
-		peerWork: peerWork{byServer: map[ServerKey]ServerWork{}}, rng: rand.New(rand.NewPCG(xxhash.Sum64String(daemon), uint64(bootTime()))),
+		peerWork: peerWork{byServer: map[ServerKey]ServerWork{}}, modelLoad: routing.NewPooledLoad(), rng: rand.New(rand.NewPCG(xxhash.Sum64String(daemon), uint64(bootTime()))),
 	}
 }
 
--- a/internal/routing/partition.go
+++ b/internal/routing/partition.go
@@ -11,7 +11,11 @@
 // small model run at the speed of the large one. The assignment is a preference:
 // PartitionAffinity sets the cost of leaving it.
 type Partition struct {
-	workByModel  map[string]float64
+	workByModel map[string]float64
+	// peerWork is the reported work of other daemons, in seconds as workByModel.
+	peerWork map[string]float64
+	// reporter is set if this daemon reports its work to the others, so that it counts here, too.
+	reporter     bool
 	updatedAt    time.Time
 	shareByModel map[string]float64
 }
@@ -28,7 +32,7 @@
 
 // NewPartition returns a partition for the expected work by model.
 func NewPartition(expected map[string]float64) *Partition {
-	p := &Partition{workByModel: map[string]float64{}, shareByModel: map[string]float64{}}
+	p := &Partition{workByModel: map[string]float64{}, peerWork: map[string]float64{}, shareByModel: map[string]float64{}}
 	for model, work := range expected {
 		p.workByModel[model] = work
 	}
@@ -46,13 +50,47 @@
 	p.workByModel[model] += spent.Seconds()
 }
 
+// Work returns the engine time that this daemon has recently spent on each model.
+func (p *Partition) Work(now time.Time) map[string]time.Duration {
+	out := make(map[string]time.Duration, len(p.workByModel))
+	for model, work := range p.workByModel {
+		out[model] = time.Duration(work * decay(now.Sub(p.updatedAt), workHalfLife) * float64(time.Second))
+	}
+	return out
+}
+
+// SetPeerWork sets the engine time that the other daemons have recently spent on a model, in
+// seconds.
+func (p *Partition) SetPeerWork(model string, seconds float64) { p.peerWork[model] = seconds }
+
+// SetReporter sets whether this daemon reports its work.
+func (p *Partition) SetReporter(reporter bool) { p.reporter = reporter }
+
+// countedWork returns the work by model that all daemons count alike: that which was reported. A
+// daemon without reports counts its own.
+func (p *Partition) countedWork() map[string]float64 {
+	out, reported := make(map[string]float64, len(p.workByModel)), 0.0
+	for model, work := range p.peerWork {
+		out[model] = work
+		reported += work
+	}
+	if !p.reporter && reported > 0 {
+		return out
+	}
+	for model, work := range p.workByModel {
+		out[model] += work
+	}
+	return out
+}
+
 func (p *Partition) currentShares() map[string]float64 {
 	sum := 0.0
-	for _, work := range p.workByModel {
-		sum += work
+	work := p.countedWork()
+	for _, w := range work {
+		sum += w
 	}
-	shares := make(map[string]float64, len(p.workByModel))
-	for model, work := range p.workByModel {
+	shares := make(map[string]float64, len(work))
+	for model, work := range work {
 		if sum > 0 && work/sum >= minShare {
 			shares[model] = work / sum
 		}
@@ -82,7 +120,7 @@
 // rebalance recomputes the shares if one has changed by more than rebalanceThreshold.
 func (p *Partition) rebalance(engines int) {
 	current := p.currentShares()
-	for model := range p.workByModel {
+	for model := range p.countedWork() {
 		if math.Abs(current[model]-p.shareByModel[model])*float64(engines) > rebalanceThreshold {
 			p.setShares(current)
 			return
