cascade: the value of a route's answers lies between its cost and that of all routes

Change: no setting states what the answers of a route are worth compared with those of others. The geometric mean of the route's mean cost and that of all routes takes the place of the first.

--- a/internal/cascade/escalator.go
+++ b/internal/cascade/escalator.go
@@ -13,6 +13,8 @@
 	firstEvent, remainder LatencyForecast
 	calibration           confidenceCalibration
 	sizeByRoute           map[string]*requestSize
+	// overallSize is the mean size of the requests of all routes.
+	overallSize *requestSize
 	// delayByModel and peerDelayByModel are the cost of delay of recent requests, those of this and
 	// those of the other daemons.
 	delayByModel, peerDelayByModel map[string]DelayCosts
@@ -112,6 +114,18 @@
 	return size
 }
 
+func (e *Escalator) overallMeanSize(r Request) *requestSize {
+	if e.overallSize == nil {
+		e.overallSize = &requestSize{float64(r.PromptTokens), float64(r.CompletionTokens)}
+	}
+	return e.overallSize
+}
+
+// cost returns the price of a run of the largest model.
+func (s *requestSize) cost(models []Model) float64 {
+	return models[len(models)-1].cost(s.prompt, s.completion)
+}
+
 // add adds a request to the mean.
 func (s *requestSize) add(r Request) {
 	s.prompt += requestSizeWeight * (float64(r.PromptTokens) - s.prompt)
@@ -123,11 +137,14 @@
 	return m.Price * (answer + promptTokenPrice*prompt) / priceTokens
 }
 
-// AnswerValue returns the value of a correct answer in time, in the unit of prices.
+// AnswerValue returns the value of a correct answer in time, in the unit of prices. No setting states
+// what the answers of a route are worth compared with those of others. The geometric mean of two
+// assumptions is used: that they are worth as much as their cost, and that all are worth the same. By
+// cost alone, the longest prompts would escalate under overload at the expense of all others.
 func (e *Escalator) AnswerValue(r Request, models []Model) float64 {
 	meanSize := e.meanRequestSize(r)
 	relativeSize := (float64(r.PromptTokens) + completionTokenSize*float64(r.CompletionTokens)) / max(meanSize.prompt+completionTokenSize*meanSize.completion, 1)
-	meanValue := valuePerCost * models[len(models)-1].cost(meanSize.prompt, meanSize.completion)
+	meanValue := valuePerCost * math.Sqrt(e.overallMeanSize(r).cost(models)*meanSize.cost(models))
 	return meanValue * min(1-sizeValueShare+sizeValueShare*relativeSize, maxSizeFactor)
 }
 
@@ -176,8 +193,11 @@
 	return probability*e.value*e.expectedShare(r, estimate) + (1-probability)*next - cost
 }
 
-// ObserveRequest adds a request to the mean size of its route.
-func (e *Escalator) ObserveRequest(r Request) { e.meanRequestSize(r).add(r) }
+// ObserveRequest adds a request to the mean sizes.
+func (e *Escalator) ObserveRequest(r Request) {
+	e.meanRequestSize(r).add(r)
+	e.overallMeanSize(r).add(r)
+}
 
 // Decide decides whether the answer of a model, given by index, is kept or escalated.
 // Current is the estimate for the rest of that answer. An answer without a stated
