routing: requests leave a model's engines for a wait of 0.6 s

Cause: requests waited up to 1.2 s among their model's engines while those of other models were idle, longer than the targets of the callers (0.8 to 1.5 s).

Change: the penalty is 600 ms.

--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -68,8 +68,9 @@
 	prefillDelayedPerSecond = 4
 	// partitionPenalty is the delay from running among another model's requests, whose
 	// steps alternate with the request's own. With a low penalty, a busy part of the engines
-	// spills over into the other, and both models become slow.
-	partitionPenalty = 1200 * time.Millisecond
+	// spills over into the other, and both models become slow. With a high one, requests wait
+	// longer than callers tolerate while engines of other models are idle.
+	partitionPenalty = 600 * time.Millisecond
 )
 
 // EnginePipeline returns the pipeline for model engines whose load the daemons exchange
