--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -104,6 +104,9 @@
 	Slots int
 	// KVCacheTokens is the capacity of the KV cache in tokens.
 	KVCacheTokens int
+	// KVTokenBytes is the size of one token's KV cache in bytes, KVLinkMbps the rate at which an
+	// engine transfers it to another one, in Mbit/s. Engines transfer nothing if either is zero.
+	KVTokenBytes, KVLinkMbps float64
 	// EventTokens is the number of tokens per stream event; zero means one.
 	EventTokens int
 	// CostPerKiloToken is the price of 1,000 generated tokens by model.
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -64,6 +64,9 @@
 	// second of prefill: those that arrive meanwhile and those whose decoding is
 	// interrupted.
 	prefillDelayedPerSecond = 4
+	// transfersDelayedPerSecond is the average number of transfers delayed during each second of
+	// a transfer, on both links.
+	transfersDelayedPerSecond = 4
 	// partitionPenalty is the delay from running among another model's requests, whose
 	// steps alternate with the request's own. With a low penalty, a busy part of the engines
 	// spills over into the other, and both models become slow.
@@ -76,12 +79,12 @@
 	return Pipeline{
 		Filters: []Filter{Live{}, Untried{}},
 		Scorers: []Scorer{
-			PrefillBacklog{}, Prefill{}, Network{}, Batch{PerRequest: batchCost}, FullBatch{}, Lateness{},
+			PrefillBacklog{}, Prefill{}, TransferDelay{}, Network{}, Batch{PerRequest: batchCost}, FullBatch{}, Lateness{},
 			Reliability{RetryCost: defaultRetryCost},
 		},
 		Preferences: []Scorer{
 			PartitionAffinity{Penalty: partitionPenalty}, RendezvousAffinity{RankCost: affinityRankCost, PrefillShare: affinityPrefillShare},
-			PrefillImpact{DelayedPerSecond: prefillDelayedPerSecond}, Locality{PerKB: localityCostPerKB, HalfCostAt: localityHalfCostAt},
+			PrefillImpact{DelayedPerSecond: prefillDelayedPerSecond}, TransferImpact{DelayedPerSecond: transfersDelayedPerSecond}, Locality{PerKB: localityCostPerKB, HalfCostAt: localityHalfCostAt},
 		},
 		TieWindow: defaultTieWindow,
 	}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -59,17 +59,22 @@
 	return time.Duration(float64(r.UncachedTokens(index)) * r.prefillScale() * float64(c.PrefillPerToken))
 }
 
-// UncachedTokens returns the estimated number of prompt tokens not cached at a candidate.
+// UncachedTokens returns the estimated number of prompt tokens that a candidate neither has cached
+// nor fetches.
 func (r *Request) UncachedTokens(index int) int {
+	return max(r.PromptTokens-r.CachedTokens(index)-r.Transfer(index).ExpectedTokens, 0)
+}
+
+// CachedTokens returns the estimated number of leading prompt tokens cached at a candidate.
+func (r *Request) CachedTokens(index int) int {
 	n := int(r.CachedBlocks[index])
-	cached := n * r.BlockTokens
-	if len(r.BlockEnds) > 0 {
-		cached = 0
-		if n > 0 {
-			cached = r.BlockEnds[n-1]
-		}
+	switch {
+	case len(r.BlockEnds) == 0:
+		return n * r.BlockTokens
+	case n > 0:
+		return r.BlockEnds[n-1]
 	}
-	return max(r.PromptTokens-cached, 0)
+	return 0
 }
 
 func (r *Request) prefillScale() float64 {
@@ -79,6 +84,32 @@
 	return 1
 }
 
+// TransferDelay is the time to fetch a part of the prompt's KV cache from another engine.
+type TransferDelay struct{}
+
+// Name implements Scorer.
+func (TransferDelay) Name() string { return "transfer" }
+
+// Cost implements Scorer.
+func (TransferDelay) Cost(r *Request, _ *Candidate, index int) time.Duration {
+	return r.Transfer(index).Delay
+}
+
+// TransferImpact is the delay that the transfer causes to other transfers, which queue behind it
+// on the links of both engines.
+type TransferImpact struct {
+	// DelayedPerSecond is the number of transfers delayed during each second of a transfer.
+	DelayedPerSecond float64
+}
+
+// Name implements Scorer.
+func (TransferImpact) Name() string { return "lending" }
+
+// Cost implements Scorer.
+func (t TransferImpact) Cost(r *Request, _ *Candidate, index int) time.Duration {
+	return time.Duration(t.DelayedPerSecond * float64(r.Transfer(index).Duration))
+}
+
 // PrefillBacklog is the time to process the prompts sent to the server that have no first
 // token yet. Engines process prompts sequentially, whatever the number of free slots.
 type PrefillBacklog struct{}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -59,6 +59,9 @@
 	BlockEnds []int
 	// CachedBlocks is the estimated number of leading blocks cached, by candidate index.
 	CachedBlocks [MaxCandidates]uint8
+	// Transfers holds, by candidate index, what a candidate would fetch from the KV cache of
+	// another one; nil if there are no transfers.
+	Transfers []Transfer
 	// PrefillScale is the ratio of the model's prefill time per token to PrefillPerToken;
 	// zero means 1.
 	PrefillScale float64
@@ -83,6 +86,26 @@
 	Urgent bool
 }
 
+// Transfer is a possible transfer of KV cache to a candidate.
+type Transfer struct {
+	// Lender is the index of the candidate to fetch from.
+	Lender int
+	// Tokens is the number of prompt tokens to fetch; zero if there is no transfer.
+	// ExpectedTokens is the part of them that is expected to arrive.
+	Tokens, ExpectedTokens int
+	// Duration is the time that the transfer occupies the links of both engines, Delay the
+	// expected time until it has ended.
+	Duration, Delay time.Duration
+}
+
+// Transfer returns the transfer to a candidate; zero if there is none.
+func (r *Request) Transfer(index int) Transfer {
+	if index < 0 || index >= len(r.Transfers) {
+		return Transfer{}
+	}
+	return r.Transfers[index]
+}
+
 // Decision is the result of Pick.
 type Decision struct {
 	// Index is the chosen candidate, or -1.
