relay: engines fetch the shared parts of a prompt from one that holds them

Cause: a busy home of a prompt left the choice between its queue and a repeated prefill.

Change: after the exclusions of a selection, each candidate gets the transfer with the largest gain, and the pick weighs it with the rest. Lenders are engines that the gate admits and that are neither suspect, terminated nor warming up. A request that is suspected of crashing servers, was sent before, was resumed or came from another daemon fetches nothing. The line of a send says what is fetched from where, or why nothing is; counters for transfers, tokens and reasons.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -96,6 +96,9 @@
 	Model string
 	// LastEvent is the number of the event to resume after, or NoEvent.
 	LastEvent int64
+	// FetchFrom is the address of the server from which to fetch the KV cache of leading parts of
+	// the prompt; empty for none.
+	FetchFrom string
 	// Timeout is the remaining time in which a response is useful.
 	Timeout time.Duration
 	// Priority ranges from 0, the highest, to 9.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -74,6 +74,8 @@
 	// arrived is set once a send of this daemon has reached a server. forwardArrived is the same for
 	// the daemon to which the call was last forwarded.
 	arrived, forwardArrived bool
+	// resent is set once a send has failed.
+	resent bool
 	// retryWithdrawn is set if the budget was already charged for the retry after a reroute.
 	retryWithdrawn atomic.Bool
 }
@@ -147,6 +149,7 @@
 	x.relay.Rollouts.recordSend(t)
 	outcome, done = x.attempt(ctx, t)
 	x.arrived = x.arrived || !x.withoutArrival
+	x.resent = x.resent || !done && outcome != request.LowConfidence
 	if x.partlySent {
 		x.retryState.Repeatable = false
 	}
@@ -214,8 +217,8 @@
 		service: x.service.Name, engine: x.service.Engine, model: model, prompt: x.call.Prompt, bodyBytes: len(x.call.Body),
 		urgent: x.route.Priority == 0, remainingTime: time.Until(x.deadline), tried: x.tried,
 		versions:         x.relay.Rollouts.ChooseVersion(x.service.Name, x.call.Session, x.hash),
-		quarantineStatus: x.quarantineStatus,
-		gateRequest:      gate.Request{Held: x.quarantineStatus.Held}, slowStart: x.relay.slowStartLimit(x),
+		quarantineStatus: x.quarantineStatus, resent: x.resent || x.forwarded || x.lastEvent != NoEvent,
+		gateRequest: gate.Request{Held: x.quarantineStatus.Held}, slowStart: x.relay.slowStartLimit(x),
 	}
 }
 
@@ -248,7 +251,8 @@
 // send makes one attempt. It returns true if the client has the final response.
 func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (request.SendOutcome, bool) {
 	by, age := x.relay.State.LastConfirmation(freshness.Servers)
-	x.logEvent("send", t, "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session, "fingerprint", x.identity.Request, "parts", x.identity.Parts)
+	x.relay.Metrics.recordTransfer(&t.fetch)
+	x.logEvent("send", t, append(t.fetch.logFields(), "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session, "fingerprint", x.identity.Request, "parts", x.identity.Parts)...)
 	sentAt := time.Now()
 	ctx, stop := context.WithDeadline(ctx, x.deadline)
 	defer stop()
@@ -262,7 +266,7 @@
 	defer x.relay.liveness.untrack(a)
 	req := BackendRequest{
 		Call: x.call, Server: t.server, Workspace: x.workspace, Model: x.modelOverride(), LastEvent: x.lastEvent,
-		Timeout: time.Until(x.deadline) - deadlineMargin, Priority: x.sendPriority(), MaxConnections: t.maxConnections,
+		FetchFrom: t.fetch.address, Timeout: time.Until(x.deadline) - deadlineMargin, Priority: x.sendPriority(), MaxConnections: t.maxConnections,
 		// New connections are tried in the background while the servers are out of reach.
 		ReuseOnly: x.relay.State.outOfReach(t.service),
 		Admit:     func() bool { return x.relay.State.admits(t) },
--- a/internal/relay/latency.go
+++ b/internal/relay/latency.go
@@ -98,7 +98,8 @@
 		latency := sv.models.get(t.model, nil)
 		first, interval = latency.responseTime, latency.eventInterval
 		if engine {
-			first = (t.backlog + latency.prefill.Predict(t.uncached)).Seconds()
+			// The server prefills what it cannot fetch.
+			first = (t.backlog + latency.prefill.Predict(t.uncached+t.fetch.expectedTokens)).Seconds()
 		}
 	})
 	return first, interval
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
+	"github.com/damaskrudder/damaskrudder/internal/kvtransfer"
 )
 
 // Metrics are the counters and histograms of a relay.
@@ -70,6 +71,9 @@
 	// PermitsAsked counts asks for a send of another daemon to a server with a stated rate,
 	// PermitsUsed requests that were sent with a permit, and PermitsGiven sends reserved for others.
 	PermitsAsked, PermitsUsed, PermitsGiven tally.Counter
+	// Transfers counts sends whose server fetches from another one, and TransferTokens the tokens
+	// expected to be fetched.
+	Transfers, TransferTokens tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
 	ResponseLatency tally.Histogram
 	// FirstEventLatency is the time to the first event of a stream.
@@ -93,6 +97,7 @@
 		ServersLeaving: s.Gauge("servers_leaving"), ServersPaused: s.Gauge("servers_paused"), Pauses: s.Counter("server_pauses"),
 		RejectionSensitiveServices: s.Gauge("services_rejection_sensitive"), Rejections: s.Counter("server_rejections"),
 		ServicesOutOfReach: s.Gauge("services_out_of_reach"), PermitsAsked: s.Counter("permits_asked"), PermitsUsed: s.Counter("permits_used"), PermitsGiven: s.Counter("permits_given"), Forwards: s.Counter("forwards"), ForwardedRequests: s.Counter("forwarded_requests"),
+		Transfers: s.Counter("kv_transfers"), TransferTokens: s.Counter("kv_transfer_tokens"),
 		Panics:      s.Counter("panics"),
 		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
@@ -121,6 +126,11 @@
 	return m.scope.Tagged(map[string]string{"kind": string(k)}).Counter("refusals")
 }
 
+// TransfersSkipped counts sends without a transfer, by reason.
+func (m *Metrics) TransfersSkipped(reason kvtransfer.Reason) tally.Counter {
+	return m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("kv_transfers_skipped")
+}
+
 // InvalidServerEntries counts invalid server entries by fault.
 func (m *Metrics) InvalidServerEntries(f backend.InvalidReason) tally.Counter {
 	return m.scope.Tagged(map[string]string{"fault": string(f)}).Counter("server_entries_bad")
@@ -161,6 +171,9 @@
 		"services_rejection_sensitive": "Services whose backend servers state that they tolerate few rejections.",
 		"server_rejections":            "Rejections of requests by backend servers that tolerate few, at most one per server in 0.3 s.",
 		"services_out_of_reach":        "Services of which this daemon reaches no backend server itself.",
+		"kv_transfers":                 "Sends whose server fetches a part of the prompt's KV cache from another server.",
+		"kv_transfer_tokens":           "Prompt tokens that servers are expected to fetch from other servers.",
+		"kv_transfers_skipped":         "Sends to servers that can fetch from others but do not, by reason.",
 		"version_fallbacks":            "Sends for which no server of a preferred version was available.",
 		"warming_sends":                "Sends to servers that are warming up.",
 		"daemons_live":                 "Live daemons that this daemon knows, including itself.",
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -33,6 +33,8 @@
 	// gateRequest is the request for the gate, slowStart the limit of warming servers.
 	gateRequest gate.Request
 	slowStart   slowstart.Limit
+	// resent is set if an earlier send may have failed, so that nothing is fetched.
+	resent bool
 	// permitted is the ID of the only server that the request may use, to which a send is reserved;
 	// empty if there is none.
 	permitted string
@@ -64,6 +66,8 @@
 	permitFrom uint64
 	// fallback is set if no server of a preferred version was available.
 	fallback bool
+	// fetch is what the server fetches from another one before it runs the request.
+	fetch fetch
 }
 
 // selection is the choice of a server and its inputs.
@@ -105,6 +109,7 @@
 	}
 	s.applyExclusions(&sel, req, s.confirmedVersions(sv, req.versions.Preferred), uptime)
 	limitToFraction(r, sel.candidates, sv.tracker.IndicesByHash(), req.versions.Fraction)
+	s.planTransfers(&sel, req, now)
 	if req.quarantineStatus.Crashes > 0 {
 		sel.decision = s.pickByFingerprint(pipeline, *r, &sel, req)
 		if sel.decision.Index >= 0 {
@@ -115,6 +120,7 @@
 	if sel.decision.Refusal == routing.NoCandidate {
 		sel.fallback = true
 		s.applyExclusions(&sel, req, req.versions.Fallback, uptime)
+		s.planTransfers(&sel, req, now)
 		sel.decision = pipeline.Pick(r, sel.candidates, s.rng)
 	}
 	if sel.decision.Refusal == routing.NoCandidate && clearSuspicion(sel.candidates) {
@@ -216,6 +222,7 @@
 		maxConnections: max(minConnections, maxConns/(s.daemons+1)),
 	}
 	t.warming = s.recordSend(&sel, req, s.bootTime())
+	t.fetch = sel.startTransfer(req, now)
 	t.pendingPrefill = float64(t.uncached) * sel.request.PrefillScale
 	tracker.AddPendingPrefill(candidate.ID, t.pendingPrefill)
 	if req.engine != nil {
@@ -325,8 +332,9 @@
 			updateMean(&latency.responseTime, elapsed.Seconds())
 			return
 		}
-		sv.tracker.RecordLateness(t.server.ID, elapsed-t.backlog-latency.prefill.Predict(t.uncached), time.Now())
-		if t.idle {
+		sv.tracker.RecordLateness(t.server.ID, elapsed-t.backlog-latency.prefill.Predict(t.uncached)-t.fetch.delay, time.Now())
+		sv.transfers.observe(t, elapsed, latency.prefill, time.Now())
+		if t.idle && !t.fetch.used() {
 			latency.prefill.Observe(t.uncached, elapsed)
 		}
 	})
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -75,6 +75,7 @@
 	peerWorkVersion uint64
 	// partition assigns engines to models; nil until the first selection.
 	partition *routing.Partition
+	transfers kvTransfers
 }
 
 // NewState returns an empty state. BootTime reads a clock that also counts while the
@@ -205,7 +206,7 @@
 
 // newService creates the state of a service. Callers hold mu.
 func (s *State) newService(name string) *service {
-	sv := &service{tracker: routing.NewLoadTracker(), models: modelLatencies{}, versionSeen: map[string]time.Duration{}}
+	sv := &service{tracker: routing.NewLoadTracker(), models: modelLatencies{}, versionSeen: map[string]time.Duration{}, transfers: newKVTransfers()}
 	sv.tracker.ExactPeerLoad = true
 	sv.tracker.Prefix.SetCapacity(prefixCapacity)
 	s.services[name] = sv
