--- a/internal/kvtransfer/yield.go
+++ b/internal/kvtransfer/yield.go
@@ -14,6 +14,8 @@
 	priorSuccess = 0.8
 	// maxSample bounds one observation, as a multiple of the time that it should have saved.
 	maxSample = 2
+	// maxExcess bounds the excess of one send, so that a stuck one does not stand for all.
+	maxExcess = 500 * time.Millisecond
 )
 
 // Yield estimates which part of the expected saving transfers realize. It falls if lenders have
@@ -50,7 +52,7 @@
 // ObservePlain records by how much a send without a transfer took longer than expected.
 func (y *Yield) ObservePlain(excess time.Duration, now time.Time) {
 	y.decay(now)
-	y.bias += excess.Seconds()
+	y.bias += min(max(excess, -maxExcess), maxExcess).Seconds()
 	y.biasWeight++
 }
 
