--- a/internal/kvtransfer/transfer_test.go
+++ b/internal/kvtransfer/transfer_test.go
@@ -11,33 +11,35 @@
 func TestTransferIsChosenWhereItSavesEngineTime(t *testing.T) {
 	target := Target{Engine: Engine{Index: 0, HeldTokens: 500, FailureDomain: "a", Version: "v1"}, PrefillPerToken: 20 * time.Microsecond}
 	home := Engine{Index: 1, HeldTokens: 6500, FailureDomain: "a", Version: "v1"}
-	for _, tt := range []struct {
-		name   string
-		change func(p *Policy, target *Target, lender *Engine)
-		want   Reason
-	}{
-		{"long shared prefix", func(*Policy, *Target, *Engine) {}, Planned},
-		{"links ten times slower", func(p *Policy, _ *Target, _ *Engine) { p.Rate.LinkMbps /= 10 }, SlowLink},
-		{"model that prefills as fast as links transfer", func(_ *Policy, target *Target, _ *Engine) { target.PrefillPerToken = 8 * time.Microsecond }, SlowLink},
-		{"gain that callers do not notice", func(_ *Policy, target *Target, _ *Engine) { target.HeldTokens = 5500 }, SlowLink},
-		{"fast model in another failure domain", func(_ *Policy, target *Target, lender *Engine) {
-			target.PrefillPerToken, lender.FailureDomain = 15*time.Microsecond, "b"
-		}, SlowLink},
-		{"few tokens", func(_ *Policy, target *Target, _ *Engine) { target.HeldTokens = 6400 }, NoLender},
-		{"target holds more", func(_ *Policy, target *Target, _ *Engine) { target.HeldTokens = 9000 }, NoLender},
-		{"another version", func(_ *Policy, _ *Target, lender *Engine) { lender.Version = "v2" }, NoLender},
-		{"unknown versions", func(_ *Policy, target *Target, lender *Engine) { target.Version, lender.Version = "", "" }, NoLender},
-		{"the target itself", func(_ *Policy, target *Target, lender *Engine) { lender.Index = target.Index }, NoLender},
-		{"busy link of the lender", func(_ *Policy, _ *Target, lender *Engine) { lender.LinkWait = 80 * time.Millisecond }, BusyLink},
-		{"busy link of the target", func(_ *Policy, target *Target, _ *Engine) { target.LinkWait = 80 * time.Millisecond }, BusyLink},
-		{"busy links of the fleet", func(p *Policy, _ *Target, _ *Engine) { p.Utilization = maxUtilization }, BusyLink},
-		{"other daemons use the lender", func(_ *Policy, _ *Target, lender *Engine) { lender.Share = Share{Daemons: 520, draw: 0.5} }, BusyLink},
-		{"transfers that save nothing", func(p *Policy, _ *Target, _ *Engine) { p.Success = 0.2 }, Unreliable},
+	for want, cases := range map[Reason]map[string]func(p *Policy, target *Target, lender *Engine){
+		Planned: {"long shared prefix": func(*Policy, *Target, *Engine) {}},
+		SlowLink: {
+			"links ten times slower":         func(p *Policy, _ *Target, _ *Engine) { p.Rate.LinkMbps /= 10 },
+			"fast model":                     func(_ *Policy, target *Target, _ *Engine) { target.PrefillPerToken = 8 * time.Microsecond },
+			"lender in another domain":       func(_ *Policy, _ *Target, lender *Engine) { lender.FailureDomain = "b" },
+			"gain that callers don't notice": func(_ *Policy, target *Target, _ *Engine) { target.HeldTokens = 5500 },
+		},
+		NoLender: {
+			"few tokens":        func(_ *Policy, target *Target, _ *Engine) { target.HeldTokens = 6400 },
+			"target holds more": func(_ *Policy, target *Target, _ *Engine) { target.HeldTokens = 9000 },
+			"another version":   func(_ *Policy, _ *Target, lender *Engine) { lender.Version = "v2" },
+			"unknown versions":  func(_ *Policy, target *Target, lender *Engine) { target.Version, lender.Version = "", "" },
+			"the target itself": func(_ *Policy, target *Target, lender *Engine) { lender.Index = target.Index },
+		},
+		BusyLink: {
+			"lender's link":                func(_ *Policy, _ *Target, lender *Engine) { lender.LinkWait = 80 * time.Millisecond },
+			"target's link":                func(_ *Policy, target *Target, _ *Engine) { target.LinkWait = 80 * time.Millisecond },
+			"all links":                    func(p *Policy, _ *Target, _ *Engine) { p.Utilization = maxUtilization },
+			"other daemons use the lender": func(_ *Policy, _ *Target, lender *Engine) { lender.Share = Share{Daemons: 520, draw: 0.5} },
+		},
+		Unreliable: {"transfers that save nothing": func(p *Policy, _ *Target, _ *Engine) { p.Success = 0.2 }},
 	} {
-		policy, target, lender := Policy{Rate: fastLinks, Success: 1}, target, home
-		tt.change(&policy, &target, &lender)
-		if got := policy.Choose(target, []Engine{lender}); got.Reason != tt.want {
-			t.Errorf("%s: got %+v", tt.name, got)
+		for name, change := range cases {
+			policy, target, lender := Policy{Rate: fastLinks, Success: 1}, target, home
+			change(&policy, &target, &lender)
+			if got := policy.Choose(target, []Engine{lender}); got.Reason != want {
+				t.Errorf("%s: got %+v", name, got)
+			}
 		}
 	}
 }
