--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -66,6 +66,9 @@
 	// second of prefill: those that arrive meanwhile and those whose decoding is
 	// interrupted.
 	prefillDelayedPerSecond = 4
+	// transfersDelayedPerSecond is the average number of transfers delayed during each second of
+	// a transfer, on both links.
+	transfersDelayedPerSecond = 4
 	// partitionPenalty is the delay from running among another model's requests, whose
 	// steps alternate with the request's own. With a low penalty, a busy part of the engines
 	// spills over into the other, and both models become slow. With a high one, requests wait
@@ -79,13 +82,13 @@
 	return Pipeline{
 		Filters: []Filter{Live{}, Untried{}},
 		Scorers: []Scorer{
-			Prefill{}, Network{}, Reliability{RetryCost: defaultRetryCost},
+			Prefill{}, TransferDelay{}, Network{}, Reliability{RetryCost: defaultRetryCost},
 		},
 		Load: []Scorer{PrefillBacklog{}, Batch{PerRequest: BatchCost}, FullBatch{}, Lateness{}},
 		Preferences: []Scorer{
 			StaleLoad{},
 			PartitionAffinity{Penalty: partitionPenalty}, RendezvousAffinity{RankCost: affinityRankCost, PrefillShare: affinityPrefillShare},
-			PrefillImpact{DelayedPerSecond: prefillDelayedPerSecond}, Locality{PerKB: localityCostPerKB, HalfCostAt: localityHalfCostAt},
+			PrefillImpact{DelayedPerSecond: prefillDelayedPerSecond}, TransferImpact{DelayedPerSecond: transfersDelayedPerSecond}, Locality{PerKB: localityCostPerKB, HalfCostAt: localityHalfCostAt},
 		},
 		TieWindow: defaultTieWindow,
 	}
