relay, gossip, node: speeds of engines in the pick, the homes and the expected latencies

Cause: the pick, the homes of prompts, lateness and the expected latencies took all engines for alike.

--- a/internal/enginespeed/classes.go
+++ b/internal/enginespeed/classes.go
@@ -12,7 +12,7 @@
 	// minDeviation is the least logarithm with which an engine is told from a typical one, and
 	// sampleDeviation times noiseFactor that of a single sample.
 	minDeviation    = 0.15
-	sampleDeviation = 0.5
+	sampleDeviation = 0.4
 	noiseFactor     = 3
 )
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
+	"github.com/damaskrudder/damaskrudder/internal/enginespeed"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
@@ -106,6 +107,9 @@
 	// TerminatedServers returns the servers that have terminated and are not warm since.
 	TerminatedServers func() []uint64
 
+	// EngineSpeeds returns the observations of engines' speeds for the daemon whose name has a hash.
+	EngineSpeeds func(daemon uint64) *enginespeed.Report
+
 	// EvidenceState returns whether there is evidence for the evaluators of roll-outs.
 	EvidenceState func() Evidence
 
@@ -149,7 +153,7 @@
 	}
 	return &Members{
 		localMessage: localMessage, transport: transport, log: l, address: self.Address, incarnation: self.Incarnation, OnMessage: func(Message, time.Duration) {}, BootTime: bootTime,
-		OnWorkChanged: func([]relay.ServerWork) {}, QuarantineUpdate: func(bool) quarantine.Update { return quarantine.Update{} }, ServerLimits: func(bool) []serverlimit.Update { return nil }, TerminatedServers: func() []uint64 { return nil }, Departures: func(bool) []serverstatus.DepartureReport { return nil }, EvidenceState: func() Evidence { return Evidence{} }, members: map[string]*member{}, leavingSince: map[string]time.Time{},
+		OnWorkChanged: func([]relay.ServerWork) {}, QuarantineUpdate: func(bool) quarantine.Update { return quarantine.Update{} }, ServerLimits: func(bool) []serverlimit.Update { return nil }, TerminatedServers: func() []uint64 { return nil }, Departures: func(bool) []serverstatus.DepartureReport { return nil }, EvidenceState: func() Evidence { return Evidence{} }, EngineSpeeds: func(uint64) *enginespeed.Report { return nil }, members: map[string]*member{}, leavingSince: map[string]time.Time{},
 		live: membership.NewLivePeers(self.Name), table: membership.NewPeerTable(record),
 	}
 }
@@ -205,6 +209,7 @@
 	msg.Quarantine = m.QuarantineUpdate(recentlyJoined)
 	msg.ServerLimits = m.ServerLimits(recentlyJoined)
 	msg.Departures = m.Departures(recentlyJoined)
+	msg.EngineSpeeds = m.engineSpeedsFor(to)
 	if recentlyJoined {
 		msg.TerminatedServers = m.TerminatedServers()
 	}
@@ -310,7 +315,7 @@
 	other.latest.KnownAddresses, other.latest.Placed, other.latest.Orders, other.latest.Suspects = nil, nil, nil, nil
 	other.latest.Quarantine, other.latest.Peers = quarantine.Update{}, nil
 	other.latest.ServerLimits, other.latest.Departures, other.latest.TerminatedServers = nil, nil, nil
-	other.latest.Terminations, other.latest.ConcurrencyLimits = nil, nil
+	other.latest.Terminations, other.latest.ConcurrencyLimits, other.latest.EngineSpeeds = nil, nil, nil
 	m.mu.Unlock()
 	m.OnWorkChanged(changes)
 	m.OnMessage(msg, m.sentAfter(msg))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,6 +189,7 @@
 	n.members.ServerLimits = n.state.ServerLimits
 	n.members.Departures = n.state.Departures
 	n.members.TerminatedServers = n.state.TerminatedServers
+	n.members.EngineSpeeds = n.state.EngineSpeedReport
 	n.members.EvidenceState = func() gossip.Evidence {
 		active, alarms := n.Relay.Rollouts.Alarms()
 		return gossip.Evidence{Active: active, Alarms: alarms}
@@ -225,7 +226,7 @@
 	for _, f := range n.followers {
 		go f.Run(ctx)
 	}
-	for _, loop := range []func(context.Context){n.Relay.Run, n.members.Run, n.runRollouts, n.maintainFreshness, n.maintainRegistration, n.broadcastHolds, n.broadcastLimits, n.syncHolds, n.refreshSlowStartView} {
+	for _, loop := range []func(context.Context){n.Relay.Run, n.members.Run, n.runRollouts, n.maintainFreshness, n.maintainRegistration, n.broadcastHolds, n.broadcastLimits, n.syncHolds, n.refreshSlowStartView, n.refreshEngineSpeeds} {
 		go loop(ctx)
 	}
 	n.log.Info("started", "daemon", n.config.Name, "incarnation", n.incarnation, "front", n.config.ClientAddress, "control", n.config.ControlAddress)
@@ -290,6 +291,7 @@
 	n.state.AddTerminatedServers(message.TerminatedServers)
 	n.Relay.MergeTerminations(message.Terminations)
 	n.Relay.MergeConcurrencyLimits(message.ConcurrencyLimits)
+	n.Relay.MergeEngineSpeeds(message.Name, message.EngineSpeeds)
 	if n.placements.MarkSeen(message.Incarnation, message.PlacedRound) {
 		n.state.ApplyPlacements(message.Placed)
 	}
--- a/internal/relay/affinity.go
+++ b/internal/relay/affinity.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damaskrudder/damaskrudder/internal/routing"
@@ -25,6 +27,18 @@
 	return h ^ h>>29
 }
 
+// homeWeight is the rendezvousWeight of an engine by its speed: one that takes half the time is home
+// to twice as many keys.
+func homeWeight(c *routing.Candidate, key uint64) uint64 {
+	weight := rendezvousWeight(c.Hash, key)
+	if c.Factor() == 1 {
+		return weight
+	}
+	const scale = 1 << 64
+	uniform := math.Pow(float64(weight)/scale, c.Factor())
+	return uint64(min(uniform*scale, math.Nextafter(scale, 0)))
+}
+
 // rankAffinity ranks the candidates for a key by rendezvous hashing.
 func rankAffinity(key uint64, candidates []routing.Candidate, r *routing.Request) {
 	var ranked [routing.MaxAffinityRank]int
@@ -32,7 +46,7 @@
 	count := 0
 	for i := range candidates {
 		r.AffinityRank[i] = routing.MaxAffinityRank
-		weight := rendezvousWeight(candidates[i].Hash, key)
+		weight := homeWeight(&candidates[i], key)
 		rank := count
 		for rank > 0 && weights[rank-1] < weight {
 			rank--
@@ -62,7 +76,7 @@
 			continue
 		}
 		r.LocalCandidates++
-		if weight := rendezvousWeight(candidates[i].Hash, key); best < 0 || weight > bestWeight {
+		if weight := homeWeight(&candidates[i], key); best < 0 || weight > bestWeight {
 			best, bestWeight = i, weight
 		}
 	}
--- a/internal/relay/latency.go
+++ b/internal/relay/latency.go
@@ -4,11 +4,12 @@
 	"math"
 	"time"
 
+	"github.com/damaskrudder/damaskrudder/internal/enginespeed"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
 
-// modelLatencies estimates the latency of a service's models.
+// modelLatencies estimates the latency of a service's models on a typical engine.
 type modelLatencies map[string]*modelLatency
 
 type modelLatency struct {
@@ -16,6 +17,10 @@
 	prefill *routing.FirstTokenFit
 	// eventInterval is the mean time between events in seconds.
 	eventInterval float64
+	// quick estimates the first events of sends that met no queue, and gaps the short gaps between
+	// events in seconds by the requests in flight. Engines are compared by them.
+	quick *routing.FirstTokenFit
+	gaps  enginespeed.Trend
 	// load is the rate at which this daemon sends prompts to the model.
 	load routing.PromptRate
 	// responseTime is the mean response time of a plain service in seconds.
@@ -41,7 +46,8 @@
 func (l modelLatencies) get(model string, e *route.Engine) *modelLatency {
 	latency := l[model]
 	if latency == nil {
-		latency = &modelLatency{prefill: routing.NewFirstTokenFit(initialFixedLatency, time.Duration(relativeLatency(model, e)*float64(initialTokenLatency)))}
+		perToken := time.Duration(relativeLatency(model, e) * float64(initialTokenLatency))
+		latency = &modelLatency{prefill: routing.NewFirstTokenFit(initialFixedLatency, perToken), quick: routing.NewFirstTokenFit(initialFixedLatency, perToken)}
 		l[model] = latency
 	}
 	return latency
@@ -87,7 +93,7 @@
 // remainingStreamTime returns the streamTime of a stream that has begun.
 func (s *State) remainingStreamTime(t *target, events float64) time.Duration {
 	var remaining time.Duration
-	s.withService(t.service, func(sv *service) { remaining = sv.models.streamTime(t.model, events) })
+	s.withService(t.service, func(sv *service) { remaining = t.ownTime(sv.models.streamTime(t.model, events)) })
 	return remaining
 }
 
@@ -98,13 +104,18 @@
 		latency := sv.models.get(t.model, nil)
 		first, interval = latency.responseTime, latency.eventInterval
 		if engine {
-			first = (t.backlog + latency.prefill.Predict(t.uncached)).Seconds()
+			first = (t.backlog + t.ownTime(latency.prefill.Predict(t.uncached))).Seconds()
+			interval *= t.factor()
 		}
 	})
 	return first, interval
 }
 
-// recordEventInterval records the mean interval between the events of a stream.
-func (s *State) recordEventInterval(t *target, interval time.Duration) {
-	s.withService(t.service, func(sv *service) { updateMean(&sv.models.get(t.model, nil).eventInterval, interval.Seconds()) })
+// recordEventInterval records the mean interval between the events of a stream, and the low one of
+// eventGaps or zero.
+func (s *State) recordEventInterval(t *target, mean, low time.Duration) {
+	s.withService(t.service, func(sv *service) {
+		updateMean(&sv.models.get(t.model, nil).eventInterval, t.typicalTime(mean).Seconds())
+		s.observeGap(sv, t, low)
+	})
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -50,6 +50,8 @@
 	expectedLatency time.Duration
 	// inFlight is the known number of requests of all daemons in flight there, this one included.
 	inFlight int
+	// timeFactor is the ratio of the server's time to that of a typical engine; see factor.
+	timeFactor float64
 	// idle is set if the server had no pending prefill.
 	idle bool
 	// backlog is the expected prefill time of the requests queued before this one.
@@ -89,6 +91,7 @@
 	}
 	sel := selection{service: sv, candidates: sv.tracker.Snapshot(s.candidateBuf[:0], now)}
 	s.candidateBuf = sel.candidates
+	sv.applySpeeds(sel.candidates)
 	r := &sel.request
 	*r = routing.Request{PromptTokens: req.prompt.Tokens, Urgent: req.urgent, PrefillScale: latency.prefillScale(), Budget: req.remainingTime, FailureDomain: s.failureDomain, BodyBytes: req.bodyBytes}
 	pipeline := routing.DefaultPipeline()
@@ -162,13 +165,18 @@
 	}
 	prefillTime := sel.prefillTime()
 	return cascade.Estimate{
-		FirstEvent: sel.decision.Expected, Remainder: sel.service.models.streamTime(req.model, events),
+		FirstEvent: sel.decision.Expected, Remainder: time.Duration(sel.timeFactor() * float64(sel.service.models.streamTime(req.model, events))),
 		EngineTime: prefillTime, DelayedPerSecond: sel.service.models.get(req.model, req.engine).load.ArrivalsDuring(sel.backlog(), prefillTime, s.daemons, sel.partitionSize(), now),
 	}
 }
 
 // prefillTime returns the time to process the prompt on the selected server.
 func (sel *selection) prefillTime() time.Duration {
+	return time.Duration(sel.timeFactor() * float64(sel.typicalPrefillTime()))
+}
+
+// typicalPrefillTime returns the prefillTime of a typical engine.
+func (sel *selection) typicalPrefillTime() time.Duration {
 	return time.Duration(float64(sel.request.UncachedTokens(sel.decision.Index)) * sel.request.PrefillScale * float64(referenceTokenTime))
 }
 
@@ -187,7 +195,7 @@
 // backlog returns the prefill time of the requests queued on the selected server.
 func (sel *selection) backlog() time.Duration {
 	candidate := &sel.candidates[sel.decision.Index]
-	return time.Duration((candidate.PendingPrefill + candidate.OthersPending) * float64(referenceTokenTime))
+	return time.Duration((candidate.PendingPrefill + candidate.OthersPending) * candidate.Factor() * float64(referenceTokenTime))
 }
 
 // pick selects a server and records the work there.
@@ -212,6 +220,7 @@
 		uncached:       sel.request.UncachedTokens(sel.decision.Index),
 		idle:           candidate.PendingPrefill+candidate.OthersPending == 0,
 		backlog:        sel.backlog(),
+		timeFactor:     sel.timeFactor(),
 		inFlight:       candidate.InFlight + int(candidate.OthersInFlight) + 1,
 		maxConnections: max(minConnections, maxConns/(s.daemons+1)),
 	}
@@ -222,7 +231,7 @@
 		sel.service.models.get(req.model, req.engine).load.Record(now)
 	}
 	if sel.service.partition != nil {
-		sel.service.partition.RecordWork(req.model, sel.prefillTime(), now)
+		sel.service.partition.RecordWork(req.model, sel.typicalPrefillTime(), now)
 	}
 	if shared := len(blocks) - 1; shared > 0 && len(s.pendingPlacements) < maxPendingPlacements {
 		// The last part is unique to the request, so peers do not need it.
@@ -318,17 +327,13 @@
 	s.withService(t.service, func(sv *service) {
 		s.removePending(sv, t)
 		s.gate.ServerResponded(t.server.ID, t.slowStart, s.bootTime())
-		latency := sv.models.get(t.model, nil)
 		if !engine {
 			// A plain response time does not show the queueing delay.
 			sv.tracker.RecordLateness(t.server.ID, 0, time.Now())
-			updateMean(&latency.responseTime, elapsed.Seconds())
+			updateMean(&sv.models.get(t.model, nil).responseTime, elapsed.Seconds())
 			return
 		}
-		sv.tracker.RecordLateness(t.server.ID, elapsed-t.backlog-latency.prefill.Predict(t.uncached), time.Now())
-		if t.idle {
-			latency.prefill.Observe(t.uncached, elapsed)
-		}
+		s.observeFirstEvent(sv, t, elapsed)
 	})
 }
 
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -126,11 +126,11 @@
 func (x *exchange) recordStream(s *streamForwarder) {
 	x.succeeded = true
 	x.relay.Metrics.Responses(true).Inc(1)
-	x.logEvent("streamed", s.t, "last_event", x.lastEvent, "events", s.events, "first_ms", x.firstEventAt.Sub(x.call.Received).Milliseconds())
+	x.logEvent("streamed", s.t, "last_event", x.lastEvent, "events", s.events, "first_ms", x.firstEventAt.Sub(x.call.Received).Milliseconds(), "gap_us", s.gaps.low().Microseconds())
 	x.relay.Rollouts.recordResponse(s.t, x.route.Name, false, x.latencyRatio(s.t, time.Since(s.sentAt), s.events-1))
 	if s.events > 1 {
 		x.recordStreamEnd(s.t, time.Since(s.firstEventAt))
-		x.relay.State.recordEventInterval(s.t, time.Since(s.firstEventAt)/time.Duration(s.events-1))
+		x.relay.State.recordEventInterval(s.t, time.Since(s.firstEventAt)/time.Duration(s.events-1), s.gaps.low())
 	}
 }
 
@@ -171,6 +171,7 @@
 	sentAt       time.Time
 	firstEventAt time.Time
 	events       int
+	gaps         eventGaps
 	reader       eventReader
 	batch        []byte
 }
@@ -217,6 +218,7 @@
 		return err
 	}
 	s.batch = s.batch[:0]
+	before := s.events
 	for {
 		e, ok := s.reader.next()
 		if !ok {
@@ -226,6 +228,7 @@
 			return err
 		}
 	}
+	s.gaps.record(s.events-before, time.Now())
 	return s.flush()
 }
 
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/enginespeed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
 	"github.com/damaskrudder/damaskrudder/internal/reachability"
@@ -44,6 +45,8 @@
 	pendingPlacements []Placement
 	// registryVersion counts the changes of the registry.
 	registryVersion uint64
+	// speeds holds the observations of engines' speeds.
+	speeds *enginespeed.Table
 	// gate filters every selection of a server.
 	gate *gate.Gate
 	// reachability holds which services this daemon reaches itself.
@@ -69,6 +72,8 @@
 	// idByKey maps the keys in peers' reports to the members' ids.
 	idByKey map[ServerKey]string
 	models  modelLatencies
+	// speeds are the speed classes of the engines.
+	speeds enginespeed.Classes
 	// registryVersion is the version of the registry that members reflect.
 	registryVersion uint64
 	// peerWorkVersion is the version of the peer work applied to the tracker.
@@ -81,7 +86,7 @@
 // VM is suspended.
 func NewState(daemon, failureDomain string, bootTime func() time.Duration) *State {
 	return &State{
-		bootTime: bootTime, ready: make(chan struct{}), registry: backend.NewRegistry(), gate: gate.New(), reachability: reachability.NewTracker(), helpers: reachability.NewHelpers(), linkFailures: map[string]time.Duration{}, services: map[string]*service{}, daemon: daemon, failureDomain: failureDomain, daemons: 1,
+		bootTime: bootTime, ready: make(chan struct{}), speeds: enginespeed.NewTable(xxhash.Sum64String(daemon)), registry: backend.NewRegistry(), gate: gate.New(), reachability: reachability.NewTracker(), helpers: reachability.NewHelpers(), linkFailures: map[string]time.Duration{}, services: map[string]*service{}, daemon: daemon, failureDomain: failureDomain, daemons: 1,
 		peerWork: peerWork{byServer: map[ServerKey]ServerWork{}}, rng: rand.New(rand.NewPCG(xxhash.Sum64String(daemon), uint64(bootTime()))),
 	}
 }
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -118,7 +118,8 @@
 
 // PrefillImpact is the delay that the request's prefill causes to other requests. It
 // prefers a server that has the prompt cached over an idle one that would repeat the
-// prefill.
+// prefill. It is that of a typical engine: a slower one is blocked for longer, by a prompt that fewer
+// others meet there.
 type PrefillImpact struct {
 	// DelayedPerSecond is the number of requests delayed during each second of prefill.
 	DelayedPerSecond float64
@@ -129,7 +130,7 @@
 
 // Cost implements Scorer.
 func (p PrefillImpact) Cost(r *Request, c *Candidate, index int) time.Duration {
-	return time.Duration(p.DelayedPerSecond * float64(Prefill{}.Cost(r, c, index)))
+	return time.Duration(p.DelayedPerSecond * float64(Prefill{}.Cost(r, c, index)) / c.Factor())
 }
 
 // Locality is the cost of sending the request body to another failure domain. It decreases
@@ -204,7 +205,7 @@
 
 // Cost implements Scorer.
 func (b Batch) Cost(_ *Request, c *Candidate, _ int) time.Duration {
-	return time.Duration((float64(c.InFlight) + c.OthersInFlight) * float64(b.PerRequest))
+	return time.Duration((float64(c.InFlight) + c.OthersInFlight) * c.Factor() * float64(b.PerRequest))
 }
 
 // FullBatch is the wait for a slot of an engine whose batch is full.
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -37,6 +37,9 @@
 	ServiceTime time.Duration
 	// PrefillPerToken is the prefill time per uncached prompt token.
 	PrefillPerToken time.Duration
+	// TimeFactor is the ratio of the engine's time to that of a typical one; zero means 1. It is
+	// included in PrefillPerToken and ServiceTime.
+	TimeFactor float64
 	// Network is the round-trip time to the server.
 	Network time.Duration
 	// ErrorRate is the recent fraction of failed attempts, 0 to 1.
@@ -47,6 +50,14 @@
 	Suspect bool
 }
 
+// Factor returns the TimeFactor.
+func (c *Candidate) Factor() float64 {
+	if c.TimeFactor > 0 {
+		return c.TimeFactor
+	}
+	return 1
+}
+
 // Request describes one attempt to the pipeline.
 type Request struct {
 	PromptTokens int
