enginespeed, relay: speeds from the shortest gaps between events; delayed times weigh little

Change: the shortest of every five gaps is observed, while the stream runs; a time beyond 1.5 times the engine's own counts a tenth; a model's typical gap is a low one; three collectors and their median; a first event counts a quarter of a gap.

--- a/internal/enginespeed/classes.go
+++ b/internal/enginespeed/classes.go
@@ -11,8 +11,8 @@
 	switchSteps = 0.75
 	// minDeviation is the least logarithm with which an engine is told from a typical one, and
 	// sampleDeviation times noiseFactor that of a single sample.
-	minDeviation    = 0.15
-	sampleDeviation = 0.4
+	minDeviation    = 0.14
+	sampleDeviation = 0.2
 	noiseFactor     = 3
 )
 
--- a/internal/enginespeed/estimate.go
+++ b/internal/enginespeed/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	minKnownSamples = 4
 	// minKnownEngines is the number of engines that the median needs.
 	minKnownEngines = 3
+	// minPools is the number of collectors that must have reported an engine.
+	minPools = 2
 	// overlap is about how often the pooled sums of partners have the same observation.
 	overlap = 2
 )
@@ -61,7 +64,7 @@
 	if t.partnersOnly {
 		return 1
 	}
-	return min(collectorsPerEngine, len(t.daemons))
+	return min(minPools, len(t.daemons))
 }
 
 // poolsOf returns the pooled sums of an engine by its collectors.
@@ -91,18 +94,16 @@
 	return []summary{p}
 }
 
-// agreed returns the deviation from the typical mean on which all pools agree: the least one, or zero
-// if they differ in direction. One collector alone can only make an engine look typical.
+// agreed returns the median deviation from the typical mean. Of two pools it is the smaller one, or
+// zero if they differ in direction: one collector alone can only make an engine look typical.
 func agreed(pools []summary, typical float64) float64 {
-	least := pools[0].mean - typical
-	for _, p := range pools[1:] {
-		deviation := p.mean - typical
-		switch {
-		case deviation*least <= 0:
-			return 0
-		case math.Abs(deviation) < math.Abs(least):
-			least = deviation
-		}
+	deviations := make([]float64, len(pools))
+	for i, p := range pools {
+		deviations[i] = p.mean - typical
+	}
+	slices.Sort(deviations)
+	if len(deviations) != 2 {
+		return deviations[len(deviations)/2]
 	}
-	return least
+	return max(deviations[0], 0) + min(deviations[1], 0)
 }
--- a/internal/enginespeed/pool.go
+++ b/internal/enginespeed/pool.go
@@ -7,7 +7,7 @@
 
 const (
 	// priorSamples is the weight of the assumption that an engine is typical.
-	priorSamples = 8
+	priorSamples = 4
 	// maxCountOverMedian bounds the weight of a daemon as a multiple of the median daemon's.
 	maxCountOverMedian = 2
 	// minOtherShare is the least total weight of all others, as a multiple of one daemon's weight:
--- a/internal/enginespeed/sums.go
+++ b/internal/enginespeed/sums.go
@@ -17,7 +17,7 @@
 	// halfLife is the half-life of observations.
 	halfLife = 40 * time.Second
 	// maxLogRatio bounds the logarithm of a single ratio, so that no observation weighs much.
-	maxLogRatio = 1.1
+	maxLogRatio = 1.0
 	// minSamples is the decayed number of samples below which sums are dropped.
 	minSamples = 0.2
 )
@@ -28,11 +28,11 @@
 	updatedAt  time.Duration
 }
 
-// add adds a sample.
-func (s *sums) add(logRatio float64, now time.Duration) {
-	weight := decay(now - s.updatedAt)
-	s.count = s.count*weight + 1
-	s.sum = s.sum*weight + min(max(logRatio, -maxLogRatio), maxLogRatio)
+// add adds a sample of a weight.
+func (s *sums) add(logRatio, weight float64, now time.Duration) {
+	kept := decay(now - s.updatedAt)
+	s.count = s.count*kept + weight
+	s.sum = s.sum*kept + weight*min(max(logRatio, -maxLogRatio), maxLogRatio)
 	s.updatedAt = now
 }
 
--- a/internal/enginespeed/table.go
+++ b/internal/enginespeed/table.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// collectorsPerEngine is the number of daemons that collect the observations of one engine. An
-	// engine counts as slower or faster by as much as all of them agree on.
-	collectorsPerEngine = 2
+	// collectorsPerEngine is the number of daemons that collect the observations of one engine. The
+	// median of what they report counts, so that one alone decides nothing.
+	collectorsPerEngine = 3
 	// contributionBytes and poolBytes bound the bytes a second that a daemon sends of each list.
 	contributionBytes = 130
 	poolBytes         = 250
@@ -21,8 +21,12 @@
 	// must differ from what the receiver has before they are reported again.
 	minGrowth = 1.6
 	minMove   = 0.1
+	// maxDelay is the ratio to an engine's usual time from which an observation counts as delayed,
+	// and delayedWeight its weight then.
+	maxDelay      = 1.5
+	delayedWeight = 0.1
 	// minPooledSamples is the number of samples from which a pooled sum is reported.
-	minPooledSamples = 8
+	minPooledSamples = 4
 	// maxEngines bounds the engines of which observations of other daemons are kept.
 	maxEngines = 4096
 )
@@ -60,15 +64,20 @@
 	}
 }
 
-// Observe adds the ratio of an engine's time to the typical engine's for the same work.
-func (t *Table) Observe(engine Engine, ratio float64, now time.Duration) {
+// Observe adds the ratio of an engine's time to the typical engine's for the same work, with a weight
+// of at most 1. An engine of a known factor that takes much longer than usual was delayed by other
+// work, which tells little of its speed.
+func (t *Table) Observe(engine Engine, ratio, factor, weight float64, now time.Duration) {
 	if !validRatio(ratio) {
 		return
 	}
+	if limit := maxDelay * factor; ratio > limit {
+		ratio, weight = limit, weight*delayedWeight
+	}
 	if t.own[engine] == nil {
 		t.own[engine] = &sums{}
 	}
-	t.own[engine].add(math.Log(ratio), now)
+	t.own[engine].add(math.Log(ratio), weight, now)
 }
 
 // Refresh sets the live daemons with which this one exchanges messages, by their hashes, and whether
--- a/internal/relay/enginespeeds.go
+++ b/internal/relay/enginespeeds.go
@@ -62,10 +62,11 @@
 }
 
 const (
-	// maxQuickRatio is the ratio to the quick first event up to which a first event is taken for one
-	// without a queue, and maxQuickStep bounds the effect of one first event on what counts as quick.
-	maxQuickRatio = 2
-	maxQuickStep  = 1.25
+	// maxQuickStep bounds the effect of one first event on what counts as quick.
+	maxQuickStep = 1.25
+	// firstEventWeight is the weight of a first event, which may have waited for prompts of other
+	// daemons, relative to that of a gap.
+	firstEventWeight = 0.25
 )
 
 // observeFirstEvent records the first event of a send to an engine.
@@ -80,31 +81,26 @@
 }
 
 // observeQuickEvent records the first event of a send to an engine that is not known to have a queue.
-// It may have one of other daemons' requests, so that only quick events tell its speed.
 func (s *State) observeQuickEvent(latency *modelLatency, t *target, elapsed time.Duration) {
 	quick := latency.quick.Predict(t.uncached)
-	if ratio := elapsed.Seconds() / quick.Seconds(); ratio <= maxQuickRatio {
-		s.observeSpeed(t, ratio)
-	}
+	s.observeSpeed(t, elapsed.Seconds()/quick.Seconds(), firstEventWeight)
 	latency.quick.Observe(t.uncached, min(t.typicalTime(elapsed), time.Duration(maxQuickStep*float64(quick))))
 }
 
-// observeGap records a low gap between the events of a stream. None is expected before the first one
-// of a model.
-func (s *State) observeGap(sv *service, t *target, low time.Duration) {
-	if low <= 0 {
-		return
-	}
-	gaps, batch := &sv.models.get(t.model, nil).gaps, float64(t.inFlight)
-	if expected := gaps.Predict(batch); expected > 0 {
-		s.observeSpeed(t, low.Seconds()/expected)
-	}
-	gaps.Observe(batch, t.typicalTime(low).Seconds())
+// recordShortGap records the shortest of some gaps between the events of a stream.
+func (s *State) recordShortGap(t *target, gap time.Duration) {
+	s.withService(t.service, func(sv *service) {
+		gaps, batch := &sv.models.get(t.model, nil).gaps, float64(t.inFlight)
+		if expected := gaps.Predict(batch); expected > 0 {
+			s.observeSpeed(t, gap.Seconds()/expected, 1)
+		}
+		gaps.Observe(batch, t.typicalTime(gap).Seconds())
+	})
 }
 
 // observeSpeed records the ratio of the time that an engine took to that of a typical one.
-func (s *State) observeSpeed(t *target, ratio float64) {
-	s.speeds.Observe(engineKey(xxhash.Sum64String(t.server.ID)), ratio, s.bootTime())
+func (s *State) observeSpeed(t *target, ratio, weight float64) {
+	s.speeds.Observe(engineKey(xxhash.Sum64String(t.server.ID)), ratio, t.factor(), weight, s.bootTime())
 }
 
 // EngineSpeedReport returns what is due to be reported to the daemon whose name has a hash; nil if
--- a/internal/relay/eventgaps.go
+++ b/internal/relay/eventgaps.go
@@ -1,45 +1,41 @@
 package relay
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
-const (
-	// minGaps is the number of gaps from which a stream tells the speed of its engine, and maxGaps
-	// bounds those that are kept.
-	minGaps = 4
-	maxGaps = 128
-	// lowGapDivisor selects the quantile of the gaps: one in so many is shorter.
-	lowGapDivisor = 8
-)
+// gapsPerWindow is the number of gaps between events of which the shortest is observed.
+const gapsPerWindow = 5
 
-// eventGaps collects the gaps between the events of a stream. The shortest ones show how long a step
-// of the engine takes; the others include steps that process prompts of other requests.
+// eventGaps finds the shortest of every few gaps between the events of a stream. It shows how long a
+// step of the engine takes; the others may include steps that process prompts of other requests.
 type eventGaps struct {
 	lastAt time.Time
 	// lastSingle is set if the last read brought one event. If it brought more, this daemon was late
 	// to read them, and the time to the next one is too short.
 	lastSingle bool
-	gaps       []time.Duration
+	shortest   time.Duration
+	count      int
 }
 
-// record records a read that brought some events.
-func (g *eventGaps) record(events int, now time.Time) {
+// record records a read that brought some events. It returns the shortest gap of a window that is
+// complete, else zero.
+func (g *eventGaps) record(events int, now time.Time) (shortest time.Duration) {
 	if events == 0 {
-		return
+		return 0
 	}
-	if events == 1 && g.lastSingle && len(g.gaps) < maxGaps {
-		g.gaps = append(g.gaps, now.Sub(g.lastAt))
+	if events == 1 && g.lastSingle {
+		shortest = g.add(now.Sub(g.lastAt))
 	}
 	g.lastAt, g.lastSingle = now, events == 1
+	return shortest
 }
 
-// low returns the low quantile of the gaps, or zero if there are too few.
-func (g *eventGaps) low() time.Duration {
-	if len(g.gaps) < minGaps {
+func (g *eventGaps) add(gap time.Duration) (shortest time.Duration) {
+	if g.count == 0 || gap < g.shortest {
+		g.shortest = gap
+	}
+	if g.count++; g.count < gapsPerWindow {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(g.gaps))
-	return sorted[len(sorted)/lowGapDivisor]
+	g.count = 0
+	return g.shortest
 }
--- a/internal/relay/latency.go
+++ b/internal/relay/latency.go
@@ -17,10 +17,10 @@
 	prefill *routing.FirstTokenFit
 	// eventInterval is the mean time between events in seconds.
 	eventInterval float64
-	// quick estimates the first events of sends that met no queue, and gaps the short gaps between
+	// quick estimates the first events of sends that met no queue, and gaps the shortest gaps between
 	// events in seconds by the requests in flight. Engines are compared by them.
 	quick *routing.FirstTokenFit
-	gaps  enginespeed.Trend
+	gaps  enginespeed.LowTime
 	// load is the rate at which this daemon sends prompts to the model.
 	load routing.PromptRate
 	// responseTime is the mean response time of a plain service in seconds.
@@ -111,11 +111,9 @@
 	return first, interval
 }
 
-// recordEventInterval records the mean interval between the events of a stream, and the low one of
-// eventGaps or zero.
-func (s *State) recordEventInterval(t *target, mean, low time.Duration) {
+// recordEventInterval records the mean interval between the events of a stream.
+func (s *State) recordEventInterval(t *target, interval time.Duration) {
 	s.withService(t.service, func(sv *service) {
-		updateMean(&sv.models.get(t.model, nil).eventInterval, t.typicalTime(mean).Seconds())
-		s.observeGap(sv, t, low)
+		updateMean(&sv.models.get(t.model, nil).eventInterval, t.typicalTime(interval).Seconds())
 	})
 }
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -126,19 +126,21 @@
 func (x *exchange) recordStream(s *streamForwarder) {
 	x.succeeded = true
 	x.relay.Metrics.Responses(true).Inc(1)
-	x.logEvent("streamed", s.t, "last_event", x.lastEvent, "events", s.events, "first_ms", x.firstEventAt.Sub(x.call.Received).Milliseconds(), "gap_us", s.gaps.low().Microseconds())
+	x.logEvent("streamed", s.t, "last_event", x.lastEvent, "events", s.events, "first_ms", x.firstEventAt.Sub(x.call.Received).Milliseconds())
 	x.relay.Rollouts.recordResponse(s.t, x.route.Name, false, x.latencyRatio(s.t, time.Since(s.sentAt), s.events-1))
 	if s.events > 1 {
 		x.recordStreamEnd(s.t, time.Since(s.firstEventAt))
-		x.relay.State.recordEventInterval(s.t, time.Since(s.firstEventAt)/time.Duration(s.events-1), s.gaps.low())
+		x.relay.State.recordEventInterval(s.t, time.Since(s.firstEventAt)/time.Duration(s.events-1))
 	}
 }
 
 // streamObserver observes the arrival of a stream.
 type streamObserver interface {
-	// progress is called when data has arrived, and firstEvent when the first event is forwarded.
+	// progress is called when data has arrived, firstEvent when the first event is forwarded, and
+	// shortGap with the shortest of some gaps between events.
 	progress()
 	firstEvent(elapsed time.Duration)
+	shortGap(gap time.Duration)
 }
 
 // serverStream observes the stream of a server.
@@ -150,6 +152,8 @@
 
 func (s serverStream) progress() { s.a.recordProgress() }
 
+func (s serverStream) shortGap(gap time.Duration) { s.x.relay.State.recordShortGap(s.t, gap) }
+
 func (s serverStream) firstEvent(elapsed time.Duration) {
 	s.x.relay.Guard.MarkForwarded(s.x.run)
 	s.x.relay.State.recordResponse(s.t, elapsed, true)
@@ -161,6 +165,7 @@
 
 func (forwardedStream) progress()                {}
 func (forwardedStream) firstEvent(time.Duration) {}
+func (forwardedStream) shortGap(time.Duration)   {}
 
 // streamForwarder forwards one server's stream.
 type streamForwarder struct {
@@ -228,7 +233,9 @@
 			return err
 		}
 	}
-	s.gaps.record(s.events-before, time.Now())
+	if gap := s.gaps.record(s.events-before, time.Now()); gap > 0 {
+		s.observer.shortGap(gap)
+	}
 	return s.flush()
 }
 
