--- a/internal/relay/enginespeeds_test.go
+++ b/internal/relay/enginespeeds_test.go
@@ -2,43 +2,41 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/enginespeed"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
 
-// serviceWithSpeeds returns a service with engines of the given factors, and its candidates.
-func serviceWithSpeeds(factors ...float64) (*service, []routing.Candidate) {
+// candidatesWithSpeeds returns engines of known factors.
+func candidatesWithSpeeds(factors ...float64) []routing.Candidate {
 	sv := &service{tracker: routing.NewLoadTracker()}
-	speeds := enginespeed.NewTable(1)
-	var engines []enginespeed.Engine
+	var estimates []enginespeed.Estimate
 	for i, factor := range factors {
 		id := fmt.Sprint("e", i)
 		sv.members = append(sv.members, routing.Member{ID: id, Slots: 32})
-		engines = append(engines, enginespeed.Engine(ServerKeyOf(id)))
-		for range 200 {
-			speeds.Observe(engines[i], factor, factor, 1, 0)
-		}
+		estimates = append(estimates, enginespeed.Estimate{Engine: enginespeed.Engine(ServerKeyOf(id)), LogRatio: math.Log(factor), Samples: 500})
 	}
-	speeds.Refresh(nil, false, 0)
-	sv.speeds.Update(speeds.Estimates(engines, 0))
+	sv.speeds.Update(estimates)
 	sv.tracker.Update(sv.members)
 	sv.tracker.SetPrefillPerToken(referenceTokenTime)
 	candidates := sv.tracker.Snapshot(nil, time.Time{})
 	sv.applySpeeds(candidates)
-	return sv, candidates
+	return candidates
 }
 
 // Guards against homes that move, or times that change, where engines are alike.
 func TestEqualEnginesAreServedAsBefore(t *testing.T) {
-	_, candidates := serviceWithSpeeds(1, 1.04, 0.97, 1, 1.02)
+	candidates := candidatesWithSpeeds(1, 1.04, 0.97, 1, 1.02)
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Factor() != 1 || c.PrefillPerToken != referenceTokenTime {
@@ -54,7 +52,7 @@
 
 // Guards against slow engines that are home to as many prefixes as quick ones.
 func TestHomesFollowSpeed(t *testing.T) {
-	_, candidates := serviceWithSpeeds(0.5, 1, 1, 1, 1)
+	candidates := candidatesWithSpeeds(0.5, 1, 1, 1, 1)
 	const keys = 20000
 	homes := make([]int, len(candidates))
 	rng := rand.New(rand.NewPCG(3, 4))
@@ -76,7 +74,7 @@
 // begin after 0.1 s. Known are the factors by which the times are told.
 func lateShare(actual []float64, known []float64) float64 {
 	const requests, prompt, objective, arrival = 20000, 40 * time.Millisecond, 100 * time.Millisecond, 3500 * time.Microsecond
-	_, candidates := serviceWithSpeeds(known...)
+	candidates := candidatesWithSpeeds(known...)
 	rng := rand.New(rand.NewPCG(5, 6))
 	done := make([][]time.Duration, len(actual))
 	now, late := time.Duration(0), 0
@@ -122,66 +120,59 @@
 func TestMomentarySlownessIsAvoidedForAboutASecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := engineState("d1", 3)
-		s.mu.Lock()
 		sv := s.serviceFor("lm")
-		sv.speeds.Update([]enginespeed.Estimate{{Engine: enginespeed.Engine(ServerKeyOf("e0")), LogRatio: 0.5, Samples: 500}})
-		s.mu.Unlock()
-		factor := sv.speeds.Factor(enginespeed.Engine(ServerKeyOf("e0")))
-		send := &target{server: backend.Server{ID: "e0"}, service: "lm", model: "m0", uncached: 20_000, timeFactor: factor}
-		typical := sv.models.get("m0", nil).prefill.Predict(send.uncached)
-		wait := func() time.Duration {
+		send := &target{server: backend.Server{ID: "e0"}, service: "lm", model: "m0", uncached: 20_000, timeFactor: 1.6}
+		usual := send.ownTime(sv.models.get("m0", nil).prefill.Predict(send.uncached))
+		expectWait := func(after time.Duration, least, most time.Duration) {
+			t.Helper()
+			time.Sleep(after)
 			candidates := sv.tracker.Snapshot(nil, time.Now())
-			for i := range candidates {
-				if candidates[i].ID == "e0" {
-					return candidates[i].Wait
-				}
+			e0 := slices.IndexFunc(candidates, func(c routing.Candidate) bool { return c.ID == "e0" })
+			if got := candidates[e0].Wait; got < least || got > most {
+				t.Errorf("late by %s, want %s to %s", got, least, most)
 			}
-			return -1
-		}
-		s.recordResponse(send, send.ownTime(typical), true)
-		if got := wait(); got > time.Millisecond {
-			t.Fatalf("a slow engine that took its usual time is late by %s", got)
-		}
-		s.recordResponse(send, send.ownTime(typical)+600*time.Millisecond, true)
-		if got := wait(); got < 200*time.Millisecond {
-			t.Errorf("an engine that was slow a moment ago is late by %s only", got)
-		}
-		time.Sleep(4 * time.Second)
-		if got := wait(); got > 20*time.Millisecond {
-			t.Errorf("four seconds later it is late by %s", got)
 		}
+		s.recordResponse(send, usual, true)
+		expectWait(0, 0, time.Millisecond)
+		s.recordResponse(send, usual+600*time.Millisecond, true)
+		expectWait(0, 200*time.Millisecond, time.Second)
+		expectWait(4*time.Second, 0, 20*time.Millisecond)
 	})
 }
 
 // Guards against a restarted engine that is taken for as slow as its earlier run.
 func TestRestartedEngineBeginsUnknown(t *testing.T) {
 	s := engineState("d1", 8)
-	put := func(start int64) (id string) {
-		s.UpdateServers(func(r *backend.Registry, now time.Duration) {
-			_, _ = r.Put(backend.Server{Incarnation: backend.Incarnation{Name: "slow", StartMillis: start}, Service: "lm", Address: "10.1.0.1:80", Slots: 8})
-			b, _, _ := r.Get("slow", now)
-			id = b.ID
-		})
-		return id
-	}
-	factorOf := func(id string) float64 {
-		s.refreshEngineSpeeds(EngineSpeedPeers{})
-		return s.services["lm"].speeds.Factor(engineKey(xxhash.Sum64String(id)))
-	}
-	first := put(1000)
-	for i := range 8 {
+	observe := func(id string, ratio float64) {
 		for range 200 {
-			s.speeds.Observe(enginespeed.Engine(ServerKeyOf(fmt.Sprint("e", i))), 1, 1, 1, 0)
+			s.speeds.Observe(engineKey(xxhash.Sum64String(id)), ratio, 1, 1, 0)
 		}
 	}
-	for range 200 {
-		s.speeds.Observe(enginespeed.Engine(ServerKeyOf(first)), 1.6, 1, 1, 0)
+	for i := range 8 {
+		observe(fmt.Sprint("e", i), 1)
 	}
-	s.withService("lm", func(*service) {})
-	if got := factorOf(first); got < 1.4 {
-		t.Fatalf("factor %v of a slow engine", got)
+	for start, want := range []float64{1.4, 1} {
+		run := backend.Incarnation{Name: "slow", StartMillis: int64(start + 1)}
+		s.UpdateServers(func(r *backend.Registry, _ time.Duration) {
+			_, _ = r.Put(backend.Server{Incarnation: run, Service: "lm", Address: "10.1.0.1:80", Slots: 8})
+		})
+		if start == 0 {
+			observe(run.ID(), 1.4)
+		}
+		sv := s.serviceFor("lm")
+		s.refreshEngineSpeeds(EngineSpeedPeers{})
+		if got := sv.speeds.Factor(engineKey(xxhash.Sum64String(run.ID()))); math.Abs(got-want) > 0.13 {
+			t.Errorf("run %d: factor %.2f, want %.2f", start, got, want)
+		}
 	}
-	if got := factorOf(put(2000)); got != 1 {
-		t.Errorf("factor %v of a run that has just started", got)
+}
+
+// Guards against a malformed report that goes unseen.
+func TestMalformedSpeedReportIsCounted(t *testing.T) {
+	h, scope := newHarness(t, respond(200, "")), tally.NewTestScope("", nil)
+	h.relay.Metrics = NewMetrics(scope)
+	h.relay.MergeEngineSpeeds("d2", &enginespeed.Report{Contributions: []byte{1}})
+	if got := scope.Snapshot().Counters()["speed_reports_dropped+"].Value(); got != 1 {
+		t.Errorf("%d reports dropped", got)
 	}
 }
