enginespeed: a time is delayed by its engine's usual mean and not by its class

A model's typical gap is a low one, thus that of a quick engine, and all others' times were beyond 1.5 times of it: the typical and the slow counted as delayed alike. Change: the bound follows the pooled mean of the engine where that is high; first events, of which a part doesn't depend on the engine, count a tenth of a gap.

--- a/internal/enginespeed/enginespeed_test.go
+++ b/internal/enginespeed/enginespeed_test.go
@@ -68,7 +68,7 @@
 			for range perEngine {
 				observer := f.rng.IntN(len(f.tables))
 				noise := math.Exp(0.25 * f.rng.NormFloat64())
-				f.tables[observer].Observe(e, 1.05*f.factors[e]*noise, f.classes[observer].Factor(e), 1, f.now)
+				f.tables[observer].Observe(e, 1.05*f.factors[e]*noise, 1, f.now)
 			}
 		}
 		for i := range f.tables {
@@ -178,7 +178,7 @@
 	}
 	table := NewTable(1)
 	for _, ratio := range []float64{0, -1, math.NaN(), math.Inf(1)} {
-		table.Observe(1, ratio, 1, 1, 0)
+		table.Observe(1, ratio, 1, 0)
 	}
 	if len(table.own) != 0 {
 		t.Error("observed an impossible ratio")
--- a/internal/enginespeed/lowtime.go
+++ b/internal/enginespeed/lowtime.go
@@ -11,7 +11,7 @@
 	lowTimeDecay = 0.98
 	// slopePrior is the weight, in squared units of load, of the assumption that load has no effect.
 	slopePrior = 50
-	// maxRise bounds a sample as a multiple of the estimate, once there are firstSamples.
+	// maxRise bounds a sample as a multiple of the estimate. The firstSamples do not raise it.
 	maxRise      = 1.1
 	firstSamples = 8
 	// resetRatio is the ratio of a sample to the estimate below which the earlier samples were all
--- a/internal/enginespeed/table.go
+++ b/internal/enginespeed/table.go
@@ -21,9 +21,10 @@
 	// must differ from what the receiver has before they are reported again.
 	minGrowth = 1.6
 	minMove   = 0.1
-	// maxDelay is the ratio to an engine's usual time from which an observation counts as delayed,
-	// and delayedWeight its weight then.
-	maxDelay      = 1.5
+	// maxDelay is the logarithm from which an observation counts as delayed, if the usual mean of its
+	// engine is less than that by maxExcess, and delayedWeight its weight then.
+	maxDelay      = 0.4
+	maxExcess     = 0.3
 	delayedWeight = 0.1
 	// minPooledSamples is the number of samples from which a pooled sum is reported.
 	minPooledSamples = 4
@@ -64,20 +65,39 @@
 	}
 }
 
-// Observe adds the ratio of an engine's time to the typical engine's for the same work, with a weight
-// of at most 1. An engine of a known factor that takes much longer than usual was delayed by other
-// work, which tells little of its speed.
-func (t *Table) Observe(engine Engine, ratio, factor, weight float64, now time.Duration) {
+// Observe adds the ratio of an engine's time to that of a quick or typical one for the same work, with
+// a weight of at most 1. A much longer time was probably delayed by other work, which tells little of
+// the engine's speed, unless its times are long in general.
+func (t *Table) Observe(engine Engine, ratio, weight float64, now time.Duration) {
 	if !validRatio(ratio) {
 		return
 	}
-	if limit := maxDelay * factor; ratio > limit {
-		ratio, weight = limit, weight*delayedWeight
+	logRatio := math.Log(ratio)
+	limit := maxDelay
+	if usual, known := t.usualMean(engine, now); known {
+		limit = max(limit, usual+maxExcess)
+	}
+	if logRatio > limit {
+		logRatio, weight = limit, weight*delayedWeight
 	}
 	if t.own[engine] == nil {
 		t.own[engine] = &sums{}
 	}
-	t.own[engine].add(math.Log(ratio), weight, now)
+	t.own[engine].add(logRatio, weight, now)
+}
+
+// usualMean returns the mean logarithm of an engine's ratios at all daemons, or of the own ones.
+func (t *Table) usualMean(engine Engine, now time.Duration) (mean float64, known bool) {
+	pools := t.poolsOf(engine, now)
+	if len(pools) == 0 {
+		pools = []summary{t.ownSummary(engine, now)}
+	}
+	samples := 0.0
+	for _, p := range pools {
+		mean += p.mean / float64(len(pools))
+		samples = max(samples, p.samples(now))
+	}
+	return mean, samples >= minKnownSamples
 }
 
 // Refresh sets the live daemons with which this one exchanges messages, by their hashes, and whether
--- a/internal/relay/enginespeeds.go
+++ b/internal/relay/enginespeeds.go
@@ -66,7 +66,7 @@
 	maxQuickStep = 1.25
 	// firstEventWeight is the weight of a first event, which may have waited for prompts of other
 	// daemons, relative to that of a gap.
-	firstEventWeight = 0.25
+	firstEventWeight = 0.1
 )
 
 // observeFirstEvent records the first event of a send to an engine.
@@ -100,7 +100,7 @@
 
 // observeSpeed records the ratio of the time that an engine took to that of a typical one.
 func (s *State) observeSpeed(t *target, ratio, weight float64) {
-	s.speeds.Observe(engineKey(xxhash.Sum64String(t.server.ID)), ratio, t.factor(), weight, s.bootTime())
+	s.speeds.Observe(engineKey(xxhash.Sum64String(t.server.ID)), ratio, weight, s.bootTime())
 }
 
 // EngineSpeedReport returns what is due to be reported to the daemon whose name has a hash; nil if
--- a/internal/relay/enginespeeds_test.go
+++ b/internal/relay/enginespeeds_test.go
@@ -145,7 +145,7 @@
 	s := engineState("d1", 8)
 	observe := func(id string, ratio float64) {
 		for range 200 {
-			s.speeds.Observe(engineKey(xxhash.Sum64String(id)), ratio, 1, 1, 0)
+			s.speeds.Observe(engineKey(xxhash.Sum64String(id)), ratio, 1, 0)
 		}
 	}
 	for i := range 8 {
