enginespeed: what was sent of engines that are gone is forgotten

Cause: the records of what each daemon was sent were kept for every incarnation that ever was. Measured: TestGoneEnginesAreForgotten.

--- a/internal/enginespeed/enginespeed_test.go
+++ b/internal/enginespeed/enginespeed_test.go
@@ -202,6 +202,20 @@
 	}
 }
 
+// Guards against memory that grows with each engine that ever was.
+func TestGoneEnginesAreForgotten(t *testing.T) {
+	table := NewTable(1)
+	for engine := range Engine(100) {
+		table.Observe(engine, 1, 1, 0)
+	}
+	table.Refresh([]uint64{2}, false, 0)
+	table.ReportFor(2, 0)
+	table.Refresh([]uint64{2}, false, 20*halfLife)
+	if n := len(table.own) + len(table.ownPools) + len(table.contributionsSent.receivers[2].sent) + len(table.poolsSent.receivers[2].sent); n > 0 {
+		t.Errorf("%d entries of engines that are gone", n)
+	}
+}
+
 // Guards against homes of prompts that move with each small change of an estimate.
 func TestClassesIgnoreSmallChanges(t *testing.T) {
 	var c Classes
--- a/internal/enginespeed/sendlog.go
+++ b/internal/enginespeed/sendlog.go
@@ -39,6 +39,13 @@
 	maps.DeleteFunc(l.receivers, func(daemon uint64, _ *receiver) bool { return gone(daemon) })
 }
 
+// dropOld drops the records of sums that have decayed at their receiver.
+func (l *sendLog) dropOld(now time.Duration) {
+	for _, r := range l.receivers {
+		maps.DeleteFunc(r.sent, func(_ Engine, s summary) bool { return s.samples(now) < minSamples })
+	}
+}
+
 // next returns the entries due to be sent to a daemon, of engines in ascending order, in turn. Current
 // returns the entry of an engine if there is any for the daemon.
 func (l *sendLog) next(daemon uint64, engines []Engine, now time.Duration, current func(Engine) (entry, bool)) (out []byte) {
--- a/internal/enginespeed/table.go
+++ b/internal/enginespeed/table.go
@@ -115,6 +115,9 @@
 		clear(t.collectors)
 		t.dropGone()
 	}
+	if len(t.collectors) > maxEngines {
+		clear(t.collectors)
+	}
 	t.dropOld(now)
 	t.ownOrder, t.collectedOrder = sortedKeys(t.own), t.collectedEngines()
 	t.ownPools = make(map[Engine]summary, len(t.collectedOrder))
@@ -155,6 +158,8 @@
 			}
 		}
 	}
+	t.contributionsSent.dropOld(now)
+	t.poolsSent.dropOld(now)
 }
 
 // collectorsOf returns the daemons that collect the observations of an engine, by rendezvous hashing.
