--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/concurrencylimit"
+	"github.com/damaskrudder/damaskrudder/internal/enginespeed"
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
@@ -71,6 +72,8 @@
 	ConcurrencyLimits []concurrencylimit.Report `cbor:"35,keyasint,omitempty"`
 	// ModelLoad is the sender's recent load by model.
 	ModelLoad []relay.ModelLoad `cbor:"38,keyasint,omitempty"`
+	// EngineSpeeds holds observations of engines' speeds for the receiver.
+	EngineSpeeds *enginespeed.Report `cbor:"36,keyasint,omitempty"`
 	// Started and Sequence are those of the sender's record, see membership.PeerRecord.
 	Started  int64  `cbor:"23,keyasint,omitempty"`
 	Sequence uint64 `cbor:"24,keyasint,omitempty"`
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -76,6 +76,10 @@
 	// Transfers counts sends whose server fetches from another one, and TransferTokens the tokens
 	// expected to be fetched.
 	Transfers, TransferTokens tally.Counter
+	// EnginesSlower and EnginesFaster are the numbers of engines known to differ from the typical
+	// one, and SpeedReportsDropped counts malformed reports of speeds.
+	EnginesSlower, EnginesFaster tally.Gauge
+	SpeedReportsDropped          tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
 	ResponseLatency tally.Histogram
 	// FirstEventLatency is the time to the first event of a stream.
@@ -100,6 +104,7 @@
 		RejectionSensitiveServices: s.Gauge("services_rejection_sensitive"), Rejections: s.Counter("server_rejections"),
 		ServicesOutOfReach: s.Gauge("services_out_of_reach"), PermitsAsked: s.Counter("permits_asked"), PermitsUsed: s.Counter("permits_used"), PermitsGiven: s.Counter("permits_given"), Forwards: s.Counter("forwards"), ForwardedRequests: s.Counter("forwarded_requests"),
 		Transfers: s.Counter("kv_transfers"), TransferTokens: s.Counter("kv_transfer_tokens"),
+		EnginesSlower: s.Gauge("engines_slower"), EnginesFaster: s.Gauge("engines_faster"), SpeedReportsDropped: s.Counter("speed_reports_dropped"),
 		Panics:      s.Counter("panics"),
 		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
@@ -177,6 +182,9 @@
 		"kv_transfers":                 "Sends whose server fetches a part of the prompt's KV cache from another server.",
 		"kv_transfer_tokens":           "Prompt tokens that servers are expected to fetch from other servers.",
 		"kv_transfers_skipped":         "Sends to servers that can fetch from others but do not, by reason.",
+		"engines_slower":               "Model engines known to be slower than the typical one.",
+		"engines_faster":               "Model engines known to be faster than the typical one.",
+		"speed_reports_dropped":        "Malformed reports of engine speeds by other daemons.",
 		"version_fallbacks":            "Sends for which no server of a preferred version was available.",
 		"warming_sends":                "Sends to servers that are warming up.",
 		"daemons_live":                 "Live daemons that this daemon knows, including itself.",
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -136,9 +136,11 @@
 
 // streamObserver observes the arrival of a stream.
 type streamObserver interface {
-	// progress is called when data has arrived, and firstEvent when the first event is forwarded.
+	// progress is called when data has arrived, firstEvent when the first event is forwarded, and
+	// shortGap with the shortest of some gaps between events.
 	progress()
 	firstEvent(elapsed time.Duration)
+	shortGap(gap time.Duration)
 }
 
 // serverStream observes the stream of a server.
@@ -150,6 +152,8 @@
 
 func (s serverStream) progress() { s.a.recordProgress() }
 
+func (s serverStream) shortGap(gap time.Duration) { s.x.relay.State.recordShortGap(s.t, gap) }
+
 func (s serverStream) firstEvent(elapsed time.Duration) {
 	s.x.relay.Guard.MarkForwarded(s.x.run)
 	s.x.relay.State.recordResponse(s.t, elapsed, true)
@@ -161,6 +165,7 @@
 
 func (forwardedStream) progress()                {}
 func (forwardedStream) firstEvent(time.Duration) {}
+func (forwardedStream) shortGap(time.Duration)   {}
 
 // streamForwarder forwards one server's stream.
 type streamForwarder struct {
@@ -171,6 +176,7 @@
 	sentAt       time.Time
 	firstEventAt time.Time
 	events       int
+	gaps         eventGaps
 	reader       eventReader
 	batch        []byte
 }
@@ -217,6 +223,7 @@
 		return err
 	}
 	s.batch = s.batch[:0]
+	before := s.events
 	for {
 		e, ok := s.reader.next()
 		if !ok {
@@ -226,6 +233,9 @@
 			return err
 		}
 	}
+	if gap := s.gaps.record(s.events-before, time.Now()); gap > 0 {
+		s.observer.shortGap(gap)
+	}
 	return s.flush()
 }
 
