fairshare, relay: workspaces beyond their share go behind others

Cause: nothing in routing, cascade or the engines' order knows whose a request is. A workspace that sends nine times its usual takes the room of all others.

Change: each daemon keeps the recent work of workspaces on a service, decaying, and reports that of its largest eight while the service is contended, at most five times a second. From own work and the reports heard it estimates the work of all daemons and a max-min share by weight, from the workspace's priority. As many of a workspace's requests as exceed its share go one engine priority later, and pay more for engine time when a larger model is weighed. None is refused or delayed without contention. The largest report on a workspace is left out, so that one daemon moves nobody; a daemon that hears too few takes nobody to be beyond its share.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -310,7 +310,7 @@
 	other.latest.KnownAddresses, other.latest.Placed, other.latest.Orders, other.latest.Suspects = nil, nil, nil, nil
 	other.latest.Quarantine, other.latest.Peers = quarantine.Update{}, nil
 	other.latest.ServerLimits, other.latest.Departures, other.latest.TerminatedServers = nil, nil, nil
-	other.latest.Terminations, other.latest.ConcurrencyLimits = nil, nil
+	other.latest.Terminations, other.latest.ConcurrencyLimits, other.latest.WorkspaceWork = nil, nil, nil
 	m.mu.Unlock()
 	m.OnWorkChanged(changes)
 	m.OnMessage(msg, m.sentAfter(msg))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/concurrencylimit"
+	"github.com/damaskrudder/damaskrudder/internal/fairshare"
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
@@ -69,6 +70,8 @@
 	Terminations []gate.Termination `cbor:"34,keyasint,omitempty"`
 	// ConcurrencyLimits holds recent reports of servers that tolerate few rejections.
 	ConcurrencyLimits []concurrencylimit.Report `cbor:"35,keyasint,omitempty"`
+	// WorkspaceWork is the sender's recent work on one contended service, by workspace.
+	WorkspaceWork *fairshare.Report `cbor:"37,keyasint,omitempty"`
 	// Started and Sequence are those of the sender's record, see membership.PeerRecord.
 	Started  int64  `cbor:"23,keyasint,omitempty"`
 	Sequence uint64 `cbor:"24,keyasint,omitempty"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -257,6 +257,7 @@
 		message.Work = n.state.OwnWork()
 		message.Placed, message.PlacedRound = n.placements.CurrentRound(n.state.DrainPlacements, time.Now())
 	}
+	message.WorkspaceWork = n.Relay.WorkspaceReport()
 	message.ConfigVersion = n.configVersion()
 	return message
 }
@@ -294,6 +295,7 @@
 		n.state.ApplyPlacements(message.Placed)
 	}
 	n.state.SetDaemons(n.liveDaemons())
+	n.Relay.MergeWorkspaceReport(message.Name, message.WorkspaceWork)
 	n.Relay.Rollouts.ObserveDaemons(n.liveDaemons())
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -74,6 +74,10 @@
 	// arrived is set once a send of this daemon has reached a server. forwardArrived is the same for
 	// the daemon to which the call was last forwarded.
 	arrived, forwardArrived bool
+	// overShare is set if the workspace uses more than its share while others wait.
+	overShare bool
+	// engineTimeFactor is the factor of the engine time's price for the workspace.
+	engineTimeFactor float64
 	// retryWithdrawn is set if the budget was already charged for the retry after a reroute.
 	retryWithdrawn atomic.Bool
 }
@@ -144,6 +148,7 @@
 		x.relay.Metrics.VersionFallbacks.Inc(1)
 	}
 	x.recordSend(t)
+	x.recordWork(t)
 	x.relay.Rollouts.recordSend(t)
 	outcome, done = x.attempt(ctx, t)
 	x.arrived = x.arrived || !x.withoutArrival
@@ -248,7 +253,7 @@
 // send makes one attempt. It returns true if the client has the final response.
 func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (request.SendOutcome, bool) {
 	by, age := x.relay.State.LastConfirmation(freshness.Servers)
-	x.logEvent("send", t, "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session, "fingerprint", x.identity.Request, "parts", x.identity.Parts)
+	x.logEvent("send", t, "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session, "over_share", x.overShare, "fingerprint", x.identity.Request, "parts", x.identity.Parts)
 	sentAt := time.Now()
 	ctx, stop := context.WithDeadline(ctx, x.deadline)
 	defer stop()
@@ -297,9 +302,9 @@
 // server or model.
 func (x *exchange) sendPriority() int {
 	if x.retryState.Sends() > 1 {
-		return max(0, x.priority-basePriority)
+		return x.demote(max(0, x.priority-basePriority))
 	}
-	return x.priority
+	return x.demote(x.priority)
 }
 
 // handleSendError records a failed send and derives whether the request may have run.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -70,6 +70,10 @@
 	// PermitsAsked counts asks for a send of another daemon to a server with a stated rate,
 	// PermitsUsed requests that were sent with a permit, and PermitsGiven sends reserved for others.
 	PermitsAsked, PermitsUsed, PermitsGiven tally.Counter
+	// WorkspacesOverShare is the number of workspaces beyond their share of some service, RequestsOverShare
+	// counts their requests that went behind others, and ShareReportsDropped invalid reports of daemons.
+	WorkspacesOverShare                    tally.Gauge
+	RequestsOverShare, ShareReportsDropped tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
 	ResponseLatency tally.Histogram
 	// FirstEventLatency is the time to the first event of a stream.
@@ -93,6 +97,7 @@
 		ServersLeaving: s.Gauge("servers_leaving"), ServersPaused: s.Gauge("servers_paused"), Pauses: s.Counter("server_pauses"),
 		RejectionSensitiveServices: s.Gauge("services_rejection_sensitive"), Rejections: s.Counter("server_rejections"),
 		ServicesOutOfReach: s.Gauge("services_out_of_reach"), PermitsAsked: s.Counter("permits_asked"), PermitsUsed: s.Counter("permits_used"), PermitsGiven: s.Counter("permits_given"), Forwards: s.Counter("forwards"), ForwardedRequests: s.Counter("forwarded_requests"),
+		WorkspacesOverShare: s.Gauge("workspaces_over_share"), RequestsOverShare: s.Counter("requests_over_share"), ShareReportsDropped: s.Counter("share_reports_dropped"),
 		Panics:      s.Counter("panics"),
 		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
@@ -161,6 +166,9 @@
 		"services_rejection_sensitive": "Services whose backend servers state that they tolerate few rejections.",
 		"server_rejections":            "Rejections of requests by backend servers that tolerate few, at most one per server in 0.3 s.",
 		"services_out_of_reach":        "Services of which this daemon reaches no backend server itself.",
+		"workspaces_over_share":        "Workspaces that use more than their share of some service while others wait.",
+		"requests_over_share":          "Requests beyond their workspace's share, which go behind those of others.",
+		"share_reports_dropped":        "Reports of other daemons on the work of workspaces that were dropped as invalid.",
 		"version_fallbacks":            "Sends for which no server of a preferred version was available.",
 		"warming_sends":                "Sends to servers that are warming up.",
 		"daemons_live":                 "Live daemons that this daemon knows, including itself.",
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,6 +82,8 @@
 	sleep func(ctx context.Context, d time.Duration) (slept bool)
 	// started is the origin of the retry budget's monotonic time.
 	started time.Time
+	// fairShares holds the recent work of workspaces.
+	fairShares *fairShares
 
 	mu             sync.Mutex
 	retryBudgets   map[string]*request.WindowedRetryBudget
@@ -99,7 +101,7 @@
 // New returns a relay.
 func New(state *State, b Backend, options Options, m *Metrics, logger *log.Logger) *Relay {
 	r := &Relay{
-		State: state, Rollouts: NewRollouts(options.SessionIdleTimeout, time.Now, logger), Metrics: m, backend: b, options: options, log: logger, started: time.Now(), sleep: loop.Sleep, ConfigOutdated: func() bool { return false }, limitBroadcast: loop.NewSignal(),
+		State: state, Rollouts: NewRollouts(options.SessionIdleTimeout, time.Now, logger), Metrics: m, backend: b, options: options, log: logger, started: time.Now(), sleep: loop.Sleep, ConfigOutdated: func() bool { return false }, limitBroadcast: loop.NewSignal(), fairShares: newFairShares(m, logger),
 		retryBudgets: map[string]*request.WindowedRetryBudget{}, escalators: map[string]*cascade.Escalator{},
 	}
 	r.Rollouts.exposureLimit = options.ExposureLimit
@@ -287,6 +289,7 @@
 		return nil, fault.New(fault.ShuttingDown, "this daemon is leaving").WithRetryAfter(drainRetryAfter)
 	}
 	x.retryState = request.ProxyRetryState{Repeatable: rt.Repeatable(), MaxRuns: rt.MaxAttempts, Deadline: x.deadline}
+	x.checkShare()
 	return x, nil
 }
 
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -45,6 +45,7 @@
 	x.relay.Rollouts.recordResponse(t, x.route.Name, failed, x.latencyRatio(t, elapsed, 0))
 	if !failed {
 		x.relay.State.recordResponse(t, elapsed, x.service.Engine != nil)
+		x.recordWait()
 	}
 	if failed {
 		x.serverFailure = resp
@@ -154,6 +155,7 @@
 	s.x.relay.Guard.MarkForwarded(s.x.run)
 	s.x.relay.State.recordResponse(s.t, elapsed, true)
 	s.x.recordFirstEvent(s.t, elapsed)
+	s.x.recordWait()
 }
 
 // forwardedStream ignores a stream that another daemon observes.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -210,6 +210,13 @@
 // KeyRequired reports whether requests must have an API key.
 func (t *Table) KeyRequired() bool { return t.keyRequired }
 
+// EachWorkspace calls f for the owner of every API key.
+func (t *Table) EachWorkspace(f func(w Workspace)) {
+	for _, w := range t.byKey {
+		f(w)
+	}
+}
+
 // WorkspaceByKey returns the owner of an API key, and whether the key is known.
 func (t *Table) WorkspaceByKey(key string) (Workspace, bool) {
 	w, ok := t.byKey[key]
