fairshare: daemons that hear of contention report, too; one daemon's contention alone is chance

A daemon with few requests took a few late ones for contention.

Change: a report says whether the service is contended at its daemon; those that hear of it report for three seconds. A quarter of the daemons heard must see contention. A request waits too long at three quarters of its target. Send lines name the workspace.

--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -85,6 +85,8 @@
 	own      map[Key]*decayingSum
 	ownTotal decayingSum
 	peers    map[uint64]contribution
+	// reportUntil is how long another daemon's contention calls for reports.
+	reportUntil time.Duration
 
 	refreshed   bool
 	refreshedAt time.Duration
@@ -140,7 +142,7 @@
 	}
 	l.refreshed, l.refreshedAt = true, now
 	l.forget(now)
-	l.status = Status{Contended: l.contention.contended(now), Informed: l.informed(v), Heard: len(l.peers), Daemons: v.Daemons}
+	l.status = Status{Contended: l.contention.contended(now) && l.sharedContention(), Informed: l.informed(v), Heard: len(l.peers), Daemons: v.Daemons}
 	before := l.standings
 	l.standings = map[Key]Standing{}
 	if l.status.Contended && l.status.Informed {
@@ -166,7 +168,7 @@
 // computeStandings compares the work of each known workspace to its share.
 func (l *Ledger) computeStandings(v View, before map[Key]Standing, now time.Duration) {
 	used, unlisted := l.totalWork(v, now)
-	level := fairLevel(used, unlisted, v.Weights, l.contention.lateFraction(now))
+	level := fairLevel(used, unlisted, v.Weights, max(l.contention.lateFraction(now), contentionStart))
 	for workspace, work := range used {
 		share := level * v.Weights[workspace]
 		over := work > overStart*share || before[workspace].Over && work > overEnd*share
--- a/internal/fairshare/report.go
+++ b/internal/fairshare/report.go
@@ -17,6 +17,8 @@
 	// this number on, the largest report on each workspace is left out: no single daemon can put a
 	// workspace beyond its share elsewhere.
 	minReports = 3
+	// minContended is the part of the daemons heard, as a divisor, that must see contention.
+	minContended = 4
 	// maxPeers bounds the daemons whose reports are kept.
 	maxPeers = 256
 	// maxReportedWork is the largest credible work of a daemon.
@@ -27,6 +29,8 @@
 type Report struct {
 	_       struct{} `cbor:",toarray"`
 	Service Key
+	// Contended is set if the service is contended at the daemon itself.
+	Contended bool
 	// Total is the work in ms of server time, and Work the part of its largest workspaces.
 	Total int64
 	Work  []WorkspaceWork
@@ -79,12 +83,15 @@
 	receivedAt time.Duration
 }
 
-// Contended reports whether the service is contended. Only then do the daemons report their work.
-func (l *Ledger) Contended(now time.Duration) bool { return l.contention.contended(now) }
+// ReportDue reports whether other daemons need this one's report: the service is contended here, or
+// was lately at a daemon that reported.
+func (l *Ledger) ReportDue(now time.Duration) bool {
+	return l.contention.contended(now) || now < l.reportUntil
+}
 
 // Report returns this daemon's recent work on a service, for other daemons.
 func (l *Ledger) Report(service Key, now time.Duration) Report {
-	r := Report{Service: service, Total: int64(math.Ceil(l.ownTotal.at(now) * 1000))}
+	r := Report{Service: service, Contended: l.contention.contended(now), Total: int64(math.Ceil(l.ownTotal.at(now) * 1000))}
 	for workspace, sum := range l.own {
 		if millis := int64(sum.at(now) * 1000); millis > 0 {
 			r.Work = append(r.Work, WorkspaceWork{Workspace: workspace, Millis: millis})
@@ -109,10 +116,25 @@
 			return nil
 		}
 	}
+	if r.Contended {
+		l.reportUntil = now + reportRetention
+	}
 	l.peers[daemon] = contribution{r, now}
 	return nil
 }
 
+// sharedContention reports whether enough of the other daemons heard see contention, too. They use the
+// same servers, so that what one of them sees alone may be chance.
+func (l *Ledger) sharedContention() bool {
+	contended := 0
+	for _, c := range l.peers {
+		if c.report.Contended {
+			contended++
+		}
+	}
+	return contended*minContended >= len(l.peers)
+}
+
 // informed reports whether enough daemons were heard. A daemon that starts or is cut off was not
 // told of the others' work and takes no workspace to be beyond its share.
 func (l *Ledger) informed(v View) bool {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -253,7 +253,7 @@
 // send makes one attempt. It returns true if the client has the final response.
 func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (request.SendOutcome, bool) {
 	by, age := x.relay.State.LastConfirmation(freshness.Servers)
-	x.logEvent("send", t, "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session, "over_share", x.overShare, "fingerprint", x.identity.Request, "parts", x.identity.Parts)
+	x.logEvent("send", t, "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session, "workspace", x.workspace, "over_share", x.overShare, "fingerprint", x.identity.Request, "parts", x.identity.Parts)
 	sentAt := time.Now()
 	ctx, stop := context.WithDeadline(ctx, x.deadline)
 	defer stop()
--- a/internal/relay/fairshares.go
+++ b/internal/relay/fairshares.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// tolerableWait is the part of a route's latency target after which a request waits too long.
-	// What is left is the time in which going behind others can still help one of them.
-	tolerableWait = 0.5
+	// tolerableWait is the part of a route's latency target after which a request waits too long. In
+	// what is left, requests that go behind can still make room for it.
+	tolerableWait = 0.75
 	// shareReportInterval is the least time between two messages with a report, so that the reports
 	// of a daemon cost the same in a fleet of any size.
 	shareReportInterval = 200 * time.Millisecond
@@ -205,21 +205,21 @@
 	if now-f.reportedAt < shareReportInterval {
 		return nil
 	}
-	var contended []string
+	var due []string
 	for service, l := range f.ledgers {
-		if l.Contended(now) {
-			contended = append(contended, service)
+		if l.ReportDue(now) {
+			due = append(due, service)
 		}
 	}
-	if len(contended) == 0 {
+	if len(due) == 0 {
 		return nil
 	}
-	slices.Sort(contended)
-	next, found := slices.BinarySearch(contended, f.lastReported)
+	slices.Sort(due)
+	next, found := slices.BinarySearch(due, f.lastReported)
 	if found {
 		next++
 	}
-	f.reportedAt, f.lastReported = now, contended[next%len(contended)]
+	f.reportedAt, f.lastReported = now, due[next%len(due)]
 	report := f.ledgers[f.lastReported].Report(fairshare.KeyOf(f.lastReported), now)
 	return &report
 }
--- a/internal/relay/models.go
+++ b/internal/relay/models.go
@@ -109,7 +109,7 @@
 		x.logEvent("low-confidence answer kept", t, "confidence", confidence, "right", verdict.CorrectProbability, "why", "retry budget exhausted")
 		return false
 	}
-	x.logEvent("escalated to larger model", t, "confidence", confidence, "right", verdict.CorrectProbability, "worth", verdict.KeepValue, "worth_of_asking", verdict.EscalateValue, "delay_price", delay, "over_share", x.overShare, "next", x.route.Models[verdict.Model])
+	x.logEvent("escalated to larger model", t, "confidence", confidence, "right", verdict.CorrectProbability, "worth", verdict.KeepValue, "worth_of_asking", verdict.EscalateValue, "delay_price", delay, "workspace", x.workspace, "over_share", x.overShare, "next", x.route.Models[verdict.Model])
 	x.relay.Metrics.Escalations.Inc(1)
 	x.relay.Rollouts.recordResponse(t, x.route.Name, false, x.latencyRatio(t, time.Since(sentAt), 0))
 	x.modelIndex = verdict.Model
