--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -33,8 +33,16 @@
 // Key identifies a workspace or a service between daemons. It keeps reports small.
 type Key uint32
 
-// KeyOf returns the key of a name.
-func KeyOf(name string) Key { return Key(xxhash.Sum64String(name)) }
+// NoWorkspace is the key of requests without a workspace.
+const NoWorkspace Key = 0
+
+// KeyOf returns the key of a name, which is NoWorkspace if it is empty.
+func KeyOf(name string) Key {
+	if name == "" {
+		return NoWorkspace
+	}
+	return Key(xxhash.Sum64String(name))
+}
 
 // View is what a ledger needs to know of the deployment.
 type View struct {
@@ -85,7 +93,7 @@
 	own      map[Key]*decayingSum
 	ownTotal decayingSum
 	peers    map[uint64]contribution
-	// reportUntil is how long another daemon's contention calls for reports.
+	// reportUntil is how long contention, here or at another daemon, calls for reports.
 	reportUntil time.Duration
 
 	refreshed   bool
@@ -108,6 +116,9 @@
 		return
 	}
 	l.ownTotal.add(work, now)
+	if workspace == NoWorkspace {
+		return
+	}
 	sum := l.own[workspace]
 	if sum == nil {
 		if len(l.own) >= maxWorkspaces {
--- a/internal/fairshare/report.go
+++ b/internal/fairshare/report.go
@@ -13,6 +13,9 @@
 	MaxReported = 8
 	// reportRetention is how long a daemon's report is used without a newer one.
 	reportRetention = 3 * time.Second
+	// reportHold is how long daemons go on to report after a contention, so that the next one of a
+	// series finds them informed.
+	reportHold = 5 * time.Second
 	// minReports is the number of daemons that must be heard, unless there are fewer others. From
 	// this number on, the largest report on each workspace is left out: no single daemon can put a
 	// workspace beyond its share elsewhere.
@@ -83,10 +86,13 @@
 	receivedAt time.Duration
 }
 
-// ReportDue reports whether other daemons need this one's report: the service is contended here, or
-// was lately at a daemon that reported.
+// ReportDue reports whether other daemons need this one's report: the service was lately contended
+// here or at a daemon that reported.
 func (l *Ledger) ReportDue(now time.Duration) bool {
-	return l.contention.contended(now) || now < l.reportUntil
+	if l.contention.contended(now) {
+		l.reportUntil = now + reportHold
+	}
+	return now < l.reportUntil
 }
 
 // Report returns this daemon's recent work on a service, for other daemons.
@@ -117,7 +123,7 @@
 		}
 	}
 	if r.Contended {
-		l.reportUntil = now + reportRetention
+		l.reportUntil = now + reportHold
 	}
 	l.peers[daemon] = contribution{r, now}
 	return nil
--- a/internal/relay/fairshares.go
+++ b/internal/relay/fairshares.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -72,10 +71,12 @@
 			f.names[fairshare.KeyOf(w.Name)] = w.Name
 			f.weights[fairshare.KeyOf(w.Name)] = workspaceWeight(w)
 		})
-		maps.DeleteFunc(f.ledgers, func(service string, _ *fairshare.Ledger) bool {
-			_, known := t.Services[service]
-			return !known
-		})
+		for service := range f.ledgers {
+			if _, known := t.Services[service]; !known {
+				delete(f.ledgers, service)
+				delete(f.logged, service)
+			}
+		}
 	}
 	return len(f.weights) > 1
 }
@@ -95,7 +96,8 @@
 	changes := l.Refresh(fairshare.View{Daemons: daemons, Weights: f.weights}, now)
 	status := l.Status()
 	for _, c := range changes {
-		f.log.Info("workspace share", "service", service, "workspace", f.names[c.Workspace], "over", c.Standing.Over, "used_s", c.Standing.Used, "share_s", c.Standing.Share, "contended", status.Contended, "daemons_heard", status.Heard, "daemons", status.Daemons)
+		s := c.Standing
+		f.log.Info("workspace share", "service", service, "workspace", f.names[c.Workspace], "over", s.Over, "used_ms", milliseconds(s.Used), "share_ms", milliseconds(s.Share), "contended", status.Contended, "daemons_heard", status.Heard, "daemons", status.Daemons)
 	}
 	if before := f.logged[service]; before.Contended != status.Contended || status.Contended && before.Informed != status.Informed {
 		f.log.Info("service contention", "service", service, "contended", status.Contended, "compares_workspaces", status.Contended && status.Informed, "daemons_heard", status.Heard, "daemons", status.Daemons)
@@ -108,6 +110,8 @@
 	f.metrics.WorkspacesOverShare.Update(float64(over))
 }
 
+func milliseconds(seconds float64) int64 { return int64(seconds * 1000) }
+
 // withLedger calls use with the ledger of the request's service, under the lock, if the configuration
 // calls for fair shares.
 func (x *exchange) withLedger(use func(l *fairshare.Ledger, now time.Duration)) {
@@ -199,7 +203,7 @@
 // WorkspaceReport returns this daemon's recent work on a contended service, for the other daemons, or
 // nil if none is due. Several contended services take turns.
 func (r *Relay) WorkspaceReport() *fairshare.Report {
-	f, now := r.fairShares, r.State.bootTime()
+	f, now, daemons := r.fairShares, r.State.bootTime(), r.State.daemonCount()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if now-f.reportedAt < shareReportInterval {
@@ -207,6 +211,7 @@
 	}
 	var due []string
 	for service, l := range f.ledgers {
+		f.refresh(service, l, daemons, now)
 		if l.ReportDue(now) {
 			due = append(due, service)
 		}
