cascade, fairshare: beyond its share, a larger model must gain more than others lose

In the load test smaller models are what keeps the others in time; by order alone a flood of urgent requests still goes before less urgent ones.

Change: the price is what the others lose: the requests that would be served in the run's engine time, times the part of them that waits too long, times the loss of a late answer.

--- a/internal/cascade/escalator.go
+++ b/internal/cascade/escalator.go
@@ -48,6 +48,9 @@
 	// other requests delayed during each second of it.
 	EngineTime       time.Duration
 	DelayedPerSecond float64
+	// DisplacedPerSecond is the number of answers that callers with a prior claim on the engine get
+	// late for each second of it; zero if there is none.
+	DisplacedPerSecond float64
 }
 
 // Decision is the result of Decide and the values that led to it.
@@ -113,8 +116,13 @@
 func (e *Escalator) AnswerValue(r Request, models []Model) float64 {
 	meanSize := e.meanRequestSize(r)
 	relativeSize := (float64(r.PromptTokens) + completionTokenSize*float64(r.CompletionTokens)) / max(meanSize.prompt+completionTokenSize*meanSize.completion, 1)
-	meanValue := valuePerCost * models[len(models)-1].cost(meanSize.prompt, meanSize.completion)
-	return meanValue * min(1-sizeValueShare+sizeValueShare*relativeSize, maxSizeFactor)
+	return e.meanAnswerValue(r, models) * min(1-sizeValueShare+sizeValueShare*relativeSize, maxSizeFactor)
+}
+
+// meanAnswerValue returns the AnswerValue of the route's mean request.
+func (e *Escalator) meanAnswerValue(r Request, models []Model) float64 {
+	meanSize := e.meanRequestSize(r)
+	return valuePerCost * models[len(models)-1].cost(meanSize.prompt, meanSize.completion)
 }
 
 // expectedShare returns the expected fraction of its value that a correct answer yields,
@@ -153,7 +161,7 @@
 		return math.Inf(-1)
 	}
 	m, r := e.models[model], e.request
-	cost := m.cost(float64(r.PromptTokens), float64(r.CompletionTokens)) + estimate.EngineTime.Seconds()*estimate.DelayedPerSecond*e.delayCostByModel[m.Name]
+	cost := m.cost(float64(r.PromptTokens), float64(r.CompletionTokens)) + estimate.EngineTime.Seconds()*e.engineTimeCost(estimate, m)
 	next := 0.0
 	for to := model + 1; to < len(e.models); to++ {
 		next = max(next, e.escalationValue(to, estimate, runs-1))
@@ -162,6 +170,12 @@
 	return probability*e.value*e.expectedShare(r, estimate) + (1-probability)*next - cost
 }
 
+// engineTimeCost returns what a second of an engine's time costs other requests.
+func (e *evaluation) engineTimeCost(estimate Estimate, m Model) float64 {
+	displaced := estimate.DisplacedPerSecond * (1 - lateValueShare) * e.meanAnswerValue(e.request, e.models)
+	return estimate.DelayedPerSecond*e.delayCostByModel[m.Name] + displaced
+}
+
 // ObserveRequest adds a request to the mean size of its route.
 func (e *Escalator) ObserveRequest(r Request) {
 	size := e.meanRequestSize(r)
--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -89,10 +89,10 @@
 // Times are readings of one monotonic clock.
 type Ledger struct {
 	contention contention
-	// own is this daemon's work by workspace, and ownTotal all of it.
-	own      map[Key]*decayingSum
-	ownTotal decayingSum
-	peers    map[uint64]contribution
+	// own is this daemon's work by workspace, ownTotal all of it, and ownSends the number of sends.
+	own                map[Key]*decayingSum
+	ownTotal, ownSends decayingSum
+	peers              map[uint64]contribution
 	// reportUntil is how long contention, here or at another daemon, calls for reports.
 	reportUntil time.Duration
 
@@ -105,7 +105,7 @@
 // NewLedger returns a ledger without work.
 func NewLedger() *Ledger {
 	return &Ledger{
-		contention: newContention(), own: map[Key]*decayingSum{}, ownTotal: decayingSum{halfLife: workHalfLife},
+		contention: newContention(), own: map[Key]*decayingSum{}, ownTotal: decayingSum{halfLife: workHalfLife}, ownSends: decayingSum{halfLife: workHalfLife},
 		peers: map[uint64]contribution{}, standings: map[Key]Standing{},
 	}
 }
@@ -116,6 +116,7 @@
 		return
 	}
 	l.ownTotal.add(work, now)
+	l.ownSends.add(1, now)
 	if workspace == NoWorkspace {
 		return
 	}
@@ -135,6 +136,16 @@
 	l.contention.observe(rank, late, now)
 }
 
+// DisplacedPerSecond returns how many requests of others become late for each second that a server
+// spends on work beyond a share: as many as it would serve meanwhile, of which a part waits too long.
+func (l *Ledger) DisplacedPerSecond(now time.Duration) float64 {
+	work := l.ownTotal.at(now)
+	if work < minWork {
+		return 0
+	}
+	return l.contention.lateFraction(now) * l.ownSends.at(now) / work
+}
+
 // Standing returns a workspace's standing at the last refresh.
 func (l *Ledger) Standing(workspace Key) Standing {
 	s := l.standings[workspace]
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -76,8 +76,9 @@
 	arrived, forwardArrived bool
 	// overShare is set if the workspace uses more than its share while others wait.
 	overShare bool
-	// engineTimeFactor is the factor of the engine time's price for the workspace.
-	engineTimeFactor float64
+	// displacedPerSecond is the number of other workspaces' answers that are late for each second of
+	// engine time; zero unless overShare is set.
+	displacedPerSecond float64
 	// retryWithdrawn is set if the budget was already charged for the retry after a reroute.
 	retryWithdrawn atomic.Bool
 }
--- a/internal/relay/fairshares.go
+++ b/internal/relay/fairshares.go
@@ -20,8 +20,6 @@
 	// shareReportInterval is the least time between two messages with a report, so that the reports
 	// of a daemon cost the same in a fleet of any size.
 	shareReportInterval = 200 * time.Millisecond
-	// maxEngineTimeFactor bounds the price of engine time for workspaces beyond their share.
-	maxEngineTimeFactor = 8
 	// neutralPriority is the priority of a workspace with the same weight as one without a priority.
 	// Each step towards the highest doubles the weight, up to maxPrioritySteps.
 	neutralPriority  = 1
@@ -129,11 +127,10 @@
 // checkShare decides whether the request is beyond its workspace's share. As many of a workspace's
 // requests are as its work exceeds the share, chosen by hash.
 func (x *exchange) checkShare() {
-	x.engineTimeFactor = 1
 	if x.workspace == "" {
 		return
 	}
-	x.withLedger(func(l *fairshare.Ledger, _ time.Duration) {
+	x.withLedger(func(l *fairshare.Ledger, now time.Duration) {
 		standing := l.Standing(fairshare.KeyOf(x.workspace))
 		// The version of the server is chosen by the same hash, and must not depend on the share.
 		position := float64(x.hash*hashMultiplier) / math.MaxUint64
@@ -141,7 +138,7 @@
 			return
 		}
 		x.overShare = true
-		x.engineTimeFactor = min(standing.Used/standing.Share, maxEngineTimeFactor)
+		x.displacedPerSecond = l.DisplacedPerSecond(now)
 		x.relay.Metrics.RequestsOverShare.Inc(1)
 	})
 }
--- a/internal/relay/models.go
+++ b/internal/relay/models.go
@@ -69,7 +69,7 @@
 		req := x.requirements(x.route.Models[i])
 		req.tried = nil
 		out[i] = x.relay.State.estimate(&req, x.expectedEvents())
-		out[i].DelayedPerSecond *= x.engineTimeFactor
+		out[i].DisplacedPerSecond = x.displacedPerSecond
 	}
 	return out
 }
@@ -109,7 +109,7 @@
 		x.logEvent("low-confidence answer kept", t, "confidence", confidence, "right", verdict.CorrectProbability, "why", "retry budget exhausted")
 		return false
 	}
-	x.logEvent("escalated to larger model", t, "confidence", confidence, "right", verdict.CorrectProbability, "worth", verdict.KeepValue, "worth_of_asking", verdict.EscalateValue, "delay_price", delay, "workspace", x.workspace, "over_share", x.overShare, "next", x.route.Models[verdict.Model])
+	x.logEvent("escalated to larger model", t, "confidence", confidence, "right", verdict.CorrectProbability, "worth", verdict.KeepValue, "worth_of_asking", verdict.EscalateValue, "delay_price", delay, "workspace", x.workspace, "over_share", x.overShare, "displaced_per_s", x.displacedPerSecond, "next", x.route.Models[verdict.Model])
 	x.relay.Metrics.Escalations.Inc(1)
 	x.relay.Rollouts.recordResponse(t, x.route.Name, false, x.latencyRatio(t, time.Since(sentAt), 0))
 	x.modelIndex = verdict.Model
