relay: weights of workspaces fall from two to an eighth

Cause: the bound of eight times could not be reached, as no priority is above 0. Change: the weight of priorities 0 to 4 is 2 to 1/8. Result: tests of the package pass.

--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -70,7 +70,7 @@
 	Terminations []gate.Termination `cbor:"34,keyasint,omitempty"`
 	// ConcurrencyLimits holds recent reports of servers that tolerate few rejections.
 	ConcurrencyLimits []concurrencylimit.Report `cbor:"35,keyasint,omitempty"`
-	// WorkspaceWork is the sender's recent work on one contended service, by workspace.
+	// WorkspaceWork is the sender's recent work on one service, by workspace, while there is contention.
 	WorkspaceWork *fairshare.Report `cbor:"37,keyasint,omitempty"`
 	// Started and Sequence are those of the sender's record, see membership.PeerRecord.
 	Started  int64  `cbor:"23,keyasint,omitempty"`
--- a/internal/relay/fairshares.go
+++ b/internal/relay/fairshares.go
@@ -21,9 +21,9 @@
 	// of a daemon cost the same in a fleet of any size.
 	shareReportInterval = 200 * time.Millisecond
 	// neutralPriority is the priority of a workspace with the same weight as one without a priority.
-	// Each step towards the highest doubles the weight, up to maxPrioritySteps.
-	neutralPriority  = 1
-	maxPrioritySteps = 3
+	// Each step halves the weight, down to that of lowestWeighedPriority.
+	neutralPriority       = 1
+	lowestWeighedPriority = 4
 )
 
 // fairShares compares the work of workspaces on each service. It is inactive unless the configuration
@@ -53,8 +53,8 @@
 	if !w.HasPriority {
 		return 1
 	}
-	steps := min(max(neutralPriority-w.Priority, -maxPrioritySteps), maxPrioritySteps)
-	return math.Exp2(float64(steps))
+	priority := min(max(w.Priority, 0), lowestWeighedPriority)
+	return math.Exp2(float64(neutralPriority - priority))
 }
 
 // configure applies a configuration and reports whether it calls for fair shares. Callers hold mu.
@@ -226,7 +226,8 @@
 	return &report
 }
 
-// MergeWorkspaceReport applies another daemon's report. One that no daemon can have sent is dropped.
+// MergeWorkspaceReport applies another daemon's report. One that no daemon can have sent is dropped, and
+// one on a service of another version of the configuration ignored.
 func (r *Relay) MergeWorkspaceReport(daemon string, report *fairshare.Report) {
 	if report == nil {
 		return
--- a/internal/relay/fairshares_test.go
+++ b/internal/relay/fairshares_test.go
@@ -102,6 +102,21 @@
 	}
 }
 
+// Guards against a priority that gives a workspace less weight than one of a lower rank.
+func TestWeightFallsWithPriority(t *testing.T) {
+	previous := workspaceWeight(route.Workspace{Priority: -1, HasPriority: true})
+	for priority := range 10 {
+		weight := workspaceWeight(route.Workspace{Priority: priority, HasPriority: true})
+		if weight <= 0 || weight > previous {
+			t.Errorf("priority %d weighs %.3g, the one before %.3g", priority, weight, previous)
+		}
+		previous = weight
+	}
+	if none := workspaceWeight(route.Workspace{}); none != 1 {
+		t.Errorf("without priority %.3g", none)
+	}
+}
+
 // Guards against a deployment with one workspace that is treated or reports as if there were others.
 func TestSingleWorkspaceHasNoShare(t *testing.T) {
 	h := newContendedHarness(t, 1)
