--- a/internal/cascade/escalator.go
+++ b/internal/cascade/escalator.go
@@ -55,6 +55,9 @@
 	// other requests delayed during each second of it.
 	EngineTime       time.Duration
 	DelayedPerSecond float64
+	// DisplacedPerSecond is the number of answers that callers with a prior claim on the engine get
+	// late for each second of it; zero if there is none.
+	DisplacedPerSecond float64
 }
 
 // Decision is the result of Decide and the values that led to it.
@@ -144,8 +147,12 @@
 func (e *Escalator) AnswerValue(r Request, models []Model) float64 {
 	meanSize := e.meanRequestSize(r)
 	relativeSize := (float64(r.PromptTokens) + completionTokenSize*float64(r.CompletionTokens)) / max(meanSize.prompt+completionTokenSize*meanSize.completion, 1)
-	meanValue := valuePerCost * math.Sqrt(e.overallMeanSize(r).cost(models)*meanSize.cost(models))
-	return meanValue * min(1-sizeValueShare+sizeValueShare*relativeSize, maxSizeFactor)
+	return e.meanAnswerValue(r, models) * min(1-sizeValueShare+sizeValueShare*relativeSize, maxSizeFactor)
+}
+
+// meanAnswerValue returns the AnswerValue of the route's mean request.
+func (e *Escalator) meanAnswerValue(r Request, models []Model) float64 {
+	return valuePerCost * math.Sqrt(e.overallMeanSize(r).cost(models)*e.meanRequestSize(r).cost(models))
 }
 
 // expectedShare returns the expected fraction of its value that a correct answer yields,
@@ -184,7 +191,7 @@
 		return math.Inf(-1)
 	}
 	m, r := e.models[model], e.request
-	cost := m.cost(float64(r.PromptTokens), float64(r.CompletionTokens)) + estimate.EngineTime.Seconds()*estimate.DelayedPerSecond*e.DelayCost(m)
+	cost := m.cost(float64(r.PromptTokens), float64(r.CompletionTokens)) + estimate.EngineTime.Seconds()*e.engineTimeCost(estimate, m)
 	next := 0.0
 	for to := model + 1; to < len(e.models); to++ {
 		next = max(next, e.escalationValue(to, estimate, runs-1))
@@ -193,6 +200,12 @@
 	return probability*e.value*e.expectedShare(r, estimate) + (1-probability)*next - cost
 }
 
+// engineTimeCost returns what a second of an engine's time costs other requests.
+func (e *evaluation) engineTimeCost(estimate Estimate, m Model) float64 {
+	displaced := estimate.DisplacedPerSecond * (1 - lateValueShare) * e.meanAnswerValue(e.request, e.models)
+	return estimate.DelayedPerSecond*e.DelayCost(m) + displaced
+}
+
 // ObserveRequest adds a request to the mean sizes.
 func (e *Escalator) ObserveRequest(r Request) {
 	e.meanRequestSize(r).add(r)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -316,7 +316,7 @@
 	other.latest.Quarantine, other.latest.Peers = quarantine.Update{}, nil
 	other.latest.ServerLimits, other.latest.Departures, other.latest.TerminatedServers = nil, nil, nil
 	other.latest.Terminations, other.latest.ConcurrencyLimits = nil, nil
-	other.latest.ModelLoad, other.latest.EngineSpeeds = nil, nil
+	other.latest.ModelLoad, other.latest.EngineSpeeds, other.latest.WorkspaceWork = nil, nil, nil
 	m.mu.Unlock()
 	m.OnWorkChanged(changes)
 	m.OnMessage(msg, m.sentAfter(msg))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/concurrencylimit"
 	"github.com/damaskrudder/damaskrudder/internal/enginespeed"
+	"github.com/damaskrudder/damaskrudder/internal/fairshare"
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
@@ -74,6 +75,8 @@
 	ModelLoad []relay.ModelLoad `cbor:"38,keyasint,omitempty"`
 	// EngineSpeeds holds observations of engines' speeds for the receiver.
 	EngineSpeeds *enginespeed.Report `cbor:"36,keyasint,omitempty"`
+	// WorkspaceWork is the sender's recent work on one service, by workspace, while there is contention.
+	WorkspaceWork *fairshare.Report `cbor:"37,keyasint,omitempty"`
 	// Started and Sequence are those of the sender's record, see membership.PeerRecord.
 	Started  int64  `cbor:"23,keyasint,omitempty"`
 	Sequence uint64 `cbor:"24,keyasint,omitempty"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -259,6 +259,7 @@
 		message.Placed, message.PlacedRound = n.placements.CurrentRound(n.state.DrainPlacements, time.Now())
 	}
 	message.ModelLoad = n.Relay.OwnModelLoad()
+	message.WorkspaceWork = n.Relay.WorkspaceReport()
 	message.ConfigVersion = n.configVersion()
 	return message
 }
@@ -299,6 +300,7 @@
 	n.state.RecordPeerReport()
 	n.applyModelLoad(message)
 	n.state.SetDaemons(n.liveDaemons())
+	n.Relay.MergeWorkspaceReport(message.Name, message.WorkspaceWork)
 	n.Relay.Rollouts.ObserveDaemons(n.liveDaemons())
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -76,6 +76,11 @@
 	arrived, forwardArrived bool
 	// resent is set once a send has failed.
 	resent bool
+	// overShare is set if the workspace uses more than its share while others wait.
+	overShare bool
+	// displacedPerSecond is the number of other workspaces' answers that are late for each second of
+	// engine time; zero unless overShare is set.
+	displacedPerSecond float64
 	// retryWithdrawn is set if the budget was already charged for the retry after a reroute.
 	retryWithdrawn atomic.Bool
 }
@@ -146,6 +151,7 @@
 		x.relay.Metrics.VersionFallbacks.Inc(1)
 	}
 	x.recordSend(t)
+	x.recordWork(t)
 	x.relay.Rollouts.recordSend(t)
 	outcome, done = x.attempt(ctx, t)
 	x.arrived = x.arrived || !x.withoutArrival
@@ -250,9 +256,8 @@
 
 // send makes one attempt. It returns true if the client has the final response.
 func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (request.SendOutcome, bool) {
-	by, age := x.relay.State.LastConfirmation(freshness.Servers)
 	x.relay.Metrics.recordTransfer(&t.fetch)
-	x.logEvent("send", t, append(t.fetch.logFields(), "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "speed", t.factor(), "warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session, "fingerprint", x.identity.Request, "parts", x.identity.Parts)...)
+	x.logEvent("send", t, x.sendFields(t)...)
 	sentAt := time.Now()
 	ctx, stop := context.WithDeadline(ctx, x.deadline)
 	defer stop()
@@ -283,6 +288,17 @@
 	return outcome, done
 }
 
+// sendFields returns the inputs of a send for its log line.
+func (x *exchange) sendFields(t *target) []any {
+	by, age := x.relay.State.LastConfirmation(freshness.Servers)
+	fields := []any{
+		"entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "speed", t.factor(),
+		"warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session,
+		"workspace", x.workspace, "over_share", x.overShare, "fingerprint", x.identity.Request, "parts", x.identity.Parts,
+	}
+	return append(fields, t.fetch.logFields()...)
+}
+
 // mayReroute reports whether the request may continue on another server, and takes
 // the retry from the budget. Without budget, only requests of a lost server are
 // rerouted; streams of a slow one would be aborted.
@@ -301,9 +317,9 @@
 // server or model.
 func (x *exchange) sendPriority() int {
 	if x.retryState.Sends() > 1 {
-		return max(0, x.priority-basePriority)
+		return x.demote(max(0, x.priority-basePriority))
 	}
-	return x.priority
+	return x.demote(x.priority)
 }
 
 // handleSendError records a failed send and derives whether the request may have run.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -80,6 +80,10 @@
 	// one, and SpeedReportsDropped counts malformed reports of speeds.
 	EnginesSlower, EnginesFaster tally.Gauge
 	SpeedReportsDropped          tally.Counter
+	// WorkspacesOverShare is the number of workspaces beyond their share of some service, RequestsOverShare
+	// counts their requests that went behind others, and ShareReportsDropped invalid reports of daemons.
+	WorkspacesOverShare                    tally.Gauge
+	RequestsOverShare, ShareReportsDropped tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
 	ResponseLatency tally.Histogram
 	// FirstEventLatency is the time to the first event of a stream.
@@ -105,6 +109,7 @@
 		ServicesOutOfReach: s.Gauge("services_out_of_reach"), PermitsAsked: s.Counter("permits_asked"), PermitsUsed: s.Counter("permits_used"), PermitsGiven: s.Counter("permits_given"), Forwards: s.Counter("forwards"), ForwardedRequests: s.Counter("forwarded_requests"),
 		Transfers: s.Counter("kv_transfers"), TransferTokens: s.Counter("kv_transfer_tokens"),
 		EnginesSlower: s.Gauge("engines_slower"), EnginesFaster: s.Gauge("engines_faster"), SpeedReportsDropped: s.Counter("speed_reports_dropped"),
+		WorkspacesOverShare: s.Gauge("workspaces_over_share"), RequestsOverShare: s.Counter("requests_over_share"), ShareReportsDropped: s.Counter("share_reports_dropped"),
 		Panics:      s.Counter("panics"),
 		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
@@ -185,6 +190,9 @@
 		"engines_slower":               "Model engines known to be slower than the typical one.",
 		"engines_faster":               "Model engines known to be faster than the typical one.",
 		"speed_reports_dropped":        "Malformed reports of engine speeds by other daemons.",
+		"workspaces_over_share":        "Workspaces that use more than their share of some service while others wait.",
+		"requests_over_share":          "Requests beyond their workspace's share, which go behind those of others.",
+		"share_reports_dropped":        "Reports of other daemons on the work of workspaces that were dropped as invalid.",
 		"version_fallbacks":            "Sends for which no server of a preferred version was available.",
 		"warming_sends":                "Sends to servers that are warming up.",
 		"daemons_live":                 "Live daemons that this daemon knows, including itself.",
