urgency: one decision gives a send's priority; a workspace's own priority in every decision

Cause: the priority of a send was the route's or the workspace's plus two, less two if sent again, so that a resend of one rank went before the first send of a better one, and a request that can't be in time any more before those that can. requirements.urgent asked the route's priority only, although a workspace's own comes first. A call forwarded to another daemon began anew towards its target.

Change: internal/urgency splits the engines' ten priorities over the ranks that the configuration uses (routes to engines, workspaces with a priority of their own), strictly; within a rank go first resumed streams, those that lost time and can be in time, and those that have waited for half of their timeout, then by slack, then the late, then workspaces beyond their share. exchange.overShare is declared for fair shares. The `send` line has priority, slack_ms and urgency; sends_raised and sends_yielded count by reason. Forwarded calls state their age. Plain services get their rank's priority, as only engines are told one.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 	"github.com/damaskrudder/damaskrudder/internal/upstream"
+	"github.com/damaskrudder/damaskrudder/internal/urgency"
 )
 
 // exchange is the processing of one call.
@@ -26,7 +27,11 @@
 	route     *route.Route
 	service   route.Service
 	workspace string
-	priority  int
+	// rank is the rank among the ranks of the configuration, 0 the highest.
+	rank  int
+	ranks urgency.Ranks
+	// overShare is set if the workspace uses more than its share while others wait.
+	overShare bool
 	deadline  time.Time
 	// hash is uniformly distributed and the same for every send of the call.
 	hash       uint64
@@ -212,7 +217,7 @@
 	}
 	return requirements{
 		service: x.service.Name, engine: x.service.Engine, model: model, prompt: x.call.Prompt, bodyBytes: len(x.call.Body),
-		urgent: x.route.Priority == 0, remainingTime: time.Until(x.deadline), tried: x.tried,
+		urgent: x.rank == 0, remainingTime: time.Until(x.deadline), tried: x.tried,
 		versions:         x.relay.Rollouts.ChooseVersion(x.service.Name, x.call.Session, x.hash),
 		quarantineStatus: x.quarantineStatus,
 		gateRequest:      gate.Request{Held: x.quarantineStatus.Held}, slowStart: x.relay.slowStartLimit(x),
@@ -248,11 +253,12 @@
 // send makes one attempt. It returns true if the client has the final response.
 func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (request.SendOutcome, bool) {
 	by, age := x.relay.State.LastConfirmation(freshness.Servers)
-	x.logEvent("send", t, "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session, "fingerprint", x.identity.Request, "parts", x.identity.Parts)
+	urgent := x.decideUrgency(t)
+	x.logEvent("send", t, "priority", urgent.Priority, "slack_ms", urgent.Slack.Milliseconds(), "urgency", urgent.Reason, "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session, "fingerprint", x.identity.Request, "parts", x.identity.Parts)
 	sentAt := time.Now()
 	ctx, stop := context.WithDeadline(ctx, x.deadline)
 	defer stop()
-	a := x.relay.liveness.track(t, x.service.Engine != nil, x.route, x.sendPriority(), func(lost bool) bool {
+	a := x.relay.liveness.track(t, x.service.Engine != nil, x.route, urgent.Priority, func(lost bool) bool {
 		if !x.mayReroute(lost) {
 			return false
 		}
@@ -262,7 +268,7 @@
 	defer x.relay.liveness.untrack(a)
 	req := BackendRequest{
 		Call: x.call, Server: t.server, Workspace: x.workspace, Model: x.modelOverride(), LastEvent: x.lastEvent,
-		Timeout: time.Until(x.deadline) - deadlineMargin, Priority: x.sendPriority(), MaxConnections: t.maxConnections,
+		Timeout: time.Until(x.deadline) - deadlineMargin, Priority: urgent.Priority, MaxConnections: t.maxConnections,
 		// New connections are tried in the background while the servers are out of reach.
 		ReuseOnly: x.relay.State.outOfReach(t.service),
 		Admit:     func() bool { return x.relay.State.admits(t) },
@@ -293,15 +299,6 @@
 	return lost
 }
 
-// sendPriority raises the priority of requests that have lost time to an earlier
-// server or model.
-func (x *exchange) sendPriority() int {
-	if x.retryState.Sends() > 1 {
-		return max(0, x.priority-basePriority)
-	}
-	return x.priority
-}
-
 // handleSendError records a failed send and derives whether the request may have run.
 func (x *exchange) handleSendError(t *target, sentAt time.Time, err error) request.SendOutcome {
 	var e *upstream.Error
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -49,6 +49,8 @@
 	// ConfigVersion is the forwarding daemon's version of the configuration. An older one must not
 	// be applied.
 	ConfigVersion int64 `cbor:"6,keyasint"`
+	// ElapsedMillis is the time since the call's arrival, which counts towards its latency target.
+	ElapsedMillis int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // ForwardFrame is a part of the response to a forwarded call. The first one is empty and states
@@ -143,7 +145,7 @@
 	// The retry state counts the forwarding as a run, which it may become.
 	return ForwardedCall{
 		Call: call, RemainingMillis: (time.Until(x.deadline) - forwardDeadlineMargin).Milliseconds(), MaxRuns: x.retryState.RemainingRuns() + 1,
-		Resent: x.sentToServer, Model: x.modelIndex, ConfigVersion: version,
+		Resent: x.sentToServer, Model: x.modelIndex, ConfigVersion: version, ElapsedMillis: time.Since(x.call.Received).Milliseconds(),
 	}
 }
 
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -14,6 +14,8 @@
 	maxForwardedCalls = 256
 	// maxForwardBody is the largest body of a frame in bytes.
 	maxForwardBody = 256 << 10
+	// maxElapsed bounds the time since the arrival that another daemon states for a call.
+	maxElapsed = time.Minute
 )
 
 // ServeForwarded serves a call of another daemon, which cannot reach the servers, and passes the
@@ -62,6 +64,8 @@
 		return fault.New(fault.HelperUnable, "the servers of %s are out of reach here as well", x.service.Name)
 	}
 	x.forwarded = true
+	elapsed := min(max(f.ElapsedMillis, 0), maxElapsed.Milliseconds())
+	x.call.Received = x.call.Received.Add(-time.Duration(elapsed) * time.Millisecond)
 	x.sentToServer = f.Resent
 	x.reportRuns = out.reportRuns
 	out.arrived = func() bool { return x.arrived }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
+	"github.com/damaskrudder/damaskrudder/internal/urgency"
 )
 
 // Metrics are the counters and histograms of a relay.
@@ -126,6 +127,17 @@
 	return m.scope.Tagged(map[string]string{"fault": string(f)}).Counter("server_entries_bad")
 }
 
+// SendsRaised counts sends that precede others of their rank, and SendsYielded those that follow
+// them, by reason.
+func (m *Metrics) SendsRaised(r urgency.Reason) tally.Counter {
+	return m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("sends_raised")
+}
+
+// SendsYielded is described at SendsRaised.
+func (m *Metrics) SendsYielded(r urgency.Reason) tally.Counter {
+	return m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("sends_yielded")
+}
+
 // Responses counts complete responses, by whether the server succeeded.
 func (m *Metrics) Responses(ok bool) tally.Counter {
 	if ok {
@@ -142,6 +154,8 @@
 		"repeats_denied":               "Retries and escalations that the retry budget did not allow.",
 		"escalations":                  "Responses replaced by a larger model's.",
 		"sends_failed":                 "Sends without a response.",
+		"sends_raised":                 "Sends to engines that precede others of their rank, by reason.",
+		"sends_yielded":                "Sends to engines that follow others of their rank, by reason.",
 		"sends_moved":                  "Sends cancelled and continued on another server.",
 		"servers_ended":                "Servers that ended while running requests of this daemon.",
 		"requests_held":                "Quarantined requests: servers ended while running them.",
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -276,7 +276,7 @@
 		x.workspace = workspace.Name
 	}
 	x.identity.Request = quarantine.FingerprintOf(x.workspace, c.Host, c.Method, c.Target, c.Body)
-	x.priority = enginePriority(rt, workspace)
+	x.rank, x.ranks = rt.Rank(workspace), t.Ranks()
 	if limit := t.Limits.BodyBytes; limit > 0 && int64(len(c.Body)) > limit {
 		return nil, fault.New(fault.TooLarge, "the body is longer than %d bytes", limit)
 	}
@@ -316,19 +316,3 @@
 	}
 	return c.Received.Add(timeout)
 }
-
-// enginePriority maps configured priorities, 0 the highest, to those of engines, 0 to 9.
-func enginePriority(rt *route.Route, workspace route.Workspace) int {
-	priority := rt.Priority
-	if workspace.HasPriority {
-		priority = workspace.Priority
-	}
-	return min(max(priority, 0)+basePriority, lowestPriority)
-}
-
-const (
-	// basePriority leaves the two highest priorities to requests that have lost time
-	// to an earlier server or model.
-	basePriority   = 2
-	lowestPriority = 9
-)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/urgency"
 )
 
 // Kind is the type of requests of a route, which determines whether they may be
@@ -134,6 +136,7 @@
 	byHost      map[string][]Route
 	byKey       map[string]Workspace
 	keyRequired bool
+	ranks       urgency.Ranks
 }
 
 // Document is a decoded configuration that has not been validated.
@@ -171,9 +174,32 @@
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
+	t.ranks = urgency.NewRanks(append(t.engineRoutePriorities(d.Routes), ownPriorities(d.Keys)...))
 	return t, nil
 }
 
+// engineRoutePriorities returns the priorities of the routes to services with engines.
+func (t *Table) engineRoutePriorities(routes []Route) []int {
+	var out []int
+	for _, r := range routes {
+		if slices.ContainsFunc(r.Backends, func(b Backend) bool { return t.Services[b.Service].Engine != nil }) {
+			out = append(out, r.Priority)
+		}
+	}
+	return out
+}
+
+// ownPriorities returns the priorities of the workspaces that have one.
+func ownPriorities(keys map[string]Workspace) []int {
+	var out []int
+	for _, w := range keys {
+		if w.HasPriority {
+			out = append(out, w.Priority)
+		}
+	}
+	return out
+}
+
 func (t *Table) checkRoute(r *Route) error {
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
 		return fmt.Errorf("prefix %q does not begin and end with a slash", r.PathPrefix)
@@ -207,6 +233,18 @@
 	return nil
 }
 
+// Ranks returns the ranks of the requests to engines.
+func (t *Table) Ranks() urgency.Ranks { return t.ranks }
+
+// Rank returns the rank of a workspace's requests on a route, 0 the highest. The workspace's own
+// priority precedes that of the route.
+func (r *Route) Rank(w Workspace) int {
+	if w.HasPriority {
+		return max(w.Priority, 0)
+	}
+	return max(r.Priority, 0)
+}
+
 // KeyRequired reports whether requests must have an API key.
 func (t *Table) KeyRequired() bool { return t.keyRequired }
 
--- /dev/null
+++ b/internal/urgency/urgency.go
@@ -0,0 +1,122 @@
+package urgency
+
+import "time"
+
+// Request is what decides the urgency of a send.
+type Request struct {
+	Rank int
+	// Target is the time from the arrival to the first event in which the answer has its full
+	// value, and Timeout the time to the deadline of the whole answer; zero if there is none.
+	Target, Timeout time.Duration
+	// Elapsed is the time since the arrival.
+	Elapsed time.Duration
+	// Expected is the time from now to the first event, with the work of the request itself.
+	Expected time.Duration
+	// Resent is set if time was lost to an earlier server or a smaller model.
+	Resent bool
+	// Streaming is set if the caller has a part of the answer.
+	Streaming bool
+	// OverShare is set if the request's workspace uses more than its share while others wait.
+	OverShare bool
+}
+
+// Reason is why a request has its place within its rank.
+type Reason string
+
+const (
+	// BySlack means that the request is ordered by the time left to its target.
+	BySlack Reason = "slack"
+	// Resumed requests go first: their caller waits for the next event.
+	Resumed Reason = "resumed"
+	// LostTime requests go first: they can be in time, but have lost time to an earlier send.
+	LostTime Reason = "lost_time"
+	// Aged requests go first: they have waited for a large part of their timeout.
+	Aged Reason = "aged"
+	// Late requests yield: they can't be in time any more.
+	Late Reason = "late"
+	// OverShare requests yield to those of workspaces within their share.
+	OverShare Reason = "over_share"
+)
+
+// Raised reports whether requests with the reason go before those ordered by slack.
+func (r Reason) Raised() bool { return r == Resumed || r == LostTime || r == Aged }
+
+// Yielded reports whether requests with the reason go after those ordered by slack.
+func (r Reason) Yielded() bool { return r == Late || r == OverShare }
+
+// Decision is the urgency of a send.
+type Decision struct {
+	// Priority is the priority for the engine, 0 to 9, 0 first.
+	Priority int
+	// Slack is the time to the target that is left at the expected first event, or to the timeout
+	// if there is no target. It is negative if the first event is expected to be late.
+	Slack  time.Duration
+	Reason Reason
+}
+
+// Places within a rank, from 0, which is first, to 1. A rank has as many priorities as the ranks
+// of the configuration leave it, so places may share one.
+const (
+	firstPlace     = 0.0
+	leastSlack     = 0.34
+	mostSlack      = 0.59
+	latePlace      = 0.75
+	overSharePlace = 0.95
+)
+
+// agedFraction is the fraction of the timeout after which a request goes first within its rank,
+// so that the rest suffices to answer it.
+const agedFraction = 0.5
+
+// Decide returns the urgency of a send.
+func Decide(ranks Ranks, r Request) Decision {
+	d := Decision{Slack: r.slack(), Reason: r.reason()}
+	first, width := ranks.band(r.Rank)
+	d.Priority = first + min(int(r.place(d)*float64(width)), width-1)
+	return d
+}
+
+// limit returns the time within which the first event is wanted.
+func (r Request) limit() time.Duration {
+	if r.Target > 0 {
+		return r.Target
+	}
+	return r.Timeout
+}
+
+func (r Request) slack() time.Duration { return r.limit() - r.Elapsed - r.Expected }
+
+// late reports whether the first event is expected after the target.
+func (r Request) late() bool { return r.limit() > 0 && r.slack() < 0 }
+
+func (r Request) reason() Reason {
+	aged := r.Timeout > 0 && float64(r.Elapsed) >= agedFraction*float64(r.Timeout)
+	switch {
+	case r.Streaming:
+		return Resumed
+	case aged:
+		return Aged
+	case r.OverShare:
+		return OverShare
+	case r.late():
+		return Late
+	case r.Resent:
+		return LostTime
+	}
+	return BySlack
+}
+
+// place returns the place within the rank.
+func (r Request) place(d Decision) float64 {
+	switch {
+	case d.Reason.Raised():
+		return firstPlace
+	case d.Reason == OverShare:
+		return overSharePlace
+	case d.Reason == Late:
+		return latePlace
+	case r.limit() == 0:
+		return mostSlack
+	}
+	return leastSlack + (mostSlack-leastSlack)*float64(d.Slack)/float64(r.limit())
+}
