urgency, routing: requests with time to spare leave emptier engines; late requests are not starved

And short prompts with little time wait behind long ones that could have gone to busier engines.

Change: late requests are not raised, but share a place with those in time; little slack has a place of its own. Reserve: a request has no gain from a backlog below its patience, a tenth of its slack and at most the mean backlog of the engines it can use; none for the first of several ranks, none without differing backlogs.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -217,7 +217,7 @@
 	}
 	return requirements{
 		service: x.service.Name, engine: x.service.Engine, model: model, prompt: x.call.Prompt, bodyBytes: len(x.call.Body),
-		urgent: x.rank == 0, remainingTime: time.Until(x.deadline), tried: x.tried,
+		urgent: x.rank == 0, urgency: x.urgencyRequest(), ranks: x.ranks, remainingTime: time.Until(x.deadline), tried: x.tried,
 		versions:         x.relay.Rollouts.ChooseVersion(x.service.Name, x.call.Session, x.hash),
 		quarantineStatus: x.quarantineStatus,
 		gateRequest:      gate.Request{Held: x.quarantineStatus.Held}, slowStart: x.relay.slowStartLimit(x),
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -127,13 +127,12 @@
 	return m.scope.Tagged(map[string]string{"fault": string(f)}).Counter("server_entries_bad")
 }
 
-// SendsRaised counts sends that precede others of their rank, and SendsYielded those that follow
-// them, by reason.
+// SendsRaised counts sends that precede others of their rank, by reason.
 func (m *Metrics) SendsRaised(r urgency.Reason) tally.Counter {
 	return m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("sends_raised")
 }
 
-// SendsYielded is described at SendsRaised.
+// SendsYielded counts sends that follow others of their rank, by reason.
 func (m *Metrics) SendsYielded(r urgency.Reason) tally.Counter {
 	return m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("sends_yielded")
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -14,16 +14,20 @@
 	"github.com/damaskrudder/damaskrudder/internal/route"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
+	"github.com/damaskrudder/damaskrudder/internal/urgency"
 )
 
 // requirements are a request's requirements on a server.
 type requirements struct {
-	service       string
-	engine        *route.Engine
-	model         string
-	prompt        Prompt
-	bodyBytes     int
-	urgent        bool
+	service   string
+	engine    *route.Engine
+	model     string
+	prompt    Prompt
+	bodyBytes int
+	urgent    bool
+	// urgency is the urgency of the request before a server is selected.
+	urgency       urgency.Request
+	ranks         urgency.Ranks
 	remainingTime time.Duration
 	tried         []string
 	// quarantineStatus is the request's state in quarantine.
@@ -105,6 +109,7 @@
 	}
 	s.applyExclusions(&sel, req, s.confirmedVersions(sv, req.versions.Preferred), uptime)
 	limitToFraction(r, sel.candidates, sv.tracker.IndicesByHash(), req.versions.Fraction)
+	sel.setPatience(req)
 	if req.quarantineStatus.Crashes > 0 {
 		sel.decision = s.pickByFingerprint(pipeline, *r, &sel, req)
 		if sel.decision.Index >= 0 {
--- a/internal/relay/urgency.go
+++ b/internal/relay/urgency.go
@@ -32,3 +32,13 @@
 	}
 	return d
 }
+
+// setPatience lets a request that has time leave emptier engines to others.
+func (sel *selection) setPatience(req *requirements) {
+	if req.engine == nil {
+		return
+	}
+	r := req.urgency
+	r.Expected = time.Duration(float64(req.prompt.Tokens) * sel.request.PrefillScale * float64(referenceTokenTime))
+	sel.request.Patience = urgency.Patience(req.ranks, r, sel.request.MeanBacklog(sel.candidates))
+}
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -81,7 +81,7 @@
 		},
 		Preferences: []Scorer{
 			PartitionAffinity{Penalty: partitionPenalty}, RendezvousAffinity{RankCost: affinityRankCost, PrefillShare: affinityPrefillShare},
-			PrefillImpact{DelayedPerSecond: prefillDelayedPerSecond}, Locality{PerKB: localityCostPerKB, HalfCostAt: localityHalfCostAt},
+			PrefillImpact{DelayedPerSecond: prefillDelayedPerSecond}, Reserve{}, Locality{PerKB: localityCostPerKB, HalfCostAt: localityHalfCostAt},
 		},
 		TieWindow: defaultTieWindow,
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -188,3 +188,24 @@
 		t.Fatalf("%d blocks kept", n)
 	}
 }
+
+// Guards against a reserve that acts on idle or equally loaded servers, or that counts the load of
+// servers that the request can't use.
+func TestReserveActsOnlyOnUnequalBacklogs(t *testing.T) {
+	c := idleServers(4)
+	r := Request{Tried: NewSet(3)}
+	c[2].Suspect = true
+	c[2].PendingPrefill, c[3].PendingPrefill = 1000, 1000
+	if mean := r.MeanBacklog(c); mean != 0 {
+		t.Errorf("idle: mean backlog %s", mean)
+	}
+	c[0].PendingPrefill, c[1].OthersPending = 300, 300
+	r.Patience = r.MeanBacklog(c)
+	if first, second := (Reserve{}).Cost(&r, &c[0], 0), (Reserve{}).Cost(&r, &c[1], 1); r.Patience != 300*time.Millisecond || first != 0 || second != 0 {
+		t.Errorf("equal backlogs: mean %s, costs %s, %s", r.Patience, first, second)
+	}
+	c[0].PendingPrefill = 0
+	if cost := (Reserve{}).Cost(&r, &c[0], 0); cost != r.Patience {
+		t.Errorf("empty server: cost %s", cost)
+	}
+}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -91,6 +91,31 @@
 	return time.Duration((c.PendingPrefill + c.OthersPending) * float64(c.PrefillPerToken))
 }
 
+// Reserve leaves the emptier servers to requests that need them: a request has no gain from a
+// backlog below Request.Patience. It answers bursts in which servers differ in backlog.
+type Reserve struct{}
+
+// Name implements Scorer.
+func (Reserve) Name() string { return "reserve" }
+
+// Cost implements Scorer.
+func (Reserve) Cost(r *Request, c *Candidate, index int) time.Duration {
+	return max(r.Patience-PrefillBacklog{}.Cost(r, c, index), 0)
+}
+
+// MeanBacklog returns the mean backlog of the candidates that the request can use.
+func (r *Request) MeanBacklog(candidates []Candidate) time.Duration {
+	excluded := r.Tried.Union(r.OutsidePartition)
+	total, n := time.Duration(0), 0
+	for i := range min(len(candidates), MaxCandidates) {
+		if c := &candidates[i]; (Live{}).Keep(r, c, i) && !excluded.Has(i) {
+			total += PrefillBacklog{}.Cost(r, c, i)
+			n++
+		}
+	}
+	return total / time.Duration(max(n, 1))
+}
+
 // RendezvousAffinity sends prompts with a common prefix to the same servers. All daemons rank
 // the servers of a prefix alike, so its prefill is repeated on few servers although the
 // placements of other daemons are known only in part and with a delay.
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -79,6 +79,8 @@
 	Tried Set
 	// Budget is the time left to the first token; zero means unlimited.
 	Budget time.Duration
+	// Patience is the backlog up to which the request has no need of an emptier server.
+	Patience time.Duration
 	// Urgent requests precede others in a server's queue.
 	Urgent bool
 }
--- a/internal/urgency/ranks.go
+++ b/internal/urgency/ranks.go
@@ -36,6 +36,9 @@
 	return first, (position+1)*Priorities/n - first
 }
 
+// precedesOthers reports whether a rank is the first of several.
+func (r Ranks) precedesOthers(rank int) bool { return len(r.used) > 1 && rank <= r.used[0] }
+
 // Priority returns the priority of requests of a rank that are not ordered within it.
 func (r Ranks) Priority(rank int) int {
 	first, width := r.band(rank)
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -24,26 +24,52 @@
 type Reason string
 
 const (
-	// BySlack means that the request is ordered by the time left to its target.
-	BySlack Reason = "slack"
+	// InTime requests have time left.
+	InTime Reason = "in_time"
 	// Resumed requests go first: their caller waits for the next event.
 	Resumed Reason = "resumed"
 	// LostTime requests go first: they can be in time, but have lost time to an earlier send.
 	LostTime Reason = "lost_time"
 	// Aged requests go first: they have waited for a large part of their timeout.
 	Aged Reason = "aged"
-	// Late requests yield: they can't be in time any more.
+	// Tight requests follow: they can be in time, with little slack.
+	Tight Reason = "tight"
+	// Late requests can't be in time any more. They yield to those that go first or are tight, and
+	// share a place with those in time: behind them, they would not be answered at all while
+	// others keep arriving.
 	Late Reason = "late"
 	// OverShare requests yield to those of workspaces within their share.
 	OverShare Reason = "over_share"
 )
 
-// Raised reports whether requests with the reason go before those ordered by slack.
-func (r Reason) Raised() bool { return r == Resumed || r == LostTime || r == Aged }
+// Raised reports whether requests with the reason go before those with time left.
+func (r Reason) Raised() bool { return r.place() < middlePlace }
 
-// Yielded reports whether requests with the reason go after those ordered by slack.
+// Yielded reports whether requests with the reason are not raised although time is short, or go
+// after those with time left.
 func (r Reason) Yielded() bool { return r == Late || r == OverShare }
 
+// Places within a rank, from 0, which is first, to 1. A rank has as many priorities as the ranks of
+// the configuration leave it, so places may share one.
+const (
+	firstPlace     = 0
+	tightPlace     = 0.2
+	middlePlace    = 0.45
+	overSharePlace = 0.95
+)
+
+func (r Reason) place() float64 {
+	switch r {
+	case Resumed, LostTime, Aged:
+		return firstPlace
+	case Tight:
+		return tightPlace
+	case OverShare:
+		return overSharePlace
+	}
+	return middlePlace
+}
+
 // Decision is the urgency of a send.
 type Decision struct {
 	// Priority is the priority for the engine, 0 to 9, 0 first.
@@ -54,25 +80,19 @@
 	Reason Reason
 }
 
-// Places within a rank, from 0, which is first, to 1. A rank has as many priorities as the ranks
-// of the configuration leave it, so places may share one.
-const (
-	firstPlace     = 0.0
-	leastSlack     = 0.34
-	mostSlack      = 0.59
-	latePlace      = 0.75
-	overSharePlace = 0.95
-)
-
 // agedFraction is the fraction of the timeout after which a request goes first within its rank,
 // so that the rest suffices to answer it.
 const agedFraction = 0.5
 
+// tightFraction is the fraction of the target below which the slack doesn't cover the error of the
+// expected time.
+const tightFraction = 0.25
+
 // Decide returns the urgency of a send.
 func Decide(ranks Ranks, r Request) Decision {
 	d := Decision{Slack: r.slack(), Reason: r.reason()}
 	first, width := ranks.band(r.Rank)
-	d.Priority = first + min(int(r.place(d)*float64(width)), width-1)
+	d.Priority = first + min(int(d.Reason.place()*float64(width)), width-1)
 	return d
 }
 
@@ -102,21 +122,24 @@
 		return Late
 	case r.Resent:
 		return LostTime
+	case r.limit() > 0 && float64(r.slack()) < tightFraction*float64(r.limit()):
+		return Tight
 	}
-	return BySlack
+	return InTime
 }
 
-// place returns the place within the rank.
-func (r Request) place(d Decision) float64 {
-	switch {
-	case d.Reason.Raised():
-		return firstPlace
-	case d.Reason == OverShare:
-		return overSharePlace
-	case d.Reason == Late:
-		return latePlace
-	case r.limit() == 0:
-		return mostSlack
+// spareFraction is the fraction of its slack that a request may spend to leave an emptier engine
+// to others. The rest covers errors of the expected time and a run of a larger model.
+const spareFraction = 0.1
+
+// Patience returns the backlog up to which a request has no need of an emptier engine, given the
+// mean backlog of the engines it can use. Requests of the first of several ranks have none, so that
+// they lose nothing to others.
+func Patience(ranks Ranks, r Request, meanBacklog time.Duration) time.Duration {
+	if ranks.precedesOthers(r.Rank) {
+		return 0
 	}
-	return leastSlack + (mostSlack-leastSlack)*float64(d.Slack)/float64(r.limit())
+	r.Expected += meanBacklog
+	spare := time.Duration(spareFraction * float64(r.slack()))
+	return min(max(spare, 0), meanBacklog)
 }
