daemon: urgency decides the priority of attempts on the own interface

Cause: an attempt had the workspace's priority as it stands, also after an attempt that had failed.

Change: the same decision as on the users' platform, from the workspaces' priorities, their objective for the first token and their deadline; sends_raised and sends_yielded count by reason. The servers of this interface queue by slots, so that patience has no lever there.

--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -186,10 +186,7 @@
 // until a response is accepted.
 func (d *Daemon) completeChat(ctx context.Context, id string, req *ChatRequest, w fleet.Workspace, models []string, pin session.Pin, exec *execution) (*ChatResponse, error) {
 	start := time.Now()
-	deadline := defaultDeadline
-	if w.DeadlineMillis > 0 {
-		deadline = time.Duration(w.DeadlineMillis) * time.Millisecond
-	}
+	deadline := firstTokenTimeout(w)
 	class := req.Class
 	if class == "" {
 		class = defaultClass
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -135,7 +135,7 @@
 		return request.Decision{Action: request.Fail, Error: fault.FromError(d.versionDisallowed(s))}
 	}
 	stream, err := d.engine.Start(ctx, picked.candidate.Address, engine.Run{
-		ID: runID, Version: s.model + "@" + s.version, Priority: s.priority, Body: s.body,
+		ID: runID, Version: s.model + "@" + s.version, Priority: d.decideUrgency(s, picked).Priority, Body: s.body,
 	})
 	for {
 		started = started || mayHaveStarted(err)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/damaskrudder/damaskrudder/internal/urgency"
 )
 
 // metrics holds the metrics of a daemon. MetricDescriptions describes them.
@@ -91,6 +93,8 @@
 		"forwards":                     "Sends of requests to other daemons, because the backend servers were out of reach.",
 		"forwarded_requests":           "Requests served for other daemons that could not reach the backend servers.",
 		"requests_held":                "Requests held because servers terminated while running them.",
+		"sends_raised":                 "Sends to engines that precede others of their rank, by reason.",
+		"sends_yielded":                "Sends to engines that follow others of their rank, by reason.",
 		"refusals":                     "Requests refused, by error kind.",
 	}
 }
@@ -145,3 +149,13 @@
 func (d *Daemon) RecordRefusal(kind string) {
 	d.metrics.scope.Tagged(map[string]string{"kind": kind}).Counter("refusals").Inc(1)
 }
+
+// sendsRaised counts sends that precede others of their rank, by reason.
+func (m *metrics) sendsRaised(r urgency.Reason) tally.Counter {
+	return m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("sends_raised")
+}
+
+// sendsYielded counts sends that follow others of their rank, by reason.
+func (m *metrics) sendsYielded(r urgency.Reason) tally.Counter {
+	return m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("sends_yielded")
+}
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -21,6 +21,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/serverstatus"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
+	"github.com/damaskrudder/damaskrudder/internal/urgency"
 )
 
 const (
@@ -40,8 +41,10 @@
 	d            *Daemon
 	mu           sync.Mutex
 	configNumber uint64
-	pools        map[string]*pool
-	leaving      map[string]bool
+	// ranks are the ranks of the configuration.
+	ranks   urgency.Ranks
+	pools   map[string]*pool
+	leaving map[string]bool
 	// leavingReadAt is when leaving was read from the platform, in Unix milliseconds.
 	leavingReadAt int64
 	// serversUpdatedAt is when the VM list was last read, received from a peer, or
@@ -100,6 +103,7 @@
 	}
 	b.configNumber = cfg.Number
 	b.syncEvacuations(cfg)
+	b.ranks = workspaceRanks(cfg)
 	b.idByAddress, b.idByHash = map[string]string{}, map[uint64]string{}
 	for name, poolCfg := range cfg.Pools {
 		for _, s := range poolCfg.Servers {
@@ -141,6 +145,8 @@
 	// attributed to the load and not to the version.
 	hadFreeSlot bool
 	urgent      bool
+	// ranks are the ranks of the configuration by which the server was picked.
+	ranks urgency.Ranks
 }
 
 // pickServer picks a server that holds a version and records the dispatch. Servers in
@@ -173,7 +179,7 @@
 	b.gate.RecordSend(gateServer(poolName, p, slowStartLimit(cfg.Pools[poolName].SlowStart), &chosen), b.uptime())
 	p.load.RecordSend(chosen.ID, r.Blocks, r.Urgent, time.Now())
 	return pick{
-		pool: poolName, candidate: chosen, expectedFirstToken: decision.Expected, urgent: r.Urgent, slowStart: slowStartLimit(cfg.Pools[poolName].SlowStart),
+		pool: poolName, candidate: chosen, expectedFirstToken: decision.Expected, urgent: r.Urgent, ranks: b.ranks, slowStart: slowStartLimit(cfg.Pools[poolName].SlowStart),
 		uncachedTokens: max(0, r.PromptTokens-int(r.CachedBlocks[decision.Index])*r.BlockTokens),
 		hadFreeSlot:    float64(chosen.InFlight)+chosen.OthersInFlight < float64(chosen.Slots),
 	}, nil
