--- a/internal/relay/urgency.go
+++ b/internal/relay/urgency.go
@@ -11,7 +11,7 @@
 func (x *exchange) urgencyRequest() urgency.Request {
 	return urgency.Request{
 		Rank: x.rank, Target: x.route.LatencyTarget, Timeout: x.deadline.Sub(x.call.Received), Elapsed: time.Since(x.call.Received),
-		Resent: x.retryState.Sends() > 1, Streaming: x.lastEvent != NoEvent, OverShare: x.overShare,
+		Resent: x.retryState.Sends() > 1, Streaming: x.route.Resumable && x.lastEvent != NoEvent, OverShare: x.overShare,
 	}
 }
 
