route: a negative priority is rank 0 in the list of ranks, as it is for requests

Cause: negative priorities took ranks of their own, which no request has. Change: the list clips them like Route.Rank. Result: tests of route and of relay on ranks pass.

--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -183,7 +183,7 @@
 	var out []int
 	for _, r := range routes {
 		if slices.ContainsFunc(r.Backends, func(b Backend) bool { return t.Services[b.Service].Engine != nil }) {
-			out = append(out, r.Priority)
+			out = append(out, max(r.Priority, 0))
 		}
 	}
 	return out
@@ -194,7 +194,7 @@
 	var out []int
 	for _, w := range keys {
 		if w.HasPriority {
-			out = append(out, w.Priority)
+			out = append(out, max(w.Priority, 0))
 		}
 	}
 	return out
