Merge order under contention

One place decides an engine's priority: the step by which a request beyond its workspace's share went behind is now a place within its rank (urgency).

--- a/internal/relay/fairshares.go
+++ b/internal/relay/fairshares.go
@@ -143,24 +143,13 @@
 	})
 }
 
-// rank returns the rank of the request, 0 the most urgent.
-func (x *exchange) rank() int { return x.priority - basePriority }
-
-// demote returns the priority for the engine: requests beyond their workspace's share go behind.
-func (x *exchange) demote(priority int) int {
-	if x.overShare {
-		return min(priority+1, lowestPriority)
-	}
-	return priority
-}
-
 // recordWork records the work of a send, and whether the request is expected to wait too long.
 func (x *exchange) recordWork(t *target) {
 	work := x.expectedWork(t)
 	x.withLedger(func(l *fairshare.Ledger, now time.Duration) {
 		l.Record(fairshare.KeyOf(x.workspace), work.Seconds(), now)
 		if x.route.LatencyTarget > 0 {
-			l.ObserveWait(x.rank(), x.expectsWait(t), now)
+			l.ObserveWait(x.rank, x.expectsWait(t), now)
 		}
 	})
 }
@@ -194,7 +183,7 @@
 		return
 	}
 	late := x.waitsTooLong(time.Since(x.call.Received))
-	x.withLedger(func(l *fairshare.Ledger, now time.Duration) { l.ObserveWait(x.rank(), late, now) })
+	x.withLedger(func(l *fairshare.Ledger, now time.Duration) { l.ObserveWait(x.rank, late, now) })
 }
 
 // WorkspaceReport returns this daemon's recent work on a contended service, for the other daemons, or
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -88,7 +88,8 @@
 		Preferences: []Scorer{
 			StaleLoad{},
 			PartitionAffinity{Penalty: partitionPenalty}, RendezvousAffinity{RankCost: affinityRankCost, PrefillShare: affinityPrefillShare},
-			PrefillImpact{DelayedPerSecond: prefillDelayedPerSecond}, TransferImpact{DelayedPerSecond: transfersDelayedPerSecond}, Locality{PerKB: localityCostPerKB, HalfCostAt: localityHalfCostAt},
+			PrefillImpact{DelayedPerSecond: prefillDelayedPerSecond}, TransferImpact{DelayedPerSecond: transfersDelayedPerSecond}, Reserve{},
+			Locality{PerKB: localityCostPerKB, HalfCostAt: localityHalfCostAt},
 		},
 		TieWindow: defaultTieWindow,
 	}
