relay: slow clients neither keep servers waiting nor exceed the memory of the VM

Cause: a stream was read from its engine only as fast as its client read it. While a write to a slow client blocked, the engine's response stayed unread, which engines cut off after some seconds, and the stream counted as stalled and was repeated at another engine. A complete response kept its request in flight at the server until a slow client had it. Nothing bounded the bodies and responses held, and a client that read nothing was never cut.

Change: a response that is forwarded as it arrives is written by a goroutine of its own with a buffer that the ledger bounds; while it is paused, the stream is not moved. A complete response is delivered after its send has ended. Bodies are accounted for before they are read, refused unread if there is no room (overloaded, not run), and dropped when they cannot be sent again. A response for which there is no room is forwarded unbuffered.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -86,7 +86,7 @@
 	{NotFound, http.StatusNotFound, NotRun, false, 0, "The resource does not exist."},
 	{TooLarge, http.StatusRequestEntityTooLarge, NotRun, false, 0, "The request body exceeds the configured limit."},
 	{RateLimited, http.StatusTooManyRequests, NotRun, false, time.Second, "The workspace has reached its request or token limit."},
-	{Overloaded, http.StatusServiceUnavailable, NotRun, false, time.Second, "No backend server can start the request before its deadline."},
+	{Overloaded, http.StatusServiceUnavailable, NotRun, false, time.Second, "No backend server can start the request before its deadline, or this daemon has no memory left for its body."},
 	{DeadlineExceeded, http.StatusGatewayTimeout, Unknown, false, 0, "The deadline passed before the response was complete."},
 	{NoServer, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "No live backend server serves an allowed version."},
 	{Warming, http.StatusServiceUnavailable, NotRun, true, time.Second, "The remaining backend servers are warming up and have reached their request rate limit."},
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -47,6 +47,8 @@
 	// Timeout is how long the client waits, counted from Received; zero is unbounded.
 	Timeout  time.Duration
 	Received time.Time
+	// Held accounts for the memory of the call.
+	Held *HeldRequest `cbor:"-"`
 }
 
 // Prompt describes the input and output sizes of an engine request.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -20,9 +20,12 @@
 
 // exchange is the processing of one call.
 type exchange struct {
-	relay     *Relay
-	call      *Call
-	out       ResponseWriter
+	relay *Relay
+	call  *Call
+	out   ResponseWriter
+	// held accounts for the memory of the call, and cancel ends its processing.
+	held      *HeldRequest
+	cancel    context.CancelCauseFunc
 	route     *route.Route
 	service   route.Service
 	workspace string
@@ -52,6 +55,12 @@
 	headerSent bool
 	// partlySent is set if the client received only a part of a response.
 	partlySent bool
+	// paced writes a response that is forwarded as it arrives; nil before its header. aborted is set
+	// if it ends before it is complete.
+	paced   *pacedWriter
+	aborted bool
+	// complete is the response to deliver once its server is no longer involved.
+	complete *bufferedResponse
 	// serverFailure is a server's error response, forwarded if no attempt succeeds.
 	serverFailure *bufferedResponse
 	// firstEventAt is when the first event was forwarded.
@@ -91,10 +100,11 @@
 		}
 		outcome, done, refusal := x.sendOnce(ctx)
 		if done {
+			x.deliverComplete()
 			return
 		}
 		if refusal == nil && ctx.Err() != nil {
-			x.logEvent("client disconnected", nil)
+			x.logEvent("client disconnected", nil, "cause", context.Cause(ctx))
 			x.relay.Metrics.ClientsDisconnected.Inc(1)
 			return
 		}
@@ -357,10 +367,10 @@
 	case x.headerSent:
 		x.logEvent("cut", nil, "kind", e.Kind, "why", e.Detail, "last_event", x.lastEvent)
 		x.relay.Metrics.ResponsesAborted.Inc(1)
-		x.out.Abort()
+		x.aborted = true
 	case x.serverFailure != nil && e.ExecutionState() != fault.NotRun:
 		x.logEvent("server failure forwarded", nil, "status", x.serverFailure.status)
-		x.serverFailure.writeTo(x.out)
+		x.deliver(x.serverFailure)
 	default:
 		if e.ExecutionState() == fault.NotRun && e.RetryDelay() > 0 && e.RetryAfter == 0 {
 			e = e.WithRetryAfter(x.retryAfter())
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -290,8 +289,8 @@
 	if x.headerSent {
 		return request.ErrorResponse, false
 	}
-	body, err := io.ReadAll(io.LimitReader(f, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
+	body, err := x.readResponse(f, reply.ContentLength)
+	if errors.Is(err, errNotBuffered) {
 		return x.forwardUnbuffered(nil, reply, body)
 	}
 	if err != nil {
@@ -301,7 +300,7 @@
 	x.relay.Metrics.Responses(ok).Inc(1)
 	x.relay.Metrics.ResponseLatency.RecordDuration(time.Since(x.call.Received))
 	x.logEvent("answered", nil, "daemon", f.address, "status", reply.Status, "bytes", len(body))
-	(&bufferedResponse{reply.Status, reply.Header, body}).writeTo(x.out)
+	x.complete = &bufferedResponse{reply.Status, reply.Header, body}
 	return request.ErrorResponse, true
 }
 
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -30,6 +30,12 @@
 		return
 	}
 	defer r.endForwarded()
+	call.Held = r.Hold()
+	defer call.Held.Release()
+	if err := call.Held.growBody(int64(len(call.Body))); err != nil {
+		r.refuse(&call, out, fault.New(fault.HelperUnable, "%v", err))
+		return
+	}
 	if send(ForwardFrame{}) != nil {
 		return
 	}
--- a/internal/relay/liveness.go
+++ b/internal/relay/liveness.go
@@ -86,7 +86,9 @@
 	overtaken atomic.Int64
 	// progressNanos is when the last bytes arrived, in ns after sentAt; 0 before the header.
 	progressNanos atomic.Int64
-	rerouted      bool
+	// forwarding is set while the client has no room for what has arrived.
+	forwarding atomic.Bool
+	rerouted   bool
 }
 
 func (a *attempt) recordProgress() { a.progressNanos.Store(time.Since(a.sentAt).Nanoseconds() + 1) }
@@ -229,7 +231,7 @@
 func (a *attempt) stuck(now time.Time, othersProgress bool) bool {
 	progressAt, responded := a.lastProgress()
 	switch {
-	case a.rerouted:
+	case a.rerouted || a.forwarding.Load():
 		return false
 	case responded:
 		return a.engine && othersProgress && now.Sub(progressAt) > a.stallTimeout
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -70,6 +70,13 @@
 	// PermitsAsked counts asks for a send of another daemon to a server with a stated rate,
 	// PermitsUsed requests that were sent with a permit, and PermitsGiven sends reserved for others.
 	PermitsAsked, PermitsUsed, PermitsGiven tally.Counter
+	// BytesHeld is the number of bytes held for requests, and SlowReaders the number of clients that
+	// have bytes to read and have taken none for a while.
+	BytesHeld, SlowReaders tally.Gauge
+	// ResponsesPaused counts responses whose server had to wait for the client, ResponsesCutForMemory
+	// those cut to keep within the memory budget, and ClientsStalled those cut because the client
+	// read nothing. RefusedForMemory counts bodies for which there was no memory.
+	ResponsesPaused, ResponsesCutForMemory, ClientsStalled, RefusedForMemory tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
 	ResponseLatency tally.Histogram
 	// FirstEventLatency is the time to the first event of a stream.
@@ -93,7 +100,8 @@
 		ServersLeaving: s.Gauge("servers_leaving"), ServersPaused: s.Gauge("servers_paused"), Pauses: s.Counter("server_pauses"),
 		RejectionSensitiveServices: s.Gauge("services_rejection_sensitive"), Rejections: s.Counter("server_rejections"),
 		ServicesOutOfReach: s.Gauge("services_out_of_reach"), PermitsAsked: s.Counter("permits_asked"), PermitsUsed: s.Counter("permits_used"), PermitsGiven: s.Counter("permits_given"), Forwards: s.Counter("forwards"), ForwardedRequests: s.Counter("forwarded_requests"),
-		Panics:      s.Counter("panics"),
+		Panics:    s.Counter("panics"),
+		BytesHeld: s.Gauge("bytes_held"), SlowReaders: s.Gauge("slow_readers"), ResponsesPaused: s.Counter("responses_paused"), ResponsesCutForMemory: s.Counter("responses_cut_for_memory"), ClientsStalled: s.Counter("callers_stalled"), RefusedForMemory: s.Counter("refused_for_memory"),
 		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
 	}
@@ -166,6 +174,12 @@
 		"daemons_live":                 "Live daemons that this daemon knows, including itself.",
 		"gossip_partners":              "Daemons with which this daemon exchanges messages.",
 		"servers_known":                "Backend servers that this daemon knows.",
+		"bytes_held":                   "Bytes of request bodies and responses that the daemon holds.",
+		"slow_readers":                 "Clients that have bytes to read and have taken none for 1 s.",
+		"responses_paused":             "Responses whose server had to wait for a client that read slowly.",
+		"responses_cut_for_memory":     "Responses cut to keep within the memory budget.",
+		"callers_stalled":              "Responses cut because the client read nothing for the time it had given the request.",
+		"refused_for_memory":           "Requests refused because there was no memory for their body.",
 		"panics":                       "Panics of handlers, each a defect; the log lines have the stack.",
 		"server_restarts":              "Servers that restarted under the same name.",
 		"server_entries_bad":           "Invalid server entries, by fault.",
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,9 @@
 	// WarmupBurstFactor and WarmupBurst limit the requests to a warming server in any
 	// second: its configured rate times the factor, plus the burst.
 	WarmupBurstFactor, WarmupBurst float64
+	// MemoryBudget is the number of bytes that the daemon may hold for requests. Default:
+	// DefaultMemoryBudget.
+	MemoryBudget int64
 }
 
 const (
@@ -60,6 +63,7 @@
 	options  Options
 	log      *log.Logger
 	liveness *livenessMonitor
+	flow     *flowControl
 	// Guard quarantines requests that are suspected of crashing servers.
 	Guard *containment.Guard
 	// limitBroadcast requests broadcasts of urgent reports of limits.
@@ -107,12 +111,14 @@
 	r.liveness = newLivenessMonitor(state, b, logger, m)
 	r.liveness.onReached, r.liveness.onUnreached = r.recordReached, r.recordUnreached
 	r.Guard = newGuard(r)
+	r.flow = newFlowControl(options.MemoryBudget, m, logger)
 	return r
 }
 
 // Run monitors the liveness and the reachability of servers until the context ends.
 func (r *Relay) Run(ctx context.Context) {
 	go loop.Every(ctx, reachabilityCheckInterval, r.checkReachability)
+	go loop.Every(ctx, flowCheckInterval, r.flow.check)
 	r.liveness.run(ctx)
 }
 
@@ -218,6 +224,10 @@
 		r.mu.Unlock()
 	}()
 	r.Metrics.Requests.Inc(1)
+	if c.Held == nil {
+		c.Held = r.Hold()
+		defer c.Held.Release()
+	}
 	if !r.State.Ready() {
 		r.State.WaitReady(ctx, startupWait)
 	}
@@ -232,8 +242,12 @@
 	r.mu.Lock()
 	r.lastAdmitted = time.Now()
 	r.mu.Unlock()
-	x.out = out
+	x.out, x.held = out, c.Held
+	ctx, x.cancel = context.WithCancelCause(ctx)
+	defer x.cancel(nil)
+	defer x.interruptOnEnd(ctx)()
 	x.serve(ctx)
+	x.finish(ctx)
 }
 
 func (r *Relay) refuse(c *Call, out ResponseWriter, e *fault.Error) {
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -22,17 +21,12 @@
 	body   []byte
 }
 
-func (r *bufferedResponse) writeTo(out ResponseWriter) {
-	out.WriteHeader(r.status, r.header, int64(len(r.body)))
-	_ = out.WriteBody(r.body) // a disconnected client is detected by its context
-}
-
-// forwardBuffered reads a response completely before it forwards any of it. If the
+// forwardBuffered reads a response completely before any of it is forwarded. If the
 // server fails meanwhile, the request can be retried, and the client never
 // receives a truncated response.
 func (x *exchange) forwardBuffered(t *target, reply *BackendResponse, sentAt time.Time, ok bool) (request.SendOutcome, bool) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
+	body, err := x.readResponse(reply.Body, reply.ContentLength)
+	if errors.Is(err, errNotBuffered) {
 		return x.forwardUnbuffered(t, reply, body)
 	}
 	if err != nil || reply.ContentLength >= 0 && int64(len(body)) != reply.ContentLength {
@@ -57,16 +51,16 @@
 	x.relay.Metrics.Responses(ok).Inc(1)
 	x.relay.Metrics.ResponseLatency.RecordDuration(time.Since(x.call.Received))
 	x.logEvent("answered", t, "status", reply.Status, "bytes", len(body))
-	resp.writeTo(x.out)
+	x.complete = resp
 	return request.ErrorResponse, true
 }
 
-// forwardUnbuffered forwards a response that exceeds the buffer limit. It aborts
-// the response if the server fails.
+// forwardUnbuffered forwards a response that is not buffered, of which prefix has been read. It
+// aborts the response if the server fails.
 func (x *exchange) forwardUnbuffered(t *target, reply *BackendResponse, prefix []byte) (request.SendOutcome, bool) {
-	x.headerSent = true
-	x.out.WriteHeader(reply.Status, reply.Header, reply.ContentLength)
-	n, err := io.Copy(bodyWriter{x.out}, io.MultiReader(bytes.NewReader(prefix), reply.Body))
+	x.begin(responseHeader{reply.Status, reply.Header, reply.ContentLength}, prefix)
+	n, err := io.CopyBuffer(bodyWriter{x.paced}, reply.Body, make([]byte, writeChunkBytes))
+	n += int64(len(prefix))
 	if err == nil && reply.ContentLength >= 0 && n != reply.ContentLength {
 		err = io.ErrUnexpectedEOF
 	}
@@ -81,8 +75,8 @@
 	return request.ErrorResponse, true
 }
 
-// bodyWriter implements io.Writer on a ResponseWriter.
-type bodyWriter struct{ out ResponseWriter }
+// bodyWriter implements io.Writer on a pacedWriter.
+type bodyWriter struct{ out *pacedWriter }
 
 // Write implements io.Writer.
 func (w bodyWriter) Write(p []byte) (int, error) {
@@ -139,6 +133,8 @@
 	// progress is called when data has arrived, and firstEvent when the first event is forwarded.
 	progress()
 	firstEvent(elapsed time.Duration)
+	// forwarding is called before and after data is handed to the client, who may not read it.
+	forwarding(active bool)
 }
 
 // serverStream observes the stream of a server.
@@ -150,6 +146,11 @@
 
 func (s serverStream) progress() { s.a.recordProgress() }
 
+func (s serverStream) forwarding(active bool) {
+	s.a.recordProgress()
+	s.a.forwarding.Store(active)
+}
+
 func (s serverStream) firstEvent(elapsed time.Duration) {
 	s.x.relay.Guard.MarkForwarded(s.x.run)
 	s.x.relay.State.recordResponse(s.t, elapsed, true)
@@ -161,6 +162,7 @@
 
 func (forwardedStream) progress()                {}
 func (forwardedStream) firstEvent(time.Duration) {}
+func (forwardedStream) forwarding(bool)          {}
 
 // streamForwarder forwards one server's stream.
 type streamForwarder struct {
@@ -256,10 +258,12 @@
 		s.recordFirstEvent()
 	}
 	if !s.x.headerSent {
-		s.x.headerSent = true
-		s.x.out.WriteHeader(s.reply.Status, s.reply.Header, -1)
+		s.x.begin(responseHeader{s.reply.Status, s.reply.Header, -1}, nil)
 	}
-	if err := s.x.out.WriteBody(s.batch); err != nil {
+	s.observer.forwarding(true)
+	err := s.x.paced.WriteBody(s.batch)
+	s.observer.forwarding(false)
+	if err != nil {
 		return errClientDisconnected
 	}
 	return nil
