relay: large bodies are spread over plain servers, and bounded after one has ended with them

Cause: a server ends if the requests that it holds exceed its memory. Selection knew the number of requests there, not their bytes, so large bodies could meet at one server, and the next after it had ended.

Change: bytes of bodies in flight by server are a cost for further large bodies. A server that ends by itself while it holds 1 MB or more of them bounds the others of its service to three quarters of that; the bound grows back and is forgotten after a minute. Known from the daemon's own bodies only.

Measured: go test -run LargeBodies ./internal/relay: six bodies of 3 MB go to three servers two by two; after one has ended, none gets a second one, and small bodies go on.

--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -183,6 +183,9 @@
 	case gate.Evacuated:
 		return fault.New(fault.Evacuated, "the servers of %s that are left stand in evacuated failure domains", req.service)
 	}
+	if sel.full > 0 {
+		return fault.New(fault.Overloaded, "the servers of %s that are left may not bear a further body of %d bytes", req.service, req.bodyBytes)
+	}
 	return fault.New(fault.NoServer, "no server of %s is left", req.service)
 }
 
@@ -202,4 +205,5 @@
 func (s *State) applyExclusions(sel *selection, req *requirements, admits func(string) bool, now time.Duration) {
 	excludeUnsuitable(&sel.request, sel.candidates, sel.service, req, admits)
 	s.excludeRefused(sel, req, now)
+	s.excludeFull(sel, req)
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -77,6 +77,8 @@
 	// those cut to keep within the memory budget, and ClientsStalled those cut because the client
 	// read nothing. RefusedForMemory counts bodies for which there was no memory.
 	ResponsesPaused, ResponsesCutForMemory, ClientsStalled, RefusedForMemory tally.Counter
+	// ServerMemoryBounds counts servers that ended with large bodies, which bounds others of the service.
+	ServerMemoryBounds tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
 	ResponseLatency tally.Histogram
 	// FirstEventLatency is the time to the first event of a stream.
@@ -101,7 +103,7 @@
 		RejectionSensitiveServices: s.Gauge("services_rejection_sensitive"), Rejections: s.Counter("server_rejections"),
 		ServicesOutOfReach: s.Gauge("services_out_of_reach"), PermitsAsked: s.Counter("permits_asked"), PermitsUsed: s.Counter("permits_used"), PermitsGiven: s.Counter("permits_given"), Forwards: s.Counter("forwards"), ForwardedRequests: s.Counter("forwarded_requests"),
 		Panics:    s.Counter("panics"),
-		BytesHeld: s.Gauge("bytes_held"), SlowReaders: s.Gauge("slow_readers"), ResponsesPaused: s.Counter("responses_paused"), ResponsesCutForMemory: s.Counter("responses_cut_for_memory"), ClientsStalled: s.Counter("callers_stalled"), RefusedForMemory: s.Counter("refused_for_memory"),
+		BytesHeld: s.Gauge("bytes_held"), SlowReaders: s.Gauge("slow_readers"), ResponsesPaused: s.Counter("responses_paused"), ResponsesCutForMemory: s.Counter("responses_cut_for_memory"), ClientsStalled: s.Counter("callers_stalled"), RefusedForMemory: s.Counter("refused_for_memory"), ServerMemoryBounds: s.Counter("server_memory_bounds"),
 		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
 	}
@@ -179,6 +181,7 @@
 		"responses_paused":             "Responses whose server had to wait for a client that read slowly.",
 		"responses_cut_for_memory":     "Responses cut to keep within the memory budget.",
 		"callers_stalled":              "Responses cut because the client read nothing for the time it had given the request.",
+		"server_memory_bounds":         "Ends of servers with large bodies of this daemon, each of which bounds the bytes sent to others of the service.",
 		"refused_for_memory":           "Requests refused because there was no memory for their body.",
 		"panics":                       "Panics of handlers, each a defect; the log lines have the stack.",
 		"server_restarts":              "Servers that restarted under the same name.",
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -64,6 +64,8 @@
 	permitFrom uint64
 	// fallback is set if no server of a preferred version was available.
 	fallback bool
+	// bodyBytes is the size of the request's body.
+	bodyBytes int
 }
 
 // selection is the choice of a server and its inputs.
@@ -74,6 +76,8 @@
 	decision   routing.Decision
 	// refusals counts the gate's refusals by reason.
 	refusals gate.Refusals
+	// full is the number of servers excluded because of the bytes that they hold.
+	full int
 	// fallback is set if no server of a preferred version was available.
 	fallback bool
 }
@@ -215,6 +219,8 @@
 		inFlight:       candidate.InFlight + int(candidate.OthersInFlight) + 1,
 		maxConnections: max(minConnections, maxConns/(s.daemons+1)),
 	}
+	t.bodyBytes = req.bodyBytes
+	s.recordBodies(sel.service, t, true)
 	t.warming = s.recordSend(&sel, req, s.bootTime())
 	t.pendingPrefill = float64(t.uncached) * sel.request.PrefillScale
 	tracker.AddPendingPrefill(candidate.ID, t.pendingPrefill)
@@ -342,6 +348,7 @@
 func (s *State) recordSendEnd(t *target, elapsed time.Duration, failed bool) {
 	s.withService(t.service, func(sv *service) {
 		s.removePending(sv, t)
+		s.recordBodies(sv, t, false)
 		now := time.Now()
 		sv.concurrency.Add(-1, now)
 		sv.tracker.RecordCompletion(t.server.ID, elapsed, failed, t.urgent, now)
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -19,6 +19,7 @@
 		Leaving:       func(s containment.Server) bool { return r.State.isLeaving(s.ID) },
 		OnTerminated: func(run quarantine.IncarnationKey) {
 			r.State.recordIncarnationTerminated(run)
+			r.recordBytesAtEnd(run)
 			r.limitBroadcast.Request()
 		},
 	})
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/flowcontrol"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
 	"github.com/damaskrudder/damaskrudder/internal/reachability"
@@ -75,6 +76,8 @@
 	peerWorkVersion uint64
 	// partition assigns engines to models; nil until the first selection.
 	partition *routing.Partition
+	// memory is what is known of the memory of the servers.
+	memory flowcontrol.ServerMemory
 }
 
 // NewState returns an empty state. BootTime reads a clock that also counts while the
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -28,6 +28,8 @@
 	defaultContention = 0.08
 	// defaultRetryCost is the delay caused by one failed attempt.
 	defaultRetryCost = 500 * time.Millisecond
+	// largeBodiesCost exceeds the tie window for bodies of some hundred kilobytes.
+	largeBodiesCost = 20 * time.Millisecond
 )
 
 // DefaultPipeline returns the pipeline for servers whose load is known from reports.
@@ -39,7 +41,8 @@
 			Contention{Fraction: defaultContention},
 			Reliability{RetryCost: defaultRetryCost},
 		},
-		TieWindow: defaultTieWindow,
+		Preferences: []Scorer{LargeBodies{PerSquareMB: largeBodiesCost}},
+		TieWindow:   defaultTieWindow,
 	}
 }
 
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -41,6 +41,8 @@
 	Network time.Duration
 	// ErrorRate is the recent fraction of failed attempts, 0 to 1.
 	ErrorRate float64
+	// BodyBytes is the number of bytes of this daemon's request bodies that the server holds.
+	BodyBytes int64
 	// Leaving servers finish their requests and get no new ones.
 	Leaving bool
 	// Suspect servers have failed to respond and get no requests for a while.
