--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -85,6 +85,15 @@
 	// counts their requests that went behind others, and ShareReportsDropped invalid reports of daemons.
 	WorkspacesOverShare                    tally.Gauge
 	RequestsOverShare, ShareReportsDropped tally.Counter
+	// BytesHeld is the number of bytes held for requests, and SlowReaders the number of clients that
+	// have bytes to read and have taken none for a while.
+	BytesHeld, SlowReaders tally.Gauge
+	// ResponsesPaused counts responses whose server had to wait for the client, ResponsesCutForMemory
+	// those cut to keep within the memory budget, and ClientsStalled those cut because the client
+	// read nothing. RefusedForMemory counts bodies for which there was no memory.
+	ResponsesPaused, ResponsesCutForMemory, ClientsStalled, RefusedForMemory tally.Counter
+	// ServerMemoryBounds counts servers that ended with large bodies, which bounds others of the service.
+	ServerMemoryBounds tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
 	ResponseLatency tally.Histogram
 	// FirstEventLatency is the time to the first event of a stream.
@@ -111,7 +120,8 @@
 		Transfers: s.Counter("kv_transfers"), TransferTokens: s.Counter("kv_transfer_tokens"),
 		EnginesSlower: s.Gauge("engines_slower"), EnginesFaster: s.Gauge("engines_faster"), SpeedReportsDropped: s.Counter("speed_reports_dropped"),
 		WorkspacesOverShare: s.Gauge("workspaces_over_share"), RequestsOverShare: s.Counter("requests_over_share"), ShareReportsDropped: s.Counter("share_reports_dropped"),
-		Panics:      s.Counter("panics"),
+		Panics:    s.Counter("panics"),
+		BytesHeld: s.Gauge("bytes_held"), SlowReaders: s.Gauge("slow_readers"), ResponsesPaused: s.Counter("responses_paused"), ResponsesCutForMemory: s.Counter("responses_cut_for_memory"), ClientsStalled: s.Counter("callers_stalled"), RefusedForMemory: s.Counter("refused_for_memory"), ServerMemoryBounds: s.Counter("server_memory_bounds"),
 		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
 	}
@@ -211,6 +221,13 @@
 		"daemons_live":                 "Live daemons that this daemon knows, including itself.",
 		"gossip_partners":              "Daemons with which this daemon exchanges messages.",
 		"servers_known":                "Backend servers that this daemon knows.",
+		"bytes_held":                   "Bytes of request bodies and responses that the daemon holds.",
+		"slow_readers":                 "Clients that have bytes to read and have taken none for 1 s.",
+		"responses_paused":             "Responses whose server had to wait for a client that read slowly.",
+		"responses_cut_for_memory":     "Responses cut to keep within the memory budget.",
+		"callers_stalled":              "Responses cut because the client read nothing for the time it had given the request.",
+		"server_memory_bounds":         "Ends of servers with large bodies of this daemon, each of which bounds the bytes sent to others of the service.",
+		"refused_for_memory":           "Requests refused because there was no memory for their body.",
 		"panics":                       "Panics of handlers, each a defect; the log lines have the stack.",
 		"server_restarts":              "Servers that restarted under the same name.",
 		"server_entries_bad":           "Invalid server entries, by fault.",
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -74,6 +74,8 @@
 	fallback bool
 	// fetch is what the server fetches from another one before it runs the request.
 	fetch fetch
+	// bodyBytes is the size of the request's body.
+	bodyBytes int
 }
 
 // selection is the choice of a server and its inputs.
@@ -84,6 +86,8 @@
 	decision   routing.Decision
 	// refusals counts the gate's refusals by reason.
 	refusals gate.Refusals
+	// full is the number of servers excluded because of the bytes that they hold.
+	full int
 	// fallback is set if no server of a preferred version was available.
 	fallback bool
 }
@@ -242,6 +246,8 @@
 		inFlight:       candidate.InFlight + int(candidate.OthersInFlight) + 1,
 		maxConnections: max(minConnections, maxConns/(s.daemons+1)),
 	}
+	t.bodyBytes = req.bodyBytes
+	s.recordBodies(sel.service, t, true)
 	t.warming = s.recordSend(&sel, req, s.bootTime())
 	t.fetch = sel.startTransfer(req, now)
 	t.pendingPrefill = float64(t.uncached) * sel.request.PrefillScale
@@ -379,6 +385,7 @@
 func (s *State) recordSendEnd(t *target, elapsed time.Duration, failed bool) {
 	s.withService(t.service, func(sv *service) {
 		s.removePending(sv, t)
+		s.recordBodies(sv, t, false)
 		now := time.Now()
 		sv.concurrency.Add(-1, now)
 		sv.tracker.RecordCompletion(t.server.ID, elapsed, failed, t.urgent, now)
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/enginespeed"
+	"github.com/damaskrudder/damaskrudder/internal/flowcontrol"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
 	"github.com/damaskrudder/damaskrudder/internal/reachability"
@@ -84,6 +85,8 @@
 	// partition assigns engines to models; nil until the first selection.
 	partition *routing.Partition
 	transfers kvTransfers
+	// memory is what is known of the memory of the servers.
+	memory flowcontrol.ServerMemory
 }
 
 // NewState returns an empty state. BootTime reads a clock that also counts while the
