kvtransfer: bounds on what a caller states and what a configuration may hold

Cause: a link rate near zero overflowed the duration of a transfer, and a caller that states an absurd prompt length could occupy a lender's recorded link for minutes.

Change: durations are clamped, and a transfer that takes more than all daemons may use of a link in a window is not made.

--- a/internal/kvtransfer/links.go
+++ b/internal/kvtransfer/links.go
@@ -142,9 +142,13 @@
 	used    time.Duration
 }
 
-// Allows reports whether the daemon may make a transfer.
+// Allows reports whether the daemon may make a transfer. None may take more than all daemons may use
+// in a window: its length follows from what a caller states of its prompt.
 func (s Share) Allows(d time.Duration) bool {
-	senders := min(max(int(maxLent/max(d, 1)), 1), max(s.Daemons, 1))
+	if d > maxLent {
+		return false
+	}
+	senders := min(int(maxLent/max(d, 1)), max(s.Daemons, 1))
 	if s.draw*float64(s.Daemons) >= float64(senders) {
 		return false
 	}
--- a/internal/kvtransfer/transfer.go
+++ b/internal/kvtransfer/transfer.go
@@ -24,6 +24,8 @@
 	minSpeedup = 3
 	// remoteFactor is the ratio of the transfer times between and within failure domains.
 	remoteFactor = 2
+	// maxDuration bounds the computed duration of a transfer, so that sums do not overflow.
+	maxDuration = time.Hour
 	// minSuccess is the least probability of success of a transfer.
 	minSuccess = 0.3
 )
@@ -45,7 +47,7 @@
 	if remote {
 		seconds *= remoteFactor
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return time.Duration(min(seconds, maxDuration.Seconds()) * float64(time.Second))
 }
 
 // Engine is the state of an engine with respect to one prompt.
@@ -149,7 +151,7 @@
 		return Plan{Reason: NoLender}
 	}
 	expected := int(p.Success * float64(tokens))
-	saved := time.Duration(expected) * t.PrefillPerToken
+	saved := time.Duration(min(float64(expected)*float64(t.PrefillPerToken), float64(maxDuration)))
 	plan := Plan{Lender: lender.Index, Tokens: tokens, ExpectedTokens: expected, Duration: p.Rate.Duration(tokens, lender.FailureDomain != t.FailureDomain)}
 	if saved < minSpeedup*plan.Duration || saved < plan.Duration+fixedCost+minGain {
 		return Plan{Reason: SlowLink}
--- a/internal/kvtransfer/transfer_test.go
+++ b/internal/kvtransfer/transfer_test.go
@@ -15,6 +15,7 @@
 		Planned: {"long shared prefix": func(*Policy, *Target, *Engine) {}},
 		SlowLink: {
 			"links ten times slower":         func(p *Policy, _ *Target, _ *Engine) { p.Rate.LinkMbps /= 10 },
+			"links that hardly transfer":     func(p *Policy, _ *Target, _ *Engine) { p.Rate.LinkMbps = 1e-12 },
 			"fast model":                     func(_ *Policy, target *Target, _ *Engine) { target.PrefillPerToken = 8 * time.Microsecond },
 			"lender in another domain":       func(_ *Policy, _ *Target, lender *Engine) { lender.FailureDomain = "b" },
 			"gain that callers don't notice": func(_ *Policy, target *Target, _ *Engine) { target.HeldTokens = 5500 },
@@ -29,6 +30,7 @@
 		BusyLink: {
 			"lender's link":                func(_ *Policy, _ *Target, lender *Engine) { lender.LinkWait = 80 * time.Millisecond },
 			"target's link":                func(_ *Policy, target *Target, _ *Engine) { target.LinkWait = 80 * time.Millisecond },
+			"overlong prompt":              func(_ *Policy, _ *Target, lender *Engine) { lender.HeldTokens = 200_000 },
 			"all links":                    func(p *Policy, _ *Target, _ *Engine) { p.Utilization = maxUtilization },
 			"other daemons use the lender": func(_ *Policy, _ *Target, lender *Engine) { lender.Share = Share{Daemons: 520, draw: 0.5} },
 		},
