--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -91,8 +91,8 @@
 	LocalCandidates int
 	// OutsidePartition marks, by index, the candidates assigned to other models.
 	OutsidePartition Set
-	// Unseen is the estimated work that other daemons have sent to each candidate, by index, since
-	// their last report. See UnseenWork.
+	// Unseen is the estimated change of the load of each candidate, by index, since the reports of
+	// other daemons. It is negative where an engine has worked off more than was sent. See UnseenWork.
 	Unseen [MaxCandidates]time.Duration
 	// Tried marks, by index, the candidates of earlier attempts.
 	Tried Set
--- a/internal/routing/staleload.go
+++ b/internal/routing/staleload.go
@@ -18,40 +18,43 @@
 	ReportAge time.Duration
 }
 
-// sample returns the unseen work at a random point between two reports, whose mean is that at
-// ReportAge.
-func (u UnseenWork) sample(rng *rand.Rand) time.Duration {
-	return time.Duration(2 * rng.Float64() * u.ReportAge.Seconds() * float64(u.PerSecond))
+// sample returns a random age of a report, of the mean ReportAge, and the unseen work since.
+func (u UnseenWork) sample(rng *rand.Rand) (age, work time.Duration) {
+	age = time.Duration(2 * rng.Float64() * float64(u.ReportAge))
+	return age, time.Duration(age.Seconds() * float64(u.PerSecond))
 }
 
-// Distribute estimates how much of the unseen work each eligible candidate has, by index: it
-// fills up the least loaded ones to a common level.
+// Distribute estimates how the load of each candidate has changed, by index: the engines have worked
+// it off for the age of the reports, and the unseen work has filled up the least loaded eligible ones
+// to a common level. The engines of other models are taken to have got as much on average, so that
+// the estimate alone does not make requests leave their partition.
 func (u UnseenWork) Distribute(r *Request, candidates []Candidate, p Pipeline, rng *rand.Rand) {
 	r.Unseen = [MaxCandidates]time.Duration{}
-	work := u.sample(rng)
+	age, work := u.sample(rng)
 	if work <= 0 {
 		return
 	}
-	var loads, sorted [MaxCandidates]time.Duration
+	candidates = candidates[:min(len(candidates), MaxCandidates)]
+	var left, sorted [MaxCandidates]time.Duration
+	var eligible Set
 	n := 0
-	for i := range min(len(candidates), MaxCandidates) {
-		loads[i] = -1
-		if r.OutsidePartition.Has(i) || !p.passesFilters(r, &candidates[i], i) {
-			continue
+	for i := range candidates {
+		load := totalCost(p.Load, r, &candidates[i], i)
+		left[i] = max(0, load-age)
+		r.Unseen[i] = left[i] - load
+		if !r.OutsidePartition.Has(i) && p.passesFilters(r, &candidates[i], i) {
+			eligible.Add(i)
+			sorted[n] = left[i]
+			n++
 		}
-		loads[i] = totalCost(p.Load, r, &candidates[i], i)
-		sorted[n] = loads[i]
-		n++
 	}
 	level := waterLevel(sorted[:n], work)
-	for i := range min(len(candidates), MaxCandidates) {
+	for i := range candidates {
 		switch {
-		case loads[i] >= 0:
-			r.Unseen[i] = max(0, level-loads[i])
-		case n > 0 && r.OutsidePartition.Has(i):
-			// The engines of other models are taken to have as much, so that the estimate alone
-			// does not make requests leave their partition.
-			r.Unseen[i] = work / time.Duration(n)
+		case eligible.Has(i):
+			r.Unseen[i] += max(0, level-left[i])
+		case n > 0:
+			r.Unseen[i] += work / time.Duration(n)
 		}
 	}
 }
@@ -70,8 +73,7 @@
 	return 0
 }
 
-// StaleLoad is the estimated unseen work of other daemons. It affects the choice only: an idle
-// engine may have processed that work since.
+// StaleLoad is the estimated change of the load since the reports. It affects the choice only.
 type StaleLoad struct{}
 
 // Name implements Scorer.
