serverlimit: a statement holds over an end of the same time

Cause: reports are in milliseconds, so that a statement to one daemon and the start of the responses that end the limit at another one can bear the same time. Each daemon then ignored the other's report as not later: one kept the limit for good while the others had ended it.

Change: of the same time, a statement holds over an end at all daemons.

Result: TestStatementHoldsOverEndOfSameTime fails without the change (rates 0 and 5) and passes with it.

--- a/internal/serverlimit/report.go
+++ b/internal/serverlimit/report.go
@@ -124,7 +124,7 @@
 		t.entries[u.Server] = e
 	case u.PerSecond == e.reportedRate() && asOf-e.asOf() < minAdvance:
 		return false
-	case asOf <= e.asOf():
+	case !u.supersedes(e, asOf):
 		if outdated := (u.PerSecond == 0) != e.ended(); outdated && e.sendsLeft == 0 {
 			t.announceUrgent(u.Server, e, now)
 		}
@@ -144,6 +144,15 @@
 	return changed
 }
 
+// supersedes reports whether a report holds rather than what is known. A statement holds over an end
+// of the same time, so that all daemons decide alike.
+func (u Update) supersedes(e *entry, asOf time.Duration) bool {
+	if asOf == e.asOf() {
+		return u.PerSecond > 0 && e.ended()
+	}
+	return asOf > e.asOf()
+}
+
 // Updates returns the reports for a message to another daemon, those sent least first, or all
 // rates for a daemon that just joined.
 func (t *Table) Updates(recentlyJoined bool, now time.Duration) []Update {
--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -85,6 +85,21 @@
 	}
 }
 
+// Guards against daemons that disagree for good on a limit that was stated to one of them at the time
+// at which the responses began that ended it at another one.
+func TestStatementHoldsOverEndOfSameTime(t *testing.T) {
+	a, b := NewTable(), NewTable()
+	a.Observe(1, StatedRate(5), 0, time.Second)
+	b.Merge(a.Updates(true, time.Second), time.Second)
+	now := observeUnstated(a, minUnstated, time.Second)
+	b.Observe(1, StatedRate(5), 0, a.entries[1].endedSince)
+	b.Merge(a.Updates(false, now), now)
+	a.Merge(b.Updates(false, now), now)
+	if later := now + objectionPeriod; a.Limit(1, later).PerSecond != 5 || b.Limit(1, later).PerSecond != 5 {
+		t.Errorf("rates %g and %g", a.Limit(1, later).PerSecond, b.Limit(1, later).PerSecond)
+	}
+}
+
 // Guards against a need long after an end that is taken for an objection to it, so that its own end
 // is noticed late.
 func TestLaterNeedIsNoObjection(t *testing.T) {
