gate, relay: a limit in doubt gets requests although other servers have none

Cause: only responses show the end of a limit, six in a row at one daemon. Once the limits of other servers have ended, requests go there and ask for no permits.

Change: a daemon that has seen responses without the rate sends its next request to such a server if a send is due at once, its own or by a permit, when another server has no limit. It counts against the asks for permits; senders still pace the sends. The fleet of gates in the tests does the same, so that all bounds are tested with it.

--- a/internal/gate/limit_fleet_test.go
+++ b/internal/gate/limit_fleet_test.go
@@ -123,15 +123,25 @@
 
 // send sends a request to a random server that the daemon's gate allows.
 func (f *limitFleet) send(daemon int) {
+	g := f.gates[daemon]
+	if g.Limits().AnyInDoubt() && f.sendWithPermit(daemon, g.ToConfirm(f.servers, Request{}, f.now), 1, 0) {
+		return
+	}
 	for _, server := range f.rng.Perm(len(f.servers)) {
-		if f.gates[daemon].Check(Request{}, f.servers[server], f.now) != Allowed {
+		if g.Check(Request{}, f.servers[server], f.now) != Allowed {
 			continue
 		}
-		f.gates[daemon].RecordSend(f.servers[server], f.now)
+		g.RecordSend(f.servers[server], f.now)
 		f.recordSend(server, daemon, daemon, f.now)
 		return
 	}
-	if f.withoutPermits || !f.sendWithPermit(daemon) {
+	var limited []Server
+	for _, s := range f.servers {
+		if g.Check(Request{}, s, f.now) == Limited {
+			limited = append(limited, s)
+		}
+	}
+	if f.withoutPermits || !f.sendWithPermit(daemon, limited, maxLimitAsks, PermitHorizon) {
 		f.refused++
 	}
 }
@@ -145,28 +155,22 @@
 	f.pending = slices.Insert(f.pending, j, r)
 }
 
-// sendWithPermit sends a request with a permit, and reports whether it got one.
-func (f *limitFleet) sendWithPermit(daemon int) bool {
+// sendWithPermit sends a request to one of some servers with a permit, and reports whether it got one.
+func (f *limitFleet) sendWithPermit(daemon int, servers []Server, maxAsks int, horizon time.Duration) bool {
 	g := f.gates[daemon]
-	var limited []Server
-	for _, s := range f.servers {
-		if g.Check(Request{}, s, f.now) == Limited {
-			limited = append(limited, s)
-		}
-	}
-	for _, i := range f.rng.Perm(len(limited)) {
-		if wait, reserved := g.Reserve(limited[i], f.now, PermitHorizon); reserved {
-			f.recordSend(slices.Index(f.servers, limited[i]), daemon, daemon, f.now+wait)
+	for _, i := range f.rng.Perm(len(servers)) {
+		if wait, reserved := g.Reserve(servers[i], f.now, horizon); reserved {
+			f.recordSend(slices.Index(f.servers, servers[i]), daemon, daemon, f.now+wait)
 			return true
 		}
 	}
-	for range maxLimitAsks {
-		s, sender, found := g.PickSender(limited, f.now, PermitHorizon, f.rng)
+	for range maxAsks {
+		s, sender, found := g.PickSender(servers, f.now, horizon, f.rng)
 		if !found {
 			return false
 		}
 		f.asks++
-		wait, reserved := f.gates[f.daemonOf[sender]].Reserve(s, f.now, PermitHorizon)
+		wait, reserved := f.gates[f.daemonOf[sender]].Reserve(s, f.now, horizon)
 		if reserved {
 			f.recordSend(slices.Index(f.servers, s), daemon, f.daemonOf[sender], f.now+wait)
 			return true
@@ -438,3 +442,27 @@
 		}
 	}
 }
+
+// Guards against a limit that is kept long after the server lifted it, since requests go to the
+// servers whose limits ended before.
+func TestLastOfLiftedLimitsEnds(t *testing.T) {
+	const (
+		servers, perSecond, demand = 6, 5, 1.4
+		liftedAt, endsWithin       = 20 * time.Second, 16 * time.Second
+		seeds                      = 10
+	)
+	for _, n := range []int{6, 60, 195, 520} {
+		for seed := range uint64(seeds) {
+			t.Run(fmt.Sprint(n, " daemons, seed ", seed), func(t *testing.T) {
+				f := newLimitFleet(n, slices.Repeat([]float64{perSecond}, servers))
+				f.rng, f.liftedAt = rand.New(rand.NewPCG(seed, uint64(n))), liftedAt
+				f.run(demand*servers*perSecond, liftedAt+endsWithin)
+				for i, g := range f.gates {
+					if limited := g.Limits().Limited(f.now); limited > 0 {
+						t.Fatalf("daemon %d still limits %d servers", i, limited)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/gate/permits.go
+++ b/internal/gate/permits.go
@@ -70,6 +70,29 @@
 	return s, 0, false
 }
 
+// ToConfirm returns the servers whose limit may have ended, of the servers that admit a request or
+// that only their stated rate keeps it from. It returns none if all are limited: they get the
+// request anyway. Otherwise requests would go to the other servers, and too few responses of the
+// limited ones would show the end.
+func (g *Gate) ToConfirm(servers []Server, r Request, now time.Duration) (inDoubt []Server) {
+	unlimited := false
+	for _, s := range servers {
+		reason := g.Check(r, s, now)
+		if reason != Allowed && reason != Limited {
+			continue
+		}
+		server := serverlimit.Key(s.Name)
+		unlimited = unlimited || g.limits.Limit(server, now).PerSecond == 0
+		if g.limits.InDoubt(server) {
+			inDoubt = append(inDoubt, s)
+		}
+	}
+	if !unlimited {
+		return nil
+	}
+	return inDoubt
+}
+
 // refillAsks adds the asks since the last call, in proportion to the rates of some servers.
 func (g *Gate) refillAsks(servers []Server, now time.Duration) {
 	perSecond := minAsksPerSecond
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -120,7 +120,10 @@
 		outcome, done = x.sendToDaemon(ctx, helper)
 		return outcome, done, nil
 	}
-	t, refusal := x.selectServer()
+	t, refusal := x.selectToConfirm(ctx)
+	if t == nil && refusal == nil {
+		t, refusal = x.selectServer()
+	}
 	if refusal != nil {
 		t, refusal = x.selectWithPermit(ctx, refusal)
 	}
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -65,23 +65,52 @@
 		if !x.relay.sleep(ctx, wait) {
 			return nil, refusal
 		}
-		if held := x.checkHold(); held != nil {
-			return nil, held
+		if t, held := x.usePermit(option, wait); t != nil || held != nil {
+			return t, held
 		}
-		// What the request may use can have changed during the wait.
-		req = x.requirements(x.effectiveModel())
-		req.permitted = option.server.ID
-		if t, err := x.relay.State.pick(&req, x.service.MaxConnections); err == nil {
-			t.permitFrom = option.daemon
-			x.relay.Metrics.PermitsUsed.Inc(1)
-			x.logEvent("permit used", t, "own", option.reserved, "waited_ms", wait.Milliseconds())
-			return t, nil
-		}
-		req.permitted = ""
 	}
 	return nil, refusal
 }
 
+// usePermit selects the server to which a send is reserved. It returns neither a server nor a
+// refusal if the request may not use that server any more.
+func (x *exchange) usePermit(o permitOption, waited time.Duration) (*target, *fault.Error) {
+	if held := x.checkHold(); held != nil {
+		return nil, held
+	}
+	// What the request may use can have changed during the wait.
+	req := x.requirements(x.effectiveModel())
+	req.permitted = o.server.ID
+	t, err := x.relay.State.pick(&req, x.service.MaxConnections)
+	if err != nil {
+		x.logEvent("permit not used", nil, "server", o.server.ID, "err", err)
+		return nil, nil
+	}
+	t.permitFrom = o.daemon
+	x.relay.Metrics.PermitsUsed.Inc(1)
+	x.logEvent("permit used", t, "own", o.reserved, "waited_ms", waited.Milliseconds())
+	return t, nil
+}
+
+// selectToConfirm selects a server whose limit may have ended, if a send to it is due, although
+// others have no limit. It returns neither a server nor a refusal if there is none.
+func (x *exchange) selectToConfirm(ctx context.Context) (*target, *fault.Error) {
+	if x.quarantineStatus.Crashes > 0 || time.Until(x.deadline) < permitTimeDivisor*permitTimeout {
+		return nil, nil
+	}
+	req := x.requirements(x.effectiveModel())
+	option, found := x.relay.State.confirmationOption(&req)
+	if !found {
+		return nil, nil
+	}
+	if !option.reserved {
+		if _, granted := x.askForPermit(ctx, option, 0); !granted {
+			return nil, nil
+		}
+	}
+	return x.usePermit(option, 0)
+}
+
 // askForPermit asks a sender for a permit, and returns the time until it applies.
 func (x *exchange) askForPermit(ctx context.Context, o permitOption, horizon time.Duration) (wait time.Duration, granted bool) {
 	if x.relay.Permits == nil {
@@ -176,7 +205,12 @@
 	now := s.bootTime()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	servers := s.rateLimitedServers(req, now)
+	return s.reserveOrAsk(s.rateLimitedServers(req, now), now, horizon)
+}
+
+// reserveOrAsk reserves an own send to one of some servers, or else picks a sender to ask. Callers
+// hold mu.
+func (s *State) reserveOrAsk(servers []gate.Server, now, horizon time.Duration) (o permitOption, found bool) {
 	for _, i := range s.rng.Perm(len(servers)) {
 		if wait, reserved := s.gate.Reserve(servers[i], now, horizon); reserved {
 			return permitOption{server: servers[i], reserved: true, wait: wait}, true
@@ -186,6 +220,28 @@
 	return o, found
 }
 
+// confirmationOption returns a way to send a request at once to a server whose limit may have ended.
+func (s *State) confirmationOption(req *requirements) (o permitOption, found bool) {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.gate.Limits().AnyInDoubt() {
+		return o, false
+	}
+	sv := s.serviceFor(req.service)
+	sel := selection{service: sv, candidates: sv.tracker.Snapshot(s.candidateBuf[:0], time.Now())}
+	s.candidateBuf = sel.candidates
+	excludeUnsuitable(&sel.request, sel.candidates, sv, req, s.confirmedVersions(sv, req.versions.Preferred))
+	limitToFraction(&sel.request, sel.candidates, sv.tracker.IndicesByHash(), req.versions.Fraction)
+	var servers []gate.Server
+	for i := range sel.candidates {
+		if !sel.request.Tried.Has(i) && !sel.candidates[i].Suspect {
+			servers = append(servers, sel.gateServer(i, req))
+		}
+	}
+	return s.reserveOrAsk(s.gate.ToConfirm(servers, req.gateRequest, now), now, 0)
+}
+
 // rateLimitedServers returns the servers that only their stated rates keep a request from. Callers hold
 // mu.
 func (s *State) rateLimitedServers(req *requirements, now time.Duration) (out []gate.Server) {
--- a/internal/relay/permits_test.go
+++ b/internal/relay/permits_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
 	"github.com/damaskrudder/damaskrudder/internal/slowstart"
@@ -71,6 +72,36 @@
 	}
 }
 
+// Guards against a limit that is kept after its end, since requests use the servers without one, and
+// against asks for servers whose limit is not in doubt.
+func TestRequestConfirmsEndOfLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		inDoubt, granted bool
+		asks             int
+	}{
+		"in doubt":     {true, true, 1},
+		"no permit":    {true, false, 1},
+		"not in doubt": {false, true, 0},
+	} {
+		p := &fakePermits{response: peer.PermitResponse{Granted: c.granted}}
+		h := newHarnessWithoutShare(t, p, respond(200, "ok"))
+		h.clock.now += time.Second
+		h.relay.MergeServerLimits([]serverlimit.Update{{Server: serverlimit.Key("a1")}, {Server: serverlimit.Key("a2")}})
+		h.clock.now += 2 * time.Second
+		h.relay.State.Confirm(freshness.Configuration, freshness.Confirmation{At: h.clock.now, Source: freshness.FromStore})
+		if c.inDoubt {
+			h.relay.ObserveUnstated(peer.UnstatedLimit{Server: "a0"})
+		}
+		out := h.call("/p/x")
+		if out.status != 200 || p.asks != c.asks {
+			t.Errorf("%s: status %d, refused with %v, %d asks", name, out.status, out.refusal, p.asks)
+		}
+		if confirmed := h.backend.sends[0].Server.ID == "a0"; confirmed != (c.inDoubt && c.granted) || confirmed != (len(p.reports) == 1) {
+			t.Errorf("%s: sent to the server in doubt: %t, %d reports", name, confirmed, len(p.reports))
+		}
+	}
+}
+
 // Guards against a request that is sent after another daemon put it on hold while it waited for its
 // permit.
 func TestHoldIsCheckedAfterWaitForPermit(t *testing.T) {
--- a/internal/serverlimit/table.go
+++ b/internal/serverlimit/table.go
@@ -83,6 +83,10 @@
 	e.stated(perSecond, at)
 }
 
+// inDoubt reports whether the last responses to this daemon leave out the rate, but do not yet show
+// its end.
+func (e *entry) inDoubt() bool { return !e.ended() && e.run.responses > 0 }
+
 // Key returns the key of a server's limit. Name identifies the server across its incarnations.
 func Key(name string) uint64 { return xxhash.Sum64String(name) }
 
@@ -123,6 +127,22 @@
 	return Limit{}
 }
 
+// InDoubt reports whether the limit of a server may have ended.
+func (t *Table) InDoubt(server uint64) bool {
+	e := t.entries[server]
+	return e != nil && e.inDoubt()
+}
+
+// AnyInDoubt reports whether the limit of any server may have ended.
+func (t *Table) AnyInDoubt() bool {
+	for _, e := range t.entries {
+		if e.inDoubt() {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns the number of servers of which a limit is or was known.
 func (t *Table) Len() int { return len(t.entries) }
 
