--- a/internal/relay/enginespeeds.go
+++ b/internal/relay/enginespeeds.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,6 +62,9 @@
 	return t.timeFactor
 }
 
+// loggedFactor returns the factor with two decimals.
+func (t *target) loggedFactor() float64 { return math.Round(t.factor()*100) / 100 }
+
 const (
 	// maxQuickStep bounds the effect of one first event on what counts as quick.
 	maxQuickStep = 1.25
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -309,7 +309,8 @@
 func (x *exchange) sendFields(t *target, urgent urgency.Decision) []any {
 	by, age := x.relay.State.LastConfirmation(freshness.Servers)
 	fields := []any{
-		"priority", urgent.Priority, "slack_ms", urgent.Slack.Milliseconds(), "urgency", urgent.Reason, "entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "speed", t.factor(),
+		"priority", urgent.Priority, "slack_ms", urgent.Slack.Milliseconds(), "urgency", urgent.Reason,
+		"entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "speed", t.loggedFactor(),
 		"warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session,
 		"workspace", x.workspace, "over_share", x.overShare, "fingerprint", x.identity.Request, "parts", x.identity.Parts,
 	}
