relay: responses to forwarded calls are written under a lock

Cause: a response is written by a goroutine of its own since slow clients do not keep servers waiting, while the call goes on to report its runs and whether it has reached a server: a data race on both, seen by the race detector (TestForwardedRequestKeepsItsAge, TestPartOfPromptThatCrashesServersIsQuarantined).

Change: the writer has a lock, and the mark of arrival is atomic.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -87,7 +87,8 @@
 	withoutArrival bool
 	// arrived is set once a send of this daemon has reached a server. forwardArrived is the same for
 	// the daemon to which the call was last forwarded.
-	arrived, forwardArrived bool
+	arrived        atomic.Bool
+	forwardArrived bool
 	// resent is set once a send has failed.
 	resent bool
 	// displacedPerSecond is the number of other workspaces' answers that are late for each second of
@@ -170,7 +171,9 @@
 	x.recordWork(t)
 	x.relay.Rollouts.recordSend(t)
 	outcome, done = x.attempt(ctx, t)
-	x.arrived = x.arrived || !x.withoutArrival
+	if !x.withoutArrival {
+		x.arrived.Store(true)
+	}
 	x.resent = x.resent || !done && outcome != request.LowConfidence
 	if x.partlySent {
 		x.retryState.Repeatable = false
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
@@ -74,7 +75,7 @@
 	x.call.Received = x.call.Received.Add(-time.Duration(elapsed) * time.Millisecond)
 	x.sentToServer = f.Resent
 	x.reportRuns = out.reportRuns
-	out.arrived = func() bool { return x.arrived }
+	out.setArrived(x.arrived.Load)
 	x.modelIndex = min(max(0, f.Model), max(0, len(x.route.Models)-1))
 	x.retryState.MaxRuns = min(max(1, f.MaxRuns), max(1, x.retryState.MaxRuns))
 	return nil
@@ -83,46 +84,71 @@
 // forwardWriter sends a response to another daemon. It implements ResponseWriter.
 type forwardWriter struct {
 	send func(ForwardFrame) error
+
+	// mu guards the fields below: runs are reported while another goroutine writes the response.
+	mu   sync.Mutex
 	runs int
 	// arrived reports whether the call has reached a server; nil until it is being served.
 	arrived func() bool
 	err     error
 }
 
-func (w *forwardWriter) write(f ForwardFrame) {
+func (w *forwardWriter) setArrived(arrived func() bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.arrived = arrived
+}
+
+func (w *forwardWriter) write(f ForwardFrame) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.writeLocked(f)
+}
+
+// writeLocked sends a frame, unless an earlier one failed. Callers hold mu.
+func (w *forwardWriter) writeLocked(f ForwardFrame) error {
 	if w.err == nil {
 		f.Runs = w.runs
 		f.Arrived = w.arrived != nil && w.arrived()
 		w.err = w.send(f)
 	}
+	return w.err
 }
 
 // reportRuns reports the number of servers that have run the call or may have.
 func (w *forwardWriter) reportRuns(runs int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if runs == w.runs {
 		return
 	}
 	w.runs = runs
-	w.write(ForwardFrame{})
+	_ = w.writeLocked(ForwardFrame{}) // the next write of the response reports the error
 }
 
 // Refuse implements ResponseWriter.
-func (w *forwardWriter) Refuse(e *fault.Error) { w.write(ForwardFrame{Refusal: e.Encode()}) }
+func (w *forwardWriter) Refuse(e *fault.Error) {
+	_ = w.write(ForwardFrame{Refusal: e.Encode()}) // fails only if the other daemon is gone
+}
 
 // WriteHeader implements ResponseWriter.
 func (w *forwardWriter) WriteHeader(status int, h http.Header, length int64) {
-	w.write(ForwardFrame{Status: status, Header: h, Length: length})
+	_ = w.write(ForwardFrame{Status: status, Header: h, Length: length}) // the write of the body reports the error
 }
 
 // WriteBody implements ResponseWriter.
 func (w *forwardWriter) WriteBody(p []byte) error {
-	for len(p) > 0 && w.err == nil {
+	for len(p) > 0 {
 		n := min(len(p), maxForwardBody)
-		w.write(ForwardFrame{Body: p[:n]})
+		if err := w.write(ForwardFrame{Body: p[:n]}); err != nil {
+			return err
+		}
 		p = p[n:]
 	}
-	return w.err
+	return nil
 }
 
 // Abort implements ResponseWriter.
-func (w *forwardWriter) Abort() { w.write(ForwardFrame{Aborted: true}) }
+func (w *forwardWriter) Abort() {
+	_ = w.write(ForwardFrame{Aborted: true}) // fails only if the other daemon is gone
+}
