--- a/internal/enginespeed/classes.go
+++ b/internal/enginespeed/classes.go
@@ -9,7 +9,7 @@
 	maxClass = 8
 	// switchSteps is the distance from its class, in steps, at which an engine changes it.
 	switchSteps = 0.75
-	// minDeviation is the least logarithm with which an engine is told from a typical one, and
+	// minDeviation is the least logarithm by which an engine must differ from a typical one, and
 	// sampleDeviation times noiseFactor that of a single sample.
 	minDeviation    = 0.14
 	sampleDeviation = 0.2
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -22,7 +22,7 @@
 	// maxSimulated is the number of daemons that are played of a larger fleet, in which each has
 	// partners among these.
 	maxSimulated, partners = 200, 12
-	// minFloodOver is the least part of what is beyond the share of a flood that must be told apart,
+	// minFloodOver is the least part of what is beyond the share of a flood that must be recognized,
 	// and maxOthersOver the largest fraction of others' work that may go behind because of it.
 	minFloodOver, maxOthersOver = 0.6, 0.1
 	// maxBytesPerSecond is the traffic of a daemon's reports.
@@ -125,7 +125,7 @@
 }
 
 // Guards against a flood of one workspace, through all daemons or through one, or of two workspaces
-// that is not told apart, or that others pay for.
+// that is not recognized, or that others pay for.
 func TestFloodIsToldApartAtAnySize(t *testing.T) {
 	for _, n := range []int{6, 60, 195, 520, 2000} {
 		oneDaemon := func(w, d int) float64 {
--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -1,6 +1,6 @@
 // Package fairshare decides which workspaces use more than their share of a service while the
 // requests of others wait. It answers the load of few workspaces that send many times their usual
-// amount: what is beyond their max-min fair share, by weights, is told apart, so that it goes behind
+// amount: what is beyond their max-min fair share, by weights, is marked, so that it goes behind
 // the requests of others. Without contention no workspace is beyond its share. The package does no
 // I/O and does not read the clock.
 package fairshare
@@ -77,7 +77,7 @@
 // Status describes a ledger's knowledge.
 type Status struct {
 	Contended bool
-	// Informed is set if enough daemons were heard to compare workspaces.
+	// Informed is set if enough daemons have reported to compare workspaces.
 	Informed bool
 	// Heard is the number of daemons with recent reports, of Daemons - 1 others.
 	Heard, Daemons int
--- a/internal/fairshare/report.go
+++ b/internal/fairshare/report.go
@@ -16,11 +16,11 @@
 	// reportHold is how long daemons go on to report after a contention, so that the next one of a
 	// series finds them informed.
 	reportHold = 5 * time.Second
-	// minReports is the number of daemons that must be heard, unless there are fewer others. From
+	// minReports is the number of daemons that must have reported, unless there are fewer others. From
 	// this number on, the largest report on each workspace is left out: no single daemon can put a
 	// workspace beyond its share elsewhere.
 	minReports = 3
-	// minContended is the part of the daemons heard, as a divisor, that must see contention.
+	// minContended is the part of the reporting daemons, as a divisor, that must see contention.
 	minContended = 4
 	// maxPeers bounds the daemons whose reports are kept.
 	maxPeers = 256
@@ -129,7 +129,7 @@
 	return nil
 }
 
-// sharedContention reports whether enough of the other daemons heard see contention, too. They use the
+// sharedContention reports whether enough of the reporting daemons see contention, too. They use the
 // same servers, so that what one of them sees alone may be chance.
 func (l *Ledger) sharedContention() bool {
 	contended := 0
@@ -141,7 +141,7 @@
 	return contended*minContended >= len(l.peers)
 }
 
-// informed reports whether enough daemons were heard. A daemon that starts or is cut off was not
+// informed reports whether enough daemons have reported. A daemon that starts or is cut off was not
 // told of the others' work and takes no workspace to be beyond its share.
 func (l *Ledger) informed(v View) bool {
 	others := v.Daemons - 1
@@ -167,7 +167,7 @@
 	return max(0, s.sum-s.largest*s.largestWeight) / (weight - s.largestWeight)
 }
 
-// peerWork estimates the work of all other daemons from the reports heard, of which newer ones weigh
+// peerWork estimates the work of all other daemons from the reports received, of which newer ones weigh
 // more.
 func (l *Ledger) peerWork(v View, now time.Duration) (used map[Key]float64, unlisted float64) {
 	used = map[Key]float64{}
--- a/internal/relay/modelload.go
+++ b/internal/relay/modelload.go
@@ -37,7 +37,7 @@
 // hear each other. Shares and prices are ratios, for which a sample of the daemons is enough.
 const loadReporters = 16
 
-// minLoadReporters is the number of daemons that must be heard for a daemon that does not report to
+// minLoadReporters is the number of daemons that must have reported for a daemon that does not report to
 // leave its own load out.
 const minLoadReporters = 3
 
