feed, platform: lines and counters that tell why a follower falls behind

Cause looked for: daemons of a large fleet stay behind the newest configuration, and answer 404 and configuration_stale. The lines did not say how long a configuration is, why no record comes from another daemon, or what a failed read failed of.

No decision changes.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -71,14 +71,19 @@
 	// not read either, which saves calls that would fail.
 	DependsOn *Follower
 
-	next             atomic.Uint64
-	loaded           atomic.Bool
-	failures         int
+	next     atomic.Uint64
+	loaded   atomic.Bool
+	failures int
+	// lastFailure is the error of the last failed read. Only Run uses it.
+	lastFailure      error
 	unavailableSince time.Duration
 	// skipWait makes the next read return at once, after an abandoned one. Only Run uses it.
 	skipWait bool
 	// unavailable reports that the last read failed.
 	unavailable atomic.Bool
+	// failedFetches is the number of fetches from other readers that brought nothing since one
+	// that did.
+	failedFetches atomic.Int64
 
 	mu sync.Mutex
 	// records holds the newest record of each key, for other readers.
@@ -219,6 +224,7 @@
 		return 0
 	}
 	f.failures++
+	f.lastFailure = err
 	f.unavailable.Store(true)
 	if f.OnReadFailed != nil {
 		f.OnReadFailed()
@@ -290,7 +296,7 @@
 // failures has doubled.
 func (f *Follower) logRetry() {
 	if f.failures&(f.failures-1) == 0 {
-		f.Logger.Info("retrying read", "topic", f.Topic, "next", f.Next(), "failed_reads", f.failures, "limit_ms", responseTimeout.Milliseconds())
+		f.Logger.Info("retrying read", "topic", f.Topic, "next", f.Next(), "failed_reads", f.failures, "limit_ms", responseTimeout.Milliseconds(), "err", f.lastFailure)
 	}
 }
 
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -103,16 +103,24 @@
 	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
 	tail, err := f.FetchTail(ctx, f.Topic, f.Next())
-	if errors.Is(err, ErrTooLong) {
+	f.logFetch(tail, err)
+	switch {
+	case errors.Is(err, ErrTooLong):
 		f.mustReadLog.Store(true)
-		return
+	case err == nil && tail.Next > f.Next():
+		f.apply(tail.Records, tail.Snapshot, tail.Next)
 	}
-	if err != nil {
-		f.Logger.Debug("cannot fetch records from another reader", "topic", f.Topic, "err", err)
+}
+
+// logFetch logs a fetch that failed or brought nothing, the first one and then each time that their
+// number has doubled.
+func (f *Follower) logFetch(tail Tail, err error) {
+	if err == nil && tail.Next > f.Next() {
+		f.failedFetches.Store(0)
 		return
 	}
-	if tail.Next > f.Next() {
-		f.apply(tail.Records, tail.Snapshot, tail.Next)
+	if failed := f.failedFetches.Add(1); failed&(failed-1) == 0 {
+		f.Logger.Info("no records from another reader", "topic", f.Topic, "next", f.Next(), "failed_fetches", failed, "err", err)
 	}
 }
 
@@ -151,7 +159,7 @@
 	if f.currentRead == nil || !f.readStalled(now) {
 		return
 	}
-	f.Logger.Warn("behind another reader, reading anew", "topic", f.Topic, "next", f.Next(), "other", f.peerPosition)
+	f.Logger.Warn("behind another reader, reading anew", "topic", f.Topic, "next", f.Next(), "other", f.peerPosition, "waited_ms", now.Sub(f.currentRead.startedAt).Milliseconds())
 	f.currentRead.cancel(errReadAbandoned)
 	f.behindSince = now
 }
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		if decoded.Table != nil && n.state.SetTable(decoded.Table) {
-			n.log.Info("configuration in force", "version", decoded.Table.Version, "at", r.At)
+			n.log.Info("configuration in force", "version", decoded.Table.Version, "at", r.At, "bytes", len(r.Value), "records", len(records), "complete", complete)
 		}
 		if decoded.Order != nil {
 			n.Relay.Rollouts.AddOrder(*decoded.Order)
