gossip: records of any length pass between daemons, in parts

Cause: a record that is longer than 16 KB, compressed, was not passed on between daemons: "records are too long to be fetched from another reader", on 925 of 985 daemons with the first configuration of 80,921 bytes. Answers then wait, are given up after 0.9 s, and asked for again with one configuration more: the load grows while nothing is delivered. Class of fault: congestion collapse. What is asked of a shared resource grows with the daemons times the changes, and grows further when it is slow.

Change: a packed response over 16 KB is sent in parts of that size, each with a timeout of its own; the responder compresses it once and keeps the last eight. It sends long records to four others at a time and turns further ones away, which find a peer that has received them meanwhile: the change spreads by generations instead of waiting on the first daemons' links. A daemon that does not accept parts is answered as before. TailPage returns at least one record, so TestLongFirstRecordIsNotSkipped asks for it in place of the mark that it did not fit.

--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -15,6 +15,9 @@
 // pending read. A longer lag indicates a dead connection to the log.
 const lagTimeout = 250 * time.Millisecond
 
+// fetchTimeout bounds a fetch from one reader, whose calls have timeouts of their own.
+const fetchTimeout = 5 * time.Second
+
 // ObservePeerPosition reports that another reader has read up to a position.
 func (f *Follower) ObservePeerPosition(next Position) {
 	f.mu.Lock()
@@ -40,8 +43,8 @@
 // snapshot instead.
 func (f *Follower) TailFrom(from Position) Tail { return f.TailPage(from, false, math.MaxInt) }
 
-// TailPage returns the first part of TailFrom, up to a size in bytes. With snapshot, the part is of
-// a snapshot whose earlier parts end at the position.
+// TailPage returns the first part of TailFrom, up to a size in bytes, but at least one record. With
+// snapshot, the part is of a snapshot whose earlier parts end at the position.
 func (f *Follower) TailPage(from Position, snapshot bool, maxBytes int) Tail {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -55,9 +58,6 @@
 		return Tail{Next: from}
 	}
 	records, next, more := f.records.since(from, maxBytes)
-	if more && len(records) == 0 {
-		return Tail{Next: from, TooLong: true}
-	}
 	if snapshot {
 		records = slices.DeleteFunc(records, func(r Record) bool { return r.Value == nil })
 	}
@@ -69,13 +69,12 @@
 
 // Tail holds the newest record of each key from a position on, and the next position to
 // read. Snapshot reports that it holds all keys of the topic, or a part of them. More reports that
-// further parts follow, up to End. TooLong reports that the first record exceeds the size.
+// further parts follow, up to End.
 type Tail struct {
 	Records   []Record
 	Next, End Position
 	Snapshot  bool
 	More      bool
-	TooLong   bool
 }
 
 // peerPollInterval is how often a follower of peers checks whether to read the log.
@@ -100,7 +99,7 @@
 
 // fetchFromPeer fetches and applies records of a peer. Errors are not retried here.
 func (f *Follower) fetchFromPeer(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	tail, err := f.FetchTail(ctx, f.Topic, f.Next())
 	f.logFetch(tail, err)
--- a/internal/feed/recordlog.go
+++ b/internal/feed/recordlog.go
@@ -54,8 +54,8 @@
 	l.order = slices.DeleteFunc(l.order, func(p recordPosition) bool { return l.latest[p.key].At != p.at })
 }
 
-// since returns the newest records from a position on, including removals, up to a size in bytes.
-// More reports that further ones follow, from next on.
+// since returns the newest records from a position on, including removals, up to a size in bytes,
+// but at least one. More reports that further ones follow, from next on.
 func (l *recordLog) since(from Position, maxBytes int) (records []Record, next Position, more bool) {
 	start, _ := slices.BinarySearchFunc(l.order, from, func(p recordPosition, at Position) int { return cmp.Compare(p.at, at) })
 	size := 0
@@ -64,7 +64,7 @@
 		if r.At != p.at {
 			continue
 		}
-		if size += len(r.Key) + len(r.Value); size > maxBytes {
+		if size += len(r.Key) + len(r.Value); size > maxBytes && len(records) > 0 {
 			return records, r.At, true
 		}
 		records = append(records, r)
--- a/internal/feed/snapshot.go
+++ b/internal/feed/snapshot.go
@@ -15,8 +15,6 @@
 	// maxSnapshotWait is how long a follower waits for another reader to have a large topic
 	// before it reads the log.
 	maxSnapshotWait = 6 * time.Second
-	// snapshotTimeout bounds the fetch of a snapshot from one reader.
-	snapshotTimeout = 5 * time.Second
 )
 
 // loadSnapshot loads the newest record of each key.
@@ -66,7 +64,7 @@
 }
 
 func (f *Follower) fetchSnapshot(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	tail, err := f.FetchSnapshot(ctx, f.Topic)
 	if err != nil {
--- a/internal/feedtest/store.go
+++ b/internal/feedtest/store.go
@@ -52,6 +52,11 @@
 	repliesToLose int
 	// callCounts counts calls by kind and topic.
 	callCounts map[Call]int
+	// readRate is the rate in bytes per second at which all reads together are answered, one after
+	// the other; zero means at once. The answers given so far end at readsEnd.
+	readRate  float64
+	readsEnd  time.Time
+	bytesRead int64
 }
 
 // Call identifies a kind of call to a topic.
@@ -77,6 +82,41 @@
 	s.notifyChanged()
 }
 
+// SetReadRate limits the rate in bytes per second at which all reads together are answered. An answer
+// takes its time even if its caller has given up.
+func (s *Store) SetReadRate(bytesPerSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readRate = bytesPerSecond
+}
+
+// BytesRead returns the size of all answers to reads.
+func (s *Store) BytesRead() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bytesRead
+}
+
+// queueAnswer adds an answer to a read and returns when it begins and how long it takes.
+func (s *Store) queueAnswer(records []feed.Record) (begin time.Time, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	s.bytesRead += int64(size)
+	begin = time.Now()
+	if s.readsEnd.After(begin) {
+		begin = s.readsEnd
+	}
+	if s.readRate > 0 {
+		took = time.Duration(float64(size) / s.readRate * float64(time.Second))
+	}
+	s.readsEnd = begin.Add(took)
+	return begin, took
+}
+
 // LoseReplies makes the next n appends take effect but fail.
 func (s *Store) LoseReplies(n int) {
 	s.mu.Lock()
@@ -244,6 +284,18 @@
 	return halfRoundTrip(ctx)
 }
 
+// answer delivers the records of a read. Progress is called as soon as the answer begins.
+func (c *Client) answer(ctx context.Context, records []feed.Record, progress func()) error {
+	begin, took := c.store.queueAnswer(records)
+	loop.Sleep(ctx, time.Until(begin))
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	progress()
+	loop.Sleep(ctx, took)
+	return c.respond(ctx)
+}
+
 // halfRoundTrip takes half of a round trip.
 func halfRoundTrip(ctx context.Context) error {
 	loop.Sleep(ctx, roundTripTime/2)
@@ -309,8 +361,7 @@
 			return nil, 0, err
 		}
 	}
-	progress()
-	return out, end, c.respond(ctx)
+	return out, end, c.answer(ctx, out, progress)
 }
 
 // Read implements feed.Log.
@@ -338,8 +389,8 @@
 			progress()
 			return nil, end, errors.Join(feed.ErrEraChanged, c.respond(ctx))
 		case from < end:
-			progress()
-			return all[from.Offset():len(all):len(all)], end, c.respond(ctx)
+			records := all[from.Offset():len(all):len(all)]
+			return records, end, c.answer(ctx, records, progress)
 		case waitOver:
 			progress()
 			return nil, end, c.respond(ctx)
--- a/internal/gossip/calls.go
+++ b/internal/gossip/calls.go
@@ -13,22 +13,45 @@
 // TailSource returns records of a topic for another daemon, see feed.Follower.TailPage.
 type TailSource func(topic string, from feed.Position, snapshot bool, maxBytes int) feed.Tail
 
-// HandleRecords answers a request for records with as many of the first ones as fit into
-// one message. If the first record does not fit, even compressed, the response is marked TooLong.
-func HandleRecords(req RecordsRequest, source TailSource) RecordsResponse {
-	tail := source(req.Topic, req.From, req.Snapshot, maxRecordsBytes)
-	if tail.TooLong && req.AcceptsPacked {
-		tail = source(req.Topic, req.From, req.Snapshot, maxUnpackedBytes/2)
+// RecordServer answers requests for records with as many of the first ones as fit into one message.
+// A first record that does not fit is sent in parts. It is safe for concurrent use.
+type RecordServer struct {
+	source    TailSource
+	packed    packCache
+	transfers transferLimit
+}
+
+// NewRecordServer returns a server of records from a source.
+func NewRecordServer(source TailSource) *RecordServer { return &RecordServer{source: source} }
+
+// Handle answers a request.
+func (s *RecordServer) Handle(req RecordsRequest) RecordsResponse {
+	if req.PartOf != 0 {
+		resp := s.packed.part(req.PartOf, req.Offset)
+		s.transfers.advance(req.Transfer, req.Offset+len(resp.Packed) >= resp.Size, time.Now())
+		return resp
 	}
-	resp := RecordsResponse{Next: tail.Next, End: tail.End, Snapshot: tail.Snapshot, More: tail.More, TooLong: tail.TooLong}
-	if req.AcceptsPacked && recordsSize(tail.Records) >= minPackedBytes {
-		resp.Packed = packRecords(tail.Records)
+	tail := s.source(req.Topic, req.From, req.Snapshot, maxRecordsBytes)
+	resp := RecordsResponse{Next: tail.Next, End: tail.End, Snapshot: tail.Snapshot, More: tail.More}
+	if !req.AcceptsPacked || recordsSize(tail.Records) < minPackedBytes {
+		resp.Records = tail.Records
+		return resp
 	}
+	packed := s.packed.pack(req.Topic, tail)
 	switch {
-	case len(resp.Packed) > maxRecordsBytes:
-		return RecordsResponse{Next: req.From, TooLong: true}
-	case resp.Packed == nil:
+	case packed == nil:
 		resp.Records = tail.Records
+	case len(packed.data) <= maxRecordsBytes:
+		resp.Packed = packed.data
+	case !req.AcceptsParts:
+		return RecordsResponse{Next: req.From, TooLong: true}
+	default:
+		transfer, admitted := s.transfers.begin(time.Now())
+		if !admitted {
+			return RecordsResponse{Next: req.From, Busy: true}
+		}
+		resp.Transfer = transfer
+		resp.Packed, resp.PartOf, resp.Size = packed.data[:maxRecordsBytes:maxRecordsBytes], packed.id, len(packed.data)
 	}
 	return resp
 }
@@ -64,15 +87,19 @@
 
 const exchangeKind = "pulse"
 
-// maxRecordsBytes bounds the size of the records in one response, in bytes, compressed if the
-// requester accepts that. Longer ones are read from the log, since many daemons that fetch them
-// from one peer at the same time would saturate its link.
-const maxRecordsBytes = 16 << 10
+const (
+	// maxRecordsBytes bounds the size of the records in one response, in bytes, compressed if the
+	// requester accepts that. Longer ones are sent in parts, so that each arrives within its timeout
+	// over a slow link.
+	maxRecordsBytes = 16 << 10
+	// partTimeout bounds the call for one response.
+	partTimeout = 900 * time.Millisecond
+)
 
 // FetchRecords fetches records from one of the live daemons for which ahead reports that
 // they have read further. It is picked at random to spread the load, and in the own failure
-// domain if possible, where traffic is cheap. The error is feed.ErrTooLong if the records do
-// not fit into one message.
+// domain if possible, where traffic is cheap. The error is feed.ErrTooLong if the daemon does not
+// send long records in parts.
 func (m *Members) FetchRecords(ctx context.Context, topic string, from feed.Position, ahead func(target Message) bool) (feed.Tail, error) {
 	address, found := m.pickSource(ahead)
 	if !found {
@@ -118,21 +145,54 @@
 	return feed.Tail{Records: all, Next: first.End, End: first.End, Snapshot: true}, nil
 }
 
-// fetchPage requests records from a daemon, and unpacks them.
+// fetchPage requests records from a daemon, with all parts, and unpacks them.
 func (m *Members) fetchPage(ctx context.Context, address string, req RecordsRequest) (RecordsResponse, error) {
-	req.AcceptsPacked = true
-	resp, err := m.transport.FetchRecords(ctx, address, req)
-	switch {
-	case err != nil:
+	req.AcceptsPacked, req.AcceptsParts = true, true
+	resp, err := m.fetchPart(ctx, address, req)
+	if err != nil {
 		return RecordsResponse{}, err
+	}
+	switch {
 	case resp.TooLong:
 		return RecordsResponse{}, feed.ErrTooLong
-	case len(resp.Packed) > 0:
+	case resp.Busy:
+		return RecordsResponse{}, errBusy
+	}
+	if resp.PartOf != 0 {
+		resp.Packed, err = m.fetchParts(ctx, address, req.Topic, resp)
+	}
+	if err == nil && len(resp.Packed) > 0 {
 		resp.Records, err = unpackRecords(resp.Packed)
 	}
 	return resp, err
 }
 
+// fetchParts fetches the parts of a packed response after the first one, and returns all of it.
+func (m *Members) fetchParts(ctx context.Context, address, topic string, first RecordsResponse) ([]byte, error) {
+	if first.Size > maxUnpackedBytes {
+		return nil, errInvalidPart
+	}
+	packed := first.Packed
+	for len(packed) < first.Size {
+		resp, err := m.fetchPart(ctx, address, RecordsRequest{Topic: topic, PartOf: first.PartOf, Offset: len(packed), Transfer: first.Transfer})
+		if err != nil {
+			return nil, err
+		}
+		if resp.PartOf != first.PartOf || len(resp.Packed) == 0 {
+			return nil, errInvalidPart
+		}
+		packed = append(packed, resp.Packed...)
+	}
+	return packed, nil
+}
+
+// fetchPart makes one call for records.
+func (m *Members) fetchPart(ctx context.Context, address string, req RecordsRequest) (RecordsResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, partTimeout)
+	defer cancel()
+	return m.transport.FetchRecords(ctx, address, req)
+}
+
 // pickSource returns the address of a live daemon that ahead accepts.
 func (m *Members) pickSource(ahead func(target Message) bool) (address string, found bool) {
 	m.mu.Lock()
@@ -170,6 +230,8 @@
 var (
 	errNoPeerAhead = errors.New("no live daemon has read further")
 	errNoSnapshot  = errors.New("the daemon has no snapshot of the topic")
+	errBusy        = errors.New("the daemon sends long records to others")
+	errInvalidPart = errors.New("the daemon does not have the rest of a long record")
 )
 
 // RecordsRequest requests the records of a topic from a position on.
@@ -180,13 +242,20 @@
 	Snapshot bool `cbor:"3,keyasint,omitempty"`
 	// AcceptsPacked reports that the sender reads RecordsResponse.Packed.
 	AcceptsPacked bool `cbor:"4,keyasint,omitempty"`
+	// AcceptsParts reports that the sender reads RecordsResponse.PartOf.
+	AcceptsParts bool `cbor:"5,keyasint,omitempty"`
+	// PartOf requests the part of a packed response from the byte Offset on.
+	PartOf uint64 `cbor:"6,keyasint,omitempty"`
+	Offset int    `cbor:"7,keyasint,omitempty"`
+	// Transfer is that of the response with the first part.
+	Transfer uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // RecordsResponse holds the newest record of each key, and the next position to read.
 type RecordsResponse struct {
 	Records []feed.Record `cbor:"1,keyasint"`
 	Next    feed.Position `cbor:"2,keyasint"`
-	// TooLong reports that the records do not fit and have to be read from the log.
+	// TooLong reports that the records do not fit, and that the requester does not accept parts.
 	TooLong bool `cbor:"3,keyasint,omitempty"`
 	// Snapshot reports that the records are all keys of the topic, or a part of them.
 	Snapshot bool `cbor:"4,keyasint,omitempty"`
@@ -195,6 +264,14 @@
 	End  feed.Position `cbor:"6,keyasint,omitempty"`
 	// Packed replaces Records: see packRecords.
 	Packed []byte `cbor:"7,keyasint,omitempty"`
+	// PartOf identifies a packed response of Size bytes of which Packed is a part; zero if Packed is
+	// all of it.
+	PartOf uint64 `cbor:"8,keyasint,omitempty"`
+	Size   int    `cbor:"9,keyasint,omitempty"`
+	// Transfer identifies the transfer of the parts to this requester.
+	Transfer uint64 `cbor:"10,keyasint,omitempty"`
+	// Busy reports that the daemon sends long records to as many others as it may.
+	Busy bool `cbor:"11,keyasint,omitempty"`
 }
 
 func (r RecordsResponse) tail() feed.Tail {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -164,9 +164,9 @@
 }
 
 // RegisterHandlers registers the handlers of gossip calls at a peer server.
-func (m *Members) RegisterHandlers(s *peer.Server, source TailSource) {
+func (m *Members) RegisterHandlers(s *peer.Server, records *RecordServer) {
 	peer.Handle(s, recordsKind, func(_ context.Context, _ string, req RecordsRequest) (RecordsResponse, error) {
-		return HandleRecords(req, source), nil
+		return records.Handle(req), nil
 	})
 	peer.Handle(s, exchangeKind, func(_ context.Context, _ string, msg Message) (Message, error) {
 		return m.HandleExchange(msg), nil
--- /dev/null
+++ b/internal/node/config_storm_test.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/feedtest"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
+)
+
+const (
+	// configBytes is the size of a configuration with some hundred workspaces.
+	configBytes = 80 << 10
+	// sendAllTime is the time in which the store can send one configuration to all daemons, or to
+	// minSendAll if they are fewer, and changeInterval the time between two changes.
+	sendAllTime    = time.Second
+	minSendAll     = 60
+	changeInterval = 370 * time.Millisecond
+	configChanges  = 15
+	// smallLinkRate is the rate of a small VM's link in bytes per second.
+	smallLinkRate = 20e6 / 8
+)
+
+// configValue returns a configuration that does not compress well.
+func configValue(version int) []byte {
+	random := rand.NewChaCha8([32]byte{byte(version)})
+	value := fmt.Appendf(nil, "%d ", version)
+	for len(value) < configBytes {
+		value = append(value, "abcdefghijklmnopqrstuvwxyz234567"[random.Uint64()%32])
+	}
+	return value
+}
+
+// newStormFleet starts daemons whose store sends one configuration to all of them in sendAllTime.
+func newStormFleet(t *testing.T, daemons int, linkRate float64) *fleet {
+	f := newStoppedFleet(t, daemons, []string{address(0), address(1), address(2)})
+	f.linkRate = linkRate
+	f.store.SetReadRate(float64(max(daemons, minSendAll)) * configBytes / sendAllTime.Seconds())
+	f.store.Put("op", "config", configValue(5))
+	for i := range daemons {
+		f.start(i)
+	}
+	return f
+}
+
+// refuseThird makes the store turn every third daemon away, or serve all.
+func (f *fleet) refuseThird(on bool) {
+	mode := feedtest.Serving
+	if on {
+		mode = feedtest.Resetting
+	}
+	for i := 0; f.member(address(i)) != nil; i += 3 {
+		f.member(address(i)).storeClient.SetMode(mode)
+	}
+}
+
+// Guards against daemons that stay behind the newest configuration, or do not know that theirs is the
+// newest, when configurations follow each other faster than the store can send one to all daemons.
+func TestConfigStormReachesAllDaemons(t *testing.T) {
+	for _, daemons := range scaleSizes() {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) { testStorm(t, daemons, smallLinkRate) })
+	}
+}
+
+// testStorm plays a storm of configurations. The bytes read of the store may grow with the daemons or
+// with the changes, but not with their product.
+func testStorm(t *testing.T, daemons int, linkRate float64) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStormFleet(t, daemons, linkRate)
+		time.Sleep(15 * time.Second)
+		before := f.store.BytesRead()
+		f.playStorm(time.Now())
+		read := f.store.BytesRead() - before
+		allowed := int64(daemons+2*readersFor(daemons)*configChanges) * configBytes
+		t.Logf("%d bytes read of the store, %d allowed", read, allowed)
+		if read > allowed {
+			t.Errorf("%d bytes read of the store, more than %d", read, allowed)
+		}
+	})
+}
+
+// playStorm changes the configuration again and again while the store turns a third of the daemons
+// away, and checks the daemons until some time after.
+func (f *fleet) playStorm(start time.Time) {
+	const refusedFrom, refusedUntil, end = 1500 * time.Millisecond, 10 * time.Second, 14 * time.Second
+	written := map[int]time.Duration{}
+	worstLag, worstAge, version := 0, time.Duration(0), 5
+	for at := time.Duration(0); at < end; at = time.Since(start) {
+		if len(written) < configChanges && at >= time.Duration(len(written))*changeInterval {
+			version += 1 + len(written)%3
+			written[version] = at
+			f.store.Put("op", "config", configValue(version))
+		}
+		f.refuseThird(at >= refusedFrom && at < refusedUntil)
+		due := 5
+		for v, w := range written {
+			if w <= at-f.limit {
+				due = max(due, v)
+			}
+		}
+		worstLag = max(worstLag, f.count(func(m *member) bool { return m.configVersion() < int64(due) }))
+		f.each(func(m *member) {
+			age, _ := m.state.ConfirmationAge(freshness.Configuration)
+			worstAge = max(worstAge, age)
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.t.Logf("at most %d daemons behind, oldest confirmation %s, limit %s", worstLag, worstAge, f.limit)
+	if worstLag > 0 {
+		f.t.Errorf("%d daemons lack a configuration that has been in force for %s", worstLag, f.limit)
+	}
+	if worstAge >= f.limit {
+		f.t.Errorf("a configuration was not confirmed for %s, limit %s", worstAge, f.limit)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,7 +125,9 @@
 	topics      Topics
 	state       *relay.State
 	members     *gossip.Members
-	peerClient  *peer.Client
+	// records answers other daemons' requests for records of the store.
+	records    *gossip.RecordServer
+	peerClient *peer.Client
 	// followers read the topics. Their order is that of gossip.Message.NextPositions.
 	followers        []*feed.Follower
 	operatorFollower *feed.Follower
@@ -197,6 +199,7 @@
 		active, alarms := n.Relay.Rollouts.Alarms()
 		return gossip.Evidence{Active: active, Alarms: alarms}
 	}
+	n.records = gossip.NewRecordServer(n.recordsSince)
 	n.Relay.ConfigOutdated = n.configOutdated
 	n.Relay.Forwarder = n.newForwarder()
 	n.Relay.Verdicts, n.Relay.Permits = n, n
@@ -209,7 +212,7 @@
 // PeerServer returns the handler for calls from other daemons.
 func (n *Node) PeerServer() *peer.Server {
 	s := peer.NewServer("")
-	n.members.RegisterHandlers(s, n.recordsSince)
+	n.members.RegisterHandlers(s, n.records)
 	n.registerForwarding(s)
 	return s
 }
@@ -221,7 +224,7 @@
 
 // HandleRecords answers another daemon's request for records of the store.
 func (n *Node) HandleRecords(req gossip.RecordsRequest) gossip.RecordsResponse {
-	return gossip.HandleRecords(req, n.recordsSince)
+	return n.records.Handle(req)
 }
 
 // Run starts the daemon's loops, which stop with the context, and returns.
