feed: a follower that is far behind reads the newest record of each key

Cause: a read from a position returns every record since. A daemon that was away during fifteen configurations reads all of them, 1.2 MB, to apply the last one; each failed read of a slow store is asked for again with more. Only the newest configuration, order and evacuation of a key matter.

Change: where the newest records suffice (the operator's topic), a follower that knows of more than two unread records reads the newest of each key; after failed reads it asks for the end first, since it does not know how many it lacks. An end is skipped to once, as a restored store may not reach it again. A daemon that has skipped gives others behind it the newest of each key, marked as complete, since it does not know removals in between.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -62,6 +62,9 @@
 	// does not.
 	IsDesignatedReader func() bool
 	MaxStandbyBackoff  func() time.Duration
+	// NewestSuffices reports that intermediate records of a key need not be applied. A follower that
+	// lacks more than maxTailRecords then reads the newest record of each key instead of all.
+	NewestSuffices bool
 	// Enabled reports whether to follow the topic; it is polled until it returns true. Nil
 	// means yes.
 	Enabled func() bool
@@ -98,6 +101,9 @@
 	// when this follower fell behind it, or zero.
 	peerPosition Position
 	behindSince  time.Time
+	// skippedTo is the known end of the topic for which the newest records were last read. Only Run
+	// uses it.
+	skippedTo Position
 }
 
 // New initializes a follower, so that its methods can be called before Run.
@@ -259,6 +265,13 @@
 		// wait.
 		wait = 0
 		f.logRetry()
+		if current, err := f.observeEnd(ctx); err != nil || current {
+			f.confirmIf(current, sentAt)
+			return err
+		}
+	}
+	if target := f.distantEnd(); target != 0 {
+		return f.skipTo(ctx, target, sentAt)
 	}
 	records, end, err := f.read(ctx, wait)
 	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrEraChanged) {
@@ -284,6 +297,58 @@
 	return nil
 }
 
+// maxTailRecords is the number of records up to which a follower reads all that it lacks, if the
+// newest ones suffice.
+const maxTailRecords = 2
+
+// observeEnd asks the log for the end of the topic if the newest records suffice, and reports whether
+// the follower is current. After failed reads, it does not know how many records it lacks.
+func (f *Follower) observeEnd(ctx context.Context) (current bool, err error) {
+	if !f.NewestSuffices {
+		return false, nil
+	}
+	ctx, done := f.beginRead(ctx, 0)
+	defer done()
+	end, err := f.Log.End(ctx, f.Topic)
+	if err != nil {
+		return false, wrapCause(ctx, err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peerPosition = max(f.peerPosition, end)
+	return end == f.Next(), nil
+}
+
+// confirmIf records a successful read that was sent at a time and found the follower current.
+func (f *Follower) confirmIf(current bool, sentAt time.Duration) {
+	if current {
+		f.recordSuccess()
+		f.OnConfirmed(sentAt)
+	}
+}
+
+// distantEnd returns the known end of the topic if the newest record of each key is to be read
+// instead of all records up to it, or zero. A restored log may not reach a known end again, so it is
+// returned until it has been read for once.
+func (f *Follower) distantEnd() Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.NewestSuffices || f.peerPosition <= f.Next()+maxTailRecords || f.peerPosition == f.skippedTo {
+		return 0
+	}
+	return f.peerPosition
+}
+
+// skipTo reads the newest record of each key because of a known end of the topic.
+func (f *Follower) skipTo(ctx context.Context, end Position, sentAt time.Duration) error {
+	f.Logger.Info("reading the newest record of each key", "topic", f.Topic, "next", f.Next(), "end", end)
+	if err := f.loadSnapshot(ctx, sentAt); err != nil {
+		return err
+	}
+	f.skippedTo = end
+	return nil
+}
+
 // read reads the records from the next position on.
 func (f *Follower) read(ctx context.Context, wait time.Duration) ([]Record, Position, error) {
 	ctx, done := f.beginRead(ctx, wait)
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -39,8 +39,8 @@
 
 // TailFrom returns the newest record of each key from a position on, sorted by position. If
 // the position precedes the last snapshot, the tail is empty: the snapshot omits removed
-// keys, so the removals before it would be lost. A position of an earlier era gets a full
-// snapshot instead.
+// keys, so the removals before it would be lost. A position of an earlier era, or of a topic whose
+// newest records suffice, gets a full snapshot instead.
 func (f *Follower) TailFrom(from Position) Tail { return f.TailPage(from, false, math.MaxInt) }
 
 // TailPage returns the first part of TailFrom, up to a size in bytes, but at least one record. With
@@ -54,6 +54,8 @@
 		return Tail{Next: from}
 	case from.Era() < f.records.snapshotAt.Era():
 		from, snapshot = 0, true
+	case from < f.records.snapshotAt && !snapshot && f.NewestSuffices:
+		from, snapshot = 0, true
 	case from < f.records.snapshotAt && !snapshot:
 		return Tail{Next: from}
 	}
--- a/internal/node/config_storm_test.go
+++ b/internal/node/config_storm_test.go
@@ -82,6 +82,38 @@
 	})
 }
 
+// Guards against a daemon that reads every configuration that it has missed, so that reads take longer
+// the further it is behind.
+func TestReturningDaemonReadsNewestConfigurationOnly(t *testing.T) {
+	for _, daemons := range []int{1, 6} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newStormFleet(t, daemons, smallLinkRate)
+				time.Sleep(10 * time.Second)
+				for i := range daemons {
+					f.isolate(i, true)
+				}
+				for i := range configChanges {
+					f.store.Put("op", "config", configValue(6+i))
+					time.Sleep(changeInterval)
+				}
+				before := f.store.BytesRead()
+				for i := range daemons {
+					f.isolate(i, false)
+				}
+				newest := int64(5 + configChanges)
+				waitFor(t, f.limit, "the newest configuration is in force", func() bool {
+					return f.count(func(m *member) bool { return m.configVersion() == newest }) == daemons
+				})
+				time.Sleep(f.limit)
+				if read, allowed := f.store.BytesRead()-before, int64(3*daemons*configBytes); read > allowed {
+					t.Errorf("%d bytes read of the store, more than %d", read, allowed)
+				}
+			})
+		})
+	}
+}
+
 // playStorm changes the configuration again and again while the store turns a third of the daemons
 // away, and checks the daemons until some time after.
 func (f *fleet) playStorm(start time.Time) {
