feed, node: daemons that lag behind others read the store in the order of their ranks

Cause: a daemon that was behind a peer for 0.25 s read the store, whatever the reason and however many others did. A busy VM, a slow link or a stream of changes keeps all of them that far behind, so that all read, again at each change; a lag was also counted from the first of many changes, although the daemon had applied some since.

Change: the lag counts from the last progress. The first daemon by rank reads the store after 0.25 s as before, each further one up to 25 ms later, the last one at 0.6 of the shortest limit, so that what the first ones have read reaches the others instead. A pending read is given up after 0.25 s as before.

The test fails without the change.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -70,6 +70,9 @@
 	Enabled func() bool
 	// OnApplied is called after records were applied.
 	OnApplied func()
+	// MaxLag returns the time without progress after which a follower of peers that is behind them
+	// reads the log. Nil means lagTimeout.
+	MaxLag func() time.Duration
 	// DependsOn is another follower of the same log. While its reads fail, this one does
 	// not read either, which saves calls that would fail.
 	DependsOn *Follower
@@ -128,10 +131,11 @@
 		f.records.add(records)
 	}
 	f.next.Store(uint64(next))
-	if next >= f.peerPosition {
-		// Changes may arrive faster than CheckLag runs; lags of different changes
-		// do not add up.
-		f.behindSince = time.Time{}
+	// Lags of different changes do not add up, also if the follower is never current
+	// because changes follow each other faster than they spread.
+	f.behindSince = time.Time{}
+	if next < f.peerPosition {
+		f.behindSince = time.Now()
 	}
 	f.mu.Unlock()
 	if f.OnApplied != nil {
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -11,8 +11,8 @@
 // This file detects that followers of the same topic in other daemons have read further, and
 // fetches their records instead of reading the log.
 
-// lagTimeout is how long a follower may lag behind another reader before it abandons its
-// pending read. A longer lag indicates a dead connection to the log.
+// lagTimeout is how long a follower may lag behind another reader without progress before it
+// abandons its pending read. A longer lag indicates a dead connection to the log.
 const lagTimeout = 250 * time.Millisecond
 
 // fetchTimeout bounds a fetch from one reader, whose calls have timeouts of their own.
@@ -153,10 +153,13 @@
 		f.behindSince = time.Time{}
 		return
 	}
-	if now.Sub(f.behindSince) < lagTimeout {
+	lag := now.Sub(f.behindSince)
+	if lag < lagTimeout {
 		return
 	}
-	f.mustReadLog.Store(true)
+	if lag >= f.maxLag() {
+		f.mustReadLog.Store(true)
+	}
 	if f.currentRead == nil || !f.readStalled(now) {
 		return
 	}
@@ -165,6 +168,14 @@
 	f.behindSince = now
 }
 
+// maxLag returns the lag after which to read the log.
+func (f *Follower) maxLag() time.Duration {
+	if f.MaxLag == nil {
+		return lagTimeout
+	}
+	return f.MaxLag()
+}
+
 // readStalled reports whether the pending read should be abandoned: it began before the
 // lag, or has not been answered within responseTimeout. A read whose response is arriving
 // continues, or a long record over a slow link would be restarted forever. Callers hold mu.
--- a/internal/node/config_storm_test.go
+++ b/internal/node/config_storm_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,8 +21,10 @@
 	minSendAll     = 60
 	changeInterval = 370 * time.Millisecond
 	configChanges  = 15
-	// smallLinkRate is the rate of a small VM's link in bytes per second.
+	// smallLinkRate and slowLinkRate are the rates of a small VM's link and of one that is mostly used
+	// otherwise, in bytes per second.
 	smallLinkRate = 20e6 / 8
+	slowLinkRate  = 4e6 / 8
 )
 
 // configValue returns a configuration that does not compress well.
@@ -65,6 +68,13 @@
 	}
 }
 
+// Guards against daemons that all read the store because records between daemons take longer than the
+// lag that indicates a dead connection.
+func TestSlowLinksDoNotSendAllDaemonsToTheStore(t *testing.T) {
+	daemons := slices.Max(fleetSizes())
+	testStorm(t, daemons, slowLinkRate)
+}
+
 // testStorm plays a storm of configurations. The bytes read of the store may grow with the daemons or
 // with the changes, but not with their product.
 func testStorm(t *testing.T, daemons int, linkRate float64) {
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -33,7 +33,7 @@
 		f := feed.New(&feed.Follower{
 			Log: n.deps.Log, Topic: topic, MaxWait: wait, BatchDelay: batchDelay, BootTime: n.deps.BootTime,
 			Apply: apply, OnEraChange: func() { n.eraChanges.mark(subject) }, OnConfirmed: func(sent time.Duration) { n.confirmFromStore(subject, sent) }, OnReadFailed: n.recordUnanswered, Logger: n.log,
-			FetchTail: n.fetchRecords, FetchSnapshot: n.fetchSnapshot, ReadsLog: n.readsOperatorTopic, IsDesignatedReader: n.isReader, MaxStandbyBackoff: n.maxStandbyBackoff,
+			FetchTail: n.fetchRecords, FetchSnapshot: n.fetchSnapshot, ReadsLog: n.readsOperatorTopic, IsDesignatedReader: n.isReader, MaxStandbyBackoff: n.maxStandbyBackoff, MaxLag: n.maxLag,
 		})
 		n.followers = append(n.followers, f)
 		return f
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -52,6 +52,24 @@
 	return max(minOwnCheckInterval, time.Duration(daemons)*ownCheckIntervalPerDaemon)
 }
 
+const (
+	// minLag is the lag after which the first daemon by rank reads the store itself. Each further
+	// one waits lagDelayPerRank longer, to receive what those before it have read, up to
+	// maxLagFraction of the shortest limit.
+	minLag          = 250 * time.Millisecond
+	lagDelayPerRank = 25 * time.Millisecond
+	maxLagFraction  = 0.6
+)
+
+// maxLag returns how long this daemon may be behind others without progress before it reads the
+// store itself. The rate of such reads is bounded by the number of daemons over the time allowed.
+func (n *Node) maxLag() time.Duration {
+	limit := min(n.config.ConfigPropagationLimit, n.config.ServerDrainLimit)
+	spread := time.Duration(maxLagFraction*float64(limit)) - minLag
+	perRank := min(lagDelayPerRank, spread/time.Duration(n.liveDaemons()))
+	return minLag + time.Duration(n.rank())*max(perRank, 0)
+}
+
 // maxStandbyBackoff returns the longest retry backoff of a daemon that is not a reader.
 func (n *Node) maxStandbyBackoff() time.Duration { return n.scaledBackoff(minStandbyBackoff) }
 
