feed: a daemon that the store turns away from its start on loads from its peers

What callers saw: after all daemons had been killed, configuration_stale and nothing else from those that the store answered with 503 or not at all.

Cause: until its first read a follower asks the store alone, with pauses that grow to 0.05 s for each daemon of the fleet, although its peers have what it needs. What peers have read further is fetched only by a follower that has loaded something.

Measured in virtual time (TestDaemonRefusedSinceItsStartLoadsFromPeers, a daemon that joins 6 and 60 others and is refused every call): ready, confirmed and at the next configuration within the limit; before, never. The test fails without the change.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -193,7 +193,8 @@
 
 // backOff pauses after a failed read, and keeps fetching from peers. A standby follower
 // returns early when it no longer has to read the log or becomes a designated reader, as its
-// pauses are long. A sole reader always has to read the log.
+// pauses are long. A sole reader always has to read the log. A follower that has loaded nothing
+// returns as soon as it has a snapshot of a peer.
 func (f *Follower) backOff(ctx context.Context, pause time.Duration, soleReader bool) {
 	standby := f.isStandby() && !soleReader
 	if soleReader {
@@ -201,6 +202,9 @@
 	}
 	for deadline := time.Now().Add(pause); ctx.Err() == nil && time.Now().Before(deadline); {
 		loop.Sleep(ctx, min(peerPollInterval, time.Until(deadline)))
+		if f.FetchSnapshot != nil && !f.loaded.Load() && f.fetchSnapshot(ctx) {
+			return
+		}
 		f.catchUp(ctx)
 		if standby && (f.IsDesignatedReader() || f.loaded.Load() && !f.ReadsLog()) {
 			return
--- a/internal/node/refused_test.go
+++ b/internal/node/refused_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/feedtest"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 )
 
 // refuseOne makes the store refuse the calls of one daemon that is not a reader.
@@ -61,3 +62,23 @@
 		waitFor(t, configLimit, "the configuration is in force", func() bool { return refused.state.Table().Version == 7 })
 	})
 }
+
+// Guards against a daemon that the store refuses from its start on and that takes neither the
+// configuration nor the servers from its peers.
+func TestDaemonRefusedSinceItsStartLoadsFromPeers(t *testing.T) {
+	for _, daemons := range []int{6, 60} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, daemons)
+				time.Sleep(5 * time.Second)
+				refused := f.start(daemons)
+				refused.storeClient.SetMode(feedtest.Refusing)
+				waitFor(t, f.limit, "the daemon is ready to serve", func() bool {
+					return refused.state.Ready() && refused.state.ConfirmedWithin(freshness.Configuration, time.Second)
+				})
+				f.store.Put("op", "config", []byte("7"))
+				waitFor(t, f.limit, "the configuration is in force", func() bool { return refused.configVersion() == 7 })
+			})
+		})
+	}
+}
