feed: a slow reader does not keep a follower from the log

Found in review of the passing of long records: a fetch from one reader may take fetchTimeout, in the loop that reads the log, so that a follower whose reader sends slowly was behind for 5.1 s of a limit of 2 s (TestSlowReaderDoesNotKeepFollowerFromLog failed).

Change: the lag that sends a follower to the log ends its pending fetch, unless the log does not answer: then the fetch is all it has.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -100,6 +100,8 @@
 	peerAhead chan struct{}
 	// currentRead is the pending read, or nil.
 	currentRead *pendingRead
+	// cancelFetch ends the pending fetch from another reader; nil if there is none.
+	cancelFetch context.CancelFunc
 	// peerPosition is the furthest known position of another reader, and behindSince is
 	// when this follower fell behind it, or zero.
 	peerPosition Position
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -101,8 +101,8 @@
 
 // fetchFromPeer fetches and applies records of a peer. Errors are not retried here.
 func (f *Follower) fetchFromPeer(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
+	ctx, done := f.beginFetch(ctx)
+	defer done()
 	tail, err := f.FetchTail(ctx, f.Topic, f.Next())
 	f.logFetch(tail, err)
 	switch {
@@ -113,6 +113,21 @@
 	}
 }
 
+// beginFetch starts a fetch from another reader. The caller must call the returned function at its
+// end.
+func (f *Follower) beginFetch(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelFetch = cancel
+	return ctx, func() {
+		cancel()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.cancelFetch = nil
+	}
+}
+
 // logFetch logs a fetch that failed or brought nothing, the first one and then each time that their
 // number has doubled.
 func (f *Follower) logFetch(tail Tail, err error) {
@@ -158,7 +173,7 @@
 		return
 	}
 	if lag >= f.maxLag() {
-		f.mustReadLog.Store(true)
+		f.readLogInstead()
 	}
 	if f.currentRead == nil || !f.readStalled(now) {
 		return
@@ -168,6 +183,15 @@
 	f.behindSince = now
 }
 
+// readLogInstead makes the follower read the log, and ends a pending fetch from another reader unless
+// the log does not answer. Callers hold mu.
+func (f *Follower) readLogInstead() {
+	f.mustReadLog.Store(true)
+	if f.cancelFetch != nil && !f.unavailable.Load() {
+		f.cancelFetch()
+	}
+}
+
 // maxLag returns the lag after which to read the log.
 func (f *Follower) maxLag() time.Duration {
 	if f.MaxLag == nil {
