--- a/internal/feed/snapshot.go
+++ b/internal/feed/snapshot.go
@@ -71,6 +71,10 @@
 		f.Logger.Debug("cannot fetch a snapshot from another reader", "topic", f.Topic, "err", err)
 		return false
 	}
+	if tail.Next < f.Next() {
+		f.Logger.Info("snapshot of a reader further behind ignored", "topic", f.Topic, "next", f.Next(), "other", tail.Next)
+		return false
+	}
 	f.Logger.Info("snapshot fetched from another reader", "topic", f.Topic, "records", len(tail.Records), "next", tail.Next)
 	f.apply(tail.Records, true, tail.Next)
 	f.loaded.Store(true)
