feed: an end that a retry has seen starts the lag

Found in review: the end of the topic that a retry asks for raised the position of the others but not the moment since when the follower is behind. The next check then saw a lag of centuries and read the log out of turn (TestEndSeenByRetryDoesNotSkipMaxLag failed: after 1 s, allowed after a minute).

Change: one function records how far the topic reaches, for peers and for the log itself.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -325,7 +325,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peerPosition = max(f.peerPosition, end)
+	f.observe(end)
 	return end == f.Next(), nil
 }
 
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -22,19 +22,27 @@
 func (f *Follower) ObservePeerPosition(next Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if next <= f.peerPosition {
+	if !f.observe(next) {
 		return
 	}
-	f.peerPosition = next
+	select {
+	case f.peerAhead <- struct{}{}:
+	default:
+	}
+}
+
+// observe records that the topic reaches a position, and reports whether that is new. Callers hold mu.
+func (f *Follower) observe(end Position) bool {
+	if end <= f.peerPosition {
+		return false
+	}
+	f.peerPosition = end
 	if f.behindSince.IsZero() {
 		f.behindSince = time.Now()
 		// The next periodic check may be later than this.
 		time.AfterFunc(lagTimeout, func() { f.CheckLag(time.Now()) })
 	}
-	select {
-	case f.peerAhead <- struct{}{}:
-	default:
-	}
+	return true
 }
 
 // TailFrom returns the newest record of each key from a position on, sorted by position. If
