feed: one line in five seconds on fetches that bring nothing

Found in review: the line "no records from another reader" was counted anew after each fetch that brought something, and a busy reader counts as one that brought nothing: a line in each daemon for each change (TestFailedFetchesOfManyChangesAreNotLoggedEach failed: 64 lines for 64 changes).

Change: a follower writes the line at most once in five seconds, with the number of such fetches since the last one.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -87,9 +87,10 @@
 	skipWait bool
 	// unavailable reports that the last read failed.
 	unavailable atomic.Bool
-	// failedFetches is the number of fetches from other readers that brought nothing since one
-	// that did.
-	failedFetches atomic.Int64
+	// failedFetches is the number of fetches from other readers that brought nothing since the last
+	// line on them, which was written at fetchLoggedAt.
+	failedFetches int
+	fetchLoggedAt time.Time
 
 	mu sync.Mutex
 	// records holds the newest record of each key, for other readers.
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -136,16 +136,20 @@
 	}
 }
 
-// logFetch logs a fetch that failed or brought nothing, the first one and then each time that their
-// number has doubled.
+// fetchLogInterval is the shortest time between two lines on fetches that brought nothing.
+const fetchLogInterval = 5 * time.Second
+
+// logFetch logs a fetch that failed or brought nothing, with the number of those since the last line.
 func (f *Follower) logFetch(tail Tail, err error) {
 	if err == nil && tail.Next > f.Next() {
-		f.failedFetches.Store(0)
 		return
 	}
-	if failed := f.failedFetches.Add(1); failed&(failed-1) == 0 {
-		f.Logger.Info("no records from another reader", "topic", f.Topic, "next", f.Next(), "failed_fetches", failed, "err", err)
+	f.failedFetches++
+	if time.Since(f.fetchLoggedAt) < fetchLogInterval {
+		return
 	}
+	f.Logger.Info("no records from another reader", "topic", f.Topic, "next", f.Next(), "failed_fetches", f.failedFetches, "err", err)
+	f.failedFetches, f.fetchLoggedAt = 0, time.Now()
 }
 
 // isBehind reports whether another reader has read further.
