node: an evacuation that a restored store lacks holds when records are skipped later

Found in review: the evacuations that a restored store lacks were kept at the first complete set of records of its era only.

Change: a daemon remembers which evacuations the restored store lacks. They hold until the operator writes or removes them.

--- a/internal/node/evacuations.go
+++ b/internal/node/evacuations.go
@@ -11,7 +11,8 @@
 )
 
 // applyEvacuations applies evacuation records. A complete set of records ends the evacuations that
-// it lacks, unless the store was restored from an older copy, which may have lost them.
+// it lacks, unless the store was restored from an older copy that may have lost them: those hold until
+// the operator writes or removes them again.
 func (n *Node) applyEvacuations(records []feed.Record, complete bool) {
 	restored := n.eraChanges.consume(freshness.Configuration)
 	listed := map[string]bool{}
@@ -21,6 +22,7 @@
 			continue
 		}
 		listed[evacuation.FailureDomain] = !evacuation.Revoked
+		delete(n.unlistedEvacuations, evacuation.FailureDomain)
 		if evacuation.Revoked {
 			n.readmit(evacuation.FailureDomain, r.At)
 			continue
@@ -29,12 +31,23 @@
 			n.log.Warn("failure domain evacuated", "failure_domain", evacuation.FailureDomain, "at", r.At)
 		}
 	}
-	if !complete || restored {
-		return
+	if complete {
+		n.endUnlistedEvacuations(listed, restored)
 	}
+}
+
+// endUnlistedEvacuations ends the evacuations that a complete set of records lacks. Those that a
+// restored store lacks are kept from then on.
+func (n *Node) endUnlistedEvacuations(listed map[string]bool, restored bool) {
 	for _, evacuation := range n.state.Evacuations() {
-		if !listed[evacuation.FailureDomain] {
-			n.readmit(evacuation.FailureDomain, 0)
+		domain := evacuation.FailureDomain
+		switch {
+		case listed[domain] || n.unlistedEvacuations[domain]:
+		case restored:
+			n.unlistedEvacuations[domain] = true
+			n.log.Warn("restored store lacks an evacuation, kept", "failure_domain", domain)
+		default:
+			n.readmit(domain, 0)
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,6 +162,9 @@
 	roles roles
 	// eraChanges marks the subjects whose next records come from a restored store.
 	eraChanges eraChanges
+	// unlistedEvacuations are the evacuated failure domains that a restored store lacks. Only the
+	// operator topic's follower uses it.
+	unlistedEvacuations map[string]bool
 	// newerConfig is the newest configuration that peers have and the store lacks.
 	newerConfig newerConfig
 	// storedHolds are the holds recorded in the store.
@@ -177,7 +180,7 @@
 
 // New returns a daemon that is not running yet.
 func New(ctx context.Context, config Config, deps Dependencies) *Node {
-	n := &Node{config: config, deps: deps, log: deps.Logger, topics: deps.Codec.Topics(), checkPlan: newCheckPlan(config.ConfigPropagationLimit, config.ServerDrainLimit), invalidEntries: invalidEntries{}, startedAt: deps.BootTime(), storedHolds: newStoredHolds()}
+	n := &Node{config: config, deps: deps, log: deps.Logger, topics: deps.Codec.Topics(), checkPlan: newCheckPlan(config.ConfigPropagationLimit, config.ServerDrainLimit), invalidEntries: invalidEntries{}, startedAt: deps.BootTime(), storedHolds: newStoredHolds(), unlistedEvacuations: map[string]bool{}}
 	n.incarnation = config.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
 	n.state = relay.NewState(config.Name, config.FailureDomain, deps.BootTime)
 	n.Relay = relay.New(n.state, deps.Backend, config.RelayOptions, deps.Metrics, deps.Logger)
