node: deferred confirmations of the nearest positions are kept

Found in review: a daemon keeps eight confirmations by peers that have read further. The first eight were kept whatever their positions, so that peers far ahead displaced the one that the daemon could have used: in a stream of changes its configuration counted as unconfirmed although it had read what a peer had confirmed (TestNearConfirmationIsKeptWhenPeersAreFarAhead failed).

Change: those of the smallest positions are kept.

--- a/internal/node/deferred_confirmations.go
+++ b/internal/node/deferred_confirmations.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/damaskrudder/damaskrudder/internal/feed"
@@ -23,14 +25,14 @@
 	freshness.Confirmation
 }
 
-// add defers a confirmation until a position has been read. Of more than maxDeferred, the oldest
-// ones are kept, since their positions are reached first.
+// add defers a confirmation until a position has been read. Of more than maxDeferred, those of the
+// nearest positions are kept, since they are reached first.
 func (d *deferredConfirmations) add(subject freshness.Subject, position feed.Position, c freshness.Confirmation) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.bySubject[subject]) < maxDeferred {
-		d.bySubject[subject] = append(d.bySubject[subject], deferredConfirmation{position, c})
-	}
+	deferred := append(d.bySubject[subject], deferredConfirmation{position, c})
+	slices.SortStableFunc(deferred, func(a, b deferredConfirmation) int { return cmp.Compare(a.position, b.position) })
+	d.bySubject[subject] = deferred[:min(len(deferred), maxDeferred)]
 }
 
 // take returns the newest confirmation that holds at a position, and drops those up to it.
