node: the newest of the deferred confirmations of a position is kept

What was seen by reading: eight confirmations of one position fill the list, in a third of a second with twelve partners, and later ones are dropped; a daemon that reads the position after three seconds counts as confirmed three seconds before (TestNewestConfirmationOfPositionIsKept failed: 7 s, want 15 s).

Change: one confirmation of each position, the newest.

--- a/internal/node/deferred_confirmations.go
+++ b/internal/node/deferred_confirmations.go
@@ -25,12 +25,18 @@
 	freshness.Confirmation
 }
 
-// add defers a confirmation until a position has been read. Of more than maxDeferred, those of the
-// nearest positions are kept, since they are reached first.
+// add defers a confirmation until a position has been read. Only the newest one of a position is
+// kept. Of more than maxDeferred, those of the nearest positions are kept, since they are reached
+// first.
 func (d *deferredConfirmations) add(subject freshness.Subject, position feed.Position, c freshness.Confirmation) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	deferred := append(d.bySubject[subject], deferredConfirmation{position, c})
+	deferred := d.bySubject[subject]
+	if i := slices.IndexFunc(deferred, func(other deferredConfirmation) bool { return other.position == position }); i >= 0 {
+		deferred[i].At = max(deferred[i].At, c.At)
+		return
+	}
+	deferred = append(deferred, deferredConfirmation{position, c})
 	slices.SortStableFunc(deferred, func(a, b deferredConfirmation) int { return cmp.Compare(a.position, b.position) })
 	d.bySubject[subject] = deferred[:min(len(deferred), maxDeferred)]
 }
--- a/internal/node/deferred_order_test.go
+++ b/internal/node/deferred_order_test.go
@@ -19,3 +19,15 @@
 		t.Error("no confirmation at the position that was read")
 	}
 }
+
+// Guards against a daemon that is confirmed late at a position because earlier confirmations of the same
+// position displace the newest one.
+func TestNewestConfirmationOfPositionIsKept(t *testing.T) {
+	var d deferredConfirmations
+	for i := range 2 * maxDeferred {
+		d.add(freshness.Configuration, 30, freshness.Confirmation{At: time.Duration(i) * time.Second})
+	}
+	if c, _ := d.take(freshness.Configuration, 30); c.At != (2*maxDeferred-1)*time.Second {
+		t.Errorf("confirmed at %s", c.At)
+	}
+}
