gossip: records are fetched elsewhere from a daemon that does not send them

Found in review: a daemon asks one that has read further in its own failure domain, if there is any. One that was busy or did not answer was asked again and again (TestRecordsAreFetchedElsewhereIfLocalDaemonDoesNotSend failed: 50 fetches, none to the other).

Change: a daemon that did not send records is asked within half a second only if there is no other one.

--- a/internal/gossip/calls.go
+++ b/internal/gossip/calls.go
@@ -97,8 +97,8 @@
 )
 
 // FetchRecords fetches records from one of the live daemons for which ahead reports that
-// they have read further. It is picked at random to spread the load, and in the own failure
-// domain if possible, where traffic is cheap. The error is feed.ErrTooLong if the daemon does not
+// they have read further. It is picked at random to spread the load, if possible among those that
+// did not fail to send records lately and in the own failure domain, where traffic is cheap. The error is feed.ErrTooLong if the daemon does not
 // send long records in parts.
 func (m *Members) FetchRecords(ctx context.Context, topic string, from feed.Position, ahead func(target Message) bool) (feed.Tail, error) {
 	address, found := m.pickSource(ahead)
@@ -146,9 +146,14 @@
 }
 
 // fetchPage requests records from a daemon, with all parts, and unpacks them.
-func (m *Members) fetchPage(ctx context.Context, address string, req RecordsRequest) (RecordsResponse, error) {
+func (m *Members) fetchPage(ctx context.Context, address string, req RecordsRequest) (resp RecordsResponse, err error) {
+	defer func() {
+		if err != nil {
+			m.recordFetchFailure(address)
+		}
+	}()
 	req.AcceptsPacked, req.AcceptsParts = true, true
-	resp, err := m.fetchPart(ctx, address, req)
+	resp, err = m.fetchPart(ctx, address, req)
 	if err != nil {
 		return RecordsResponse{}, err
 	}
@@ -193,26 +198,44 @@
 	return m.transport.FetchRecords(ctx, address, req)
 }
 
+// fetchRetryDelay is the time in which a daemon that did not send records is asked only if there is
+// no other one.
+const fetchRetryDelay = 500 * time.Millisecond
+
 // pickSource returns the address of a live daemon that ahead accepts.
 func (m *Members) pickSource(ahead func(target Message) bool) (address string, found bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.expireSilent(time.Now())
+	now := time.Now()
+	m.expireSilent(now)
 	domain := m.table.Self().FailureDomain
-	var local, remote sample
+	var local, remote, failed sample
 	for address, other := range m.members {
 		switch {
 		case !m.live.Contains(address) || other.lastCallFailed || !ahead(other.latest):
+		case now.Sub(other.fetchFailedAt) < fetchRetryDelay:
+			failed.add(address)
 		case other.latest.FailureDomain == domain:
 			local.add(address)
 		default:
 			remote.add(address)
 		}
 	}
-	if local.seen == 0 {
-		local = remote
+	for _, s := range []sample{local, remote, failed} {
+		if s.seen > 0 {
+			return s.picked, true
+		}
+	}
+	return "", false
+}
+
+// recordFetchFailure records that a daemon did not send records.
+func (m *Members) recordFetchFailure(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if other := m.members[address]; other != nil {
+		other.fetchFailedAt = time.Now()
 	}
-	return local.picked, local.seen > 0
 }
 
 // sample picks one of the added addresses, each with the same probability.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -69,6 +69,8 @@
 	// they do not all call the same members first.
 	tiebreak    uint64
 	callPending bool
+	// fetchFailedAt is when it last did not send records.
+	fetchFailedAt time.Time
 	// lastCallFailed reports that the last call failed, without contact since it began.
 	lastCallFailed bool
 	// suspected reports that another daemon failed to call it. It is called first.
