gossip: a transfer of a long record ends, and only by its own parts

Change: a transfer knows its record and the offset of its next part; nothing else prolongs or ends it. TestTransfersOfLongRecordsAreBounded names records and offsets, its bounds stay.

--- a/internal/gossip/calls.go
+++ b/internal/gossip/calls.go
@@ -28,7 +28,7 @@
 func (s *RecordServer) Handle(req RecordsRequest) RecordsResponse {
 	if req.PartOf != 0 {
 		resp := s.packed.part(req.PartOf, req.Offset)
-		s.transfers.advance(req.Transfer, req.Offset+len(resp.Packed) >= resp.Size, time.Now())
+		s.transfers.advance(req.Transfer, req.Offset, resp, time.Now())
 		return resp
 	}
 	tail := s.source(req.Topic, req.From, req.Snapshot, maxRecordsBytes)
@@ -46,7 +46,7 @@
 	case !req.AcceptsParts:
 		return RecordsResponse{Next: req.From, TooLong: true}
 	default:
-		transfer, admitted := s.transfers.begin(time.Now())
+		transfer, admitted := s.transfers.begin(packed.id, time.Now())
 		if !admitted {
 			return RecordsResponse{Next: req.From, Busy: true}
 		}
--- a/internal/gossip/parts_test.go
+++ b/internal/gossip/parts_test.go
@@ -101,29 +101,32 @@
 
 // Guards against many daemons that wait on the link of the first one that has a long record.
 func TestTransfersOfLongRecordsAreBounded(t *testing.T) {
+	const record, size = 9, 3 * maxRecordsBytes
 	var l transferLimit
 	now := time.Unix(50, 0)
+	part := RecordsResponse{Packed: make([]byte, maxRecordsBytes), PartOf: record, Size: size}
 	var ids []uint64
 	for range maxTransfers {
-		id, admitted := l.begin(now)
+		id, admitted := l.begin(record, now)
 		if !admitted {
 			t.Fatal("turned away below the limit")
 		}
 		ids = append(ids, id)
 	}
-	if _, admitted := l.begin(now); admitted {
+	if _, admitted := l.begin(record, now); admitted {
 		t.Error("admitted beyond the limit")
 	}
-	l.advance(ids[0], true, now)
-	if _, admitted := l.begin(now); !admitted {
+	l.advance(ids[0], maxRecordsBytes, part, now)
+	l.advance(ids[0], 2*maxRecordsBytes, part, now)
+	if _, admitted := l.begin(record, now); !admitted {
 		t.Error("turned away after a transfer has ended")
 	}
 	now = now.Add(partTimeout / 2)
-	l.advance(ids[1], false, now)
+	l.advance(ids[1], maxRecordsBytes, part, now)
 	now = now.Add(partTimeout/2 + time.Millisecond)
 	admittedLater := 0
 	for range maxTransfers {
-		if _, admitted := l.begin(now); admitted {
+		if _, admitted := l.begin(record, now); admitted {
 			admittedLater++
 		}
 	}
