gossip: packed records are told apart by their content

Found in review: kept packed records were known by topic and positions. A store that was restored and states no era gives its offsets out again, and a daemon would have passed on the earlier record of the same position (TestPackedRecordsOfOtherContentAreNotMixedUp failed).

Change: keys and values are part of the identity.

--- a/internal/gossip/packcache.go
+++ b/internal/gossip/packcache.go
@@ -79,13 +79,18 @@
 	c.packs = append(c.packs, p)
 }
 
-// packID identifies records by their topic, keys and positions, which determine their content. It
-// is not zero.
+// packID identifies records by their topic, positions and content. It is not zero.
 func packID(topic string, records []feed.Record) uint64 {
 	h := xxhash.New()
-	_, _ = h.WriteString(topic) // never fails
+	write := func(field []byte) {
+		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(field)))) // never fails
+		_, _ = h.Write(field)                                         // never fails
+	}
+	write([]byte(topic))
 	for _, r := range records {
-		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(r.At))) // never fails
+		write([]byte(r.Key))
+		write(binary.BigEndian.AppendUint64(nil, uint64(r.At)))
+		write(r.Value)
 	}
 	return max(h.Sum64(), 1)
 }
