relay, daemon: only a configuration confirmed lately denies a request

Callers never come back after 400, 401, 403, 404, 410, 413 and 431.

Cause: admit looked at the age of the configuration for API keys only. A route that is missing from an old table, a key that it lacks and its limit of bodies were final answers at any age, and by records taken from another daemon that nobody had confirmed. A daemon that serves a forwarded call denied it by its own table before it looked whether the forwarding daemon's is newer. The product's own interface answered 401 without any look, also before it had read a configuration.

Change: one function in each router through which every denial passes. relay.admit reads whether the configuration was confirmed less than the limit of a change (node.Config.ConfigPropagationLimit) ago, then the table: a version acked at A is known to a daemon confirmed at C >= A, so an answer at R denies only if R - C < limit. Beyond that: configuration_stale, not run, Retry-After, at once. What is served without keys is served as before. A call that was forwarded is decided by a table at least as new as the forwarding daemon's, or refused. daemon.withholdDenial does the same for the own interface, by the last read of the log that found nothing more, within the 15 s of IsolationTimeout; a majority of daemons does not replace that read for a denial. fault.Spec.Final says which kinds callers do not come back after. The line 'refused' tells a final answer (denial) and the one that is withheld (withheld).

The codec of the tests in node reads routes behind the version.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -130,11 +130,7 @@
 	if !ok || key == "" {
 		return "", fault.New(fault.Unauthorized, "send the API key as a bearer token")
 	}
-	name, _, ok := a.daemon.Config().WorkspaceByKey(key)
-	if !ok {
-		return "", fault.New(fault.Unauthorized, "no workspace has this API key")
-	}
-	return name, nil
+	return a.daemon.Authenticate(key)
 }
 
 // readBody reads the request body, which may have at most max_body_bytes.
--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -86,7 +86,9 @@
 	}
 	defer done()
 	start := time.Now()
+	couldDeny := d.config.canDeny()
 	resp, exec, err := d.serveChat(ctx, id, &req)
+	err = d.withholdDenial(couldDeny, err)
 	d.recordOutcome(req.Workspace, exec, start, err)
 	return resp, err
 }
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -51,10 +51,13 @@
 	d      *Daemon
 	active atomic.Pointer[fleet.Config]
 
-	mu                     sync.Mutex
-	state                  *fleet.StateMachine
-	tail                   []platform.Record
-	logReadAt              time.Time
+	mu        sync.Mutex
+	state     *fleet.StateMachine
+	tail      []platform.Record
+	logReadAt time.Time
+	// confirmedAt is when the last read was sent after which the configuration was complete; zero if
+	// there was none.
+	confirmedAt            time.Time
 	majorityAt             time.Time
 	loaded                 bool
 	caughtUpDomains        map[string]bool
@@ -93,6 +96,13 @@
 	return membership.Readiness{LogReadAt: c.logReadAt, MajorityAt: c.majorityAt, ConfigLoaded: c.loaded, ServersUpdatedAt: serversUpdated, RequireLog: c.d.settings.LogOutagePolicy == "refuse"}
 }
 
+// canDeny reports whether the daemon may deny requests by its configuration now.
+func (c *configFollower) canDeny() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loaded && membership.CanDeny(time.Since(c.confirmedAt))
+}
+
 func (c *configFollower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !c.isReader() && !loop.Sleep(ctx, nonReaderInterval) {
@@ -118,6 +128,7 @@
 	c.mu.Lock()
 	from := c.state.NextOffset()
 	c.mu.Unlock()
+	sentAt := time.Now()
 	batch, err := c.d.deps.Log.Read(ctx, configStream, from, readLimit, longPollTimeout)
 	if err != nil {
 		return err
@@ -129,6 +140,9 @@
 	c.mu.Lock()
 	caughtUp := c.state.NextOffset() >= batch.Next && c.state.Synced()
 	c.loaded = c.loaded || caughtUp
+	if caughtUp {
+		c.confirmedAt = sentAt
+	}
 	checkpointDue := c.recordsSinceCheckpoint >= recordsPerCheckpoint && caughtUp
 	c.mu.Unlock()
 	if checkpointDue && c.d.members.isOwner("checkpoint") {
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -45,7 +45,9 @@
 	defer done()
 	start := time.Now()
 	exec := &execution{model: "service " + req.Service}
+	couldDeny := d.config.canDeny()
 	resp, err := d.callService(ctx, id, req, exec)
+	err = d.withholdDenial(couldDeny, err)
 	d.recordOutcome(req.Workspace, exec, start, err)
 	return resp, err
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -78,6 +78,9 @@
 	Description string
 }
 
+// statusClientClosedRequest is the status in logs and metrics of a request whose caller is gone.
+const statusClientClosedRequest = 499
+
 var specs = []Spec{
 	{BadRequest, http.StatusBadRequest, NotRun, false, 0, "The request is malformed; the detail names the field."},
 	{Unauthorized, http.StatusUnauthorized, NotRun, false, 0, "The API key does not belong to a workspace or an operator."},
@@ -96,7 +99,7 @@
 	{Evacuated, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "The remaining backend servers are in failure domains that an operator has evacuated."},
 	{VersionWithdrawn, http.StatusGone, NotRun, false, 0, "The requested version is withdrawn and has no successor that the workspace may use."},
 	{SessionRefused, http.StatusForbidden, NotRun, false, 0, "The session token has an invalid signature, was signed with a retired key, or belongs to another workspace."},
-	{ConfigurationStale, http.StatusServiceUnavailable, NotRun, false, 2 * time.Second, "This daemon cannot verify that its configuration is current; retry at another address."},
+	{ConfigurationStale, http.StatusServiceUnavailable, NotRun, false, 2 * time.Second, "This daemon cannot verify that its configuration is current, so it does not deny the request by it; retry at another address."},
 	{BaseStale, http.StatusConflict, NotRun, false, 0, "The patch is based on a configuration number that is no longer current."},
 	{InvalidPatch, http.StatusUnprocessableEntity, NotRun, false, 0, "The patch is malformed or results in an invalid configuration."},
 	{KeyReused, http.StatusUnprocessableEntity, NotRun, false, 0, "The idempotency key was already used with a different body."},
@@ -107,7 +110,7 @@
 	{UsageUnprotected, http.StatusServiceUnavailable, NotRun, false, 2 * time.Second, "Usage records can be written neither to the log nor to another daemon. A request that has already run gets a response without its terminal event and with the state ran."},
 	{EngineRefused, http.StatusServiceUnavailable, NotRun, true, time.Second, "The backend server confirmed that it did not start the request."},
 	{EngineFailed, http.StatusBadGateway, Unknown, false, time.Second, "The backend server failed after the request was sent to it."},
-	{CallerLeft, 499, Unknown, false, 0, "The caller closed its connection."},
+	{CallerLeft, statusClientClosedRequest, Unknown, false, 0, "The caller closed its connection."},
 	{Quarantined, http.StatusServiceUnavailable, NotRun, false, time.Hour, "Backend servers terminated while running this request, so it is not sent to them until the advised time has passed. If an attempt already ran, engine_failed is returned instead."},
 	{ShuttingDown, http.StatusServiceUnavailable, NotRun, false, time.Second, "This daemon is shutting down; get another address from /v1/endpoints."},
 	{HelperUnable, http.StatusServiceUnavailable, NotRun, true, time.Second, "This daemon cannot send a request on behalf of another daemon, which cannot reach the backend servers itself."},
@@ -133,6 +136,16 @@
 	return byKind[Internal]
 }
 
+// Final reports whether callers never repeat a request after an error of the kind: a client error
+// other than a timeout, a misdirection or a limit on requests.
+func (s Spec) Final() bool {
+	switch s.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, statusClientClosedRequest:
+		return false
+	}
+	return s.Status >= http.StatusBadRequest && s.Status < http.StatusInternalServerError
+}
+
 // Error is an error of one of the kinds.
 type Error struct {
 	Kind Kind
--- a/internal/membership/readiness.go
+++ b/internal/membership/readiness.go
@@ -44,3 +44,8 @@
 	}
 	return now.Sub(r.LogReadAt) <= MaxLogAge || now.Sub(r.MajorityAt) <= IsolationTimeout
 }
+
+// CanDeny reports whether a daemon may deny requests by a configuration of an age, the time since a
+// read of the log was sent that showed it to be complete. A majority of daemons does not replace the
+// log here: it may lack a change that a minority has read.
+func CanDeny(configAge time.Duration) bool { return configAge < IsolationTimeout }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -27,12 +27,18 @@
 type fakeCodec struct{}
 
 func (fakeCodec) Topics() Topics { return Topics{"op", "servers", "status", "daemons"} }
+
+// DecodeOperator reads "VERSION PATH...": a version and the path prefixes that lead to service s.
 func (fakeCodec) DecodeOperator(r feed.Record) (OperatorRecord, error) {
 	var version int64
 	if _, err := fmt.Sscan(string(r.Value), &version); err != nil {
 		return OperatorRecord{}, errors.New("not a version")
 	}
-	t, err := route.NewTable(route.Document{Version: version})
+	d := route.Document{Version: version, Services: []route.Service{{Name: "s", MaxConnections: 1 << 20}}}
+	for _, prefix := range strings.Fields(string(r.Value))[1:] {
+		d.Routes = append(d.Routes, route.Route{Name: prefix, Host: "h", PathPrefix: prefix, Kind: route.Idempotent, MaxAttempts: 2, Timeout: time.Second, Backends: []route.Backend{{Service: "s", Weight: 1}}})
+	}
+	t, err := route.NewTable(d)
 	return OperatorRecord{Table: t}, err
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -49,6 +49,8 @@
 	Received time.Time
 	// Held accounts for the memory of the call.
 	Held *HeldRequest `cbor:"-"`
+	// minConfigVersion is the oldest version of the configuration that may decide the call.
+	minConfigVersion int64
 }
 
 // Prompt describes the input and output sizes of an engine request.
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -24,6 +24,7 @@
 func (r *Relay) ServeForwarded(ctx context.Context, from string, f ForwardedCall, send func(ForwardFrame) error) {
 	out := &forwardWriter{send: send}
 	call := f.Call
+	call.minConfigVersion = f.ConfigVersion
 	call.Received = time.Now()
 	call.Timeout = time.Duration(f.RemainingMillis) * time.Millisecond
 	r.log.Info("forwarded request received", "request", call.ID, "from", from, "remaining_ms", f.RemainingMillis)
@@ -64,9 +65,6 @@
 // prepareForwarded applies the state of a forwarded call. It refuses one that this daemon cannot
 // serve either.
 func (x *exchange) prepareForwarded(f ForwardedCall, out *forwardWriter) *fault.Error {
-	if t := x.relay.State.Table(); t == nil || t.Version < f.ConfigVersion {
-		return fault.New(fault.ConfigurationStale, "the forwarding daemon has a newer configuration")
-	}
 	if x.relay.State.outOfReach(x.service.Name) {
 		return fault.New(fault.HelperUnable, "the servers of %s are out of reach here as well", x.service.Name)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -25,6 +26,10 @@
 	// configuration at which requests with an API key are accepted. It is below the
 	// bound for key revocation. Zero means no limit.
 	MaxKeyAge time.Duration
+	// ConfigPropagationLimit is the time within which a change of the configuration must be in
+	// force. A configuration that was last confirmed that long ago denies nothing. Zero means no
+	// limit.
+	ConfigPropagationLimit time.Duration
 	// RetryBudgetWindow, RetryBudgetRatio and RetryBudgetReserve limit the retries
 	// of all daemons for one service: see request.Share.
 	RetryBudgetWindow  time.Duration
@@ -230,8 +235,8 @@
 		c.Held = r.Hold()
 		defer c.Held.Release()
 	}
-	if !r.State.Ready() {
-		r.State.WaitReady(ctx, startupWait)
+	if !r.State.Usable() {
+		r.State.WaitUsable(ctx, startupWait)
 	}
 	x, refusal := r.admit(c, shutdownAt)
 	if refusal == nil {
@@ -261,18 +266,42 @@
 	}
 	r.log.Info("refused", "request", c.ID, "kind", e.Kind, "ran", e.ExecutionState(), "why", e.Detail,
 		"config", version, "config_known", known, "config_age_ms", age.Milliseconds(),
-		"held_ms", time.Since(c.Received).Milliseconds())
+		"denial", fault.Lookup(e.Kind).Final(), "withheld", withheldKind(e), "held_ms", time.Since(c.Received).Milliseconds())
 	out.Refuse(e)
 }
 
-// admit resolves the route, workspace and service of a call, or returns the refusal.
+// withheldKind returns the kind of the denial that a refusal replaces, or "".
+func withheldKind(e *fault.Error) fault.Kind {
+	var denial *fault.Error
+	if errors.As(e.Cause, &denial) {
+		return denial.Kind
+	}
+	return ""
+}
+
+// admit resolves a call, or returns the refusal. Every denial by the configuration passes through
+// it: clients never repeat a request that was denied, so it is withheld unless the configuration
+// was confirmed lately.
 func (r *Relay) admit(c *Call, shutdownAt time.Time) (*exchange, *fault.Error) {
-	t := r.State.Table()
-	if t == nil || !r.State.Ready() {
-		return nil, fault.New(fault.ConfigurationStale, "no configuration is known yet").WithRetryAfter(staleRetryAfter)
+	// Read before the configuration, so that the confirmation holds for the configuration that is used.
+	confirmed := r.confirmedWithin(r.options.ConfigPropagationLimit)
+	x, refusal := r.resolve(c, shutdownAt)
+	if refusal == nil || confirmed || !fault.Lookup(refusal.Kind).Final() {
+		return x, refusal
 	}
-	if r.ConfigOutdated() {
-		return nil, fault.New(fault.ConfigurationStale, "other daemons have a newer configuration than the store").WithRetryAfter(staleRetryAfter)
+	return nil, staleError("the configuration that denies the request was not confirmed lately").WithCause(refusal)
+}
+
+// resolve resolves the route, workspace and service of a call, or returns the refusal.
+func (r *Relay) resolve(c *Call, shutdownAt time.Time) (*exchange, *fault.Error) {
+	t := r.State.Table()
+	switch {
+	case t == nil || !r.State.Usable():
+		return nil, staleError("no confirmed configuration is known yet")
+	case r.ConfigOutdated():
+		return nil, staleError("other daemons have a newer configuration than the store")
+	case t.Version < c.minConfigVersion:
+		return nil, staleError("the forwarding daemon has a newer configuration")
 	}
 	rt := t.Match(c.Host, c.Path)
 	if rt == nil {
@@ -283,8 +312,8 @@
 	workspace, known := t.WorkspaceByKey(c.Key)
 	keyed := t.KeyRequired() && !rt.Public
 	switch {
-	case keyed && !r.keysFresh():
-		return nil, fault.New(fault.ConfigurationStale, "the list of keys was not confirmed lately").WithRetryAfter(staleRetryAfter)
+	case keyed && !r.confirmedWithin(r.options.MaxKeyAge):
+		return nil, staleError("the list of keys was not confirmed lately")
 	case keyed && !known:
 		return nil, fault.New(fault.Unauthorized, "no workspace owns the presented key")
 	}
@@ -318,8 +347,14 @@
 	drainRetryAfter = 10 * time.Millisecond
 )
 
-func (r *Relay) keysFresh() bool {
-	return r.options.MaxKeyAge == 0 || r.State.ConfirmedWithin(freshness.Configuration, r.options.MaxKeyAge)
+// staleError returns the refusal of a call that this daemon's configuration does not decide.
+func staleError(detail string) *fault.Error {
+	return fault.New(fault.ConfigurationStale, "%s", detail).WithRetryAfter(staleRetryAfter)
+}
+
+// confirmedWithin reports whether the configuration was confirmed within a limit; zero is no limit.
+func (r *Relay) confirmedWithin(limit time.Duration) bool {
+	return limit == 0 || r.State.ConfirmedWithin(freshness.Configuration, limit)
 }
 
 // requestDeadline returns the deadline by the shorter of the client's and the route's timeout.
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -28,11 +28,11 @@
 	confirmations freshness.Tracker
 	registry      *backend.Registry
 	serversLoaded bool
-	// ready is closed when the configuration and the servers have been loaded.
-	ready         chan struct{}
-	readySignaled bool
-	services      map[string]*service
-	rng           *rand.Rand
+	// usable is closed when Usable becomes true.
+	usable         chan struct{}
+	usableSignaled bool
+	services       map[string]*service
+	rng            *rand.Rand
 	// candidateBuf is reused for the candidates of each selection, to save allocations.
 	candidateBuf []routing.Candidate
 	daemon       string
@@ -95,7 +95,7 @@
 // VM is suspended.
 func NewState(daemon, failureDomain string, bootTime func() time.Duration) *State {
 	return &State{
-		bootTime: bootTime, ready: make(chan struct{}), speeds: enginespeed.NewTable(xxhash.Sum64String(daemon)), registry: backend.NewRegistry(), gate: gate.New(), reachability: reachability.NewTracker(), helpers: reachability.NewHelpers(), linkFailures: map[string]time.Duration{}, services: map[string]*service{}, daemon: daemon, failureDomain: failureDomain, daemons: 1,
+		bootTime: bootTime, usable: make(chan struct{}), speeds: enginespeed.NewTable(xxhash.Sum64String(daemon)), registry: backend.NewRegistry(), gate: gate.New(), reachability: reachability.NewTracker(), helpers: reachability.NewHelpers(), linkFailures: map[string]time.Duration{}, services: map[string]*service{}, daemon: daemon, failureDomain: failureDomain, daemons: 1,
 		peerWork: peerWork{byServer: map[ServerKey]ServerWork{}}, modelLoad: routing.NewPooledLoad(), rng: rand.New(rand.NewPCG(xxhash.Sum64String(daemon), uint64(bootTime()))),
 	}
 }
@@ -113,7 +113,7 @@
 		}
 		if s.table.CompareAndSwap(old, t) {
 			s.mu.Lock()
-			s.signalReady()
+			s.signalUsable()
 			s.mu.Unlock()
 			return true
 		}
@@ -125,7 +125,9 @@
 func (s *State) Confirm(subject freshness.Subject, c freshness.Confirmation) (gap time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.confirmations.Confirm(subject, c)
+	gap = s.confirmations.Confirm(subject, c)
+	s.signalUsable()
+	return gap
 }
 
 // ConfirmedWithin reports whether a subject was confirmed within a limit.
@@ -170,22 +172,35 @@
 	return loaded && s.Table() != nil
 }
 
-// signalReady closes ready once the state is complete. Callers hold mu.
-func (s *State) signalReady() {
-	if s.serversLoaded && s.Table() != nil && !s.readySignaled {
-		s.readySignaled = true
-		close(s.ready)
+// Usable reports whether the state may decide requests: it is loaded, and its configuration has been
+// confirmed at least once. Records that another daemon passed on may lack any number of changes.
+func (s *State) Usable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usableLocked()
+}
+
+// usableLocked implements Usable. Callers hold mu.
+func (s *State) usableLocked() bool {
+	_, confirmed := s.confirmations.Newest(freshness.Configuration)
+	return confirmed && s.serversLoaded && s.Table() != nil
+}
+
+// signalUsable closes usable once the state may decide requests. Callers hold mu.
+func (s *State) signalUsable() {
+	if s.usableLocked() && !s.usableSignaled {
+		s.usableSignaled = true
+		close(s.usable)
 	}
 }
 
-// WaitReady waits until the configuration and the servers have been loaded, up to a
-// limit. A daemon that has just started loads them soon, while a refusal would cost
-// the client a retry.
-func (s *State) WaitReady(ctx context.Context, limit time.Duration) {
+// WaitUsable waits until the state may decide requests, up to a limit. A daemon that has just
+// started loads it soon, while a refusal would cost the client a retry.
+func (s *State) WaitUsable(ctx context.Context, limit time.Duration) {
 	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
-	case <-s.ready:
+	case <-s.usable:
 	case <-t.C:
 	case <-ctx.Done():
 	}
@@ -205,7 +220,7 @@
 	defer s.mu.Unlock()
 	change(s.registry, now)
 	s.serversLoaded = true
-	s.signalReady()
+	s.signalUsable()
 	s.registryVersion++
 }
 
