platform, api: a body that does not come in time is answered 408, in time

A client that sends only part of a body of known length got no answer at all: none within ten times its own timeout, when the test gave up. With a chunked body the answer was 400 "the body broke off", after which callers never come back, although the request has not run.

Cause: bodyError knew no timeout. And readBody cleared the read deadline of the connection before the refusal was written; net/http reads the rest of a body before it responds, and so waited for the client without a limit.

Change: kind body_timeout (408, not_run: the promise that callers come back after), from fault.BodyError, which the ingress and the product's own interface share. A body that breaks off by a closed connection is answered 400 as before.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -138,7 +138,7 @@
 	limit := a.daemon.Settings().MaxBodyBytes
 	data, err := io.ReadAll(io.LimitReader(c.Request().Body, limit+1))
 	if err != nil {
-		return nil, fault.New(fault.BadRequest, "the body could not be read").WithCause(err)
+		return nil, fault.BodyError(err)
 	}
 	if int64(len(data)) > limit {
 		return nil, fault.New(fault.TooLarge, "the body exceeds %d bytes", limit)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -33,6 +33,7 @@
 	UnknownModel       Kind = "unknown_model"
 	NotFound           Kind = "not_found"
 	TooLarge           Kind = "too_large"
+	BodyTimeout        Kind = "body_timeout"
 	RateLimited        Kind = "rate_limited"
 	Overloaded         Kind = "overloaded"
 	DeadlineExceeded   Kind = "deadline_exceeded"
@@ -88,6 +89,7 @@
 	{UnknownModel, http.StatusNotFound, NotRun, false, 0, "No model, cascade or service of this name is configured."},
 	{NotFound, http.StatusNotFound, NotRun, false, 0, "The resource does not exist."},
 	{TooLarge, http.StatusRequestEntityTooLarge, NotRun, false, 0, "The request body exceeds the configured limit."},
+	{BodyTimeout, http.StatusRequestTimeout, NotRun, false, 0, "The request body did not arrive in time; the request may be repeated on a new connection."},
 	{RateLimited, http.StatusTooManyRequests, NotRun, false, time.Second, "The workspace has reached its request or token limit."},
 	{Overloaded, http.StatusServiceUnavailable, NotRun, false, time.Second, "No backend server can start the request before its deadline, or this daemon has no memory left for its body."},
 	{DeadlineExceeded, http.StatusGatewayTimeout, Unknown, false, 0, "The deadline passed before the response was complete."},
@@ -171,6 +173,15 @@
 	return &Error{Kind: kind, Field: field, Detail: fmt.Sprintf(format, args...)}
 }
 
+// BodyError returns the error for a request whose body could not be read, caused by err.
+func BodyError(err error) *Error {
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return New(BodyTimeout, "the body did not arrive in time").WithCause(err)
+	}
+	return New(BadRequest, "the body broke off").WithCause(err)
+}
+
 // Error implements error. The result includes the cause.
 func (e *Error) Error() string {
 	s := string(e.Kind)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -397,7 +397,7 @@
 		if e.ExecutionState() == fault.NotRun && e.RetryDelay() > 0 && e.RetryAfter == 0 {
 			e = e.WithRetryAfter(x.retryAfter())
 		}
-		x.relay.refuse(x.call, x.out, e)
+		x.relay.Refuse(x.call, x.out, e)
 	}
 }
 
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -30,14 +30,14 @@
 	r.log.Info("forwarded request received", "request", call.ID, "from", from, "remaining_ms", f.RemainingMillis)
 	r.Metrics.ForwardedRequests.Inc(1)
 	if !r.beginForwarded() {
-		r.refuse(&call, out, fault.New(fault.HelperUnable, "%d requests of other daemons are being served", maxForwardedCalls))
+		r.Refuse(&call, out, fault.New(fault.HelperUnable, "%d requests of other daemons are being served", maxForwardedCalls))
 		return
 	}
 	defer r.endForwarded()
 	call.Held = r.Hold()
 	defer call.Held.Release()
 	if err := call.Held.growBody(int64(len(call.Body))); err != nil {
-		r.refuse(&call, out, fault.New(fault.HelperUnable, "%v", err))
+		r.Refuse(&call, out, fault.New(fault.HelperUnable, "%v", err))
 		return
 	}
 	if send(ForwardFrame{}) != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -243,7 +243,7 @@
 		refusal = prepare(x)
 	}
 	if refusal != nil {
-		r.refuse(c, out, refusal)
+		r.Refuse(c, out, refusal)
 		return
 	}
 	r.mu.Lock()
@@ -257,7 +257,8 @@
 	x.finish(ctx)
 }
 
-func (r *Relay) refuse(c *Call, out ResponseWriter, e *fault.Error) {
+// Refuse logs and counts the refusal of a call, and writes it.
+func (r *Relay) Refuse(c *Call, out ResponseWriter, e *fault.Error) {
 	r.Metrics.Refusals(e.Kind).Inc(1)
 	age, known := r.State.ConfirmationAge(freshness.Configuration)
 	version := int64(0)
