node: a confirmation's age is rounded up when it is passed on

What was wrong: daemons tell each other how long ago the configuration and the servers were confirmed, in whole milliseconds, rounded down. At each hop a confirmation could appear up to 1 ms younger than it is, and daemons that no longer reach the store passed it on among each other. An age that decides whether a request may be denied, or a key accepted, must not do that.

Evidence: TestConfirmationDoesNotGrowYoungerOnItsWay failed before ("confirmed 1.5ms ago, 1ms at hop 0").

Change: rounded up.

--- a/internal/node/denials_test.go
+++ b/internal/node/denials_test.go
@@ -14,6 +14,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/feedtest"
+	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 )
 
@@ -109,3 +110,22 @@
 		})
 	})
 }
+
+// Guards against a configuration that appears younger with each daemon that passes its confirmation on,
+// so that daemons without the store confirm each other.
+func TestConfirmationDoesNotGrowYoungerOnItsWay(t *testing.T) {
+	for _, age := range []time.Duration{0, time.Microsecond, time.Millisecond, 1500 * time.Microsecond, 2*time.Millisecond - 1} {
+		from, now := newTestNode(t)
+		from.loadTestState()
+		*now += age
+		for hop := range 5 {
+			to, toNow := newTestNode(t)
+			*toNow = *now
+			to.applyPeerConfirmations(from.buildMessage(false), *now)
+			if got, known := to.state.ConfirmationAge(freshness.Configuration); !known || got < age {
+				t.Errorf("confirmed %s ago, %s at hop %d", age, got, hop)
+			}
+			from = to
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -267,13 +267,14 @@
 	return message
 }
 
-// confirmationAges returns the age of each subject's newest confirmation in milliseconds.
+// confirmationAges returns the age of each subject's newest confirmation in milliseconds, rounded up,
+// so that a confirmation does not appear younger to the daemons that it is passed on to.
 func (n *Node) confirmationAges() []int64 {
 	out := make([]int64, freshness.Subjects)
 	for subject := range freshness.Subjects {
 		out[subject] = gossip.AgeUnknown
 		if age, known := n.state.ConfirmationAge(subject); known {
-			out[subject] = age.Milliseconds()
+			out[subject] = (age + time.Millisecond - 1).Milliseconds()
 		}
 	}
 	return out
