--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -130,11 +130,7 @@
 	if !ok || key == "" {
 		return "", fault.New(fault.Unauthorized, "send the API key as a bearer token")
 	}
-	name, _, ok := a.daemon.Config().WorkspaceByKey(key)
-	if !ok {
-		return "", fault.New(fault.Unauthorized, "no workspace has this API key")
-	}
-	return name, nil
+	return a.daemon.Authenticate(key)
 }
 
 // readBody reads the request body, which may have at most max_body_bytes.
@@ -142,7 +138,7 @@
 	limit := a.daemon.Settings().MaxBodyBytes
 	data, err := io.ReadAll(io.LimitReader(c.Request().Body, limit+1))
 	if err != nil {
-		return nil, fault.New(fault.BadRequest, "the body could not be read").WithCause(err)
+		return nil, fault.BodyError(err)
 	}
 	if int64(len(data)) > limit {
 		return nil, fault.New(fault.TooLarge, "the body exceeds %d bytes", limit)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,6 +183,7 @@
 	n := &Node{config: config, deps: deps, log: deps.Logger, topics: deps.Codec.Topics(), checkPlan: newCheckPlan(config.ConfigPropagationLimit, config.ServerDrainLimit), invalidEntries: invalidEntries{}, startedAt: deps.BootTime(), storedHolds: newStoredHolds(), unlistedEvacuations: map[string]bool{}}
 	n.incarnation = config.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
 	n.state = relay.NewState(config.Name, config.FailureDomain, deps.BootTime)
+	config.RelayOptions.ConfigPropagationLimit = config.ConfigPropagationLimit
 	n.Relay = relay.New(n.state, deps.Backend, config.RelayOptions, deps.Metrics, deps.Logger)
 	n.peerClient = peer.NewClient(config.Name, "", nil)
 	var peers gossip.Transport = gossip.PeerTransport{Client: n.peerClient}
@@ -272,13 +273,14 @@
 	return message
 }
 
-// confirmationAges returns the age of each subject's newest confirmation in milliseconds.
+// confirmationAges returns the age of each subject's newest confirmation in milliseconds, rounded up,
+// so that a confirmation does not appear younger to the daemons that it is passed on to.
 func (n *Node) confirmationAges() []int64 {
 	out := make([]int64, freshness.Subjects)
 	for subject := range freshness.Subjects {
 		out[subject] = gossip.AgeUnknown
 		if age, known := n.state.ConfirmationAge(subject); known {
-			out[subject] = age.Milliseconds()
+			out[subject] = (age + time.Millisecond - 1).Milliseconds()
 		}
 	}
 	return out
