containment: a request sent after a crash is no suspect of it

Cause: a daemon that hears of a crash for the first time adds its own attempts at that server. An attempt that was running counted, whenever it had begun.

Change: an attempt has the time when it began, and is a suspect of a crash only if that is not after it. The time of a crash that a peer tells can only be late by the way (ages are truncated, latency adds), so that no attempt that was there is left out.

The test in containment failed before ("suspected of 1 crashes, want 0").

--- a/internal/containment/attempts.go
+++ b/internal/containment/attempts.go
@@ -46,6 +46,7 @@
 	// forwarded reports whether any part of the response was forwarded to the caller.
 	forwarded bool
 	outcome   Outcome
+	startedAt time.Time
 	// endedAt is when the send ended; zero while it is running.
 	endedAt time.Time
 }
@@ -105,7 +106,7 @@
 		s.terminated, s.probed = false, nil
 	}
 	s.list = pruneAttempts(s.list, now)
-	out := &Attempt{server: server, identity: id, cancel: cancel}
+	out := &Attempt{server: server, identity: id, cancel: cancel, startedAt: now}
 	s.list = append(s.list, out)
 	return out
 }
@@ -215,7 +216,8 @@
 		return nil
 	}
 	for _, a := range s.list {
-		if a.mayHaveCrashed(at, lossWindow) {
+		// Sends to a server that has terminated already go on until they are refused.
+		if !a.startedAt.After(at) && a.mayHaveCrashed(at, lossWindow) {
 			out = append(out, a)
 		}
 	}
--- a/internal/containment/guard_test.go
+++ b/internal/containment/guard_test.go
@@ -109,3 +109,22 @@
 		}
 	})
 }
+
+// Guards against suspecting a request of a crash that a peer reports and that was before it was sent.
+func TestRequestSentAfterCrashIsNotSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture()
+		s := Server{ID: "e", Address: "a"}
+		const before, after = 2, 3
+		fx.Begin(s, quarantine.Identity{Request: before}, func(error) {})
+		time.Sleep(300 * time.Millisecond)
+		fx.Begin(s, quarantine.Identity{Request: after}, func(error) {})
+		time.Sleep(time.Millisecond)
+		fx.Merge(quarantine.Update{Crashes: []quarantine.Crash{{Incarnation: IncarnationKey(s.ID), AgeMs: 200, Suspects: []quarantine.Fingerprint{1}}}})
+		for f, want := range map[quarantine.Fingerprint]int{before: 1, after: 0} {
+			if crashes := fx.status(f).Crashes; crashes != want {
+				t.Errorf("request %s is suspected of %d crashes, want %d", f, crashes, want)
+			}
+		}
+	})
+}
