known red: a request that all callers send alike is held with a deadly one

Traced: in the soak all streams that end no server have one fingerprint. In virtual time, 12 callers that send one harmless request from the moment when the deadly one begins: no answer comes before the crashes, both are at the same ones, and both are held for an hour, since a held request cannot be answered.

--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -63,7 +63,10 @@
 	crashingRequests int
 	// backgroundClients is the number of clients that send background requests concurrently.
 	backgroundClients int
-	seed              uint64
+	// sharedBackground makes all background requests alike, and crashing ones come before any of them
+	// has succeeded.
+	sharedBackground bool
+	seed             uint64
 	// midway is called in the middle of the scenario. Sends before the returned time are not
 	// counted as late, since daemons have just restarted.
 	midway func(f *fleet) (excusedUntil time.Time)
@@ -78,6 +81,9 @@
 	settleTime time.Duration
 	// answered, refused and quarantined count the background requests by outcome.
 	answered, refused, quarantined int
+	// lastQuarantined is the time from the start of the scenario to the last hold of a background
+	// request.
+	lastQuarantined time.Duration
 	// refusalKinds counts the refusals of crashing requests by kind.
 	refusalKinds map[fault.Kind]int
 }
@@ -114,7 +120,9 @@
 		for i := range p.backgroundClients {
 			wg.Go(func() { p.sendBackground(ctx, f, i, &mu, &out) })
 		}
-		time.Sleep(time.Second)
+		if !p.sharedBackground {
+			time.Sleep(time.Second)
+		}
 		var callers sync.WaitGroup
 		for which := range max(1, p.crashingRequests) {
 			callers.Go(func() { p.sendCrashing(f, which, &mu, &out) })
@@ -156,14 +164,20 @@
 // sendBackground sends harmless requests in sequence until the context ends.
 func (p crashScenario) sendBackground(ctx context.Context, f *fleet, caller int, mu *sync.Mutex, out *crashResult) {
 	rng := rand.New(rand.NewPCG(p.seed, uint64(caller)+1))
+	start := time.Now()
 	for i := 0; ctx.Err() == nil; i++ {
 		name := fmt.Sprint("h", caller, ".", i)
+		body := name
+		if p.sharedBackground {
+			body = fmt.Sprint("shared ", p.seed)
+		}
 		for range 3 { // two retries
-			response := f.send(rng.IntN(p.daemons), name, name)
+			response := f.send(rng.IntN(p.daemons), name, body)
 			mu.Lock()
 			switch {
 			case response.refusal != nil && response.refusal.Kind == "quarantined":
 				out.quarantined++
+				out.lastQuarantined = max(out.lastQuarantined, time.Since(start))
 			case response.refusal != nil || response.cut:
 				out.refused++
 			default:
@@ -268,6 +282,26 @@
 	}
 }
 
+// maxFalseHold is the time within which a harmless request that was held with a crashing one must be
+// served again.
+const maxFalseHold = 5 * time.Second
+
+// Guards against holding for long a harmless request that all callers send and that has not succeeded
+// before it runs on the servers that a crashing one crashes.
+func TestSharedRequestIsNotHeldForLong(t *testing.T) {
+	for _, daemons := range []int{3, 6} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			for seed := range uint64(10) {
+				r := crashScenario{daemons: daemons, servers: 6, backgroundClients: 12, sharedBackground: true, seed: seed + 1}.run(t)
+				t.Logf("seed %d: %+v", seed+1, r)
+				if r.lastQuarantined > maxFalseHold || r.lateSends > maxLateSends {
+					t.Errorf("seed %d: a harmless request was held until %s, %d late sends", seed+1, r.lastQuarantined, r.lateSends)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a hold that spreads slowly from the one daemon that detected it.
 func TestHoldReachesEveryDaemon(t *testing.T) {
 	for _, daemons := range fleetSizes() {
