feed: a daemon that starts does not read a page of a large topic

What callers saw: after all daemons had been killed, configuration_stale and nothing else: of the store's answers 1,617 to log-newest and 719 to log-read were 503.

Cause: a daemon that starts finds that the topic of servers is large by reading its first page, 500 entries, and then waits for other daemons to send it all of them. 985 such pages are some 250 MB, three times what the configuration takes, and three seconds of the store's rate for reads. Nobody gets its configuration meanwhile, reads are given up after 0.9 s and asked for again.

Change: it asks for the end of the topic, which is a short answer, and counts the topic as large from an offset of 500 on. An old topic of few servers then counts as large, too: its daemons start with the entries of their peers, or a second later if all start at once.

The test fails without the change from 60 daemons on. The store for tests in virtual time counts each page.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -57,6 +57,8 @@
 	// FetchSnapshot fetches all records of the topic from another reader. It is used for a
 	// large topic while ReadsLog returns false. If nil, the log is read.
 	FetchSnapshot func(ctx context.Context, topic string) (Tail, error)
+	// MayBeLarge reports that the topic may have more records than one call returns.
+	MayBeLarge bool
 	// IsDesignatedReader reports whether this follower always reads the log, on behalf of
 	// others too; nil means yes. MaxStandbyBackoff is the maximum backoff of one that
 	// does not.
--- a/internal/feed/snapshot.go
+++ b/internal/feed/snapshot.go
@@ -15,11 +15,16 @@
 	// maxSnapshotWait is how long a follower waits for another reader to have a large topic
 	// before it reads the log.
 	maxSnapshotWait = 6 * time.Second
+	// largeTopicEnd is the offset of the end from which a topic counts as large before it is read.
+	largeTopicEnd = 500
 )
 
 // loadSnapshot loads the newest record of each key.
 func (f *Follower) loadSnapshot(ctx context.Context, sentAt time.Duration) error {
 	started := time.Now()
+	if large, err := f.isLarge(ctx); err != nil || large && f.awaitSnapshot(ctx, started) {
+		return err
+	}
 	readsAll := func() bool { return f.FetchSnapshot == nil || f.ReadsLog() }
 	for {
 		records, next, err := f.readNewest(ctx, readsAll)
@@ -43,6 +48,23 @@
 	}
 }
 
+// isLarge reports whether the topic is so large that others than designated readers fetch it from
+// them. It costs a call with a short answer; a page of a large topic for each daemon that starts would
+// saturate the log.
+func (f *Follower) isLarge(ctx context.Context) (bool, error) {
+	if !f.MayBeLarge || f.FetchSnapshot == nil || f.ReadsLog() {
+		return false, nil
+	}
+	ctx, done := f.beginRead(ctx, 0)
+	defer done()
+	end, err := f.Log.End(ctx, f.Topic)
+	if err != nil {
+		return false, wrapCause(ctx, err)
+	}
+	f.recordSuccess()
+	return end.Offset() > largeTopicEnd, nil
+}
+
 // readNewest reads the newest record of each key from the log.
 func (f *Follower) readNewest(ctx context.Context, more func() bool) ([]Record, Position, error) {
 	ctx, done := f.beginRead(ctx, 0)
--- a/internal/feedtest/store.go
+++ b/internal/feedtest/store.go
@@ -352,16 +352,21 @@
 			out = append(out, r)
 		}
 	}
-	for left := len(out) - newestPageSize; left > 0; left -= newestPageSize {
-		progress()
+	for left := out; ; {
+		page := left[:min(newestPageSize, len(left))]
+		if err := c.answer(ctx, page, progress); err != nil {
+			return nil, 0, err
+		}
+		if left = left[len(page):]; len(left) == 0 {
+			return out, end, nil
+		}
 		if !more() {
-			return nil, 0, errors.Join(feed.ErrPartial, c.respond(ctx))
+			return nil, 0, feed.ErrPartial
 		}
 		if err := c.startCall(ctx, CallNewest, topicName); err != nil {
 			return nil, 0, err
 		}
 	}
-	return out, end, c.answer(ctx, out, progress)
 }
 
 // Read implements feed.Log.
--- a/internal/node/config_storm_test.go
+++ b/internal/node/config_storm_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,3 +159,43 @@
 		f.t.Errorf("a configuration was not confirmed for %s, limit %s", worstAge, f.limit)
 	}
 }
+
+// Guards against a simultaneous start in which every daemon reads entries of servers from the store that
+// it gets from others anyway, so that nobody gets its configuration in time.
+func TestSimultaneousStartReadsFewBytes(t *testing.T) {
+	const (
+		serversPerDaemon = 10
+		entryBytes       = 500
+		// catchUpLimit is the time in which all daemons must be able to serve.
+		catchUpLimit = 6 * time.Second
+	)
+	for _, daemons := range scaleSizes() {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newStoppedFleet(t, daemons, []string{address(0), address(1), address(2)})
+				f.refuseStopped = true
+				f.store.SetReadRate(float64(max(daemons, minSendAll)) * configBytes / sendAllTime.Seconds())
+				f.store.Put("op", "config", configValue(6))
+				servers := serversPerDaemon * max(daemons, minSendAll)
+				entry := []byte("ready" + strings.Repeat(" ", entryBytes))
+				for i := range servers {
+					f.store.Put("servers", fmt.Sprint("s", i), entry)
+				}
+				for i := daemons - 1; i >= 0; i-- {
+					f.start(i)
+					time.Sleep(startWindow / time.Duration(daemons))
+				}
+				took := waitFor(t, catchUpLimit, "all daemons can serve", func() bool {
+					return f.count(func(m *member) bool {
+						return m.state.Ready() && m.state.ConfirmedWithin(freshness.Configuration, f.limit)
+					}) == daemons
+				})
+				read, allowed := f.store.BytesRead(), int64(2*daemons*configBytes+2*readersFor(daemons)*servers*entryBytes)
+				t.Logf("%s, %d bytes read of the store, %d allowed", took, read, allowed)
+				if read > allowed {
+					t.Errorf("%d bytes read of the store, more than %d", read, allowed)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -28,7 +28,8 @@
 
 func (fakeCodec) Topics() Topics { return Topics{"op", "servers", "status", "daemons"} }
 
-// DecodeOperator reads "VERSION PATH...": a version and the path prefixes that lead to service s.
+// DecodeOperator reads "VERSION WORD...": a version and the path prefixes that lead to service s. Words
+// that do not begin with a slash are padding.
 func (fakeCodec) DecodeOperator(r feed.Record) (OperatorRecord, error) {
 	var version int64
 	if _, err := fmt.Sscan(string(r.Value), &version); err != nil {
@@ -36,6 +37,9 @@
 	}
 	d := route.Document{Version: version, Services: []route.Service{{Name: "s", MaxConnections: 1 << 20}}}
 	for _, prefix := range strings.Fields(string(r.Value))[1:] {
+		if prefix[0] != '/' {
+			continue
+		}
 		d.Routes = append(d.Routes, route.Route{Name: prefix, Host: "h", PathPrefix: prefix, Kind: route.Idempotent, MaxAttempts: 2, Timeout: time.Second, Backends: []route.Backend{{Service: "s", Weight: 1}}})
 	}
 	t, err := route.NewTable(d)
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -41,6 +41,7 @@
 	n.operatorFollower = add(freshness.Configuration, n.topics.Operator, readWait, 0, n.applyOperatorRecords)
 	n.operatorFollower.NewestSuffices = true
 	servers := add(freshness.Servers, n.topics.Servers, readWait, entryBatchDelay, n.applyServerRecords)
+	servers.MayBeLarge = true
 	n.statusFollower = add(freshness.Rollouts, n.topics.Status, slowReadWait, 0, n.applyStatusRecords)
 	n.daemonFollower = add(freshness.Daemons, n.topics.Daemons, slowReadWait, entryBatchDelay, n.applyDaemonRecords)
 	for _, f := range n.followers[1:] {
