feed: a probe of the end neither sends every daemon to the store nor cuts reads that are answered

Cause: from 0.6 of the limit on, every daemon probes the end of the topic. A probe that found more sent its daemon to the store after 50 ms, out of turn, and gave up any unanswered read that was older than itself, also one that waited in the store's queue, four times a second: what was given up was asked for again (TestProbeDoesNotSkipMaxLag and TestProbeDoesNotAbandonReadThatCanBeAnswered failed).

Change: a probe reports how far the topic reaches, and the lag decides who reads, in the order of ranks. It gives up a read only if that was sent longer ago than a response may take: a read that waits for a change on a dead connection, as before.

--- a/internal/feed/probe.go
+++ b/internal/feed/probe.go
@@ -43,17 +43,15 @@
 }
 
 // abandonStaleRead abandons a read that began before a probe of the end and has not caught
-// up with it since.
+// up with it since. A read that was sent lately continues: its response may be queued in the log, and
+// would be again. CheckLag decides when a follower of peers reads the log.
 func (f *Follower) abandonStaleRead(probedAt time.Time, end Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.Next() >= end {
+	read := f.currentRead
+	if f.Next() >= end || read == nil || read.responding || probedAt.Sub(read.startedAt) < responseTimeout {
 		return
 	}
-	f.mustReadLog.Store(true)
-	if f.currentRead == nil || f.currentRead.responding || f.currentRead.startedAt.After(probedAt) {
-		return
-	}
-	f.Logger.Warn("read stalled, restarting it", "topic", f.Topic, "next", f.Next(), "end", end, "waited_ms", probedAt.Sub(f.currentRead.startedAt).Milliseconds())
-	f.currentRead.cancel(errReadAbandoned)
+	f.Logger.Warn("read stalled, restarting it", "topic", f.Topic, "next", f.Next(), "end", end, "waited_ms", probedAt.Sub(read.startedAt).Milliseconds())
+	read.cancel(errReadAbandoned)
 }
