relay: a daemon that starts serves once its configuration was confirmed lately

Found in review: a daemon that starts takes the records and the confirmation of a peer.

Change: a configuration counts as usable from the first confirmation on that is younger than the time in which a change must be in force. What a daemon that has been current once serves by is as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,6 +184,7 @@
 	n.incarnation = config.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
 	n.state = relay.NewState(config.Name, config.FailureDomain, deps.BootTime)
 	config.RelayOptions.ConfigPropagationLimit = config.ConfigPropagationLimit
+	n.state.SetMaxFirstAge(config.ConfigPropagationLimit)
 	n.Relay = relay.New(n.state, deps.Backend, config.RelayOptions, deps.Metrics, deps.Logger)
 	n.peerClient = peer.NewClient(config.Name, "", nil)
 	var peers gossip.Transport = gossip.PeerTransport{Client: n.peerClient}
--- a/internal/relay/denials_test.go
+++ b/internal/relay/denials_test.go
@@ -107,15 +107,23 @@
 }
 
 // Guards against a configuration in force that was taken over from another daemon and that nobody
-// has confirmed.
+// has confirmed lately.
 func TestUnconfirmedConfigurationNeitherDeniesNorServes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newDenialHarness(t)
-		h.relay.State.confirmations = freshness.Tracker{}
-		for name, call := range denialCalls {
-			if kind, _ := h.outcome(call); kind != fault.ConfigurationStale {
-				t.Errorf("%s: %q", name, kind)
+		h.relay.State.SetMaxFirstAge(denialLimit)
+		h.relay.State.confirmations, h.relay.State.configurationCurrent = freshness.Tracker{}, false
+		h.clock.now += time.Hour
+		for _, age := range []time.Duration{time.Minute, denialLimit} {
+			for name, call := range denialCalls {
+				if kind, _ := h.outcome(call); kind != fault.ConfigurationStale {
+					t.Errorf("%s: %q", name, kind)
+				}
 			}
+			h.relay.State.Confirm(freshness.Configuration, freshness.Confirmation{At: h.clock.now - age, Source: "d2"})
+		}
+		if kind, _ := h.outcome(denialCalls["allowed"]); kind != fault.ConfigurationStale {
+			t.Errorf("confirmed %s ago: %q", denialLimit, kind)
 		}
 		h.relay.State.Confirm(freshness.Configuration, freshness.Confirmation{At: h.clock.now, Source: "d2"})
 		for name, call := range denialCalls {
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -28,6 +28,11 @@
 	confirmations freshness.Tracker
 	registry      *backend.Registry
 	serversLoaded bool
+	// maxFirstAge is the greatest age of a confirmation that makes the configuration of a daemon that
+	// has just started usable; zero means any.
+	maxFirstAge time.Duration
+	// configurationCurrent reports that the configuration was confirmed as recently as that once.
+	configurationCurrent bool
 	// usable is closed when Usable becomes true.
 	usable         chan struct{}
 	usableSignaled bool
@@ -126,10 +131,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	gap = s.confirmations.Confirm(subject, c)
+	if subject == freshness.Configuration && (s.maxFirstAge == 0 || s.bootTime()-c.At < s.maxFirstAge) {
+		s.configurationCurrent = true
+	}
 	s.signalUsable()
 	return gap
 }
 
+// SetMaxFirstAge sets the greatest age of a confirmation that makes the configuration of a daemon that
+// has just started usable.
+func (s *State) SetMaxFirstAge(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxFirstAge = age
+}
+
 // ConfirmedWithin reports whether a subject was confirmed within a limit.
 func (s *State) ConfirmedWithin(subject freshness.Subject, limit time.Duration) bool {
 	now := s.bootTime()
@@ -172,8 +188,8 @@
 	return loaded && s.Table() != nil
 }
 
-// Usable reports whether the state may decide requests: it is loaded, and its configuration has been
-// confirmed at least once. Records that another daemon passed on may lack any number of changes.
+// Usable reports whether the state may decide requests: it is loaded, and its configuration was
+// current at least once. Records that another daemon passed on may lack any number of changes.
 func (s *State) Usable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -182,8 +198,7 @@
 
 // usableLocked implements Usable. Callers hold mu.
 func (s *State) usableLocked() bool {
-	_, confirmed := s.confirmations.Newest(freshness.Configuration)
-	return confirmed && s.serversLoaded && s.Table() != nil
+	return s.configurationCurrent && s.serversLoaded && s.Table() != nil
 }
 
 // signalUsable closes usable once the state may decide requests. Callers hold mu.
