gossip: daemons that ask for the same long record at once share one compression

Found in review: looking a packed record up, compressing it and keeping it were not one step, so that daemons that asked at the same moment each cost a compression, and the copies pushed other kept records out while their parts were being asked for (TestConcurrentRequestsShareOnePack failed).

Change: they are one step.

--- a/internal/gossip/packcache.go
+++ b/internal/gossip/packcache.go
@@ -29,9 +29,13 @@
 	data []byte
 }
 
-// pack returns the packed form of records, or nil if they cannot be packed.
+// pack returns the packed form of records, or nil if they cannot be packed. It compresses one response
+// at a time, so that daemons that ask for the same records at the same moment do not each cost a
+// compression.
 func (c *packCache) pack(topic string, tail feed.Tail) *pack {
 	id := packID(topic, tail.Records)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if p := c.find(id); p != nil {
 		return p
 	}
@@ -49,7 +53,9 @@
 // part returns the part of a packed response from an offset on, or an empty response if it is not
 // kept any more.
 func (c *packCache) part(id uint64, offset int) RecordsResponse {
+	c.mu.Lock()
 	p := c.find(id)
+	c.mu.Unlock()
 	if p == nil || offset < 0 || offset >= len(p.data) {
 		return RecordsResponse{}
 	}
@@ -57,10 +63,8 @@
 	return RecordsResponse{Packed: p.data[offset:end:end], PartOf: id, Size: len(p.data)}
 }
 
-// find returns a kept response and marks it as used.
+// find returns a kept response and marks it as used. Callers hold mu.
 func (c *packCache) find(id uint64) *pack {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	i := slices.IndexFunc(c.packs, func(p *pack) bool { return p.id == id })
 	if i < 0 {
 		return nil
@@ -70,9 +74,8 @@
 	return p
 }
 
+// add keeps a response. Callers hold mu.
 func (c *packCache) add(p *pack) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if len(c.packs) == maxCachedPacks {
 		c.packs = slices.Delete(c.packs, 0, 1)
 	}
--- a/internal/gossip/parts_test.go
+++ b/internal/gossip/parts_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -134,3 +135,18 @@
 		t.Errorf("%d transfers admitted after abandoned ones, want %d", admittedLater, maxTransfers-1)
 	}
 }
+
+// Guards against compressing the same long record once for each daemon that asks for it at the same
+// moment, which also pushes the other kept ones out.
+func TestConcurrentRequestsShareOnePack(t *testing.T) {
+	server := newRecordServer(longRecord())
+	request := RecordsRequest{Topic: "op", AcceptsPacked: true, AcceptsParts: true}
+	var wg sync.WaitGroup
+	for range 4 * maxCachedPacks {
+		wg.Go(func() { server.Handle(request) })
+	}
+	wg.Wait()
+	if n := len(server.packed.packs); n != 1 {
+		t.Errorf("%d packed responses are kept", n)
+	}
+}
