--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -269,14 +269,7 @@
 	if !f.loaded.Load() {
 		return f.loadSnapshot(ctx, sentAt)
 	}
-	wait := f.MaxWait
-	if f.skipWait {
-		wait = 0
-	}
 	if f.unavailable.Load() {
-		// A waiting read would not reveal the recovery until a change or the end of the
-		// wait.
-		wait = 0
 		f.logRetry()
 		if current, err := f.observeEnd(ctx); err != nil || current {
 			f.confirmIf(current, sentAt)
@@ -286,7 +279,7 @@
 	if target := f.distantEnd(); target != 0 {
 		return f.skipTo(ctx, target, sentAt)
 	}
-	records, end, err := f.read(ctx, wait)
+	records, end, err := f.read(ctx, f.readWait())
 	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrEraChanged) {
 		f.Logger.Warn("loading the newest record of each key", "topic", f.Topic, "next", f.Next(), "why", err)
 		f.loaded.Store(false)
@@ -295,10 +288,25 @@
 	if err != nil {
 		return err
 	}
+	f.applyRead(records, end, sentAt)
+	return nil
+}
+
+// readWait returns how long the next read waits for a record. After a failure, a waiting read would not
+// reveal the recovery until a change or the end of the wait.
+func (f *Follower) readWait() time.Duration {
+	if f.skipWait || f.unavailable.Load() {
+		return 0
+	}
+	return f.MaxWait
+}
+
+// applyRead applies the result of a read that was sent at a time.
+func (f *Follower) applyRead(records []Record, end Position, sentAt time.Duration) {
 	if end < f.Next() {
 		f.Logger.Error("topic ends before the last read position, loading it again", "topic", f.Topic, "next", f.Next(), "end", end)
 		f.loaded.Store(false)
-		return nil
+		return
 	}
 	f.recordSuccess()
 	if len(records) > 0 {
@@ -307,7 +315,6 @@
 	if f.Next() >= end {
 		f.OnConfirmed(sentAt)
 	}
-	return nil
 }
 
 // maxTailRecords is the number of records up to which a follower reads all that it lacks, if the
--- a/internal/node/refused_test.go
+++ b/internal/node/refused_test.go
@@ -44,8 +44,8 @@
 	})
 }
 
-// Guards against frequent calls to the store by a daemon that it refuses, for a record too long to
-// fetch from peers.
+// Guards against frequent calls to the store by a daemon that it refuses, for a long record that its
+// peers have.
 func TestRefusedDaemonRetriesLongRecordSlowly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const daemons = 12
