serverlimit: reports of a server are ordered by a sequence, not by their ages

Seen: TestStatedLimitsReachAllDaemons failed in 5 of 150 runs, "60 daemons: the end is applied: timed out after 1.5s": the statement of a limit came back after its end.

Cause: reports were ordered by the time that each receiver computes from the age in the report. The age leaves out the time in the network and a part of a millisecond, so that each hop makes a report look later. A statement that passed more hops than the end that follows it looks later than that end, or of the same time, and then holds.

Change: a report bears a sequence, which is passed on unchanged. That of a statement is one more than the last that its observer knew; an end bears that of the statement that it ends and is after it; of several rates with the same sequence the lowest holds. Observers that did not know of each other: one that gets a report which contradicts its own, later observation repeats that with a later sequence, once for each observation. A report two seconds later than what is known holds in any order, as that of a daemon that has just started (TestLaterNeedIsNoObjection). An objection now comes from a daemon that got the later statement itself, no more from one that heard of it.

Tests: TestInvalidReportsAreIgnored names the new field in its literals, and has a sequence that is too large.

--- a/internal/serverlimit/report.go
+++ b/internal/serverlimit/report.go
@@ -16,9 +16,9 @@
 	// sendsPerStaleReport is the number of messages in which a daemon reports a limit without
 	// recent reports of others. A daemon that has a later observation responds with it.
 	sendsPerStaleReport = 2
-	// minAdvance is the least time by which a report of the same rate must be newer to count.
-	// Network delay makes each repetition of a report look newer, and could make a statement
-	// look later than the end that followed it.
+	// minAdvance is the least time by which a report of the same rate without a sequence, or one
+	// of an earlier order, must be newer to count. Network delay makes each repetition of a report
+	// look newer, and could make a statement look later than the end that followed it.
 	minAdvance = 2 * time.Second
 	// maxUpdates is the maximum number of reports in a message, maxInitialUpdates that in a
 	// message to a daemon that just joined.
@@ -38,10 +38,13 @@
 	// AgeMs is the time since the rate was stated, or since the successive responses without
 	// one began.
 	AgeMs int64 `cbor:"3,keyasint,omitempty"`
+	// Sequence orders the reports of a server, see order; zero in those of a daemon that knows
+	// none.
+	Sequence uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 func (u Update) valid() bool {
-	return u.AgeMs >= 0 && u.AgeMs <= maxAge.Milliseconds() && u.PerSecond >= 0 && u.PerSecond <= maxRate
+	return u.Sequence <= maxSequence && u.AgeMs >= 0 && u.AgeMs <= maxAge.Milliseconds() && u.PerSecond >= 0 && u.PerSecond <= maxRate
 }
 
 // announcement is the state of reporting an entry to other daemons.
@@ -52,13 +55,17 @@
 	sendsLeft   int
 }
 
-// asOf orders the reports of an entry: a statement by its time, an end by the start of the
-// responses that showed it.
-func (e *entry) asOf() time.Duration { return max(e.statedAt, e.endedSince) }
+// asOf is the time of a statement, or of an end the start of the responses that showed it.
+func (e *entry) asOf() time.Duration {
+	if e.ended {
+		return e.endedSince
+	}
+	return e.statedAt
+}
 
 // reportedRate returns the rate to report, or zero for a limit that has ended.
 func (e *entry) reportedRate() float64 {
-	if e.ended() {
+	if e.ended {
 		return 0
 	}
 	return e.perSecond
@@ -122,13 +129,15 @@
 	case e == nil:
 		e = newEntry(now)
 		t.entries[u.Server] = e
-	case u.PerSecond == e.reportedRate() && asOf-e.asOf() < minAdvance:
-		return false
 	case !u.supersedes(e, asOf):
-		if outdated := (u.PerSecond == 0) != e.ended(); outdated && e.sendsLeft == 0 {
+		if outdated := (u.PerSecond == 0) != e.ended; outdated && e.sendsLeft == 0 {
 			t.announceUrgent(u.Server, e, now)
 		}
 		return false
+	case e.contradicts(u, asOf):
+		e.repeatAfter(u)
+		t.announceUrgent(u.Server, e, now)
+		return false
 	}
 	changed = u.PerSecond != e.reportedRate()
 	if (u.PerSecond == 0) != (e.reportedRate() == 0) {
@@ -136,6 +145,12 @@
 	} else {
 		t.announce(u.Server, e, now)
 	}
+	e.sequence = e.sequenceOf(u)
+	if changed {
+		e.evidence = evidence{observedAt: never}
+	} else {
+		asOf = max(asOf, e.asOf())
+	}
 	if u.PerSecond == 0 {
 		e.end(asOf, now, false)
 	} else {
@@ -144,15 +159,6 @@
 	return changed
 }
 
-// supersedes reports whether a report holds rather than what is known. A statement holds over an end
-// of the same time, so that all daemons decide alike.
-func (u Update) supersedes(e *entry, asOf time.Duration) bool {
-	if asOf == e.asOf() {
-		return u.PerSecond > 0 && e.ended()
-	}
-	return asOf > e.asOf()
-}
-
 // Updates returns the reports for a message to another daemon, those sent least first, or all
 // rates for a daemon that just joined.
 func (t *Table) Updates(recentlyJoined bool, now time.Duration) []Update {
@@ -176,7 +182,7 @@
 // initialReports returns the limited servers for a daemon that just joined.
 func (t *Table) initialReports() (servers []uint64) {
 	for server, e := range t.entries {
-		if !e.ended() && len(servers) < maxInitialUpdates {
+		if !e.ended && len(servers) < maxInitialUpdates {
 			servers = append(servers, server)
 		}
 	}
@@ -187,7 +193,7 @@
 	out := make([]Update, len(servers))
 	for i, server := range servers {
 		e := t.entries[server]
-		out[i] = Update{Server: server, PerSecond: e.reportedRate(), AgeMs: min(now-e.asOf(), maxAge).Milliseconds()}
+		out[i] = Update{Server: server, PerSecond: e.reportedRate(), AgeMs: min(now-e.asOf(), maxAge).Milliseconds(), Sequence: e.sequence}
 	}
 	return out
 }
--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -189,7 +189,7 @@
 // Guards against reports that are applied although their content is impossible.
 func TestInvalidReportsAreIgnored(t *testing.T) {
 	table := NewTable()
-	updates := []Update{{1, -1, 0}, {2, 1, -1}, {3, 2 * maxRate, 0}, {4, 1, math.MaxInt64}, {5, math.NaN(), 0}, {6, 0, 0}}
+	updates := []Update{{1, -1, 0, 0}, {2, 1, -1, 0}, {3, 2 * maxRate, 0, 0}, {4, 1, math.MaxInt64, 0}, {5, math.NaN(), 0, 0}, {6, 0, 0, 0}, {7, 1, 0, maxSequence + 1}}
 	if changes := table.Merge(updates, time.Second); len(changes) != 0 || table.Limited(time.Second) != 0 {
 		t.Errorf("%d changes, %d limited servers", len(changes), table.Limited(time.Second))
 	}
--- a/internal/serverlimit/table.go
+++ b/internal/serverlimit/table.go
@@ -27,8 +27,10 @@
 	perSecond float64
 	// statedAt is when the rate was last stated, to any daemon.
 	statedAt time.Duration
+	// ended reports whether the limit has ended, although this daemon may not yet apply it.
+	ended bool
 	// endedSince is when the successive responses began that ended a rate, and endsAt when this
-	// daemon applies the end. An end is void if the rate was stated after endedSince.
+	// daemon applies the end.
 	endedSince, endsAt time.Duration
 	// endedHere reports whether responses to this daemon showed the end.
 	endedHere bool
@@ -37,6 +39,9 @@
 	noRunBefore time.Duration
 	// knownAt is when the server was last known to this daemon.
 	knownAt time.Duration
+	// sequence is that of the last report that holds.
+	sequence uint64
+	evidence
 	announcement
 }
 
@@ -44,7 +49,7 @@
 const never = time.Duration(-1 << 62)
 
 func newEntry(now time.Duration) *entry {
-	return &entry{statedAt: never, endedSince: never, noRunBefore: never, knownAt: now}
+	return &entry{statedAt: never, endedSince: never, noRunBefore: never, knownAt: now, evidence: evidence{observedAt: never}}
 }
 
 // unstatedRun describes the successive responses to this daemon that state no limit.
@@ -54,14 +59,11 @@
 	since, lastSentAt time.Duration
 }
 
-// ended reports whether the limit has ended, although this daemon may not yet apply it.
-func (e *entry) ended() bool { return e.endedSince > e.statedAt }
-
-func (e *entry) limited(now time.Duration) bool { return !e.ended() || now < e.endsAt }
+func (e *entry) limited(now time.Duration) bool { return !e.ended || now < e.endsAt }
 
 // stated applies a statement.
 func (e *entry) stated(perSecond float64, at time.Duration) {
-	e.perSecond, e.statedAt, e.endedHere = perSecond, at, false
+	e.perSecond, e.statedAt, e.ended, e.endedHere = perSecond, at, false, false
 	if at >= e.run.since {
 		e.run = unstatedRun{}
 	}
@@ -69,10 +71,10 @@
 
 // end applies the end of the limit.
 func (e *entry) end(since, now time.Duration, here bool) {
-	if !e.ended() {
+	if !e.ended {
 		e.endsAt, e.endedHere = now+objectionPeriod, here
 	}
-	e.endedSince = since
+	e.ended, e.endedSince = true, since
 }
 
 // statedToOthers applies a statement that another daemon reports.
@@ -85,7 +87,7 @@
 
 // inDoubt reports whether the last responses to this daemon leave out the rate, but do not yet show
 // its end.
-func (e *entry) inDoubt() bool { return !e.ended() && e.run.responses > 0 }
+func (e *entry) inDoubt() bool { return !e.ended && e.run.responses > 0 }
 
 // Key returns the key of a server's limit. Name identifies the server across its incarnations.
 func Key(name string) uint64 { return xxhash.Sum64String(name) }
@@ -177,10 +179,14 @@
 	isNew := e.reportedRate() == 0
 	changed = e.perSecond != perSecond || isNew
 	e.stated(perSecond, now)
-	switch {
-	case isNew:
+	e.evidence = evidence{observedAt: now}
+	if !changed && now-e.announcedAt < reannounceInterval {
+		return false
+	}
+	e.sequence++
+	if isNew {
 		t.announceUrgent(server, e, now)
-	case changed || now-e.announcedAt >= reannounceInterval:
+	} else {
 		t.announce(server, e, now)
 	}
 	return changed
@@ -190,7 +196,7 @@
 // older than the statement.
 func (t *Table) observeUnstated(server uint64, sentAt, now time.Duration) (changed bool) {
 	e := t.entries[server]
-	if e == nil || e.ended() || sentAt <= e.statedAt || now < e.noRunBefore {
+	if e == nil || e.ended || sentAt <= e.statedAt || now < e.noRunBefore {
 		return false
 	}
 	switch {
@@ -204,6 +210,7 @@
 		return false
 	}
 	e.end(e.run.since, now, true)
+	e.evidence = evidence{observedAt: e.run.since}
 	t.announceUrgent(server, e, now)
 	return true
 }
@@ -224,7 +231,7 @@
 		case now-e.knownAt > retention:
 			delete(t.entries, server)
 			delete(t.pending, server)
-		case !e.ended() && now-e.statedAt > retention:
+		case !e.ended && now-e.statedAt > retention:
 			t.announceStale(server, e, now)
 		}
 	}
