concurrencylimit: a statement that is passed on does not look later

Found while looking for the cause of the late end of stated limits elsewhere: the age in a report leaves out the time in the network, and a report that looked later than the last one known counted, however little. Daemons that pass a statement on to each other made it later with each hop: with 45 of 50 ms in the network, a daemon whose server's responses had ended the statement was limited again 595 ms after the end.

Change: a report counts if it is 0.5 s later than the last statement known, as it had to be than an end. A statement without a new observation is passed on for 1.5 s and a hop.

--- a/internal/concurrencylimit/report.go
+++ b/internal/concurrencylimit/report.go
@@ -8,8 +8,9 @@
 	reportSpread = 1500 * time.Millisecond
 	// maxReports bounds the reports of rejections in a message.
 	maxReports = 64
-	// minAdvance is the least time by which a report must be newer than what ended a statement. The
-	// time in the network makes reports look newer than they are.
+	// minAdvance is the least time by which a report must be newer than what ended a statement, or
+	// than the last one known. The time in the network makes reports look newer than they are,
+	// also those that come back.
 	minAdvance = 500 * time.Millisecond
 )
 
@@ -60,7 +61,7 @@
 
 func (t *Table) mergeStatement(r Report, at, now time.Duration) (began bool) {
 	s := t.service(r.Service)
-	if at <= max(s.statedAt, s.reportedAt) || at <= s.endedAt+minAdvance {
+	if at <= max(s.statedAt, s.reportedAt, s.endedAt)+minAdvance {
 		return false
 	}
 	began = !t.Limited(r.Service, now)
--- a/internal/concurrencylimit/table_test.go
+++ b/internal/concurrencylimit/table_test.go
@@ -109,3 +109,27 @@
 		t.Errorf("%d entries are left", c.Len())
 	}
 }
+
+// Guards against a statement that daemons keep alive by passing it on to each other, and that
+// outlives its end in this way: each hop leaves out the time in the network.
+func TestPassedOnStatementDoesNotLookLater(t *testing.T) {
+	const transit, gap = 45 * time.Millisecond, 5 * time.Millisecond
+	tables, now := [3]*Table{NewTable(), NewTable(), NewTable()}, start
+	tables[0].ObserveStatement("s", srv, 2, now)
+	tables[1].Merge(tables[0].Reports(now), now)
+	for range responsesToEnd {
+		tables[0].ObserveNoStatement("s", srv, now)
+	}
+	for from := 1; now < start+3*reportSpread; from = 3 - from {
+		reports := tables[from].Reports(now)
+		if now > start+reportSpread+transit+gap && len(reports) > 0 {
+			t.Fatalf("passed on %s after the statement", now-start)
+		}
+		now += transit
+		tables[3-from].Merge(reports, now)
+		if tables[0].Merge(reports, now); tables[0].Limited("s", now) {
+			t.Fatalf("limited %s after the end", now-start)
+		}
+		now += gap
+	}
+}
