concurrencylimit: the report of a rejection that comes back is no other rejection

Found while looking for the cause of the late end of stated limits elsewhere: a report counted as another rejection if it looked 0.3 s later than the last one.

Change: a report counts as another rejection if it is later than the pause of a second after the last one, in which the server gets nothing. One within it still lowers the limit.

Result: TestReportThatComesBackIsNoOtherRejection failed before ("paused 10.045s after the rejection") and passes; concurrencylimit also with -race, and the tests of rejections of internal/node pass.

--- a/internal/concurrencylimit/report.go
+++ b/internal/concurrencylimit/report.go
@@ -69,10 +69,13 @@
 	return began
 }
 
+// mergeRejection takes a report for another rejection if it is later than the pause after the last one,
+// in which the server gets nothing. One within it may be of the same rejection, and look later by
+// the time in the network.
 func (t *Table) mergeRejection(r Report, at time.Duration) (added bool) {
 	s := t.servers[r.Server]
 	switch {
-	case s == nil, at > s.rejectedAt+episode:
+	case s == nil, at > s.rejectedAt+rejectionPause:
 		t.servers[r.Server] = &server{rejectedAt: at, base: max(1, r.Base)}
 		return true
 	case at >= s.rejectedAt-episode && r.Base < s.base:
--- a/internal/concurrencylimit/table_test.go
+++ b/internal/concurrencylimit/table_test.go
@@ -133,3 +133,29 @@
 		now += gap
 	}
 }
+
+// Guards against a rejection that counts as another one when its report comes back late, so that the
+// server never gets a request again.
+func TestReportThatComesBackIsNoOtherRejection(t *testing.T) {
+	const transit, gap = 200 * time.Millisecond, 5 * time.Millisecond
+	tables, now := [2]*Table{NewTable(), NewTable()}, start
+	tables[0].ObserveStatement("s", srv, 2, now)
+	tables[0].ObserveRejection("s", srv, slots, slots, now)
+	for from := 0; now < start+10*time.Second; from = 1 - from {
+		reports := tables[from].Reports(now)
+		now += transit
+		tables[1-from].Merge(reports, now)
+		now += gap
+	}
+	for i, table := range tables {
+		if table.PauseRemaining(srv, now) > 0 {
+			t.Errorf("daemon %d: paused %s after the rejection", i, now-start)
+		}
+	}
+	later := now
+	tables[0].ObserveStatement("s", srv, 2, later)
+	tables[0].ObserveRejection("s", srv, slots, slots, later)
+	if !tables[1].Merge(tables[0].Reports(later), later) || tables[1].PauseRemaining(srv, later) == 0 {
+		t.Error("a later rejection does not count")
+	}
+}
