--- a/internal/concurrencylimit/report.go
+++ b/internal/concurrencylimit/report.go
@@ -8,8 +8,9 @@
 	reportSpread = 1500 * time.Millisecond
 	// maxReports bounds the reports of rejections in a message.
 	maxReports = 64
-	// minAdvance is the least time by which a report must be newer than what ended a statement. The
-	// time in the network makes reports look newer than they are.
+	// minAdvance is the least time by which a report must be newer than what ended a statement, or
+	// than the last one known. The time in the network makes reports look newer than they are,
+	// also those that come back.
 	minAdvance = 500 * time.Millisecond
 )
 
@@ -60,7 +61,7 @@
 
 func (t *Table) mergeStatement(r Report, at, now time.Duration) (began bool) {
 	s := t.service(r.Service)
-	if at <= max(s.statedAt, s.reportedAt) || at <= s.endedAt+minAdvance {
+	if at <= max(s.statedAt, s.reportedAt, s.endedAt)+minAdvance {
 		return false
 	}
 	began = !t.Limited(r.Service, now)
@@ -68,10 +69,13 @@
 	return began
 }
 
+// mergeRejection takes a report for another rejection if it is later than the pause after the last one,
+// in which the server gets nothing. One within it may be of the same rejection, and look later by
+// the time in the network.
 func (t *Table) mergeRejection(r Report, at time.Duration) (added bool) {
 	s := t.servers[r.Server]
 	switch {
-	case s == nil, at > s.rejectedAt+episode:
+	case s == nil, at > s.rejectedAt+rejectionPause:
 		t.servers[r.Server] = &server{rejectedAt: at, base: max(1, r.Base)}
 		return true
 	case at >= s.rejectedAt-episode && r.Base < s.base:
--- a/internal/concurrencylimit/table_test.go
+++ b/internal/concurrencylimit/table_test.go
@@ -109,3 +109,53 @@
 		t.Errorf("%d entries are left", c.Len())
 	}
 }
+
+// Guards against a statement that daemons keep alive by passing it on to each other, and that
+// outlives its end in this way: each hop leaves out the time in the network.
+func TestPassedOnStatementDoesNotLookLater(t *testing.T) {
+	const transit, gap = 45 * time.Millisecond, 5 * time.Millisecond
+	tables, now := [3]*Table{NewTable(), NewTable(), NewTable()}, start
+	tables[0].ObserveStatement("s", srv, 2, now)
+	tables[1].Merge(tables[0].Reports(now), now)
+	for range responsesToEnd {
+		tables[0].ObserveNoStatement("s", srv, now)
+	}
+	for from := 1; now < start+3*reportSpread; from = 3 - from {
+		reports := tables[from].Reports(now)
+		if now > start+reportSpread+transit+gap && len(reports) > 0 {
+			t.Fatalf("passed on %s after the statement", now-start)
+		}
+		now += transit
+		tables[3-from].Merge(reports, now)
+		if tables[0].Merge(reports, now); tables[0].Limited("s", now) {
+			t.Fatalf("limited %s after the end", now-start)
+		}
+		now += gap
+	}
+}
+
+// Guards against a rejection that counts as another one when its report comes back late, so that the
+// server never gets a request again.
+func TestReportThatComesBackIsNoOtherRejection(t *testing.T) {
+	const transit, gap = 200 * time.Millisecond, 5 * time.Millisecond
+	tables, now := [2]*Table{NewTable(), NewTable()}, start
+	tables[0].ObserveStatement("s", srv, 2, now)
+	tables[0].ObserveRejection("s", srv, slots, slots, now)
+	for from := 0; now < start+10*time.Second; from = 1 - from {
+		reports := tables[from].Reports(now)
+		now += transit
+		tables[1-from].Merge(reports, now)
+		now += gap
+	}
+	for i, table := range tables {
+		if table.PauseRemaining(srv, now) > 0 {
+			t.Errorf("daemon %d: paused %s after the rejection", i, now-start)
+		}
+	}
+	later := now
+	tables[0].ObserveStatement("s", srv, 2, later)
+	tables[0].ObserveRejection("s", srv, slots, slots, later)
+	if !tables[1].Merge(tables[0].Reports(later), later) || tables[1].PauseRemaining(srv, later) == 0 {
+		t.Error("a later rejection does not count")
+	}
+}
