relay, daemon, node, platform: lines that tell why a call is not forwarded

By reading, no_server means that no server of the own selection is left, so that at most one daemon was tried before (with two, the sends end as engine_refused). The lines did not say why no daemon was tried: none known, none heard of, none ready, the last call to them failed, all out of reach, or all passed over for a second since they failed or refused.

Change: 'no daemon to forward to' has the number of listed daemons, of those tried and of those passed over, on both routers; 'daemons to forward to' says, when it changes, why the others are not listed. No decision changes.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -43,6 +43,8 @@
 	unreached int
 	// helpers are the daemons to which the request was forwarded.
 	helpers []string
+	// withoutHelper is set once no daemon was left to forward the request to.
+	withoutHelper bool
 }
 
 // pickHelper returns the daemon to forward a request for a pool to, if it should be forwarded.
@@ -50,10 +52,17 @@
 	if f.forwarded || len(f.helpers) >= maxForwards {
 		return "", false
 	}
-	if f.unreached < maxUnreachedAttempts && !d.balancer.outOfReach(poolName) {
+	lost := d.balancer.outOfReach(poolName)
+	if f.unreached < maxUnreachedAttempts && !lost {
 		return "", false
 	}
-	return d.nextHelper(f)
+	address, found = d.nextHelper(f)
+	if !found && !f.withoutHelper {
+		f.withoutHelper = true
+		candidates := d.members.helpers()
+		d.log.Info("no daemon to forward to", "pool", poolName, "out_of_reach", lost, "unreached", f.unreached, "daemons", len(candidates), "tried", len(f.helpers), "refused_lately", d.balancer.refusedHelpers(candidates))
+	}
+	return address, found
 }
 
 // pickOverflow returns a daemon to forward a request to because of a refusal, if others may have a
@@ -78,6 +87,13 @@
 	return address, found
 }
 
+// refusedHelpers returns the number of candidates that could not serve a forwarded request lately.
+func (b *balancer) refusedHelpers(candidates []string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.helpers.RefusedLately(candidates, b.uptime())
+}
+
 // recordHelper records whether a daemon could serve a forwarded request.
 func (b *balancer) recordHelper(address string, served bool) {
 	b.mu.Lock()
--- a/internal/gossip/views.go
+++ b/internal/gossip/views.go
@@ -27,19 +27,38 @@
 	return slowstart.View{Self: own, Peers: others, Trusted: 2*m.live.Len() >= len(m.members)}
 }
 
+// ForwardExclusions counts the known daemons to which nothing is forwarded, by the first reason that
+// applies.
+type ForwardExclusions struct {
+	Unknown, Silent, Leaving, NotReady, CallFailed, OutOfReach int
+}
+
 // ForwardTargets returns the addresses of the ready daemons that are not known to have lost the
-// servers.
-func (m *Members) ForwardTargets() (out []string) {
+// servers, and counts the others.
+func (m *Members) ForwardTargets() (out []string, excluded ForwardExclusions) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expireSilent(time.Now())
 	for address, other := range m.members {
 		r, known := m.table.Get(address)
-		if known && r.Ready && !r.Leaving && m.live.Contains(address) && !other.lastCallFailed && !other.latest.OutOfReach {
+		switch {
+		case !known:
+			excluded.Unknown++
+		case !m.live.Contains(address):
+			excluded.Silent++
+		case r.Leaving:
+			excluded.Leaving++
+		case !r.Ready:
+			excluded.NotReady++
+		case other.lastCallFailed:
+			excluded.CallFailed++
+		case other.latest.OutOfReach:
+			excluded.OutOfReach++
+		default:
 			out = append(out, address)
 		}
 	}
-	return out
+	return out, excluded
 }
 
 // Endpoints returns the live daemons as endpoints for clients, in no order. Daemons whose
--- a/internal/node/forwarding.go
+++ b/internal/node/forwarding.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
@@ -30,14 +32,17 @@
 type forwarder struct {
 	CallForwarder
 	members *gossip.Members
+	log     *log.Logger
 
 	mu       sync.Mutex
 	targets  []string
 	listedAt time.Time
+	// excluded are the daemons that are no targets, when it was last logged.
+	excluded gossip.ForwardExclusions
 }
 
 func (n *Node) newForwarder() *forwarder {
-	f := &forwarder{CallForwarder: streamForwarder{n.peerClient}, members: n.members}
+	f := &forwarder{CallForwarder: streamForwarder{n.peerClient}, members: n.members, log: n.log}
 	if n.deps.CallForwarder != nil {
 		f.CallForwarder = n.deps.CallForwarder
 	}
@@ -49,11 +54,23 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if now := time.Now(); now.Sub(f.listedAt) >= targetsLifetime {
-		f.targets, f.listedAt = f.members.ForwardTargets(), now
+		f.list(now)
 	}
 	return f.targets
 }
 
+// list lists the targets, and logs a change of what the others are excluded for. Callers hold mu.
+func (f *forwarder) list(now time.Time) {
+	targets, excluded := f.members.ForwardTargets()
+	f.targets, f.listedAt = targets, now
+	if excluded == f.excluded {
+		return
+	}
+	f.excluded = excluded
+	f.log.Info("daemons to forward to", "daemons", len(targets), "unknown", excluded.Unknown, "silent", excluded.Silent, "leaving", excluded.Leaving,
+		"not_ready", excluded.NotReady, "call_failed", excluded.CallFailed, "out_of_reach", excluded.OutOfReach)
+}
+
 // streamForwarder forwards calls over peer streams.
 type streamForwarder struct{ client *peer.Client }
 
--- a/internal/reachability/helpers.go
+++ b/internal/reachability/helpers.go
@@ -63,6 +63,17 @@
 	return proven[rng.IntN(len(proven))], true
 }
 
+// RefusedLately returns the number of candidates that are passed over since they refused.
+func (h *Helpers) RefusedLately(candidates []string, now time.Duration) (n int) {
+	h.forget(now)
+	for _, c := range candidates {
+		if _, refused := h.refusedAt[c]; refused {
+			n++
+		}
+	}
+	return n
+}
+
 func (h *Helpers) forget(now time.Duration) {
 	for daemon, at := range h.refusedAt {
 		if now-at > refusalMemory {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -82,6 +82,8 @@
 	// of the last one.
 	forwards       []string
 	forwardRefusal *fault.Error
+	// withoutHelper is set once no daemon was left to forward the call to.
+	withoutHelper bool
 	// withoutArrival is set if the last send reached no server, so that the next one draws on no
 	// budget.
 	withoutArrival bool
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -101,7 +101,13 @@
 	if !lost && x.unreached < maxUnreachedSends {
 		return "", false
 	}
-	return r.State.pickHelper(r.Forwarder.Targets(), x.forwards)
+	targets := r.Forwarder.Targets()
+	address, found = r.State.pickHelper(targets, x.forwards)
+	if !found && !x.withoutHelper {
+		x.withoutHelper = true
+		x.logEvent("no daemon to forward to", nil, "out_of_reach", lost, "unreached", x.unreached, "daemons", len(targets), "tried", len(x.forwards), "refused_lately", r.State.refusedHelpers(targets))
+	}
+	return address, found
 }
 
 // pickOverflow returns a daemon to forward the call to because of a refusal, if others may have a
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -81,6 +81,14 @@
 	return s.helpers.Pick(candidates, excluded, now, s.rng)
 }
 
+// refusedHelpers returns the number of candidates that could not serve a forwarded call lately.
+func (s *State) refusedHelpers(candidates []string) int {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.helpers.RefusedLately(candidates, now)
+}
+
 // recordHelper records whether a daemon could serve a forwarded call.
 func (s *State) recordHelper(address string, served bool) {
 	now := s.bootTime()
