reachability: a daemon in doubt is tried before a request is refused

Cause: the daemon refused as soon as nobody was left on its list, and took itself for certain. A daemon left the list that had not been heard of for 0.95 s, whose last call had failed or that stated that it was not ready, and one that had failed or refused once was passed over for a second. A pause of the process, or of all, does this to all others at the same time: nothing was heard of anybody, and daemons whose store had not been read lately stated that they were not ready, while they served what reached them.

Change, at the level of the picker, for both routers: daemons that are silent for up to 10 s, not ready or whose call failed are listed as doubtful. If nobody else is left, one of these that has served lately is used, and else the one of the doubtful and the refusing ones that has not refused for longest is tried. One is tried at a time, until it responds: daemons that are gone hold one request, the others are refused at once as before. A daemon that leaves or states that it is out of reach as well is never asked, so that nothing changes while nobody reaches servers.

The fakes of relay's tests have no doubtful daemons.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -56,13 +56,17 @@
 	if f.unreached < maxUnreachedAttempts && !lost {
 		return "", false
 	}
-	address, found = d.nextHelper(f)
-	if !found && !f.withoutHelper {
+	candidates, doubtful := d.members.helpers()
+	address, found = d.balancer.pickOrTryHelper(candidates, doubtful, f.helpers)
+	if found {
+		f.helpers = append(f.helpers, address)
+		return address, true
+	}
+	if !f.withoutHelper {
 		f.withoutHelper = true
-		candidates := d.members.helpers()
-		d.log.Info("no daemon to forward to", "pool", poolName, "out_of_reach", lost, "unreached", f.unreached, "daemons", len(candidates), "tried", len(f.helpers), "refused_lately", d.balancer.refusedHelpers(candidates))
+		d.log.Info("no daemon to forward to", "pool", poolName, "out_of_reach", lost, "unreached", f.unreached, "daemons", len(candidates), "doubtful", len(doubtful), "tried", len(f.helpers), "refused_lately", d.balancer.refusedHelpers(candidates))
 	}
-	return address, found
+	return "", false
 }
 
 // pickOverflow returns a daemon to forward a request to because of a refusal, if others may have a
@@ -71,22 +75,36 @@
 	if !fault.Is(refusal, fault.ServerSaturated) || f.forwarded || len(f.helpers) >= maxOverflows {
 		return "", false
 	}
-	return d.nextHelper(f)
-}
-
-// nextHelper picks a daemon to which the request was not forwarded yet.
-func (d *Daemon) nextHelper(f *forwarding) (address string, found bool) {
-	candidates := d.members.helpers()
-	b := d.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	address, found = b.helpers.Pick(candidates, f.helpers, b.uptime(), b.rng)
+	candidates, _ := d.members.helpers()
+	address, found = d.balancer.pickHelper(candidates, f.helpers)
 	if found {
 		f.helpers = append(f.helpers, address)
 	}
 	return address, found
 }
 
+// pickHelper picks one of the candidates that is not excluded.
+func (b *balancer) pickHelper(candidates, excluded []string) (address string, found bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.helpers.Pick(candidates, excluded, b.uptime(), b.rng)
+}
+
+// pickOrTryHelper is pickHelper, or else picks one that is doubtful or has refused lately. endTrial
+// must be called with it.
+func (b *balancer) pickOrTryHelper(candidates, doubtful, excluded []string) (address string, found bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.helpers.PickOrTry(candidates, doubtful, excluded, b.uptime(), b.rng)
+}
+
+// endTrial records that a daemon has responded or failed.
+func (b *balancer) endTrial(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.helpers.EndTrial(address)
+}
+
 // refusedHelpers returns the number of candidates that could not serve a forwarded request lately.
 func (b *balancer) refusedHelpers(candidates []string) int {
 	b.mu.Lock()
@@ -117,6 +135,7 @@
 		var message peer.ForwardResponse
 		var more bool
 		more, err = stream.Receive(ctx, &message)
+		d.balancer.endTrial(address)
 		switch {
 		case err != nil:
 			sent = !errors.Is(err, peer.ErrRefused)
@@ -186,6 +205,7 @@
 
 // forwardStep runs a step through another daemon. Done is set if the step has ended.
 func (d *Daemon) forwardStep(ctx context.Context, s *step, res *stepResult, address string) (done bool, err error) {
+	defer d.balancer.endTrial(address)
 	body, err := json.Marshal(s.body)
 	if err != nil {
 		return true, fault.FromError(err)
@@ -248,6 +268,7 @@
 
 // forwardCall calls a service through another daemon. Done is set if the call has ended.
 func (d *Daemon) forwardCall(ctx context.Context, id string, req ServiceRequest, state *request.RetryState, address string) (resp *ServiceResponse, done bool, err error) {
+	defer d.balancer.endTrial(address)
 	forwarded := peer.ForwardedServiceCall{
 		RequestID: id, Workspace: req.Workspace, Service: req.Service, Body: req.Body, Repeatable: state.Repeatable,
 		RemainingMillis: time.Until(state.Deadline).Milliseconds(), ConfigNumber: d.config.current().Number,
--- a/internal/daemon/reachability.go
+++ b/internal/daemon/reachability.go
@@ -204,7 +204,7 @@
 
 // requestVerdicts asks some other daemons about a server. One that does not respond has no verdict.
 func (d *Daemon) requestVerdicts(ctx context.Context, id string) []reachability.Verdict {
-	addresses := d.members.helpers()
+	addresses, _ := d.members.helpers()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	addresses = addresses[:min(verdictsPerServer, len(addresses))]
 	verdicts := make([]reachability.Verdict, len(addresses))
@@ -288,15 +288,21 @@
 	return all[:min(n, len(all))]
 }
 
-// helpers returns the peer addresses of the daemons that may reach the servers.
-func (m *memberlist) helpers() (out []string) {
+// helpers returns the peer addresses of the daemons that may reach the servers, and of the ones that may
+// although they have not responded lately or state that they do not serve.
+func (m *memberlist) helpers() (likely, doubtful []string) {
 	members := m.lockTable().Members()
 	m.mu.Unlock()
 	for _, member := range members {
-		if member.ID != m.d.settings.ID && member.State == membership.Alive && member.Serving && !member.Leaving && !member.OutOfReach {
-			out = append(out, member.PeerAddress)
+		switch {
+		case member.ID == m.d.settings.ID || member.State == membership.Gone || member.Leaving || member.OutOfReach:
+		case member.State == membership.Alive && member.Serving:
+			likely = append(likely, member.PeerAddress)
+		default:
+			doubtful = append(doubtful, member.PeerAddress)
 		}
 	}
-	slices.Sort(out)
-	return out
+	slices.Sort(likely)
+	slices.Sort(doubtful)
+	return likely, doubtful
 }
--- a/internal/gossip/views.go
+++ b/internal/gossip/views.go
@@ -27,15 +27,20 @@
 	return slowstart.View{Self: own, Peers: others, Trusted: 2*m.live.Len() >= len(m.members)}
 }
 
-// ForwardExclusions counts the known daemons to which nothing is forwarded, by the first reason that
-// applies.
+// doubtfulContact is the age of the last contact up to which a daemon that is silent may still serve.
+// After a pause of this daemon all others are.
+const doubtfulContact = 10 * time.Second
+
+// ForwardExclusions counts the known daemons that are no targets of forwarded requests, by the first
+// reason that applies.
 type ForwardExclusions struct {
-	Unknown, Silent, Leaving, NotReady, CallFailed, OutOfReach int
+	Unknown, Leaving, OutOfReach, Silent, NotReady, CallFailed int
 }
 
 // ForwardTargets returns the addresses of the ready daemons that are not known to have lost the
-// servers, and counts the others.
-func (m *Members) ForwardTargets() (out []string, excluded ForwardExclusions) {
+// servers, and those of the ones that may be able to serve although they seem silent or not ready. It
+// counts the latter and the others.
+func (m *Members) ForwardTargets() (out, doubtful []string, excluded ForwardExclusions) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expireSilent(time.Now())
@@ -44,21 +49,28 @@
 		switch {
 		case !known:
 			excluded.Unknown++
-		case !m.live.Contains(address):
-			excluded.Silent++
+			continue
 		case r.Leaving:
 			excluded.Leaving++
+			continue
+		case other.latest.OutOfReach:
+			excluded.OutOfReach++
+			continue
+		case !m.live.Contains(address):
+			excluded.Silent++
 		case !r.Ready:
 			excluded.NotReady++
 		case other.lastCallFailed:
 			excluded.CallFailed++
-		case other.latest.OutOfReach:
-			excluded.OutOfReach++
 		default:
 			out = append(out, address)
+			continue
+		}
+		if time.Since(other.lastContact) <= doubtfulContact {
+			doubtful = append(doubtful, address)
 		}
 	}
-	return out, excluded
+	return out, doubtful, excluded
 }
 
 // Endpoints returns the live daemons as endpoints for clients, in no order. Daemons whose
--- a/internal/node/forwarding.go
+++ b/internal/node/forwarding.go
@@ -34,9 +34,9 @@
 	members *gossip.Members
 	log     *log.Logger
 
-	mu       sync.Mutex
-	targets  []string
-	listedAt time.Time
+	mu                sync.Mutex
+	targets, doubtful []string
+	listedAt          time.Time
 	// excluded are the daemons that are no targets, when it was last logged.
 	excluded gossip.ForwardExclusions
 }
@@ -53,21 +53,32 @@
 func (f *forwarder) Targets() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now := time.Now(); now.Sub(f.listedAt) >= targetsLifetime {
-		f.list(now)
-	}
+	f.list()
 	return f.targets
 }
 
-// list lists the targets, and logs a change of what the others are excluded for. Callers hold mu.
-func (f *forwarder) list(now time.Time) {
-	targets, excluded := f.members.ForwardTargets()
-	f.targets, f.listedAt = targets, now
+// DoubtfulTargets implements relay.Forwarder.
+func (f *forwarder) DoubtfulTargets() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list()
+	return f.doubtful
+}
+
+// list lists the targets, unless that was done lately, and logs a change of what the others are
+// excluded for. Callers hold mu.
+func (f *forwarder) list() {
+	now := time.Now()
+	if now.Sub(f.listedAt) < targetsLifetime {
+		return
+	}
+	targets, doubtful, excluded := f.members.ForwardTargets()
+	f.targets, f.doubtful, f.listedAt = targets, doubtful, now
 	if excluded == f.excluded {
 		return
 	}
 	f.excluded = excluded
-	f.log.Info("daemons to forward to", "daemons", len(targets), "unknown", excluded.Unknown, "silent", excluded.Silent, "leaving", excluded.Leaving,
+	f.log.Info("daemons to forward to", "daemons", len(targets), "doubtful", len(doubtful), "unknown", excluded.Unknown, "silent", excluded.Silent, "leaving", excluded.Leaving,
 		"not_ready", excluded.NotReady, "call_failed", excluded.CallFailed, "out_of_reach", excluded.OutOfReach)
 }
 
--- a/internal/node/verdicts.go
+++ b/internal/node/verdicts.go
@@ -35,7 +35,7 @@
 
 // Verdicts implements relay.VerdictSource. A daemon that does not respond has no verdict.
 func (n *Node) Verdicts(ctx context.Context, server string) []reachability.Verdict {
-	targets, _ := n.members.ForwardTargets()
+	targets, _, _ := n.members.ForwardTargets()
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	targets = targets[:min(verdictsPerServer, len(targets))]
 	verdicts := make([]reachability.Verdict, len(targets))
--- a/internal/reachability/helpers.go
+++ b/internal/reachability/helpers.go
@@ -1,6 +1,7 @@
 package reachability
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -19,6 +20,8 @@
 // is not safe for concurrent use. Times are readings of one monotonic clock.
 type Helpers struct {
 	servedAt, refusedAt map[string]time.Duration
+	// tried is the daemon that is being tried, empty if none is.
+	tried string
 }
 
 // NewHelpers returns a picker without experience.
@@ -63,6 +66,47 @@
 	return proven[rng.IntN(len(proven))], true
 }
 
+// PickOrTry returns the result of Pick. If there is none, it returns one of the doubtful daemons that
+// has served lately, and else tries one of the candidates and doubtful daemons, if possible one that
+// has not refused lately. Only one is tried at a time, until EndTrial: daemons that are gone thus hold
+// one request, and daemons that refuse get few.
+func (h *Helpers) PickOrTry(candidates, doubtful, excluded []string, now time.Duration, rng *rand.Rand) (daemon string, found bool) {
+	if daemon, found = h.Pick(candidates, excluded, now, rng); found {
+		return daemon, true
+	}
+	var proven []string
+	for _, d := range doubtful {
+		if _, served := h.servedAt[d]; served && !slices.Contains(excluded, d) {
+			proven = append(proven, d)
+		}
+	}
+	if len(proven) > 0 {
+		return proven[rng.IntN(len(proven))], true
+	}
+	return h.try(slices.Concat(candidates, doubtful), excluded, rng)
+}
+
+// try returns the daemon that has not refused for longest, unless one is being tried.
+func (h *Helpers) try(all, excluded []string, rng *rand.Rand) (daemon string, found bool) {
+	if h.tried != "" {
+		return "", false
+	}
+	all = slices.DeleteFunc(all, func(d string) bool { return slices.Contains(excluded, d) })
+	if len(all) == 0 {
+		return "", false
+	}
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	h.tried = slices.MinFunc(all, func(a, b string) int { return cmp.Compare(h.refusedAt[a], h.refusedAt[b]) })
+	return h.tried, true
+}
+
+// EndTrial records that a daemon has responded or failed, if it was tried.
+func (h *Helpers) EndTrial(daemon string) {
+	if h.tried == daemon {
+		h.tried = ""
+	}
+}
+
 // RefusedLately returns the number of candidates that are passed over since they refused.
 func (h *Helpers) RefusedLately(candidates []string, now time.Duration) (n int) {
 	h.forget(now)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -82,6 +82,9 @@
 type Forwarder interface {
 	// Targets returns the addresses of the daemons that may reach the servers.
 	Targets() []string
+	// DoubtfulTargets returns the addresses of further daemons that may reach the servers, but have
+	// not responded lately or state that they are not ready.
+	DoubtfulTargets() []string
 	// Forward sends a call to a daemon. If sent is false, the daemon has not received it.
 	Forward(ctx context.Context, address string, call ForwardedCall) (stream ForwardStream, sent bool, err error)
 }
@@ -101,11 +104,11 @@
 	if !lost && x.unreached < maxUnreachedSends {
 		return "", false
 	}
-	targets := r.Forwarder.Targets()
-	address, found = r.State.pickHelper(targets, x.forwards)
+	targets, doubtful := r.Forwarder.Targets(), r.Forwarder.DoubtfulTargets()
+	address, found = r.State.pickOrTryHelper(targets, doubtful, x.forwards)
 	if !found && !x.withoutHelper {
 		x.withoutHelper = true
-		x.logEvent("no daemon to forward to", nil, "out_of_reach", lost, "unreached", x.unreached, "daemons", len(targets), "tried", len(x.forwards), "refused_lately", r.State.refusedHelpers(targets))
+		x.logEvent("no daemon to forward to", nil, "out_of_reach", lost, "unreached", x.unreached, "daemons", len(targets), "doubtful", len(doubtful), "tried", len(x.forwards), "refused_lately", r.State.refusedHelpers(targets))
 	}
 	return address, found
 }
@@ -123,6 +126,7 @@
 // forward sends the call through another daemon. It returns true if the client has the final
 // response.
 func (x *exchange) forward(ctx context.Context, address string) (request.SendOutcome, bool) {
+	defer x.relay.State.endTrial(address)
 	x.forwards = append(x.forwards, address)
 	x.forwardRefusal, x.forwardArrived = nil, false
 	x.relay.Metrics.Forwards.Inc(1)
@@ -221,6 +225,7 @@
 	defer func() { cancel() }()
 	for {
 		frame, err := f.receive(ctx)
+		f.x.relay.State.endTrial(f.address)
 		if err != nil || frame.Refusal != nil || frame.Status != 0 {
 			return frame, err
 		}
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -33,6 +33,8 @@
 
 func (f *scriptedForwarder) Targets() []string { return []string{"d2", "d3", "d4", "d5", "d6"} }
 
+func (f *scriptedForwarder) DoubtfulTargets() []string { return nil }
+
 func (f *scriptedForwarder) Forward(_ context.Context, address string, call ForwardedCall) (ForwardStream, bool, error) {
 	script := f.script[min(len(f.calls), len(f.script)-1)]
 	f.calls, f.to = append(f.calls, call), append(f.to, address)
@@ -151,6 +153,8 @@
 	return []string{"d2"}
 }
 
+func (f *relayForwarder) DoubtfulTargets() []string { return nil }
+
 func (f *relayForwarder) Forward(ctx context.Context, _ string, call ForwardedCall) (ForwardStream, bool, error) {
 	f.forwards++
 	var frames []ForwardFrame
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -81,6 +81,22 @@
 	return s.helpers.Pick(candidates, excluded, now, s.rng)
 }
 
+// pickOrTryHelper picks the daemon to forward a call to among the candidates, or else one that is
+// doubtful or has refused lately. endTrial must be called with it.
+func (s *State) pickOrTryHelper(candidates, doubtful, excluded []string) (address string, found bool) {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.helpers.PickOrTry(candidates, doubtful, excluded, now, s.rng)
+}
+
+// endTrial records that a daemon has responded or failed.
+func (s *State) endTrial(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.helpers.EndTrial(address)
+}
+
 // refusedHelpers returns the number of candidates that could not serve a forwarded call lately.
 func (s *State) refusedHelpers(candidates []string) int {
 	now := s.bootTime()
