--- a/internal/node/forwarding.go
+++ b/internal/node/forwarding.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
@@ -30,14 +32,17 @@
 type forwarder struct {
 	CallForwarder
 	members *gossip.Members
+	log     *log.Logger
 
-	mu       sync.Mutex
-	targets  []string
-	listedAt time.Time
+	mu                sync.Mutex
+	targets, doubtful []string
+	listedAt          time.Time
+	// excluded are the daemons that are no targets, when it was last logged.
+	excluded gossip.ForwardExclusions
 }
 
 func (n *Node) newForwarder() *forwarder {
-	f := &forwarder{CallForwarder: streamForwarder{n.peerClient}, members: n.members}
+	f := &forwarder{CallForwarder: streamForwarder{n.peerClient}, members: n.members, log: n.log}
 	if n.deps.CallForwarder != nil {
 		f.CallForwarder = n.deps.CallForwarder
 	}
@@ -48,12 +53,35 @@
 func (f *forwarder) Targets() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now := time.Now(); now.Sub(f.listedAt) >= targetsLifetime {
-		f.targets, f.listedAt = f.members.ForwardTargets(), now
-	}
+	f.list()
 	return f.targets
 }
 
+// DoubtfulTargets implements relay.Forwarder.
+func (f *forwarder) DoubtfulTargets() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list()
+	return f.doubtful
+}
+
+// list lists the targets, unless that was done lately, and logs a change of what the others are
+// excluded for. Callers hold mu.
+func (f *forwarder) list() {
+	now := time.Now()
+	if now.Sub(f.listedAt) < targetsLifetime {
+		return
+	}
+	targets, doubtful, excluded := f.members.ForwardTargets()
+	f.targets, f.doubtful, f.listedAt = targets, doubtful, now
+	if excluded == f.excluded {
+		return
+	}
+	f.excluded = excluded
+	f.log.Info("daemons to forward to", "daemons", len(targets), "doubtful", len(doubtful), "unknown", excluded.Unknown, "silent", excluded.Silent, "leaving", excluded.Leaving,
+		"not_ready", excluded.NotReady, "call_failed", excluded.CallFailed, "out_of_reach", excluded.OutOfReach)
+}
+
 // streamForwarder forwards calls over peer streams.
 type streamForwarder struct{ client *peer.Client }
 
