--- a/internal/gossip/views_test.go
+++ b/internal/gossip/views_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Guards against daemons that are taken for unable to serve since they were not heard of lately, and
+// Guards against daemons that are taken for unable to serve because they were silent lately, and
 // against requests for those that state that they cannot.
 func TestDaemonsToForwardToAreLikelyOrInDoubt(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/node/doubtful_helpers_test.go
+++ b/internal/node/doubtful_helpers_test.go
@@ -29,8 +29,8 @@
 	c.isolate(2, on)
 }
 
-// Guards against a daemon without links to servers that refuses requests because it has heard nothing
-// of the others for a while, or because they failed once, although they serve again.
+// Guards against a daemon without links to servers that refuses requests because there was no contact
+// with the others for a while, or because they failed once, although they serve again.
 func TestCutDaemonServesOnceOthersRespondAgain(t *testing.T) {
 	for name, silence := range map[string]time.Duration{"calls failed": 500 * time.Millisecond, "silent": 1500 * time.Millisecond, "not ready": 5 * time.Second} {
 		for _, busy := range []bool{false, true} {
