rollout: latencies are compared by route, answers under way included

Cause: an answer counted as slow above the 75th percentile of the ratio to the mean of the whole service, once a daemon had seen 24 answers. Slow answers of a fast route are faster than that mean, a service with two requests a second at a daemon had no bound for twelve seconds, how much slower an answer was had no effect, the learned speed of an engine was taken out of its answers, and only complete answers counted, of which the fast ones come first. Class: no alarm is taken for a proof. Ruled out: reports that come late (all daemons had the same evidence).

Evidence now holds answers by route and latency class, and the e-value compares the slow tails of both versions by route. A send whose answer is slower than most of the running version's counts while it is under way, and when it is given up.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -44,6 +44,8 @@
 	identity quarantine.Identity
 	// quarantineStatus is the request's quarantine state before the last send.
 	quarantineStatus quarantine.Status
+	// pending is the answer to the last send.
+	pending *pendingAnswer
 	// run is the containment record of the last send.
 	run *containment.Attempt
 	// interrupted is set if the stream of the last send broke off.
@@ -281,6 +283,8 @@
 	x.relay.Metrics.recordTransfer(&t.fetch)
 	x.logEvent("send", t, x.sendFields(t, urgent)...)
 	sentAt := time.Now()
+	x.beginAnswer(t, sentAt)
+	defer x.relay.Rollouts.endAnswer(t)
 	ctx, stop := context.WithDeadline(ctx, x.deadline)
 	defer stop()
 	a := x.relay.liveness.track(t, x.service.Engine != nil, x.route, urgent.Priority, func(lost bool) bool {
--- a/internal/relay/exposure_test.go
+++ b/internal/relay/exposure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -26,7 +27,12 @@
 	// new version from cutFrom on.
 	cutShare float64
 	cutFrom  time.Duration
-	seed     uint64
+	// slowShare is the fraction of the new version's answers that take slowFactor times as long. The
+	// routes of a service whose answers take time differ in latency.
+	slowShare, slowFactor float64
+	// perSecond is the number of requests in a second; 0 for at least 44.
+	perSecond int
+	seed      uint64
 }
 
 type rolloutResult struct {
@@ -59,7 +65,7 @@
 	rng := rand.New(rand.NewPCG(p.seed, 7))
 	start := now
 	for ; now.Sub(start) < scenarioDuration; now = now.Add(scenarioTick) {
-		for range max(11, p.daemons) {
+		for range p.requestsPerTick() {
 			p.send(fleet, rng, now.Sub(start), &out)
 		}
 		exchangeReports(fleet)
@@ -73,6 +79,29 @@
 	return out
 }
 
+func (p rolloutScenario) requestsPerTick() int {
+	if p.perSecond > 0 {
+		return int(scenarioTick * time.Duration(p.perSecond) / time.Second)
+	}
+	return max(11, p.daemons)
+}
+
+// scenarioLatencies are the median latencies of routes in seconds.
+var scenarioLatencies = []struct {
+	route  string
+	median float64
+}{{"status", 0.003}, {"quote", 0.06}, {"report", 0.4}}
+
+// latency returns the route and the latency of a request.
+func (p rolloutScenario) latency(rng *rand.Rand, version string) (route string, seconds float64) {
+	r := scenarioLatencies[rng.IntN(len(scenarioLatencies))]
+	seconds = r.median * math.Exp(0.4*rng.NormFloat64())
+	if version == "v2" && rng.Float64() < p.slowShare {
+		seconds *= p.slowFactor
+	}
+	return r.route, seconds
+}
+
 // send sends one request through a random daemon.
 func (p rolloutScenario) send(fleet []*Rollouts, rng *rand.Rand, elapsed time.Duration, out *rolloutResult) {
 	daemon := rng.IntN(len(fleet))
@@ -106,10 +135,14 @@
 	if rng.Float64() < p.noisyShare {
 		route, fails = "noisy", p.noisyFails
 	}
+	latency := 0.0
+	if p.slowFactor > 0 {
+		route, latency = p.latency(rng, version)
+	}
 	out.arrivals++
 	t := &target{service: "s", server: backend.Server{ID: fmt.Sprint(version, "-", server), FailureDomain: fmt.Sprint("d", server), Version: version}}
 	r.recordSend(t)
-	r.recordResponse(t, route, rng.Float64() < fails, 0)
+	r.recordResponse(t, route, rng.Float64() < fails, latency)
 }
 
 // exchangeReports sends the evidence of all daemons to the evaluators, and their conclusions to all.
@@ -140,6 +173,43 @@
 	return []int{6, 60, 195, 520, 2000}
 }
 
+// Guards against a slow version that is completed, since its slow answers on a fast route are faster
+// than the answers of other routes, or since few requests are seen.
+func TestSlowVersionIsNotCompleted(t *testing.T) {
+	for _, p := range []rolloutScenario{
+		{daemons: 6, perSecond: 12, slowShare: 0.5, slowFactor: 8},
+		{daemons: 6, perSecond: 44, slowShare: 0.5, slowFactor: 8},
+		{daemons: 6, perSecond: 44, slowShare: 0.3, slowFactor: 4},
+		{daemons: 60, perSecond: 120, slowShare: 0.3, slowFactor: 4},
+	} {
+		for seed := range uint64(40) {
+			p.seed = seed
+			if r := p.run(); float64(r.newArrivals) > r.allowed() || r.phase == rollout.Completed {
+				t.Errorf("%d a second, %.0f in 100 %.0f times slower, seed %d: %d of %d requests on the bad version, allowed %.0f, %s",
+					p.perSecond, 100*p.slowShare, p.slowFactor, seed, r.newArrivals, r.arrivals, r.allowed(), r.phase)
+			}
+		}
+	}
+}
+
+// Guards against good versions that are rolled back because of how latencies vary.
+func TestVersionOfSameLatencyIsCompleted(t *testing.T) {
+	const seeds = 200
+	for _, perSecond := range []int{12, 44} {
+		notCompleted := 0
+		for seed := range uint64(seeds) {
+			p := rolloutScenario{daemons: 6, perSecond: perSecond, slowFactor: 1, newFails: 0.02, oldFails: 0.02, seed: seed}
+			if r := p.run(); r.phase != rollout.Completed {
+				notCompleted++
+			}
+		}
+		t.Logf("%d a second: %d of %d good versions were not completed", perSecond, notCompleted, seeds)
+		if notCompleted > seeds/20 {
+			t.Errorf("%d a second: %d of %d good versions were not completed", perSecond, notCompleted, seeds)
+		}
+	}
+}
+
 // Guards against a bad version that gets more than its share because requests fall back to it, or
 // because its evidence comes from one server or is weakened by failures of the old version.
 func TestBadVersionStaysWithinExposureLimit(t *testing.T) {
--- a/internal/relay/latency.go
+++ b/internal/relay/latency.go
@@ -116,6 +116,19 @@
 	return first, interval
 }
 
+// typicalEngineLatency returns the time to the first event and the interval between events that a
+// request takes on a typical engine, in seconds, behind the requests that are queued on its target. The
+// target's own speed is left out, since a slow version makes its engines slow.
+func (s *State) typicalEngineLatency(t *target) (first, interval float64) {
+	s.withService(t.service, func(sv *service) {
+		latency := sv.models.get(t.model, nil)
+		prefill := latency.prefill.Predict(t.uncached + t.fetch.expectedTokens)
+		first = (t.typicalTime(t.backlog) + prefill).Seconds()
+		interval = latency.eventInterval
+	})
+	return first, interval
+}
+
 // recordEventInterval records the mean interval between the events of a stream.
 func (s *State) recordEventInterval(t *target, interval time.Duration) {
 	s.withService(t.service, func(sv *service) {
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -36,7 +36,7 @@
 	elapsed := time.Since(sentAt)
 	resp := &bufferedResponse{reply.Status, reply.Header, body}
 	failed := reply.Status >= http.StatusInternalServerError
-	x.relay.Rollouts.recordResponse(t, x.route.Name, failed, x.latencyRatio(t, elapsed, 0))
+	x.relay.Rollouts.recordResponse(t, x.route.Name, failed, x.comparableLatency(0))
 	if !failed {
 		x.relay.State.recordResponse(t, elapsed, x.service.Engine != nil)
 		x.recordWait()
@@ -87,15 +87,21 @@
 	return len(p), nil
 }
 
-// latencyRatio returns the ratio of the response time, with a number of intervals
-// between events, to the typical one; 0 if that is unknown.
-func (x *exchange) latencyRatio(t *target, elapsed time.Duration, intervals int) float64 {
-	first, interval := x.relay.State.typicalLatency(t, x.service.Engine != nil)
-	expected := first + float64(intervals)*interval
-	if first <= 0 {
-		return 0
+// beginAnswer observes the answer to a send for the roll-outs.
+func (x *exchange) beginAnswer(t *target, sentAt time.Time) {
+	x.pending = &pendingAnswer{target: t, route: x.route.Name, sentAt: sentAt}
+	if x.service.Engine != nil {
+		x.pending.first, x.pending.interval = x.relay.State.typicalEngineLatency(t)
 	}
-	return elapsed.Seconds() / expected
+	x.relay.Rollouts.beginAnswer(x.pending)
+}
+
+// comparableLatency returns the latency of a complete answer, with a number of events, as that of the same
+// route on another version is compared with it: as a ratio to that of a typical engine, or in
+// seconds for a plain service.
+func (x *exchange) comparableLatency(events int) float64 {
+	x.pending.events.Store(int64(events))
+	return x.pending.latency(time.Now())
 }
 
 // forwardStream forwards the events of a response as they arrive.
@@ -122,7 +128,7 @@
 	x.succeeded = true
 	x.relay.Metrics.Responses(true).Inc(1)
 	x.logEvent("streamed", s.t, "last_event", x.lastEvent, "events", s.events, "first_ms", x.firstEventAt.Sub(x.call.Received).Milliseconds())
-	x.relay.Rollouts.recordResponse(s.t, x.route.Name, false, x.latencyRatio(s.t, time.Since(s.sentAt), s.events-1))
+	x.relay.Rollouts.recordResponse(s.t, x.route.Name, false, x.comparableLatency(s.events))
 	if s.events > 1 {
 		x.recordStreamEnd(s.t, time.Since(s.firstEventAt))
 		x.relay.State.recordEventInterval(s.t, time.Since(s.firstEventAt)/time.Duration(s.events-1))
@@ -131,9 +137,10 @@
 
 // streamObserver observes the arrival of a stream.
 type streamObserver interface {
-	// progress is called when data has arrived, firstEvent when the first event is forwarded, and
+	// progress is called when data has arrived, arrived with the number of events so far, firstEvent when the first event is forwarded, and
 	// shortGap with the shortest of some gaps between events.
 	progress()
+	arrived(events int)
 	firstEvent(elapsed time.Duration)
 	shortGap(gap time.Duration)
 	// forwarding is called before and after data is handed to the client, who may not read it.
@@ -147,7 +154,8 @@
 	a *attempt
 }
 
-func (s serverStream) progress() { s.a.recordProgress() }
+func (s serverStream) progress()          { s.a.recordProgress() }
+func (s serverStream) arrived(events int) { s.x.pending.events.Store(int64(events)) }
 
 func (s serverStream) shortGap(gap time.Duration) { s.x.relay.State.recordShortGap(s.t, gap) }
 func (s serverStream) forwarding(active bool) {
@@ -166,6 +174,7 @@
 type forwardedStream struct{}
 
 func (forwardedStream) progress()                {}
+func (forwardedStream) arrived(int)              {}
 func (forwardedStream) firstEvent(time.Duration) {}
 func (forwardedStream) shortGap(time.Duration)   {}
 func (forwardedStream) forwarding(bool)          {}
@@ -236,6 +245,7 @@
 			return err
 		}
 	}
+	s.observer.arrived(s.events)
 	if gap := s.gaps.record(s.events-before, time.Now()); gap > 0 {
 		s.observer.shortGap(gap)
 	}
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -22,9 +22,6 @@
 	sessionIdleTimeout time.Duration
 	// reportedOrders are the newest orders that peers reported and this daemon has not read.
 	reportedOrders map[string]reportedOrder
-	// baselines are the typical latency ratios of services, without the responses of
-	// versions being rolled out.
-	baselines map[string]*rollout.LatencyBaseline
 	// storedPhases are the phases in the store, by service. A phase may be read before
 	// its order.
 	storedPhases map[string]datedPhase
@@ -57,6 +54,10 @@
 	// orderedAt is when the order was given, by this daemon's clock.
 	orderedAt   time.Time
 	ownEvidence map[evidenceKey]*rollout.ServerCounts
+	// runningLatencies are this daemon's latencies of the running version by route.
+	runningLatencies map[uint32]*rollout.LatencyCounts
+	// pending are this daemon's sends whose answers are not complete.
+	pending     map[*target]*pendingAnswer
 	peerReports map[string]OrderReport
 	// oldInFlight counts this daemon's requests on old servers.
 	oldInFlight int
@@ -94,7 +95,7 @@
 // between two requests of a session; now reads the clock.
 func NewRollouts(sessionIdleTimeout time.Duration, now func() time.Time, logger *log.Logger) *Rollouts {
 	return &Rollouts{
-		log: logger, now: now, orders: map[string]*orderState{}, baselines: map[string]*rollout.LatencyBaseline{}, storedPhases: map[string]datedPhase{}, reportedOrders: map[string]reportedOrder{}, lostPhases: map[string]time.Time{},
+		log: logger, now: now, orders: map[string]*orderState{}, storedPhases: map[string]datedPhase{}, reportedOrders: map[string]reportedOrder{}, lostPhases: map[string]time.Time{},
 		sessionIdleTimeout: sessionIdleTimeout,
 	}
 }
@@ -121,7 +122,7 @@
 	}
 	r.orders[order.Service] = &orderState{
 		Order: order, orderedAt: orderedAt,
-		ownEvidence: map[evidenceKey]*rollout.ServerCounts{}, peerReports: map[string]OrderReport{},
+		ownEvidence: map[evidenceKey]*rollout.ServerCounts{}, runningLatencies: map[uint32]*rollout.LatencyCounts{}, pending: map[*target]*pendingAnswer{}, peerReports: map[string]OrderReport{},
 	}
 	r.log.Info("roll-out ordered", "service", order.Service, "target", order.Target, "offset", order.Offset, "duration", order.Duration)
 	r.reconcile(order.Service)
@@ -209,46 +210,58 @@
 // shareResolution is the number of buckets that hashes are assigned to.
 const shareResolution = 1000
 
-// recordResponse adds a response to a request of a route to the evidence on a version. Ratio is the
-// response time relative to the expected one, or 0 if that is unknown.
-func (r *Rollouts) recordResponse(t *target, route string, failed bool, ratio float64) {
+// recordResponse adds a response to a request of a route to the evidence on a version. Latency is in
+// seconds or as a ratio to the expected one, the same for all responses of the route; 0 if it is unknown.
+func (r *Rollouts) recordResponse(t *target, route string, failed bool, latency float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	baseline := r.baselines[t.service]
-	if baseline == nil {
-		baseline = &rollout.LatencyBaseline{}
-		r.baselines[t.service] = baseline
-	}
 	order := r.orders[t.service]
 	if order == nil || order.phase.Final() {
-		baseline.Observe(ratio)
 		return
 	}
-	key := evidenceKey{t.server.ID, uint32(xxhash.Sum64String(route))}
-	counts := order.ownEvidence[key]
-	if counts == nil {
-		counts = &rollout.ServerCounts{Server: t.server.ID, FailureDomain: t.server.FailureDomain, New: t.server.Version == order.Target, Route: key.route}
-		order.ownEvidence[key] = counts
-	}
-	if !counts.New {
-		baseline.Observe(ratio)
-	}
+	delete(order.pending, t)
+	counts := order.countsOf(t, route)
 	counts.Counts.Requests++
-	slow := !failed && ratio > 0 && baseline.IsSlow(ratio, order.phase)
-	switch {
-	case failed:
+	slow := false
+	if failed {
 		counts.Counts.Errors++
-	case ratio > 0:
-		counts.Counts.Timed++
-	}
-	if slow {
-		counts.Counts.Slow++
+	} else if !t.warming {
+		slow = order.recordLatency(counts, latency)
 	}
 	if counts.New && (failed || slow) {
 		r.alarms++
 	}
 }
 
+// recordLatency adds the latency of an answer, and reports whether it is slower than most of the running
+// version's.
+func (o *orderState) recordLatency(counts *rollout.ServerCounts, latency float64) (slow bool) {
+	comparable := o.comparableLatency(latency, counts.New)
+	counts.Counts.Latencies.Add(comparable)
+	running := o.runningLatencies[counts.Route]
+	switch {
+	case counts.New:
+		return running != nil && running.SlowerThanMost(comparable)
+	case running == nil:
+		running = &rollout.LatencyCounts{}
+		o.runningLatencies[counts.Route] = running
+	}
+	running.Add(comparable)
+	return false
+}
+
+// comparableLatency returns a latency as the answers of the other version are compared with it. In the full
+// phase the new version carries the whole load, and the old one no longer serves as a reference.
+func (o *orderState) comparableLatency(latency float64, isNew bool) float64 {
+	if isNew && o.phase == rollout.Full {
+		return latency / fullLoadFactor
+	}
+	return latency
+}
+
+// fullLoadFactor is the factor by which a sound version may be slower under the whole load.
+const fullLoadFactor = 2
+
 // Alarms reports whether a roll-out is running, and counts the bad answers of new versions that
 // this daemon got.
 func (r *Rollouts) Alarms() (active bool, alarms uint64) {
@@ -280,21 +293,13 @@
 			report.Standing = order.ownStanding
 		}
 		if evidence {
-			report.Evidence = order.evidence()
+			report.Evidence = order.evidence(r.now())
 		}
 		out = append(out, report)
 	}
 	return out
 }
 
-func (o *orderState) evidence() rollout.Evidence {
-	var e rollout.Evidence
-	for _, counts := range o.ownEvidence {
-		e = append(e, *counts)
-	}
-	return e
-}
-
 // ApplyReports applies another daemon's reports. Reports of daemons that have ended
 // remain valid.
 func (r *Rollouts) ApplyReports(incarnation string, reports []OrderReport) {
@@ -356,7 +361,7 @@
 		if order.phase.Final() {
 			continue
 		}
-		allEvidence, oldInFlight := []rollout.Evidence{order.evidence()}, order.oldInFlight
+		allEvidence, oldInFlight := []rollout.Evidence{order.evidence(r.now())}, order.oldInFlight
 		for incarnation, p := range order.peerReports {
 			allEvidence = append(allEvidence, p.Evidence)
 			if alive(incarnation) {
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -20,11 +20,13 @@
 	Slowness
 	// Quality counts answers that were rated bad.
 	Quality
+	// Latency compares the latencies of all answers.
+	Latency
 	signalCount
 )
 
 // String returns the name of the signal.
-func (s Signal) String() string { return [...]string{"errors", "slowness", "quality"}[s] }
+func (s Signal) String() string { return [...]string{"errors", "slowness", "quality", "latency"}[s] }
 
 // Counts holds totals since the start of a rollout stage.
 type Counts struct {
@@ -36,22 +38,46 @@
 	Slow  int64 `cbor:"4,keyasint" json:"slow"`
 	Rated int64 `cbor:"5,keyasint" json:"rated"`
 	Bad   int64 `cbor:"6,keyasint" json:"bad"`
+	// Latencies holds the answers by latency.
+	Latencies LatencyCounts `cbor:"7,keyasint,omitzero" json:"latencies,omitzero"`
 }
 
 // Add returns the sum of two counts.
 func (c Counts) Add(o Counts) Counts {
-	return Counts{c.Requests + o.Requests, c.Errors + o.Errors, c.Timed + o.Timed, c.Slow + o.Slow, c.Rated + o.Rated, c.Bad + o.Bad}
+	c.add(&o)
+	return c
+}
+
+func (c *Counts) add(o *Counts) {
+	c.Requests += o.Requests
+	c.Errors += o.Errors
+	c.Timed += o.Timed
+	c.Slow += o.Slow
+	c.Rated += o.Rated
+	c.Bad += o.Bad
+	c.Latencies.add(&o.Latencies)
 }
 
 // forSignal returns the number of trials and of bad events of a signal.
-func (c Counts) forSignal(s Signal) (trials, bad int64) {
+func (c *Counts) forSignal(s Signal) (trials, bad int64) {
 	switch s {
 	case Errors:
 		return c.Requests, c.Errors
 	case Slowness:
 		return c.Timed, c.Slow
+	case Quality:
+		return c.Rated, c.Bad
+	}
+	return c.Latencies.Total(), 0
+}
+
+// badEvents returns the number of trials and of bad events by a signal in the counts of the new version.
+func (e Evidence) badEvents(s Signal, newCounts *Counts) (trials, bad int64) {
+	trials, bad = newCounts.forSignal(s)
+	if s == Latency {
+		bad, _ = e.SlowExcess()
 	}
-	return c.Rated, c.Bad
+	return trials, bad
 }
 
 // ServerCounts holds the counts of one version on one server, for requests of one route.
@@ -102,14 +128,15 @@
 // Totals sums the counts of both versions over the entries that keep accepts; a nil keep
 // accepts all.
 func (e Evidence) Totals(keep func(ServerCounts) bool) (newCounts, runningCounts Counts) {
-	for _, c := range e {
-		if keep != nil && !keep(c) {
+	for i := range e {
+		c := &e[i]
+		if keep != nil && !keep(*c) {
 			continue
 		}
 		if c.New {
-			newCounts = newCounts.Add(c.Counts)
+			newCounts.add(&c.Counts)
 		} else {
-			runningCounts = runningCounts.Add(c.Counts)
+			runningCounts.add(&c.Counts)
 		}
 	}
 	return newCounts, runningCounts
@@ -120,7 +147,7 @@
 	newCounts, runningCounts := e.Totals(nil)
 	parts := make([]string, 0, signalCount)
 	for s := range signalCount {
-		trials, bad := newCounts.forSignal(s)
+		trials, bad := e.badEvents(s, &newCounts)
 		runningTrials, runningBad := runningCounts.forSignal(s)
 		if trials+runningTrials == 0 {
 			continue
@@ -146,6 +173,9 @@
 // the mean of the e-values of each route and of all together, so that a route whose requests
 // fail on any version does not hide another that fails on the new one.
 func (e Evidence) LogEValue(s Signal, keep func(ServerCounts) bool) float64 {
+	if s == Latency {
+		return e.latencyLogEValue(keep)
+	}
 	byRoute := e.ratiosByRoute(s, keep)
 	all := make([]float64, len(oddsRatios))
 	events := int64(0)
@@ -206,12 +236,18 @@
 	if n1 == 0 || n0 == 0 {
 		return 0
 	}
-	share := float64(n1) / float64(n1+n0)
+	addLogRatios(logRatios, float64(k1), float64(k0), float64(n1), float64(n0))
+	return k1
+}
+
+// addLogRatios adds the log-likelihood ratio of each of oddsRatios for k1 of n1 bad events of the new
+// version and k0 of n0 of the running one.
+func addLogRatios(logRatios []float64, k1, k0, n1, n0 float64) {
+	share := n1 / (n1 + n0)
 	for i, ratio := range oddsRatios {
 		norm := math.Log(ratio*share + 1 - share)
-		logRatios[i] += float64(k1)*(math.Log(ratio)-norm) - float64(k0)*norm
+		logRatios[i] += k1*(math.Log(ratio)-norm) - k0*norm
 	}
-	return k1
 }
 
 // stratum holds both versions' counts of one server and route, or of a route on several servers.
--- /dev/null
+++ b/internal/rollout/latency_test.go
@@ -0,0 +1,61 @@
+package rollout
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// latencyEvidence returns evidence of a number of answers on each of three servers of both versions. The
+// given fraction of the new version's answers takes factor times as long.
+func latencyEvidence(rng *rand.Rand, newAnswers, runningAnswers int, slow, factor float64) Evidence {
+	e := evidenceOf(0, int64(3*newAnswers), 0, int64(3*runningAnswers), false)
+	for i := range e {
+		e[i].Counts.Timed = 0
+		n := runningAnswers
+		if e[i].New {
+			n = newAnswers
+		}
+		for range n {
+			latency := 0.05 * math.Exp(0.6*rng.NormFloat64())
+			if e[i].New && rng.Float64() < slow {
+				latency *= factor
+			}
+			e[i].Counts.Latencies.Add(latency)
+		}
+	}
+	return e
+}
+
+// Guards against good versions that are not acquitted because latencies vary.
+func TestVersionOfSameLatencyIsAcquitted(t *testing.T) {
+	p, notAcquitted := DefaultOrderPolicy(), 0
+	for seed := range uint64(200) {
+		if e := latencyEvidence(rand.New(rand.NewPCG(seed, 2)), 20, 100, 0, 1); !p.Acquitted(e) {
+			notAcquitted++
+		}
+	}
+	if notAcquitted > 10 {
+		t.Errorf("%d of 200 good versions were not acquitted", notAcquitted)
+	}
+}
+
+// Guards against evidence that differs after it was sent to another daemon, and against invalid reports.
+func TestLatencyCountsEncoding(t *testing.T) {
+	var counts, decoded LatencyCounts
+	for _, latency := range []float64{0, 1e-9, 0.002, 0.002, 0.7, 1e9} {
+		counts.Add(latency)
+	}
+	data, err := counts.MarshalBinary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := decoded.UnmarshalBinary(data); err != nil || decoded != counts || counts.Total() != 5 {
+		t.Errorf("%v, %v; want %v", decoded, err, counts)
+	}
+	for _, invalid := range [][]byte{{latencyClasses, 1}, {1}, {1, 0xff, 0xff, 0xff, 0xff, 0xff, 1}} {
+		if err := decoded.UnmarshalBinary(invalid); err == nil {
+			t.Errorf("%v was accepted", invalid)
+		}
+	}
+}
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -75,6 +75,9 @@
 	// MinSlowShare is the fraction of slow answers of the new version required for a
 	// rollback due to slowness; see LatencyBaseline.
 	MinSlowShare float64
+	// MinSlowExcess is the fraction of the new version's answers by which slow ones must exceed those of
+	// the running version for a rollback or for doubt due to latency.
+	MinSlowExcess float64
 	// MinBadEvents is the number of bad answers required for a rollback or for doubt. Single ones
 	// happen on any version.
 	MinBadEvents int64
@@ -99,6 +102,7 @@
 		RollBackThreshold:    100,
 		LeaveOneOutThreshold: 3,
 		MinSlowShare:         0.5,
+		MinSlowExcess:        0.12,
 		MinBadEvents:         4,
 		DoubtThreshold:       10,
 		DoubtSlowShare:       0.33,
@@ -176,20 +180,18 @@
 
 // rollBackReason returns why the new version is to be rolled back, or "".
 func (p OrderPolicy) rollBackReason(e Evidence) string {
+	newCounts, _ := e.Totals(nil)
 	for s := range signalCount {
-		newCounts, _ := e.Totals(nil)
-		trials, events := newCounts.forSignal(s)
-		if events < p.MinBadEvents {
-			continue
-		}
-		if s == Slowness && float64(events) < p.MinSlowShare*float64(trials) {
+		trials, events := e.badEvents(s, &newCounts)
+		if !p.material(e, s, trials, events, p.MinSlowShare) {
 			continue
 		}
 		logE := e.LogEValue(s, nil)
-		if leaveOneOut, _ := e.MinLeaveOneOut(s); leaveOneOut < math.Log(p.LeaveOneOutThreshold) {
-			continue // a single server or failure domain may be the cause
+		if logE < math.Log(p.RollBackThreshold) {
+			continue
 		}
-		if logE >= math.Log(p.RollBackThreshold) {
+		// A single server or failure domain may be the cause.
+		if leaveOneOut, _ := e.MinLeaveOneOut(s); leaveOneOut >= math.Log(p.LeaveOneOutThreshold) {
 			return fmt.Sprintf("%s: %d of %d on the new version, e-value 10^%.1f", s, events, trials, logE/math.Ln10)
 		}
 	}
@@ -200,10 +202,10 @@
 // rollback, or "". Evidence that one server explains is none if the others have served enough
 // requests, and no fewer than that one.
 func (p OrderPolicy) Doubt(e Evidence) string {
+	newCounts, _ := e.Totals(nil)
 	for s := range signalCount {
-		newCounts, _ := e.Totals(nil)
-		trials, events := newCounts.forSignal(s)
-		if events < p.MinBadEvents || s == Slowness && float64(events) < p.DoubtSlowShare*float64(trials) {
+		trials, events := e.badEvents(s, &newCounts)
+		if !p.material(e, s, trials, events, p.DoubtSlowShare) {
 			continue
 		}
 		logE := e.LogEValue(s, nil)
@@ -214,6 +216,22 @@
 	return ""
 }
 
+// material reports whether the new version has enough bad events in its trials to be judged by a signal.
+// Slowness requires minSlowShare of the trials.
+func (p OrderPolicy) material(e Evidence, s Signal, trials, events int64, minSlowShare float64) bool {
+	if events < p.MinBadEvents {
+		return false
+	}
+	switch s {
+	case Slowness:
+		return float64(events) >= minSlowShare*float64(trials)
+	case Latency:
+		_, excess := e.SlowExcess()
+		return excess >= p.MinSlowExcess
+	}
+	return true
+}
+
 // oneServerExplains reports whether the new version is in no doubt by a signal without one of its
 // servers, and the others have served enough requests to tell.
 func (p OrderPolicy) oneServerExplains(e Evidence, s Signal) bool {
@@ -226,13 +244,17 @@
 	})
 }
 
-// Acquitted reports whether the new version has served enough requests as well as the old one to
-// serve those that the old version cannot. Between that and doubt, nothing is known.
+// Acquitted reports whether the new version has served enough requests as well and as fast as the old
+// one to serve those that the old version cannot, and to take its place. Between that and doubt,
+// nothing is known.
 func (p OrderPolicy) Acquitted(e Evidence) bool {
 	newCounts, runningCounts := e.Totals(nil)
 	if newCounts.Requests < p.CanaryRequests || p.Doubt(e) != "" || e.LogEValue(Slowness, nil) >= math.Log(p.DoubtThreshold) {
 		return false
 	}
+	if slow, compared := e.logSlowRatio(p.AcquittalShare); compared && slow > -math.Log(p.DoubtThreshold) {
+		return false
+	}
 	return p.logFailureRatio(newCounts, runningCounts) <= -math.Log(p.DoubtThreshold)
 }
 
@@ -240,7 +262,5 @@
 // requests, besides those that fail on any version, to one that is as good as the running version.
 func (p OrderPolicy) logFailureRatio(newCounts, runningCounts Counts) float64 {
 	good := (float64(runningCounts.Errors) + 0.5) / (float64(runningCounts.Requests) + 1)
-	bad := 1 - (1-good)*(1-p.AcquittalShare)
-	failed := float64(newCounts.Errors)
-	return failed*math.Log(bad/good) + (float64(newCounts.Requests)-failed)*math.Log((1-bad)/(1-good))
+	return logBernoulliRatio(good, p.AcquittalShare, newCounts.Errors, newCounts.Requests)
 }
