rollout: a version that is not acquitted is not completed

Class: no alarm is taken for a proof.

The full phase now begins, and the order is completed, once the requests so far make a version that fails or slows a further quarter of them ten times less likely than a good one. One that is not acquitted at 0.85 of the order's time, or at its latest moment, is rolled back.

--- a/internal/rollout/latency_test.go
+++ b/internal/rollout/latency_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"testing"
+	"time"
 )
 
 // latencyEvidence returns evidence of a number of answers on each of three servers of both versions. The
@@ -27,6 +28,30 @@
 	return e
 }
 
+// Guards against a slow version that is advanced or completed on few answers, since it raises no alarm. One
+// in ten may be acquitted by chance, by DoubtThreshold.
+func TestVersionThatIsNotAcquittedIsNotCompleted(t *testing.T) {
+	const seeds = 200
+	p, o := DefaultOrderPolicy(), Order{Duration: 10 * time.Second, FullSince: 6 * time.Second}
+	for _, tt := range []struct {
+		at      Phase
+		since   time.Duration
+		refused Phase
+	}{{Ramp, 8 * time.Second, Full}, {Full, 9500 * time.Millisecond, Completed}} {
+		moved := 0
+		for seed := range uint64(seeds) {
+			few := latencyEvidence(rand.New(rand.NewPCG(seed, 1)), 7, 40, 0.3, 4)
+			if got, _ := p.NextPhase(o, tt.at, tt.since, few, 0); got == tt.refused {
+				moved++
+			}
+		}
+		t.Logf("%d of %d slow versions went from %s to %s", moved, seeds, tt.at, tt.refused)
+		if moved > seeds/int(p.DoubtThreshold) {
+			t.Errorf("%d of %d slow versions went from %s to %s", moved, seeds, tt.at, tt.refused)
+		}
+	}
+}
+
 // Guards against good versions that are not acquitted because latencies vary.
 func TestVersionOfSameLatencyIsAcquitted(t *testing.T) {
 	p, notAcquitted := DefaultOrderPolicy(), 0
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -61,6 +61,8 @@
 	CanaryEnd float64
 	// RampEnd is the earliest end of the ramp. From RampLimit on, it no longer needs RampRequests.
 	RampEnd, RampLimit float64
+	// FullBy is the latest start of the full phase. A version that is not acquitted by then is rolled back.
+	FullBy float64
 	// CompleteBy is when the order is completed even if streams still run on old servers.
 	CompleteBy float64
 	// CanaryRequests is the number of requests to the new version that ends the canary before
@@ -97,6 +99,7 @@
 		CanaryShare: 0.1, RampShare: 0.4,
 		SessionsFrom: 0.5, CanaryEnd: 0.62,
 		RampEnd: 0.58, RampLimit: 0.75,
+		FullBy:         0.85,
 		CompleteBy:     0.93,
 		CanaryRequests: 20, RampRequests: 60,
 		RollBackThreshold:    100,
@@ -137,16 +140,18 @@
 	newCounts, _ := e.Totals(nil)
 	doubt := p.Doubt(e)
 	switch {
-	case progress >= 1 && phase < Full:
-		return RolledBack, "the deadline passed without enough evidence"
+	case progress >= p.FullBy && phase < Full && !p.Acquitted(e):
+		return RolledBack, fmt.Sprintf("not acquitted by %d requests at the latest start of the full phase", newCounts.Requests)
 	case doubt != "" && phase == Full && progress >= p.CompleteBy:
 		return RolledBack, "still in doubt at the latest moment: " + doubt
 	case doubt != "":
 		return phase, "in doubt: " + doubt
 	case phase == Canary && progress >= p.SessionsFrom && (newCounts.Requests >= p.CanaryRequests || progress >= p.CanaryEnd):
 		return Ramp, fmt.Sprintf("%d requests on the new version without an alarm", newCounts.Requests)
-	case phase == Ramp && p.rampDone(progress, newCounts.Requests):
-		return Full, fmt.Sprintf("%d requests on the new version without an alarm", newCounts.Requests)
+	case phase == Ramp && p.rampDone(progress, newCounts.Requests) && p.Acquitted(e):
+		return Full, fmt.Sprintf("acquitted by %d requests on the new version", newCounts.Requests)
+	case phase == Full && progress >= p.CompleteBy && !p.Acquitted(e):
+		return RolledBack, fmt.Sprintf("not acquitted by %d requests at the latest moment", newCounts.Requests)
 	case phase == Full && oldRunning == 0 && progress >= max(p.RampEnd, float64(o.FullSince)/float64(o.Duration))+o.minFullShare():
 		return Completed, "nothing runs on old servers"
 	case phase == Full && progress >= p.CompleteBy:
