relay: a version that is being rolled out is not its own reference

Callers got a slow version for good (EXPOSURE): model servers that took four times as long on a third of the requests were completed. Cause: the typical time to the first event and between events, to which each answer's time is compared, was learned from the new version's answers as well, with a weight of 0.05 each. After some twenty of its answers the slow version was typical, and its latencies were 1 by definition. Class: a reference that the observed thing sets itself.

The target version of a running order teaches neither. The lines of answered, streamed and escalated requests have the comparable latency.

TestVersionBeingRolledOutIsNoReference: interval 186 ms instead of 20 without the change.

--- a/internal/relay/enginespeeds.go
+++ b/internal/relay/enginespeeds.go
@@ -80,7 +80,7 @@
 	latency.wait.Observe(max(0, elapsed-prefill-t.fetch.delay).Seconds(), now)
 	sv.tracker.RecordLateness(t.server.ID, elapsed-t.backlog-prefill-t.fetch.delay, now)
 	sv.transfers.observe(t, elapsed, latency.prefill, now)
-	if !t.idle || t.fetch.used() {
+	if !t.idle || t.fetch.used() || t.unproven {
 		return
 	}
 	latency.prefill.Observe(t.uncached, t.typicalTime(elapsed))
@@ -101,7 +101,9 @@
 		if expected := gaps.Predict(batch); expected > 0 {
 			s.observeSpeed(t, gap.Seconds()/expected, 1)
 		}
-		gaps.Observe(batch, t.typicalTime(gap).Seconds())
+		if !t.unproven {
+			gaps.Observe(batch, t.typicalTime(gap).Seconds())
+		}
 	})
 }
 
--- a/internal/relay/latency.go
+++ b/internal/relay/latency.go
@@ -129,8 +129,12 @@
 	return first, interval
 }
 
-// recordEventInterval records the mean interval between the events of a stream.
+// recordEventInterval records the mean interval between the events of a stream. A version that is being
+// rolled out is compared with the running one by it, and has no part in it.
 func (s *State) recordEventInterval(t *target, interval time.Duration) {
+	if t.unproven {
+		return
+	}
 	s.withService(t.service, func(sv *service) {
 		updateMean(&sv.models.get(t.model, nil).eventInterval, t.typicalTime(interval).Seconds())
 	})
--- a/internal/relay/models.go
+++ b/internal/relay/models.go
@@ -113,7 +113,7 @@
 		x.logEvent("low-confidence answer kept", t, "confidence", confidence, "right", verdict.CorrectProbability, "why", "retry budget exhausted")
 		return false
 	}
-	x.logEvent("escalated to larger model", t, "confidence", confidence, "right", verdict.CorrectProbability, "worth", verdict.KeepValue, "worth_of_asking", verdict.EscalateValue, "delay_price", delay, "workspace", x.workspace, "over_share", x.overShare, "displaced_per_s", x.displacedPerSecond, "next", x.route.Models[verdict.Model])
+	x.logEvent("escalated to larger model", t, "confidence", confidence, "right", verdict.CorrectProbability, "worth", verdict.KeepValue, "worth_of_asking", verdict.EscalateValue, "delay_price", delay, "workspace", x.workspace, "over_share", x.overShare, "displaced_per_s", x.displacedPerSecond, "latency", x.comparableLatency(0), "next", x.route.Models[verdict.Model])
 	x.relay.Metrics.Escalations.Inc(1)
 	x.relay.Rollouts.recordResponse(t, x.route.Name, false, x.comparableLatency(0))
 	x.modelIndex = verdict.Model
--- a/internal/relay/pendinganswers_test.go
+++ b/internal/relay/pendinganswers_test.go
@@ -53,3 +53,16 @@
 		t.Errorf("%d of 12 answers that were given up count, %d still wait", n, len(order.pending))
 	}
 }
+
+// Guards against a slow version that becomes the reference which its own answers are compared with.
+func TestVersionBeingRolledOutIsNoReference(t *testing.T) {
+	s := NewState("d1", "", func() time.Duration { return time.Second })
+	running, unproven := &target{service: "s", model: "m"}, &target{service: "s", model: "m", unproven: true}
+	s.recordEventInterval(running, 20*time.Millisecond)
+	for range 50 {
+		s.recordEventInterval(unproven, 200*time.Millisecond)
+	}
+	if _, interval := s.typicalEngineLatency(running); interval != 0.02 {
+		t.Errorf("interval %.3f s, want that of the running version", interval)
+	}
+}
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -62,6 +62,8 @@
 	idle bool
 	// backlog is the expected prefill time of the requests queued before this one.
 	backlog time.Duration
+	// unproven is set if the server has a version that is being rolled out.
+	unproven bool
 	// warming is set if the server is warming up, with the limit slowStart.
 	warming   bool
 	slowStart slowstart.Limit
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -36,7 +36,8 @@
 	elapsed := time.Since(sentAt)
 	resp := &bufferedResponse{reply.Status, reply.Header, body}
 	failed := reply.Status >= http.StatusInternalServerError
-	x.relay.Rollouts.recordResponse(t, x.route.Name, failed, x.comparableLatency(0))
+	latency := x.comparableLatency(0)
+	x.relay.Rollouts.recordResponse(t, x.route.Name, failed, latency)
 	if !failed {
 		x.relay.State.recordResponse(t, elapsed, x.service.Engine != nil)
 		x.recordWait()
@@ -51,7 +52,7 @@
 	x.succeeded = ok
 	x.relay.Metrics.Responses(ok).Inc(1)
 	x.relay.Metrics.ResponseLatency.RecordDuration(time.Since(x.call.Received))
-	x.logEvent("answered", t, "status", reply.Status, "bytes", len(body))
+	x.logEvent("answered", t, "status", reply.Status, "bytes", len(body), "latency", latency)
 	x.complete = resp
 	return request.ErrorResponse, true
 }
@@ -89,6 +90,7 @@
 
 // beginAnswer observes the answer to a send for the roll-outs.
 func (x *exchange) beginAnswer(t *target, sentAt time.Time) {
+	t.unproven = x.relay.Rollouts.unproven(t)
 	x.pending = &pendingAnswer{target: t, route: x.route.Name, sentAt: sentAt}
 	if x.service.Engine != nil {
 		x.pending.first, x.pending.interval = x.relay.State.typicalEngineLatency(t)
@@ -127,8 +129,9 @@
 func (x *exchange) recordStream(s *streamForwarder) {
 	x.succeeded = true
 	x.relay.Metrics.Responses(true).Inc(1)
-	x.logEvent("streamed", s.t, "last_event", x.lastEvent, "events", s.events, "first_ms", x.firstEventAt.Sub(x.call.Received).Milliseconds())
-	x.relay.Rollouts.recordResponse(s.t, x.route.Name, false, x.comparableLatency(s.events))
+	latency := x.comparableLatency(s.events)
+	x.logEvent("streamed", s.t, "last_event", x.lastEvent, "events", s.events, "first_ms", x.firstEventAt.Sub(x.call.Received).Milliseconds(), "latency", latency)
+	x.relay.Rollouts.recordResponse(s.t, x.route.Name, false, latency)
 	if s.events > 1 {
 		x.recordStreamEnd(s.t, time.Since(s.firstEventAt))
 		x.relay.State.recordEventInterval(s.t, time.Since(s.firstEventAt)/time.Duration(s.events-1))
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -210,6 +210,14 @@
 // shareResolution is the number of buckets that hashes are assigned to.
 const shareResolution = 1000
 
+// unproven reports whether a server has the target version of a running order.
+func (r *Rollouts) unproven(t *target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	order := r.orders[t.service]
+	return order != nil && !order.phase.Final() && t.server.Version == order.Target
+}
+
 // recordResponse adds a response to a request of a route to the evidence on a version. Latency is in
 // seconds or as a ratio to the expected one, the same for all responses of the route; 0 if it is unknown.
 func (r *Rollouts) recordResponse(t *target, route string, failed bool, latency float64) {
