rollout: no acquittal while slow answers exceed those of the running version

A version that is slower by a factor on a part of the answers was acquitted within two seconds on model servers, whose latencies vary widely: what was asked was only that not a quarter more of its answers lies above nine tenths of the running version's. The excess of slow answers, over all tails, must now be below 0.15 as well. The ramp starts at 0.55 of the order's time at the latest instead of 0.62: sessions stay where they are in the first half, so that a canary of a service whose requests all have one sees almost nothing, and the time is missing for slow answers.

--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -89,6 +89,9 @@
 	// DoubtSlowShare is the fraction of slow answers of the new version required for doubt due to
 	// slowness.
 	DoubtSlowShare float64
+	// MaxAcquittalExcess is the fraction of the new version's answers by which slow ones may exceed those of
+	// the running version if it is acquitted.
+	MaxAcquittalExcess float64
 	// AcquittalShare is the fraction of requests that a bad version is taken to fail at least.
 	AcquittalShare float64
 }
@@ -97,7 +100,7 @@
 func DefaultOrderPolicy() OrderPolicy {
 	return OrderPolicy{
 		CanaryShare: 0.1, RampShare: 0.4,
-		SessionsFrom: 0.5, CanaryEnd: 0.62,
+		SessionsFrom: 0.5, CanaryEnd: 0.55,
 		RampEnd: 0.58, RampLimit: 0.75,
 		FullBy:         0.85,
 		CompleteBy:     0.93,
@@ -109,6 +112,7 @@
 		MinBadEvents:         4,
 		DoubtThreshold:       10,
 		DoubtSlowShare:       0.33,
+		MaxAcquittalExcess:   0.15,
 		AcquittalShare:       0.25,
 	}
 }
@@ -260,6 +264,9 @@
 	if slow, compared := e.logSlowRatio(p.AcquittalShare); compared && slow > -math.Log(p.DoubtThreshold) {
 		return false
 	}
+	if _, excess := e.SlowExcess(); excess > p.MaxAcquittalExcess {
+		return false
+	}
 	return p.logFailureRatio(newCounts, runningCounts) <= -math.Log(p.DoubtThreshold)
 }
 
