relay: a panic ends its request with a truthful refusal and releases what it holds

What callers saw: a panic anywhere in a request's processing closed the connection without an answer; one in the goroutine that writes the response, or in a request that another daemon has handed over, ended the whole daemon and all requests on it. A panic between the choice of a server and the end of the send left the request in flight there for good, and kept it a suspect of every later crash of that server. Cause and class: ends of a send that only the ordinary return recorded (in-flight count, containment record); goroutines on the request path without a recovery. Change: Relay.serve recovers. What the send holds is released; nothing written: refused as `internal`, with the state not_run only if no send was begun, else unknown; response begun: cut and aborted as before, with the line "cut". The writer's goroutine recovers and fails its response, which is then aborted. One line with the stack and the counter, as before. http.ErrAbortHandler passes.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -44,8 +44,11 @@
 	identity quarantine.Identity
 	// quarantineStatus is the request's quarantine state before the last send.
 	quarantineStatus quarantine.Status
-	// run is the containment record of the last send.
-	run *containment.Attempt
+	// run is the containment record of the last send, and running is set until the send has ended.
+	run     *containment.Attempt
+	running bool
+	// sending is the selected server until the send to it is recorded as ended.
+	sending *target
 	// interrupted is set if the stream of the last send broke off.
 	interrupted bool
 	// succeeded is set once a server has sent a complete, successful response.
@@ -232,6 +235,7 @@
 	if err != nil {
 		return nil, x.retryState.Fail(err.Kind, err.Detail).WithRetryAfter(err.RetryAfter)
 	}
+	x.sending = t
 	return t, nil
 }
 
@@ -253,8 +257,9 @@
 func (x *exchange) attempt(ctx context.Context, t *target) (request.SendOutcome, bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x.run = x.relay.Guard.Begin(containmentServer(t.server), x.identity, cancel)
+	x.run, x.running = x.relay.Guard.Begin(containmentServer(t.server), x.identity, cancel), true
 	outcome, done := x.send(ctx, cancel, t)
+	x.running = false
 	x.relay.Guard.End(ctx, x.run, containmentServer(t.server), containmentOutcome(ctx, outcome, done))
 	x.recordInterruption(ctx, t)
 	if x.succeeded {
@@ -306,10 +311,16 @@
 	x.relay.recordReached(t)
 	outcome, done := x.handleReply(ctx, t, a, reply, sentAt)
 	failed := !done && outcome != request.LowConfidence && outcome != request.NotStarted
-	x.relay.State.recordSendEnd(t, time.Since(sentAt), failed)
+	x.endSend(t, time.Since(sentAt), failed)
 	return outcome, done
 }
 
+// endSend records the end of the send to the selected server.
+func (x *exchange) endSend(t *target, elapsed time.Duration, failed bool) {
+	x.sending = nil
+	x.relay.State.recordSendEnd(t, elapsed, failed)
+}
+
 // sendFields returns the inputs of a send for its log line.
 func (x *exchange) sendFields(t *target, urgent urgency.Decision) []any {
 	by, age := x.relay.State.LastConfirmation(freshness.Servers)
@@ -343,7 +354,7 @@
 		e = &upstream.Error{Reason: upstream.ConnectionLost, Sent: true, Err: err}
 	}
 	failed := e.Reason != upstream.Canceled && e.Reason != upstream.ConnectionLimit && e.Reason != upstream.Withdrawn
-	x.relay.State.recordSendEnd(t, time.Since(sentAt), failed)
+	x.endSend(t, time.Since(sentAt), failed)
 	if e.Reason == upstream.Unreachable {
 		x.relay.State.recordUnreachable(t)
 	}
--- a/internal/relay/flowcontrol.go
+++ b/internal/relay/flowcontrol.go
@@ -273,6 +273,8 @@
 	// onFail is called when the response has failed, and onPause when it is paused for the first time.
 	onFail  func(reason error)
 	onPause func(unread int)
+	// onPanic is called with a recovered panic of the writer.
+	onPanic func(recovered any)
 	done    chan struct{}
 
 	mu      sync.Mutex
@@ -358,6 +360,12 @@
 // run writes the response to its end.
 func (w *pacedWriter) run() {
 	defer close(w.done)
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			w.onPanic(recovered)
+			w.fail(errPanic)
+		}
+	}()
 	w.out.WriteHeader(w.header.status, w.header.fields, w.header.length)
 	for {
 		p, more := w.next()
@@ -452,7 +460,7 @@
 	if !x.retryState.Repeatable || x.retryState.RemainingRuns() <= 0 {
 		x.releaseBody()
 	}
-	x.paced = &pacedWriter{out: x.out, held: x.held, header: header, unread: prefix, onFail: x.cancel, onPause: x.recordPause, done: make(chan struct{})}
+	x.paced = &pacedWriter{out: x.out, held: x.held, header: header, unread: prefix, onFail: x.cancel, onPause: x.recordPause, onPanic: x.reportPanic, done: make(chan struct{})}
 	x.paced.changed.L = &x.paced.mu
 	x.held.deliver(x.call.ID, x.stallTimeout(), x.paced.interrupt)
 	x.paced.start()
--- /dev/null
+++ b/internal/relay/panics.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/damaskrudder/damaskrudder/internal/containment"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/recovery"
+)
+
+// errPanic is the reason of a response that ends because of a panic.
+var errPanic = errors.New("internal error")
+
+// trackedWriter records whether the response of a call has begun.
+type trackedWriter struct {
+	ResponseWriter
+	begun atomic.Bool
+}
+
+// Refuse implements ResponseWriter.
+func (w *trackedWriter) Refuse(e *fault.Error) {
+	w.begun.Store(true)
+	w.ResponseWriter.Refuse(e)
+}
+
+// WriteHeader implements ResponseWriter.
+func (w *trackedWriter) WriteHeader(status int, h http.Header, length int64) {
+	w.begun.Store(true)
+	w.ResponseWriter.WriteHeader(status, h, length)
+}
+
+// Interrupt implements interrupter.
+func (w *trackedWriter) Interrupt() { interrupt(w.ResponseWriter) }
+
+// endPanicked ends a call whose processing panicked: it releases what the call holds, and refuses the
+// call or, if its response has begun, aborts it. The exchange is nil if the call was not admitted.
+func (r *Relay) endPanicked(ctx context.Context, c *Call, out *trackedWriter, x *exchange, recovered any) {
+	if recovered == http.ErrAbortHandler {
+		panic(recovered)
+	}
+	r.reportPanic(c, recovered)
+	if x != nil {
+		x.releaseSend(ctx)
+	}
+	begun := out.begun.Load() || x != nil && x.paced != nil
+	if !begun {
+		r.Refuse(c, out, panicRefusal(x))
+		return
+	}
+	r.log.Info("cut", "request", c.ID, "kind", fault.Internal, "why", errPanic)
+	r.Metrics.ResponsesAborted.Inc(1)
+	if x == nil || x.paced == nil {
+		out.Abort()
+		return
+	}
+	x.paced.interrupt(errPanic)
+	x.aborted = true
+	x.finish(ctx)
+}
+
+// panicRefusal returns the refusal of a call whose processing panicked. It states that the call has
+// not run only if nothing was sent.
+func panicRefusal(x *exchange) *fault.Error {
+	state := fault.Unknown
+	if x == nil || x.retryState.Sends() == 0 {
+		state = fault.NotRun
+	}
+	return fault.New(fault.Internal, "internal error").WithExecution(state)
+}
+
+// releaseSend ends the send that a panic has left open. Its connection ends with the context of the
+// send.
+func (x *exchange) releaseSend(ctx context.Context) {
+	if t := x.sending; t != nil {
+		x.endSend(t, x.relay.State.bootTime()-t.pickedAt, false)
+	}
+	if x.running {
+		x.running = false
+		x.relay.Guard.End(ctx, x.run, containment.Server{}, containment.Canceled)
+	}
+}
+
+// reportPanic counts and logs a recovered panic.
+func (r *Relay) reportPanic(c *Call, recovered any) {
+	recovery.Report(recovered, r.Metrics.Panics, r.log, "request", c.ID)
+}
+
+func (x *exchange) reportPanic(recovered any) { x.relay.reportPanic(x.call, recovered) }
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -86,7 +86,7 @@
 		x.logEvent("permit not used", nil, "server", o.server.ID, "err", err)
 		return nil, nil
 	}
-	t.permitFrom = o.daemon
+	x.sending, t.permitFrom = t, o.daemon
 	x.relay.Metrics.PermitsUsed.Inc(1)
 	x.logEvent("permit used", t, "own", o.reserved, "waited_ms", waited.Milliseconds())
 	return t, nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -220,7 +220,7 @@
 }
 
 // serve forwards one call. Prepare is called once the call is admitted and may refuse it.
-func (r *Relay) serve(ctx context.Context, c *Call, out ResponseWriter, prepare func(x *exchange) *fault.Error) {
+func (r *Relay) serve(ctx context.Context, c *Call, to ResponseWriter, prepare func(x *exchange) *fault.Error) {
 	r.mu.Lock()
 	r.activeRequests++
 	shutdownAt := r.shutdownAt
@@ -235,6 +235,13 @@
 		c.Held = r.Hold()
 		defer c.Held.Release()
 	}
+	out := &trackedWriter{ResponseWriter: to}
+	var x *exchange
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			r.endPanicked(ctx, c, out, x, recovered)
+		}
+	}()
 	if !r.State.Usable() {
 		r.State.WaitUsable(ctx, startupWait)
 	}
