peer: a panic in the handler of one request of another daemon ends only that request

What callers saw: a panic while a daemon handled a call or a stream of another daemon (a forwarded request, a gossip exchange, a permit) ended the process, and all requests on it with neither an answer nor a refusal. Class: goroutines on the request path without a recovery; those of net/http recover, the goroutines that the peer server starts for each message did not. Change: both recover and call OnPanic, which both daemons count and log with the stack. A call gets an error; a stream ends as incomplete, which the other daemon takes for "may have run": an error there states that the request was not handled. Without OnPanic the process ends as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
+	"github.com/damaskrudder/damaskrudder/internal/recovery"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/session"
 	"github.com/damaskrudder/damaskrudder/internal/settings"
@@ -111,6 +112,7 @@
 	s := peer.NewServer(d.secrets.PeerKey)
 	s.OnRefused = func() { d.metrics.peerRefused.Inc(1) }
 	s.OnBytes = func(n int) { d.metrics.peerBytes.Inc(int64(n)) }
+	s.OnPanic = func(kind string, recovered any) { d.reportPanic(recovered, "call", kind) }
 	d.members.register(s)
 	d.config.register(s)
 	d.usage.register(s)
@@ -172,6 +174,11 @@
 	return int(d.inFlight.Load()), d.usage.pending()
 }
 
+// reportPanic counts and logs a recovered panic.
+func (d *Daemon) reportPanic(recovered any, fields ...any) {
+	recovery.Report(recovered, d.metrics.panics, d.log, fields...)
+}
+
 // PanicCounter returns the counter of panics in request handlers.
 func (d *Daemon) PanicCounter() tally.Counter { return d.metrics.panics }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
+	"github.com/damaskrudder/damaskrudder/internal/recovery"
 	"github.com/damaskrudder/damaskrudder/internal/relay"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
 	"github.com/damaskrudder/damaskrudder/internal/route"
@@ -217,6 +218,9 @@
 // PeerServer returns the handler for calls from other daemons.
 func (n *Node) PeerServer() *peer.Server {
 	s := peer.NewServer("")
+	s.OnPanic = func(kind string, recovered any) {
+		recovery.Report(recovered, n.deps.Metrics.Panics, n.log, "call", kind)
+	}
 	n.members.RegisterHandlers(s, n.records)
 	n.registerForwarding(s)
 	return s
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -15,16 +16,22 @@
 // streamWriteTimeout bounds the wait for a client that does not read its stream.
 const streamWriteTimeout = 30 * time.Second
 
+// callHandler handles a call and returns its encoded response.
+type callHandler func(ctx context.Context, from string, body []byte) ([]byte, error)
+
 // Server accepts connections from other daemons and dispatches their calls.
 type Server struct {
 	key      string
-	handlers map[string]func(ctx context.Context, from string, body []byte) ([]byte, error)
+	handlers map[string]callHandler
 	// streamHandlers handle requests whose response is a stream.
 	streamHandlers map[string]func(ctx context.Context, from string, body []byte, send func(envelope) error)
 	// OnRefused is called for each connection without a valid signature.
 	OnRefused func()
 	// OnBytes is called with the size of each message sent or received.
 	OnBytes func(n int)
+	// OnPanic is called with the recovered panic of a handler of a kind. By default it panics again,
+	// which ends the process.
+	OnPanic func(kind string, recovered any)
 
 	mu     sync.Mutex
 	conns  map[*websocket.Conn]bool
@@ -33,7 +40,7 @@
 
 // NewServer returns a server that accepts clients with the peer key.
 func NewServer(key string) *Server {
-	return &Server{key: key, handlers: map[string]func(context.Context, string, []byte) ([]byte, error){}, streamHandlers: map[string]func(context.Context, string, []byte, func(envelope) error){}, OnRefused: func() {}, OnBytes: func(int) {}, conns: map[*websocket.Conn]bool{}}
+	return &Server{key: key, handlers: map[string]callHandler{}, streamHandlers: map[string]func(context.Context, string, []byte, func(envelope) error){}, OnRefused: func() {}, OnBytes: func(int) {}, OnPanic: func(_ string, recovered any) { panic(recovered) }, conns: map[*websocket.Conn]bool{}}
 }
 
 // Close closes all connections and rejects new ones. http.Server.Close does not close
@@ -119,7 +126,7 @@
 			return
 		}
 		if handler := s.streamHandlers[request.Kind]; handler != nil {
-			go handler(streamCtx, from, request.Body, func(message envelope) error {
+			send := func(message envelope) error {
 				data, err := cbor.Marshal(message)
 				if err != nil {
 					return err
@@ -127,7 +134,11 @@
 				writeCtx, cancel := context.WithTimeout(streamCtx, streamWriteTimeout)
 				defer cancel()
 				return write(writeCtx, data)
-			})
+			}
+			go func() {
+				defer s.recoverStream(request.Kind, send)
+				handler(streamCtx, from, request.Body, send)
+			}()
 			continue
 		}
 		go func() {
@@ -141,7 +152,7 @@
 	handler := s.handlers[request.Kind]
 	if handler == nil {
 		reply.Error = "unknown call " + request.Kind
-	} else if body, err := handler(ctx, from, request.Body); err != nil {
+	} else if body, err := s.call(ctx, handler, from, request); err != nil {
 		reply.Error = err.Error()
 	} else {
 		reply.Body = body
@@ -152,3 +163,26 @@
 	}
 	return data
 }
+
+// errPanicked is the response to a call whose handler panicked.
+var errPanicked = errors.New("internal error")
+
+// call calls a handler and returns an error if it panics.
+func (s *Server) call(ctx context.Context, handler callHandler, from string, request envelope) (body []byte, err error) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			s.OnPanic(request.Kind, recovered)
+			err = errPanicked
+		}
+	}()
+	return handler(ctx, from, request.Body)
+}
+
+// recoverStream recovers a panic of the handler of a stream. It ends the stream as incomplete: an
+// error would state that the request was not handled.
+func (s *Server) recoverStream(kind string, send func(envelope) error) {
+	if recovered := recover(); recovered != nil {
+		s.OnPanic(kind, recovered)
+		_ = send(envelope{}) // the client has disconnected
+	}
+}
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -96,3 +96,36 @@
 		t.Errorf("an address where nobody listens: sent %t, %v", sent, err)
 	}
 }
+
+// Guards against a panic in the handler of one request that ends the daemon with all others, and is
+// reported as if the request had not been handled.
+func TestPanicOfHandlerEndsOnlyItsRequest(t *testing.T) {
+	s, address := startServer(t)
+	kinds := make(chan string, 2)
+	s.OnPanic = func(kind string, _ any) { kinds <- kind }
+	Handle(s, "panic", func(context.Context, string, numberMessage) (numberMessage, error) { panic("broken") })
+	HandleStream(s, "panic stream", func(_ context.Context, _ string, _ numberMessage, send func(any) error) {
+		_ = send(numberMessage{7}) // fails only if the client has disconnected
+		panic("broken")
+	})
+	client := NewClient("d1", "right-key", nil)
+	defer client.Close()
+	if _, err := Call[numberMessage, numberMessage](t.Context(), client, address, "panic", numberMessage{}); err == nil || <-kinds != "panic" {
+		t.Errorf("call: %v", err)
+	}
+	stream, _, err := client.OpenStream(t.Context(), address, "panic stream", numberMessage{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	var got numberMessage
+	if more, err := stream.Receive(t.Context(), &got); err != nil || !more || got.N != 7 {
+		t.Errorf("before the panic: %v, %t, %v", got, more, err)
+	}
+	if more, err := stream.Receive(t.Context(), &got); err != nil || more || <-kinds != "panic stream" {
+		t.Errorf("after the panic: %t, %v", more, err)
+	}
+	if resp, err := Call[echoMessage, echoMessage](t.Context(), client, address, "echo", echoMessage{"x"}); err != nil || resp.Text != "d1:x" {
+		t.Errorf("later call: %v, %v", resp, err)
+	}
+}
