daemon, api: a panic on the own interface is answered and releases what its request holds

What callers saw: a panic in a handler closed the connection without an answer, also before the header; one in a request that another daemon has handed over ended the process (before the commit on peer) or ended its stream with no reason. What the request held stayed: its place at the server for calls of services, the reservation of a usage record, an idempotency key that is in progress for good. Change: the daemon turns a panic of the run of a request into the error `internal` (state unknown: it promises nothing), inside the claim, the reservation and the account, so that they end as after any other error; guardedCall records its end by a defer. The API answers a panic of a handler as `internal` in its own format if the response has not begun, and aborts the connection if it has, as before.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -17,6 +17,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/daemon"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/recovery"
 )
 
 // HTTP headers of the API that the OpenAI API does not define.
@@ -52,7 +53,7 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = a.handleError
-	e.Use(a.assignRequestID)
+	e.Use(a.assignRequestID, a.recoverPanic)
 	e.POST("/v1/chat/completions", a.completeChat)
 	e.GET("/v1/models", a.listModels)
 	e.GET("/v1/endpoints", a.listEndpoints)
@@ -75,6 +76,27 @@
 	}
 }
 
+// recoverPanic answers a request whose handler panicked as an internal error, or aborts its
+// connection if the response has begun.
+func (a *API) recoverPanic(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) (err error) {
+		defer func() {
+			switch recovered := recover(); recovered {
+			case nil:
+			case http.ErrAbortHandler:
+				panic(recovered)
+			default:
+				recovery.Report(recovered, a.daemon.PanicCounter(), a.logger, "request", requestID(c), "path", c.Request().URL.Path, "answered", !c.Response().Committed)
+				if c.Response().Committed {
+					panic(http.ErrAbortHandler)
+				}
+				err = fault.New(fault.Internal, "internal error")
+			}
+		}()
+		return next(c)
+	}
+}
+
 func requestID(c echo.Context) string { return c.Get(requestIDContextKey).(string) }
 
 // errorResponse is an error body in OpenAI's format, extended by the execution state.
--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -137,7 +137,7 @@
 		return nil, exec, err
 	}
 	resp, err := d.runOnce(ctx, id, req, func() (*ChatResponse, error) {
-		return d.completeChat(ctx, id, req, w, models, pin, exec)
+		return recoverPanic(d, id, func() (*ChatResponse, error) { return d.completeChat(ctx, id, req, w, models, pin, exec) })
 	})
 	if !d.billRequest(ctx, id, req.Workspace, exec) && err == nil {
 		return nil, exec, unprotectedError()
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -107,7 +107,7 @@
 			return &ServiceResponse{replay.Status, replay.Response, true}, false, nil
 		}
 	}
-	resp, err = d.dispatchCall(ctx, id, req, svc, w)
+	resp, err = recoverPanic(d, id, func() (*ServiceResponse, error) { return d.dispatchCall(ctx, id, req, svc, w) })
 	if err != nil {
 		state := fault.FromError(err).ExecutionState()
 		granted.finish(state, 0, nil)
@@ -161,8 +161,7 @@
 		state.RecordAttempt()
 		d.metrics.attempts.Inc(1)
 		start := time.Now()
-		status, body, err := d.guardedCall(ctx, id, picked, identity, req.Body)
-		d.balancer.recordCompletion(picked, time.Since(start), err != nil || status >= http.StatusInternalServerError)
+		status, body, err := d.guardedCall(ctx, id, picked, identity, req.Body, start)
 		if err == nil {
 			d.balancer.recordReached(picked.pool, picked.candidate.ID)
 			return &ServiceResponse{Status: status, Body: body}, nil
@@ -179,22 +178,26 @@
 	}
 }
 
-// guardedCall calls a server and reports the outcome to the containment guard.
-func (d *Daemon) guardedCall(ctx context.Context, id string, picked pick, identity quarantine.Identity, body []byte) (int, []byte, error) {
+// guardedCall calls a server and reports the outcome to the balancer and the containment guard.
+func (d *Daemon) guardedCall(ctx context.Context, id string, picked pick, identity quarantine.Identity, body []byte, start time.Time) (status int, response []byte, err error) {
+	failed, outcome := true, containment.Canceled
+	defer func() { d.balancer.recordCompletion(picked, time.Since(start), failed) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	attempt := d.guard.Begin(containmentServer(picked.candidate), identity, cancel)
-	status, response, err := d.engine.Call(ctx, picked.candidate.Address, id, body)
-	outcome := containment.ConnectionLost
+	defer func() {
+		d.guard.End(ctx, attempt, containmentServer(picked.candidate), outcome)
+		if !failed {
+			d.guard.RecordSuccess(identity)
+		}
+	}()
+	status, response, err = d.engine.Call(ctx, picked.candidate.Address, id, body)
+	failed, outcome = err != nil || status >= http.StatusInternalServerError, containment.ConnectionLost
 	switch {
 	case err == nil, errors.Is(err, engine.ErrNotConnected):
 		outcome = containment.Completed
 	case ctx.Err() != nil:
 		outcome = containment.Canceled
 	}
-	d.guard.End(ctx, attempt, containmentServer(picked.candidate), outcome)
-	if err == nil && status < http.StatusInternalServerError {
-		d.guard.RecordSuccess(identity)
-	}
 	return status, response, err
 }
