upstream: the heads of a call's responses have one limit

Callers saw: every request on a daemon lost at once, when one server sent a head that did not end. The client read a status line, a field, fields or interim responses as long as they came; a daemon has less memory than a server sends within a deadline, and the process ended.

Cause: http.ReadResponse has no limit of its own, and nothing below it had one. Class: input of a server that is read without a bound.

Evidence: TestHeadWithoutEndIsBounded on the code before takes all 4,194,304 bytes of its source for each of nine heads (status line, field name, field value, folded field, fields, interim responses, their fields, and both after a response to another request), and calls it a lost connection. Now each takes 32,768 bytes, fails as an invalid response that was sent, and closes the connection.

Why it works: the limit is on the connection's reads while a head is parsed, in total for a call, so that no form of head passes it. 32 KB are far above what servers send (under 1 KB); a parsed head of the worst form (short fields with different names) takes 490 KB, 100 of them 49 MB (trial: ReadResponse of 100 heads).

Ruled out: framing around bodies. TestFramingWithoutEndIsBounded (chunk sizes, extensions, trailers, responses to other requests and their bodies) passes on the code before as well: net/http and the limits on unmatched responses bound them. FuzzHead: 154,366 executions in 15 s without a finding.

--- /dev/null
+++ b/internal/upstream/head.go
@@ -0,0 +1,61 @@
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// maxHeadBytes is the largest number of bytes that one call reads of heads of responses: status
+// lines and fields, those of interim responses and of responses to other requests included.
+const maxHeadBytes = 32 << 10
+
+// HeadTooLongError means that the heads of the responses to a call have more than Limit bytes.
+type HeadTooLongError struct {
+	// Limit is in bytes.
+	Limit int
+}
+
+// Error implements error.
+func (e *HeadTooLongError) Error() string {
+	return fmt.Sprintf("the response has a head of more than %d bytes", e.Limit)
+}
+
+// headLimit bounds the bytes that a connection reads while a head is read.
+type headLimit struct {
+	// reading is set while a head is read; other bytes are not bounded.
+	reading bool
+	taken   int
+	// err is set once no more may be read.
+	err error
+}
+
+// readHead reads the head of a response. All heads of a call share one limit.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	c.head.reading = true
+	defer func() { c.head.reading = false }()
+	resp, err := http.ReadResponse(c.reader, r)
+	if err != nil && c.head.err != nil {
+		// The parser takes what precedes an error for a whole line, and reports that line.
+		return nil, c.head.err
+	}
+	return resp, err
+}
+
+// allow returns how many of n bytes may be read.
+func (l *headLimit) allow(n int) (int, error) {
+	if !l.reading {
+		return n, nil
+	}
+	if l.taken >= maxHeadBytes {
+		l.err = &HeadTooLongError{maxHeadBytes}
+		return 0, l.err
+	}
+	return min(n, maxHeadBytes-l.taken), nil
+}
+
+// record counts n bytes that were read.
+func (l *headLimit) record(n int) {
+	if l.reading {
+		l.taken += n
+	}
+}
--- /dev/null
+++ b/internal/upstream/head_test.go
@@ -0,0 +1,135 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+)
+
+// endlessConn is a connection that yields a prefix and then a pattern without end, up to a number of
+// bytes beyond all limits.
+type endlessConn struct {
+	net.Conn
+	prefix, pattern string
+	taken           int
+	closed          bool
+}
+
+// endlessBytes is the number of bytes that stands for no end.
+const endlessBytes = 4 << 20
+
+func (c *endlessConn) Read(p []byte) (int, error) {
+	if c.taken >= endlessBytes {
+		return 0, io.EOF
+	}
+	for i := range p {
+		if at := c.taken + i; at < len(c.prefix) {
+			p[i] = c.prefix[at]
+		} else {
+			p[i] = c.pattern[(at-len(c.prefix))%len(c.pattern)]
+		}
+	}
+	c.taken += len(p)
+	return len(p), nil
+}
+
+func (c *endlessConn) Write(p []byte) (int, error) { return len(p), nil }
+func (c *endlessConn) Close() error                { c.closed = true; return nil }
+
+// callOn makes a call on a connection and reads the response to its end.
+func callOn(c net.Conn) error {
+	p := NewPool()
+	p.Dial = func(context.Context, string) (net.Conn, error) { return c, nil }
+	req := &http.Request{Method: "GET", URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	resp, err := p.Do(context.Background(), Call{Address: "a", Request: req, Match: func(r *http.Response) bool { return r.Header.Get("Id") == "1" }})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }() // the response has been read
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// Guards against heads without end, which take memory until the deadline.
+func TestHeadWithoutEndIsBounded(t *testing.T) {
+	const unmatched = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+	for name, c := range map[string]*endlessConn{
+		"status line":             {prefix: "HTTP/1.1 200 ", pattern: "a"},
+		"field name":              {prefix: "HTTP/1.1 200 OK\r\n", pattern: "a"},
+		"field value":             {prefix: "HTTP/1.1 200 OK\r\nA: ", pattern: "a"},
+		"folded field":            {prefix: "HTTP/1.1 200 OK\r\nA: b\r\n", pattern: " b\r\n"},
+		"fields":                  {prefix: "HTTP/1.1 200 OK\r\n", pattern: "A: b\r\n"},
+		"interim responses":       {pattern: "HTTP/1.1 102 Processing\r\n\r\n"},
+		"interim fields":          {prefix: "HTTP/1.1 103 Early Hints\r\n", pattern: "A: b\r\n"},
+		"fields after unmatched":  {prefix: unmatched + "HTTP/1.1 200 OK\r\n", pattern: "A: b\r\n"},
+		"interim after unmatched": {prefix: unmatched, pattern: "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		err := callOn(c)
+		var e *Error
+		var tooLong *HeadTooLongError
+		if !errors.As(err, &e) || e.Reason != InvalidResponse || !e.Sent || !errors.As(err, &tooLong) || !c.closed || c.taken > 2*maxHeadBytes {
+			t.Errorf("%s: got %.80v, closed %t, after %d bytes", name, err, c.closed, c.taken)
+		}
+	}
+}
+
+// Guards against framing without end around a body, and against skipping responses without end.
+func TestFramingWithoutEndIsBounded(t *testing.T) {
+	const chunked, other = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]*endlessConn{
+		"chunk size":           {prefix: chunked, pattern: "0"},
+		"chunk extension":      {prefix: chunked + "1;", pattern: "a"},
+		"chunk extensions":     {prefix: chunked, pattern: "1;aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\na\r\n"},
+		"trailer":              {prefix: chunked + "0\r\nA: ", pattern: "a"},
+		"trailers":             {prefix: chunked + "0\r\n", pattern: "A: b\r\n"},
+		"unmatched responses":  {pattern: other + "0\r\n\r\n"},
+		"unmatched body":       {prefix: other, pattern: "1\r\na\r\n"},
+		"unmatched until EOF":  {prefix: "HTTP/1.1 200 OK\r\n\r\n", pattern: "a"},
+		"unmatched trailers":   {prefix: other + "0\r\n", pattern: "A: b\r\n"},
+		"unmatched chunk size": {prefix: other, pattern: "0"},
+	} {
+		if err := callOn(c); err == nil || !c.closed || c.taken > 512<<10 {
+			t.Errorf("%s: got %v, closed %t, after %d bytes", name, err, c.closed, c.taken)
+		}
+	}
+}
+
+// Guards against a limit that differs between long heads and many, and against one that counts bodies.
+func TestLimitOfHeads(t *testing.T) {
+	respondTo := func(field int) error {
+		head := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 262144\r\nA: " + strings.Repeat("a", field) + "\r\n\r\n"
+		return callOn(&endlessConn{prefix: head, pattern: "b"})
+	}
+	if err := respondTo(maxHeadBytes - 1024); err != nil {
+		t.Errorf("a head within the limit: %v", err)
+	}
+	if err := respondTo(maxHeadBytes); err == nil {
+		t.Error("a head beyond the limit was read")
+	}
+}
+
+// Guards against heads of any form that are read beyond the limit or cause a panic.
+func FuzzHead(f *testing.F) {
+	for _, seed := range []string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "A: b\n", "\x00 \t:\r\r\n"} {
+		f.Add(seed, "A: b\r\n")
+	}
+	f.Fuzz(func(t *testing.T, prefix, pattern string) {
+		raw := &endlessConn{prefix: prefix, pattern: pattern + "\n"}
+		c := &conn{Conn: raw, pool: NewPool()}
+		c.reader = bufio.NewReaderSize(c, readBufferBytes)
+		for range 1000 {
+			if _, err := c.readHead(nil); err != nil {
+				break
+			}
+		}
+		if raw.taken > maxHeadBytes {
+			t.Errorf("%d bytes were taken", raw.taken)
+		}
+	})
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -108,15 +108,21 @@
 	pool    *Pool
 	address string
 	reader  *bufio.Reader
+	head    headLimit
 	// expires is the time after which an idle connection must not be used.
 	expires time.Time
 	reused  bool
 	closed  sync.Once
 }
 
-// Read implements io.Reader and calls OnRead.
+// Read implements io.Reader and calls OnRead. It fails at the limit of a head.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	allowed, err := c.head.allow(len(p))
+	if err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p[:allowed])
+	c.head.record(n)
 	if n > 0 {
 		c.pool.OnRead(c.address)
 	}
@@ -236,8 +242,9 @@
 
 // receive reads responses until one matches the request.
 func receive(c *conn, call Call) (*http.Response, error) {
+	c.head = headLimit{}
 	for unmatched := 0; unmatched <= maxUnmatchedResponses; {
-		resp, err := http.ReadResponse(c.reader, call.Request)
+		resp, err := c.readHead(call.Request)
 		if err != nil {
 			return nil, err
 		}
