relay: long events are accounted for in the memory budget

Callers saw: every request on a daemon lost at once, when servers sent events that did not end on many streams at a time.

Cause: an event is read to its end before any of it is forwarded, up to 1 MB a stream, and the memory budget did not count it. Class: a bound for each, and none for the sum.

Evidence: TestEventsWithoutEndStayWithinBudget on the code before, 100 streams that each send 512 KB of an event: 52,428,800 bytes held, 0 accounted for, of a budget of 1,048,576. Now all stay within the budget.

Why it works: events of over 4 KB reserve their memory, twice their size, before it is used; a reservation that has no room interrupts the stream, which goes on elsewhere as after any interruption. Reservations take at most a quarter of the budget and cut no responses. A lack of memory of the daemon is no evidence against the version of the server. Shorter events, the normal ones, take no lock. TestLongEventsAreForwarded (200 KB of two events) passes before and after.

Ruled out: bodies that are buffered (up to 8 MB) draw on the budget before they are read; unbuffered ones hold 256 KB at most.

--- a/internal/flowcontrol/ledger.go
+++ b/internal/flowcontrol/ledger.go
@@ -19,6 +19,9 @@
 	// pauseFraction is the part of the budget from which responses that hold more than their share
 	// of it are paused. The rest is for the others.
 	pauseFraction = 0.75
+	// reservedFraction is the part of the budget that may be reserved, so that responses which do not
+	// end leave room for the others.
+	reservedFraction = 0.25
 	// minShare is the least share of a response in bytes.
 	minShare = 4 << 10
 	// maxUnread is the largest number of bytes that are held of a response that its client does not
@@ -55,8 +58,8 @@
 // Ledger accounts for the bytes held for requests. It is not safe for concurrent use. Times are
 // readings of one monotonic clock.
 type Ledger struct {
-	budget       int64
-	held, bodies int64
+	budget                 int64
+	held, bodies, reserved int64
 	// responding is the number of requests that hold bytes of a response.
 	responding int64
 	lastID     ID
@@ -65,8 +68,8 @@
 
 // entry is one request.
 type entry struct {
-	body, response int64
-	openedAt       time.Duration
+	body, response, reserved int64
+	openedAt                 time.Duration
 	// delivering is set once the client is offered the response, and cut once it is cut.
 	delivering, cut bool
 	// readAt is when the client last read, or was offered the first of its unread bytes.
@@ -98,9 +101,28 @@
 	}
 	l.addBody(e, -e.body)
 	l.addResponse(e, -e.response)
+	l.addReserved(e, -e.reserved)
 	delete(l.requests, id)
 }
 
+// Reserve accounts for n bytes of a response that its client cannot be offered yet, and reports
+// whether there is room. It cuts no responses.
+func (l *Ledger) Reserve(id ID, n int64) (granted bool) {
+	e := l.requests[id]
+	if e == nil || l.held+n > l.budget || float64(l.reserved+n) > reservedFraction*float64(l.budget) {
+		return false
+	}
+	l.addReserved(e, n)
+	return true
+}
+
+// Unreserve removes n reserved bytes.
+func (l *Ledger) Unreserve(id ID, n int64) {
+	if e := l.requests[id]; e != nil {
+		l.addReserved(e, -min(n, e.reserved))
+	}
+}
+
 // GrowBody accounts for n more bytes of a request's body, and reports whether there is room. Only a
 // small body cuts responses.
 func (l *Ledger) GrowBody(id ID, n int64, now time.Duration) (granted bool, cuts []Cut) {
@@ -265,6 +287,12 @@
 	l.held += n
 }
 
+func (l *Ledger) addReserved(e *entry, n int64) {
+	e.reserved += n
+	l.reserved += n
+	l.held += n
+}
+
 func (l *Ledger) addResponse(e *entry, n int64) {
 	before := e.response
 	e.response += n
--- a/internal/flowcontrol/ledger_test.go
+++ b/internal/flowcontrol/ledger_test.go
@@ -167,3 +167,27 @@
 		*open = append((*open)[:i], (*open)[i+1:]...)
 	}
 }
+
+// Guards against reservations that take the room of bodies and responses, and that outlast their request.
+func TestReservationsLeaveRoom(t *testing.T) {
+	l := NewLedger(budget)
+	reserving := l.Open(start)
+	for l.Reserve(reserving, 1<<10) {
+	}
+	if l.Held() > reservedFraction*budget {
+		t.Errorf("%d bytes are reserved of %d", l.Held(), budget)
+	}
+	l.Unreserve(reserving, 1<<10)
+	if !l.Reserve(reserving, 1<<10) {
+		t.Error("the room of a reservation that has ended is lost")
+	}
+	id := l.Open(start)
+	if granted, _ := l.GrowBody(id, budget/2, start); !granted {
+		t.Error("a body is refused beside reservations")
+	}
+	l.Close(id)
+	l.Close(reserving)
+	if l.Held() != 0 {
+		t.Errorf("%d bytes held at the end", l.Held())
+	}
+}
--- /dev/null
+++ b/internal/relay/endless_test.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+)
+
+// heldBody yields a text without end and adds up what all open bodies have yielded. After a number
+// of bytes it waits for ctx, as the body of a call does.
+type heldBody struct {
+	io.Reader
+	ctx    context.Context
+	held   *atomic.Int64
+	yields int64
+}
+
+func (b *heldBody) Read(p []byte) (int, error) {
+	if b.yields >= endlessBytes {
+		<-b.ctx.Done()
+		return 0, b.ctx.Err()
+	}
+	n, err := b.Reader.Read(p)
+	b.yields += int64(n)
+	b.held.Add(int64(n))
+	return n, err
+}
+
+func (b *heldBody) Close() error {
+	b.held.Add(-b.yields)
+	return nil
+}
+
+// endlessBytes is the number of bytes that stands for no end; it is less than a long event.
+const endlessBytes = maxEventBytes / 2
+
+// repeated yields a text without end.
+type repeated struct {
+	text string
+	at   int
+}
+
+func (r *repeated) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = r.text[(r.at+i)%len(r.text)]
+	}
+	r.at += len(p)
+	return len(p), nil
+}
+
+// Guards against events without end that together take more memory than the budget, and against
+// memory that stays reserved after they have ended.
+func TestEventsWithoutEndStayWithinBudget(t *testing.T) {
+	for _, text := range []string{"x", "data: x\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			var held atomic.Int64
+			ctx, disconnect := context.WithCancel(t.Context())
+			h := newFlowHarness(t, func(BackendRequest) (*BackendResponse, error) {
+				body := &heldBody{Reader: &repeated{text: text}, ctx: ctx, held: &held}
+				return &BackendResponse{Status: 200, Header: http.Header{}, Authenticated: true, Confidence: 90, ContentLength: -1, Body: body}, nil
+			})
+			var ended []<-chan struct{}
+			for range 100 {
+				ended = append(ended, h.start(ctx, "/s/1", "", &fakeResponseWriter{}))
+			}
+			synctest.Wait()
+			if held.Load() > testBudget {
+				t.Errorf("%q: %d bytes are held, %d accounted for, of %d", text, held.Load(), h.relay.flow.ledger.Held(), testBudget)
+			}
+			disconnect()
+			for _, done := range ended {
+				<-done
+			}
+			if left := h.relay.flow.ledger.Held(); left != 0 {
+				t.Errorf("%q: %d bytes are accounted for at the end", text, left)
+			}
+		})
+	}
+}
+
+// Guards against losing long events, and against memory that stays reserved for them.
+func TestLongEventsAreForwarded(t *testing.T) {
+	event := func(id, text string) string { return "id: " + id + "\ndata: " + strings.Repeat(text, 100<<10) + "\n\n" }
+	stream := event("1", "a") + event("2", "b") + "id: 3\ndata: c\n\n"
+	h := newFlowHarness(t, func(BackendRequest) (*BackendResponse, error) {
+		return &BackendResponse{Status: 200, Header: http.Header{}, Authenticated: true, Confidence: 90, ContentLength: -1, Body: io.NopCloser(strings.NewReader(stream))}, nil
+	})
+	out := &fakeResponseWriter{}
+	<-h.start(t.Context(), "/s/1", "", out)
+	if out.body.String() != stream || out.aborted || h.relay.flow.ledger.Held() != 0 {
+		t.Errorf("got %d bytes of %d, aborted %t, %d bytes held", out.body.Len(), len(stream), out.aborted, h.relay.flow.ledger.Held())
+	}
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -320,7 +320,7 @@
 // deliverStream forwards the events of a stream.
 func (f *forwardReply) deliverStream(reply *BackendResponse) (request.SendOutcome, bool) {
 	x := f.x
-	s := &streamForwarder{x: x, reply: reply, sentAt: time.Now(), observer: forwardedStream{}}
+	s := &streamForwarder{x: x, reply: reply, sentAt: time.Now(), observer: forwardedStream{}, reserved: reservation{held: x.held}}
 	err := s.copy()
 	f.countRuns()
 	switch {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -90,8 +90,9 @@
 	BytesHeld, SlowReaders tally.Gauge
 	// ResponsesPaused counts responses whose server had to wait for the client, ResponsesCutForMemory
 	// those cut to keep within the memory budget, and ClientsStalled those cut because the client
-	// read nothing. RefusedForMemory counts bodies for which there was no memory.
-	ResponsesPaused, ResponsesCutForMemory, ClientsStalled, RefusedForMemory tally.Counter
+	// read nothing. RefusedForMemory counts bodies for which there was no memory, and
+	// ReservationsRefused the long events and heads of responses.
+	ResponsesPaused, ResponsesCutForMemory, ClientsStalled, RefusedForMemory, ReservationsRefused tally.Counter
 	// ServerMemoryBounds counts servers that ended with large bodies, which bounds others of the service.
 	ServerMemoryBounds tally.Counter
 	// ResponseLatency is the time to a complete non-streaming response.
@@ -121,7 +122,7 @@
 		EnginesSlower: s.Gauge("engines_slower"), EnginesFaster: s.Gauge("engines_faster"), SpeedReportsDropped: s.Counter("speed_reports_dropped"),
 		WorkspacesOverShare: s.Gauge("workspaces_over_share"), RequestsOverShare: s.Counter("requests_over_share"), ShareReportsDropped: s.Counter("share_reports_dropped"),
 		Panics:    s.Counter("panics"),
-		BytesHeld: s.Gauge("bytes_held"), SlowReaders: s.Gauge("slow_readers"), ResponsesPaused: s.Counter("responses_paused"), ResponsesCutForMemory: s.Counter("responses_cut_for_memory"), ClientsStalled: s.Counter("callers_stalled"), RefusedForMemory: s.Counter("refused_for_memory"), ServerMemoryBounds: s.Counter("server_memory_bounds"),
+		BytesHeld: s.Gauge("bytes_held"), SlowReaders: s.Gauge("slow_readers"), ResponsesPaused: s.Counter("responses_paused"), ResponsesCutForMemory: s.Counter("responses_cut_for_memory"), ClientsStalled: s.Counter("callers_stalled"), RefusedForMemory: s.Counter("refused_for_memory"), ReservationsRefused: s.Counter("reservations_refused"), ServerMemoryBounds: s.Counter("server_memory_bounds"),
 		DaemonsLive: s.Gauge("daemons_live"), GossipPartners: s.Gauge("gossip_partners"), ServersKnown: s.Gauge("servers_known"),
 		ResponseLatency: s.Histogram("answer_seconds", buckets), FirstEventLatency: s.Histogram("first_event_seconds", buckets),
 	}
@@ -228,6 +229,7 @@
 		"callers_stalled":              "Responses cut because the client read nothing for the time it had given the request.",
 		"server_memory_bounds":         "Ends of servers with large bodies of this daemon, each of which bounds the bytes sent to others of the service.",
 		"refused_for_memory":           "Requests refused because there was no memory for their body.",
+		"reservations_refused":         "Long events and heads of responses for which there was no memory; the send fails or the stream is interrupted.",
 		"panics":                       "Panics of handlers, each a defect; the log lines have the stack.",
 		"server_restarts":              "Servers that restarted under the same name.",
 		"server_entries_bad":           "Invalid server entries, by fault.",
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -103,7 +104,7 @@
 	if x.escalate(t, reply.Confidence, sentAt) {
 		return request.LowConfidence, false
 	}
-	s := &streamForwarder{x: x, t: t, reply: reply, sentAt: sentAt, observer: serverStream{x, t, a}}
+	s := &streamForwarder{x: x, t: t, reply: reply, sentAt: sentAt, observer: serverStream{x, t, a}, reserved: reservation{held: x.held}}
 	err := s.copy()
 	switch {
 	case err == nil:
@@ -112,7 +113,7 @@
 	case errors.Is(err, errClientDisconnected):
 		return request.ResponseLost, false
 	}
-	x.interrupted = true
+	x.interrupted = !errors.Is(err, errNoRoom)
 	x.logEvent("stream interrupted", t, "last_event", x.lastEvent, "err", err, "cause", context.Cause(ctx))
 	return request.Truncated, false
 }
@@ -182,6 +183,8 @@
 	gaps         eventGaps
 	reader       eventReader
 	batch        []byte
+	// reserved is the memory of long events.
+	reserved reservation
 }
 
 var (
@@ -191,12 +194,22 @@
 	errEmptyStream        = errors.New("stream ended without an event")
 )
 
-// streamBufferSize is the size of a stream's read buffer in bytes.
-const streamBufferSize = 1024
+const (
+	// streamBufferSize is the size of a stream's read buffer in bytes.
+	streamBufferSize = 1024
+	// smallEventBytes is the largest size of events, in bytes, for which no memory is reserved.
+	smallEventBytes = 4 << 10
+	// eventCopies is the number of copies that a stream holds of an event: as it arrives and as it is
+	// forwarded.
+	eventCopies = 2
+	// reserveStepBytes is the least number of bytes that are reserved at a time.
+	reserveStepBytes = 16 << 10
+)
 
 // copy forwards complete events until the stream ends. It returns nil if the
 // stream ended properly.
 func (s *streamForwarder) copy() error {
+	defer s.reserved.release()
 	buf := make([]byte, streamBufferSize)
 	for {
 		n, err := s.reply.Body.Read(buf)
@@ -222,6 +235,10 @@
 
 // process forwards the events that a chunk completes, in one write.
 func (s *streamForwarder) process(chunk []byte) error {
+	if err := s.reserve(len(s.reader.buf) + len(chunk)); err != nil {
+		return err
+	}
+	defer s.releaseLongEvents()
 	if err := s.reader.feed(chunk); err != nil {
 		return err
 	}
@@ -242,6 +259,23 @@
 	return s.flush()
 }
 
+// reserve reserves memory for events of a size in bytes that are not forwarded yet.
+func (s *streamForwarder) reserve(size int) error {
+	missing := int64(eventCopies*size) - s.reserved.bytes
+	if size <= smallEventBytes || missing <= 0 {
+		return nil
+	}
+	return s.reserved.grow(max(missing, reserveStepBytes))
+}
+
+// releaseLongEvents drops the buffers of long events once these are forwarded.
+func (s *streamForwarder) releaseLongEvents() {
+	if s.reserved.bytes > 0 && len(s.reader.buf) <= smallEventBytes {
+		s.reader.buf, s.batch = bytes.Clone(s.reader.buf), nil
+		s.reserved.release()
+	}
+}
+
 // accept adds the event that follows the last one. After a failover the new server
 // may start too early, which would duplicate events, or too late.
 func (s *streamForwarder) accept(e event) error {
