relay, upstream: long heads of responses are accounted for in the memory budget

Callers saw: nothing yet; with the limit on heads a daemon no longer ends by one server's head, but by those on some hundred connections at once.

Cause: a head takes up to 15 times its size in memory once parsed (trial: 32 KB of short fields with different names, 490 KB live, 848 KB allocated; 100 of them 49 MB), and the budget did not count it. Class: a bound for each, and none for the sum.

Change: the bytes of a head beyond its first 2 KB reserve eight bytes each, before they are read (a held byte stands for four of memory); without room the send fails as an invalid response. The head of the response that is forwarded is accounted for until the request ends, that of a failed send until then. Shorter heads, the normal ones, take no lock.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -113,6 +113,9 @@
 	ReuseOnly bool
 	// Admit reports whether the request may still be sent, once a connection is open.
 	Admit func() bool
+	// GrowHead is called with the number of bytes by which a long head grows, before they are read.
+	// Its error fails the send.
+	GrowHead func(n int) error
 }
 
 // BackendResponse is a server's response header and body. Closing the body before
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -8,6 +8,9 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/upstream"
 )
 
 // heldBody yields a text without end and adds up what all open bodies have yielded. After a number
@@ -95,3 +98,27 @@
 		t.Errorf("got %d bytes of %d, aborted %t, %d bytes held", out.body.Len(), len(stream), out.aborted, h.relay.flow.ledger.Held())
 	}
 }
+
+// Guards against heads of responses that together take more memory than the budget, and against
+// memory that stays reserved for them.
+func TestLongHeadsStayWithinBudget(t *testing.T) {
+	const sends, headBytes = 100, 32 << 10
+	var used int64
+	h := newFlowHarness(t, func(req BackendRequest) (*BackendResponse, error) {
+		for range headBytes / 1024 {
+			if err := req.GrowHead(1024); err != nil {
+				return nil, &upstream.Error{Reason: upstream.InvalidResponse, Sent: true, Err: err}
+			}
+			used += 1024 * heldPerHeadByte
+		}
+		return respond(200, "x")(req)
+	})
+	for range sends {
+		call := &Call{ID: "id1", Host: "h", Method: "POST", Target: "/p/1", Path: "/p/1", Key: "k", LastEvent: NoEvent, Received: time.Now(), Held: h.relay.Hold()}
+		defer call.Held.Release()
+		h.serve(call, &fakeResponseWriter{})
+	}
+	if used > testBudget || used < headBytes*heldPerHeadByte {
+		t.Errorf("%d bytes are used of %d", used, testBudget)
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -276,7 +276,7 @@
 }
 
 // send makes one attempt. It returns true if the client has the final response.
-func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (request.SendOutcome, bool) {
+func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (outcome request.SendOutcome, done bool) {
 	urgent := x.decideUrgency(t)
 	x.relay.Metrics.recordTransfer(&t.fetch)
 	x.logEvent("send", t, x.sendFields(t, urgent)...)
@@ -291,12 +291,19 @@
 		return true
 	})
 	defer x.relay.liveness.untrack(a)
+	head := reservation{held: x.held}
+	defer func() {
+		if !done { // else the head is kept until the client has it
+			head.release()
+		}
+	}()
 	req := BackendRequest{
 		Call: x.call, Server: t.server, Workspace: x.workspace, Model: x.modelOverride(), LastEvent: x.lastEvent,
 		FetchFrom: t.fetch.address, Timeout: time.Until(x.deadline) - deadlineMargin, Priority: urgent.Priority, MaxConnections: t.maxConnections,
 		// New connections are tried in the background while the servers are out of reach.
 		ReuseOnly: x.relay.State.outOfReach(t.service),
 		Admit:     func() bool { return x.relay.State.admits(t) },
+		GrowHead:  func(n int) error { return head.grow(int64(n) * heldPerHeadByte) },
 	}
 	reply, err := x.relay.backend.Send(ctx, req)
 	if err != nil {
@@ -304,7 +311,7 @@
 	}
 	x.relay.liveness.recordHeader(a)
 	x.relay.recordReached(t)
-	outcome, done := x.handleReply(ctx, t, a, reply, sentAt)
+	outcome, done = x.handleReply(ctx, t, a, reply, sentAt)
 	failed := !done && outcome != request.LowConfidence && outcome != request.NotStarted
 	x.relay.State.recordSendEnd(t, time.Since(sentAt), failed)
 	return outcome, done
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -1,8 +1,10 @@
 package relay
 
-import (
-	"errors"
-)
+import "errors"
+
+// heldPerHeadByte is the number of bytes that are reserved for each byte of a response's head. The
+// fields of a head take more memory than its text if they are short.
+const heldPerHeadByte = 8
 
 // errNoRoom means that there is no memory for a part of a response that must be read before any of it
 // is forwarded.
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -24,7 +24,10 @@
 type headLimit struct {
 	// reading is set while a head is read; other bytes are not bounded.
 	reading bool
-	taken   int
+	// taken is the number of bytes that were read, and granted that of those that may be.
+	taken, granted int
+	// grow is called before granted grows; nil always permits it.
+	grow func(n int) error
 	// err is set once no more may be read.
 	err error
 }
@@ -46,11 +49,26 @@
 	if !l.reading {
 		return n, nil
 	}
-	if l.taken >= maxHeadBytes {
-		l.err = &HeadTooLongError{maxHeadBytes}
-		return 0, l.err
+	if l.taken == l.granted {
+		if l.err = l.extend(); l.err != nil {
+			return 0, l.err
+		}
 	}
-	return min(n, maxHeadBytes-l.taken), nil
+	return min(n, l.granted-l.taken), nil
+}
+
+// extend grants the bytes of one more buffer.
+func (l *headLimit) extend() error {
+	if l.granted >= maxHeadBytes {
+		return &HeadTooLongError{maxHeadBytes}
+	}
+	if l.grow != nil && l.granted > 0 {
+		if err := l.grow(readBufferBytes); err != nil {
+			return err
+		}
+	}
+	l.granted += readBufferBytes
+	return nil
 }
 
 // record counts n bytes that were read.
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -43,11 +43,13 @@
 func (c *endlessConn) Close() error                { c.closed = true; return nil }
 
 // callOn makes a call on a connection and reads the response to its end.
-func callOn(c net.Conn) error {
+func callOn(c net.Conn) error { return callWith(c, nil) }
+
+func callWith(c net.Conn, growHead func(n int) error) error {
 	p := NewPool()
 	p.Dial = func(context.Context, string) (net.Conn, error) { return c, nil }
 	req := &http.Request{Method: "GET", URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-	resp, err := p.Do(context.Background(), Call{Address: "a", Request: req, Match: func(r *http.Response) bool { return r.Header.Get("Id") == "1" }})
+	resp, err := p.Do(context.Background(), Call{Address: "a", Request: req, GrowHead: growHead, Match: func(r *http.Response) bool { return r.Header.Get("Id") == "1" }})
 	if err != nil {
 		return err
 	}
@@ -114,6 +116,27 @@
 	}
 }
 
+// Guards against memory for long heads that is used before it is granted, or granted for short ones.
+func TestLongHeadIsReadOnlyIfItsMemoryIsGranted(t *testing.T) {
+	errFull := errors.New("full")
+	c := &endlessConn{prefix: "HTTP/1.1 200 OK\r\n", pattern: "A: b\r\n"}
+	granted := readBufferBytes
+	err := callWith(c, func(n int) error {
+		if c.taken != granted || granted == 4*readBufferBytes {
+			return errFull
+		}
+		granted += n
+		return nil
+	})
+	if !errors.Is(err, errFull) || !c.closed || c.taken != 4*readBufferBytes {
+		t.Errorf("got %v after %d bytes of %d", err, c.taken, granted)
+	}
+	short := &endlessConn{prefix: "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 262144\r\n\r\n", pattern: "b"}
+	if err := callWith(short, func(int) error { return errFull }); err != nil {
+		t.Errorf("a short head: %v", err)
+	}
+}
+
 // Guards against heads of any form that are read beyond the limit or cause a panic.
 func FuzzHead(f *testing.F) {
 	for _, seed := range []string{"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "A: b\n", "\x00 \t:\r\r\n"} {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -157,6 +157,9 @@
 	// Admit reports whether the request may still be sent, once a connection is open; nil
 	// always admits it.
 	Admit func() bool
+	// GrowHead is called with the number of bytes by which a long head grows, before they are read.
+	// Its error fails the call; nil always permits them.
+	GrowHead func(n int) error
 }
 
 // Do sends a request and returns its response once the header has been read. ctx
@@ -242,7 +245,7 @@
 
 // receive reads responses until one matches the request.
 func receive(c *conn, call Call) (*http.Response, error) {
-	c.head = headLimit{}
+	c.head = headLimit{grow: call.GrowHead}
 	for unmatched := 0; unmatched <= maxUnmatchedResponses; {
 		resp, err := c.readHead(call.Request)
 		if err != nil {
