engine: heads and events of servers are bounded

Callers saw (own interface): a daemon that ends, with every request on it, when servers send a head or an event that does not end.

Cause: the transports had net/http's limit of 10 MB a head, times the connections to all engines on a VM; an event of many data lines without a blank line had no limit, only its lines had. Class: input of a server that is read without a bound.

Now 32 KB of a head and 1 MB of an event fail the run, and the connection is closed.

Ruled out: a line of a stream (1 MB, a limit of the scanner) and the body of an error status (closed unread) were bounded.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -66,6 +66,8 @@
 	maxIdleConnsPerHost = 64
 	// maxResponseBytes bounds the body of responses that are not streams.
 	maxResponseBytes = 1 << 20
+	// maxHeadBytes bounds the status line and fields of a response, those of interim responses included.
+	maxHeadBytes = 32 << 10
 )
 
 // DialFunc opens a connection.
@@ -77,8 +79,8 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute}
-	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
+	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{dial: dial, pooled: &http.Client{Transport: pooled}, unpooled: &http.Client{Transport: unpooled}, idleTimeout: idleTimeout}
 }
 
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -13,8 +13,14 @@
 	"github.com/damaskrudder/damaskrudder/internal/request"
 )
 
-// maxLineBytes bounds a line of a stream.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes bounds a line of a stream.
+	maxLineBytes = 1 << 20
+	// maxEventBytes bounds the data of an event, which may have several lines.
+	maxEventBytes = 1 << 20
+)
+
+var errEventTooLong = errors.New("the event has too much data")
 
 // Usage is the server's token count of a finished run.
 type Usage struct {
@@ -61,6 +67,9 @@
 	for s.scanner.Scan() {
 		s.idleTimer.Reset(s.idleTimeout)
 		if !event.addLine(s.scanner.Bytes()) {
+			if len(event.data) > maxEventBytes {
+				return Frame{}, errEventTooLong
+			}
 			continue
 		}
 		f, ok := event.frame()
