engine: a part of a response is not taken for the whole

Callers saw (own interface): a success whose body was the first megabyte of the service's answer; it was also stored as the answer of its idempotency key.

Cause: the body was read through a limit that ends as a complete body ends. Class: a bound that is taken for an end.

Evidence: TestResponseWithoutEndIsBounded on the code before, body of call and chunks of call: "got <nil> after 1048595 bytes" and "after 6293543 bytes" of bodies that had not ended. Now the call fails, and as the request may have run it is reported so. Load reports and orders failed before, as their JSON was cut.

--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -34,7 +34,8 @@
 	return NewClient(time.Minute, dial), &taken
 }
 
-// Guards against responses of servers without end, which take memory until the deadline.
+// Guards against responses of servers without end, and against one of which a part is taken for the
+// whole.
 func TestResponseWithoutEndIsBounded(t *testing.T) {
 	const head, chunked = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	load := func(c *Client) error { _, err := c.Load(context.Background(), "a"); return err }
@@ -57,6 +58,9 @@
 		"field":             {head + "A: ", "a", stream, 128 << 10},
 		"fields":            {head, "A: b\r\n", load, 128 << 10},
 		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", call, 128 << 10},
+		"body of call":      {head + "\r\n", "a", call, 2 << 20},
+		"chunks of call":    {chunked, "1\r\na\r\n", call, 7 << 20},
+		"body of report":    {head + "\r\n", "a", load, 2 << 20},
 		"line of stream":    {head + "\r\n", "a", stream, 2 << 20},
 		"event of stream":   {head + "\r\n", "data: " + strings.Repeat("a", 1000) + "\n", stream, 2 << 20},
 		"body of error":     {"HTTP/1.1 500 No\r\n\r\n", "a", stream, 128 << 10},
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -70,6 +70,9 @@
 	maxHeadBytes = 32 << 10
 )
 
+// errResponseTooLong means that the body of a response exceeds maxResponseBytes.
+var errResponseTooLong = fmt.Errorf("the response has a body of more than %d bytes", maxResponseBytes)
+
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -242,7 +245,7 @@
 		return oops.In("engine").Wrapf(err, "%s %s", method, target)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := readBody(resp.Body)
 	if err != nil {
 		return oops.In("engine").Wrapf(err, "read %s", target)
 	}
@@ -255,6 +258,16 @@
 	return oops.In("engine").Wrapf(json.Unmarshal(data, out), "decode %s", target)
 }
 
+// readBody reads the body of a response that is not a stream. A part of it is never taken for the
+// whole.
+func readBody(r io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+	if err == nil && len(data) > maxResponseBytes {
+		return nil, errResponseTooLong
+	}
+	return data, err
+}
+
 // Call sends a request to a plain service and returns the status and body of the
 // response. The error is ErrNotConnected if nothing was sent.
 func (c *Client) Call(ctx context.Context, address, runID string, body []byte) (int, []byte, error) {
@@ -274,6 +287,6 @@
 	}
 	defer resp.Body.Close()
 	c.observe(address, sentAt, resp, resp.StatusCode < http.StatusMultipleChoices)
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := readBody(resp.Body)
 	return resp.StatusCode, data, oops.In("engine").Wrapf(err, "read response")
 }
