upstream: tests of a refused body and of the memory of a long head

A response that is refused by its head takes at most one read buffer (2,048 bytes) and its connection is closed; it was so before.

--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -116,6 +118,35 @@
 	}
 }
 
+// Guards against reading on in a response without end that is refused by its head.
+func TestClosedBodyIsNotRead(t *testing.T) {
+	c := &endlessConn{prefix: "HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n", pattern: "1\r\na\r\n"}
+	p := NewPool()
+	p.Dial = func(context.Context, string) (net.Conn, error) { return c, nil }
+	resp, err := p.Do(context.Background(), Call{Address: "a", Request: &http.Request{Method: "GET", URL: &url.URL{Opaque: "/x"}, Header: http.Header{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := resp.Body.Close(); err != nil || !c.closed || c.taken > readBufferBytes {
+		t.Errorf("got %v, closed %t, after %d bytes", err, c.closed, c.taken)
+	}
+}
+
+// BenchmarkLongHead measures the memory for the longest head with the shortest fields.
+func BenchmarkLongHead(b *testing.B) {
+	text := []byte("HTTP/1.1 200 OK\r\n")
+	for i := 0x1000; len(text) < maxHeadBytes-8; i++ {
+		text = fmt.Appendf(text, "%X:\n", i)
+	}
+	text = append(text, '\n')
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(text), readBufferBytes), nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // Guards against memory for long heads that is used before it is granted, or granted for short ones.
 func TestLongHeadIsReadOnlyIfItsMemoryIsGranted(t *testing.T) {
 	errFull := errors.New("full")
