engine: the text of a stream has a limit

Callers saw (own interface): a daemon whose memory grows until the deadline when a server sends proper events without end; the text of an answer is kept until its end.

Cause: each event was bounded, their number was not. Class: a bound for each, and none for the sum.

--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -46,7 +46,9 @@
 			return err
 		}
 		defer s.Close()
-		_, err = s.Next()
+		for err == nil {
+			_, err = s.Next()
+		}
 		return err
 	}
 	for name, tt := range map[string]struct {
@@ -63,6 +65,7 @@
 		"body of report":    {head + "\r\n", "a", load, 2 << 20},
 		"line of stream":    {head + "\r\n", "a", stream, 2 << 20},
 		"event of stream":   {head + "\r\n", "data: " + strings.Repeat("a", 1000) + "\n", stream, 2 << 20},
+		"events of stream":  {head + "\r\n", "id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"" + strings.Repeat("a", 1000) + "\"}}]}\n\n", stream, 6 << 20},
 		"body of error":     {"HTTP/1.1 500 No\r\n\r\n", "a", stream, 128 << 10},
 	} {
 		c, taken := endlessClient(tt.prefix, tt.pattern)
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -18,9 +18,14 @@
 	maxLineBytes = 1 << 20
 	// maxEventBytes bounds the data of an event, which may have several lines.
 	maxEventBytes = 1 << 20
+	// maxTextBytes bounds the text of one connection's events.
+	maxTextBytes = 4 << 20
 )
 
-var errEventTooLong = errors.New("the event has too much data")
+var (
+	errEventTooLong = errors.New("the event has too much data")
+	errTextTooLong  = errors.New("the response has too much text")
+)
 
 // Usage is the server's token count of a finished run.
 type Usage struct {
@@ -44,6 +49,8 @@
 	cancel      context.CancelFunc
 	idleTimer   *time.Timer
 	idleTimeout time.Duration
+	// textBytes is the length of the text so far.
+	textBytes int
 }
 
 func newStream(body io.ReadCloser, cancel context.CancelFunc, idleTimer *time.Timer, idleTimeout time.Duration) *Stream {
@@ -74,6 +81,9 @@
 		}
 		f, ok := event.frame()
 		event = eventBuilder{}
+		if s.textBytes += len(f.Delta); s.textBytes > maxTextBytes {
+			return Frame{}, errTextTooLong
+		}
 		if ok {
 			return f, nil
 		}
