--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -13,8 +13,19 @@
 	"github.com/damaskrudder/damaskrudder/internal/request"
 )
 
-// maxLineBytes bounds a line of a stream.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes bounds a line of a stream.
+	maxLineBytes = 1 << 20
+	// maxEventBytes bounds the data of an event, which may have several lines.
+	maxEventBytes = 1 << 20
+	// maxTextBytes bounds the text of one connection's events.
+	maxTextBytes = 4 << 20
+)
+
+var (
+	errEventTooLong = errors.New("the event has too much data")
+	errTextTooLong  = errors.New("the response has too much text")
+)
 
 // Usage is the server's token count of a finished run.
 type Usage struct {
@@ -38,6 +49,8 @@
 	cancel      context.CancelFunc
 	idleTimer   *time.Timer
 	idleTimeout time.Duration
+	// textBytes is the length of the text so far.
+	textBytes int
 }
 
 func newStream(body io.ReadCloser, cancel context.CancelFunc, idleTimer *time.Timer, idleTimeout time.Duration) *Stream {
@@ -61,10 +74,16 @@
 	for s.scanner.Scan() {
 		s.idleTimer.Reset(s.idleTimeout)
 		if !event.addLine(s.scanner.Bytes()) {
+			if len(event.data) > maxEventBytes {
+				return Frame{}, errEventTooLong
+			}
 			continue
 		}
 		f, ok := event.frame()
 		event = eventBuilder{}
+		if s.textBytes += len(f.Delta); s.textBytes > maxTextBytes {
+			return Frame{}, errTextTooLong
+		}
 		if ok {
 			return f, nil
 		}
