observability: connections of clients by state, and a line for each that is closed with a request

What callers saw: requests at a draining daemon that ended with neither an answer nor a refusal. No line and no counter of the daemon told of them, as net/http's connections were not tracked and Close ends them silently.

internal/clientconns tracks each connection of the client listener: idle, reading (from the first byte of a request until its body is in), serving, flushing (the handler has returned, net/http has not finished the answer). The state comes from the bytes read, the handler and ConnState: ConnState alone reports neither a head that has arrived in part nor whether the body is in. Gauge client_connections and counter client_connections_cut by state; a line for each connection that the daemon closes with a request on it; a line 'drained' sums up the end of a drain. The tracker holds one lock for a few assignments and waits for nothing.

Behaviour is as before, but that the end of the drain closes the connections itself rather than http.Server.Close right after it, so that the lines come before the log closes.

--- /dev/null
+++ b/internal/clientconns/conn.go
@@ -0,0 +1,95 @@
+package clientconns
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"time"
+)
+
+// conn is a connection of a client. The tracker's mu guards its fields.
+type conn struct {
+	net.Conn
+	tracker *Tracker
+	state   State
+	since   time.Time
+	// request is the ID of the request on the connection.
+	request string
+	// readAhead is set if bytes have been read after the request on the connection.
+	readAhead bool
+	// left is set if the client has closed the connection, and closing if this daemon has.
+	left, closing bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.tracker.recordRead(c, n, err)
+	return n, err
+}
+
+func (t *Tracker) recordRead(c *conn, n int, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n > 0 {
+		switch c.state {
+		case Idle:
+			t.set(c, Reading)
+		case Serving, Flushing:
+			c.readAhead = true
+		}
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		c.left = true
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.tracker.beginClose(c)
+	return c.Conn.Close()
+}
+
+// beginClose logs the close of a connection with a request that was not handled to its end.
+func (t *Tracker) beginClose(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !c.closing && !c.left && (c.state == Reading || c.state == Serving) {
+		t.logCut(c, reasonServer)
+	}
+	c.closing = true
+}
+
+// CloseWrite closes the connection for writing. The server uses it so that unread bytes of a request
+// do not reset the connection before the client has received the answer.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// body is the body of a request on a connection.
+type body struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.conn.tracker.recordBody(b.conn)
+	}
+	return n, err
+}
+
+// recordBody records that the whole request has been read.
+func (t *Tracker) recordBody(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.state == Reading {
+		t.set(c, Serving)
+	}
+}
--- /dev/null
+++ b/internal/clientconns/tracker.go
@@ -0,0 +1,219 @@
+// Package clientconns tracks the connections of clients to an HTTP server: whether they are idle, or
+// a request on them is being read, served or answered.
+package clientconns
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// State is the state of a connection.
+type State int
+
+const (
+	// Idle connections have no request: nothing has been read since the last answer.
+	Idle State = iota
+	// Reading connections have a request of which only a part has been read.
+	Reading
+	// Serving connections have a request that has been read and is being handled.
+	Serving
+	// Flushing connections have a request whose handler has returned. Some of the answer may not have
+	// been written to the connection yet.
+	Flushing
+	// States is the number of states.
+	States
+)
+
+// String returns the state's name in log lines and metrics.
+func (s State) String() string {
+	return [States]string{"idle", "reading", "serving", "flushing"}[s]
+}
+
+// Counts is the number of connections in each state.
+type Counts [States]int
+
+// Pending is the number of connections with a request.
+func (c Counts) Pending() int { return c[Reading] + c[Serving] + c[Flushing] }
+
+// reasonServer is the reason of a close that nothing in this package has asked for.
+const reasonServer = "the server closed it"
+
+// Tracker tracks the connections of one server.
+type Tracker struct {
+	log       *log.Logger
+	requestID func(*http.Request) string
+	gauges    [States]tally.Gauge
+	closed    [States]tally.Counter
+
+	mu     sync.Mutex
+	conns  map[*conn]bool
+	counts Counts
+}
+
+// New returns a tracker. RequestID returns the ID of a request in log lines.
+func New(scope tally.Scope, logger *log.Logger, requestID func(*http.Request) string) *Tracker {
+	t := &Tracker{log: logger, requestID: requestID, conns: map[*conn]bool{}}
+	for s := range States {
+		tagged := scope.Tagged(map[string]string{"state": s.String()})
+		t.gauges[s], t.closed[s] = tagged.Gauge("client_connections"), tagged.Counter("client_connections_cut")
+	}
+	return t
+}
+
+// Counts returns the number of connections in each state.
+func (t *Tracker) Counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts
+}
+
+// Track makes a server report to the tracker. It must serve the listener that Listen returns.
+func (t *Tracker) Track(s *http.Server) {
+	s.Handler = t.handler(s.Handler)
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if tracked, ok := c.(*conn); ok {
+			t.observe(tracked, state)
+		}
+	}
+}
+
+// connKey is the key of the connection in a request's context.
+type connKey struct{}
+
+// Listen returns a listener whose connections are tracked.
+func (t *Tracker) Listen(l net.Listener) net.Listener { return &listener{l, t} }
+
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.tracker.add(accepted), nil
+}
+
+func (t *Tracker) add(accepted net.Conn) *conn {
+	c := &conn{Conn: accepted, tracker: t, since: time.Now()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns[c] = true
+	t.count(Idle, 1)
+	return c
+}
+
+// Cut closes all connections, and returns the number in each state before. Those with a request are
+// logged with the reason.
+func (t *Tracker) Cut(why string) Counts {
+	t.mu.Lock()
+	counts := t.counts
+	var open []*conn
+	for c := range t.conns {
+		if c.state != Idle {
+			t.logCut(c, why)
+		}
+		c.closing = true
+		open = append(open, c)
+	}
+	t.mu.Unlock()
+	for _, c := range open {
+		_ = c.Conn.Close() // fails only if it is closed already
+	}
+	return counts
+}
+
+// observe applies a state that the server reports.
+func (t *Tracker) observe(c *conn, state http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		if c.state == Idle {
+			t.set(c, Reading)
+		}
+	case http.StateIdle:
+		next := Idle
+		if c.readAhead {
+			next = Reading
+		}
+		c.readAhead, c.request = false, ""
+		t.set(c, next)
+	case http.StateClosed, http.StateHijacked:
+		if t.conns[c] {
+			delete(t.conns, c)
+			t.count(c.state, -1)
+		}
+	}
+}
+
+// set changes the state of a connection. Callers hold mu.
+func (t *Tracker) set(c *conn, s State) {
+	if t.conns[c] {
+		t.count(c.state, -1)
+		t.count(s, 1)
+	}
+	c.state, c.since = s, time.Now()
+}
+
+// count changes the number of connections in a state. Callers hold mu.
+func (t *Tracker) count(s State, change int) {
+	t.counts[s] += change
+	t.gauges[s].Update(float64(t.counts[s]))
+}
+
+// handler returns h with its requests tracked.
+func (t *Tracker) handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			h.ServeHTTP(w, r)
+			return
+		}
+		tracked := *r // net/http keeps using its own request and body
+		hasBody := r.Body != nil && r.Body != http.NoBody
+		if hasBody {
+			tracked.Body = &body{r.Body, c}
+		}
+		t.begin(c, t.requestID(r), hasBody)
+		aborted := true
+		defer func() { t.end(c, aborted) }()
+		h.ServeHTTP(w, &tracked)
+		aborted = false
+	})
+}
+
+func (t *Tracker) begin(c *conn, request string, hasBody bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.request = request
+	if hasBody {
+		t.set(c, Reading)
+	} else {
+		t.set(c, Serving)
+	}
+}
+
+func (t *Tracker) end(c *conn, aborted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !aborted {
+		t.set(c, Flushing)
+	}
+}
+
+// logCut logs and counts the close of a connection with a request. Callers hold mu.
+func (t *Tracker) logCut(c *conn, why string) {
+	t.closed[c.state].Inc(1)
+	t.log.Warn("connection closed with a request", "request", c.request, "state", c.state, "state_ms", time.Since(c.since).Milliseconds(), "client", c.RemoteAddr(), "why", why)
+}
--- /dev/null
+++ b/internal/clientconns/tracker_test.go
@@ -0,0 +1,140 @@
+package clientconns
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// pipes is a listener of connections in memory, whose writes wait for the reader.
+type pipes struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+func (p pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.accepted:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p pipes) Close() error {
+	close(p.closed)
+	return nil
+}
+
+func (pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// fixture is a tracked server in memory. Its handler reads the body and waits for release.
+type fixture struct {
+	*Tracker
+	lines   bytes.Buffer
+	release chan struct{}
+	dial    func() (net.Conn, *bufio.Reader)
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{release: make(chan struct{})}
+	f.Tracker = New(tally.NoopScope, log.New(&f.lines), func(r *http.Request) string { return r.Header.Get("Id") })
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(http.StatusRequestTimeout)
+			return
+		}
+		<-f.release
+	})}
+	f.Track(server)
+	l := pipes{make(chan net.Conn), make(chan struct{})}
+	go func() { _ = server.Serve(f.Listen(l)) }() // ends when the server is closed
+	t.Cleanup(func() { _ = server.Close() })
+	f.dial = func() (net.Conn, *bufio.Reader) {
+		client, accepted := net.Pipe()
+		t.Cleanup(func() { _ = client.Close() })
+		l.accepted <- accepted
+		return client, bufio.NewReader(client)
+	}
+	return f
+}
+
+// sendPart sends a request with 4 of the 8 bytes of its body.
+func sendPart(c net.Conn) {
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 8\r\n\r\nabcd") // a failure shows in the state
+}
+
+// Guards against requests on a connection that a drain or an operator takes for idle.
+func TestStateFollowsRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		expect := func(step string, want State) {
+			t.Helper()
+			synctest.Wait()
+			var counts Counts
+			counts[want] = 1
+			if got := f.Counts(); got != counts {
+				t.Fatalf("%s: %v, want %v", step, got, counts)
+			}
+		}
+		client, reader := f.dial()
+		expect("connected", Idle)
+		for range 2 {
+			_, _ = io.WriteString(client, "POST / HT") // a failure shows in the state
+			expect("part of the header", Reading)
+			_, _ = io.WriteString(client, "TP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nabcd")
+			expect("part of the body", Reading)
+			_, _ = io.WriteString(client, "efgh")
+			expect("whole body", Serving)
+			f.release <- struct{}{}
+			expect("answer not taken", Flushing)
+			if _, err := http.ReadResponse(reader, nil); err != nil {
+				t.Fatal(err)
+			}
+			expect("answered", Idle)
+		}
+		_ = client.Close() // ends the connection
+		synctest.Wait()
+		if got := f.Counts(); got != (Counts{}) {
+			t.Errorf("after the close: %v", got)
+		}
+	})
+}
+
+// Guards against requests that end with neither an answer nor a log line.
+func TestCutRequestIsLogged(t *testing.T) {
+	for _, state := range []State{Idle, Reading, Serving} {
+		t.Run(state.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				client, _ := f.dial()
+				if state >= Reading {
+					sendPart(client)
+				}
+				if state == Serving {
+					_, _ = io.WriteString(client, "efgh") // a failure shows in the line
+				}
+				synctest.Wait()
+				f.Cut("test")
+				close(f.release)
+				synctest.Wait()
+				want := 0
+				if state != Idle {
+					want = 1
+				}
+				if line := fmt.Sprintf("request=r1 state=%s", state); strings.Count(f.lines.String(), line) != want || strings.Count(f.lines.String(), "\n") != want {
+					t.Errorf("want %d lines with %q:\n%s", want, line, f.lines.String())
+				}
+			})
+		})
+	}
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/clientconns"
 )
 
 const (
@@ -47,5 +49,8 @@
 	if active := n.Relay.ActiveRequests(); active > 0 {
 		n.log.Warn("requests cut off at the end of the grace period", "requests", active)
 	}
+	cut := n.clients.Cut("the daemon ends")
+	n.log.Info("drained", "after_ms", time.Since(start).Milliseconds(), "limit_ms", limit.Milliseconds(),
+		"idle", cut[clientconns.Idle], "reading", cut[clientconns.Reading], "serving", cut[clientconns.Serving], "flushing", cut[clientconns.Flushing])
 	n.peerClient.Close()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,13 +6,16 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/clientconns"
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
@@ -102,6 +105,8 @@
 	Backend relay.Backend
 	Metrics *relay.Metrics
 	Logger  *log.Logger
+	// Clients tracks the connections of clients; nil if there are none.
+	Clients *clientconns.Tracker
 	// BootTime reads a clock that keeps counting while the VM is suspended.
 	BootTime func() time.Duration
 	// PeerTransport calls other daemons; nil selects gossip.PeerTransport.
@@ -128,6 +133,7 @@
 	// records answers other daemons' requests for records of the store.
 	records    *gossip.RecordServer
 	peerClient *peer.Client
+	clients    *clientconns.Tracker
 	// followers read the topics. Their order is that of gossip.Message.NextPositions.
 	followers        []*feed.Follower
 	operatorFollower *feed.Follower
@@ -187,6 +193,9 @@
 	n.state.SetMaxFirstAge(config.ConfigPropagationLimit)
 	n.Relay = relay.New(n.state, deps.Backend, config.RelayOptions, deps.Metrics, deps.Logger)
 	n.peerClient = peer.NewClient(config.Name, "", nil)
+	if n.clients = deps.Clients; n.clients == nil {
+		n.clients = clientconns.New(tally.NoopScope, deps.Logger, func(*http.Request) string { return "" })
+	}
 	var peers gossip.Transport = gossip.PeerTransport{Client: n.peerClient}
 	if deps.PeerTransport != nil {
 		peers = deps.PeerTransport
