--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -33,6 +34,9 @@
 	// which ends the process.
 	OnPanic func(kind string, recovered any)
 
+	// streams is the number of requests whose response is a stream that has not ended.
+	streams atomic.Int64
+
 	mu     sync.Mutex
 	conns  map[*websocket.Conn]bool
 	closed bool
@@ -54,6 +58,10 @@
 	}
 }
 
+// ActiveStreams returns the number of requests that have been read whose response is a stream, and
+// whose last message has not been written to the connection.
+func (s *Server) ActiveStreams() int { return int(s.streams.Load()) }
+
 // track adds an open connection or removes a closed one, and reports whether the server is open.
 func (s *Server) track(c *websocket.Conn, open bool) bool {
 	s.mu.Lock()
@@ -135,7 +143,9 @@
 				defer cancel()
 				return write(writeCtx, data)
 			}
+			s.streams.Add(1)
 			go func() {
+				defer s.streams.Add(-1)
 				defer s.recoverStream(request.Kind, send)
 				handler(streamCtx, from, request.Body, send)
 			}()
