app: a line for each connection that a stopping daemon closes with a request on it

Observability that was missing on the own interface: at the end of a daemon no line told which requests were on the connections that it closed. conntrack knows the request on each connection of a server, and whether its body is being read, its handler runs, or its response is being flushed; any http.Server can use it. The error of Shutdown counts these requests too: it counted only those that the daemon had admitted, and said nothing of others.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/damaskrudder/damaskrudder/internal/api"
+	"github.com/damaskrudder/damaskrudder/internal/conntrack"
 	"github.com/damaskrudder/damaskrudder/internal/daemon"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
@@ -40,9 +41,11 @@
 
 // Node is a running daemon with its caller and peer servers.
 type Node struct {
-	Daemon         *daemon.Daemon
-	logger         *log.Logger
-	clientServer   *http.Server
+	Daemon       *daemon.Daemon
+	logger       *log.Logger
+	clientServer *http.Server
+	// clientRequests are the requests on the connections of clientServer.
+	clientRequests *conntrack.Tracker
 	peerHTTPServer *http.Server
 	peerServer     *peer.Server
 	cancel         context.CancelFunc
@@ -107,9 +110,13 @@
 	}
 	n.Daemon = daemon.New(s, secrets, deps)
 	panicCounter := n.Daemon.PanicCounter()
-	n.clientServer = serve(callerListener, recovery.Handler(api.New(n.Daemon, logger, handler), panicCounter, logger))
+	n.clientServer = newServer(recovery.Handler(api.New(n.Daemon, logger, handler), panicCounter, logger))
+	n.clientRequests = &conntrack.Tracker{}
+	n.clientRequests.Attach(n.clientServer)
+	serve(callerListener, n.clientServer)
 	n.peerServer = n.Daemon.PeerServer()
-	n.peerHTTPServer = serve(peerListener, recovery.Handler(n.peerServer, panicCounter, logger))
+	n.peerHTTPServer = newServer(recovery.Handler(n.peerServer, panicCounter, logger))
+	serve(peerListener, n.peerHTTPServer)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func() {
@@ -119,10 +126,12 @@
 	return n, nil
 }
 
-func serve(listener net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	go func() { _ = s.Serve(listener) }()
-	return s
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+func serve(listener net.Listener, s *http.Server) {
+	go func() { _ = s.Serve(listener) }() // returns when the server is closed
 }
 
 func newMetricsScope() (tally.Scope, http.Handler, io.Closer) {
@@ -141,14 +150,24 @@
 	running, unconfirmed := n.Daemon.Drain(ctx)
 	closeCtx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	_ = n.clientServer.Shutdown(closeCtx)
+	_ = n.clientServer.Shutdown(closeCtx) // the connections that it leaves are logged
+	cut := max(running, n.logOpenRequests())
 	n.Kill()
-	if running > 0 || unconfirmed > 0 {
-		return oops.In("app").Errorf("cut %d running requests; %d usage records are unconfirmed", running, unconfirmed)
+	if cut > 0 || unconfirmed > 0 {
+		return oops.In("app").Errorf("cut %d running requests; %d usage records are unconfirmed", cut, unconfirmed)
 	}
 	return nil
 }
 
+// logOpenRequests logs the requests on the connections that are about to be closed.
+func (n *Node) logOpenRequests() (open int) {
+	for _, r := range n.clientRequests.Requests() {
+		open++
+		n.logger.Warn("connection closed with a request on it", "remote", r.Remote, "method", r.Method, "path", r.Path, "phase", r.Phase, "age_ms", time.Since(r.Since).Milliseconds())
+	}
+	return open
+}
+
 // Kill stops the daemon without draining it. Further calls have no effect.
 func (n *Node) Kill() { n.killOnce.Do(n.shutDown) }
 
