daemon: a drain ends only once every admitted request has ended and its response is delivered

What callers saw: a request that another daemon had handed over could end with "may have run" at the end of a drain although it was answered: the drain counted it until the handler returned its response, and the connection to the other daemon was closed before that was sent. A request admitted between the look at `stopping` and the count was not waited for (read in the code, not reproduced: a WaitGroup whose count may leave zero while it is waited for). Class: a count that begins after the decision which it stands for, and ends before the answer has left. Change: admission counts and refuses under one lock; a forwarded request is counted until its last message is sent. API: RefuseIfStopping, for a refusal before the body is read.

--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -96,20 +96,18 @@
 // admit registers a request, or refuses it when the daemon is stopping or not
 // ready. The returned function must be called when the request ends.
 func (d *Daemon) admit() (func(), error) {
-	select {
-	case <-d.stopping:
-		return nil, fault.New(fault.ShuttingDown, "the daemon is stopping")
-	default:
+	if !d.admission.enter() {
+		return nil, stoppingError()
 	}
 	if !d.Ready() {
+		d.admission.leave()
 		return nil, fault.New(fault.ConfigurationStale, "neither the log nor most daemons were heard lately")
 	}
-	d.activeRequests.Add(1)
 	d.metrics.requests.Inc(1)
 	d.metrics.inFlight.Update(float64(d.inFlight.Add(1)))
 	return func() {
 		d.metrics.inFlight.Update(float64(d.inFlight.Add(-1)))
-		d.activeRequests.Done()
+		d.admission.leave()
 	}, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/engine"
+	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
@@ -74,9 +75,7 @@
 	// terminationChecks holds the IDs of the servers that checkTermination checks.
 	terminationChecks sync.Map
 	leaving           atomic.Bool
-	stopping          chan struct{}
-	stopOnce          sync.Once
-	activeRequests    sync.WaitGroup
+	admission         *admission
 }
 
 // New returns a daemon. Run starts its background work.
@@ -87,7 +86,7 @@
 		metrics:     newMetrics(deps.Metrics),
 		engine:      engine.NewClient(time.Duration(s.StreamIdleTimeout), deps.DialServer),
 		peers:       peer.NewClient(s.ID, secrets.PeerKey, deps.PeerTLS),
-		stopping:    make(chan struct{}),
+		admission:   newAdmission(),
 	}
 	d.keyring.Store(secrets.Keyring())
 	d.peers.OnBytes = func(n int) { d.metrics.peerBytes.Inc(int64(n)) }
@@ -160,13 +159,11 @@
 	d.members.announce()
 	d.log.Info("draining", "in_flight", d.inFlight.Load())
 	loop.Sleep(ctx, time.Duration(d.settings.EndpointTTL+d.settings.DrainGrace))
-	d.stopOnce.Do(func() { close(d.stopping) })
-	done := make(chan struct{})
-	go func() { d.activeRequests.Wait(); close(done) }()
+	d.admission.stop()
 	limit := time.NewTimer(time.Duration(d.settings.DrainTimeout))
 	defer limit.Stop()
 	select {
-	case <-done:
+	case <-d.admission.idle:
 	case <-limit.C:
 	case <-ctx.Done():
 	}
@@ -185,6 +182,16 @@
 // Leaving reports whether the daemon is draining.
 func (d *Daemon) Leaving() bool { return d.leaving.Load() }
 
+// RefuseIfStopping returns the refusal of requests after the daemon has stopped to admit any.
+func (d *Daemon) RefuseIfStopping() error {
+	if d.admission.hasStopped() {
+		return stoppingError()
+	}
+	return nil
+}
+
+func stoppingError() error { return fault.New(fault.ShuttingDown, "the daemon is stopping") }
+
 // Endpoints returns the daemon addresses that callers should use, and how long
 // they may cache them.
 func (d *Daemon) Endpoints() ([]string, time.Duration) {
--- a/internal/daemon/forwarded.go
+++ b/internal/daemon/forwarded.go
@@ -25,6 +25,9 @@
 func (d *Daemon) serveForwarded(from, id string, configNumber uint64, send func(any) error, serve func() (peer.ForwardResponse, error)) {
 	d.log.Info("forwarded request received", "request", id, "from", from)
 	d.metrics.forwardedRequests.Inc(1)
+	if d.admission.enter() {
+		defer d.admission.leave() // once the response is sent
+	}
 	resp, err := recoverPanic(d, id, func() (peer.ForwardResponse, error) { return d.admitForwarded(configNumber, serve) })
 	if err != nil {
 		e := fault.FromError(err)
