api: a daemon that leaves says so on each response, and one that has stopped refuses before the body

What callers saw: kept connections of a daemon that drains were closed at its end without notice, so that a request could cross the close; and a request after the stop got its refusal only once its body was in, so that one with a slow body got none at the end of the daemon. Change: every response of a leaving daemon has Connection: close, also of requests that began before; after the stop, chat, services and keys are refused (shutting_down, not_run) before the body is read. With Connection: close net/http does not wait for the rest of the body.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -53,12 +53,12 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = a.handleError
-	e.Use(a.assignRequestID, a.recoverPanic)
-	e.POST("/v1/chat/completions", a.completeChat)
+	e.Use(a.assignRequestID, a.closeWhileLeaving, a.recoverPanic)
+	e.POST("/v1/chat/completions", a.completeChat, a.refuseIfStopping)
 	e.GET("/v1/models", a.listModels)
 	e.GET("/v1/endpoints", a.listEndpoints)
-	e.POST("/v1/services/:name", a.callService)
-	e.POST("/v1/keys", a.mintIdempotencyKey)
+	e.POST("/v1/services/:name", a.callService, a.refuseIfStopping)
+	e.POST("/v1/keys", a.mintIdempotencyKey, a.refuseIfStopping)
 	e.GET("/healthz", a.checkHealth)
 	e.GET("/metrics", echo.WrapHandler(metrics))
 	a.registerOperatorRoutes(e.Group("/operator/v1", a.requireOperatorKey))
@@ -76,6 +76,29 @@
 	}
 }
 
+// closeWhileLeaving makes callers close their connections after a response of a daemon that leaves, so
+// that no request crosses the close of a kept connection.
+func (a *API) closeWhileLeaving(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			if a.daemon.Leaving() {
+				c.Response().Header().Set("Connection", "close")
+			}
+		})
+		return next(c)
+	}
+}
+
+// refuseIfStopping refuses the request of a daemon that has stopped, before its body is read.
+func (a *API) refuseIfStopping(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if err := a.daemon.RefuseIfStopping(); err != nil {
+			return err
+		}
+		return next(c)
+	}
+}
+
 // recoverPanic answers a request whose handler panicked as an internal error, or aborts its
 // connection if the response has begun.
 func (a *API) recoverPanic(next echo.HandlerFunc) echo.HandlerFunc {
