app: a daemon that stops waits for requests that are being read or flushed, not for a second

What callers saw: a request whose body was still on its way when the drain ended, or whose response was not read by its caller within a second, got neither an answer nor a refusal; nothing told of it. Cause: the drain counts requests from their admission, which follows the body, to the end of their run, which precedes the response; after it Shutdown waited for the connections one second. Class: an end of the process by a count that leaves out reading and flushing. Change: Shutdown waits, for what is left of the drain limit, until no connection has a request on it: net/http counts a connection as active from the head of a request until its response is flushed. What is left at the limit is logged and counted in the error. Evidence, in virtual time through net/http: TestShutdownEndsAfterRequestsOnConnections before: a body 20 s late: "answered false", a response read 20 s late: "unexpected EOF", both "connection closed with a request on it" after 9 s (reading, flushing); a body that never comes ends at the limit in both. After: 20 of 20 with -race. Why no new limit: drain_limit was stated as the wait for running requests.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -144,11 +144,14 @@
 	return scope, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), closer
 }
 
-// Shutdown drains the daemon and stops it. Cancelling the context aborts the requests that
+// Shutdown drains the daemon and stops it. It ends once no request is being read or served and all
+// responses are flushed, or the drain limit has passed. Cancelling the context aborts the requests that
 // are still running. The error reports aborted requests and unconfirmed usage records.
 func (n *Node) Shutdown(ctx context.Context) error {
+	settings := n.Daemon.Settings()
+	end := time.Now().Add(time.Duration(settings.EndpointTTL + settings.DrainGrace + settings.DrainTimeout))
 	running, unconfirmed := n.Daemon.Drain(ctx)
-	closeCtx, cancel := context.WithTimeout(ctx, time.Second)
+	closeCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	_ = n.clientServer.Shutdown(closeCtx) // the connections that it leaves are logged
 	cut := max(running, n.logOpenRequests())
