node: a drain ends only when no request is being read, served or flushed

What callers saw: a whole request at a daemon around its SIGTERM ended with neither an answer nor a refusal.

Cause: the drain ended on counts that do not cover a request. A request was active from the moment its body was in until its handler returned; one that was being read, and an answer still in net/http's buffer or blocked on its connection, counted as nothing. The last look came before the refusal of further requests, so that one admitted between the two was cut 50 ms later whatever its state. Class: an end decided on an incomplete view of the work.

Now the drain first refuses further requests, and only then looks whether it may end: no request served, and no client connection reading, serving or flushing. The steps are a pure function of one view. An idle daemon ends as early as before; minDrainTime and minIdleTime are unchanged, as is the end of admission. Requests that are read in the second part get the refusal that says they have not run. At the limit the drain ends 50 ms earlier than before, as the wait after the refusal now lies before the limit.

Admission between look and refusal: a row of TestDrainEndsOnlyAfterLastRequest; the function did not exist before.

Ruled out: serving, instead of refusing, what is being read when clients no longer send; a stalled body would keep the daemon admitting until the limit.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -26,31 +26,83 @@
 	drainPollInterval = 50 * time.Millisecond
 )
 
+// drainStep is what a drain does after a look at the requests.
+type drainStep int
+
+const (
+	// keepServing keeps accepting requests.
+	keepServing drainStep = iota
+	// refuseLong refuses requests that could outlast the daemon.
+	refuseLong
+	// refuseAll refuses every further request.
+	refuseAll
+	// finishPending waits for requests that are being read, served or answered.
+	finishPending
+	// endDrain ends the drain.
+	endDrain
+)
+
+// drainView is what the next step of a drain depends on.
+type drainView struct {
+	// elapsed is the time since the start of the drain, and limit its longest time.
+	elapsed, limit time.Duration
+	// sinceAdmission is the time since the last request was admitted.
+	sinceAdmission time.Duration
+	// serving is the number of admitted requests, and pending that of all requests, of which a
+	// part has been read or the answer is not written.
+	serving, pending int
+	// refusing is set once every further request is refused.
+	refusing bool
+}
+
+// next returns the next step. A drain refuses further requests before the look by which it ends, so
+// that none is admitted after that look.
+func (v drainView) next() drainStep {
+	switch {
+	case v.elapsed >= v.limit, v.refusing && v.serving == 0 && v.pending == 0:
+		return endDrain
+	case v.refusing:
+		return finishPending
+	case v.elapsed >= v.limit-responseMargin, v.elapsed >= minDrainTime && v.sinceAdmission > minIdleTime && v.serving == 0:
+		return refuseAll
+	case v.elapsed >= refuseLongAfter:
+		return refuseLong
+	}
+	return keepServing
+}
+
 // Drain keeps serving until no request is active and clients no longer send any, or the grace
-// period ends.
+// period ends. It then refuses requests, and returns when all have been answered.
 func (n *Node) Drain(ctx context.Context) {
 	start := time.Now()
 	n.leaving.Store(true)
 	n.members.Broadcast(ctx)
 	limit := n.config.GracePeriod - killMargin
-	for {
+	refusing := false
+	for step := keepServing; step != endDrain; {
 		time.Sleep(drainPollInterval)
-		elapsed := time.Since(start)
-		if elapsed >= refuseLongAfter {
+		step = drainView{
+			elapsed: time.Since(start), limit: limit, sinceAdmission: n.Relay.IdleTime(),
+			serving: n.Relay.ActiveRequests(), pending: n.clients.Counts().Pending(), refusing: refusing,
+		}.next()
+		switch step {
+		case refuseLong:
 			n.Relay.Drain(start.Add(limit - responseMargin))
-		}
-		idle := n.Relay.IdleTime() > minIdleTime && n.Relay.ActiveRequests() == 0
-		if elapsed >= limit || elapsed >= minDrainTime && idle {
-			break
+		case refuseAll:
+			n.Relay.Drain(start)
+			refusing = true
 		}
 	}
-	n.Relay.Drain(start) // refuses every further request
-	time.Sleep(drainPollInterval)
 	if active := n.Relay.ActiveRequests(); active > 0 {
 		n.log.Warn("requests cut off at the end of the grace period", "requests", active)
 	}
-	cut := n.clients.Cut("the daemon ends")
+	n.endClients(start, limit)
+	n.peerClient.Close()
+}
+
+// endClients closes the connections of clients and logs how the drain ended.
+func (n *Node) endClients(start time.Time, limit time.Duration) {
+	cut := n.clients.Cut("the grace period ends")
 	n.log.Info("drained", "after_ms", time.Since(start).Milliseconds(), "limit_ms", limit.Milliseconds(),
 		"idle", cut[clientconns.Idle], "reading", cut[clientconns.Reading], "serving", cut[clientconns.Serving], "flushing", cut[clientconns.Flushing])
-	n.peerClient.Close()
 }
