clientconns: a drain closes idle connections first, and no request that is being read

What callers saw: connections closed with a request of which a part, or all, had been read; and a refusal could be lost where bytes of the request came after the close.

Cause: at the end of the drain all connections were closed at once, whatever was on them. Class: close without regard to what the peer has sent.

Now, once every further request is refused, the listener closes and idle connections end, as do those that become idle. Their read fails by a deadline rather than by Close: a read returns either bytes or the error, so that no byte leaves the socket without being handled, and a request that crosses the close was not read. http.Server.Shutdown has a gap there: it closes a connection that it still holds for idle while its header is being read. At responseMargin before the limit reads of incomplete requests fail as if timed out, and they get the refusal for that (408: not run). A connection whose request was answered before it was read to its end is closed for writing, read for 500 ms at most, and then closed; net/http does so itself only for long bodies.

An idle daemon ends as early as before.

--- a/internal/clientconns/conn.go
+++ b/internal/clientconns/conn.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// lingerTime bounds the wait for a client whose request was answered before it was read to its end.
+const lingerTime = 500 * time.Millisecond
+
 // conn is a connection of a client. The tracker's mu guards its fields.
 type conn struct {
 	net.Conn
@@ -18,17 +21,28 @@
 	request string
 	// readAhead is set if bytes have been read after the request on the connection.
 	readAhead bool
+	// unread is set if the handler has returned before the whole request was read.
+	unread bool
 	// left is set if the client has closed the connection, and closing if this daemon has.
 	left, closing bool
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.tracker.readingStopped(c) {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(p)
 	c.tracker.recordRead(c, n, err)
 	return n, err
 }
 
+func (t *Tracker) readingStopped(c *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stopped[c.state]
+}
+
 func (t *Tracker) recordRead(c *conn, n int, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -47,18 +61,31 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.tracker.beginClose(c)
+	if c.tracker.beginClose(c) {
+		c.discardUnread()
+	}
 	return c.Conn.Close()
 }
 
-// beginClose logs the close of a connection with a request that was not handled to its end.
-func (t *Tracker) beginClose(c *conn) {
+// discardUnread reads until the client closes the connection: bytes that are unread at the close, or
+// come later, would reset the connection and drop an answer on its way.
+func (c *conn) discardUnread() {
+	_ = c.CloseWrite()                                     // fails only on a closed connection
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
+	_, _ = io.Copy(io.Discard, c.Conn)                     // ends with the deadline or the connection
+}
+
+// beginClose logs the close of a connection with a request that was not handled to its end. It reports
+// whether the close must wait for the client, because the request is answered and not read to its end.
+func (t *Tracker) beginClose(c *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !c.closing && !c.left && (c.state == Reading || c.state == Serving) {
 		t.logCut(c, reasonServer)
 	}
+	linger := c.unread && !c.closing && !c.left && !t.cut
 	c.closing = true
+	return linger
 }
 
 // CloseWrite closes the connection for writing. The server uses it so that unread bytes of a request
--- a/internal/clientconns/tracker.go
+++ b/internal/clientconns/tracker.go
@@ -51,9 +51,13 @@
 	gauges    [States]tally.Gauge
 	closed    [States]tally.Counter
 
-	mu     sync.Mutex
-	conns  map[*conn]bool
-	counts Counts
+	mu        sync.Mutex
+	conns     map[*conn]bool
+	counts    Counts
+	listeners []net.Listener
+	// stopped are the states in which nothing more is read, and cut is set once Cut was called.
+	stopped [States]bool
+	cut     bool
 }
 
 // New returns a tracker. RequestID returns the ID of a request in log lines.
@@ -88,7 +92,12 @@
 type connKey struct{}
 
 // Listen returns a listener whose connections are tracked.
-func (t *Tracker) Listen(l net.Listener) net.Listener { return &listener{l, t} }
+func (t *Tracker) Listen(l net.Listener) net.Listener {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listeners = append(t.listeners, l)
+	return &listener{l, t}
+}
 
 type listener struct {
 	net.Listener
@@ -113,10 +122,39 @@
 	return c
 }
 
+// CloseIdle stops accepting connections, and ends the idle ones and those that become idle. A request
+// of which a byte has been read is still read and answered.
+func (t *Tracker) CloseIdle() {
+	t.mu.Lock()
+	listeners := t.listeners
+	t.mu.Unlock()
+	for _, l := range listeners {
+		_ = l.Close() // fails only if it is closed already
+	}
+	t.stopReading(Idle)
+}
+
+// StopReading makes the reads of requests that are not complete fail as if they timed out.
+func (t *Tracker) StopReading() { t.stopReading(Reading) }
+
+// stopReading makes present and further reads in a state fail. The read returns either bytes or the error,
+// so that the server handles every byte that has left the socket's buffer.
+func (t *Tracker) stopReading(s State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped[s] = true
+	for c := range t.conns {
+		if c.state == s {
+			_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		}
+	}
+}
+
 // Cut closes all connections, and returns the number in each state before. Those with a request are
 // logged with the reason.
 func (t *Tracker) Cut(why string) Counts {
 	t.mu.Lock()
+	t.cut = true
 	counts := t.counts
 	var open []*conn
 	for c := range t.conns {
@@ -147,7 +185,7 @@
 		if c.readAhead {
 			next = Reading
 		}
-		c.readAhead, c.request = false, ""
+		c.readAhead, c.unread, c.request = false, false, ""
 		t.set(c, next)
 	case http.StateClosed, http.StateHijacked:
 		if t.conns[c] {
@@ -207,9 +245,11 @@
 func (t *Tracker) end(c *conn, aborted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !aborted {
-		t.set(c, Flushing)
+	if aborted {
+		return
 	}
+	c.unread = c.state == Reading
+	t.set(c, Flushing)
 }
 
 // logCut logs and counts the close of a connection with a request. Callers hold mu.
--- a/internal/clientconns/tracker_test.go
+++ b/internal/clientconns/tracker_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -18,20 +20,21 @@
 // pipes is a listener of connections in memory, whose writes wait for the reader.
 type pipes struct {
 	accepted chan net.Conn
-	closed   chan struct{}
+	closed   context.Context
+	close    context.CancelFunc
 }
 
 func (p pipes) Accept() (net.Conn, error) {
 	select {
 	case c := <-p.accepted:
 		return c, nil
-	case <-p.closed:
+	case <-p.closed.Done():
 		return nil, net.ErrClosed
 	}
 }
 
 func (p pipes) Close() error {
-	close(p.closed)
+	p.close()
 	return nil
 }
 
@@ -56,7 +59,8 @@
 		<-f.release
 	})}
 	f.Track(server)
-	l := pipes{make(chan net.Conn), make(chan struct{})}
+	closed, closeListener := context.WithCancel(t.Context())
+	l := pipes{make(chan net.Conn), closed, closeListener}
 	go func() { _ = server.Serve(f.Listen(l)) }() // ends when the server is closed
 	t.Cleanup(func() { _ = server.Close() })
 	f.dial = func() (net.Conn, *bufio.Reader) {
@@ -138,3 +142,56 @@
 		})
 	}
 }
+
+// Guards against closes that take a request with them of which something has been read, and against
+// drains that wait for idle connections.
+func TestCloseIdleKeepsRequestsBeingRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		close(f.release)
+		client, reader := f.dial()
+		_, idle := f.dial()
+		_, _ = io.WriteString(client, "P") // a failure shows in the answer
+		synctest.Wait()
+		f.CloseIdle()
+		if _, err := idle.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("idle connection: %v", err)
+		}
+		_, _ = io.WriteString(client, "OST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n") // a failure shows in the answer
+		if _, err := http.ReadResponse(reader, nil); err != nil {
+			t.Errorf("request being read: %v", err)
+		}
+		if _, err := reader.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("after the answer: %v", err)
+		}
+		synctest.Wait()
+		if got := f.Counts(); got != (Counts{}) || f.lines.Len() > 0 {
+			t.Errorf("left %v, lines:\n%s", got, f.lines.String())
+		}
+	})
+}
+
+// Guards against a close with unread bytes, whose reset drops the answer on its way.
+func TestAnswerBeforeEndOfRequestIsNotReset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		client, reader := f.dial()
+		sendPart(client)
+		synctest.Wait()
+		f.StopReading()
+		if response, err := http.ReadResponse(reader, nil); err != nil || response.StatusCode != http.StatusRequestTimeout {
+			t.Fatalf("no refusal: %v", err)
+		}
+		if _, err := io.WriteString(client, "efgh"); err != nil {
+			t.Errorf("closed with the rest of the request on its way: %v", err)
+		}
+		if got := f.Counts(); got.Pending() != 1 {
+			t.Errorf("a drain would not wait: %v", got)
+		}
+		_ = client.Close() // ends the connection
+		synctest.Wait()
+		if got := f.Counts(); got != (Counts{}) {
+			t.Errorf("left %v", got)
+		}
+	})
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -38,6 +38,8 @@
 	refuseAll
 	// finishPending waits for requests that are being read, served or answered.
 	finishPending
+	// stopReading refuses the requests that are still being read.
+	stopReading
 	// endDrain ends the drain.
 	endDrain
 )
@@ -61,6 +63,8 @@
 	switch {
 	case v.elapsed >= v.limit, v.refusing && v.serving == 0 && v.pending == 0:
 		return endDrain
+	case v.refusing && v.elapsed >= v.limit-responseMargin:
+		return stopReading
 	case v.refusing:
 		return finishPending
 	case v.elapsed >= v.limit-responseMargin, v.elapsed >= minDrainTime && v.sinceAdmission > minIdleTime && v.serving == 0:
@@ -91,6 +95,9 @@
 		case refuseAll:
 			n.Relay.Drain(start)
 			refusing = true
+			n.clients.CloseIdle()
+		case stopReading:
+			n.clients.StopReading()
 		}
 	}
 	if active := n.Relay.ActiveRequests(); active > 0 {
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -23,6 +23,7 @@
 		{"admitted before refusal", drainView{elapsed: minDrainTime, serving: 1, refusing: true}, finishPending},
 		{"nothing left", drainView{elapsed: minDrainTime, refusing: true}, endDrain},
 		{"answers have some time", drainView{elapsed: limit - responseMargin, serving: 1, pending: 1}, refuseAll},
+		{"a request is read for long", drainView{elapsed: limit - responseMargin, pending: 1, refusing: true}, stopReading},
 		{"the daemon would be killed", drainView{elapsed: limit, serving: 1, pending: 1, refusing: true}, endDrain},
 	} {
 		c.view.limit = limit
