node: a drain waits for requests of other daemons until their last message is written

What callers saw: possible only, not seen: a request that another daemon has sent here around this one's SIGTERM ends there as broken off, and is answered 502 if it may not be repeated.

Cause: such a request counted from the relay's serve to its return. Before that it has been read and decoded, after that the last message of its stream is not written; without that message the other daemon takes a complete answer for one that broke off. Class: as for clients' connections, an end decided on an incomplete view of the work.

The peer server counts a stream from the read of its request until its last message is written, and the drain waits for these as for clients' connections, within the same limit. The count is in the line 'drained'. All streams are forwarded requests; calls such as gossip are not waited for.

Evidence: TestDrainWaitsForForwardedRequest, in virtual time over a real peer connection: 'drained while the request was served', 20 of 20 without the count; 0 of 20 with it, with -race.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -87,7 +87,7 @@
 		time.Sleep(drainPollInterval)
 		step = drainView{
 			elapsed: time.Since(start), limit: limit, sinceAdmission: n.Relay.IdleTime(),
-			serving: n.Relay.ActiveRequests(), pending: n.clients.Counts().Pending(), refusing: refusing,
+			serving: n.Relay.ActiveRequests(), pending: n.clients.Counts().Pending() + n.peerServer.ActiveStreams(), refusing: refusing,
 		}.next()
 		switch step {
 		case refuseLong:
@@ -109,7 +109,8 @@
 
 // endClients closes the connections of clients and logs how the drain ended.
 func (n *Node) endClients(start time.Time, limit time.Duration) {
+	streams := n.peerServer.ActiveStreams()
 	cut := n.clients.Cut("the grace period ends")
 	n.log.Info("drained", "after_ms", time.Since(start).Milliseconds(), "limit_ms", limit.Milliseconds(),
-		"idle", cut[clientconns.Idle], "reading", cut[clientconns.Reading], "serving", cut[clientconns.Serving], "flushing", cut[clientconns.Flushing])
+		"idle", cut[clientconns.Idle], "reading", cut[clientconns.Reading], "serving", cut[clientconns.Serving], "flushing", cut[clientconns.Flushing], "forwarded", streams)
 }
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -1,8 +1,17 @@
 package node
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/damaskrudder/damaskrudder/internal/peer"
 )
 
 // Guards against drains that end on a look which a request has passed: one that is being read, one
@@ -32,3 +41,62 @@
 		}
 	}
 }
+
+// Guards against drains that end while a request of another daemon is being served.
+func TestDrainWaitsForForwardedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, _ := newTestNode(t)
+		n.config.GracePeriod = time.Hour
+		release := make(chan struct{})
+		peer.HandleStream(n.PeerServer(), "held", func(context.Context, string, struct{}, func(any) error) { <-release })
+		client, accepted := net.Pipe()
+		server := &http.Server{Handler: n.PeerServer()}
+		go func() { _ = server.Serve(&singleListener{conn: accepted}) }() // ends at once; the connection goes on
+		stream, _, err := websocket.Dial(t.Context(), "ws://d0/peer", &websocket.DialOptions{
+			HTTPClient: &http.Client{Transport: &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return client, nil }}},
+			HTTPHeader: http.Header{"Authorization": {"d1 0 unsigned"}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = stream.CloseNow() }()
+		request, err := cbor.Marshal(map[int]any{2: "held", 4: struct{}{}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := stream.Write(t.Context(), websocket.MessageBinary, request); err != nil {
+			t.Fatal(err)
+		}
+		drained := make(chan struct{})
+		go func() {
+			n.Drain(t.Context())
+			close(drained)
+		}()
+		time.Sleep(time.Minute)
+		select {
+		case <-drained:
+			t.Error("drained while the request was served")
+		default:
+		}
+		close(release)
+		if _, _, err := stream.Read(t.Context()); err != nil {
+			t.Errorf("last message of the stream: %v", err)
+		}
+		<-drained
+	})
+}
+
+// singleListener accepts one connection.
+type singleListener struct{ conn net.Conn }
+
+func (l *singleListener) Accept() (net.Conn, error) {
+	if l.conn == nil {
+		return nil, net.ErrClosed
+	}
+	c := l.conn
+	l.conn = nil
+	return c, nil
+}
+
+func (*singleListener) Close() error   { return nil }
+func (*singleListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,6 +134,7 @@
 	records    *gossip.RecordServer
 	peerClient *peer.Client
 	clients    *clientconns.Tracker
+	peerServer *peer.Server
 	// followers read the topics. Their order is that of gossip.Message.NextPositions.
 	followers        []*feed.Follower
 	operatorFollower *feed.Follower
@@ -219,17 +220,15 @@
 	n.Relay.Verdicts, n.Relay.Permits = n, n
 	n.members.AddAddresses(config.Seeds...)
 	n.broadcast = func() { n.members.Broadcast(ctx) }
+	n.peerServer = peer.NewServer("")
+	n.members.RegisterHandlers(n.peerServer, n.records)
+	n.registerForwarding(n.peerServer)
 	n.initFollowers()
 	return n
 }
 
 // PeerServer returns the handler for calls from other daemons.
-func (n *Node) PeerServer() *peer.Server {
-	s := peer.NewServer("")
-	n.members.RegisterHandlers(s, n.records)
-	n.registerForwarding(s)
-	return s
-}
+func (n *Node) PeerServer() *peer.Server { return n.peerServer }
 
 // HandleExchange processes the gossip message of another daemon, and returns the response.
 func (n *Node) HandleExchange(msg gossip.Message) gossip.Message {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -26,6 +27,9 @@
 	// OnBytes is called with the size of each message sent or received.
 	OnBytes func(n int)
 
+	// streams is the number of requests whose response is a stream that has not ended.
+	streams atomic.Int64
+
 	mu     sync.Mutex
 	conns  map[*websocket.Conn]bool
 	closed bool
@@ -47,6 +51,10 @@
 	}
 }
 
+// ActiveStreams returns the number of requests that have been read whose response is a stream, and
+// whose last message has not been written to the connection.
+func (s *Server) ActiveStreams() int { return int(s.streams.Load()) }
+
 // track adds an open connection or removes a closed one, and reports whether the server is open.
 func (s *Server) track(c *websocket.Conn, open bool) bool {
 	s.mu.Lock()
@@ -119,15 +127,19 @@
 			return
 		}
 		if handler := s.streamHandlers[request.Kind]; handler != nil {
-			go handler(streamCtx, from, request.Body, func(message envelope) error {
-				data, err := cbor.Marshal(message)
-				if err != nil {
-					return err
-				}
-				writeCtx, cancel := context.WithTimeout(streamCtx, streamWriteTimeout)
-				defer cancel()
-				return write(writeCtx, data)
-			})
+			s.streams.Add(1)
+			go func() {
+				defer s.streams.Add(-1)
+				handler(streamCtx, from, request.Body, func(message envelope) error {
+					data, err := cbor.Marshal(message)
+					if err != nil {
+						return err
+					}
+					writeCtx, cancel := context.WithTimeout(streamCtx, streamWriteTimeout)
+					defer cancel()
+					return write(writeCtx, data)
+				})
+			}()
 			continue
 		}
 		go func() {
