relay: requests without an answer tell which silent servers they were taken off

A request that ended as refused or cut did not tell whether it had been taken off a server that merely did not respond, and nothing told whether that server went on. Such an end now has a line "no answer after move" with the servers and is counted as moved_without_answer; a server that sends something after it had not responded to a probe has a line "silent server went on" with the time, and is counted as silent_servers_resumed. No decision changes.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -98,6 +98,8 @@
 	displacedPerSecond float64
 	// retryWithdrawn is set if the budget was already charged for the retry after a reroute.
 	retryWithdrawn atomic.Bool
+	// movedOff are the servers that the call was taken off although they had not responded.
+	movedOff []string
 }
 
 // errRerouted cancels a send whose request continues on another server.
@@ -117,7 +119,7 @@
 			return
 		}
 		if refusal == nil && ctx.Err() != nil {
-			x.logEvent("client disconnected", nil, "cause", context.Cause(ctx))
+			x.logEvent("client disconnected", nil, "cause", context.Cause(ctx), "moved_off", x.movedOff)
 			x.relay.Metrics.ClientsDisconnected.Inc(1)
 			return
 		}
@@ -287,6 +289,7 @@
 		if !x.mayReroute(lost) {
 			return false
 		}
+		x.movedOff = append(x.movedOff, t.server.ID)
 		cancel(errRerouted)
 		return true
 	})
@@ -387,6 +390,10 @@
 // fail ends the call with a server's error response if there is one, else with a
 // refusal. A response that has begun is aborted.
 func (x *exchange) fail(e *fault.Error) {
+	if len(x.movedOff) > 0 {
+		x.logEvent("no answer after move", nil, "kind", e.Kind, "why", e.Detail, "begun", x.headerSent, "moved_off", x.movedOff)
+		x.relay.Metrics.MovedWithoutAnswer.Inc(1)
+	}
 	switch {
 	case x.headerSent:
 		x.logEvent("cut", nil, "kind", e.Kind, "why", e.Detail, "last_event", x.lastEvent)
--- a/internal/relay/liveness.go
+++ b/internal/relay/liveness.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 )
@@ -42,6 +44,8 @@
 	stallFraction = 0.9
 	// defaultStallTimeout applies to routes without a gap target.
 	defaultStallTimeout = 2 * time.Second
+	// silentRetention is how long a silent server is remembered, to record that it has gone on.
+	silentRetention = time.Minute
 )
 
 // livenessMonitor detects servers and connections that have gone silent.
@@ -57,6 +61,15 @@
 	mu           sync.Mutex
 	servers      map[string]*monitoredServer
 	lastActivity map[string]time.Time
+	// silent holds the servers that did not respond to a probe, by address, until they send
+	// something.
+	silent map[string]silentServer
+}
+
+// silentServer is a server that did not respond to a probe.
+type silentServer struct {
+	id    string
+	since time.Time
 }
 
 // monitoredServer is a server with requests in flight.
@@ -100,13 +113,33 @@
 }
 
 func newLivenessMonitor(s *State, b Backend, l *log.Logger, m *Metrics) *livenessMonitor {
-	return &livenessMonitor{state: s, backend: b, log: l, metrics: m, onReached: func(*target) {}, onUnreached: func(*target, error) {}, servers: map[string]*monitoredServer{}, lastActivity: map[string]time.Time{}}
+	return &livenessMonitor{state: s, backend: b, log: l, metrics: m, onReached: func(*target) {}, onUnreached: func(*target, error) {}, servers: map[string]*monitoredServer{}, lastActivity: map[string]time.Time{}, silent: map[string]silentServer{}}
 }
 
 func (m *livenessMonitor) recordActivity(address string) {
 	m.mu.Lock()
-	m.lastActivity[address] = time.Now()
+	now := time.Now()
+	m.lastActivity[address] = now
+	server, wasSilent := m.silent[address]
+	delete(m.silent, address)
 	m.mu.Unlock()
+	if !wasSilent {
+		return
+	}
+	m.metrics.SilentServersResumed.Inc(1)
+	m.log.Warn("silent server went on", "server", server.id, "address", address, "after_ms", now.Sub(server.since).Milliseconds())
+}
+
+// recordSilent remembers a server that did not respond to a probe. Callers hold mu.
+func (m *livenessMonitor) recordSilent(server backend.Server, now time.Time) {
+	if m.silent[server.Address].id != server.ID {
+		m.silent[server.Address] = silentServer{server.ID, now}
+	}
+}
+
+// dropSilent forgets the servers that have been silent for long. Callers hold mu.
+func (m *livenessMonitor) dropSilent(now time.Time) {
+	maps.DeleteFunc(m.silent, func(_ string, s silentServer) bool { return now.Sub(s.since) > silentRetention })
 }
 
 // recordHeader records the arrival of a response header. Earlier requests of the same or
@@ -201,6 +234,7 @@
 func (m *livenessMonitor) check(ctx context.Context, now time.Time) {
 	var probes, stuck []*attempt
 	m.mu.Lock()
+	m.dropSilent(now)
 	for _, srv := range m.servers {
 		if a := m.silentAttempt(srv, now); a != nil {
 			srv.probing = true
@@ -287,6 +321,7 @@
 	if srv := m.servers[id]; srv != nil {
 		srv.probing, srv.lastProbe = false, time.Now()
 		if err != nil {
+			m.recordSilent(a.target.server, srv.lastProbe)
 			for other := range srv.attempts {
 				waiting = append(waiting, other)
 			}
--- a/internal/relay/liveness_test.go
+++ b/internal/relay/liveness_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 )
@@ -146,6 +148,25 @@
 	}
 }
 
+// Guards against silences of servers of which nobody learns that they ended.
+func TestServerThatGoesOnAfterSilenceIsCounted(t *testing.T) {
+	h := newHarness(t, respond(200, ""))
+	h.backend.refuses.Store(true)
+	scope := tally.NewTestScope("", nil)
+	monitor := newLivenessMonitor(h.relay.State, h.backend, h.relay.log, NewMetrics(scope))
+	on := &target{server: backend.Server{ID: "e0", Address: "10.0.0.0:1"}, service: "lm"}
+	a := monitor.track(on, true, &route.Route{}, 3, func(bool) bool { return true })
+	resumed := func() int64 { return scope.Snapshot().Counters()["silent_servers_resumed+"].Value() }
+	monitor.recordActivity(on.server.Address)
+	if monitor.probe(t.Context(), a); resumed() != 0 {
+		t.Error("counted before it went on")
+	}
+	monitor.recordActivity(on.server.Address)
+	if monitor.recordActivity(on.server.Address); resumed() != 1 {
+		t.Errorf("counted %d times", resumed())
+	}
+}
+
 // probedBackend counts the probes that request something of the server.
 type probedBackend struct {
 	*fakeBackend
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -33,6 +33,10 @@
 	Probes tally.Counter
 	// SendsRerouted counts sends that were cancelled and continued on another server.
 	SendsRerouted tally.Counter
+	// SilentServersResumed counts servers that sent something after they had not responded to a probe,
+	// and MovedWithoutAnswer requests without a complete answer that had been taken off a server which
+	// had not responded.
+	SilentServersResumed, MovedWithoutAnswer tally.Counter
 	// ServersTerminated counts servers that ended while running requests of this daemon.
 	ServersTerminated tally.Counter
 	// RequestsHeld is the number of quarantined requests.
@@ -110,7 +114,7 @@
 		scope: s, Requests: s.Counter("requests"), Retries: s.Counter("repeats"), RetriesDenied: s.Counter("repeats_denied"),
 		Escalations: s.Counter("escalations"), SendsFailed: s.Counter("sends_failed"),
 		ResponsesAborted: s.Counter("answers_cut"), ClientsDisconnected: s.Counter("callers_left"),
-		Probes: s.Counter("alive_checks"), SendsRerouted: s.Counter("sends_moved"), ServerRestarts: s.Counter("server_restarts"),
+		Probes: s.Counter("alive_checks"), SendsRerouted: s.Counter("sends_moved"), SilentServersResumed: s.Counter("silent_servers_resumed"), MovedWithoutAnswer: s.Counter("moved_without_answer"), ServerRestarts: s.Counter("server_restarts"),
 		ServersTerminated: s.Counter("servers_ended"), RequestsHeld: s.Gauge("requests_held"),
 		DomainsEvacuated: s.Gauge("domains_evacuated"), ServersWarming: s.Gauge("servers_warming"), ServersLimited: s.Gauge("servers_limited"), WarmingSends: s.Counter("warming_sends"), VersionFallbacks: s.Counter("version_fallbacks"), LoadReportsDropped: s.Counter("load_reports_dropped"),
 		UnreadableLimits: s.Counter("server_limits_unreadable"), UnreadableStatements: s.Counter("server_statements_unreadable"),
@@ -188,6 +192,8 @@
 		"sends_raised":                 "Sends to engines that precede others of their rank, by reason.",
 		"sends_yielded":                "Sends to engines that follow others of their rank, by reason.",
 		"sends_moved":                  "Sends cancelled and continued on another server.",
+		"silent_servers_resumed":       "Servers that sent something after they had not responded to a probe.",
+		"moved_without_answer":         "Requests refused, failed or cut after they had been taken off a server that had not responded.",
 		"servers_ended":                "Servers that ended while running requests of this daemon.",
 		"requests_held":                "Quarantined requests: servers ended while running them.",
 		"domains_evacuated":            "Evacuated failure domains.",
