relay: the end of a response reads its error under the lock

A response that is interrupted while it ends (the client leaves, or the memory budget cuts it) was written and read without synchronisation, so that finish could miss the error and leave a cut response as complete.

--- a/internal/relay/flowcontrol.go
+++ b/internal/relay/flowcontrol.go
@@ -428,6 +428,8 @@
 	w.changed.Broadcast()
 	w.mu.Unlock()
 	<-w.done
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	return w.err
 }
 
