relay: a request leaves a silent server only when another has taken it

What callers saw: a sound server is silent for a second and goes on, and requests there end without their answer: refused ("every server refused", "the retry budget is used up", "... have stated limits"), failed ("every attempt failed") or, for a stream or a response that has begun, cut.

Cause: after 500 ms of silence and a probe of 300 ms without response the send in flight was cancelled, and only then a next server was selected and sent to. If the selection, a permit, the retry budget, a hold or the server itself denied that, the answer of the first was already given up. mayReroute allowed it without retry budget, which the next step then missed; a response too long for the buffer was cancelled although it cannot be repeated. Class: what is held is given up before its replacement is there. Sends that are stuck (overtaken, late, stalled) took the same way.

The first send is cancelled once the other has taken the request: with the event that follows for a stream, else when the response is read. If none takes it, or the first goes on before, the other one is cancelled and joined. While the call waits, only the search uses the exchange; the call waits for its end before it goes on, so that no state is shared. Attempts, budget, holds and work are counted as for any send. Servers known to have ended (restart, refused connection, a report of a later incarnation) still lose their requests at once; so do requests that are to be forwarded to another daemon, as no server is in reach then.

Ruled out: more patience alone (a dead server's requests would wait, and two seconds of silence cut as before); selecting first and cancelling then (a server that is full or loses the request is known only after the send).

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -137,6 +138,9 @@
 	serverstatus.Statements
 }
 
+// ErrRestarted means that a later incarnation has replaced the probed one.
+var ErrRestarted = errors.New("server has restarted")
+
 // Backend sends requests to backend servers. Its errors are *upstream.Error.
 type Backend interface {
 	Send(ctx context.Context, s BackendRequest) (*BackendResponse, error)
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -18,6 +18,18 @@
 	id int64
 }
 
+// follows reports whether the event is forwarded after the one with a number. An earlier event is
+// skipped, and one with a gap before it is an error.
+func (e event) follows(last int64) (bool, error) {
+	switch {
+	case e.id == NoEvent || last == NoEvent || e.id == last+1:
+		return true, nil
+	case e.id <= last:
+		return false, nil
+	}
+	return false, errMissingEvent
+}
+
 // eventReader splits a stream into events. An incomplete event at the end is not
 // returned, as it would be joined with the first event of the next server.
 type eventReader struct {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -100,24 +100,35 @@
 	retryWithdrawn atomic.Bool
 	// movedOff are the servers that the call was taken off although they had not responded.
 	movedOff []string
+	// next is the send that has taken the call from the last one.
+	next *send
+	// waitsAt is the ID of the server that the call waits for while others are offered it.
+	waitsAt string
 }
 
-// errRerouted cancels a send whose request continues on another server.
+// errRerouted cancels a send whose request continues elsewhere.
 var errRerouted = errors.New("request rerouted to another server")
 
 // serve sends the call until it is answered or fails.
 func (x *exchange) serve(ctx context.Context) {
 	x.recordArrival()
 	for {
-		if refusal := x.checkHold(); refusal != nil {
-			x.fail(refusal)
-			return
+		if x.next == nil {
+			if refusal := x.checkHold(); refusal != nil {
+				x.fail(refusal)
+				return
+			}
 		}
 		outcome, done, refusal := x.sendOnce(ctx)
 		if done {
 			x.deliverComplete()
 			return
 		}
+		if x.next != nil {
+			x.retryState.Record(outcome)
+			x.relay.Metrics.Retries.Inc(1)
+			continue
+		}
 		if refusal == nil && ctx.Err() != nil {
 			x.logEvent("client disconnected", nil, "cause", context.Cause(ctx), "moved_off", x.movedOff)
 			x.relay.Metrics.ClientsDisconnected.Inc(1)
@@ -141,17 +152,17 @@
 // returns true if the client has the final response, and a refusal if there is nowhere to send it.
 func (x *exchange) sendOnce(ctx context.Context) (outcome request.SendOutcome, done bool, refusal *fault.Error) {
 	x.withoutArrival = false
+	if s := x.next; s != nil {
+		x.next = nil
+		defer x.relay.liveness.untrack(s.watch) // if a panic ends the send
+		outcome, done = x.finishSend(s)
+		return outcome, done, nil
+	}
 	if helper, found := x.pickHelper(); found {
 		outcome, done = x.sendToDaemon(ctx, helper)
 		return outcome, done, nil
 	}
-	t, refusal := x.selectToConfirm(ctx)
-	if t == nil && refusal == nil {
-		t, refusal = x.selectServer()
-	}
-	if refusal != nil {
-		t, refusal = x.selectWithPermit(ctx, refusal)
-	}
+	t, refusal := x.selectTarget(ctx)
 	if refusal != nil {
 		if helper, found := x.pickOverflow(refusal); found {
 			outcome, done = x.sendToDaemon(ctx, helper)
@@ -159,6 +170,28 @@
 		}
 		return outcome, false, refusal
 	}
+	x.countSend(t)
+	s := x.startSend(ctx, t, current)
+	defer x.relay.liveness.untrack(s.watch) // if a panic ends the send
+	s.open()
+	outcome, done = x.finishSend(s)
+	return outcome, done, nil
+}
+
+// selectTarget selects the server of the next send.
+func (x *exchange) selectTarget(ctx context.Context) (*target, *fault.Error) {
+	t, refusal := x.selectToConfirm(ctx)
+	if t == nil && refusal == nil {
+		t, refusal = x.selectServer()
+	}
+	if refusal != nil {
+		t, refusal = x.selectWithPermit(ctx, refusal)
+	}
+	return t, refusal
+}
+
+// countSend records that the call is about to be sent to a server.
+func (x *exchange) countSend(t *target) {
 	if !x.sentToServer {
 		x.sentToServer = true
 		x.relay.recordFirstSend(x.service.Name)
@@ -174,7 +207,20 @@
 	x.recordSend(t)
 	x.recordWork(t)
 	x.relay.Rollouts.recordSend(t)
-	outcome, done = x.attempt(ctx, t)
+}
+
+// finishSend receives the response to a send and records the result.
+func (x *exchange) finishSend(s *send) (outcome request.SendOutcome, done bool) {
+	s.setRole(current)
+	x.run = s.run
+	outcome, done = x.receive(s)
+	x.endSend(s, outcome, done)
+	if x.next = s.next; x.next != nil {
+		x.movedOff = append(x.movedOff, s.target.server.ID)
+	}
+	if x.succeeded {
+		x.relay.Guard.RecordSuccess(x.identity)
+	}
 	if !x.withoutArrival {
 		x.arrived.Store(true)
 	}
@@ -185,9 +231,9 @@
 	// A request suspected of crashing servers is escalated on the same server:
 	// its cancelled run may still crash that one, and must not crash a second.
 	if !done && (outcome != request.LowConfidence || x.quarantineStatus.Crashes == 0) {
-		x.tried = append(x.tried, t.server.ID)
+		x.tried = append(x.tried, s.target.server.ID)
 	}
-	return outcome, done, nil
+	return outcome, done
 }
 
 // sendToDaemon forwards the call and records whether it may have reached a server.
@@ -229,6 +275,9 @@
 	if err != nil && len(x.tried) > 0 && x.retryState.Repeatable {
 		// All servers were tried. One that was lost may respond again.
 		req.tried = nil
+		if x.waitsAt != "" {
+			req.tried = []string{x.waitsAt}
+		}
 		t, err = x.relay.State.pick(&req, x.service.MaxConnections)
 	}
 	if err != nil {
@@ -251,18 +300,14 @@
 	}
 }
 
-// attempt sends the request to a server and records the result in the guard.
-func (x *exchange) attempt(ctx context.Context, t *target) (request.SendOutcome, bool) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	x.run = x.relay.Guard.Begin(containmentServer(t.server), x.identity, cancel)
-	outcome, done := x.send(ctx, cancel, t)
-	x.relay.Guard.End(ctx, x.run, containmentServer(t.server), containmentOutcome(ctx, outcome, done))
-	x.recordInterruption(ctx, t)
-	if x.succeeded {
-		x.relay.Guard.RecordSuccess(x.identity)
-	}
-	return outcome, done
+// endSend records the end of a send in the guard.
+func (x *exchange) endSend(s *send, outcome request.SendOutcome, done bool) {
+	x.relay.liveness.untrack(s.watch)
+	s.stop()
+	server := containmentServer(s.target.server)
+	x.relay.Guard.End(s.ctx, s.run, server, containmentOutcome(s.ctx, outcome, done))
+	x.recordInterruption(s.ctx, s.target)
+	s.cancel(nil)
 }
 
 // recordInterruption counts a stream that broke off as evidence against the version of its server.
@@ -277,39 +322,34 @@
 	}
 }
 
-// send makes one attempt. It returns true if the client has the final response.
-func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (request.SendOutcome, bool) {
+// startSend prepares a send.
+func (x *exchange) startSend(ctx context.Context, t *target, role sendRole) *send {
 	urgent := x.decideUrgency(t)
 	x.relay.Metrics.recordTransfer(&t.fetch)
 	x.logEvent("send", t, x.sendFields(t, urgent)...)
-	sentAt := time.Now()
-	ctx, stop := context.WithDeadline(ctx, x.deadline)
-	defer stop()
-	a := x.relay.liveness.track(t, x.service.Engine != nil, x.route, urgent.Priority, func(lost bool) bool {
-		if !x.mayReroute(lost) {
-			return false
-		}
-		x.movedOff = append(x.movedOff, t.server.ID)
-		cancel(errRerouted)
-		return true
-	})
-	defer x.relay.liveness.untrack(a)
-	req := BackendRequest{
+	s := &send{x: x, target: t, parent: ctx, sentAt: time.Now(), role: role}
+	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	s.timed, s.stop = context.WithDeadline(s.ctx, x.deadline)
+	s.run = x.relay.Guard.Begin(containmentServer(t.server), x.identity, s.cancel)
+	s.request = BackendRequest{
 		Call: x.call, Server: t.server, Workspace: x.workspace, Model: x.modelOverride(), LastEvent: x.lastEvent,
 		FetchFrom: t.fetch.address, Timeout: time.Until(x.deadline) - deadlineMargin, Priority: urgent.Priority, MaxConnections: t.maxConnections,
 		// New connections are tried in the background while the servers are out of reach.
 		ReuseOnly: x.relay.State.outOfReach(t.service),
 		Admit:     func() bool { return x.relay.State.admits(t) },
 	}
-	reply, err := x.relay.backend.Send(ctx, req)
-	if err != nil {
-		return x.handleSendError(t, sentAt, err), false
+	s.watch = x.relay.liveness.track(t, x.service.Engine != nil, x.route, urgent.Priority, s.reroute)
+	return s
+}
+
+// receive handles the response to a send. It returns true if the client has the final response.
+func (x *exchange) receive(s *send) (request.SendOutcome, bool) {
+	if s.err != nil {
+		return x.handleSendError(s.target, s.sentAt, s.err), false
 	}
-	x.relay.liveness.recordHeader(a)
-	x.relay.recordReached(t)
-	outcome, done := x.handleReply(ctx, t, a, reply, sentAt)
+	outcome, done := x.handleReply(s.timed, s.target, s.watch, s.reply, s.sentAt)
 	failed := !done && outcome != request.LowConfidence && outcome != request.NotStarted
-	x.relay.State.recordSendEnd(t, time.Since(sentAt), failed)
+	x.relay.State.recordSendEnd(s.target, time.Since(s.sentAt), failed)
 	return outcome, done
 }
 
@@ -326,9 +366,9 @@
 }
 
 // mayReroute reports whether the request may continue on another server, and takes
-// the retry from the budget. Without budget, only requests of a lost server are
-// rerouted; streams of a slow one would be aborted.
-func (x *exchange) mayReroute(lost bool) bool {
+// the retry from the budget. Without budget, only requests of a server that will not respond are
+// rerouted; others would be aborted although it may go on.
+func (x *exchange) mayReroute(ended bool) bool {
 	if !x.retryState.Repeatable || x.retryState.RemainingRuns() <= 0 {
 		return false
 	}
@@ -336,7 +376,7 @@
 		x.retryWithdrawn.Store(true)
 		return true
 	}
-	return lost
+	return ended
 }
 
 // handleSendError records a failed send and derives whether the request may have run.
--- a/internal/relay/flowcontrol.go
+++ b/internal/relay/flowcontrol.go
@@ -514,6 +514,9 @@
 // readResponse reads a response of a length in bytes, or -1. It returns what it has read and
 // errNotBuffered if the response must not be buffered.
 func (x *exchange) readResponse(body io.Reader, length int64) ([]byte, error) {
+	if b, ok := body.(*readBody); ok {
+		return b.read, b.err
+	}
 	size := int64(0)
 	return readGrowing(body, length, func(n int64) error {
 		size += n
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -94,16 +94,18 @@
 	return x.relay.Forwarder != nil && !x.forwarded && len(x.call.Body) <= maxForwardedBody
 }
 
+// needsHelper reports whether the call should be forwarded.
+func (x *exchange) needsHelper() bool {
+	return x.mayForward() && len(x.forwards) < maxForwards && (x.unreached >= maxUnreachedSends || x.relay.State.outOfReach(x.service.Name))
+}
+
 // pickHelper returns the daemon to forward the call to, if it should be forwarded.
 func (x *exchange) pickHelper() (address string, found bool) {
-	r := x.relay
-	if !x.mayForward() || len(x.forwards) >= maxForwards {
+	if !x.needsHelper() {
 		return "", false
 	}
+	r := x.relay
 	lost := r.State.outOfReach(x.service.Name)
-	if !lost && x.unreached < maxUnreachedSends {
-		return "", false
-	}
 	targets, doubtful := r.Forwarder.Targets(), r.Forwarder.DoubtfulTargets()
 	address, found = r.State.pickOrTryHelper(targets, doubtful, x.forwards)
 	if !found && !x.withoutHelper {
--- a/internal/relay/liveness.go
+++ b/internal/relay/liveness.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -85,10 +87,10 @@
 	target *target
 	engine bool
 	sentAt time.Time
-	// reroute cancels the send if the request may continue elsewhere, and reports
-	// whether it did. Lost is set if the server has not responded to a probe. The monitor's lock
-	// is held.
-	reroute      func(lost bool) bool
+	// reroute moves the request elsewhere if it may continue there, and reports whether it does or
+	// is offered to another server. Ended is set if the server will not respond. The monitor's lock is
+	// held.
+	reroute      func(ended bool) bool
 	stallTimeout time.Duration
 	// priority is the priority sent to the server; 0 is the highest.
 	priority int
@@ -101,7 +103,13 @@
 	progressNanos atomic.Int64
 	// forwarding is set while the client has no room for what has arrived.
 	forwarding atomic.Bool
-	rerouted   bool
+	// stuckAfterNanos is the time in ns after sentAt before which the attempt does not count as stuck.
+	stuckAfterNanos atomic.Int64
+}
+
+// postpone makes the attempt count as stuck after a pause at the earliest.
+func (a *attempt) postpone(pause time.Duration) {
+	a.stuckAfterNanos.Store((time.Since(a.sentAt) + pause).Nanoseconds())
 }
 
 func (a *attempt) recordProgress() { a.progressNanos.Store(time.Since(a.sentAt).Nanoseconds() + 1) }
@@ -160,7 +168,7 @@
 	}
 }
 
-func (m *livenessMonitor) track(t *target, engine bool, rt *route.Route, priority int, reroute func(lost bool) bool) *attempt {
+func (m *livenessMonitor) track(t *target, engine bool, rt *route.Route, priority int, reroute func(ended bool) bool) *attempt {
 	a := &attempt{target: t, engine: engine, sentAt: time.Now(), reroute: reroute, stallTimeout: defaultStallTimeout, priority: priority}
 	first, _ := m.state.typicalLatency(t, engine)
 	a.overtakenTimeout = time.Duration(plainWaitFactor * first * float64(time.Second))
@@ -200,11 +208,11 @@
 
 // reroute reroutes an attempt that has not ended, and reports whether it did. The lock keeps the
 // attempt's call from going on to its next send meanwhile.
-func (m *livenessMonitor) reroute(a *attempt, lost bool) bool {
+func (m *livenessMonitor) reroute(a *attempt, ended bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	srv := m.servers[a.target.server.ID]
-	return srv != nil && srv.attempts[a] && a.reroute(lost)
+	return srv != nil && srv.attempts[a] && a.reroute(ended)
 }
 
 // rerouteWaiting reroutes the requests that wait for a server that has restarted, which
@@ -252,9 +260,7 @@
 	}
 	for _, a := range stuck {
 		if m.reroute(a, false) {
-			a.rerouted = true
-			m.log.Warn("request stuck, moved", "server", a.target.server.ID, "model", a.target.model, "overtaken", a.overtaken.Load(), "waited_ms", now.Sub(a.sentAt).Milliseconds(), "expected_ms", a.target.expectedLatency.Milliseconds())
-			m.metrics.SendsRerouted.Inc(1)
+			m.log.Warn("request stuck, offered to others", "server", a.target.server.ID, "model", a.target.model, "overtaken", a.overtaken.Load(), "waited_ms", now.Sub(a.sentAt).Milliseconds(), "expected_ms", a.target.expectedLatency.Milliseconds())
 		}
 	}
 }
@@ -265,7 +271,7 @@
 func (a *attempt) stuck(now time.Time, othersProgress bool) bool {
 	progressAt, responded := a.lastProgress()
 	switch {
-	case a.rerouted || a.forwarding.Load():
+	case a.forwarding.Load() || now.Sub(a.sentAt) < time.Duration(a.stuckAfterNanos.Load()):
 		return false
 	case responded:
 		return a.engine && othersProgress && now.Sub(progressAt) > a.stallTimeout
@@ -308,7 +314,7 @@
 	return oldest
 }
 
-// probe checks a server; if it does not respond, all its requests are rerouted.
+// probe checks a server; if it does not respond, all its requests are offered to others.
 func (m *livenessMonitor) probe(ctx context.Context, a *attempt) {
 	m.metrics.Probes.Inc(1)
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -342,6 +348,11 @@
 	m.log.Warn("server silent", "server", id, "requests", len(waiting), "err", err)
 	m.state.recordUnreachable(a.target)
 	for _, other := range waiting {
-		m.reroute(other, true)
+		m.reroute(other, showsEnd(err))
 	}
 }
+
+// showsEnd reports whether the error of a probe means that the server has ended.
+func showsEnd(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrRestarted)
+}
--- a/internal/relay/permits_test.go
+++ b/internal/relay/permits_test.go
@@ -36,7 +36,13 @@
 func newHarnessWithoutShare(t *testing.T, p *fakePermits, respond func(BackendRequest) (*BackendResponse, error)) *harness {
 	h := newHarness(t, respond)
 	h.relay.Permits = p
-	servers := []string{"a0", "a1", "a2"}
+	h.loseShare()
+	return h
+}
+
+// loseShare makes the servers state a rate of which the daemon has no share.
+func (h *harness) loseShare() {
+	servers := []string{"a0", "a1", "a2", "e0", "e1", "e2"}
 	view := slowstart.View{Trusted: true}
 	for i := range uint64(60) {
 		view.Peers = append(view.Peers, i*0x9E3779B97F4A7C15+1)
@@ -54,7 +60,6 @@
 	view.Self--
 	h.relay.State.SetSlowStartView(view)
 	h.relay.MergeServerLimits(updates)
-	return h
 }
 
 // Guards against refusals by a daemon without a share of the servers' rates, and against requests
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -245,13 +245,8 @@
 // accept adds the event that follows the last one. After a failover the new server
 // may start too early, which would duplicate events, or too late.
 func (s *streamForwarder) accept(e event) error {
-	if e.id != NoEvent && s.x.lastEvent != NoEvent {
-		if e.id <= s.x.lastEvent {
-			return nil
-		}
-		if e.id != s.x.lastEvent+1 {
-			return errMissingEvent
-		}
+	if follows, err := e.follows(s.x.lastEvent); !follows {
+		return err
 	}
 	if e.id != NoEvent {
 		s.x.lastEvent = e.id
--- a/internal/request/proxy_retry_state.go
+++ b/internal/request/proxy_retry_state.go
@@ -72,11 +72,15 @@
 	return fault.NotRun
 }
 
-// Next records the outcome of a send. It returns nil if the request is to be sent
-// again, and otherwise the error for the caller. takeRetry withdraws a retry from the
-// budget and reports whether there was one; it is called only if all other conditions
-// for a retry hold.
-func (s *ProxyRetryState) Next(outcome SendOutcome, now time.Time, takeRetry func() bool) *fault.Error {
+// MaySend reports whether the request may be sent to another server while it waits for one.
+func (s *ProxyRetryState) MaySend() bool {
+	return s.Repeatable && s.RemainingRuns() > 0 && s.sends < s.maxSends()
+}
+
+func (s *ProxyRetryState) maxSends() int { return max(1, s.MaxRuns) + maxRefusedSends }
+
+// Record records the outcome of a send after which another one goes on.
+func (s *ProxyRetryState) Record(outcome SendOutcome) {
 	switch outcome {
 	case NotStarted:
 		s.runs--
@@ -85,6 +89,14 @@
 	default:
 		s.ran = true
 	}
+}
+
+// Next records the outcome of a send. It returns nil if the request is to be sent
+// again, and otherwise the error for the caller. takeRetry withdraws a retry from the
+// budget and reports whether there was one; it is called only if all other conditions
+// for a retry hold.
+func (s *ProxyRetryState) Next(outcome SendOutcome, now time.Time, takeRetry func() bool) *fault.Error {
+	s.Record(outcome)
 	switch {
 	case !now.Before(s.Deadline):
 		return s.fail(fault.DeadlineExceeded, "the deadline passed")
@@ -92,7 +104,7 @@
 		return s.fail(fault.EngineFailed, "the request may not be repeated")
 	case s.RemainingRuns() <= 0:
 		return s.fail(fault.EngineFailed, "every attempt failed")
-	case s.sends >= max(1, s.MaxRuns)+maxRefusedSends:
+	case s.sends >= s.maxSends():
 		return s.fail(fault.EngineRefused, "every server refused")
 	case !takeRetry():
 		return s.fail(fault.EngineRefused, "the retry budget is used up")
