--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -44,13 +44,11 @@
 	identity quarantine.Identity
 	// quarantineStatus is the request's quarantine state before the last send.
 	quarantineStatus quarantine.Status
-	// pending is the answer to the last send.
-	pending *pendingAnswer
-	// run is the containment record of the last send, and running is set until the send has ended.
-	run     *containment.Attempt
-	running bool
-	// sending is the selected server until the send to it is recorded as ended.
-	sending *target
+	// run is the containment record of the last send.
+	run *containment.Attempt
+	// open are the sends that have not ended, and selected is a server until the send to it begins.
+	open     map[*send]bool
+	selected *target
 	// interrupted is set if the stream of the last send broke off.
 	interrupted bool
 	// succeeded is set once a server has sent a complete, successful response.
@@ -103,26 +101,39 @@
 	displacedPerSecond float64
 	// retryWithdrawn is set if the budget was already charged for the retry after a reroute.
 	retryWithdrawn atomic.Bool
+	// movedOff are the servers that the call was taken off although they had not responded.
+	movedOff []string
+	// next is the send that has taken the call from the last one.
+	next *send
+	// waitsAt is the ID of the server that the call waits for while others are offered it.
+	waitsAt string
 }
 
-// errRerouted cancels a send whose request continues on another server.
+// errRerouted cancels a send whose request continues elsewhere.
 var errRerouted = errors.New("request rerouted to another server")
 
 // serve sends the call until it is answered or fails.
 func (x *exchange) serve(ctx context.Context) {
 	x.recordArrival()
 	for {
-		if refusal := x.checkHold(); refusal != nil {
-			x.fail(refusal)
-			return
+		if x.next == nil {
+			if refusal := x.checkHold(); refusal != nil {
+				x.fail(refusal)
+				return
+			}
 		}
 		outcome, done, refusal := x.sendOnce(ctx)
 		if done {
 			x.deliverComplete()
 			return
 		}
+		if x.next != nil {
+			x.retryState.Record(outcome)
+			x.relay.Metrics.Retries.Inc(1)
+			continue
+		}
 		if refusal == nil && ctx.Err() != nil {
-			x.logEvent("client disconnected", nil, "cause", context.Cause(ctx))
+			x.logEvent("client disconnected", nil, "cause", context.Cause(ctx), "moved_off", x.movedOff)
 			x.relay.Metrics.ClientsDisconnected.Inc(1)
 			return
 		}
@@ -144,17 +155,17 @@
 // returns true if the client has the final response, and a refusal if there is nowhere to send it.
 func (x *exchange) sendOnce(ctx context.Context) (outcome request.SendOutcome, done bool, refusal *fault.Error) {
 	x.withoutArrival = false
+	if s := x.next; s != nil {
+		x.next = nil
+		defer x.relay.liveness.untrack(s.watch) // if a panic ends the send
+		outcome, done = x.finishSend(s)
+		return outcome, done, nil
+	}
 	if helper, found := x.pickHelper(); found {
 		outcome, done = x.sendToDaemon(ctx, helper)
 		return outcome, done, nil
 	}
-	t, refusal := x.selectToConfirm(ctx)
-	if t == nil && refusal == nil {
-		t, refusal = x.selectServer()
-	}
-	if refusal != nil {
-		t, refusal = x.selectWithPermit(ctx, refusal)
-	}
+	t, refusal := x.selectTarget(ctx)
 	if refusal != nil {
 		if helper, found := x.pickOverflow(refusal); found {
 			outcome, done = x.sendToDaemon(ctx, helper)
@@ -162,6 +173,28 @@
 		}
 		return outcome, false, refusal
 	}
+	x.countSend(t)
+	s := x.startSend(ctx, t, current)
+	defer x.relay.liveness.untrack(s.watch) // if a panic ends the send
+	s.open()
+	outcome, done = x.finishSend(s)
+	return outcome, done, nil
+}
+
+// selectTarget selects the server of the next send.
+func (x *exchange) selectTarget(ctx context.Context) (*target, *fault.Error) {
+	t, refusal := x.selectToConfirm(ctx)
+	if t == nil && refusal == nil {
+		t, refusal = x.selectServer()
+	}
+	if refusal != nil {
+		t, refusal = x.selectWithPermit(ctx, refusal)
+	}
+	return t, refusal
+}
+
+// countSend records that the call is about to be sent to a server.
+func (x *exchange) countSend(t *target) {
 	if !x.sentToServer {
 		x.sentToServer = true
 		x.relay.recordFirstSend(x.service.Name)
@@ -177,7 +210,20 @@
 	x.recordSend(t)
 	x.recordWork(t)
 	x.relay.Rollouts.recordSend(t)
-	outcome, done = x.attempt(ctx, t)
+}
+
+// finishSend receives the response to a send and records the result.
+func (x *exchange) finishSend(s *send) (outcome request.SendOutcome, done bool) {
+	s.setRole(current)
+	x.run = s.run
+	outcome, done = x.receive(s)
+	x.endSend(s, outcome, done)
+	if x.next = s.next; x.next != nil {
+		x.movedOff = append(x.movedOff, s.target.server.ID)
+	}
+	if x.succeeded {
+		x.relay.Guard.RecordSuccess(x.identity)
+	}
 	if !x.withoutArrival {
 		x.arrived.Store(true)
 	}
@@ -188,9 +234,9 @@
 	// A request suspected of crashing servers is escalated on the same server:
 	// its cancelled run may still crash that one, and must not crash a second.
 	if !done && (outcome != request.LowConfidence || x.quarantineStatus.Crashes == 0) {
-		x.tried = append(x.tried, t.server.ID)
+		x.tried = append(x.tried, s.target.server.ID)
 	}
-	return outcome, done, nil
+	return outcome, done
 }
 
 // sendToDaemon forwards the call and records whether it may have reached a server.
@@ -232,12 +278,15 @@
 	if err != nil && len(x.tried) > 0 && x.retryState.Repeatable {
 		// All servers were tried. One that was lost may respond again.
 		req.tried = nil
+		if x.waitsAt != "" {
+			req.tried = []string{x.waitsAt}
+		}
 		t, err = x.relay.State.pick(&req, x.service.MaxConnections)
 	}
 	if err != nil {
 		return nil, x.retryState.Fail(err.Kind, err.Detail).WithRetryAfter(err.RetryAfter)
 	}
-	x.sending = t
+	x.selected = t
 	return t, nil
 }
 
@@ -255,19 +304,19 @@
 	}
 }
 
-// attempt sends the request to a server and records the result in the guard.
-func (x *exchange) attempt(ctx context.Context, t *target) (request.SendOutcome, bool) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	x.run, x.running = x.relay.Guard.Begin(containmentServer(t.server), x.identity, cancel), true
-	outcome, done := x.send(ctx, cancel, t)
-	x.running = false
-	x.relay.Guard.End(ctx, x.run, containmentServer(t.server), containmentOutcome(ctx, outcome, done))
-	x.recordInterruption(ctx, t)
-	if x.succeeded {
-		x.relay.Guard.RecordSuccess(x.identity)
-	}
-	return outcome, done
+// endSend records the end of a send in the guard and for the roll-outs.
+func (x *exchange) endSend(s *send, outcome request.SendOutcome, done bool) {
+	x.relay.liveness.untrack(s.watch)
+	x.relay.Rollouts.endAnswer(s.target)
+	if !done { // else the head is kept until the client has it
+		s.head.release()
+	}
+	s.stop()
+	server := containmentServer(s.target.server)
+	delete(x.open, s)
+	x.relay.Guard.End(s.ctx, s.run, server, containmentOutcome(s.ctx, outcome, done))
+	x.recordInterruption(s.ctx, s.target)
+	s.cancel(nil)
 }
 
 // recordInterruption counts a stream that broke off as evidence against the version of its server.
@@ -282,53 +331,45 @@
 	}
 }
 
-// send makes one attempt. It returns true if the client has the final response.
-func (x *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, t *target) (outcome request.SendOutcome, done bool) {
+// startSend prepares a send.
+func (x *exchange) startSend(ctx context.Context, t *target, role sendRole) *send {
 	urgent := x.decideUrgency(t)
 	x.relay.Metrics.recordTransfer(&t.fetch)
 	x.logEvent("send", t, x.sendFields(t, urgent)...)
-	sentAt := time.Now()
-	x.beginAnswer(t, sentAt)
-	defer x.relay.Rollouts.endAnswer(t)
-	ctx, stop := context.WithDeadline(ctx, x.deadline)
-	defer stop()
-	a := x.relay.liveness.track(t, x.service.Engine != nil, x.route, urgent.Priority, func(lost bool) bool {
-		if !x.mayReroute(lost) {
-			return false
-		}
-		cancel(errRerouted)
-		return true
-	})
-	defer x.relay.liveness.untrack(a)
-	head := reservation{held: x.held}
-	defer func() {
-		if !done { // else the head is kept until the client has it
-			head.release()
-		}
-	}()
-	req := BackendRequest{
+	s := &send{x: x, target: t, parent: ctx, sentAt: time.Now(), role: role, head: reservation{held: x.held}}
+	x.beginAnswer(t, s.sentAt)
+	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	s.timed, s.stop = context.WithDeadline(s.ctx, x.deadline)
+	s.run = x.relay.Guard.Begin(containmentServer(t.server), x.identity, s.cancel)
+	x.open[s], x.selected = true, nil
+	s.request = BackendRequest{
 		Call: x.call, Server: t.server, Workspace: x.workspace, Model: x.modelOverride(), LastEvent: x.lastEvent,
 		FetchFrom: t.fetch.address, Timeout: time.Until(x.deadline) - deadlineMargin, Priority: urgent.Priority, MaxConnections: t.maxConnections,
 		// New connections are tried in the background while the servers are out of reach.
 		ReuseOnly: x.relay.State.outOfReach(t.service),
 		Admit:     func() bool { return x.relay.State.admits(t) },
-		GrowHead:  func(n int) error { return head.grow(int64(n) * heldPerHeadByte) },
+		GrowHead:  func(n int) error { return s.head.grow(int64(n) * heldPerHeadByte) },
 	}
-	reply, err := x.relay.backend.Send(ctx, req)
-	if err != nil {
-		return x.handleSendError(t, sentAt, err), false
+	s.watch = x.relay.liveness.track(t, x.service.Engine != nil, x.route, urgent.Priority, s.reroute)
+	return s
+}
+
+// receive handles the response to a send. It returns true if the client has the final response.
+func (x *exchange) receive(s *send) (request.SendOutcome, bool) {
+	if s.err != nil {
+		return x.handleSendError(s.target, s.sentAt, s.err), false
 	}
-	x.relay.liveness.recordHeader(a)
-	x.relay.recordReached(t)
-	outcome, done = x.handleReply(ctx, t, a, reply, sentAt)
+	outcome, done := x.handleReply(s.timed, s.target, s.watch, s.reply, s.sentAt)
 	failed := !done && outcome != request.LowConfidence && outcome != request.NotStarted
-	x.endSend(t, time.Since(sentAt), failed)
+	x.recordSendEnd(s.target, time.Since(s.sentAt), failed)
 	return outcome, done
 }
 
-// endSend records the end of the send to the selected server.
-func (x *exchange) endSend(t *target, elapsed time.Duration, failed bool) {
-	x.sending = nil
+// recordSendEnd records that a server is done with a send.
+func (x *exchange) recordSendEnd(t *target, elapsed time.Duration, failed bool) {
+	for s := range x.open {
+		s.recorded = s.recorded || s.target == t
+	}
 	x.relay.State.recordSendEnd(t, elapsed, failed)
 }
 
@@ -345,9 +386,9 @@
 }
 
 // mayReroute reports whether the request may continue on another server, and takes
-// the retry from the budget. Without budget, only requests of a lost server are
-// rerouted; streams of a slow one would be aborted.
-func (x *exchange) mayReroute(lost bool) bool {
+// the retry from the budget. Without budget, only requests of a server that will not respond are
+// rerouted; others would be aborted although it may go on.
+func (x *exchange) mayReroute(ended bool) bool {
 	if !x.retryState.Repeatable || x.retryState.RemainingRuns() <= 0 {
 		return false
 	}
@@ -355,7 +396,7 @@
 		x.retryWithdrawn.Store(true)
 		return true
 	}
-	return lost
+	return ended
 }
 
 // handleSendError records a failed send and derives whether the request may have run.
@@ -365,7 +406,7 @@
 		e = &upstream.Error{Reason: upstream.ConnectionLost, Sent: true, Err: err}
 	}
 	failed := e.Reason != upstream.Canceled && e.Reason != upstream.ConnectionLimit && e.Reason != upstream.Withdrawn
-	x.endSend(t, time.Since(sentAt), failed)
+	x.recordSendEnd(t, time.Since(sentAt), failed)
 	if e.Reason == upstream.Unreachable {
 		x.relay.State.recordUnreachable(t)
 	}
@@ -409,6 +450,10 @@
 // fail ends the call with a server's error response if there is one, else with a
 // refusal. A response that has begun is aborted.
 func (x *exchange) fail(e *fault.Error) {
+	if len(x.movedOff) > 0 {
+		x.logEvent("no answer after move", nil, "kind", e.Kind, "why", e.Detail, "begun", x.headerSent, "moved_off", x.movedOff)
+		x.relay.Metrics.MovedWithoutAnswer.Inc(1)
+	}
 	switch {
 	case x.headerSent:
 		x.logEvent("cut", nil, "kind", e.Kind, "why", e.Detail, "last_event", x.lastEvent)
--- a/internal/relay/liveness.go
+++ b/internal/relay/liveness.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/route"
 )
@@ -42,6 +46,8 @@
 	stallFraction = 0.9
 	// defaultStallTimeout applies to routes without a gap target.
 	defaultStallTimeout = 2 * time.Second
+	// silentRetention is how long a silent server is remembered, to record that it has gone on.
+	silentRetention = time.Minute
 )
 
 // livenessMonitor detects servers and connections that have gone silent.
@@ -57,6 +63,15 @@
 	mu           sync.Mutex
 	servers      map[string]*monitoredServer
 	lastActivity map[string]time.Time
+	// silent holds the servers that did not respond to a probe, by address, until they send
+	// something.
+	silent map[string]silentServer
+}
+
+// silentServer is a server that did not respond to a probe.
+type silentServer struct {
+	id    string
+	since time.Time
 }
 
 // monitoredServer is a server with requests in flight.
@@ -72,10 +87,10 @@
 	target *target
 	engine bool
 	sentAt time.Time
-	// reroute cancels the send if the request may continue elsewhere, and reports
-	// whether it did. Lost is set if the server has not responded to a probe. The monitor's lock
-	// is held.
-	reroute      func(lost bool) bool
+	// reroute moves the request elsewhere if it may continue there, and reports whether it does or
+	// is offered to another server. Ended is set if the server will not respond. The monitor's lock is
+	// held.
+	reroute      func(ended bool) bool
 	stallTimeout time.Duration
 	// priority is the priority sent to the server; 0 is the highest.
 	priority int
@@ -88,7 +103,13 @@
 	progressNanos atomic.Int64
 	// forwarding is set while the client has no room for what has arrived.
 	forwarding atomic.Bool
-	rerouted   bool
+	// stuckAfterNanos is the time in ns after sentAt before which the attempt does not count as stuck.
+	stuckAfterNanos atomic.Int64
+}
+
+// postpone makes the attempt count as stuck after a pause at the earliest.
+func (a *attempt) postpone(pause time.Duration) {
+	a.stuckAfterNanos.Store((time.Since(a.sentAt) + pause).Nanoseconds())
 }
 
 func (a *attempt) recordProgress() { a.progressNanos.Store(time.Since(a.sentAt).Nanoseconds() + 1) }
@@ -100,13 +121,33 @@
 }
 
 func newLivenessMonitor(s *State, b Backend, l *log.Logger, m *Metrics) *livenessMonitor {
-	return &livenessMonitor{state: s, backend: b, log: l, metrics: m, onReached: func(*target) {}, onUnreached: func(*target, error) {}, servers: map[string]*monitoredServer{}, lastActivity: map[string]time.Time{}}
+	return &livenessMonitor{state: s, backend: b, log: l, metrics: m, onReached: func(*target) {}, onUnreached: func(*target, error) {}, servers: map[string]*monitoredServer{}, lastActivity: map[string]time.Time{}, silent: map[string]silentServer{}}
 }
 
 func (m *livenessMonitor) recordActivity(address string) {
 	m.mu.Lock()
-	m.lastActivity[address] = time.Now()
+	now := time.Now()
+	m.lastActivity[address] = now
+	server, wasSilent := m.silent[address]
+	delete(m.silent, address)
 	m.mu.Unlock()
+	if !wasSilent {
+		return
+	}
+	m.metrics.SilentServersResumed.Inc(1)
+	m.log.Warn("silent server went on", "server", server.id, "address", address, "after_ms", now.Sub(server.since).Milliseconds())
+}
+
+// recordSilent remembers a server that did not respond to a probe. Callers hold mu.
+func (m *livenessMonitor) recordSilent(server backend.Server, now time.Time) {
+	if m.silent[server.Address].id != server.ID {
+		m.silent[server.Address] = silentServer{server.ID, now}
+	}
+}
+
+// dropSilent forgets the servers that have been silent for long. Callers hold mu.
+func (m *livenessMonitor) dropSilent(now time.Time) {
+	maps.DeleteFunc(m.silent, func(_ string, s silentServer) bool { return now.Sub(s.since) > silentRetention })
 }
 
 // recordHeader records the arrival of a response header. Earlier requests of the same or
@@ -127,7 +168,7 @@
 	}
 }
 
-func (m *livenessMonitor) track(t *target, engine bool, rt *route.Route, priority int, reroute func(lost bool) bool) *attempt {
+func (m *livenessMonitor) track(t *target, engine bool, rt *route.Route, priority int, reroute func(ended bool) bool) *attempt {
 	a := &attempt{target: t, engine: engine, sentAt: time.Now(), reroute: reroute, stallTimeout: defaultStallTimeout, priority: priority}
 	first, _ := m.state.typicalLatency(t, engine)
 	a.overtakenTimeout = time.Duration(plainWaitFactor * first * float64(time.Second))
@@ -167,11 +208,11 @@
 
 // reroute reroutes an attempt that has not ended, and reports whether it did. The lock keeps the
 // attempt's call from going on to its next send meanwhile.
-func (m *livenessMonitor) reroute(a *attempt, lost bool) bool {
+func (m *livenessMonitor) reroute(a *attempt, ended bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	srv := m.servers[a.target.server.ID]
-	return srv != nil && srv.attempts[a] && a.reroute(lost)
+	return srv != nil && srv.attempts[a] && a.reroute(ended)
 }
 
 // rerouteWaiting reroutes the requests that wait for a server that has restarted, which
@@ -201,6 +242,7 @@
 func (m *livenessMonitor) check(ctx context.Context, now time.Time) {
 	var probes, stuck []*attempt
 	m.mu.Lock()
+	m.dropSilent(now)
 	for _, srv := range m.servers {
 		if a := m.silentAttempt(srv, now); a != nil {
 			srv.probing = true
@@ -218,9 +260,7 @@
 	}
 	for _, a := range stuck {
 		if m.reroute(a, false) {
-			a.rerouted = true
-			m.log.Warn("request stuck, moved", "server", a.target.server.ID, "model", a.target.model, "overtaken", a.overtaken.Load(), "waited_ms", now.Sub(a.sentAt).Milliseconds(), "expected_ms", a.target.expectedLatency.Milliseconds())
-			m.metrics.SendsRerouted.Inc(1)
+			m.log.Warn("request stuck, offered to others", "server", a.target.server.ID, "model", a.target.model, "overtaken", a.overtaken.Load(), "waited_ms", now.Sub(a.sentAt).Milliseconds(), "expected_ms", a.target.expectedLatency.Milliseconds())
 		}
 	}
 }
@@ -231,7 +271,7 @@
 func (a *attempt) stuck(now time.Time, othersProgress bool) bool {
 	progressAt, responded := a.lastProgress()
 	switch {
-	case a.rerouted || a.forwarding.Load():
+	case a.forwarding.Load() || now.Sub(a.sentAt) < time.Duration(a.stuckAfterNanos.Load()):
 		return false
 	case responded:
 		return a.engine && othersProgress && now.Sub(progressAt) > a.stallTimeout
@@ -274,7 +314,7 @@
 	return oldest
 }
 
-// probe checks a server; if it does not respond, all its requests are rerouted.
+// probe checks a server; if it does not respond, all its requests are offered to others.
 func (m *livenessMonitor) probe(ctx context.Context, a *attempt) {
 	m.metrics.Probes.Inc(1)
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -287,6 +327,7 @@
 	if srv := m.servers[id]; srv != nil {
 		srv.probing, srv.lastProbe = false, time.Now()
 		if err != nil {
+			m.recordSilent(a.target.server, srv.lastProbe)
 			for other := range srv.attempts {
 				waiting = append(waiting, other)
 			}
@@ -307,6 +348,11 @@
 	m.log.Warn("server silent", "server", id, "requests", len(waiting), "err", err)
 	m.state.recordUnreachable(a.target)
 	for _, other := range waiting {
-		m.reroute(other, true)
+		m.reroute(other, showsEnd(err))
 	}
 }
+
+// showsEnd reports whether the error of a probe means that the server has ended.
+func showsEnd(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrRestarted)
+}
--- a/internal/relay/panics.go
+++ b/internal/relay/panics.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
@@ -43,7 +44,7 @@
 	}
 	r.reportPanic(c, recovered)
 	if x != nil {
-		x.releaseSend(ctx)
+		x.releaseSends(ctx)
 	}
 	begun := out.begun.Load() || x != nil && x.paced != nil
 	if !begun {
@@ -71,16 +72,37 @@
 	return fault.New(fault.Internal, "internal error").WithExecution(state)
 }
 
-// releaseSend ends the send that a panic has left open. Its connection ends with the context of the
-// send.
-func (x *exchange) releaseSend(ctx context.Context) {
-	if t := x.sending; t != nil {
-		x.endSend(t, x.relay.State.bootTime()-t.pickedAt, false)
+// releaseSends ends the sends that a panic has left open. Their connections end with their contexts.
+func (x *exchange) releaseSends(ctx context.Context) {
+	if t := x.selected; t != nil {
+		x.relay.State.recordSendEnd(t, x.relay.State.bootTime()-t.pickedAt, false)
 	}
-	if x.running {
-		x.running = false
-		x.relay.Guard.End(ctx, x.run, containment.Server{}, containment.Canceled)
+	for s := range x.open {
+		s.mu.Lock()
+		c := s.contest
+		s.mu.Unlock()
+		if c != nil {
+			c.cancel(errPanic)
+			<-c.done
+		}
 	}
+	for s := range x.open {
+		s.release(ctx)
+	}
+}
+
+// release ends a send of which nothing more is known.
+func (s *send) release(ctx context.Context) {
+	r := s.x.relay
+	r.liveness.untrack(s.watch)
+	r.Rollouts.endAnswer(s.target)
+	if !s.recorded {
+		r.State.recordSendEnd(s.target, time.Since(s.sentAt), false)
+	}
+	r.Guard.End(ctx, s.run, containment.Server{}, containment.Canceled)
+	s.head.release()
+	s.stop()
+	s.cancel(errPanic)
 }
 
 // reportPanic counts and logs a recovered panic.
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -37,7 +37,7 @@
 	elapsed := time.Since(sentAt)
 	resp := &bufferedResponse{reply.Status, reply.Header, body}
 	failed := reply.Status >= http.StatusInternalServerError
-	latency := x.comparableLatency(0)
+	latency := t.comparableLatency(0)
 	x.relay.Rollouts.recordResponse(t, x.route.Name, failed, latency)
 	if !failed {
 		x.relay.State.recordResponse(t, elapsed, x.service.Engine != nil)
@@ -92,19 +92,19 @@
 // beginAnswer observes the answer to a send for the roll-outs.
 func (x *exchange) beginAnswer(t *target, sentAt time.Time) {
 	t.unproven = x.relay.Rollouts.unproven(t)
-	x.pending = &pendingAnswer{target: t, route: x.route.Name, sentAt: sentAt}
+	t.pending = &pendingAnswer{target: t, route: x.route.Name, sentAt: sentAt}
 	if x.service.Engine != nil {
-		x.pending.first, x.pending.interval = x.relay.State.typicalEngineLatency(t)
+		t.pending.first, t.pending.interval = x.relay.State.typicalEngineLatency(t)
 	}
-	x.relay.Rollouts.beginAnswer(x.pending)
+	x.relay.Rollouts.beginAnswer(t.pending)
 }
 
 // comparableLatency returns the latency of a complete answer, with a number of events, as that of the same
 // route on another version is compared with it: as a ratio to that of a typical engine, or in
 // seconds for a plain service.
-func (x *exchange) comparableLatency(events int) float64 {
-	x.pending.events.Store(int64(events))
-	return x.pending.latency(time.Now())
+func (t *target) comparableLatency(events int) float64 {
+	t.pending.events.Store(int64(events))
+	return t.pending.latency(time.Now())
 }
 
 // forwardStream forwards the events of a response as they arrive.
@@ -130,7 +130,7 @@
 func (x *exchange) recordStream(s *streamForwarder) {
 	x.succeeded = true
 	x.relay.Metrics.Responses(true).Inc(1)
-	latency := x.comparableLatency(s.events)
+	latency := s.t.comparableLatency(s.events)
 	x.logEvent("streamed", s.t, "last_event", x.lastEvent, "events", s.events, "first_ms", x.firstEventAt.Sub(x.call.Received).Milliseconds(), "latency", latency)
 	x.relay.Rollouts.recordResponse(s.t, x.route.Name, false, latency)
 	if s.events > 1 {
@@ -159,7 +159,7 @@
 }
 
 func (s serverStream) progress()          { s.a.recordProgress() }
-func (s serverStream) arrived(events int) { s.x.pending.events.Store(int64(events)) }
+func (s serverStream) arrived(events int) { s.t.pending.events.Store(int64(events)) }
 
 func (s serverStream) shortGap(gap time.Duration) { s.x.relay.State.recordShortGap(s.t, gap) }
 func (s serverStream) forwarding(active bool) {
@@ -292,13 +292,8 @@
 // accept adds the event that follows the last one. After a failover the new server
 // may start too early, which would duplicate events, or too late.
 func (s *streamForwarder) accept(e event) error {
-	if e.id != NoEvent && s.x.lastEvent != NoEvent {
-		if e.id <= s.x.lastEvent {
-			return nil
-		}
-		if e.id != s.x.lastEvent+1 {
-			return errMissingEvent
-		}
+	if follows, err := e.follows(s.x.lastEvent); !follows {
+		return err
 	}
 	if e.id != NoEvent {
 		s.x.lastEvent = e.id
