quarantine: a late clearance releases a hold that it leaves too few crashes

What callers saw: a harmless request, answered at five of six daemons, was refused as quarantined for an hour at all of them.

Cause: a daemon records the third crash and holds the request before it hears of a success shortly before that crash. The clearance takes two of the three crashes away, but the hold began after the success and stayed, with one crash left; a second later it was told to all. Class: a decision outlives the evidence that it was made on.

Evidence: TestLateClearanceReleasesHoldWithTooFewCrashes fails before ("Crashes:1 Held:true ... 59m59.99s").

Why it works: a local hold rests on the crashes recorded here; with fewer than the threshold none is justified. Holds of other daemons and of operators rest on nothing here and stay. Ruled out: expired records, which are removed on another path, and whose holds stay as before. Looked at for the same: ApplyHold (compares with the clearance), Merge (clearances before holds), holds of parts (same path, mended alike).

--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -328,7 +328,7 @@
 			t.unlink(f, id)
 		}
 	}
-	if h := t.holds[f]; h != nil && h.since <= at {
+	if h := t.holds[f]; h != nil && (h.since <= at || !h.remote && len(t.crashesBy[f]) < crashThreshold) {
 		delete(t.holds, f)
 		out.Broadcast, out.Released = true, []Fingerprint{f}
 	}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -341,3 +341,15 @@
 		t.Errorf("held: part %v, requests %v %v", held(tr, crashingPart, 300), held(tr, 7, 300), held(tr, 8, 300))
 	}
 }
+
+// Guards against a hold that stays after a late clearance has left it too few crashes.
+func TestLateClearanceReleasesHoldWithTooFewCrashes(t *testing.T) {
+	tr := NewTracker()
+	for i := range 3 {
+		recordCrash(tr, IncarnationKey(i), i*100, 7)
+	}
+	c := tr.ApplyClearance(7, 150*time.Millisecond, 210*time.Millisecond)
+	if held(tr, 7, 210) || !slices.Contains(c.Released, 7) {
+		t.Errorf("status %+v, change %+v", tr.Status(7, 210*time.Millisecond), c)
+	}
+}
