quarantine: requests with the same crashes are sent in turn until one is told

Cause: both are at the same four or more crashes, or at three for 1.5 s, and nothing tells them apart, so both were held; held requests bring no evidence. Class: a verdict on evidence that fits more than one cause.

Now they form a group: one second after the last common crash each may be sent for a second in turn (eight slots at most), in an order that every daemon derives from the crashes. An answer clears one; a crash without the others convicts one; the rest stay in turn, so that a second crashing one is held after one more crash. The group's last member is held if all others were cleared.

Of the unit tests in turns_test.go all fail before; with turns that end at the first conviction TestSecondCrashingRequestOfGroupIsHeldAfterOneCrash fails.

Not run to the end: the whole of internal/node (10 minutes, beside load 50; no test had failed when the time was up). Its quarantine tests pass in short mode.

The listed test keeps its bounds and has one more: at most six crashes.

--- a/internal/containment/guard.go
+++ b/internal/containment/guard.go
@@ -88,7 +88,7 @@
 	g.mu.Unlock()
 	for _, f := range c.Held {
 		canceled := g.attempts.cancel(f)
-		g.opts.Logger.Warn("request held", "fingerprint", f, "part", f.IsPart(), "ends", g.status(f).Crashes, "left_ms", g.status(f).Remaining.Milliseconds(), "sends_ended", canceled)
+		g.opts.Logger.Warn("request held", "fingerprint", f, "part", f.IsPart(), "ends", g.status(f).Crashes, "in_turn", g.status(f).InTurn, "left_ms", g.status(f).Remaining.Milliseconds(), "sends_ended", canceled)
 	}
 	for _, f := range c.Released {
 		g.opts.Logger.Warn("request hold released", "fingerprint", f, "part", f.IsPart())
@@ -126,9 +126,10 @@
 	return g.tracker.IdentityStatus(id, now)
 }
 
-// RetryAfter returns when the caller of a held request should retry.
+// RetryAfter returns when the caller of a held request should retry. Until its turn, that is when the
+// turn begins.
 func RetryAfter(s quarantine.Status) time.Duration {
-	if s.HeldFor < provisionalPeriod {
+	if s.HeldFor < provisionalPeriod && !s.InTurn {
 		return provisionalPeriod
 	}
 	return s.Remaining
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -283,8 +283,11 @@
 }
 
 // maxFalseHold is the time within which a harmless request that was held with a crashing one must be
-// served again.
-const maxFalseHold = 5 * time.Second
+// served again, and maxCrashesBeside the number of servers that the crashing one may crash meanwhile.
+const (
+	maxFalseHold     = 5 * time.Second
+	maxCrashesBeside = 6
+)
 
 // Guards against holding for long a harmless request that all callers send and that has not succeeded
 // before it runs on the servers that a crashing one crashes.
@@ -294,8 +297,8 @@
 			for seed := range uint64(10) {
 				r := crashScenario{daemons: daemons, servers: 6, backgroundClients: 12, sharedBackground: true, seed: seed + 1}.run(t)
 				t.Logf("seed %d: %+v", seed+1, r)
-				if r.lastQuarantined > maxFalseHold || r.lateSends > maxLateSends {
-					t.Errorf("seed %d: a harmless request was held until %s, %d late sends", seed+1, r.lastQuarantined, r.lateSends)
+				if r.lastQuarantined > maxFalseHold || r.lateSends > maxLateSends || r.crashes > maxCrashesBeside {
+					t.Errorf("seed %d: a harmless request was held until %s, %d late sends, %d crashes", seed+1, r.lastQuarantined, r.lateSends, r.crashes)
 				}
 			}
 		})
--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -10,22 +10,33 @@
 // returns what changed.
 func (t *Tracker) updateHolds(now time.Duration) (held, released []Fingerprint) {
 	culprits := t.attributeCrashes(now)
+	places, convicted := t.updateGroups(culprits, now)
+	culprits = append(culprits, convicted...)
+	for _, f := range slices.Sorted(maps.Keys(places)) {
+		if t.holdInTurn(f, places[f], now) {
+			held = append(held, f)
+		}
+	}
 	for _, f := range culprits {
+		if _, inTurn := places[f]; inTurn {
+			continue
+		}
 		until, justified := t.holdUntil(f, now)
 		if !justified {
 			continue
 		}
-		if h := t.holds[f]; h != nil {
+		if h := t.holds[f]; h != nil && h.turns == nil {
 			h.extend(until)
 			continue
 		}
 		t.addHold(f, &hold{since: t.lastCrash(f), until: until, learnedAt: now})
 		held = append(held, f)
 	}
-	for f := range t.holds {
+	for f, h := range t.holds {
 		// Its crashes are now attributed to another request. A hold whose crash records
-		// have expired stays.
-		if len(t.crashesBy[f]) >= crashThreshold && !slices.Contains(culprits, f) {
+		// have expired stays, but no place in a group.
+		_, inTurn := places[f]
+		if !inTurn && (h.turns != nil || len(t.crashesBy[f]) >= crashThreshold) && !slices.Contains(culprits, f) {
 			delete(t.holds, f)
 			released = append(released, f)
 		}
@@ -34,6 +45,20 @@
 	return held, released
 }
 
+// holdInTurn holds a request while it is not its turn, and reports whether it was not held before. A
+// hold of another daemon stays.
+func (t *Tracker) holdInTurn(f Fingerprint, place turns, now time.Duration) (isNew bool) {
+	h, last := t.holds[f], t.lastCrash(f)
+	if h == nil {
+		t.addHold(f, &hold{since: last, until: last + HoldTTL, learnedAt: now, turns: &place})
+		return true
+	}
+	if !h.remote {
+		h.since, h.until, h.turns = last, last+HoldTTL, &place
+	}
+	return false
+}
+
 // extend applies a new end to the hold. A hold found here may end sooner than before, by a trial.
 func (h *hold) extend(until time.Duration) {
 	if h.remote {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -61,6 +61,8 @@
 	// Remaining the time until the hold expires.
 	Held               bool
 	HeldFor, Remaining time.Duration
+	// InTurn reports whether the request is held until its turn among the suspects of the same crashes.
+	InTurn bool
 }
 
 // Change describes the effect of an operation on a Tracker.
@@ -95,6 +97,8 @@
 	succeededAt map[Fingerprint]time.Duration
 	// trials are the trial holds of parts of prompts.
 	trials map[Fingerprint]*trial
+	// groups are the groups of requests with the same crashes, by member.
+	groups map[Fingerprint]*group
 	// pending are the suspects and clearances still to be broadcast, oldest first.
 	pending   []pendingBroadcast
 	lastSweep time.Duration
@@ -123,6 +127,16 @@
 	learnedAt time.Duration
 	// remote reports whether the hold came from another daemon or the store.
 	remote bool
+	// turns is set while others have the same crashes.
+	turns *turns
+}
+
+// remaining returns the time until the request may be sent.
+func (h *hold) remaining(now time.Duration) time.Duration {
+	if h.turns != nil && now < h.until {
+		return h.turns.wait(now)
+	}
+	return h.until - now
 }
 
 // trial is the last trial hold of a part of a prompt: the number of them, the part's last crash and the
@@ -136,15 +150,15 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		crashes: map[crashID]*crash{}, latestCrash: map[IncarnationKey]crashID{}, crashesBy: map[Fingerprint][]crashID{}, holds: map[Fingerprint]*hold{},
-		trials: map[Fingerprint]*trial{}, clearedAt: map[Fingerprint]time.Duration{}, succeededAt: map[Fingerprint]time.Duration{},
+		trials: map[Fingerprint]*trial{}, groups: map[Fingerprint]*group{}, clearedAt: map[Fingerprint]time.Duration{}, succeededAt: map[Fingerprint]time.Duration{},
 	}
 }
 
 // Status returns the status of a request.
 func (t *Tracker) Status(f Fingerprint, now time.Duration) Status {
 	out := Status{Suspect: f, Crashes: len(t.crashesBy[f])}
-	if h := t.holds[f]; h != nil && now < h.until {
-		out.Held, out.HeldFor, out.Remaining = true, now-h.since, h.until-now
+	if h := t.holds[f]; h != nil && h.remaining(now) > 0 {
+		out.Held, out.HeldFor, out.Remaining, out.InTurn = true, now-h.since, h.remaining(now), h.turns != nil
 	}
 	return out
 }
@@ -162,10 +176,10 @@
 	return out
 }
 
-// Holds lists the held requests, sorted by fingerprint.
+// Holds lists the held requests, sorted by fingerprint, without those that are sent in turn.
 func (t *Tracker) Holds(now time.Duration) (out []Hold) {
 	for f, h := range t.holds {
-		if now < h.until {
+		if now < h.until && h.turns == nil {
 			out = append(out, h.snapshot(f, now))
 		}
 	}
@@ -322,6 +336,7 @@
 	}
 	t.clearedAt[f] = at
 	delete(t.trials, f)
+	leftGroup := t.leave(f)
 	for _, id := range slices.Clone(t.crashesBy[f]) {
 		if t.crashes[id].at <= at {
 			delete(t.crashes[id].suspects, f)
@@ -332,6 +347,10 @@
 		delete(t.holds, f)
 		out.Broadcast, out.Released = true, []Fingerprint{f}
 	}
+	if leftGroup {
+		held, released := t.updateHolds(now)
+		out.Held, out.Released = held, append(out.Released, released...)
+	}
 	if broadcast && (!any || at-previous > CrashDedupWindow || out.Broadcast) {
 		t.pending = append(t.pending, pendingBroadcast{fingerprint: f, cleared: true, learnedAt: now})
 	}
@@ -350,6 +369,7 @@
 	until = min(until, now+HoldTTL)
 	if h := t.holds[f]; h != nil {
 		h.until = max(h.until, until)
+		h.remote, h.turns = h.remote || h.turns != nil, nil // the other daemon could tell it from the others
 		return out
 	}
 	t.addHold(f, &hold{since: since, until: until, learnedAt: now, remote: true})
@@ -379,6 +399,7 @@
 		}
 	}
 	maps.DeleteFunc(t.holds, func(_ Fingerprint, h *hold) bool { return now >= h.until })
+	maps.DeleteFunc(t.groups, func(_ Fingerprint, g *group) bool { return now-g.since > crashRetention })
 	maps.DeleteFunc(t.trials, func(_ Fingerprint, tr *trial) bool { return now-tr.until > crashRetention })
 	maps.DeleteFunc(t.clearedAt, func(_ Fingerprint, at time.Duration) bool { return now-at > crashRetention })
 	maps.DeleteFunc(t.succeededAt, func(f Fingerprint, at time.Duration) bool { return now-at > 2*successWindow(f) })
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -49,7 +49,7 @@
 	out.Crashes, out.Clearances = t.pendingCrashes(now), t.pendingClearances(now)
 	for f, h := range t.holds {
 		age := now - h.learnedAt
-		if now < h.until && (newPeer || age <= holdBroadcastTTL && (h.remote || age >= holdBroadcastDelay)) && len(out.Holds) < maxEntriesPerUpdate {
+		if now < h.until && h.turns == nil && (newPeer || age <= holdBroadcastTTL && (h.remote || age >= holdBroadcastDelay)) && len(out.Holds) < maxEntriesPerUpdate {
 			out.Holds = append(out.Holds, h.snapshot(f, now))
 		}
 	}
