gate: play the fleets of the limit tests beside each other

Seen: internal/gate takes long on a machine with free cores, since its tests play one fleet after the other on one core.

Cause: every fleet of a table or of a loop over seeds was played in turn, some before their subtest began.

Change: the heavy tests and their cases run with t.Parallel, and the fleet of a case is played inside its subtest. Same sizes, seeds, durations and bounds; each case has its own fleet and generator of random numbers, and the package has no variables that a test changes.

Evidence: the 25 figures that the tests log (use of rates, asks, requests after a pause) are the same before and after. CPU time 64.3 s before and 65.4 s after (user). The longest case takes 14 s. With -race -count=2 the fleets of 1 to 60 daemons pass. Wall time could not be compared: beside a load of 45 to 55 on 8 cores one run took 85 s before (GOMAXPROCS=3) and one 154 s after, which got less of the machine.

--- a/internal/gate/limit_fleet_test.go
+++ b/internal/gate/limit_fleet_test.go
@@ -258,12 +258,14 @@
 // Guards against sending a server more than the limit that it states, at any number of
 // daemons, while other servers have capacity and while all servers state limits.
 func TestFleetStaysWithinStatedLimits(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{1, 6, 60, 195, 520, 2000} {
 		for name, rates := range map[string][]float64{
 			"some servers": {0.5, 1.1, 10.8, 50, 0, 0, 0, 0},
 			"all servers":  {0.5, 1.1, 2, 5, 10.8, 20},
 		} {
 			t.Run(fmt.Sprint(n, " daemons, ", name), func(t *testing.T) {
+				t.Parallel()
 				f := newLimitFleet(n, rates)
 				f.run(300, 14*time.Second)
 				for i, rate := range rates {
@@ -278,27 +280,33 @@
 
 // Guards against limits that daemons keep after the server has lifted them.
 func TestFleetEndsLimitsThatServersLift(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{6, 195, 2000} {
-		f := newLimitFleet(n, []float64{1.1, 10.8})
-		f.liftedAt = 6 * time.Second
-		f.run(max(300, 3*float64(n)), 14*time.Second)
-		for i, g := range f.gates {
-			if limited := g.Limits().Limited(f.now); limited > 0 {
-				t.Fatalf("%d daemons: daemon %d still limits %d servers", n, i, limited)
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			t.Parallel()
+			f := newLimitFleet(n, []float64{1.1, 10.8})
+			f.liftedAt = 6 * time.Second
+			f.run(max(300, 3*float64(n)), 14*time.Second)
+			for i, g := range f.gates {
+				if limited := g.Limits().Limited(f.now); limited > 0 {
+					t.Fatalf("%d daemons: daemon %d still limits %d servers", n, i, limited)
+				}
 			}
-		}
+		})
 	}
 }
 
 // Guards against a server that states next to nothing and gets more than the bound, and against
 // callers who are refused long after it has lifted that limit.
 func TestLimitNearZeroIsKeptAndEndsSoon(t *testing.T) {
+	t.Parallel()
 	const endsWithin = 15 * time.Second
 	for _, n := range limitFleetSizes {
-		f := newLimitFleet(n, []float64{0.001, 0.001})
-		f.liftedAt = 20 * time.Second
-		f.run(max(300, 3*float64(n)), f.liftedAt)
 		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			t.Parallel()
+			f := newLimitFleet(n, []float64{0.001, 0.001})
+			f.liftedAt = 20 * time.Second
+			f.run(max(300, 3*float64(n)), f.liftedAt)
 			f.checkBreaches(t, limitsStatedAt+limitNotice)
 			f.run(max(300, 3*float64(n)), f.liftedAt+endsWithin)
 			if limited := f.gates[0].Limits().Limited(f.now); limited > 0 {
@@ -310,23 +318,28 @@
 
 // Guards against shares so small that servers with limits are left idle in an overload.
 func TestFleetUsesStatedLimits(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{1, 6, 60, 195} {
-		rates := []float64{2, 5, 10.8, 20}
-		f := newLimitFleet(n, rates)
-		f.run(300, 14*time.Second)
-		for i, rate := range rates {
-			from, _ := slices.BinarySearch(f.sends[i], limitsStatedAt+limitNotice)
-			used := float64(len(f.sends[i])-from) / (f.now - limitsStatedAt - limitNotice).Seconds() / rate
-			if used < 0.6 {
-				t.Errorf("%d daemons: %.2f of a limit of %g is used", n, used, rate)
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			t.Parallel()
+			rates := []float64{2, 5, 10.8, 20}
+			f := newLimitFleet(n, rates)
+			f.run(300, 14*time.Second)
+			for i, rate := range rates {
+				from, _ := slices.BinarySearch(f.sends[i], limitsStatedAt+limitNotice)
+				used := float64(len(f.sends[i])-from) / (f.now - limitsStatedAt - limitNotice).Seconds() / rate
+				if used < 0.6 {
+					t.Errorf("%d daemons: %.2f of a limit of %g is used", n, used, rate)
+				}
 			}
-		}
+		})
 	}
 }
 
 // Guards against servers with stated rates that stay idle in a fleet of many daemons, since few
 // requests reach those that have a share.
 func TestFleetUsesStatedLimitsAtModerateDemand(t *testing.T) {
+	t.Parallel()
 	const (
 		servers, demand = 9, 1.4
 		minUse          = 0.75
@@ -334,22 +347,25 @@
 	)
 	for _, n := range []int{1, 6, 60, 195, 520, 2000} {
 		for _, rate := range []float64{1, 5, 20} {
-			f := newLimitFleet(n, slices.Repeat([]float64{rate}, servers))
-			f.run(demand*rate*servers, until)
-			from, used := 8*time.Second, 0.0
-			for i := range f.servers {
-				first, _ := slices.BinarySearch(f.sends[i], from)
-				used += float64(len(f.sends[i])-first) / (until - from).Seconds() / rate / servers
-			}
-			t.Logf("%d daemons, %g a second: %.2f used, %.2f asks a daemon and second", n, rate, used, float64(f.asks)/until.Seconds()/float64(n))
-			if used < minUse {
-				t.Errorf("%d daemons: %.2f of a limit of %g is used", n, used, rate)
-			}
-			allowed := minAsksPerSecond + minAskBurst/until.Seconds() + asksPerPermit*rate*servers/float64(n)
-			if asks := float64(f.asks) / until.Seconds() / float64(n); asks > allowed {
-				t.Errorf("%d daemons: %.1f asks a daemon and second, allowed %.1f", n, asks, allowed)
-			}
-			f.checkBreaches(t, limitsStatedAt+limitNotice)
+			t.Run(fmt.Sprint(n, " daemons, ", rate, " a second"), func(t *testing.T) {
+				t.Parallel()
+				f := newLimitFleet(n, slices.Repeat([]float64{rate}, servers))
+				f.run(demand*rate*servers, until)
+				from, used := 8*time.Second, 0.0
+				for i := range f.servers {
+					first, _ := slices.BinarySearch(f.sends[i], from)
+					used += float64(len(f.sends[i])-first) / (until - from).Seconds() / rate / servers
+				}
+				t.Logf("%d daemons, %g a second: %.2f used, %.2f asks a daemon and second", n, rate, used, float64(f.asks)/until.Seconds()/float64(n))
+				if used < minUse {
+					t.Errorf("%d daemons: %.2f of a limit of %g is used", n, used, rate)
+				}
+				allowed := minAsksPerSecond + minAskBurst/until.Seconds() + asksPerPermit*rate*servers/float64(n)
+				if asks := float64(f.asks) / until.Seconds() / float64(n); asks > allowed {
+					t.Errorf("%d daemons: %.1f asks a daemon and second, allowed %.1f", n, asks, allowed)
+				}
+				f.checkBreaches(t, limitsStatedAt+limitNotice)
+			})
 		}
 	}
 }
@@ -384,6 +400,7 @@
 
 // Guards against a limit that is lost because some responses of its server do not state it.
 func TestResponsesWithoutLimitDoNotLiftIt(t *testing.T) {
+	t.Parallel()
 	for name, omits := range map[string]func(f *limitFleet, r limitResponse) bool{
 		"one in ten":           func(f *limitFleet, _ limitResponse) bool { return f.rng.IntN(10) == 0 },
 		"one in four":          func(f *limitFleet, _ limitResponse) bool { return f.rng.IntN(4) == 0 },
@@ -392,6 +409,7 @@
 	} {
 		for _, n := range limitFleetSizes {
 			t.Run(fmt.Sprint(n, " daemons, ", name), func(t *testing.T) {
+				t.Parallel()
 				if n == 1 && name == "one daemon in twenty" {
 					t.Skip("the only daemon is not among them")
 				}
@@ -406,39 +424,51 @@
 
 // Guards against a limit that is forgotten while no request is sent to its server.
 func TestLimitOutlivesIdlePeriod(t *testing.T) {
+	t.Parallel()
 	for _, n := range limitFleetSizes {
-		f := newLimitFleet(n, []float64{0.5, 1.1, 4, 10.8})
-		f.run(300, 8*time.Second)
-		f.run(0, 98*time.Second)
-		resumed := f.now
-		f.run(300, 110*time.Second)
-		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) { f.checkBreaches(t, resumed) })
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			t.Parallel()
+			f := newLimitFleet(n, []float64{0.5, 1.1, 4, 10.8})
+			f.run(300, 8*time.Second)
+			f.run(0, 98*time.Second)
+			resumed := f.now
+			f.run(300, 110*time.Second)
+			f.checkBreaches(t, resumed)
+		})
 	}
 }
 
 // Guards against a limit that is lost when its server restarts, before the new incarnation responds.
 func TestLimitOutlivesServerRestart(t *testing.T) {
+	t.Parallel()
 	for _, n := range limitFleetSizes {
-		f := newLimitFleet(n, []float64{0.5, 1.1, 4, 10.8, 0, 0})
-		for restart := range 20 {
-			f.run(300, time.Duration(restart+1)*time.Second)
-			for i := range f.servers {
-				id := fmt.Sprint(f.servers[i].Name, "@", restart)
-				f.servers[i].ID, f.servers[i].Hash = id, xxhash.Sum64String(id)
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			t.Parallel()
+			f := newLimitFleet(n, []float64{0.5, 1.1, 4, 10.8, 0, 0})
+			for restart := range 20 {
+				f.run(300, time.Duration(restart+1)*time.Second)
+				for i := range f.servers {
+					id := fmt.Sprint(f.servers[i].Name, "@", restart)
+					f.servers[i].ID, f.servers[i].Hash = id, xxhash.Sum64String(id)
+				}
 			}
-		}
-		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) { f.checkBreaches(t, limitsStatedAt+limitNotice) })
+			f.checkBreaches(t, limitsStatedAt+limitNotice)
+		})
 	}
 }
 
 // Guards against sends by more daemons than a limit is divided among, while views differ.
 func TestChangingViewsStayWithinStatedLimits(t *testing.T) {
+	t.Parallel()
 	for n, seeds := range map[int]uint64{6: 10, 7: 40, 9: 40, 12: 40, 60: 4, 195: 2, 520: 1} {
 		for seed := range seeds {
-			f := newLimitFleet(n, []float64{0.5, 1.1, 4, 10.8, 0, 0})
-			f.rng, f.hidden = rand.New(rand.NewPCG(seed, uint64(n))), 0.2
-			f.run(300, 24*time.Second)
-			t.Run(fmt.Sprint(n, " daemons, seed ", seed), func(t *testing.T) { f.checkBreaches(t, limitsStatedAt+limitNotice) })
+			t.Run(fmt.Sprint(n, " daemons, seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				f := newLimitFleet(n, []float64{0.5, 1.1, 4, 10.8, 0, 0})
+				f.rng, f.hidden = rand.New(rand.NewPCG(seed, uint64(n))), 0.2
+				f.run(300, 24*time.Second)
+				f.checkBreaches(t, limitsStatedAt+limitNotice)
+			})
 		}
 	}
 }
@@ -446,6 +476,7 @@
 // Guards against a limit that is kept long after the server lifted it, since requests go to the
 // servers whose limits ended before.
 func TestLastOfLiftedLimitsEnds(t *testing.T) {
+	t.Parallel()
 	const (
 		servers, perSecond, demand = 6, 5, 1.4
 		liftedAt, endsWithin       = 20 * time.Second, 16 * time.Second
@@ -454,6 +485,7 @@
 	for _, n := range []int{6, 60, 195, 520} {
 		for seed := range uint64(seeds) {
 			t.Run(fmt.Sprint(n, " daemons, seed ", seed), func(t *testing.T) {
+				t.Parallel()
 				f := newLimitFleet(n, slices.Repeat([]float64{perSecond}, servers))
 				f.rng, f.liftedAt = rand.New(rand.NewPCG(seed, uint64(n))), liftedAt
 				f.run(demand*servers*perSecond, liftedAt+endsWithin)
--- a/internal/gate/statement_fleet_test.go
+++ b/internal/gate/statement_fleet_test.go
@@ -19,20 +19,24 @@
 
 // Guards against sends to a server whose departure only other daemons have observed.
 func TestFleetStopsSendingToServerThatLeaves(t *testing.T) {
+	t.Parallel()
 	const drainLimit = 2 * time.Second
 	for _, n := range limitFleetSizes {
-		f := newLimitFleet(n, make([]float64, 8))
-		f.states = func(r limitResponse) (s serverstatus.Statements) {
-			if r.server == 0 && r.at >= statedAt {
-				s.Leaving = serverstatus.Stated
+		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			t.Parallel()
+			f := newLimitFleet(n, make([]float64, 8))
+			f.states = func(r limitResponse) (s serverstatus.Statements) {
+				if r.server == 0 && r.at >= statedAt {
+					s.Leaving = serverstatus.Stated
+				}
+				return s
 			}
-			return s
-		}
-		f.run(fleetLoad(n), 8*time.Second)
-		first, _ := slices.BinarySearch(f.sends[0], statedAt+drainLimit)
-		if late := len(f.sends[0]) - first; late > 0 || first == 0 {
-			t.Errorf("%d daemons: %d sends later than %s after the first statement", n, late, drainLimit)
-		}
+			f.run(fleetLoad(n), 8*time.Second)
+			first, _ := slices.BinarySearch(f.sends[0], statedAt+drainLimit)
+			if late := len(f.sends[0]) - first; late > 0 || first == 0 {
+				t.Errorf("%d daemons: %d sends later than %s after the first statement", n, late, drainLimit)
+			}
+		})
 	}
 }
 
@@ -61,10 +65,12 @@
 
 // Guards against sends in a pause, and against all daemons returning at its end.
 func TestPausedServerGetsLoadBackInSteps(t *testing.T) {
+	t.Parallel()
 	const refusesUntil, pauseEnd, end = 4 * time.Second, 8 * time.Second, 13 * time.Second
 	const notice, maxPerDaemon, maxInFirstSecond = 500 * time.Millisecond, 2, 64
 	for _, n := range limitFleetSizes {
 		t.Run(fmt.Sprint(n, " daemons"), func(t *testing.T) {
+			t.Parallel()
 			f := newLimitFleet(n, make([]float64, 8))
 			asked := map[int]time.Duration{}
 			f.states = func(r limitResponse) serverstatus.Statements {
