node: play the fleets of the tests beside each other

Seen: internal/node takes about ten minutes, close to the limit of Go for a package, since most plays keep about one core busy and are played one after the other.

Cause: no test or case of the package ran in parallel.

Change: every test in virtual time and its cases run with t.Parallel, so that GOMAXPROCS plays run at a time. Loops over fleet sizes that had no subtests get one for each size (play). A search through sequences of events plays those that begin with different events beside each other; what it collects is guarded by a mutex. Same sizes, seeds, sequences, durations and bounds. Each play has its own fleet, store and virtual clock; the package-level variables are read only, apart from a pool of compressors, which is safe for concurrent use. The test that counts allocations stays alone: parallel tests wait until it has ended.

The wall time on free cores has not been measured.

--- a/internal/node/config_storm_test.go
+++ b/internal/node/config_storm_test.go
@@ -95,16 +95,22 @@
 // Guards against daemons that stay behind the newest configuration, or do not know that theirs is the
 // newest, when configurations follow each other faster than the store can send one to all daemons.
 func TestConfigStormReachesAllDaemons(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range stormSizes(scaleSizes()) {
-		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) { newConfigStorm(daemons, smallLinkRate).test(t) })
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			t.Parallel()
+			newConfigStorm(daemons, smallLinkRate).test(t)
+		})
 	}
 }
 
 // Guards against daemons that all read the store because a large configuration spreads more slowly
 // than the ranks begin to read.
 func TestStormOfLargeConfigurationsReachesAllDaemons(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range stormSizes(fleetSizes()) {
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			t.Parallel()
 			configStorm{daemons, largeConfigBytes, largeReadRate, smallLinkRate}.test(t)
 		})
 	}
@@ -113,6 +119,7 @@
 // Guards against daemons that all read the store because records between daemons take longer than the
 // lag that indicates a dead connection.
 func TestSlowLinksDoNotSendAllDaemonsToTheStore(t *testing.T) {
+	t.Parallel()
 	newConfigStorm(slices.Max(stormSizes(fleetSizes())), slowLinkRate).test(t)
 }
 
@@ -172,8 +179,10 @@
 // Guards against a daemon that reads every configuration that it has missed, so that reads take longer
 // the further it is behind.
 func TestReturningDaemonReadsNewestConfigurationOnly(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{1, 6} {
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				s := newConfigStorm(daemons, smallLinkRate)
 				f := s.newFleet(t)
@@ -206,6 +215,7 @@
 // Guards against a simultaneous start in which every daemon reads entries of servers from the store that
 // it gets from others anyway, so that nobody gets its configuration in time.
 func TestSimultaneousStartReadsFewBytes(t *testing.T) {
+	t.Parallel()
 	const (
 		serversPerDaemon = 10
 		entryBytes       = 500
@@ -214,6 +224,7 @@
 	)
 	for _, daemons := range scaleSizes() {
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newConfigStorm(daemons, 0).newFleet(t)
 				f.refuseStopped = true
--- a/internal/node/cutoff_peer_test.go
+++ b/internal/node/cutoff_peer_test.go
@@ -12,6 +12,7 @@
 // Guards against a daemon that serves with the old configuration of a peer which the store has turned
 // away for long, although nobody has confirmed it to this daemon.
 func TestSnapshotOfCutOffPeerIsNotServedUnconfirmed(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1)
 		time.Sleep(5 * time.Second)
--- a/internal/node/denials_test.go
+++ b/internal/node/denials_test.go
@@ -54,8 +54,10 @@
 // Guards against a final answer to a request that the configuration in force allows, by a daemon
 // that was cut off when its route was added.
 func TestIsolatedDaemonDeniesNothing(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range fleetSizes() {
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newServingFleet(t, daemons)
 				time.Sleep(5 * time.Second)
@@ -89,6 +91,7 @@
 
 // Guards against a daemon that denies by records of another daemon which nobody has confirmed.
 func TestUnconfirmedDaemonDeniesNothing(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newServingFleet(t, 1)
 		f.kill(0)
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -1,8 +1,8 @@
 package node
 
 import (
+	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,8 +13,9 @@
 
 // Guards against a departure that does not spread in an outage, or that an old entry undoes.
 func TestServerThatLeavesIsDroppedWhileStoreIsSilent(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range scaleSizes() {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			f := newFleet(t, daemons)
 			time.Sleep(4 * time.Second)
 			f.store.SetMode(feedtest.Unresponsive)
--- a/internal/node/doubtful_helpers_test.go
+++ b/internal/node/doubtful_helpers_test.go
@@ -32,9 +32,11 @@
 // Guards against a daemon without links to servers that refuses requests because there was no contact
 // with the others for a while, or because they failed once, although they serve again.
 func TestCutDaemonServesOnceOthersRespondAgain(t *testing.T) {
+	t.Parallel()
 	for name, silence := range map[string]time.Duration{"calls failed": 500 * time.Millisecond, "silent": 1500 * time.Millisecond, "not ready": 5 * time.Second} {
 		for _, busy := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/requests meanwhile %t", name, busy), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					c := newCutDaemon(t)
 					c.isolateHelpers(true)
@@ -69,6 +71,7 @@
 
 // Guards against requests that are all held because of daemons that are gone.
 func TestCutDaemonHoldsFewRequestsForOthersThatAreGone(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCutDaemon(t)
 		c.isolateHelpers(true)
--- a/internal/node/evacuation_sequences_test.go
+++ b/internal/node/evacuation_sequences_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/feed"
@@ -80,16 +80,15 @@
 // Guards against any sequence of outages, restarts and restores after which a daemon disagrees
 // with the operator's evacuation order.
 func TestEvacuationConvergesAfterAnySequence(t *testing.T) {
+	t.Parallel()
 	length := 3
 	if testing.Short() {
 		length = 2
 	}
-	forEachSequence(evacuationEvents, length, func(sequence []evacuationEvent) {
-		synctest.Test(t, func(t *testing.T) {
-			if problem := runEvacuationSequence(t, sequence); problem != "" {
-				t.Errorf("%s%s", describeEvacuations(sequence), problem)
-			}
-		})
+	forEachSequence(t, evacuationEvents, length, func(t *testing.T, sequence []evacuationEvent) {
+		if problem := runEvacuationSequence(t, sequence); problem != "" {
+			t.Errorf("%s%s", describeEvacuations(sequence), problem)
+		}
 	})
 }
 
@@ -103,15 +102,14 @@
 
 // Guards against a sequence search that cannot detect faults: it must find an injected one.
 func TestSequenceSearchDetectsIgnoredRemovals(t *testing.T) {
-	found := 0
-	forEachSequence(evacuationEvents, 2, func(sequence []evacuationEvent) {
-		synctest.Test(t, func(t *testing.T) {
-			if runEvacuationSequence(t, sequence, func(n *Node) { n.deps.Codec = removalIgnoringCodec{} }) != "" {
-				found++
-			}
-		})
+	t.Parallel()
+	var found atomic.Bool
+	forEachSequence(t, evacuationEvents, 2, func(t *testing.T, sequence []evacuationEvent) {
+		if runEvacuationSequence(t, sequence, func(n *Node) { n.deps.Codec = removalIgnoringCodec{} }) != "" {
+			found.Store(true)
+		}
 	})
-	if found == 0 {
+	if !found.Load() {
 		t.Fatal("no sequence detects daemons that ignore removals")
 	}
 }
--- a/internal/node/evacuations_test.go
+++ b/internal/node/evacuations_test.go
@@ -37,9 +37,11 @@
 // Guards against a daemon that keeps sending to an evacuated failure domain after a fault of the
 // store.
 func TestEvacuationPropagatesWithinLimit(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range smallFleetSizes() {
 		for _, fault := range storeFaults {
 			t.Run(fmt.Sprint(daemons, " daemons/", fault.name), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newFleet(t, daemons)
 					time.Sleep(9 * time.Second)
@@ -62,6 +64,7 @@
 
 // Guards against evacuations that a restarted daemon does not know, or that outlive their removal.
 func TestEvacuationSurvivesRestarts(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6)
 		time.Sleep(5 * time.Second)
@@ -87,6 +90,7 @@
 
 // Guards against a restore of the store from an older copy that ends an evacuation.
 func TestRestoredStoreDoesNotEndEvacuation(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6)
 		time.Sleep(5 * time.Second)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -93,6 +94,15 @@
 	drainLimit  = 2 * time.Second
 )
 
+// play plays a case of a test in virtual time, beside other tests.
+func play(t *testing.T, name string, test func(t *testing.T)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) {
+		t.Parallel()
+		synctest.Test(t, test)
+	})
+}
+
 // limitFor returns the propagation limit of a deployment for configurations and leaving servers.
 func limitFor(daemons int) time.Duration {
 	switch {
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -1,8 +1,8 @@
 package node
 
 import (
+	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/serverlimit"
@@ -17,8 +17,9 @@
 
 // Guards against stated limits, and ends of limits, that do not reach every daemon in time.
 func TestStatedLimitsReachAllDaemons(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range scaleSizes() {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			f := newFleet(t, daemons)
 			time.Sleep(4 * time.Second)
 			limited := func() int { return f.count(func(m *member) bool { return m.state.LimitedServers() == 1 }) }
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -12,8 +12,10 @@
 
 // Guards against requests to a leaving server after the store was unresponsive.
 func TestLeavingServerIsDroppedAfterOutage(t *testing.T) {
+	t.Parallel()
 	for _, readRemaining := range []time.Duration{0, time.Second, 2 * time.Second, 5 * time.Second} {
 		t.Run(fmt.Sprint("outage begins ", readRemaining, " before the read ends"), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, 1)
 				time.Sleep(readWait + 900*time.Millisecond - readRemaining)
@@ -33,6 +35,7 @@
 
 // Guards against refused API keys long after the end of an outage.
 func TestConfigurationIsConfirmedSoonAfterOutage(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1)
 		time.Sleep(readWait)
@@ -47,6 +50,7 @@
 
 // Guards against requests to a leaving server while reads hang on broken connections.
 func TestLeavingServerIsDroppedWhileReadHangs(t *testing.T) {
+	t.Parallel()
 	hangs := map[string]func(f *fleet){
 		"hanging connections": func(f *fleet) {
 			f.each(func(m *member) { m.storeClient.HangPending() })
@@ -64,6 +68,7 @@
 	for name, hang := range hangs {
 		for _, daemons := range []int{1, 3, 12, 60} {
 			t.Run(fmt.Sprint(name, "/", daemons, " daemons"), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newFleet(t, daemons)
 					time.Sleep(5 * time.Second)
@@ -78,8 +83,10 @@
 
 // Guards against requests to a leaving server from a daemon that is partitioned from the store.
 func TestPartitionedDaemonLearnsOfLeavingServers(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []feedtest.Mode{feedtest.Unresponsive, feedtest.Refusing, feedtest.Resetting} {
 		t.Run(fmt.Sprint("mode ", mode), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, 3)
 				time.Sleep(5 * time.Second)
@@ -94,6 +101,7 @@
 
 // Guards against repeated append conflicts while a status read hangs.
 func TestAppendConflictTriggersStatusRead(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1)
 		time.Sleep(5 * time.Second)
@@ -109,8 +117,9 @@
 
 // Guards against a service without servers after an outage in which their entries expired.
 func TestExpiredEntriesAreKeptAfterOutage(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{1, 3} {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			f := newFleet(t, daemons)
 			time.Sleep(5 * time.Second)
 			f.store.SetMode(feedtest.Unresponsive)
@@ -136,6 +145,7 @@
 // Guards against requests to a removed server from a daemon that was partitioned from the store and
 // treats the removal as an outage.
 func TestPartitionedDaemonAppliesRemovals(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
 		time.Sleep(5 * time.Second)
@@ -151,6 +161,7 @@
 // Guards against requests to a removed server from a daemon that was isolated and treats the
 // removal as an outage.
 func TestIsolatedDaemonAppliesRemovals(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
 		time.Sleep(5 * time.Second)
@@ -170,6 +181,7 @@
 // Guards against a newly started daemon that hides a removal from daemons that fetch records from
 // it.
 func TestNewDaemonDoesNotHideRemoval(t *testing.T) {
+	t.Parallel()
 	const daemons = 12
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, daemons)
--- a/internal/node/permits_test.go
+++ b/internal/node/permits_test.go
@@ -59,6 +59,7 @@
 // against more requests than the servers state, and against a limit that ends late because its
 // responses go to many daemons.
 func TestRequestsUseSharesOfOtherDaemons(t *testing.T) {
+	t.Parallel()
 	const (
 		servers, perSecond, demand = 6, 5, 1.4
 		period, window             = 10 * time.Second, 4 * time.Second
@@ -72,6 +73,7 @@
 	}
 	for _, daemons := range sizes {
 		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newStoppedFleet(t, daemons, []string{address(0), address(1), address(2)}, setPlainConfig)
 				f.store.Put("servers", "a", nil)
--- a/internal/node/prompt_parts_test.go
+++ b/internal/node/prompt_parts_test.go
@@ -198,6 +198,7 @@
 // Guards against unlike requests that crash one server after the other by a part of their prompts, and
 // against holding the sound requests that share their other parts.
 func TestPartOfPromptThatCrashesServersIsQuarantined(t *testing.T) {
+	t.Parallel()
 	seeds := uint64(4)
 	sizes := []int{6, 60}
 	if testing.Short() {
@@ -215,6 +216,8 @@
 	} {
 		for _, daemons := range sizes {
 			t.Run(fmt.Sprint(name, "/", daemons), func(t *testing.T) {
+				t.Parallel()
+				p := p
 				for seed := range max(1, seeds*6/uint64(daemons)) {
 					p.daemons, p.servers, p.seed = daemons, max(9, daemons/3)+3*(p.crashParts-1), seed+1
 					r := p.run(t)
--- a/internal/node/reachability_test.go
+++ b/internal/node/reachability_test.go
@@ -133,10 +133,12 @@
 
 // Guards against daemons that refuse requests because they reach no server, while others do.
 func TestDaemonsCutOffFromServersServeRequests(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range cutSizes() {
 		for share, cutOf := range cutShares {
 			for failure, state := range linkFailures {
 				t.Run(fmt.Sprintf("%d daemons/%s/%s", daemons, share, failure), func(t *testing.T) {
+					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						c := newCutFleet(t, daemons, cutOf(daemons))
 						c.sendFor(time.Second, sample(0, daemons), "before")
@@ -160,10 +162,12 @@
 
 // Guards against a daemon whose own links fail that reports servers as crashed and holds requests.
 func TestDaemonCutOffFromServersReportsNoCrash(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{6, 60} {
 		for share, cutOf := range cutShares {
 			for failure, state := range linkFailures {
 				t.Run(fmt.Sprintf("%d daemons/%s/%s", daemons, share, failure), func(t *testing.T) {
+					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						c := newCutFleet(t, daemons, cutOf(daemons))
 						time.AfterFunc(1500*time.Millisecond, func() { c.setLinks(state) })
@@ -183,8 +187,10 @@
 // Guards against a daemon that refuses requests after its links are back, since it takes the
 // servers for restarted or suspects them.
 func TestDaemonServesAsBeforeWhenItsLinksAreBack(t *testing.T) {
+	t.Parallel()
 	for failure, state := range linkFailures {
 		t.Run(failure, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := newCutFleet(t, 6, 1)
 				c.sendFor(time.Second, []int{0}, "before")
@@ -208,8 +214,10 @@
 // Guards against requests that are held although no daemon reaches a server, and refusals that do not
 // say when to come back.
 func TestRequestsAreRefusedAtOnceWhileNoDaemonReachesServers(t *testing.T) {
+	t.Parallel()
 	for failure, state := range map[string]enginetest.LinkState{"reset": enginetest.LinkReset, "silent": enginetest.LinkSilent} {
 		t.Run(failure, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := newCutFleet(t, 6, 6)
 				c.sendFor(time.Second, sample(0, 6), "before")
@@ -244,6 +252,7 @@
 // Guards against a daemon with little traffic that notices the loss of its servers late, since one
 // silent server alone shows nothing.
 func TestLossOfServersIsNoticedByOneRequest(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCutFleetWith(t, 6, 1, setOnceConfig)
 		c.sendFor(time.Second, []int{0}, "before")
--- a/internal/node/refused_test.go
+++ b/internal/node/refused_test.go
@@ -25,6 +25,7 @@
 // Guards against a daemon that the store refuses and that cannot fetch entries from its peers when
 // they exceed one message together, and against frequent calls to the store instead.
 func TestRefusedDaemonLearnsOfManyServers(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const daemons, servers = 12, 150
 		f := newFleet(t, daemons)
@@ -47,6 +48,7 @@
 // Guards against frequent calls to the store by a daemon that it refuses, for a long record that its
 // peers have.
 func TestRefusedDaemonRetriesLongRecordSlowly(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const daemons = 12
 		f := newFleet(t, daemons)
@@ -66,8 +68,10 @@
 // Guards against a daemon that the store refuses from its start on and that takes neither the
 // configuration nor the servers from its peers.
 func TestDaemonRefusedSinceItsStartLoadsFromPeers(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{6, 60} {
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, daemons)
 				time.Sleep(5 * time.Second)
--- a/internal/node/rejections_test.go
+++ b/internal/node/rejections_test.go
@@ -95,6 +95,7 @@
 // Guards against servers that terminate because all daemons together have too many requests
 // rejected, and against slots that stay free meanwhile.
 func TestServersThatTolerateFewRejectionsStayUp(t *testing.T) {
+	t.Parallel()
 	const minUse = 0.9
 	for _, p := range []rejectionScenario{
 		{1, 3, 4, 5, 2, 0}, {4, 3, 4, 5, 2, 0}, {6, 4, 6, 2, 2, 0}, {6, 9, 16, 2, 3, 0}, {8, 3, 8, 3, 2, 0}, {16, 6, 8, 2, 2, 0}, {60, 12, 12, 2, 2, 0}, {6, 4, 6, 0, 2, 0},
@@ -103,6 +104,7 @@
 			continue
 		}
 		t.Run(fmt.Sprintf("%+v", p), func(t *testing.T) {
+			t.Parallel()
 			falls, runs, capacity := p.run(t)
 			t.Logf("%d falls, ran %d of %d", falls, runs, capacity)
 			if allowed := 2 + p.servers/10; falls > allowed || float64(runs) < minUse*float64(capacity) {
@@ -114,11 +116,13 @@
 
 // Guards against servers that terminate because they have less room than their slots.
 func TestServersWithLessRoomThanSlotsStayUp(t *testing.T) {
+	t.Parallel()
 	for _, p := range []rejectionScenario{{4, 3, 4, 5, 2, 2}, {6, 4, 6, 2, 2, 1}, {8, 3, 4, 3, 2, 3}, {16, 6, 8, 2, 2, 1}, {60, 12, 12, 2, 2, 1}} {
 		if testing.Short() && p.daemons > maxShortDaemons {
 			continue
 		}
 		t.Run(fmt.Sprintf("%+v", p), func(t *testing.T) {
+			t.Parallel()
 			falls, runs, capacity := p.run(t)
 			t.Logf("%d falls, ran %d of %d", falls, runs, capacity)
 			if allowed := 2 + p.servers/10; falls > allowed {
--- a/internal/node/restore_test.go
+++ b/internal/node/restore_test.go
@@ -22,8 +22,9 @@
 
 // Guards against a record that is missed because its offset was read before the restore.
 func TestRecordAtReusedOffsetIsRead(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range fleetSizes() {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			f := newFleet(t, daemons)
 			time.Sleep(4 * time.Second)
 			snapshot := f.store.TakeSnapshot()
@@ -47,9 +48,11 @@
 
 // Guards against requests to a removed server after a restore.
 func TestRemovedServerStaysRemovedAfterRestore(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range fleetSizes() {
 		for name, value := range map[string][]byte{"leaving": []byte("leaving"), "entry removed": nil} {
 			t.Run(fmt.Sprint(daemons, " daemons/", name), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newFleet(t, daemons)
 					time.Sleep(4 * time.Second)
@@ -75,8 +78,9 @@
 
 // Guards against the loss of a live server that the restored copy lacks.
 func TestServerMissingFromSnapshotIsKept(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range fleetSizes() {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			f := newFleet(t, daemons)
 			time.Sleep(4 * time.Second)
 			snapshot := f.store.TakeSnapshot()
@@ -102,6 +106,7 @@
 
 // Guards against an older configuration in force after a restore.
 func TestRestoreDoesNotRollBackConfiguration(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6)
 		time.Sleep(4 * time.Second)
@@ -125,8 +130,9 @@
 // Guards against many calls to the store after a restore, and against the loss of the daemons' own
 // entries.
 func TestRestoreCostsFewCalls(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range scaleSizes() {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			f := newFleet(t, daemons)
 			snapshot := f.store.TakeSnapshot()
 			time.Sleep(15 * time.Second)
@@ -160,8 +166,9 @@
 
 // Guards against revoked API keys that become valid on a daemon that starts after a restore.
 func TestDaemonStartedAfterRestoreRefusesOldConfiguration(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range fleetSizes() {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			f := newFleet(t, daemons)
 			time.Sleep(4 * time.Second)
 			snapshot := f.store.TakeSnapshot()
--- a/internal/node/rollout_status_test.go
+++ b/internal/node/rollout_status_test.go
@@ -69,6 +69,7 @@
 // Guards against a roll-out that stalls when the store appends a status but the response is lost, so
 // that the repeated conditional append fails.
 func TestRolloutCompletesWhenAppendResponsesAreLost(t *testing.T) {
+	t.Parallel()
 	const perSecond = 100
 	sizes := []int{2, 6, 60}
 	if !testing.Short() {
@@ -77,6 +78,7 @@
 	for _, daemons := range sizes {
 		for _, lost := range []int{0, 1, 2, 5} {
 			t.Run(fmt.Sprint(daemons, " daemons, ", lost, " lost"), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newStoppedFleet(t, daemons, []string{address(0), address(1), address(2)}, setPlainConfig, func(n *Node) { n.deps.Codec = rolloutCodec{} })
 					f.store.Put("servers", "a", nil)
--- a/internal/node/rollouts_test.go
+++ b/internal/node/rollouts_test.go
@@ -1,8 +1,8 @@
 package node
 
 import (
+	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
@@ -10,8 +10,9 @@
 
 // Guards against roll-out evidence that every daemon sends to every other.
 func TestEvaluatorsAreBounded(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range scaleSizes() {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			f := newFleet(t, daemons)
 			time.Sleep(8 * time.Second)
 			evaluators, leaders := 0, 0
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -96,9 +96,11 @@
 // Guards against a change of a server that takes more than half of its limit, after any fault of
 // the store and at different phases of the long-polling reads.
 func TestServerChangePropagatesWithinLimit(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range smallFleetSizes() {
 		for _, fault := range storeFaults {
 			t.Run(fmt.Sprint(daemons, " daemons/", fault.name), func(t *testing.T) {
+				t.Parallel()
 				var all delays
 				for _, phase := range []time.Duration{3 * time.Second, 9 * time.Second, 14 * time.Second} {
 					synctest.Test(t, func(t *testing.T) {
@@ -125,9 +127,10 @@
 
 // Guards against an idle call rate that grows with the number of daemons.
 func TestIdleStoreCallRate(t *testing.T) {
+	t.Parallel()
 	const maxRate = 10 // calls per second
 	for _, daemons := range append(scaleSizes(), 1) {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			f := newFleet(t, daemons)
 			time.Sleep(10 * time.Second)
 			before := f.store.TotalCalls()
--- a/internal/node/sequences_test.go
+++ b/internal/node/sequences_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,38 +68,50 @@
 	return out
 }
 
-// forEachSequence calls do for every sequence of a length.
-func forEachSequence[S any](values []S, length int, do func(sequence []S)) {
-	sequence := make([]S, length)
-	var fill func(i int)
-	fill = func(i int) {
-		if i == length {
-			do(sequence)
-			return
+// forEachSequence plays every sequence of a length of at least 1. Sequences that begin alike are played in turn, the
+// others beside each other.
+func forEachSequence[S any](t *testing.T, values []S, length int, test func(t *testing.T, sequence []S)) {
+	t.Helper()
+	t.Run("first event", func(t *testing.T) {
+		for first, value := range values {
+			t.Run(fmt.Sprint(first), func(t *testing.T) {
+				t.Parallel()
+				sequence := make([]S, length)
+				sequence[0] = value
+				var fill func(i int)
+				fill = func(i int) {
+					if i == length {
+						synctest.Test(t, func(t *testing.T) { test(t, sequence) })
+						return
+					}
+					for _, v := range values {
+						sequence[i] = v
+						fill(i + 1)
+					}
+				}
+				fill(1)
+			})
 		}
-		for _, v := range values {
-			sequence[i] = v
-			fill(i + 1)
-		}
-	}
-	fill(0)
+	})
 }
 
 // Guards against any sequence of events after which a change of a server takes more than half of
 // its limit once the store has served for 3 s.
 func TestServerChangePropagatesAfterAnySequence(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
 	count, worst, length := 0, time.Duration(0), *sequenceLength
 	if testing.Short() {
 		length = 2 // the race detector makes longer sequences slow
 	}
-	forEachSequence(events, length, func(sequence []event) {
-		synctest.Test(t, func(t *testing.T) {
-			took := runSequence(t, sequence)
-			if took > drainLimit/2 {
-				t.Errorf("%safterwards a change takes %s", describeSequence(sequence), took)
-			}
-			count, worst = count+1, max(worst, took)
-		})
+	forEachSequence(t, events, length, func(t *testing.T, sequence []event) {
+		took := runSequence(t, sequence)
+		if took > drainLimit/2 {
+			t.Errorf("%safterwards a change takes %s", describeSequence(sequence), took)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		count, worst = count+1, max(worst, took)
 	})
 	t.Logf("%d sequences, slowest propagation %s", count, worst)
 }
@@ -106,14 +119,16 @@
 // Guards against a sequence search that cannot detect faults: it must find daemons without store
 // checks.
 func TestSequenceSearchDetectsMissingStoreChecks(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
 	found := ""
-	forEachSequence(events, 2, func(sequence []event) {
-		synctest.Test(t, func(t *testing.T) {
-			took := runSequence(t, sequence, func(n *Node) { n.checkPlan = freshness.Plan{} })
-			if took > drainLimit/2 {
-				found += fmt.Sprintf("%s%s; ", describeSequence(sequence), took)
-			}
-		})
+	forEachSequence(t, events, 2, func(t *testing.T, sequence []event) {
+		took := runSequence(t, sequence, func(n *Node) { n.checkPlan = freshness.Plan{} })
+		mu.Lock()
+		defer mu.Unlock()
+		if took > drainLimit/2 {
+			found += fmt.Sprintf("%s%s; ", describeSequence(sequence), took)
+		}
 	})
 	if found == "" {
 		t.Fatal("no sequence exceeds the limit although store checks are disabled")
--- a/internal/node/skipped_removal_test.go
+++ b/internal/node/skipped_removal_test.go
@@ -9,6 +9,7 @@
 // Guards against a daemon that ends an evacuation which a restored store lacks, because it was behind
 // later and read the newest records only.
 func TestSkippedRecordsDoNotEndEvacuationAfterRestore(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6)
 		time.Sleep(5 * time.Second)
--- a/internal/node/start_test.go
+++ b/internal/node/start_test.go
@@ -35,6 +35,7 @@
 
 // Guards against many calls to the store when all daemons start at once.
 func TestSimultaneousStartMakesFewCalls(t *testing.T) {
+	t.Parallel()
 	const (
 		// callsPerDaemon allows for one read of each of three topics, and one call before the
 		// daemon has discovered its peers. sharedCalls are those of the readers in 30 s.
@@ -45,6 +46,7 @@
 	)
 	for _, daemons := range scaleSizes() {
 		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newStoppedFleet(t, daemons, []string{address(0), address(1), address(2)})
 				f.refuseStopped = true
@@ -71,6 +73,7 @@
 // Guards against many daemons that act as readers while all start, since each learns of its own
 // readiness before that of the others.
 func TestStartingDaemonsHoldOnlyTheirRoles(t *testing.T) {
+	t.Parallel()
 	const (
 		sampled, interval = 5 * time.Second, 10 * time.Millisecond
 		// servers is more than one call of the store returns.
@@ -80,6 +83,7 @@
 	)
 	for _, daemons := range scaleSizes() {
 		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newStoppedFleet(t, daemons, []string{address(0), address(1), address(2)})
 				f.refuseStopped = true
@@ -112,6 +116,7 @@
 
 // Guards against daemons without reachable seeds that do not find each other.
 func TestPeersAreDiscoveredThroughStore(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleetWithSeeds(t, 5, nil)
 		waitFor(t, 8*time.Second, "all daemons know each other", func() bool {
@@ -125,6 +130,7 @@
 
 // Guards against many calls to the store during an outage, and against a slow recovery.
 func TestOutageCostsFewCalls(t *testing.T) {
+	t.Parallel()
 	const (
 		// callsPerDaemon covers detecting the outage and its end, sharedCalls are those of
 		// the readers per second.
@@ -138,6 +144,7 @@
 	for _, mode := range []feedtest.Mode{feedtest.Resetting, feedtest.Refusing, feedtest.Unresponsive} {
 		for _, daemons := range scaleSizes() {
 			t.Run(fmt.Sprint("mode ", mode, "/", daemons, " daemons"), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newFleet(t, daemons)
 					time.Sleep(12 * time.Second)
@@ -165,10 +172,11 @@
 
 // Guards against clients that are directed to a lost daemon.
 func TestLostDaemonIsNotListedAsEndpoint(t *testing.T) {
+	t.Parallel()
 	// cacheTTL is how long clients cache the directory's response.
 	const cacheTTL = 5 * time.Second
 	for _, daemons := range scaleSizes() {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			f := newFleet(t, daemons)
 			time.Sleep(12 * time.Second)
 			f.kill(1)
@@ -188,9 +196,10 @@
 
 // Guards against a daemon that starts while a server is away and does not learn that it terminated.
 func TestStartedDaemonLearnsOfTerminatedServers(t *testing.T) {
+	t.Parallel()
 	const maxDelay, terminated = 500 * time.Millisecond, 1
 	for _, daemons := range fleetSizes() {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			var told atomic.Int64
 			f := newFleet(t, daemons, func(n *Node) {
 				n.members.TerminatedServers = func() []uint64 { return []uint64{terminated} }
--- a/internal/node/terminations_test.go
+++ b/internal/node/terminations_test.go
@@ -1,8 +1,8 @@
 package node
 
 import (
+	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,8 +15,9 @@
 // Guards against running daemons that take a server for warm because they sent it nothing while it
 // was away, and against reports that go round for ever.
 func TestTerminationReachesRunningDaemons(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range scaleSizes() {
-		synctest.Test(t, func(t *testing.T) {
+		play(t, fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			f := newFleet(t, daemons)
 			time.Sleep(4 * time.Second)
 			server := xxhash.Sum64String(f.serverID("a"))
