node: play the quarantine tests beside the others

The quarantine tests and their cases run with t.Parallel; nothing else changes. Each case has its own fleet, engines and generator of random numbers.

--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -213,10 +213,12 @@
 
 // Guards against a request that crashes one server after the other.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range fleetSizes() {
 		for _, background := range []int{1, 8, 64} {
 			servers := max(9, daemons/3)
 			t.Run(fmt.Sprint(daemons, " daemons/", background, " in the background"), func(t *testing.T) {
+				t.Parallel()
 				r := crashScenario{daemons: daemons, servers: servers, backgroundClients: background, seed: 1}.run(t)
 				t.Logf("%+v", r)
 				if r.lateSends > maxLateSends {
@@ -229,9 +231,11 @@
 
 // Guards against the loss of holds when daemons restart.
 func TestHoldSurvivesDaemonRestarts(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range fleetSizes() {
 		for name, first := range map[string]int{"all": 0, "all but one": 1} {
 			t.Run(fmt.Sprint(daemons, " daemons/", name), func(t *testing.T) {
+				t.Parallel()
 				restart := func(f *fleet) time.Time {
 					for i := first; i < daemons; i++ {
 						f.kill(i)
@@ -257,6 +261,7 @@
 
 // Guards against holds on harmless requests that ran on the same servers as a crashing one.
 func TestConcurrentRequestsAreNotHeld(t *testing.T) {
+	t.Parallel()
 	seedCount := uint64(20)
 	if testing.Short() {
 		seedCount = 4
@@ -264,6 +269,7 @@
 	for _, background := range []int{1, 8, 64} {
 		for _, crashing := range []int{1, 2} {
 			t.Run(fmt.Sprint(crashing, " crashing/", background, " in the background"), func(t *testing.T) {
+				t.Parallel()
 				var total crashResult
 				for seed := range seedCount {
 					r := crashScenario{daemons: 6, servers: 9, crashingRequests: crashing, backgroundClients: background, seed: seed + 1}.run(t)
@@ -289,8 +295,10 @@
 // Guards against holding for long a harmless request that all callers send and that has not succeeded
 // before it runs on the servers that a crashing one crashes.
 func TestSharedRequestIsNotHeldForLong(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{3, 6} {
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(10) {
 				r := crashScenario{daemons: daemons, servers: 6, backgroundClients: 12, sharedBackground: true, seed: seed + 1}.run(t)
 				t.Logf("seed %d: %+v", seed+1, r)
@@ -304,6 +312,7 @@
 
 // Guards against a hold that spreads slowly from the one daemon that detected it.
 func TestHoldReachesEveryDaemon(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range fleetSizes() {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, daemons)
