rollout: an order whose old servers are idle is not completed without an acquittal

Found by review of the change that demands an acquittal: it was asked for at the latest moment only. An order in its full phase that had lost its acquittal was completed as soon as nothing ran on old servers. TestVersionThatIsNotAcquittedIsNotCompleted has a row for it.

--- a/internal/rollout/latency_test.go
+++ b/internal/rollout/latency_test.go
@@ -37,7 +37,7 @@
 		at      Phase
 		since   time.Duration
 		refused Phase
-	}{{Ramp, 8 * time.Second, Full}, {Full, 9500 * time.Millisecond, Completed}} {
+	}{{Ramp, 8 * time.Second, Full}, {Full, 8500 * time.Millisecond, Completed}, {Full, 9500 * time.Millisecond, Completed}} {
 		moved := 0
 		for seed := range uint64(seeds) {
 			few := latencyEvidence(rand.New(rand.NewPCG(seed, 1)), 7, 40, 0.3, 4)
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -63,7 +63,8 @@
 	RampEnd, RampLimit float64
 	// FullBy is the latest start of the full phase. A version that is not acquitted by then is rolled back.
 	FullBy float64
-	// CompleteBy is when the order is completed even if streams still run on old servers.
+	// CompleteBy is when an order whose version is acquitted is completed even if streams still run on old
+	// servers, and any other is rolled back.
 	CompleteBy float64
 	// CanaryRequests is the number of requests to the new version that ends the canary before
 	// CanaryEnd, and without which the full phase never starts. RampRequests is the number that
@@ -156,6 +157,8 @@
 		return Full, fmt.Sprintf("acquitted by %d requests on the new version", newCounts.Requests)
 	case phase == Full && progress >= p.CompleteBy && !p.Acquitted(e):
 		return RolledBack, fmt.Sprintf("not acquitted by %d requests at the latest moment", newCounts.Requests)
+	case phase == Full && !p.Acquitted(e):
+		return phase, ""
 	case phase == Full && oldRunning == 0 && progress >= max(p.RampEnd, float64(o.FullSince)/float64(o.Duration))+o.minFullShare():
 		return Completed, "nothing runs on old servers"
 	case phase == Full && progress >= p.CompleteBy:
