clientconns: the rest of a request that was answered early is no further request

Found by review: bytes that net/http reads after the handler has returned were taken for a next request even if they are the rest of the one just answered. The connection then counted as being read until its end, so that a drain waited for it until its limit.

--- a/internal/clientconns/conn.go
+++ b/internal/clientconns/conn.go
@@ -51,7 +51,7 @@
 		case Idle:
 			t.set(c, Reading)
 		case Serving, Flushing:
-			c.readAhead = true
+			c.readAhead = c.readAhead || !c.unread // else it is the rest of the request
 		}
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
