relay: a server that is offered a request forwards nothing, and keeps no skipped events

Found by review of the search for a server that takes a request from a silent one: a failure response too long to buffer was forwarded from the search while the call still waited for the first server, whose answer could follow it; events that precede the one waited for were kept without a bound; a call that is to be forwarded to another daemon was taken off a server that had just gone on; a new send could be cancelled between its taking and its role; and a panic read the open sends while the search wrote them. Now failure responses are read and kept, skipped events are dropped, a call is taken only by Handover.Take, under the same lock as the role, and a panic waits for the search.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -103,6 +103,8 @@
 	retryWithdrawn atomic.Bool
 	// movedOff are the servers that the call was taken off although they had not responded.
 	movedOff []string
+	// contest is the last search for a server that takes the call from one it waits for.
+	contest atomic.Pointer[contest]
 	// next is the send that has taken the call from the last one.
 	next *send
 	// waitsAt is the ID of the server that the call waits for while others are offered it.
--- a/internal/relay/panics.go
+++ b/internal/relay/panics.go
@@ -74,18 +74,13 @@
 
 // releaseSends ends the sends that a panic has left open. Their connections end with their contexts.
 func (x *exchange) releaseSends(ctx context.Context) {
+	if c := x.contest.Load(); c != nil {
+		c.cancel(errPanic)
+		<-c.done // it uses the exchange
+	}
 	if t := x.selected; t != nil {
 		x.relay.State.recordSendEnd(t, x.relay.State.bootTime()-t.pickedAt, false)
 	}
-	for s := range x.open {
-		s.mu.Lock()
-		c := s.contest
-		s.mu.Unlock()
-		if c != nil {
-			c.cancel(errPanic)
-			<-c.done
-		}
-	}
 	for s := range x.open {
 		s.release(ctx)
 	}
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -190,6 +190,7 @@
 	s.handover.Contest()
 	ctx, cancel := context.WithCancelCause(s.parent)
 	s.contest = &contest{cancel: cancel, done: make(chan struct{})}
+	x.contest.Store(s.contest)
 	go s.compete(ctx, s.contest)
 	return true
 }
@@ -205,21 +206,21 @@
 	}()
 	next, forward := s.x.findTaker(ctx, s.target)
 	s.mu.Lock()
-	taken := next != nil && s.handover.Take()
-	if taken {
+	taken := (next != nil || forward) && s.handover.Take()
+	if taken && next != nil {
 		s.next = next
+		next.setRole(successor)
 	}
 	s.mu.Unlock()
 	switch {
-	case taken:
-		next.setRole(successor)
+	case taken && next != nil:
 		s.x.logEvent("moved", s.target, "to", next.target.server.ID, "last_event", s.x.lastEvent)
 		s.x.relay.Metrics.SendsRerouted.Inc(1)
 		s.cancel(errRerouted)
 	case next != nil:
 		s.x.drop(next)
 		s.x.relay.Metrics.MovesGivenUp.Inc(1)
-	case forward:
+	case taken:
 		s.x.movedOff = append(s.x.movedOff, s.target.server.ID)
 		s.cancel(errRerouted)
 	default:
@@ -293,8 +294,10 @@
 	s.open()
 	var err error
 	switch {
-	case s.err != nil || !x.acceptable(s.reply):
+	case s.err != nil || s.reply.NotRun || !s.reply.Authenticated:
 		outcome, _ = x.receive(s)
+	case !x.acceptable(s.reply):
+		outcome = x.recordFailure(s)
 	case x.route.Kind == route.Stream && s.reply.Status < http.StatusMultipleChoices:
 		outcome, err = request.Truncated, x.awaitEvent(s)
 	default:
@@ -313,6 +316,27 @@
 	return outcome, false
 }
 
+// recordFailure keeps the failure response of a server that did not take the request. It is not
+// forwarded while the call waits for another server.
+func (x *exchange) recordFailure(s *send) request.SendOutcome {
+	defer func() { _ = s.reply.Body.Close() }() // an unfinished response has no effect on the call
+	x.logEvent("server failed", s.target, "status", s.reply.Status)
+	failed := s.reply.Status >= http.StatusInternalServerError
+	if failed {
+		x.relay.Rollouts.recordResponse(s.target, x.route.Name, true, 0)
+	}
+	x.recordSendEnd(s.target, time.Since(s.sentAt), true)
+	if !failed || x.headerSent {
+		return request.ErrorResponse
+	}
+	body, err := x.readResponse(s.reply.Body, s.reply.ContentLength)
+	if err != nil || s.reply.ContentLength >= 0 && int64(len(body)) != s.reply.ContentLength {
+		return request.ResponseLost
+	}
+	x.serverFailure = &bufferedResponse{s.reply.Status, s.reply.Header, body}
+	return request.ErrorResponse
+}
+
 // drop ends a send that was about to take the request when the first server went on.
 func (x *exchange) drop(s *send) {
 	_ = s.reply.Body.Close() // cancels the run
@@ -324,14 +348,12 @@
 }
 
 // awaitEvent reads a stream up to the event that follows the last one forwarded, or to its proper
-// end. What was read can be read again.
+// end. What was read can be read again, without earlier events.
 func (x *exchange) awaitEvent(s *send) error {
 	var reader eventReader
-	var read []byte
 	body, buf := s.reply.Body, make([]byte, streamBufferSize)
 	for {
 		n, err := body.Read(buf)
-		read = append(read, buf[:n]...)
 		if e := reader.feed(buf[:n]); e != nil {
 			return e
 		}
@@ -339,11 +361,11 @@
 		switch ended := err == io.EOF && !reader.partial(); {
 		case e != nil:
 			return e
-		case found, ended && x.headerSent:
+		case found != nil, ended && x.headerSent:
 			s.reply.Body = struct {
 				io.Reader
 				io.Closer
-			}{io.MultiReader(bytes.NewReader(read), body), body}
+			}{io.MultiReader(bytes.NewReader(append(found, reader.buf...)), body), body}
 			return nil
 		case err == io.EOF:
 			return errEmptyStream
@@ -354,15 +376,20 @@
 	}
 }
 
-// skipTo reports whether it has read the event that follows a number.
-func (e *eventReader) skipTo(last int64) (found bool, err error) {
+// skipTo returns a copy of the event that follows a number, or nil if it has not been read. Earlier events
+// are dropped.
+func (e *eventReader) skipTo(last int64) (found []byte, err error) {
 	for {
 		next, ok := e.next()
 		if !ok {
-			return false, nil
+			return nil, nil
+		}
+		follows, err := next.follows(last)
+		if err != nil {
+			return nil, err
 		}
-		if follows, err := next.follows(last); follows || err != nil {
-			return follows, err
+		if follows {
+			return bytes.Clone(next.raw), nil
 		}
 	}
 }
