--- a/internal/relay/liveness.go
+++ b/internal/relay/liveness.go
@@ -87,9 +87,8 @@
 	target *target
 	engine bool
 	sentAt time.Time
-	// reroute moves the request elsewhere if it may continue there, and reports whether it does or
-	// is offered to another server. Ended is set if the server will not respond. The monitor's lock is
-	// held.
+	// reroute tries to continue the request elsewhere, and reports whether it leaves its server or is
+	// offered to others. Ended is set if the server will not respond. The monitor's lock is held.
 	reroute      func(ended bool) bool
 	stallTimeout time.Duration
 	// priority is the priority sent to the server; 0 is the highest.
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -156,9 +156,9 @@
 	}
 }
 
-// reroute moves the request to another server if it may continue there, and reports whether it
-// does or is offered to one. The request leaves a server at once that is known to have ended, and
-// otherwise only when another has taken it.
+// reroute tries to continue the request on another server, and reports whether it leaves its server
+// or is offered to others. It leaves at once a server that is known to have ended, and any other only
+// when another has taken the request.
 func (s *send) reroute(ended bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -179,7 +179,7 @@
 	case !s.handover.Waiting() || !x.retryState.MaySend() || x.headerSent && x.route.Kind != route.Stream:
 		return false
 	case x.needsHelper():
-		// No server is reached, so that none could take the request.
+		// Another daemon is to serve the call.
 		if !x.mayReroute(true) {
 			return false
 		}
