--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -193,13 +193,14 @@
 		hanging int
 		during  func(h *harness, first backend.Server)
 	}{
-		"hangs":         {other: respond(200, "other"), hanging: 2},
-		"full":          {other: respondNotRun},
-		"unreachable":   {other: failSend(upstream.Unreachable, false)},
-		"loses it":      {other: failSend(upstream.ConnectionLost, true)},
-		"fails":         {other: respond(500, "failure")},
-		"empty stream":  {other: brokenStream},
-		"missing event": {other: respondStream(95, nil, 8, 9)},
+		"hangs":           {other: respond(200, "other"), hanging: 2},
+		"full":            {other: respondNotRun},
+		"unreachable":     {other: failSend(upstream.Unreachable, false)},
+		"loses it":        {other: failSend(upstream.ConnectionLost, true)},
+		"fails":           {other: respond(500, "failure")},
+		"fails at length": {other: respond(500, strings.Repeat("x", maxBufferedBody+1))},
+		"empty stream":    {other: brokenStream},
+		"missing event":   {other: respondStream(95, nil, 8, 9)},
 		"unauthenticated": {other: func(BackendRequest) (*BackendResponse, error) {
 			return &BackendResponse{Status: 200, Body: http.NoBody}, nil
 		}},
