relay, docs: a target knows that its send has ended; comments of the change

The relay's tests of silent servers and panics with -race, the shutdown tests of the own interface and internal/arch pass.

--- a/internal/app/shutdown_test.go
+++ b/internal/app/shutdown_test.go
@@ -61,7 +61,7 @@
 }
 
 // Guards against a daemon that ends while a request is being read, or while its response is being
-// written, so that the caller gets no answer and no line tells of it.
+// written, so that the caller gets no answer and no line is logged.
 func TestShutdownEndsAfterRequestsOnConnections(t *testing.T) {
 	const grace, late = time.Minute, 20 * time.Second
 	const head = "POST /operator/v1/explain HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 2\r\n\r\n"
@@ -105,7 +105,7 @@
 				if limit := time.Duration(s.EndpointTTL+s.DrainGrace) + grace; tt.answered && time.Since(start) >= limit {
 					t.Errorf("stopped after %s", time.Since(start))
 				}
-				if told := strings.Contains(lines.String(), "connection closed with a request on it"); told == tt.answered {
+				if logged := strings.Contains(lines.String(), "connection closed with a request on it"); logged == tt.answered {
 					t.Errorf("lines:\n%s", lines)
 				}
 			})
--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -1,5 +1,6 @@
 // Package conntrack tracks the connections of an HTTP server that have a request on them: one that is
-// being read or served, or whose response is not flushed yet.
+// being read or served, or whose response is not flushed yet. Unlike clientconns it does not wrap
+// connections, since net/http must see those with TLS as they are.
 package conntrack
 
 import (
--- a/internal/conntrack/conntrack_test.go
+++ b/internal/conntrack/conntrack_test.go
@@ -9,7 +9,7 @@
 	"testing"
 )
 
-// Guards against requests that are not told of, or told of wrongly, when their connection is closed.
+// Guards against connections that are closed without a log line of their request, or with a wrong phase.
 func TestRequestsOnConnectionsByPhase(t *testing.T) {
 	var tracker Tracker
 	read, serving, end := make(chan struct{}), make(chan struct{}), make(chan struct{})
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -369,9 +369,7 @@
 
 // recordSendEnd records that a server is done with a send.
 func (x *exchange) recordSendEnd(t *target, elapsed time.Duration, failed bool) {
-	for s := range x.open {
-		s.recorded = s.recorded || s.target == t
-	}
+	t.ended = true
 	x.relay.State.recordSendEnd(t, elapsed, failed)
 }
 
--- a/internal/relay/panics.go
+++ b/internal/relay/panics.go
@@ -91,7 +91,7 @@
 	r := s.x.relay
 	r.liveness.untrack(s.watch)
 	r.Rollouts.endAnswer(s.target)
-	if !s.recorded {
+	if !s.target.ended {
 		r.State.recordSendEnd(s.target, time.Since(s.sentAt), false)
 	}
 	r.Guard.End(ctx, s.run, containment.Server{}, containment.Canceled)
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -62,8 +62,9 @@
 	idle bool
 	// backlog is the expected prefill time of the requests queued before this one.
 	backlog time.Duration
-	// pending is the answer to the send.
+	// pending is the answer to the send, and ended is set once the server is done with it.
 	pending *pendingAnswer
+	ended   bool
 	// unproven is set if the server has a version that is being rolled out.
 	unproven bool
 	// warming is set if the server is warming up, with the limit slowStart.
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -141,10 +141,11 @@
 
 // streamObserver observes the arrival of a stream.
 type streamObserver interface {
-	// progress is called when data has arrived, arrived with the number of events so far, firstEvent when the first event is forwarded, and
-	// shortGap with the shortest of some gaps between events.
+	// progress is called when data has arrived, and arrived with the number of events so far.
 	progress()
 	arrived(events int)
+	// firstEvent is called when the first event is forwarded, and shortGap with the shortest of some
+	// gaps between events.
 	firstEvent(elapsed time.Duration)
 	shortGap(gap time.Duration)
 	// forwarding is called before and after data is handed to the client, who may not read it.
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -34,13 +34,12 @@
 	stop               context.CancelFunc
 	run                *containment.Attempt
 	watch              *attempt
-	// head is the memory reserved for a long head, and recorded is set once the server is done.
-	head     reservation
-	recorded bool
-	request  BackendRequest
-	sentAt   time.Time
-	reply    *BackendResponse
-	err      error
+	// head is the memory reserved for a long head.
+	head    reservation
+	request BackendRequest
+	sentAt  time.Time
+	reply   *BackendResponse
+	err     error
 
 	mu       sync.Mutex
 	handover request.Handover
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -76,7 +76,7 @@
 	// server or failure domain; see StagePolicy.
 	LeaveOneOutThreshold float64
 	// MinSlowShare is the fraction of slow answers of the new version required for a
-	// rollback due to slowness; see LatencyBaseline.
+	// rollback due to slowness.
 	MinSlowShare float64
 	// MinSlowExcess is the fraction of the new version's answers by which slow ones must exceed those of
 	// the running version for a rollback or for doubt due to latency.
