request: a daemon that restarts makes up for retries that its predecessor sent in advance

Callers saw: beside servers that reject nearly everything, daemons that are killed in series send more repeats in ten seconds than all daemons together may (BUDGET).

Cause: retries are paid for by the first sends of the last ten seconds. The first lifetimes spend what a quiet time before has paid for; while a daemon goes on, its window makes up for that, but the daemon in its place knows nothing of it and retries what its own first sends pay for.

Change: beyond the rate of its first sends a daemon may retry what one second of them pays for, two at least, and in the first window of a daemon as much is not credited.

--- a/internal/request/windowed_retry_budget.go
+++ b/internal/request/windowed_retry_budget.go
@@ -5,10 +5,19 @@
 // budgetBuckets is the number of buckets per window.
 const budgetBuckets = 50
 
+const (
+	// retryAdvance is the time for whose first sends a daemon may retry beyond the rate of its first sends,
+	// and minRetryAdvance the least number of such retries.
+	retryAdvance    = time.Second
+	minRetryAdvance = 2
+)
+
 // WindowedRetryBudget is one daemon's share of a limit on all daemons: in any window, the
 // retries for a service stay below Ratio times the first sends plus a reserve. Each daemon
 // uses its own first sends and an equal share of the reserve, so that no communication is
-// needed. Times are readings of a monotonic clock.
+// needed. The retries of a daemon that has ended are known to nobody: what it may have sent in advance is
+// bounded, and the next daemon in its place makes up for it. Times are readings of a monotonic clock that
+// began at the daemon's start.
 type WindowedRetryBudget struct {
 	// Window is the length of the sliding window.
 	Window time.Duration
@@ -17,7 +26,9 @@
 	// Reserve is the number of retries allowed in addition.
 	Reserve float64
 
-	buckets [budgetBuckets]struct {
+	// withheld is the number of first sends that paid for the advance of an earlier daemon.
+	withheld float64
+	buckets  [budgetBuckets]struct {
 		slot            int64
 		firsts, retries float64
 	}
@@ -46,19 +57,37 @@
 }
 
 // Deposit credits the budget for the first send of a request.
-func (w *WindowedRetryBudget) Deposit(now time.Duration) { w.bucket(now).firsts++ }
+func (w *WindowedRetryBudget) Deposit(now time.Duration) {
+	if w.owesAdvance(now) {
+		w.withheld++
+		return
+	}
+	w.bucket(now).firsts++
+}
+
+// owesAdvance reports whether a daemon in whose place this one has started may have sent a retry of the
+// current window in advance, which no first send has made up for.
+func (w *WindowedRetryBudget) owesAdvance(now time.Duration) bool {
+	return now < w.Window && (now < retryAdvance || w.withheld*budgetMargin*w.Ratio < minRetryAdvance)
+}
 
 // Available returns the number of retries that may be sent now.
 func (w *WindowedRetryBudget) Available(now time.Duration) float64 {
+	recent := int64(retryAdvance / (w.Window / budgetBuckets))
+	return w.Reserve + min(w.unused(now, budgetBuckets, 0), w.unused(now, recent, minRetryAdvance))
+}
+
+// unused returns the retries that the first sends of the last buckets pay for, or a minimum, less those sent.
+func (w *WindowedRetryBudget) unused(now time.Duration, buckets int64, minimum float64) float64 {
 	newest := w.slot(now)
 	firsts, retries := 0.0, 0.0
 	for _, b := range w.buckets {
-		if b.slot > 0 && newest-b.slot < budgetBuckets {
+		if b.slot > 0 && newest-b.slot < buckets {
 			firsts += b.firsts
 			retries += b.retries
 		}
 	}
-	return budgetMargin*w.Ratio*firsts + w.Reserve - retries
+	return max(minimum, budgetMargin*w.Ratio*firsts) - retries
 }
 
 // TryWithdraw withdraws one retry if at least keep remain available afterwards, and
