--- a/internal/request/windowed_retry_budget.go
+++ b/internal/request/windowed_retry_budget.go
@@ -8,8 +8,11 @@
 const (
 	// retryAdvance is the time for whose first sends a daemon may retry beyond the rate of its first sends,
 	// and minRetryAdvance the least number of such retries.
-	retryAdvance    = time.Second
+	retryAdvance    = 3 * time.Second
 	minRetryAdvance = 2
+	// startCredit is the part of a first send that pays for retries in the first window of a daemon. The rest
+	// makes up for what a daemon in whose place this one has started may have sent in advance.
+	startCredit = 0.8
 )
 
 // WindowedRetryBudget is one daemon's share of a limit on all daemons: in any window, the
@@ -26,9 +29,7 @@
 	// Reserve is the number of retries allowed in addition.
 	Reserve float64
 
-	// withheld is the number of first sends that paid for the advance of an earlier daemon.
-	withheld float64
-	buckets  [budgetBuckets]struct {
+	buckets [budgetBuckets]struct {
 		slot            int64
 		firsts, retries float64
 	}
@@ -58,17 +59,11 @@
 
 // Deposit credits the budget for the first send of a request.
 func (w *WindowedRetryBudget) Deposit(now time.Duration) {
-	if w.owesAdvance(now) {
-		w.withheld++
-		return
+	credit := 1.0
+	if now < w.Window {
+		credit = startCredit
 	}
-	w.bucket(now).firsts++
-}
-
-// owesAdvance reports whether a daemon in whose place this one has started may have sent a retry of the
-// current window in advance, which no first send has made up for.
-func (w *WindowedRetryBudget) owesAdvance(now time.Duration) bool {
-	return now < w.Window && (now < retryAdvance || w.withheld*budgetMargin*w.Ratio < minRetryAdvance)
+	w.bucket(now).firsts += credit
 }
 
 // Available returns the number of retries that may be sent now.
