relay, reachability: silent servers are told from a cut link by other daemons

Callers saw requests refused, cut or sent through other daemons while their servers were silent for a second and went on. Two probes that time out, or one of a service's only server, counted as a cut link, so that the service was out of reach although no daemon reached these servers at that time.

If time-outs decide, two other daemons are now asked about two of the servers (250 ms, one check per service at a time). One that connects shows that the own link is cut. If they do not reach them either, the service stays in reach for 1 s, then they are asked again, and after 2 s it is out of reach, so that its requests are refused rather than held. Without a verdict it is out of reach as before: no daemon is known to reach any server. A verdict says silent only if the daemon reaches another server, of this service or of another one. Refused and reset connections count as before. A probe that connects and gets no response is contact: the verdicts of others mean connections, too.

--- a/internal/daemon/reachability.go
+++ b/internal/daemon/reachability.go
@@ -57,7 +57,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	candidates := b.candidates(poolName)
-	becameLost := b.reachability.Unreached(poolName, server, len(candidates), b.uptime())
+	// Silent servers are not told apart from a cut link here.
+	becameLost := b.reachability.Unreached(poolName, server, len(candidates), reachability.Rejected, b.uptime()) == reachability.BecameLost
 	unreached := b.reachability.UnreachedServers(poolName)
 	if becameLost {
 		b.d.metrics.poolsOutOfReach.Update(float64(len(b.reachability.LostServices())))
--- a/internal/enginetest/engines.go
+++ b/internal/enginetest/engines.go
@@ -30,6 +30,8 @@
 	running map[string]*engine
 	crashes map[string][]time.Time
 	sends   map[string][]time.Time
+	// silent holds the servers that are silent, with a channel that is closed when they go on.
+	silent map[string]chan struct{}
 }
 
 // engine is an incarnation of a server.
@@ -58,7 +60,7 @@
 
 // New starts a number of servers and registers them.
 func New(servers int, register func(id string, value []byte)) *Engines {
-	e := &Engines{register: register, running: map[string]*engine{}, crashes: map[string][]time.Time{}, sends: map[string][]time.Time{}}
+	e := &Engines{register: register, running: map[string]*engine{}, crashes: map[string][]time.Time{}, sends: map[string][]time.Time{}, silent: map[string]chan struct{}{}}
 	for i := range servers {
 		e.start(fmt.Sprintf("e%d", i), 0)
 	}
@@ -129,6 +131,9 @@
 		e.sends[cause] = append(e.sends[cause], time.Now())
 		e.mu.Unlock()
 	}
+	if err := e.await(ctx, server.id); err != nil {
+		return nil, &upstream.Error{Reason: upstream.Canceled, Sent: true, Err: err}
+	}
 	select {
 	case <-time.After(headerDelay):
 	case <-server.stopped:
@@ -140,7 +145,7 @@
 		// The server crashes even if the request is canceled.
 		time.AfterFunc(crashDelay, func() { e.crash(server.id, cause) })
 	}
-	stream := &responseBody{server: server, ctx: ctx, completeAt: time.Now().Add(responseDuration)}
+	stream := &responseBody{engines: e, server: server, ctx: ctx, completeAt: time.Now().Add(responseDuration)}
 	return &relay.BackendResponse{Status: http.StatusOK, Header: http.Header{}, Authenticated: true, Confidence: -1, ContentLength: -1, Body: stream}, nil
 }
 
@@ -157,7 +162,10 @@
 }
 
 // Probe implements relay.Backend.
-func (e *Engines) Probe(_ context.Context, server backend.Server, _ bool) error {
+func (e *Engines) Probe(ctx context.Context, server backend.Server, _ bool) error {
+	if err := e.await(ctx, server.Incarnation.Name); err != nil {
+		return err
+	}
 	if e.lookup(server.Incarnation.Name) == nil {
 		return syscall.ECONNREFUSED
 	}
@@ -176,6 +184,7 @@
 // responseBody is a stream of one event. Reads fail if the server crashes before
 // completeAt.
 type responseBody struct {
+	engines    *Engines
 	server     *engine
 	ctx        context.Context
 	completeAt time.Time
@@ -188,6 +197,9 @@
 	}
 	select {
 	case <-time.After(time.Until(b.completeAt)):
+		if err := b.engines.await(b.ctx, b.server.id); err != nil {
+			return 0, err
+		}
 		b.event = strings.NewReader("id: 1\ndata: x\n\n")
 		return b.event.Read(p)
 	case <-b.server.stopped:
--- a/internal/enginetest/link.go
+++ b/internal/enginetest/link.go
@@ -70,7 +70,7 @@
 }
 
 // connect takes an open connection or opens one.
-func (l *Link) connect(ctx context.Context, reuseOnly bool) error {
+func (l *Link) connect(ctx context.Context, server string, reuseOnly bool) error {
 	l.mu.Lock()
 	state, reused := l.state, l.open > 0
 	if reused {
@@ -86,7 +86,10 @@
 	case reuseOnly:
 		return &upstream.Error{Reason: upstream.Unreachable, Err: errNoConnection}
 	}
-	return dial(ctx, state)
+	if err := dial(ctx, state); err != nil {
+		return err
+	}
+	return l.accept(ctx, server)
 }
 
 func dial(ctx context.Context, state LinkState) error {
@@ -107,7 +110,7 @@
 
 // Send implements relay.Backend.
 func (l *Link) Send(ctx context.Context, send relay.BackendRequest) (*relay.BackendResponse, error) {
-	if err := l.connect(ctx, send.ReuseOnly); err != nil {
+	if err := l.connect(ctx, send.Server.Incarnation.Name, send.ReuseOnly); err != nil {
 		return nil, err
 	}
 	state, _ := l.current()
--- a/internal/node/verdicts.go
+++ b/internal/node/verdicts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 
@@ -33,8 +34,14 @@
 	return peer.VerdictResponse{Verdict: n.Relay.Verdict(ctx, req.Server)}
 }
 
-// Verdicts implements relay.VerdictSource. A daemon that does not respond has no verdict.
+// errConnected ends the wait for further verdicts.
+var errConnected = errors.New("another daemon connects to the server")
+
+// Verdicts implements relay.VerdictSource. A daemon that does not respond has no verdict. One that
+// connects to the server settles it, so that the others are not waited for.
 func (n *Node) Verdicts(ctx context.Context, server string) []reachability.Verdict {
+	ctx, settle := context.WithCancelCause(ctx)
+	defer settle(nil)
 	targets, _, _ := n.members.ForwardTargets()
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	targets = targets[:min(verdictsPerServer, len(targets))]
@@ -44,10 +51,12 @@
 		wg.Go(func() {
 			resp, err := n.verdictTransport().RequestVerdict(ctx, address, peer.VerdictRequest{Server: server})
 			if err != nil {
-				n.log.Info("no verdict on server", "server", server, "daemon", address, "err", err)
+				n.log.Info("no verdict on server", "server", server, "daemon", address, "err", err, "cause", context.Cause(ctx))
 				return
 			}
-			verdicts[i] = resp.Verdict
+			if verdicts[i] = resp.Verdict; resp.Verdict == reachability.Connected {
+				settle(errConnected)
+			}
 		})
 	}
 	wg.Wait()
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -11,6 +11,39 @@
 // maxUnreached bounds the servers remembered per service.
 const maxUnreached = 64
 
+const (
+	// silenceMemory is how long a service counts as silent before other daemons are asked again.
+	silenceMemory = time.Second
+	// maxSilence is how long a service may count as silent. After that it is out of reach, so that its
+	// requests are refused rather than held.
+	maxSilence = 2 * time.Second
+)
+
+// Failure is how a connection to a server failed.
+type Failure uint8
+
+const (
+	// Rejected means that the connection was refused or reset, or that no route leads to the server.
+	Rejected Failure = iota
+	// TimedOut means that nothing responded in time: the link is cut or the server is silent.
+	TimedOut
+)
+
+// Finding is what a failure to reach a server shows of its service.
+type Finding uint8
+
+const (
+	// Unchanged means that the service counts as before.
+	Unchanged Finding = iota
+	// BecameLost means that the service is out of reach from now on.
+	BecameLost
+	// InDoubt means that the service is out of reach or its servers are silent. The verdicts of other
+	// daemons decide, see Judge.
+	InDoubt
+	// FoundSilent means that the servers are silent, so that the service stays in reach.
+	FoundSilent
+)
+
 // Tracker holds the contacts of one daemon with the servers of each service. It is not safe for
 // concurrent use. Times are readings of one monotonic clock.
 type Tracker struct {
@@ -18,11 +51,17 @@
 }
 
 type service struct {
-	// unreached holds the servers that could not be reached since the last contact with any.
-	unreached map[string]bool
+	// unreached holds the last failure of the servers that could not be reached since the last contact
+	// with any.
+	unreached map[string]Failure
 	// lost is set while the service is out of reach, since lostAt.
 	lost   bool
 	lostAt time.Duration
+	// inDoubt is set until Judge decides.
+	inDoubt bool
+	// silent is set once the servers were found silent, first at silentSince and last at silentAt.
+	silent                bool
+	silentSince, silentAt time.Duration
 }
 
 // NewTracker returns a tracker for which every service is in reach.
@@ -39,22 +78,84 @@
 	return s.lost, now - s.lostAt
 }
 
-// Unreached records that a server of a service, which has some servers in all, could not be
-// reached. It returns whether the service is out of reach from now on.
-func (t *Tracker) Unreached(name, server string, servers int, now time.Duration) (lost bool) {
+// Unreached records that a server of a service, which has some servers in all, could not be reached.
+func (t *Tracker) Unreached(name, server string, servers int, failure Failure, now time.Duration) Finding {
 	s := t.services[name]
 	if s == nil {
-		s = &service{unreached: map[string]bool{}}
+		s = &service{unreached: map[string]Failure{}}
 		t.services[name] = s
 	}
-	if len(s.unreached) < maxUnreached {
-		s.unreached[server] = true
+	if _, known := s.unreached[server]; known || len(s.unreached) < maxUnreached {
+		s.unreached[server] = failure
+	}
+	enough := min(minUnreached, max(1, servers))
+	switch {
+	case s.lost || len(s.unreached) < enough:
+		return Unchanged
+	case s.count(Rejected) >= enough:
+		s.lost, s.lostAt = true, now
+		return BecameLost
+	case s.silent && now-s.silentAt < silenceMemory:
+		return Unchanged
+	}
+	s.inDoubt = true
+	return InDoubt
+}
+
+func (s *service) count(failure Failure) (n int) {
+	for _, f := range s.unreached {
+		if f == failure {
+			n++
+		}
+	}
+	return n
+}
+
+// Judge decides on a service that is in doubt, by the verdicts of other daemons on the servers that
+// timed out. Without a verdict the service is out of reach, since no daemon is known to reach any server.
+func (t *Tracker) Judge(name string, verdicts []Verdict, now time.Duration) Finding {
+	s := t.services[name]
+	if s == nil || s.lost || !s.inDoubt {
+		return Unchanged
 	}
-	if s.lost || len(s.unreached) < min(minUnreached, max(1, servers)) {
-		return false
+	s.inDoubt = false
+	if !s.silent {
+		s.silentSince = now
+	}
+	if othersReachNone(verdicts) && now-s.silentSince < maxSilence {
+		s.silent, s.silentAt = true, now
+		return FoundSilent
 	}
 	s.lost, s.lostAt = true, now
-	return true
+	return BecameLost
+}
+
+// othersReachNone reports whether other daemons, which reach some server, do not reach the ones that
+// they were asked about.
+func othersReachNone(verdicts []Verdict) bool {
+	unreached := false
+	for _, v := range verdicts {
+		if v == Connected {
+			return false
+		}
+		unreached = unreached || v != Unknown
+	}
+	return unreached
+}
+
+// TimedOutServers returns up to limit servers of a service whose last connection timed out, since the
+// last contact with any, in no particular order.
+func (t *Tracker) TimedOutServers(name string, limit int) (out []string) {
+	s := t.services[name]
+	if s == nil {
+		return nil
+	}
+	for server, failure := range s.unreached {
+		if failure == TimedOut && len(out) < limit {
+			out = append(out, server)
+		}
+	}
+	return out
 }
 
 // Lost reports whether a service is out of reach.
--- a/internal/reachability/verdict.go
+++ b/internal/reachability/verdict.go
@@ -10,6 +10,8 @@
 	Connected
 	// Refused means that the server's VM refused a connection while another server accepted one.
 	Refused
+	// Silent means that nothing responded in time while another server accepted a connection.
+	Silent
 )
 
 // Terminated reports whether a server that has refused a connection has terminated. Own is the
@@ -31,5 +33,5 @@
 
 // String returns the verdict for logs.
 func (v Verdict) String() string {
-	return [...]string{"unknown", "connected", "refused"}[min(v, Refused)]
+	return [...]string{"unknown", "connected", "refused", "silent"}[min(v, Silent)]
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -72,6 +72,9 @@
 	// Rejections counts the rejections of such servers, at most one per server in a short time.
 	RejectionSensitiveServices tally.Gauge
 	Rejections                 tally.Counter
+	// ServiceSilences counts checks by which a service stayed in reach, as other daemons did not reach its
+	// silent servers either.
+	ServiceSilences tally.Counter
 	// ServicesOutOfReach is the number of services of which this daemon reaches no server itself.
 	ServicesOutOfReach tally.Gauge
 	// Forwards counts sends of requests to other daemons, and ForwardedRequests the requests served
@@ -123,7 +126,7 @@
 		UnreadableLimits: s.Counter("server_limits_unreadable"), UnreadableStatements: s.Counter("server_statements_unreadable"),
 		ServersLeaving: s.Gauge("servers_leaving"), ServersPaused: s.Gauge("servers_paused"), Pauses: s.Counter("server_pauses"),
 		RejectionSensitiveServices: s.Gauge("services_rejection_sensitive"), Rejections: s.Counter("server_rejections"),
-		ServicesOutOfReach: s.Gauge("services_out_of_reach"), PermitsAsked: s.Counter("permits_asked"), PermitsUsed: s.Counter("permits_used"), PermitsGiven: s.Counter("permits_given"), Forwards: s.Counter("forwards"), ForwardedRequests: s.Counter("forwarded_requests"),
+		ServicesOutOfReach: s.Gauge("services_out_of_reach"), ServiceSilences: s.Counter("service_silences"), PermitsAsked: s.Counter("permits_asked"), PermitsUsed: s.Counter("permits_used"), PermitsGiven: s.Counter("permits_given"), Forwards: s.Counter("forwards"), ForwardedRequests: s.Counter("forwarded_requests"),
 		Transfers: s.Counter("kv_transfers"), TransferTokens: s.Counter("kv_transfer_tokens"),
 		EnginesSlower: s.Gauge("engines_slower"), EnginesFaster: s.Gauge("engines_faster"), SpeedReportsDropped: s.Counter("speed_reports_dropped"),
 		WorkspacesOverShare: s.Gauge("workspaces_over_share"), RequestsOverShare: s.Counter("requests_over_share"), ShareReportsDropped: s.Counter("share_reports_dropped"),
@@ -215,6 +218,7 @@
 		"forwarded_requests":           "Requests served for other daemons that could not reach the backend servers.",
 		"services_rejection_sensitive": "Services whose backend servers state that they tolerate few rejections.",
 		"server_rejections":            "Rejections of requests by backend servers that tolerate few, at most one per server in 0.3 s.",
+		"service_silences":             "Checks that left a service in reach, since other daemons did not reach its silent servers either.",
 		"services_out_of_reach":        "Services of which this daemon reaches no backend server itself.",
 		"load_reports_dropped":         "Invalid reports of other daemons on their load by model.",
 		"kv_transfers":                 "Sends whose server fetches a part of the prompt's KV cache from another server.",
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damaskrudder/damaskrudder/internal/backend"
+	"github.com/damaskrudder/damaskrudder/internal/reachability"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
 
@@ -36,27 +37,42 @@
 
 // recordUnreached records that a server could not be reached. After the first one another is
 // connected to, since the requests of a daemon may be few. A server that has terminated tells nothing
-// of this daemon's links.
+// of this daemon's links. If the servers may only be silent, it returns once other daemons were asked.
 func (r *Relay) recordUnreached(t *target, err error) {
 	if r.State.KnowsTermination(xxhash.Sum64String(t.server.ID)) {
 		return
 	}
+	if connected(err) {
+		r.recordReached(t)
+		return
+	}
 	now := r.State.bootTime()
 	r.State.mu.Lock()
 	servers := len(r.State.serviceFor(t.service).members)
-	becameLost := r.State.reachability.Unreached(t.service, t.server.ID, servers, now)
-	unreached, lost := r.State.reachability.UnreachedServers(t.service), len(r.State.reachability.LostServices())
+	finding := r.State.reachability.Unreached(t.service, t.server.ID, servers, failureOf(err), now)
+	unreached := r.State.reachability.UnreachedServers(t.service)
 	other, any := r.State.nextServer(t)
 	r.State.mu.Unlock()
 	reset := errors.Is(err, syscall.ECONNRESET) // the server or the link responds
-	if unreached == 1 && any && !becameLost && !reset {
+	if unreached == 1 && any && finding == reachability.Unchanged && !reset {
 		r.background.Go(func() { r.checkServer(context.Background(), &target{server: other, service: t.service}) })
 	}
-	if !becameLost {
-		return
+	switch finding {
+	case reachability.BecameLost:
+		r.reportLost(t, err, nil)
+	case reachability.InDoubt:
+		r.checkSilence(t, err)
 	}
+}
+
+// reportLost logs that a service is out of reach.
+func (r *Relay) reportLost(t *target, err error, verdicts []reachability.Verdict) {
+	r.State.mu.Lock()
+	servers, unreached := len(r.State.serviceFor(t.service).members), r.State.reachability.UnreachedServers(t.service)
+	lost := len(r.State.reachability.LostServices())
+	r.State.mu.Unlock()
 	r.Metrics.ServicesOutOfReach.Update(float64(lost))
-	r.log.Warn("service out of reach", "service", t.service, "server", t.server.ID, "unreached", unreached, "servers", servers, "err", err)
+	r.log.Warn("service out of reach", "service", t.service, "server", t.server.ID, "unreached", unreached, "servers", servers, "others", verdicts, "err", err)
 }
 
 // outOfReach reports whether this daemon reaches no server of a service.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,6 +83,8 @@
 	Permits PermitSource
 	// terminationChecks holds the IDs of the servers that checkTermination checks.
 	terminationChecks sync.Map
+	// silenceChecks holds a channel for each service that checkSilence checks, closed at the end.
+	silenceChecks sync.Map
 	// background counts the checks that may outlive the call which started them.
 	background sync.WaitGroup
 	// ConfigOutdated reports whether other daemons have a newer configuration than the store.
--- a/internal/relay/termination.go
+++ b/internal/relay/termination.go
@@ -66,22 +66,28 @@
 	if !known {
 		return reachability.Unknown
 	}
-	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
+	err := r.backend.Probe(probeCtx, server, false)
 	switch {
-	case r.backend.Probe(ctx, server, false) == nil:
+	case err == nil:
 		return reachability.Connected
 	case ctx.Err() != nil:
 		return reachability.Unknown
+	case probeCtx.Err() != nil || timedOut(err):
+		return r.silenceVerdict(ctx, id)
 	}
-	return r.refusalVerdict(ctx, id)
+	return r.refusalVerdict(probeCtx, id)
 }
 
 // refusalVerdict returns the verdict on a server that has refused a connection.
 func (r *Relay) refusalVerdict(ctx context.Context, id string) reachability.Verdict {
-	return containment.RefusalVerdict(r.State.otherServers(id, controlServers), func(s backend.Server) bool {
-		return r.backend.Probe(ctx, s, false) == nil
-	})
+	return containment.RefusalVerdict(r.State.otherServers(id, controlServers), r.accepts(ctx))
+}
+
+// accepts returns a function that reports whether a server accepts a connection.
+func (r *Relay) accepts(ctx context.Context) func(backend.Server) bool {
+	return func(s backend.Server) bool { return r.backend.Probe(ctx, s, false) == nil }
 }
 
 // checkTermination checks in the background whether a server that has refused a connection has
@@ -114,8 +120,27 @@
 func (s *State) otherServers(id string, n int) []backend.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	own, _ := s.registry.ByID(id, s.bootTime())
-	var running, terminated, elsewhere []backend.Server
+	running, elsewhere, terminated := s.groupOthers(id)
+	all := slices.Concat(running, elsewhere, terminated)
+	return all[:min(n, len(all))]
+}
+
+// serversBeside returns up to n random servers of the service of one, and as many of other services,
+// since all servers of a service may be silent at once.
+func (s *State) serversBeside(id string, n int) []backend.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	running, elsewhere, _ := s.groupOthers(id)
+	return slices.Concat(running[:min(n, len(running))], elsewhere[:min(n, len(elsewhere))])
+}
+
+// groupOthers returns the servers other than one in random order: those of its service, of other
+// services, and those of its service that are known to have terminated. Callers hold mu.
+func (s *State) groupOthers(id string) (running, elsewhere, terminated []backend.Server) {
+	own, known := s.registry.ByID(id, s.bootTime())
+	if known {
+		s.serviceFor(own.Service) // which this daemon may not have used yet
+	}
 	for name := range s.services {
 		sv := s.serviceFor(name)
 		for _, i := range s.rng.Perm(len(sv.members)) {
@@ -131,8 +156,8 @@
 			}
 		}
 	}
-	all := slices.Concat(running, elsewhere, terminated)
-	return all[:min(n, len(all))]
+	s.rng.Shuffle(len(elsewhere), func(i, j int) { elsewhere[i], elsewhere[j] = elsewhere[j], elsewhere[i] })
+	return running, elsewhere, terminated
 }
 
 // linkFailureMemory is how long a refused connection of a running server shows that the link to it
