relay: a refused probe ends calls on a server only once its end is confirmed

Callers saw answers cut or run again although their server went on: one refused connection of a probe counted as the end of a silent server, and all calls on it were cancelled before another server had taken them. A link may refuse connections as well, so every other place asks other servers and daemons first (confirmTermination); the probe of silent servers did not.

Otherwise the calls are offered to others and stay until one has taken them. A server that is silent to another daemon is not confirmed to have ended.

--- a/internal/reachability/verdict.go
+++ b/internal/reachability/verdict.go
@@ -16,19 +16,21 @@
 
 // Terminated reports whether a server that has refused a connection has terminated. Own is the
 // daemon's own verdict, and others are those of other daemons. A server that accepts a connection of
-// another daemon runs. The own verdict alone decides only if no other daemon has one, since the
-// daemon may have lost its links to some servers.
+// another daemon runs, and one that is silent to it may run. The own verdict alone decides only if no
+// other daemon has one, since the daemon may have lost its links to some servers.
 func Terminated(own Verdict, others []Verdict) bool {
-	refused := false
+	refused, silent := false, false
 	for _, v := range others {
 		switch v {
 		case Connected:
 			return false
 		case Refused:
 			refused = true
+		case Silent:
+			silent = true
 		}
 	}
-	return refused || own == Refused
+	return refused || own == Refused && !silent
 }
 
 // String returns the verdict for logs.
--- a/internal/reachability/verdict_test.go
+++ b/internal/reachability/verdict_test.go
@@ -17,6 +17,8 @@
 		{"others reach it", Refused, []Verdict{Refused, Connected}, false},
 		{"all links lost", Unknown, []Verdict{Unknown, Unknown}, false},
 		{"others do not know", Refused, []Verdict{Unknown, Unknown}, true},
+		{"silent to another", Refused, []Verdict{Silent, Unknown}, false},
+		{"silent to one, refused for another", Refused, []Verdict{Silent, Refused}, true},
 	} {
 		if got := Terminated(tt.own, tt.others); got != tt.want {
 			t.Errorf("%s: terminated %t", tt.name, got)
--- a/internal/relay/liveness.go
+++ b/internal/relay/liveness.go
@@ -59,6 +59,8 @@
 	// onReached and onUnreached are called with the result of a probe. They are set before use.
 	onReached   func(t *target)
 	onUnreached func(t *target, err error)
+	// confirmsEnd reports whether a server that refused a probe has terminated. It is set before use.
+	confirmsEnd func(t *target) bool
 
 	mu           sync.Mutex
 	servers      map[string]*monitoredServer
@@ -120,7 +122,7 @@
 }
 
 func newLivenessMonitor(s *State, b Backend, l *log.Logger, m *Metrics) *livenessMonitor {
-	return &livenessMonitor{state: s, backend: b, log: l, metrics: m, onReached: func(*target) {}, onUnreached: func(*target, error) {}, servers: map[string]*monitoredServer{}, lastActivity: map[string]time.Time{}, silent: map[string]silentServer{}}
+	return &livenessMonitor{state: s, backend: b, log: l, metrics: m, onReached: func(*target) {}, onUnreached: func(*target, error) {}, confirmsEnd: func(*target) bool { return false }, servers: map[string]*monitoredServer{}, lastActivity: map[string]time.Time{}, silent: map[string]silentServer{}}
 }
 
 func (m *livenessMonitor) recordActivity(address string) {
@@ -344,14 +346,16 @@
 		return
 	}
 	m.onUnreached(a.target, err)
-	m.log.Warn("server silent", "server", id, "requests", len(waiting), "err", err)
 	m.state.recordUnreachable(a.target)
+	ended := m.hasEnded(a.target, err)
+	m.log.Warn("server silent", "server", id, "requests", len(waiting), "ended", ended, "err", err)
 	for _, other := range waiting {
-		m.reroute(other, showsEnd(err))
+		m.reroute(other, ended)
 	}
 }
 
-// showsEnd reports whether the error of a probe means that the server has ended.
-func showsEnd(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrRestarted)
+// hasEnded reports whether a server has ended, by the error of a probe. A refused connection shows it
+// only if it is confirmed, since a link may refuse connections as well.
+func (m *livenessMonitor) hasEnded(t *target, err error) bool {
+	return errors.Is(err, ErrRestarted) || errors.Is(err, syscall.ECONNREFUSED) && m.confirmsEnd(t)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -118,7 +118,7 @@
 	r.Rollouts.exposureLimit = options.ExposureLimit
 	r.reserveShare = request.ReserveShare{Reserve: options.RetryBudgetReserve, Window: options.RetryBudgetWindow}
 	r.liveness = newLivenessMonitor(state, b, logger, m)
-	r.liveness.onReached, r.liveness.onUnreached = r.recordReached, r.recordUnreached
+	r.liveness.onReached, r.liveness.onUnreached, r.liveness.confirmsEnd = r.recordReached, r.recordUnreached, r.confirmsEnd
 	r.Guard = newGuard(r)
 	r.flow = newFlowControl(options.MemoryBudget, m, logger)
 	return r
--- a/internal/relay/termination.go
+++ b/internal/relay/termination.go
@@ -108,6 +108,17 @@
 	})
 }
 
+// confirmsEnd reports whether a server that has refused a connection has terminated, and records it.
+func (r *Relay) confirmsEnd(t *target) bool {
+	if r.State.linkFailed(t) || !r.confirmTermination(context.Background(), t.server.ID) {
+		return false
+	}
+	if !r.State.KnowsTermination(xxhash.Sum64String(t.server.ID)) {
+		r.RecordTermination(t.server.ID)
+	}
+	return true
+}
+
 // server returns a known server.
 func (s *State) server(id string) (backend.Server, bool) {
 	s.mu.Lock()
