--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,6 +83,8 @@
 	Permits PermitSource
 	// terminationChecks holds the IDs of the servers that checkTermination checks.
 	terminationChecks sync.Map
+	// silenceChecks holds a channel for each service that checkSilence checks, closed at the end.
+	silenceChecks sync.Map
 	// background counts the checks that may outlive the call which started them.
 	background sync.WaitGroup
 	// ConfigOutdated reports whether other daemons have a newer configuration than the store.
@@ -116,7 +118,7 @@
 	r.Rollouts.exposureLimit = options.ExposureLimit
 	r.reserveShare = request.ReserveShare{Reserve: options.RetryBudgetReserve, Window: options.RetryBudgetWindow}
 	r.liveness = newLivenessMonitor(state, b, logger, m)
-	r.liveness.onReached, r.liveness.onUnreached = r.recordReached, r.recordUnreached
+	r.liveness.onReached, r.liveness.onUnreached, r.liveness.confirmsEnd = r.recordReached, r.recordUnreached, r.confirmsEnd
 	r.Guard = newGuard(r)
 	r.flow = newFlowControl(options.MemoryBudget, m, logger)
 	return r
