request: a run that makes progress is resumed however often and late its connection is lost

Callers of the own interface saw a response that broke off (engine_failed, or deadline_exceeded) although its engine went on: the stream was resumed four times in its whole life, and never after the deadline, which is the maximum time to the first token.

Each frame now resets the count of reconnections, and the deadline bounds only a run that has sent no frame. A run without progress still gets four.

TestProgressingRunIsResumed fails at the second loss without the change (1 of 1, go test ./internal/request -run TestProgressing) and passes with it.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -238,6 +238,7 @@
 			d.metrics.framesDropped.Inc(1)
 			continue
 		}
+		s.retryState.RecordProgress()
 		if frame.Failed {
 			d.recordRun(s, picked, true, res.firstToken)
 			return request.RunFailed
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -93,6 +93,25 @@
 	}
 }
 
+// Guards against responses that break off because their connection was lost often, or after the
+// deadline for the first token, although the run goes on.
+func TestProgressingRunIsResumed(t *testing.T) {
+	start := time.Unix(100, 0)
+	state := RetryState{Deadline: start.Add(time.Second)}
+	state.RecordAttempt()
+	for i := range 3 * MaxResumes {
+		state.RecordProgress()
+		if decision := state.Next(ConnectionLost, start.Add(time.Duration(i)*time.Minute), nil); decision.Action != Resume {
+			t.Fatalf("loss %d: %+v", i+1, decision)
+		}
+	}
+	for i := range MaxResumes {
+		if decision := state.Next(ConnectionLost, start.Add(time.Hour), nil); (decision.Action == Resume) != (i < MaxResumes-1) {
+			t.Errorf("loss %d without progress: %+v", i+2, decision)
+		}
+	}
+}
+
 // Guards against retries amplifying an overload when every attempt fails.
 func TestRetryBudgetLimitsRetries(t *testing.T) {
 	budget := NewRetryBudget()
--- a/internal/request/retry_state.go
+++ b/internal/request/retry_state.go
@@ -48,7 +48,7 @@
 const (
 	// MaxAttempts is the maximum number of attempts of one request.
 	MaxAttempts = 3
-	// MaxResumes is the maximum number of reconnections of one attempt.
+	// MaxResumes is the maximum number of reconnections of one attempt without progress.
 	MaxResumes = 4
 )
 
@@ -56,18 +56,24 @@
 type RetryState struct {
 	// Repeatable requests may run more than once.
 	Repeatable bool
-	// Deadline is the time after which nothing is retried; zero means none.
+	// Deadline is the time after which nothing is retried, and a run without a frame is not resumed;
+	// zero means none.
 	Deadline time.Time
 
-	attempts   int
-	resumes    int
+	attempts int
+	resumes  int
+	// begun is set if the current run has sent a frame.
+	begun      bool
 	delivered  bool
 	ran        bool
 	mayHaveRun bool
 }
 
 // RecordAttempt counts an attempt as started.
-func (s *RetryState) RecordAttempt() { s.attempts++; s.resumes = 0 }
+func (s *RetryState) RecordAttempt() { s.attempts++; s.resumes, s.begun = 0, false }
+
+// RecordProgress records that a frame of the current run was received.
+func (s *RetryState) RecordProgress() { s.resumes, s.begun = 0, true }
 
 // Attempts returns the number of attempts started.
 func (s *RetryState) Attempts() int { return s.attempts }
@@ -99,7 +105,7 @@
 		return s.retryOrFail(fault.NoServer, event, now, budget)
 	case ConnectionLost:
 		s.mayHaveRun = true
-		if s.resumes < MaxResumes && !s.expired(now) {
+		if s.resumes < MaxResumes && (s.begun || !s.expired(now)) {
 			s.resumes++
 			return Decision{Action: Resume}
 		}
