daemon: a run leaves its engine only when another has taken the request

Callers of the own interface saw engine_failed, no_server behind a run, or a stream that broke off, when their engine's connections were lost and could not be opened again for a second; a request with an idempotency key could run twice.

Cause: an error of the connection that resumes a run (no connection, not started) was read as that of a run that never started. The run was given up and not cancelled, another server was tried even for requests that may not be repeated, and the first run was out of reach when that one failed. Resumes followed each other without pause, so that four were used up within milliseconds. A run whose reconnections were used up was cancelled before another server had taken the request. An engine that answered a resume before it had received the request was taken for one that had lost the run.

Now a failed resume is an event of its own (ResumeFailed). A request that may be repeated, and of which nothing was delivered, tries another server, but its run is held: cancelled once another run delivers text or completes, resumed in turn with the others when the new run falls silent, and returned to when no server takes the request. Any other request resumes the run, with pauses that double from 300 ms. A run ends as lost only if its server has confirmed it before.

Command: go test ./internal/daemon -run 'SilentEngine|Begun|DoNotGoOn'

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/engine"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
@@ -35,6 +34,8 @@
 	identity quarantine.Identity
 	// forwarding is the state of forwarding to other daemons.
 	forwarding
+	// held are the runs that may go on while another server is tried.
+	held []*run
 	// onText receives each piece of the response. An error means that the caller
 	// disconnected.
 	onText func(text string) error
@@ -51,16 +52,35 @@
 	complete     bool
 }
 
-// runStep makes attempts until the response is complete or the step fails.
+// runStep executes a request on one model. A run that is silent or cut off is kept until another
+// server has taken the request. If none does, the request returns to it.
 func (d *Daemon) runStep(ctx context.Context, s *step) (*stepResult, error) {
 	res := &stepResult{}
+	defer d.cancelHeldRuns(s)
+	err := d.tryServers(ctx, s, res)
+	for err != nil && d.mayReturn(ctx, s) {
+		s.retryState.RecordReturn()
+		d.log.Info("returned to earlier run", "request", s.requestID, "run", s.held[0].id, "server", s.held[0].picked.candidate.ID, "runs", len(s.held), "err", err)
+		decision := d.resumeHeldRuns(ctx, s, res, 0)
+		switch {
+		case res.complete:
+			return res, nil
+		case decision.Action == request.Cancel:
+			return res, decision.Error
+		}
+	}
+	return res, err
+}
+
+// tryServers makes attempts until the response is complete or no further one is possible.
+func (d *Daemon) tryServers(ctx context.Context, s *step, res *stepResult) error {
 	var tried []string
 	d.retryBudget.deposit()
 	routeReq := routing.Request{PromptTokens: (len(s.prompt) + 3) / 4, BlockTokens: routing.BlockTokens, Urgent: s.priority == 0}
 	routeReq.Blocks = routing.Blocks(nil, s.model+"@"+s.version, s.prompt)
 	for {
 		if refusal := d.checkHold(s.identity, s.retryState); refusal != nil {
-			return res, refusal
+			return refusal
 		}
 		if s.retryState.Attempts() > 0 && s.fallbackVersion != "" {
 			s.version = s.fallbackVersion
@@ -69,12 +89,12 @@
 		cfg := d.config.current()
 		v, ok := cfg.Version(s.model, s.version)
 		if !ok || !cfg.MayDispatch(s.workspace, s.model, s.version) {
-			return res, d.versionDisallowed(s)
+			return d.versionDisallowed(s)
 		}
 		if helper, found := d.pickHelper(v.Pool, &s.forwarding); found {
 			done, err := d.forwardStep(ctx, s, res, helper)
 			if done {
-				return res, err
+				return err
 			}
 			continue
 		}
@@ -83,12 +103,12 @@
 		if helper, found := d.pickOverflow(err, &s.forwarding); found {
 			done, err := d.forwardStep(ctx, s, res, helper)
 			if done {
-				return res, err
+				return err
 			}
 			continue
 		}
 		if err != nil {
-			return res, withExecutionState(fault.FromError(err), s.retryState)
+			return withExecutionState(fault.FromError(err), s.retryState)
 		}
 		tried = append(tried, picked.candidate.ID)
 		s.retryState.RecordAttempt()
@@ -96,11 +116,14 @@
 			d.metrics.retries.Inc(1)
 		}
 		decision := d.runAttempt(ctx, s, res, picked)
+		if decision.Action == request.Resume {
+			decision = d.resumeHeldRuns(ctx, s, res, decision.Delay)
+		}
 		if res.complete {
-			return res, nil
+			return nil
 		}
 		if decision.Action != request.Retry {
-			return res, decision.Error
+			return decision.Error
 		}
 	}
 }
@@ -112,67 +135,26 @@
 	return fault.New(fault.VersionWithdrawn, "%s@%s is no longer allowed", s.model, s.version).WithExecution(s.retryState.ExecutionState())
 }
 
-// runAttempt makes one attempt on one server. It resumes the stream on a new
-// connection when the current one is lost.
+// runAttempt makes one attempt on one server. The decision is to resume if an earlier run is to be
+// resumed.
 func (d *Daemon) runAttempt(ctx context.Context, s *step, res *stepResult, picked pick) request.Decision {
-	start := time.Now()
 	res.text.Reset()
-	runID := fmt.Sprintf("%s-%d", s.requestID, s.retryState.Attempts())
-	assembler := request.NewAssembler(runID)
+	r := &run{id: fmt.Sprintf("%s-%d", s.requestID, s.retryState.Attempts()), picked: picked, version: s.version, startedAt: time.Now(), failed: true, event: request.ConnectFailed}
+	r.assembler = request.NewAssembler(r.id)
 	d.metrics.attempts.Inc(1)
-	failed, event, started := true, request.ConnectFailed, false
-	defer func() { d.finishAttempt(s, picked, start, res, failed) }()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	guarded := d.guard.Begin(containmentServer(picked.candidate), s.identity, cancel)
-	defer func() {
-		d.guard.End(ctx, guarded, containmentServer(picked.candidate), containmentOutcome(event, res.complete, started))
-	}()
-	// The configuration may have changed since the server was picked, so the version is
-	// checked again immediately before the request is sent.
-	if !d.config.current().MayDispatch(s.workspace, s.model, s.version) {
-		failed = false
-		return request.Decision{Action: request.Fail, Error: fault.FromError(d.versionDisallowed(s))}
-	}
-	stream, err := d.engine.Start(ctx, picked.candidate.Address, engine.Run{
-		ID: runID, Version: s.model + "@" + s.version, Priority: d.decideUrgency(s, picked).Priority, Body: s.body,
-	})
-	for {
-		started = started || mayHaveStarted(err)
-		if err == nil {
-			d.balancer.recordReached(picked.pool, picked.candidate.ID)
-		}
-		event = d.readFrames(s, res, picked, assembler, stream, err, start)
-		if res.complete {
-			failed = false
-			d.guard.RecordSuccess(s.identity)
-			return request.Decision{}
+	defer func() { d.balancer.recordCompletion(picked, max(0, time.Since(r.startedAt)-res.queueWait), r.failed) }()
+	return d.guardRun(ctx, s, res, r, func(ctx context.Context) request.Decision {
+		// The configuration may have changed since the server was picked, so the version is
+		// checked again immediately before the request is sent.
+		if !d.config.current().MayDispatch(s.workspace, s.model, s.version) {
+			r.failed = false
+			return request.Decision{Action: request.Fail, Error: fault.FromError(d.versionDisallowed(s))}
 		}
-		if ctx.Err() != nil {
-			event = request.ClientDisconnected
-		}
-		switch event {
-		case request.AttemptRefused:
-			if errors.Is(err, engine.ErrVersionNotLoaded) {
-				d.balancer.recordMissingVersion(picked, s.model+"@"+s.version)
-			}
-		case request.ConnectFailed, request.RunNotFound:
-			d.balancer.recordUnreachable(picked)
-		}
-		d.recordContact(&s.forwarding, picked, event, err)
-		decision := d.nextAction(s.retryState, event)
-		if errors.Is(context.Cause(ctx), containment.ErrHeld) {
-			decision = request.Decision{Action: request.Retry} // runStep then refuses the held request
-		}
-		if decision.Action != request.Resume {
-			d.cancelRun(picked, runID, event)
-			failed = event != request.ClientDisconnected
-			return decision
-		}
-		d.metrics.resumes.Inc(1)
-		d.balancer.recordResume(picked)
-		stream, err = d.engine.Resume(ctx, picked.candidate.Address, runID, assembler.LastOffset())
-	}
+		stream, err := d.engine.Start(ctx, picked.candidate.Address, engine.Run{
+			ID: r.id, Version: s.model + "@" + s.version, Priority: d.decideUrgency(s, picked).Priority, Body: s.body,
+		})
+		return d.followRun(ctx, s, res, r, stream, err)
+	})
 }
 
 // nextAction decides what follows an event. An attempt that reached no server loads none, so its
@@ -198,38 +180,18 @@
 	r.mu.Unlock()
 }
 
-// cancelRun cancels a run that will not be resumed. It would otherwise occupy a
-// slot of the server, and its response could not be billed.
-func (d *Daemon) cancelRun(picked pick, runID string, event request.AttemptEvent) {
-	if event == request.AttemptRefused || event == request.ConnectFailed || event == request.RunFailed || event == request.RunNotFound {
-		return
-	}
-	go func() { _ = d.engine.Cancel(picked.candidate.Address, runID) }()
-}
-
-func (d *Daemon) finishAttempt(s *step, picked pick, start time.Time, res *stepResult, failed bool) {
-	d.balancer.recordCompletion(picked, max(0, time.Since(start)-res.queueWait), failed)
-	if !res.complete {
-		return
-	}
-	res.pick = picked
-}
-
 // readFrames processes the frames of one connection until the response is complete
 // or the connection cannot be used any more.
-func (d *Daemon) readFrames(s *step, res *stepResult, picked pick, assembler *request.Assembler, stream *engine.Stream, err error, start time.Time) request.AttemptEvent {
-	if err != nil {
-		return startEvent(err)
-	}
+func (d *Daemon) readFrames(s *step, res *stepResult, r *run, stream *engine.Stream) request.AttemptEvent {
 	defer stream.Close()
 	s.retryState.RecordExecution()
 	for {
 		frame, err := stream.Next()
 		if err != nil {
-			d.balancer.recordTimeout(picked)
+			d.balancer.recordTimeout(r.picked)
 			return request.ConnectionLost
 		}
-		switch assembler.Accept(frame.Frame) {
+		switch r.assembler.Accept(frame.Frame) {
 		case request.Deliver:
 		case request.SequenceGap:
 			d.metrics.framesDropped.Inc(1)
@@ -240,10 +202,10 @@
 		}
 		s.retryState.RecordProgress()
 		if frame.Failed {
-			d.recordRun(s, picked, true, res.firstToken)
+			d.recordRun(s, r.picked, true, res.firstToken)
 			return request.RunFailed
 		}
-		if err := d.handleFrame(s, res, picked, frame, start); err != nil {
+		if err := d.handleFrame(s, res, r, frame); err != nil {
 			return request.ClientDisconnected
 		}
 		if res.complete {
@@ -252,6 +214,7 @@
 	}
 }
 
+// startEvent returns the event of a run that could not be started.
 func startEvent(err error) request.AttemptEvent {
 	switch {
 	case errors.Is(err, engine.ErrNotStarted):
@@ -265,22 +228,22 @@
 }
 
 // handleFrame adds a frame to the result and passes its text to the caller.
-func (d *Daemon) handleFrame(s *step, res *stepResult, picked pick, frame engine.Frame, start time.Time) error {
+func (d *Daemon) handleFrame(s *step, res *stepResult, r *run, frame engine.Frame) error {
 	if res.firstToken == 0 {
-		res.firstToken = time.Since(start)
-		res.queueWait = d.balancer.recordFirstToken(picked, res.firstToken)
+		res.firstToken = time.Since(r.startedAt)
+		res.queueWait = d.balancer.recordFirstToken(r.picked, res.firstToken)
 		d.metrics.firstToken.RecordDuration(res.firstToken)
 	}
 	if frame.End {
 		res.complete, res.usage, res.finishReason = true, frame.Usage, frame.FinishReason
-		d.recordRun(s, picked, false, res.firstToken)
+		d.recordRun(s, r.picked, false, res.firstToken)
 		return nil
 	}
 	res.text.WriteString(frame.Delta)
 	if s.onText == nil || frame.Delta == "" {
 		return nil
 	}
-	s.retryState.RecordDelivery()
+	d.recordDelivery(s)
 	return s.onText(frame.Delta)
 }
 
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -252,7 +252,7 @@
 	if s.onText == nil {
 		return nil
 	}
-	s.retryState.RecordDelivery()
+	d.recordDelivery(s)
 	return s.onText(text)
 }
 
--- a/internal/request/retry_state.go
+++ b/internal/request/retry_state.go
@@ -22,6 +22,9 @@
 	RunFailed
 	// ClientDisconnected means that the caller closed its connection.
 	ClientDisconnected
+	// ResumeFailed means that the server could not be reached to resume a run, or refused to resume
+	// it. The run may go on.
+	ResumeFailed
 )
 
 // Action is the next step for a request.
@@ -30,7 +33,7 @@
 const (
 	// Retry starts a new attempt on another server.
 	Retry Action = iota
-	// Resume reconnects to the same run.
+	// Resume reconnects to the same run, or to an earlier one that may go on.
 	Resume
 	// Cancel cancels the run and ends the request.
 	Cancel
@@ -43,6 +46,8 @@
 type Decision struct {
 	Action Action
 	Error  *fault.Error
+	// Delay is the time to wait before a Resume.
+	Delay time.Duration
 }
 
 const (
@@ -50,6 +55,9 @@
 	MaxAttempts = 3
 	// MaxResumes is the maximum number of reconnections of one attempt without progress.
 	MaxResumes = 4
+	// minResumeInterval is the minimum time between the first two reconnections. It doubles with each
+	// further one, so that they outlast a short interruption.
+	minResumeInterval = 300 * time.Millisecond
 )
 
 // RetryState decides the next step after each event of one request.
@@ -60,10 +68,13 @@
 	// zero means none.
 	Deadline time.Time
 
-	attempts int
-	resumes  int
+	attempts  int
+	resumes   int
+	resumedAt time.Time
 	// begun is set if the current run has sent a frame.
-	begun      bool
+	begun bool
+	// returned is set once the request has returned to earlier runs.
+	returned   bool
 	delivered  bool
 	ran        bool
 	mayHaveRun bool
@@ -75,6 +86,13 @@
 // RecordProgress records that a frame of the current run was received.
 func (s *RetryState) RecordProgress() { s.resumes, s.begun = 0, true }
 
+// RecordSwitch records that an earlier run is the current one. begun is set if it has sent a frame.
+func (s *RetryState) RecordSwitch(begun bool) { s.begun = begun }
+
+// RecordReturn records that the request returns to its earlier runs because nothing else can take
+// it. They may be resumed anew, and nothing is retried.
+func (s *RetryState) RecordReturn() { s.resumes, s.returned = 0, true }
+
 // Attempts returns the number of attempts started.
 func (s *RetryState) Attempts() int { return s.attempts }
 
@@ -100,16 +118,18 @@
 func (s *RetryState) Next(event AttemptEvent, now time.Time, budget *RetryBudget) Decision {
 	switch event {
 	case ClientDisconnected:
-		return Decision{Cancel, fault.New(fault.CallerLeft, "the caller left").WithExecution(s.ExecutionState())}
+		return Decision{Action: Cancel, Error: fault.New(fault.CallerLeft, "the caller left").WithExecution(s.ExecutionState())}
 	case AttemptRefused, ConnectFailed:
 		return s.retryOrFail(fault.NoServer, event, now, budget)
 	case ConnectionLost:
 		s.mayHaveRun = true
-		if s.resumes < MaxResumes && (s.begun || !s.expired(now)) {
-			s.resumes++
-			return Decision{Action: Resume}
+		return s.resumeOrRetry(event, now, budget)
+	case ResumeFailed:
+		s.mayHaveRun = true
+		if decision := s.retryOrFail(fault.EngineFailed, event, now, budget); decision.Action == Retry {
+			return decision
 		}
-		return s.retryOrFail(fault.EngineFailed, event, now, budget)
+		return s.resumeOrRetry(event, now, budget)
 	case RunNotFound:
 		s.mayHaveRun = true
 		return s.retryOrFail(fault.EngineFailed, event, now, budget)
@@ -118,6 +138,25 @@
 	return s.retryOrFail(fault.EngineFailed, event, now, budget)
 }
 
+// resumeOrRetry resumes the run as long as that may help.
+func (s *RetryState) resumeOrRetry(event AttemptEvent, now time.Time, budget *RetryBudget) Decision {
+	if s.resumes >= MaxResumes || s.expired(now) && !s.begun {
+		return s.retryOrFail(fault.EngineFailed, event, now, budget)
+	}
+	delay := s.resumeDelay(now)
+	s.resumes++
+	s.resumedAt = now.Add(delay)
+	return Decision{Action: Resume, Delay: delay}
+}
+
+// resumeDelay returns the time until the next reconnection.
+func (s *RetryState) resumeDelay(now time.Time) time.Duration {
+	if s.resumes == 0 {
+		return 0
+	}
+	return max(0, s.resumedAt.Add(minResumeInterval<<(s.resumes-1)).Sub(now))
+}
+
 func (s *RetryState) retryOrFail(kind fault.Kind, event AttemptEvent, now time.Time, budget *RetryBudget) Decision {
 	notExecuted := event == AttemptRefused || event == ConnectFailed
 	switch {
@@ -127,6 +166,8 @@
 		return s.fail(kind, "the run was lost after part of the answer was delivered")
 	case !notExecuted && !s.Repeatable:
 		return s.fail(kind, "the request may not be repeated")
+	case s.returned:
+		return s.fail(kind, "no other server could take the request")
 	case s.attempts >= MaxAttempts:
 		return s.fail(kind, "every attempt failed")
 	case !budget.TryWithdraw():
@@ -140,7 +181,7 @@
 }
 
 func (s *RetryState) fail(kind fault.Kind, detail string) Decision {
-	return Decision{Fail, fault.New(consistentKind(kind, s.ExecutionState()), "%s", detail).WithExecution(s.ExecutionState())}
+	return Decision{Action: Fail, Error: fault.New(consistentKind(kind, s.ExecutionState()), "%s", detail).WithExecution(s.ExecutionState())}
 }
 
 // RetryBudget limits retries to a fraction of first attempts, so that retries do not
