daemon: a cascade keeps the smaller model's answer until the larger one has answered

Callers of a cascade saw no_server or engine_failed although the smaller model had answered: its answer was dropped, as its confidence did not suffice, before the larger model had taken the request.

The answer is now kept and returned if the larger model fails before any of its text has reached the caller. The request is billed once, for that answer alone.

TestCascadeKeepsAnswerUntilLargerModelAnswers: 60 of 80 cases fail before, in two of two runs (the other 20 have text of the larger model and must end with an error), none after (go test ./internal/daemon -run TestCascadeKeeps).

--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -182,6 +182,14 @@
 	return &resp, nil
 }
 
+// keptAnswer is a smaller model's answer, which is kept until a larger model has answered.
+type keptAnswer struct {
+	step *step
+	res  *stepResult
+	// exec is the execution record up to the answer.
+	exec execution
+}
+
 // completeChat runs the request on a single model or on the steps of a cascade,
 // until a response is accepted.
 func (d *Daemon) completeChat(ctx context.Context, id string, req *ChatRequest, w fleet.Workspace, models []string, pin session.Pin, exec *execution) (*ChatResponse, error) {
@@ -193,6 +201,7 @@
 	}
 	cascadeKey := req.Workspace + "/" + req.Model
 	first := 0
+	var kept *keptAnswer
 	if len(models) > 1 {
 		cfg := d.config.current()
 		if !d.cascades.useCheapFirst(cascadeKey, class, models[0]+"@"+cfg.Models[models[0]].Stable) {
@@ -211,6 +220,11 @@
 			s.onText = d.textHandler(req, s, pin)
 		}
 		res, err := d.completeStep(ctx, s, models[i], w, pin, exec, start)
+		if err != nil && kept != nil && ctx.Err() == nil && !s.retryState.Delivered() {
+			d.log.Info("answer of smaller model used", "request", id, "model", kept.step.model, "larger", s.model, "err", err)
+			*exec = kept.exec // the caller gets nothing of the larger model's
+			return d.buildResponse(id, req, kept.step, kept.res, pin, false)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -225,6 +239,7 @@
 		}
 		if !last && !d.cascades.acceptCheap(cascadeKey, class, confidence) {
 			d.metrics.escalations.Inc(1)
+			kept = &keptAnswer{s, res, *exec}
 			continue
 		}
 		return d.buildResponse(id, req, s, res, pin, last)
--- a/internal/daemon/silent_engine_test.go
+++ b/internal/daemon/silent_engine_test.go
@@ -376,3 +376,31 @@
 		}
 	}
 }
+
+// Guards against cascades that drop the smaller model's answer although the larger model cannot
+// answer, and against an answer made of both.
+func TestCascadeKeepsAnswerUntilLargerModelAnswers(t *testing.T) {
+	for _, streamed := range []bool{false, true} {
+		for _, offset := range []time.Duration{0, 350 * time.Millisecond} {
+			for _, silentLink := range []link{mute, hung, refused, busy} {
+				for _, others := range []link{busy, refused, hung, mute, failing} {
+					t.Run(fmt.Sprintf("streamed %t/after %s/%s/others %s", streamed, offset, silentLink, others), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) {
+							p := &enginePool{silence: silentLink, silentTime: time.Hour, offset: offset + time.Millisecond, others: others}
+							got := chatThroughSilence(p, 500*time.Millisecond, []string{"small", "large"}, streamed, false)
+							if streamed && offset > 0 {
+								if got.err == nil || got.text != "e1 e2 e3 " {
+									t.Errorf("after text of the larger model: %q, %v", got.text, got.err)
+								}
+								return
+							}
+							if got.err != nil || got.text != completeAnswer || got.exec.model != "small" || !got.exec.complete || len(got.exec.steps) != 1 {
+								t.Errorf("%q, %v, %+v", got.text, got.err, got.exec)
+							}
+						})
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/request/retry_state.go
+++ b/internal/request/retry_state.go
@@ -100,6 +100,9 @@
 // other run can continue it, because it would generate different text.
 func (s *RetryState) RecordDelivery() { s.delivered, s.ran = true, true }
 
+// Delivered reports whether part of the response was delivered to the caller.
+func (s *RetryState) Delivered() bool { return s.delivered }
+
 // RecordExecution records that the server has started to run the request.
 func (s *RetryState) RecordExecution() { s.ran = true }
 
