daemon: a caller that leaves tells nothing of its engine

Callers saw no_server while all engines were sound: each caller that left before the first event counted as a response that its engine had not sent in time, and two of them made the engine suspect, which gets no requests for 3 s and more. The same held for connections that were not opened because the caller left.

What a lost connection tells of its server is now recorded only while the request goes on.

Command: go test ./internal/daemon -run TestCallerThat

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -182,13 +182,15 @@
 
 // readFrames processes the frames of one connection until the response is complete
 // or the connection cannot be used any more.
-func (d *Daemon) readFrames(s *step, res *stepResult, r *run, stream *engine.Stream) request.AttemptEvent {
+func (d *Daemon) readFrames(ctx context.Context, s *step, res *stepResult, r *run, stream *engine.Stream) request.AttemptEvent {
 	defer stream.Close()
 	s.retryState.RecordExecution()
 	for {
 		frame, err := stream.Next()
 		if err != nil {
-			d.balancer.recordTimeout(r.picked)
+			if ctx.Err() == nil {
+				d.balancer.recordTimeout(r.picked)
+			}
 			return request.ConnectionLost
 		}
 		switch r.assembler.Accept(frame.Frame) {
--- a/internal/daemon/runs.go
+++ b/internal/daemon/runs.go
@@ -67,7 +67,7 @@
 		} else {
 			r.confirmed = true
 			d.balancer.recordReached(r.picked.pool, r.picked.candidate.ID)
-			r.event = d.readFrames(s, res, r, stream)
+			r.event = d.readFrames(ctx, s, res, r, stream)
 		}
 		r.started = r.started || mayHaveStarted(err)
 		if res.complete {
@@ -78,8 +78,9 @@
 		}
 		if ctx.Err() != nil {
 			r.event = request.ClientDisconnected
+		} else {
+			d.recordLoss(s, r, err)
 		}
-		d.recordLoss(s, r, err)
 		decision := d.nextAction(s.retryState, r.event)
 		if errors.Is(context.Cause(ctx), containment.ErrHeld) {
 			r.failed = false
--- a/internal/daemon/silent_engine_test.go
+++ b/internal/daemon/silent_engine_test.go
@@ -18,6 +18,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/request"
@@ -53,6 +54,8 @@
 	silence            link
 	offset, silentTime time.Duration
 	others             link
+	// earlyHead is set if the head of a response comes before the first event.
+	earlyHead bool
 	// deadline is the maximum time to the first token; zero means the default.
 	deadline time.Duration
 	from     time.Time
@@ -185,6 +188,9 @@
 }
 
 func (p *enginePool) stream(ctx context.Context, w http.ResponseWriter, id string, run *engineRun, last int) {
+	if p.earlyHead && http.NewResponseController(w).Flush() != nil {
+		return
+	}
 	for i := last + 1; i <= engineEvents; i++ {
 		if !loop.Sleep(ctx, time.Until(run.start.Add(time.Duration(i)*eventInterval))) {
 			return
@@ -404,3 +410,28 @@
 		}
 	}
 }
+
+// Guards against engines that count as silent because callers leave before the first event.
+func TestCallerThatLeavesTellsNothingOfEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &enginePool{silence: mute, others: sound, earlyHead: true}
+		d, end := newDaemonWithEngines(p, 3*time.Second, tally.NoopScope)
+		defer synctest.Wait()
+		defer end()
+		for range 10 {
+			ctx, cancel := context.WithTimeout(context.Background(), eventInterval/2)
+			req := &ChatRequest{Workspace: "w", Model: "large", Prompt: "p", Body: map[string]json.RawMessage{}}
+			_, err := d.completeChat(ctx, "r", req, d.config.current().Workspaces["w"], []string{"large"}, session.Pin{}, &execution{})
+			cancel()
+			if !fault.Is(err, fault.CallerLeft) {
+				t.Errorf("got %v", err)
+			}
+		}
+		for _, s := range d.Servers() {
+			if s.Suspect {
+				t.Errorf("%s is suspect", s.ID)
+			}
+		}
+		time.Sleep(3 * time.Second) // cancellations arrive
+	})
+}
