relay: a request leaves a silent server for a daemon only when that daemon has taken it

Callers saw: a request was refused, failed, or its stream was cut after two events, less than a second after its server fell silent, though the server would have answered 0.4 s later.

Cause: a service counts as out of reach once two of its servers do not answer a probe. A call on a silent server of such a service was cancelled first, and only then was a daemon looked for that serves it; where none could, nothing was left. Evidence about the service ended a call on a server.

Change: a server and a forwarded call are two implementations of one interface, taker: await, settle, finish, drop. The search offers the call to daemons while the service is out of reach, then to servers, one at a time, and the silent server keeps the call until one has taken it: a stream with the event that follows, any other response once it is read. A final refusal by a daemon ends the search, not the call. A retry that was paid for and did not reach a server stays paid for the next offer.

Not changed: a request that is taken off a server that has ended, and the daemon's own first forward. moves_to_daemons counts requests that a daemon has taken.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -46,8 +46,9 @@
 	quarantineStatus quarantine.Status
 	// run is the containment record of the last send.
 	run *containment.Attempt
-	// open are the sends that have not ended, and selected is a server until the send to it begins.
-	open     map[*send]bool
+	// open are the sends and forwards that have not ended, and selected is a server until the send to
+	// it begins.
+	open     map[taker]bool
 	selected *target
 	// interrupted is set if the stream of the last send broke off.
 	interrupted bool
@@ -90,10 +91,8 @@
 	// withoutArrival is set if the last send reached no server, so that the next one draws on no
 	// budget.
 	withoutArrival bool
-	// arrived is set once a send of this daemon has reached a server. forwardArrived is the same for
-	// the daemon to which the call was last forwarded.
-	arrived        atomic.Bool
-	forwardArrived bool
+	// arrived is set once a send of this daemon has reached a server.
+	arrived atomic.Bool
 	// resent is set once a send has failed.
 	resent bool
 	// displacedPerSecond is the number of other workspaces' answers that are late for each second of
@@ -103,10 +102,10 @@
 	retryWithdrawn atomic.Bool
 	// movedOff are the servers that the call was taken off although they had not responded.
 	movedOff []string
-	// contest is the last search for a server that takes the call from one it waits for.
+	// contest is the last search for one that takes the call from a server it waits for.
 	contest atomic.Pointer[contest]
-	// next is the send that has taken the call from the last one.
-	next *send
+	// next has taken the call from the server of the last send.
+	next taker
 	// waitsAt is the ID of the server that the call waits for while others are offered it.
 	waitsAt string
 }
@@ -157,20 +156,19 @@
 // returns true if the client has the final response, and a refusal if there is nowhere to send it.
 func (x *exchange) sendOnce(ctx context.Context) (outcome request.SendOutcome, done bool, refusal *fault.Error) {
 	x.withoutArrival = false
-	if s := x.next; s != nil {
+	if next := x.next; next != nil {
 		x.next = nil
-		defer x.relay.liveness.untrack(s.watch) // if a panic ends the send
-		outcome, done = x.finishSend(s)
+		outcome, done = next.finish()
 		return outcome, done, nil
 	}
 	if helper, found := x.pickHelper(); found {
-		outcome, done = x.sendToDaemon(ctx, helper)
+		outcome, done = x.forward(ctx, helper)
 		return outcome, done, nil
 	}
 	t, refusal := x.selectTarget(ctx)
 	if refusal != nil {
 		if helper, found := x.pickOverflow(refusal); found {
-			outcome, done = x.sendToDaemon(ctx, helper)
+			outcome, done = x.forward(ctx, helper)
 			return outcome, done, nil
 		}
 		return outcome, false, refusal
@@ -241,15 +239,6 @@
 	return outcome, done
 }
 
-// sendToDaemon forwards the call and records whether it may have reached a server.
-func (x *exchange) sendToDaemon(ctx context.Context, address string) (request.SendOutcome, bool) {
-	x.retryState.RecordSend()
-	outcome, done := x.forward(ctx, address)
-	x.withoutArrival = outcome == request.NotStarted && !x.forwardArrived
-	x.sentToServer = x.sentToServer || !x.withoutArrival
-	return outcome, done
-}
-
 // takeRetry reports whether the call may be sent again after an outcome, and draws on the retry
 // budget if the next send is a repeat for the servers.
 func (x *exchange) takeRetry(outcome request.SendOutcome) bool {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -127,23 +127,29 @@
 
 // forward sends the call through another daemon. It returns true if the client has the final
 // response.
-func (x *exchange) forward(ctx context.Context, address string) (request.SendOutcome, bool) {
-	defer x.relay.State.endTrial(address)
+func (x *exchange) forward(ctx context.Context, address string) (outcome request.SendOutcome, done bool) {
+	f := x.startForward(ctx, address)
+	defer f.end()
+	f.open()
+	outcome, failed := f.recordResponse()
+	if !failed {
+		outcome, done = f.deliver()
+	}
+	f.recordEnd(outcome)
+	return outcome, done
+}
+
+// startForward prepares to forward the call.
+func (x *exchange) startForward(ctx context.Context, address string) *forwardAttempt {
+	x.retryState.RecordSend()
 	x.forwards = append(x.forwards, address)
-	x.forwardRefusal, x.forwardArrived = nil, false
+	x.forwardRefusal = nil
 	x.relay.Metrics.Forwards.Inc(1)
-	x.logEvent("forwarded", nil, "daemon", address, "out_of_reach", x.relay.State.outOfReach(x.service.Name), "unreached", x.unreached, "sends", x.retryState.Sends())
-	ctx, stop := context.WithDeadline(ctx, x.deadline)
-	defer stop()
-	openCtx, cancel := context.WithTimeout(ctx, forwardOpenTimeout)
-	stream, sent, err := x.relay.Forwarder.Forward(openCtx, address, x.forwardedCall())
-	cancel()
-	if err != nil {
-		return x.handleForwardError(ctx, address, sent, err), false
-	}
-	defer stream.Close()
-	reply := &forwardReply{x: x, ctx: ctx, stream: stream, address: address, counted: 1}
-	return reply.deliver()
+	x.logEvent("forwarded", nil, "daemon", address, "out_of_reach", x.relay.State.outOfReach(x.service.Name), "unreached", x.unreached, "sends", x.retryState.Sends(), "waits_at", x.waitsAt)
+	f := &forwardAttempt{x: x, address: address, call: x.forwardedCall(), counted: 1}
+	f.ctx, f.stop = context.WithDeadline(ctx, x.deadline)
+	x.open[f] = true
+	return f
 }
 
 func (x *exchange) forwardedCall() ForwardedCall {
@@ -160,28 +166,29 @@
 	}
 }
 
-// handleForwardError records a call that got no response from another daemon. The daemon is not at
-// fault if ctx, the context of the call, is done.
-func (x *exchange) handleForwardError(ctx context.Context, address string, sent bool, err error) request.SendOutcome {
-	if ctx.Err() == nil {
-		x.relay.State.recordHelper(address, false)
-	}
-	x.logEvent("forwarding failed", nil, "daemon", address, "sent", sent, "err", err)
-	if sent {
-		return request.ResponseLost
-	}
-	return request.NotStarted
-}
-
-// forwardReply receives the response of another daemon.
-type forwardReply struct {
+// forwardAttempt is the forwarding of a call to a daemon.
+type forwardAttempt struct {
 	x       *exchange
 	ctx     context.Context
-	stream  ForwardStream
+	stop    context.CancelFunc
 	address string
+	call    ForwardedCall
+	// stream is nil until the daemon has received the call.
+	stream ForwardStream
+	// sent is set unless the daemon has not received the call. err is the error before the header of
+	// the response, refusal the daemon's refusal, and reply the response.
+	sent    bool
+	err     error
+	refusal *fault.Error
+	reply   *BackendResponse
+	// awaitErr is the error of awaiting the response, and failure is the body of a server's failure.
+	awaitErr error
+	failure  *bufferedResponse
 	// runs is the number of servers that the other daemon has reported to have run the call, and
 	// counted the part of it in the call's retry state, of which the forwarding itself is one.
 	runs, counted int
+	// arrived is set once the call has reached a server, as the other daemon reports.
+	arrived bool
 	// rest is the received part of the body that has not been read.
 	rest []byte
 }
@@ -191,27 +198,83 @@
 	errForwardNotStarted = errors.New("the other daemon did not accept the call in time")
 )
 
-// deliver forwards the response to the client.
-func (f *forwardReply) deliver() (request.SendOutcome, bool) {
+// open sends the call to the daemon and waits for the header of the response or a refusal.
+func (f *forwardAttempt) open() {
+	ctx, cancel := context.WithTimeout(f.ctx, forwardOpenTimeout)
+	f.stream, f.sent, f.err = f.x.relay.Forwarder.Forward(ctx, f.address, f.call)
+	cancel()
+	if f.err != nil {
+		return
+	}
+	f.sent = true
 	header, err := f.receiveHeader()
-	f.countRuns()
 	switch {
 	case err != nil:
-		return f.x.handleForwardError(f.ctx, f.address, true, err), false
+		f.err = err
 	case header.Refusal != nil:
-		return f.refused(header.Refusal.Decode()), false
+		f.refusal = header.Refusal.Decode()
+	default:
+		f.reply = &BackendResponse{Status: header.Status, Header: header.Header, Body: f, ContentLength: header.Length, Authenticated: true, Confidence: -1}
+	}
+}
+
+// recordResponse records the result of open, and reports whether it is none that can be delivered.
+func (f *forwardAttempt) recordResponse() (outcome request.SendOutcome, failed bool) {
+	f.countRuns()
+	switch {
+	case f.err != nil:
+		return f.recordError(f.err), true
+	case f.refusal != nil:
+		return f.refused(f.refusal), true
 	}
 	f.x.relay.State.recordHelper(f.address, true)
-	reply := &BackendResponse{Status: header.Status, Header: header.Header, Body: f, ContentLength: header.Length, Authenticated: true, Confidence: -1}
-	ok := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
+	return outcome, false
+}
+
+// recordEnd records whether the call may have reached a server.
+func (f *forwardAttempt) recordEnd(outcome request.SendOutcome) {
+	f.countRuns()
+	f.x.withoutArrival = outcome == request.NotStarted && !f.arrived
+	f.x.sentToServer = f.x.sentToServer || !f.x.withoutArrival
+}
+
+// end ends the forwarding. An incomplete response is cancelled.
+func (f *forwardAttempt) end() {
+	if !f.x.open[f] {
+		return
+	}
+	delete(f.x.open, f)
+	if f.stream != nil {
+		f.stream.Close()
+	}
+	f.stop()
+	f.x.relay.State.endTrial(f.address)
+}
+
+// deliver forwards the response to the client.
+func (f *forwardAttempt) deliver() (request.SendOutcome, bool) {
+	ok := f.reply.Status >= http.StatusOK && f.reply.Status < http.StatusMultipleChoices
 	if ok && f.x.route.Kind == route.Stream {
-		return f.deliverStream(reply)
+		return f.deliverStream(f.reply)
 	}
-	return f.deliverBuffered(reply, ok)
+	return f.deliverBuffered(f.reply, ok)
+}
+
+// recordError records an error of the daemon or of the link to it. The daemon is not at fault if the
+// call has ended.
+func (f *forwardAttempt) recordError(err error) request.SendOutcome {
+	if f.ctx.Err() == nil {
+		f.x.relay.State.recordHelper(f.address, false)
+	}
+	f.x.logEvent("forwarding failed", nil, "daemon", f.address, "sent", f.sent, "err", err)
+	if f.sent {
+		return request.ResponseLost
+	}
+	return request.NotStarted
 }
 
 // countRuns adds the reported runs to the call's retry state.
-func (f *forwardReply) countRuns() {
+func (f *forwardAttempt) countRuns() {
 	if more := f.runs - f.counted; more > 0 {
 		f.counted += more
 		f.x.retryState.AddRuns(more)
@@ -219,7 +282,7 @@
 }
 
 // receiveHeader returns the first frame with a response or a refusal.
-func (f *forwardReply) receiveHeader() (ForwardFrame, error) {
+func (f *forwardAttempt) receiveHeader() (ForwardFrame, error) {
 	ctx, cancel := f.ctx, context.CancelFunc(func() {})
 	if f.x.retryState.Repeatable {
 		ctx, cancel = context.WithTimeoutCause(f.ctx, forwardAcceptTimeout, errForwardNotStarted)
@@ -236,17 +299,17 @@
 	}
 }
 
-func (f *forwardReply) receive(ctx context.Context) (ForwardFrame, error) {
+func (f *forwardAttempt) receive(ctx context.Context) (ForwardFrame, error) {
 	frame, err := f.stream.Receive(ctx)
 	if err == nil {
 		f.runs = max(f.runs, frame.Runs)
-		f.x.forwardArrived = f.x.forwardArrived || frame.Arrived
+		f.arrived = f.arrived || frame.Arrived
 	}
 	return frame, err
 }
 
 // refused records a refusal by another daemon.
-func (f *forwardReply) refused(e *fault.Error) request.SendOutcome {
+func (f *forwardAttempt) refused(e *fault.Error) request.SendOutcome {
 	x := f.x
 	x.logEvent("forwarded call refused", nil, "daemon", f.address, "kind", e.Kind, "ran", e.ExecutionState(), "why", e.Detail)
 	x.forwardRefusal = e
@@ -279,7 +342,7 @@
 }
 
 // Read implements io.Reader for the body of the response.
-func (f *forwardReply) Read(p []byte) (int, error) {
+func (f *forwardAttempt) Read(p []byte) (int, error) {
 	for len(f.rest) == 0 {
 		frame, err := f.receive(f.ctx)
 		switch {
@@ -296,20 +359,20 @@
 }
 
 // Close implements io.Closer.
-func (f *forwardReply) Close() error { return nil }
+func (f *forwardAttempt) Close() error { return nil }
 
 // deliverBuffered forwards a response that is not a stream.
-func (f *forwardReply) deliverBuffered(reply *BackendResponse, ok bool) (request.SendOutcome, bool) {
+func (f *forwardAttempt) deliverBuffered(reply *BackendResponse, ok bool) (request.SendOutcome, bool) {
 	x := f.x
 	if x.headerSent {
 		return request.ErrorResponse, false
 	}
-	body, err := x.readResponse(f, reply.ContentLength)
+	body, err := x.readResponse(reply.Body, reply.ContentLength)
 	if errors.Is(err, errNotBuffered) {
 		return x.forwardUnbuffered(nil, reply, body)
 	}
 	if err != nil {
-		return x.handleForwardError(f.ctx, f.address, true, err), false
+		return f.recordError(err), false
 	}
 	x.succeeded = ok
 	x.relay.Metrics.Responses(ok).Inc(1)
@@ -320,7 +383,7 @@
 }
 
 // deliverStream forwards the events of a stream.
-func (f *forwardReply) deliverStream(reply *BackendResponse) (request.SendOutcome, bool) {
+func (f *forwardAttempt) deliverStream(reply *BackendResponse) (request.SendOutcome, bool) {
 	x := f.x
 	s := &streamForwarder{x: x, reply: reply, sentAt: time.Now(), observer: forwardedStream{}, reserved: reservation{held: x.held}}
 	err := s.copy()
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -21,6 +21,8 @@
 	script []forwardScript
 	calls  []ForwardedCall
 	to     []string
+	// opened and closed are the numbers of streams.
+	opened, closed int
 }
 
 // forwardScript is the response of a daemon: frames, and then err, or io.EOF if it is nil.
@@ -29,6 +31,9 @@
 	err    error
 	// unsent makes the daemon unreachable.
 	unsent bool
+	// hangs makes it say nothing after the frames, and delay precedes all frames but the first.
+	hangs bool
+	delay time.Duration
 }
 
 func (f *scriptedForwarder) Targets() []string { return []string{"d2", "d3", "d4", "d5", "d6"} }
@@ -41,12 +46,39 @@
 	if script.unsent {
 		return nil, false, errors.New("connection refused")
 	}
-	return &scriptedStream{script}, true, nil
+	f.opened++
+	return &scriptedStream{forwardScript: script, onClose: func() { f.closed++ }}, true, nil
 }
 
-type scriptedStream struct{ forwardScript }
+type scriptedStream struct {
+	forwardScript
+	started bool
+	onClose func()
+}
 
-func (s *scriptedStream) Receive(context.Context) (ForwardFrame, error) {
+// wait waits for the next frame.
+func (s *scriptedStream) wait(ctx context.Context) error {
+	var arrives <-chan time.Time
+	if len(s.frames) > 0 || !s.hangs {
+		if !s.started || s.delay == 0 {
+			s.started = true
+			return nil
+		}
+		arrives = time.After(s.delay)
+		s.delay = 0
+	}
+	select {
+	case <-arrives:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (s *scriptedStream) Receive(ctx context.Context) (ForwardFrame, error) {
+	if err := s.wait(ctx); err != nil {
+		return ForwardFrame{}, err
+	}
 	if len(s.frames) > 0 {
 		frame := s.frames[0]
 		s.frames = s.frames[1:]
@@ -58,7 +90,7 @@
 	return ForwardFrame{}, io.EOF
 }
 
-func (s *scriptedStream) Close() {}
+func (s *scriptedStream) Close() { s.onClose() }
 
 var errLinkBroken = errors.New("link broken")
 
@@ -162,7 +194,7 @@
 		frames = append(frames, frame)
 		return nil
 	})
-	return &scriptedStream{forwardScript{frames: frames}}, true, nil
+	return &scriptedStream{forwardScript: forwardScript{frames: frames}, onClose: func() {}}, true, nil
 }
 
 // Guards against requests that go from daemon to daemon, and against daemons that cannot serve and
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -37,8 +37,9 @@
 	// and MovedWithoutAnswer requests without a complete answer that had been taken off a server which
 	// had not responded.
 	SilentServersResumed, MovedWithoutAnswer tally.Counter
-	// MovesGivenUp counts offers of a request to other servers none of which took it.
-	MovesGivenUp tally.Counter
+	// MovesGivenUp counts offers of a request to others none of which took it, and MovesToDaemons
+	// requests that another daemon has taken.
+	MovesGivenUp, MovesToDaemons tally.Counter
 	// ServersTerminated counts servers that ended while running requests of this daemon.
 	ServersTerminated tally.Counter
 	// RequestsHeld is the number of quarantined requests.
@@ -117,7 +118,7 @@
 		scope: s, Requests: s.Counter("requests"), Retries: s.Counter("repeats"), RetriesDenied: s.Counter("repeats_denied"),
 		Escalations: s.Counter("escalations"), SendsFailed: s.Counter("sends_failed"),
 		ResponsesAborted: s.Counter("answers_cut"), ClientsDisconnected: s.Counter("callers_left"),
-		Probes: s.Counter("alive_checks"), SendsRerouted: s.Counter("sends_moved"), SilentServersResumed: s.Counter("silent_servers_resumed"), MovedWithoutAnswer: s.Counter("moved_without_answer"), MovesGivenUp: s.Counter("moves_given_up"), ServerRestarts: s.Counter("server_restarts"),
+		Probes: s.Counter("alive_checks"), SendsRerouted: s.Counter("sends_moved"), SilentServersResumed: s.Counter("silent_servers_resumed"), MovedWithoutAnswer: s.Counter("moved_without_answer"), MovesGivenUp: s.Counter("moves_given_up"), MovesToDaemons: s.Counter("moves_to_daemons"), ServerRestarts: s.Counter("server_restarts"),
 		ServersTerminated: s.Counter("servers_ended"), RequestsHeld: s.Gauge("requests_held"),
 		DomainsEvacuated: s.Gauge("domains_evacuated"), ServersWarming: s.Gauge("servers_warming"), ServersLimited: s.Gauge("servers_limited"), WarmingSends: s.Counter("warming_sends"), VersionFallbacks: s.Counter("version_fallbacks"), LoadReportsDropped: s.Counter("load_reports_dropped"),
 		UnreadableLimits: s.Counter("server_limits_unreadable"), UnreadableStatements: s.Counter("server_statements_unreadable"),
@@ -196,6 +197,7 @@
 		"sends_yielded":                "Sends to engines that follow others of their rank, by reason.",
 		"sends_moved":                  "Sends cancelled because another server has taken the request, or because their server has restarted.",
 		"moves_given_up":               "Requests of silent servers that were offered to others and stayed, as none took them or the first went on.",
+		"moves_to_daemons":             "Requests that another daemon has taken from a silent server.",
 		"silent_servers_resumed":       "Servers that sent something after they had not responded to a probe.",
 		"moved_without_answer":         "Requests refused, failed or cut after they had been taken off a server that had not responded.",
 		"servers_ended":                "Servers that ended while running requests of this daemon.",
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -315,7 +315,7 @@
 	if rt == nil {
 		return nil, fault.New(fault.NotFound, "no route leads to this host and path")
 	}
-	x := &exchange{relay: r, call: c, route: rt, lastEvent: c.LastEvent, open: map[*send]bool{}, reportRuns: func(int) {}}
+	x := &exchange{relay: r, call: c, route: rt, lastEvent: c.LastEvent, open: map[taker]bool{}, reportRuns: func(int) {}}
 	x.hash = xxhash.Sum64String(c.ID)
 	workspace, known := t.WorkspaceByKey(c.Key)
 	keyed := t.KeyRequired() && !rt.Public
