--- a/internal/daemon/silent_engine_test.go
+++ b/internal/daemon/silent_engine_test.go
@@ -418,10 +418,10 @@
 		d, end := newDaemonWithEngines(p, 3*time.Second, tally.NoopScope)
 		defer synctest.Wait()
 		defer end()
-		for range 10 {
+		for i := range 10 {
 			ctx, cancel := context.WithTimeout(context.Background(), eventInterval/2)
 			req := &ChatRequest{Workspace: "w", Model: "large", Prompt: "p", Body: map[string]json.RawMessage{}}
-			_, err := d.completeChat(ctx, "r", req, d.config.current().Workspaces["w"], []string{"large"}, session.Pin{}, &execution{})
+			_, err := d.completeChat(ctx, fmt.Sprint("r", i), req, d.config.current().Workspaces["w"], []string{"large"}, session.Pin{}, &execution{})
 			cancel()
 			if !fault.Is(err, fault.CallerLeft) {
 				t.Errorf("got %v", err)
