api: a body that does not come is answered after 30 s

A caller of the own interface whose body stalled got neither an answer nor a refusal until it closed its connection, and held the end of a drain for the whole drain limit: reading a body had no deadline.

The body now has 30 s, as on the users' platform, and is then refused as body_timeout, which is not run. The deadline ends with the body, so that it does not end requests that are served.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -178,16 +178,23 @@
 	return a.daemon.Authenticate(key)
 }
 
+// bodyTimeout limits the time in which a caller must send a body.
+const bodyTimeout = 30 * time.Second
+
 // readBody reads the request body, which may have at most max_body_bytes.
 func (a *API) readBody(c echo.Context) ([]byte, error) {
 	limit := a.daemon.Settings().MaxBodyBytes
+	connection := http.NewResponseController(c.Response())
+	_ = connection.SetReadDeadline(time.Now().Add(bodyTimeout)) // fails only on a closed connection
 	data, err := io.ReadAll(io.LimitReader(c.Request().Body, limit+1))
+	// The deadline stays after an error: net/http reads the rest of the body before it responds.
 	if err != nil {
 		return nil, fault.BodyError(err)
 	}
 	if int64(len(data)) > limit {
 		return nil, fault.New(fault.TooLarge, "the body exceeds %d bytes", limit)
 	}
+	_ = connection.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	return data, nil
 }
 
