soak: a proxy mode that holds data for a time and passes it on

A sound server may fall silent for a moment and go on. The soak's proxies could only drop data, which a server that goes on does not. modeSilent holds data and ends of connections in both directions, accepts new connections, and forwards all of it in order once the mode changes.

--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -22,6 +22,9 @@
 	// modeDropResponses forwards requests and drops responses.
 	modeDropResponses
 	modeCount
+	// modeSilent accepts connections and holds data in both directions until the mode changes.
+	// The data is then forwarded. It is no fault, so it is not among the modeCount modes of faults.
+	modeSilent
 )
 
 const forwardDelay = 150 * time.Millisecond
@@ -35,6 +38,8 @@
 	mode   proxyMode
 	closed bool
 	conns  map[net.Conn]bool
+	// modeChanged is signaled, under mu, when the mode changes.
+	modeChanged *sync.Cond
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -42,17 +47,26 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: l, conns: map[net.Conn]bool{}}
+	p := newUnboundProxy(target)
+	p.listener = l
 	go p.accept(l)
 	return p, nil
 }
 
+// newUnboundProxy returns a proxy that does not listen.
+func newUnboundProxy(target string) *proxy {
+	p := &proxy{target: target, conns: map[net.Conn]bool{}}
+	p.modeChanged = sync.NewCond(&p.mu)
+	return p
+}
+
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
 func (p *proxy) setMode(mode proxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
+	p.modeChanged.Broadcast()
 	if mode != modeReset {
 		return
 	}
@@ -67,6 +81,16 @@
 	return p.mode
 }
 
+// awaitSpeech returns the mode once it is not modeSilent.
+func (p *proxy) awaitSpeech() proxyMode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.mode == modeSilent {
+		p.modeChanged.Wait()
+	}
+	return p.mode
+}
+
 // resetConn closes a connection with a TCP reset.
 func resetConn(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
@@ -124,8 +148,8 @@
 	dropped := false
 	for {
 		n, err := src.Read(buf)
+		mode := p.awaitSpeech() // the end of a connection is held like data
 		if n > 0 {
-			mode := p.currentMode()
 			dropped = dropped || mode == dropMode || mode == otherDropMode
 			if mode == modeDelay {
 				time.Sleep(forwardDelay)
