soak: sound servers that fall silent, beside changes, roll-outs and restarts

go run ./lab/soak -silent: one, two or all servers of a service are silent for 0.6 to 1.5 s and go on, again and again, while routes, timeouts and weights change, versions are rolled out and back, and daemons get SIGTERM or SIGHUP, one or several at a time. Nothing fails. Servers work for a while on each request and event, every second client opens a connection for each request, and the others keep theirs until the process is gone. Only the users' platform is played, as in all modes of the soak.

checkAnswers counts requests that end with neither an answer nor a refusal. Its bound is none: it leaves out what reached its deadline or a timeout of its route that may have been in force, what crossed the close of a kept connection without reaching a server, and what was cut at the end of the grace period. That a payment runs once at most is checked by checkCalls.

--- a/lab/soak/cluster.go
+++ b/lab/soak/cluster.go
@@ -32,6 +32,8 @@
 	rng     *rand.Rand
 	store   *standin.MetadataStore
 	servers []*standin.BackendServer
+	// specs are the services and versions of the servers.
+	specs []serverSpec
 	// serverProxies has one proxy per server, storeProxies one to the store per daemon.
 	serverProxies, storeProxies []*proxy
 	daemons                     []*process
@@ -42,8 +44,10 @@
 	keys          []string
 	revoked       map[string]time.Time
 	faults        []string
-	// config is the latest configuration written to the store.
-	config []byte
+	// config is the latest configuration written to the store, and renderConfig returns the next one.
+	config       []byte
+	renderConfig func(version int, keys string) []byte
+	silence      silenceState
 	// serverEntries holds, by server index, the JSON entry without the start time and the
 	// closing brace.
 	serverEntries  []string
@@ -64,6 +68,8 @@
 
 const (
 	clientCount = 12
+	// silentClientCount is the number of clients where half of them open a connection for each request.
+	silentClientCount = 24
 	// settleTime is the pause after the last fault. It exceeds the shutdown grace period of
 	// daemons, because the clients keep sending to a daemon that shuts down.
 	settleTime     = 9 * time.Second
@@ -89,22 +95,26 @@
 
 // runSeed runs the scenario of one seed and checks the guarantees.
 func runSeed(ctx context.Context, seed uint64, opts options, binary, dir string) (*result, error) {
-	cl := &cluster{rng: rand.New(rand.NewPCG(seed, 77)), store: standin.NewMetadataStore(), keys: []string{"k0", "k1", "k2"}, revoked: map[string]time.Time{}, restarting: map[int]bool{}}
+	cl := &cluster{rng: rand.New(rand.NewPCG(seed, 77)), store: standin.NewMetadataStore(), keys: []string{"k0", "k1", "k2"}, revoked: map[string]time.Time{}, restarting: map[int]bool{}, specs: opts.servers(), renderConfig: standardConfig}
+	cl.silence = silenceState{speaksAt: map[int]time.Time{}, orders: map[string]*orderState{}}
+	if opts.silent {
+		cl.renderConfig = cl.silentConfig
+	}
 	defer cl.close()
-	if err := cl.setUp(opts.daemons, binary, dir); err != nil {
+	if err := cl.setUp(opts, binary, dir); err != nil {
 		return nil, err
 	}
 	if err := cl.awaitReady(ctx); err != nil {
 		return nil, err
 	}
-	gen := &loadGenerator{crashingParts: opts.crashingParts}
+	gen := &loadGenerator{crashingParts: opts.crashingParts, newConnections: opts.silent}
 	for _, d := range cl.daemons {
 		gen.clientAddrs = append(gen.clientAddrs, d.clientAddr)
 	}
 	clientCtx, stopClients := context.WithCancel(ctx)
 	defer stopClients()
 	done := make(chan struct{})
-	go func() { gen.run(clientCtx, seed, clientCount, cl.clientKeys); close(done) }()
+	go func() { gen.run(clientCtx, seed, opts.clients(), cl.clientKeys); close(done) }()
 	stopRestores := func() {}
 	if opts.storeRestores {
 		stopRestores = cl.startStoreRestores()
@@ -129,6 +139,10 @@
 	<-done
 	r := &result{requests: len(gen.calls), faults: fmt.Sprintf("%s (the store returned %d times)", strings.Join(cl.faults, " "), cl.restoreCount)}
 	r.violations = slices.Concat(checkCalls(gen.calls, cl.executions, cl.revoked), checkInvalidEntries(cl.invalidEntries, cl.servers), checkFalseQuarantines(gen.calls), checkQuarantine(cl.crashTimes, cl.crashingArrivals(gen.calls), opts.quarantineThreshold()), cl.checkAdmission(), cl.checkLimits(), cl.checkStatements(gen.calls), checkPanics(cl.daemons))
+	if opts.silent {
+		r.violations = append(r.violations, cl.checkAnswers(gen.calls)...)
+		r.faults += "; " + summarizeOutcomes(gen.calls)
+	}
 	r.successRate, _ = successRate(gen.calls, faultStart, recoveryStart, cl.revoked)
 	r.recoveryRate, _ = successRate(gen.calls, recoveryStart, recoveryEnd, cl.revoked)
 	r.recoveryOutcomes = countOutcomes(gen.calls, recoveryStart, recoveryEnd)
@@ -144,27 +158,32 @@
 	return []string{fmt.Sprintf("after the faults %.3f of the requests were served: %v", r.recoveryRate, r.recoveryOutcomes)}
 }
 
-func (c *cluster) setUp(daemons int, binary, dir string) error {
+func (c *cluster) setUp(opts options, binary, dir string) error {
 	store := httptest.NewServer(c.store)
 	c.closers = append(c.closers, store.Close)
 	c.writeConfig()
-	for i := range c.warmupCounts {
-		service := []string{"lm", "app"}[i%2]
-		backend := standin.NewBackendServer(fmt.Sprintf("%s%d", service, i), streamEvents)
-		backend.ConfidenceByModel["small"] = 30 + 12*i
+	for i, spec := range c.specs {
+		backend := standin.NewBackendServer(fmt.Sprintf("%s%d", spec.service, i), streamEvents)
+		backend.ConfidenceByModel["small"] = 30 + 12*(i%len(standardServers))
 		backend.OnCrash(func() { c.crashServer(i) })
-		server := httptest.NewServer(backend)
+		var handler http.Handler = backend
+		if opts.silent {
+			handler = working(backend)
+		}
+		server := httptest.NewServer(handler)
 		p, err := newProxy(strings.TrimPrefix(server.URL, "http://"))
 		if err != nil {
 			return err
 		}
 		c.closers = append(c.closers, p.close, server.Close)
 		c.servers, c.serverProxies = append(c.servers, backend), append(c.serverProxies, p)
-		c.serverEntries = append(c.serverEntries, fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"z%d","version":"v1","slots":32,"state":"ready","sequence":1`, service, p.address(), i%3))
-		c.writeEntry(i, backend.StartMillis())
+		c.serverEntries = append(c.serverEntries, fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"z%d","version":%q,"slots":32,"state":"ready","sequence":1`, spec.service, p.address(), i%3, spec.version))
+		if spec.version == runningVersion {
+			c.writeEntry(i, backend.StartMillis())
+		}
 	}
 	seedAddr := ""
-	for n := range daemons {
+	for n := range opts.daemons {
 		p, err := newProxy(strings.TrimPrefix(store.URL, "http://"))
 		if err != nil {
 			return err
@@ -215,10 +234,14 @@
 	for i, k := range c.keys {
 		quoted[i] = fmt.Sprintf("%q", k)
 	}
-	c.config = fmt.Appendf(nil, configTemplate, c.configVersion, strings.Join(quoted, ","))
+	c.config = c.renderConfig(c.configVersion, strings.Join(quoted, ","))
 	c.store.Put("keyed.op", "config", c.config)
 }
 
+func standardConfig(version int, keys string) []byte {
+	return fmt.Appendf(nil, configTemplate, version, keys)
+}
+
 // clientKeys returns the keys that clients use: the valid and the recently revoked ones.
 func (c *cluster) clientKeys() []string {
 	c.mu.Lock()
@@ -265,6 +288,8 @@
 			c.injectLimitFault()
 		case opts.statements:
 			c.injectStatementFault()
+		case opts.silent:
+			c.injectSilence()
 		default:
 			c.injectFault(time.Duration(c.rng.Int64N(int64(maxFaultDuration))))
 		}
--- a/lab/soak/loadgen.go
+++ b/lab/soak/loadgen.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"time"
@@ -47,6 +48,15 @@
 	leaving bool
 	// crashing marks a request that crashes every server that runs it.
 	crashing bool
+	sending
+}
+
+// sending is how a request was sent.
+type sending struct {
+	// keptConnection is set if its connection had been used before.
+	keptConnection bool
+	// writtenAt is the time at which the whole request was written; zero if it was not.
+	writtenAt time.Time
 }
 
 // loadGenerator sends requests over persistent connections and records the responses.
@@ -57,6 +67,8 @@
 	lastID      int
 	// crashingParts makes crashing requests unlike, with one part of their prompts in common.
 	crashingParts bool
+	// newConnections makes every second client open a connection for each request.
+	newConnections bool
 }
 
 const requestTimeout = 6 * time.Second
@@ -65,7 +77,7 @@
 	var wg sync.WaitGroup
 	for i := range clients {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
-		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableKeepAlives: g.newConnections && i%2 == 1}}
 		wg.Go(func() {
 			for ctx.Err() == nil {
 				keys := clientKeys()
@@ -111,6 +123,7 @@
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
+	ctx, sent := traceSending(ctx)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+frontAddr+routePaths[kind], strings.NewReader(payload))
 	if err != nil {
 		panic(err) // the URL is built from constants and a valid address
@@ -137,12 +150,38 @@
 		rec.leaving = resp.Header.Get("Server-Leaving") == "1"
 	}
 	rec.endedAt = time.Now()
+	rec.sending = sent()
 	g.mu.Lock()
 	g.calls = append(g.calls, rec)
 	g.mu.Unlock()
 	return rec
 }
 
+// traceSending returns a context that traces how a request is sent, and a function that returns what it saw.
+func traceSending(ctx context.Context) (context.Context, func() sending) {
+	var mu sync.Mutex
+	var seen sending
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			mu.Lock()
+			defer mu.Unlock()
+			seen = sending{keptConnection: info.Reused}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			mu.Lock()
+			defer mu.Unlock()
+			if info.Err == nil {
+				seen.writtenAt = time.Now()
+			}
+		},
+	}
+	return httptrace.WithClientTrace(ctx, trace), func() sending {
+		mu.Lock()
+		defer mu.Unlock()
+		return seen
+	}
+}
+
 // promptPrefix returns the parts of a prompt: one that all requests share, one that crashing requests
 // share with each other and normal ones with some, and one of the request's own.
 func promptPrefix(c call) string {
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -26,8 +26,9 @@
 	warming := flag.Bool("warming", false, "servers warm up after each start and failure domains are evacuated, beside daemons that stop and start, in place of all other faults")
 	limits := flag.Bool("limits", false, "servers state limits on their requests per second, beside daemons, servers and a store that fail, in place of all other faults")
 	statements := flag.Bool("statements", false, "servers state that they leave or want a pause, beside daemons, servers and a store that fail, in place of all other faults")
+	silent := flag.Bool("silent", false, "sound servers fall silent for a moment and go on, beside restarts and reloads of daemons, roll-outs and changes of the configuration, in place of all faults")
 	flag.Parse()
-	if err := run(*firstSeed, *seeds, options{*duration, *daemons, *restarts, *deadly || *deadlyParts, *deadlyParts, *storeRestores, *warming, *limits, *statements}, *keep, os.Stdout); err != nil {
+	if err := run(*firstSeed, *seeds, options{*duration, *daemons, *restarts, *deadly || *deadlyParts, *deadlyParts, *storeRestores, *warming, *limits, *statements, *silent}, *keep, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -54,6 +55,9 @@
 	// statements injects servers that leave or want a pause, and failures of daemons, servers
 	// and the store instead of the default faults.
 	statements bool
+	// silent injects servers that are silent for a moment, restarts and reloads of daemons, roll-outs and
+	// changes of the configuration instead of the default faults.
+	silent bool
 }
 
 var errViolations = errors.New("promises were broken")
@@ -108,3 +112,11 @@
 	}
 	return quarantineThreshold
 }
+
+// clients returns the number of clients.
+func (o options) clients() int {
+	if o.silent {
+		return silentClientCount
+	}
+	return clientCount
+}
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -23,8 +23,8 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	stopped bool
-	// lastTermAt is the time of the last SIGTERM.
-	lastTermAt time.Time
+	// terms are the times of SIGTERM.
+	terms []time.Time
 	// lastFaultAt is the time of the last signal other than SIGTERM and SIGHUP.
 	lastFaultAt time.Time
 	// interruptions are the times at which it started, was paused and went on.
@@ -149,7 +149,7 @@
 		return
 	}
 	if sig == syscall.SIGTERM {
-		p.lastTermAt = time.Now()
+		p.terms = append(p.terms, time.Now())
 	} else if sig != syscall.SIGHUP {
 		p.lastFaultAt = time.Now()
 	}
--- /dev/null
+++ b/lab/soak/silent.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Scenario: servers fall silent for a moment and go on, one, two or all of a service at a time,
+// while daemons are restarted and reloaded, the operator changes routes, timeouts and weights, and
+// versions are rolled out. Nothing fails.
+
+const (
+	// minSilence and maxSilence bound the time for which a server is silent, and
+	// minSpeech is the shortest time between two silences of a server.
+	minSilence = 600 * time.Millisecond
+	maxSilence = 1500 * time.Millisecond
+	minSpeech  = 300 * time.Millisecond
+	// rolloutDuration is the duration of an order, and rolloutInterval the shortest time between
+	// two orders of a service.
+	rolloutDuration = 3 * time.Second
+	rolloutInterval = 5 * time.Second
+	// maxAddedRoutes bounds the number of further routes of a configuration.
+	maxAddedRoutes = 200
+	// workTime is how long servers work on a request, and on each event of a stream.
+	workTime = 20 * time.Millisecond
+	// readinessTimeout bounds the question whether a daemon is ready.
+	readinessTimeout = 200 * time.Millisecond
+)
+
+// serverSpec is the service of a server and its version.
+type serverSpec struct{ service, version string }
+
+const (
+	runningVersion = "v1"
+	nextVersion    = "v2"
+)
+
+// standardServers are the servers of all scenarios but this one.
+var standardServers = []serverSpec{
+	{"lm", runningVersion}, {"app", runningVersion}, {"lm", runningVersion},
+	{"app", runningVersion}, {"lm", runningVersion}, {"app", runningVersion},
+}
+
+// silentServers are the servers of this scenario. Those of the next version are listed with the first
+// order of their service.
+var silentServers = append(standardServers[:len(standardServers):len(standardServers)],
+	serverSpec{"desk", runningVersion}, serverSpec{"desk", runningVersion},
+	serverSpec{"lm", nextVersion}, serverSpec{"lm", nextVersion},
+	serverSpec{"app", nextVersion}, serverSpec{"app", nextVersion},
+)
+
+// servers returns the servers of the scenario.
+func (o options) servers() []serverSpec {
+	if o.silent {
+		return silentServers
+	}
+	return standardServers
+}
+
+// orderState is the roll-outs that were ordered of a service.
+type orderState struct {
+	count  int
+	lastAt time.Time
+}
+
+// silenceState is the state of the scenario. Only the goroutine that injects uses it.
+type silenceState struct {
+	// speaksAt is, by server, the end of its last silence.
+	speaksAt map[int]time.Time
+	orders   map[string]*orderState
+	// timeouts are the routes' timeouts of all configurations, oldest first.
+	timeouts []timeoutPeriod
+}
+
+// timeoutPeriod is the timeouts of a configuration and the time at which it was written.
+type timeoutPeriod struct {
+	from   time.Time
+	byKind [routeKindCount]time.Duration
+}
+
+// routeTimeouts are the timeouts that routes may have.
+var routeTimeouts = []time.Duration{3 * time.Second, 4 * time.Second, 5500 * time.Millisecond}
+
+const silentConfigTemplate = `{"version":%d,"routes":[
+ {"name":"talk","host":"h.example","path_prefix":"/talk/","kind":"streaming","timeout_ms":%d,"latency_target_ms":1000,"priority":1,"sizes":["small","large"],"service":"lm","attempts":3,"resumable":true,"gap_target_ms":1000},
+ {"name":"pay","host":"h.example","path_prefix":"/pay/","kind":"non_idempotent","timeout_ms":%d,"latency_target_ms":300,"priority":2,"backends":[{"service":"app","weight":%d},{"service":"desk","weight":%d}],"attempts":1},
+ {"name":"look","host":"h.example","path_prefix":"/look/","kind":"idempotent","timeout_ms":%d,"latency_target_ms":300,"priority":2,"service":"%s","attempts":2}%s],
+ "services":[{"name":"lm","health_path":"/healthz","max_conns":200,"engine":{"slots":32,"kv_capacity":100000,"models":[{"name":"small","cost":0.02},{"name":"large","cost":0.3}]}},{"name":"app","health_path":"/healthz","max_conns":200},{"name":"desk","health_path":"/healthz","max_conns":200}],
+ "limits":{"body_bytes":100000},"tenants":[{"name":"acme","keys":[%s]}]}`
+
+// silentConfig returns a configuration with other timeouts, weights and routes, and records its timeouts.
+func (c *cluster) silentConfig(version int, keys string) []byte {
+	p := timeoutPeriod{from: time.Now()}
+	for kind := range p.byKind {
+		p.byKind[kind] = routeTimeouts[c.rng.IntN(len(routeTimeouts))]
+	}
+	c.silence.timeouts = append(c.silence.timeouts, p)
+	var added strings.Builder
+	for n := range c.rng.IntN(maxAddedRoutes) {
+		fmt.Fprintf(&added, `,{"name":"more%d","host":"h.example","path_prefix":"/more%d/","kind":"idempotent","timeout_ms":4000,"latency_target_ms":300,"service":"app","attempts":2}`, n, n)
+	}
+	return fmt.Appendf(nil, silentConfigTemplate, version, p.byKind[streaming].Milliseconds(),
+		p.byKind[nonIdempotent].Milliseconds(), 1+c.rng.IntN(3), c.rng.IntN(3),
+		p.byKind[idempotent].Milliseconds(), []string{"app", "desk"}[c.rng.IntN(2)], added.String(), keys)
+}
+
+// injectSilence makes servers silent, changes the configuration, orders a roll-out, or restarts or reloads daemons.
+func (c *cluster) injectSilence() {
+	service := []string{"lm", "app", "desk"}[c.rng.IntN(3)]
+	some := 1 + c.rng.IntN(len(c.daemons))
+	events := []struct {
+		name  string
+		start func() string
+	}{
+		{"silent", func() string { return c.silenceServers(service, 1) }},
+		{"silent", func() string { return c.silenceServers(service, 2) }},
+		{"silent", func() string { return c.silenceServers(service, len(c.servers)) }},
+		{"silent", func() string { return c.silenceServers(service, len(c.servers)) }},
+		{"config", c.changeConfig},
+		{"config", c.changeConfig},
+		{"order", func() string { return c.orderRollout(service) }},
+		{"term", func() string { return c.signalDaemons(syscall.SIGTERM, 1) }},
+		{"term", func() string { return c.signalDaemons(syscall.SIGTERM, some) }},
+		{"hup", func() string { return c.signalDaemons(syscall.SIGHUP, some) }},
+	}
+	e := events[c.rng.IntN(len(events))]
+	c.faults = append(c.faults, fmt.Sprintf("%s %s(%s)", time.Now().Format("05.000"), e.name, e.start()))
+}
+
+// silenceServers makes up to count servers of a service silent for one time, and returns which. It
+// leaves out those that are silent or were lately.
+func (c *cluster) silenceServers(service string, count int) string {
+	var done []string
+	now := time.Now()
+	duration := minSilence + time.Duration(c.rng.Int64N(int64(maxSilence-minSilence)))
+	for _, i := range c.rng.Perm(len(c.servers)) {
+		if c.specs[i].service != service || len(done) == count || now.Before(c.silence.speaksAt[i].Add(minSpeech)) {
+			continue
+		}
+		c.silence.speaksAt[i] = now.Add(duration)
+		p := c.serverProxies[i]
+		p.setMode(modeSilent)
+		time.AfterFunc(duration, func() { p.setMode(modeForward) })
+		done = append(done, c.servers[i].ID)
+	}
+	return strings.Join(append(done, duration.Round(time.Millisecond).String()), " ")
+}
+
+func (c *cluster) changeConfig() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeConfig()
+	return fmt.Sprint(c.configVersion)
+}
+
+// orderRollout orders a roll-out of the other version of a service, unless an order was written lately or
+// the service has one version.
+func (c *cluster) orderRollout(service string) string {
+	o := c.silence.orders[service]
+	if o == nil {
+		o = &orderState{}
+		c.silence.orders[service] = o
+	}
+	if service == "desk" || time.Since(o.lastAt) < rolloutInterval {
+		return ""
+	}
+	target := []string{nextVersion, runningVersion}[o.count%2]
+	c.store.Put("keyed.op", "rollout/"+service, fmt.Appendf(nil, `{"service":%q,"target":%q,"duration_s":%g}`, service, target, rolloutDuration.Seconds()))
+	for i, spec := range c.specs {
+		if o.count == 0 && spec == (serverSpec{service, target}) {
+			c.writeEntry(i, c.servers[i].StartMillis())
+		}
+	}
+	o.count, o.lastAt = o.count+1, time.Now()
+	return service + " " + target
+}
+
+// signalDaemons sends a signal to up to count daemons that are ready, and returns which.
+func (c *cluster) signalDaemons(sig syscall.Signal, count int) string {
+	var ready []*process
+	for _, n := range c.rng.Perm(len(c.daemons))[:count] {
+		if c.daemons[n].ready() {
+			ready = append(ready, c.daemons[n])
+		}
+	}
+	names := []string{}
+	for _, d := range ready {
+		d.signal(sig)
+		names = append(names, d.name)
+	}
+	return strings.Join(names, " ")
+}
+
+// ready reports whether the daemon says that it is ready. One that starts or leaves is not.
+func (p *process) ready() bool {
+	client := &http.Client{Timeout: readinessTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + p.readyAddr + "/-/readyz")
+	if err != nil {
+		return false // not reached
+	}
+	_ = resp.Body.Close() // only the status counts
+	return resp.StatusCode == http.StatusOK
+}
+
+// working returns a handler that takes workTime for each response without events and for each event.
+func working(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			h.ServeHTTP(w, r)
+			return
+		}
+		h.ServeHTTP(workingWriter{w}, r)
+	})
+}
+
+// workingWriter waits for workTime after each flush, and before a part of a response that is no event.
+type workingWriter struct{ http.ResponseWriter }
+
+func (w workingWriter) Write(data []byte) (int, error) {
+	if !bytes.HasPrefix(data, []byte("id: ")) {
+		time.Sleep(workTime)
+	}
+	return w.ResponseWriter.Write(data)
+}
+
+func (w workingWriter) FlushError() error {
+	err := http.NewResponseController(w.ResponseWriter).Flush()
+	time.Sleep(workTime)
+	return err
+}
