soak: the own interface beside servers that fall silent

go run ./lab/soak -silent -own: the daemons of the own interface, in this process, with proxies before the engines and services of the demo's cluster. The same silences, restarts with a drain of one and several daemons, changes of a cascade and a price, and roll-outs; models, a cascade and calls that may run once, a quarter of the requests for models with a key. The soak played only the users' platform before. The time after which an idle stream is resumed is the product's default, not the demo's second.

Requests that end with neither an answer nor a refusal are counted as on the platform. Whether a request on a kept connection had reached a server is not known there, as the request has no ID without a response: one that ends within 0.2 s is taken for one that crossed the close.

--- a/lab/soak/answers_test.go
+++ b/lab/soak/answers_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
 )
 
 // Guards against a check that misses a request without an answer, or reports one that the rules allow.
@@ -54,3 +56,28 @@
 		}
 	}
 }
+
+// Guards against the same of the own interface.
+func TestOwnCallReportsViolations(t *testing.T) {
+	now := time.Now()
+	for name, tt := range map[string]struct {
+		change func(c *ownCall)
+		want   bool
+	}{
+		"answer":              {func(*ownCall) {}, false},
+		"refusal":             {func(c *ownCall) { c.status, c.executionState = 503, string(fault.NotRun) }, false},
+		"failure":             {func(c *ownCall) { c.status, c.executionState = 502, string(fault.Unknown) }, true},
+		"failure in a stream": {func(c *ownCall) { c.complete = false }, true},
+		"cut in its answer":   {func(c *ownCall) { c.err = errViolations }, true},
+		"reset":               {func(c *ownCall) { c.status, c.err = 0, errViolations }, true},
+		"crosses the close":   {func(c *ownCall) { c.status, c.err, c.keptConnection = 0, errViolations, true }, false},
+		"not sent":            {func(c *ownCall) { c.status, c.err, c.writtenAt = 0, errViolations, time.Time{} }, false},
+		"timeout":             {func(c *ownCall) { c.status, c.endAt = 504, now.Add(ownRequestTimeout) }, false},
+	} {
+		c := ownCall{sentAt: now, endAt: now.Add(lossSlack), status: 200, complete: true, sending: sending{writtenAt: now}}
+		tt.change(&c)
+		if why := c.missingAnswer(); (why != "") != tt.want {
+			t.Errorf("%s: %q, want a report: %t", name, why, tt.want)
+		}
+	}
+}
--- a/lab/soak/cluster.go
+++ b/lab/soak/cluster.go
@@ -96,7 +96,7 @@
 // runSeed runs the scenario of one seed and checks the guarantees.
 func runSeed(ctx context.Context, seed uint64, opts options, binary, dir string) (*result, error) {
 	cl := &cluster{rng: rand.New(rand.NewPCG(seed, 77)), store: standin.NewMetadataStore(), keys: []string{"k0", "k1", "k2"}, revoked: map[string]time.Time{}, restarting: map[int]bool{}, specs: opts.servers(), renderConfig: standardConfig}
-	cl.silence = silenceState{speaksAt: map[int]time.Time{}, orders: map[string]*orderState{}}
+	cl.silence = silenceState{silencer: silencer{map[string]time.Time{}}, orders: map[string]*orderState{}}
 	if opts.silent {
 		cl.renderConfig = cl.silentConfig
 	}
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -27,8 +27,9 @@
 	limits := flag.Bool("limits", false, "servers state limits on their requests per second, beside daemons, servers and a store that fail, in place of all other faults")
 	statements := flag.Bool("statements", false, "servers state that they leave or want a pause, beside daemons, servers and a store that fail, in place of all other faults")
 	silent := flag.Bool("silent", false, "sound servers fall silent for a moment and go on, beside restarts and reloads of daemons, roll-outs and changes of the configuration, in place of all faults")
+	own := flag.Bool("own", false, "with silent: the daemons of the own interface")
 	flag.Parse()
-	if err := run(*firstSeed, *seeds, options{*duration, *daemons, *restarts, *deadly || *deadlyParts, *deadlyParts, *storeRestores, *warming, *limits, *statements, *silent}, *keep, os.Stdout); err != nil {
+	if err := run(*firstSeed, *seeds, options{*duration, *daemons, *restarts, *deadly || *deadlyParts, *deadlyParts, *storeRestores, *warming, *limits, *statements, *silent, *own}, *keep, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -58,6 +59,8 @@
 	// silent injects servers that are silent for a moment, restarts and reloads of daemons, roll-outs and
 	// changes of the configuration instead of the default faults.
 	silent bool
+	// own plays silent servers with the daemons of the own interface.
+	own bool
 }
 
 var errViolations = errors.New("promises were broken")
@@ -74,7 +77,15 @@
 	}
 	failed := 0
 	for seed := firstSeed; seed < firstSeed+seeds; seed++ {
-		r, err := runSeed(context.Background(), seed, opts, binary, filepath.Join(dir, fmt.Sprint(seed)))
+		play := func() (*result, error) {
+			return runSeed(context.Background(), seed, opts, binary, filepath.Join(dir, fmt.Sprint(seed)))
+		}
+		if opts.own {
+			play = func() (*result, error) {
+				return runOwnSeed(context.Background(), seed, opts, filepath.Join(dir, fmt.Sprint(seed)))
+			}
+		}
+		r, err := play()
 		if err != nil {
 			return errors.Join(fmt.Errorf("seed %d: %w", seed, err), keepLogs(keep, dir, seed))
 		}
--- a/lab/soak/silent.go
+++ b/lab/soak/silent.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"syscall"
@@ -69,9 +70,8 @@
 
 // silenceState is the state of the scenario. Only the goroutine that injects uses it.
 type silenceState struct {
-	// speaksAt is, by server, the end of its last silence.
-	speaksAt map[int]time.Time
-	orders   map[string]*orderState
+	silencer
+	orders map[string]*orderState
 	// timeouts are the routes' timeouts of all configurations, oldest first.
 	timeouts []timeoutPeriod
 }
@@ -131,21 +131,41 @@
 	c.faults = append(c.faults, fmt.Sprintf("%s %s(%s)", time.Now().Format("05.000"), e.name, e.start()))
 }
 
-// silenceServers makes up to count servers of a service silent for one time, and returns which. It
-// leaves out those that are silent or were lately.
+// silenceServers makes up to count servers of a service silent for one time, and returns which.
 func (c *cluster) silenceServers(service string, count int) string {
+	var ids []string
+	proxies := map[string]*proxy{}
+	for i, spec := range c.specs {
+		if spec.service == service {
+			ids = append(ids, c.servers[i].ID)
+			proxies[c.servers[i].ID] = c.serverProxies[i]
+		}
+	}
+	return c.silence.silence(c.rng, ids, proxies, count)
+}
+
+// silencer makes servers silent. It is used by one goroutine.
+type silencer struct {
+	// speaksAt is, by server, the end of its last silence.
+	speaksAt map[string]time.Time
+}
+
+// silence makes up to count of the servers silent for one time, and returns which. It leaves out those that
+// are silent or were lately.
+func (s *silencer) silence(rng *rand.Rand, ids []string, proxies map[string]*proxy, count int) string {
 	var done []string
 	now := time.Now()
-	duration := minSilence + time.Duration(c.rng.Int64N(int64(maxSilence-minSilence)))
-	for _, i := range c.rng.Perm(len(c.servers)) {
-		if c.specs[i].service != service || len(done) == count || now.Before(c.silence.speaksAt[i].Add(minSpeech)) {
+	duration := minSilence + time.Duration(rng.Int64N(int64(maxSilence-minSilence)))
+	for _, n := range rng.Perm(len(ids)) {
+		id := ids[n]
+		if len(done) == count || now.Before(s.speaksAt[id].Add(minSpeech)) {
 			continue
 		}
-		c.silence.speaksAt[i] = now.Add(duration)
-		p := c.serverProxies[i]
+		s.speaksAt[id] = now.Add(duration)
+		p := proxies[id]
 		p.setMode(modeSilent)
 		time.AfterFunc(duration, func() { p.setMode(modeForward) })
-		done = append(done, c.servers[i].ID)
+		done = append(done, id)
 	}
 	return strings.Join(append(done, duration.Round(time.Millisecond).String()), " ")
 }
