backend: an entry that gains a start is no restart

The start in an entry is optional. When the entry of a running server gained one, its ID changed, which counted as a restart: all requests that waited for the server were cancelled, its connections closed, and its requests became suspects of a crash. Callers then got the answer of another server, or, once no other could take the request, a failure, although the server went on.

An earlier start shows that a run has ended; no start shows nothing. The state kept under the old ID expires as that of a removed server.

TestEntryThatGainsStartIsNoRestart fails 5 of 5 on a copy without the mend, 0 of 5 with it (go test -count 5 -run TestEntryThatGains ./internal/backend).

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -56,7 +56,7 @@
 }
 
 // Put adds or updates the entry of a server and sets its ID. It returns the previous
-// incarnation if the server has restarted.
+// incarnation if the server has restarted. An entry that gains a start may describe the same run.
 //
 // An entry of an older incarnation is rejected with Superseded, since the store may apply
 // writes out of order. An entry without a start, if the known one has a start, is rejected
@@ -71,7 +71,7 @@
 		return nil, Invalid(FieldMissing, "no start in the entry of a server that had one")
 	case s.Incarnation.Before(old.server.Incarnation):
 		return nil, Invalid(Superseded, "start %d is before the known start %d", s.Incarnation.StartMillis, old.server.Incarnation.StartMillis)
-	case s.ID != old.server.ID:
+	case s.ID != old.server.ID && old.server.Incarnation.StartMillis != 0:
 		replaced = &old.server
 	}
 	r.entries[s.Incarnation.Name] = &entry{server: s}
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -123,6 +123,18 @@
 	}
 }
 
+// Guards against ending the requests of a run whose entry gains a start.
+func TestEntryThatGainsStartIsNoRestart(t *testing.T) {
+	r := NewRegistry()
+	mustPut(t, r, testServer("a", 0))
+	if replaced := mustPut(t, r, testServer("a", 200)); replaced != nil {
+		t.Errorf("replaced: %+v", replaced)
+	}
+	if servers := r.ForService("s", 0); len(servers) != 1 || servers[0].Incarnation.StartMillis != 200 {
+		t.Errorf("got %+v", servers)
+	}
+}
+
 func TestUpdateOfSameIncarnation(t *testing.T) {
 	r := NewRegistry()
 	mustPut(t, r, testServer("a", 100))
