relay: the next run of a server at another address ends no calls at the old one

Requests that waited for a server were cancelled once an entry of its name with a later start was read, also if that run had another address. Two processes with one name may run at once; an address has only one. The entry says which address the next run has, so calls leave the old run at once only if it is the same; otherwise they are offered to others and stay until one has taken them. The line 'server restarted' has the next run's ID and address.

--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -117,7 +117,7 @@
 		n.deps.Metrics.ReadDelay(freshness.Servers).RecordDuration(confirmed)
 		n.detectOutageEnd(confirmed)
 	}
-	var ended []backend.Server
+	var ended []replacement
 	restored := n.eraChanges.consume(freshness.Servers)
 	if restored {
 		// Entries that the older copy lacks get time to be written again, as after an outage.
@@ -132,7 +132,8 @@
 				continue
 			}
 			if old := n.applyServerRecord(reg, r, now, lines); old != nil {
-				ended = append(ended, *old)
+				next, _, _ := reg.Get(r.Key, now)
+				ended = append(ended, replacement{*old, next})
 			}
 		}
 		if complete {
@@ -143,11 +144,14 @@
 	if lines.lines > 0 {
 		n.serversChanged.Store(true)
 	}
-	for _, old := range ended {
-		n.Relay.ServerRestarted(old)
+	for _, e := range ended {
+		n.Relay.ServerRestarted(e.old, e.next)
 	}
 }
 
+// replacement is an incarnation of a server that a later one has replaced.
+type replacement struct{ old, next backend.Server }
+
 // isStaleEntry reports whether an entry of a restored store is older than the one that this daemon
 // has applied. Applying it would make a server that left usable again.
 func (n *Node) isStaleEntry(reg *backend.Registry, r feed.Record, now time.Duration) bool {
--- a/internal/relay/liveness.go
+++ b/internal/relay/liveness.go
@@ -216,9 +216,9 @@
 	return srv != nil && srv.attempts[a] && a.reroute(ended)
 }
 
-// rerouteWaiting reroutes the requests that wait for a server that has restarted, which
-// will not respond to them. A stream that still makes progress is not rerouted.
-func (m *livenessMonitor) rerouteWaiting(id string, now time.Time) (rerouted int) {
+// rerouteWaiting reroutes the requests that wait for a server that has been replaced. It will not
+// respond to them if its run has ended. A stream that still makes progress is not rerouted.
+func (m *livenessMonitor) rerouteWaiting(id string, ended bool, now time.Time) (rerouted int) {
 	m.mu.Lock()
 	var waiting []*attempt
 	if srv := m.servers[id]; srv != nil {
@@ -230,7 +230,7 @@
 	}
 	m.mu.Unlock()
 	for _, a := range waiting {
-		if m.reroute(a, true) {
+		if m.reroute(a, ended) {
 			rerouted++
 		}
 	}
--- a/internal/relay/liveness_test.go
+++ b/internal/relay/liveness_test.go
@@ -102,30 +102,33 @@
 	}
 }
 
-// Guards against requests that wait for their deadline or a probe on a server that has
-// restarted and does not know them.
+// Guards against requests that wait for their deadline or a probe on a server that has restarted and
+// does not know them, and against cutting them if another server has taken its name.
 func TestServerRestartReroutesWaitingRequests(t *testing.T) {
-	h := newHarness(t, respond(200, ""))
-	old := backend.Server{ID: "e0", Incarnation: backend.Incarnation{Name: "e0"}, Address: "10.0.0.0:1"}
-	on := &target{server: old, service: "lm", expectedLatency: 100 * time.Millisecond}
-	rerouted := map[string]bool{}
-	track := func(name string) *attempt {
-		return h.relay.liveness.track(on, true, &route.Route{}, 3, func(lost bool) bool {
-			rerouted[name] = lost
-			return true
-		})
-	}
-	track("waiting")
-	track("streaming").recordProgress()
-	h.relay.ServerRestarted(old)
-	if lost, called := rerouted["waiting"]; !called || !lost {
-		t.Error("waiting request not rerouted from an ended run")
-	}
-	if _, called := rerouted["streaming"]; called {
-		t.Error("progressing stream was rerouted")
-	}
-	if len(h.backend.closed) != 1 || h.backend.closed[0] != old.Address {
-		t.Errorf("closed connections of %v", h.backend.closed)
+	for address, ended := range map[string]bool{"10.0.0.0:1": true, "10.0.0.9:1": false} {
+		h := newHarness(t, respond(200, ""))
+		old := backend.Server{ID: "e0@a", Incarnation: backend.Incarnation{Name: "e0", StartMillis: 10}, Address: "10.0.0.0:1"}
+		next := backend.Server{ID: "e0@b", Incarnation: backend.Incarnation{Name: "e0", StartMillis: 11}, Address: address}
+		on := &target{server: old, service: "lm", expectedLatency: 100 * time.Millisecond}
+		rerouted := map[string]bool{}
+		track := func(name string) *attempt {
+			return h.relay.liveness.track(on, true, &route.Route{}, 3, func(lost bool) bool {
+				rerouted[name] = lost
+				return true
+			})
+		}
+		track("waiting")
+		track("streaming").recordProgress()
+		h.relay.ServerRestarted(old, next)
+		if lost, called := rerouted["waiting"]; !called || lost != ended {
+			t.Errorf("next run at %s: waiting request rerouted %t from an ended run %t", address, called, lost)
+		}
+		if _, called := rerouted["streaming"]; called {
+			t.Error("progressing stream was rerouted")
+		}
+		if len(h.backend.closed) != 1 || h.backend.closed[0] != old.Address {
+			t.Errorf("closed connections of %v", h.backend.closed)
+		}
 	}
 }
 
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -163,8 +163,8 @@
 	h := newHarness(t, failSend(upstream.ConnectionLost, true))
 	h.callWithBody("/s/1", "x")
 	for _, s := range h.backend.sends {
-		h.relay.ServerRestarted(s.Server)
-		h.relay.ServerRestarted(s.Server)
+		h.relay.ServerRestarted(s.Server, s.Server)
+		h.relay.ServerRestarted(s.Server, s.Server)
 	}
 	if s := h.relay.Guard.Check(quarantine.Identity{Request: fingerprintOf("/s/1", "x")}); s.Crashes != 3 || !s.Held {
 		t.Errorf("quarantine status %+v", s)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -131,16 +131,20 @@
 	r.liveness.run(ctx)
 }
 
-// ServerRestarted handles the end of a server's run, known from its restart.
-// Requests that wait for the run are rerouted, and its connections are closed. State
-// is keyed by the run's ID, so none is applied to the new run.
-func (r *Relay) ServerRestarted(run backend.Server) {
+// ServerRestarted handles the end of a server's run, known from the entry of the next one.
+// Requests that wait for the run are rerouted, and its connections are closed. They leave it at once
+// only if the next run has its address: elsewhere both may run. State is keyed by the run's ID, so none
+// is applied to the new run.
+func (r *Relay) ServerRestarted(run, next backend.Server) {
 	r.Guard.ServerRestarted(containmentServer(run))
-	rerouted := r.liveness.rerouteWaiting(run.ID, time.Now())
+	ended := next.Address == run.Address
+	rerouted := r.liveness.rerouteWaiting(run.ID, ended, time.Now())
 	r.backend.CloseIdleConnections(run.Address)
 	r.Metrics.ServerRestarts.Inc(1)
-	r.Metrics.SendsRerouted.Inc(int64(rerouted))
-	r.log.Info("server restarted", "server", run.ID, "address", run.Address, "moved", rerouted)
+	if ended { // else those that move are counted then
+		r.Metrics.SendsRerouted.Inc(int64(rerouted))
+	}
+	r.log.Info("server restarted", "server", run.ID, "address", run.Address, "next", next.ID, "next_address", next.Address, "ended", ended, "moved", rerouted)
 }
 
 // RecordActivity records that bytes arrived from a server's address.
