--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -34,8 +34,8 @@
 	identity quarantine.Identity
 	// forwarding is the state of forwarding to other daemons.
 	forwarding
-	// held are the runs that may go on while another server is tried.
-	held []*run
+	// kept are the runs that may go on while another server is tried.
+	kept []*run
 	// onText receives each piece of the response. An error means that the caller
 	// disconnected.
 	onText func(text string) error
@@ -56,12 +56,12 @@
 // server has taken the request. If none does, the request returns to it.
 func (d *Daemon) runStep(ctx context.Context, s *step) (*stepResult, error) {
 	res := &stepResult{}
-	defer d.cancelHeldRuns(s)
+	defer d.cancelKeptRuns(s)
 	err := d.tryServers(ctx, s, res)
 	for err != nil && d.mayReturn(ctx, s) {
 		s.retryState.RecordReturn()
-		d.log.Info("returned to earlier run", "request", s.requestID, "run", s.held[0].id, "server", s.held[0].picked.candidate.ID, "runs", len(s.held), "err", err)
-		decision := d.resumeHeldRuns(ctx, s, res, 0)
+		d.log.Info("returned to earlier run", "request", s.requestID, "run", s.kept[0].id, "server", s.kept[0].picked.candidate.ID, "runs", len(s.kept), "err", err)
+		decision := d.resumeKeptRuns(ctx, s, res, 0)
 		switch {
 		case res.complete:
 			return res, nil
@@ -117,7 +117,7 @@
 		}
 		decision := d.runAttempt(ctx, s, res, picked)
 		if decision.Action == request.Resume {
-			decision = d.resumeHeldRuns(ctx, s, res, decision.Delay)
+			decision = d.resumeKeptRuns(ctx, s, res, decision.Delay)
 		}
 		if res.complete {
 			return nil
--- a/internal/daemon/runs.go
+++ b/internal/daemon/runs.go
@@ -27,7 +27,7 @@
 	confirmed bool
 	// failed is set unless the response is complete or the caller has disconnected.
 	failed bool
-	// text is the response text so far, while the run is held.
+	// text is the response text so far, while the run is kept.
 	text string
 }
 
@@ -58,7 +58,7 @@
 }
 
 // followRun reads the response of a run and resumes it on new connections. stream and err are the
-// result of the first connection. The decision is to resume if another run that is held is to be
+// result of the first connection. The decision is to resume if another run that is kept is to be
 // resumed.
 func (d *Daemon) followRun(ctx context.Context, s *step, res *stepResult, r *run, stream *engine.Stream, err error) request.Decision {
 	for {
@@ -87,7 +87,7 @@
 			d.cancelRun(r)
 			return request.Decision{Action: request.Retry} // the held request is then refused
 		}
-		if decision.Action != request.Resume || len(s.held) > 0 {
+		if decision.Action != request.Resume || len(s.kept) > 0 {
 			r.failed = r.event != request.ClientDisconnected
 			d.leaveRun(s, res, r, decision)
 			return decision
@@ -114,22 +114,22 @@
 	return d.engine.Resume(ctx, r.picked.candidate.Address, r.id, r.assembler.LastOffset())
 }
 
-// leaveRun holds a run that may go on while another is tried, and otherwise cancels it.
+// leaveRun keeps a run that may go on while another is tried, and otherwise cancels it.
 func (d *Daemon) leaveRun(s *step, res *stepResult, r *run, decision request.Decision) {
 	if !r.mayGoOn() || decision.Action != request.Retry && decision.Action != request.Resume {
 		d.cancelRun(r)
 		return
 	}
 	r.text = res.text.String()
-	s.held = append(s.held, r)
-	d.log.Info("run held", "request", s.requestID, "run", r.id, "server", r.picked.candidate.ID, "frames", r.assembler.LastOffset())
+	s.kept = append(s.kept, r)
+	d.log.Info("run kept", "request", s.requestID, "run", r.id, "server", r.picked.candidate.ID, "frames", r.assembler.LastOffset())
 }
 
-// resumeHeldRuns resumes the held runs in turn, after a delay, until the response is complete or the
+// resumeKeptRuns resumes the kept runs in turn, after a delay, until the response is complete or the
 // decision is another one.
-func (d *Daemon) resumeHeldRuns(ctx context.Context, s *step, res *stepResult, delay time.Duration) request.Decision {
+func (d *Daemon) resumeKeptRuns(ctx context.Context, s *step, res *stepResult, delay time.Duration) request.Decision {
 	for {
-		decision := d.resumeHeldRun(ctx, s, res, delay)
+		decision := d.resumeKeptRun(ctx, s, res, delay)
 		if decision.Action != request.Resume || res.complete {
 			return decision
 		}
@@ -137,14 +137,14 @@
 	}
 }
 
-// resumeHeldRun resumes the run that was held first, after a delay.
-func (d *Daemon) resumeHeldRun(ctx context.Context, s *step, res *stepResult, delay time.Duration) request.Decision {
+// resumeKeptRun resumes the run that was kept first, after a delay.
+func (d *Daemon) resumeKeptRun(ctx context.Context, s *step, res *stepResult, delay time.Duration) request.Decision {
 	loop.Sleep(ctx, delay) // if the context ends, so does the resumed connection
 	if refusal := d.checkHold(s.identity, s.retryState); refusal != nil {
 		return request.Decision{Action: request.Fail, Error: refusal}
 	}
-	r := s.held[0]
-	s.held = slices.Delete(s.held, 0, 1)
+	r := s.kept[0]
+	s.kept = slices.Delete(s.kept, 0, 1)
 	s.version = r.version
 	s.retryState.RecordSwitch(r.assembler.LastOffset() > 0)
 	res.text.Reset()
@@ -155,20 +155,20 @@
 	})
 }
 
-// mayReturn reports whether the request may return to a held run after no other server could take
+// mayReturn reports whether the request may return to a kept run after no other server could take
 // it. After the deadline it may do so only if the run has sent a frame.
 func (d *Daemon) mayReturn(ctx context.Context, s *step) bool {
 	if ctx.Err() != nil || d.checkHold(s.identity, s.retryState) != nil {
 		return false
 	}
 	if time.Now().Before(s.deadline) {
-		return len(s.held) > 0
+		return len(s.kept) > 0
 	}
-	begun := slices.IndexFunc(s.held, func(r *run) bool { return r.assembler.LastOffset() > 0 })
+	begun := slices.IndexFunc(s.kept, func(r *run) bool { return r.assembler.LastOffset() > 0 })
 	if begun < 0 {
 		return false
 	}
-	s.held[0], s.held[begun] = s.held[begun], s.held[0]
+	s.kept[0], s.kept[begun] = s.kept[begun], s.kept[0]
 	return true
 }
 
@@ -176,15 +176,15 @@
 // caller.
 func (d *Daemon) recordDelivery(s *step) {
 	s.retryState.RecordDelivery()
-	d.cancelHeldRuns(s)
+	d.cancelKeptRuns(s)
 }
 
-// cancelHeldRuns cancels the held runs of a step.
-func (d *Daemon) cancelHeldRuns(s *step) {
-	for _, r := range s.held {
+// cancelKeptRuns cancels the kept runs of a step.
+func (d *Daemon) cancelKeptRuns(s *step) {
+	for _, r := range s.kept {
 		d.cancelRun(r)
 	}
-	s.held = nil
+	s.kept = nil
 }
 
 // cancelRun cancels a run that will not be resumed. It would otherwise occupy a slot of the server,
--- a/internal/daemon/silent_engine_test.go
+++ b/internal/daemon/silent_engine_test.go
@@ -21,6 +21,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
+	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/session"
 	"github.com/damaskrudder/damaskrudder/internal/settings"
@@ -255,6 +256,9 @@
 		Dependencies{Metrics: metrics, Logger: log.New(io.Discard), DialServer: p.dial})
 	d.config.active.Store(cfg)
 	d.config.loaded, d.config.confirmedAt, d.config.majorityAt = true, time.Now(), time.Now()
+	for _, id := range []string{"b", "c"} { // daemons that cannot be reached
+		d.members.table.MarkAlive(membership.DaemonInfo{ID: id, PeerAddress: "127.0.0.1:0", Sequence: 1, Serving: true}, time.Now())
+	}
 	return d, func() {
 		for _, s := range servers {
 			_ = s.Close()
@@ -363,7 +367,7 @@
 	}
 }
 
-// Guards against requests that are held without end, or resumed without pause, on engines that do not
+// Guards against requests that are kept without end, or resumed without pause, on engines that do not
 // go on.
 func TestRequestLeavesEnginesThatDoNotGoOn(t *testing.T) {
 	for _, offset := range []time.Duration{0, 350 * time.Millisecond} {
