--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -221,7 +221,7 @@
 		}
 		res, err := d.completeStep(ctx, s, models[i], w, pin, exec, start)
 		if err != nil && kept != nil && ctx.Err() == nil && !s.retryState.Delivered() {
-			d.log.Info("answer of smaller model used", "request", id, "model", kept.step.model, "larger", s.model, "err", err)
+			d.log.Info("low-confidence answer kept", "request", id, "model", kept.step.model, "larger", s.model, "err", err)
 			*exec = kept.exec // the caller gets nothing of the larger model's
 			return d.buildResponse(id, req, kept.step, kept.res, pin, false)
 		}
