listenqueue, node, platform: a daemon that ends answers requests in the queue of its listener

Callers saw: a connection reset after a whole request had been written on it, at the end of a daemon's drain. No line at the daemon.

Cause: a listener that closes resets the connections that nobody has accepted yet, and the handshakes that have begun. The drain closed it at once, with the idle connections.

Change: a group of listeners closes in three parts. A filter at the socket drops the first packet of new handshakes, whose clients send it again and are refused; handshakes in progress finish. The accept loop goes on until the queue is empty, at least for the time of a handshake and at most until a time that the drain gives. The goroutine that accepts then closes the socket: a close by another one waits until that has been scheduled. Accepted connections are served, and refused as not run. Idle connections are closed after the listeners, and the drain ends only when no listener can bring a connection and no connection is left. At the end of its limit it refuses 0.3 s earlier, so that there is time for this. Each close is logged and counted: accepted meanwhile, left in the queue.

Listeners are opened without multipath TCP, which Go uses by default: its sockets refuse the filter ("operation not supported").

--- a/internal/clientconns/tracker.go
+++ b/internal/clientconns/tracker.go
@@ -11,6 +11,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/damaskrudder/damaskrudder/internal/listenqueue"
 )
 
 // State is the state of a connection.
@@ -46,15 +48,17 @@
 
 // Tracker tracks the connections of one server.
 type Tracker struct {
+	// Listeners are the listeners of the connections, and those that close with them.
+	Listeners *listenqueue.Group
+
 	log       *log.Logger
 	requestID func(*http.Request) string
 	gauges    [States]tally.Gauge
 	closed    [States]tally.Counter
 
-	mu        sync.Mutex
-	conns     map[*conn]bool
-	counts    Counts
-	listeners []net.Listener
+	mu     sync.Mutex
+	conns  map[*conn]bool
+	counts Counts
 	// stopped are the states in which nothing more is read, and cut is set once Cut was called.
 	stopped [States]bool
 	cut     bool
@@ -62,7 +66,7 @@
 
 // New returns a tracker. RequestID returns the ID of a request in log lines.
 func New(scope tally.Scope, logger *log.Logger, requestID func(*http.Request) string) *Tracker {
-	t := &Tracker{log: logger, requestID: requestID, conns: map[*conn]bool{}}
+	t := &Tracker{Listeners: listenqueue.NewGroup(scope, logger), log: logger, requestID: requestID, conns: map[*conn]bool{}}
 	for s := range States {
 		tagged := scope.Tagged(map[string]string{"state": s.String()})
 		t.gauges[s], t.closed[s] = tagged.Gauge("client_connections"), tagged.Counter("client_connections_cut")
@@ -93,10 +97,7 @@
 
 // Listen returns a listener whose connections are tracked.
 func (t *Tracker) Listen(l net.Listener) net.Listener {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.listeners = append(t.listeners, l)
-	return &listener{l, t}
+	return &listener{t.Listeners.Add("clients", l), t}
 }
 
 type listener struct {
@@ -122,17 +123,9 @@
 	return c
 }
 
-// CloseIdle stops accepting connections, and ends the idle ones and those that become idle. A request
-// of which a byte has been read is still read and answered.
-func (t *Tracker) CloseIdle() {
-	t.mu.Lock()
-	listeners := t.listeners
-	t.mu.Unlock()
-	for _, l := range listeners {
-		_ = l.Close() // fails only if it is closed already
-	}
-	t.stopReading(Idle)
-}
+// CloseIdle ends the idle connections and those that become idle. A request of which a byte has been
+// read is still read and answered.
+func (t *Tracker) CloseIdle() { t.stopReading(Idle) }
 
 // StopReading makes the reads of requests that are not complete fail as if they timed out.
 func (t *Tracker) StopReading() { t.stopReading(Reading) }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -17,6 +17,9 @@
 	minIdleTime = 600 * time.Millisecond
 	// refuseLongAfter is the time after which requests that could outlast the daemon are refused.
 	refuseLongAfter = 2700 * time.Millisecond
+	// refuseMargin is the time between the latest refusal of all further requests, with which the listeners
+	// begin to close, and the end of the drain.
+	refuseMargin = 400 * time.Millisecond
 	// responseMargin is the time between the latest deadline of an accepted request and the
 	// end of the drain.
 	responseMargin = 100 * time.Millisecond
@@ -34,8 +37,10 @@
 	keepServing drainStep = iota
 	// refuseLong refuses requests that could outlast the daemon.
 	refuseLong
-	// refuseAll refuses every further request.
+	// refuseAll refuses every further request and begins to close the listeners.
 	refuseAll
+	// closeIdle closes idle connections.
+	closeIdle
 	// finishPending waits for requests that are being read, served or answered.
 	finishPending
 	// stopReading refuses the requests that are still being read.
@@ -53,21 +58,30 @@
 	// serving is the number of admitted requests, and pending that of all requests, of which a
 	// part has been read or the answer is not written.
 	serving, pending int
-	// refusing is set once every further request is refused.
-	refusing bool
+	// idle is the number of idle connections, and listeners that of listeners which may still accept one.
+	idle, listeners int
+	// refusing is set once every further request is refused, and closingIdle once idle connections are closed.
+	refusing, closingIdle bool
+}
+
+// ended reports whether no request is left, and none can come.
+func (v drainView) ended() bool {
+	return v.closingIdle && v.serving == 0 && v.pending == 0 && v.idle == 0 && v.listeners == 0
 }
 
 // next returns the next step. A drain refuses further requests before the look by which it ends, so
 // that none is admitted after that look.
 func (v drainView) next() drainStep {
 	switch {
-	case v.elapsed >= v.limit, v.refusing && v.serving == 0 && v.pending == 0:
+	case v.elapsed >= v.limit, v.ended():
 		return endDrain
+	case v.refusing && !v.closingIdle && (v.listeners == 0 || v.elapsed >= v.limit-responseMargin):
+		return closeIdle
 	case v.refusing && v.elapsed >= v.limit-responseMargin:
 		return stopReading
 	case v.refusing:
 		return finishPending
-	case v.elapsed >= v.limit-responseMargin, v.elapsed >= minDrainTime && v.sinceAdmission > minIdleTime && v.serving == 0:
+	case v.elapsed >= v.limit-refuseMargin, v.elapsed >= minDrainTime && v.sinceAdmission > minIdleTime && v.serving == 0:
 		return refuseAll
 	case v.elapsed >= refuseLongAfter:
 		return refuseLong
@@ -82,12 +96,15 @@
 	n.leaving.Store(true)
 	n.members.Broadcast(ctx)
 	limit := n.config.GracePeriod - killMargin
-	refusing := false
+	refusing, closingIdle := false, false
 	for step := keepServing; step != endDrain; {
 		time.Sleep(drainPollInterval)
+		listeners := n.clients.Listeners.Open() // first: what they accept later is in the counts
+		counts := n.clients.Counts()
 		step = drainView{
 			elapsed: time.Since(start), limit: limit, sinceAdmission: n.Relay.IdleTime(),
-			serving: n.Relay.ActiveRequests(), pending: n.clients.Counts().Pending() + n.peerServer.ActiveStreams(), refusing: refusing,
+			serving: n.Relay.ActiveRequests(), pending: counts.Pending() + n.peerServer.ActiveStreams(), idle: counts[clientconns.Idle], listeners: listeners,
+			refusing: refusing, closingIdle: closingIdle,
 		}.next()
 		switch step {
 		case refuseLong:
@@ -95,6 +112,9 @@
 		case refuseAll:
 			n.Relay.Drain(start)
 			refusing = true
+			n.clients.Listeners.Close(start.Add(limit - responseMargin))
+		case closeIdle:
+			closingIdle = true
 			n.clients.CloseIdle()
 		case stopReading:
 			n.clients.StopReading()
