clientconns: a connection that was just accepted is not idle

Callers saw: a connection that a daemon had accepted at the end of its drain was closed under the request that they were writing.

Cause: a connection on which nothing had been read counted as idle, and idle ones are closed without waiting. A client that opens a connection is about to write.

Change: such connections have the state `accepted` of their own. Closing idle ones leaves those accepted less than 250 ms before; a drain waits for them within its limit, and takes longer by that time at most. Lines, gauges and counters by state have the new one.

--- a/internal/clientconns/conn.go
+++ b/internal/clientconns/conn.go
@@ -48,7 +48,7 @@
 	defer t.mu.Unlock()
 	if n > 0 {
 		switch c.state {
-		case Idle:
+		case Accepted, Idle:
 			t.set(c, Reading)
 		case Serving, Flushing:
 			c.readAhead = c.readAhead || !c.unread // else it is the rest of the request
--- a/internal/clientconns/tracker.go
+++ b/internal/clientconns/tracker.go
@@ -19,8 +19,10 @@
 type State int
 
 const (
+	// Accepted connections are new: nothing has been read. Their clients are about to send.
+	Accepted State = iota
 	// Idle connections have no request: nothing has been read since the last answer.
-	Idle State = iota
+	Idle
 	// Reading connections have a request of which only a part has been read.
 	Reading
 	// Serving connections have a request that has been read and is being handled.
@@ -34,14 +36,17 @@
 
 // String returns the state's name in log lines and metrics.
 func (s State) String() string {
-	return [States]string{"idle", "reading", "serving", "flushing"}[s]
+	return [States]string{"accepted", "idle", "reading", "serving", "flushing"}[s]
 }
 
 // Counts is the number of connections in each state.
 type Counts [States]int
 
-// Pending is the number of connections with a request.
-func (c Counts) Pending() int { return c[Reading] + c[Serving] + c[Flushing] }
+// Pending is the number of connections with a request or about to have one.
+func (c Counts) Pending() int { return c[Accepted] + c[Reading] + c[Serving] + c[Flushing] }
+
+// firstByteTime is how long after it was accepted a new connection counts as new while idle ones are closed.
+const firstByteTime = 250 * time.Millisecond
 
 // reasonServer is the reason of a close that nothing in this package has asked for.
 const reasonServer = "the server closed it"
@@ -119,22 +124,49 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conns[c] = true
-	t.count(Idle, 1)
+	t.count(Accepted, 1)
+	if t.stopped[Idle] {
+		t.expectFirstByte(c)
+	}
 	return c
 }
 
-// CloseIdle ends the idle connections and those that become idle. A request of which a byte has been
-// read is still read and answered.
-func (t *Tracker) CloseIdle() { t.stopReading(Idle) }
+// CloseIdle ends the idle connections and those that become idle, and new ones that stay silent. A request
+// of which a byte has been read is still read and answered.
+func (t *Tracker) CloseIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopReading(Idle)
+	for c := range t.conns {
+		if c.state == Accepted {
+			t.expectFirstByte(c)
+		}
+	}
+}
+
+// expectFirstByte makes a connection idle unless it sends something in time. Callers hold mu.
+func (t *Tracker) expectFirstByte(c *conn) {
+	time.AfterFunc(time.Until(c.since.Add(firstByteTime)), func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if c.state == Accepted {
+			t.set(c, Idle)
+			_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		}
+	})
+}
 
-// StopReading makes the reads of requests that are not complete fail as if they timed out.
-func (t *Tracker) StopReading() { t.stopReading(Reading) }
+// StopReading makes the reads of requests that are not complete or have not begun fail as if they timed out.
+func (t *Tracker) StopReading() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopReading(Accepted)
+	t.stopReading(Reading)
+}
 
 // stopReading makes present and further reads in a state fail. The read returns either bytes or the error,
-// so that the server handles every byte that has left the socket's buffer.
+// so that the server handles every byte that has left the socket's buffer. Callers hold mu.
 func (t *Tracker) stopReading(s State) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.stopped[s] = true
 	for c := range t.conns {
 		if c.state == s {
@@ -151,7 +183,7 @@
 	counts := t.counts
 	var open []*conn
 	for c := range t.conns {
-		if c.state != Idle {
+		if c.state != Accepted && c.state != Idle {
 			t.logCut(c, why)
 		}
 		c.closing = true
@@ -170,7 +202,7 @@
 	defer t.mu.Unlock()
 	switch state {
 	case http.StateActive:
-		if c.state == Idle {
+		if c.state == Accepted || c.state == Idle {
 			t.set(c, Reading)
 		}
 	case http.StateIdle:
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -132,5 +132,5 @@
 	streams := n.peerServer.ActiveStreams()
 	cut := n.clients.Cut("the grace period ends")
 	n.log.Info("drained", "after_ms", time.Since(start).Milliseconds(), "limit_ms", limit.Milliseconds(),
-		"idle", cut[clientconns.Idle], "reading", cut[clientconns.Reading], "serving", cut[clientconns.Serving], "flushing", cut[clientconns.Flushing], "forwarded", streams)
+		"accepted", cut[clientconns.Accepted], "idle", cut[clientconns.Idle], "reading", cut[clientconns.Reading], "serving", cut[clientconns.Serving], "flushing", cut[clientconns.Flushing], "forwarded", streams)
 }
