clientconns: requests in the socket of an idle connection are read before it is closed, and others leave a line

Callers saw: a request on a kept connection was reset by a daemon that had not been scheduled since its bytes came.

Cause: at the end of a drain a read of an idle connection fails at once, also if bytes wait in its socket; the close then resets it.

Evidence: TestCloseIdleReadsWhatWaits and TestCrossedCloseIsLogged failed 20 of 20 each with the two looks at the socket disabled, 0 of 20 with them (`go test -count=20 ./internal/clientconns`, with -race).

Change: the read looks whether something waits, and reads it then. A close under which bytes have come all the same is logged and counted by its state, so that it can be told apart from a reset in the queue of a listener.

--- a/internal/clientconns/conn.go
+++ b/internal/clientconns/conn.go
@@ -5,7 +5,10 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/listenqueue"
 )
 
 // lingerTime bounds the wait for a client whose request was answered before it was read to its end.
@@ -29,20 +32,57 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.tracker.readingStopped(c) {
-		return 0, os.ErrDeadlineExceeded
+	n, err := c.read(p)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.tracker.closesBetweenRequests(c) && c.readable() {
+		_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+		n, err = c.Conn.Read(p)
 	}
-	n, err := c.Conn.Read(p)
 	c.tracker.recordRead(c, n, err)
 	return n, err
 }
 
+// read reads unless reading has been stopped.
+func (c *conn) read(p []byte) (int, error) {
+	if c.tracker.readingStopped(c) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Read(p)
+}
+
+// readable reports whether a read of the socket returns at once. It is false for connections in memory.
+func (c *conn) readable() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	readable, err := listenqueue.Readable(socket)
+	return err == nil && readable // else the connection is closed
+}
+
+// hasUnread reports whether bytes wait in the socket. It is false for connections in memory.
+func (c *conn) hasUnread() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	unread, err := listenqueue.Unread(socket)
+	return err == nil && unread // else nothing waits, or the connection is closed
+}
+
 func (t *Tracker) readingStopped(c *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.stopped[c.state]
 }
 
+// closesBetweenRequests reports whether a connection is closed because no request is on it. It is not if
+// one has come that the server has not read.
+func (t *Tracker) closesBetweenRequests(c *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stopped[c.state] && !c.state.hasRequest()
+}
+
 func (t *Tracker) recordRead(c *conn, n int, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -80,8 +120,12 @@
 func (t *Tracker) beginClose(c *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !c.closing && !c.left && (c.state == Reading || c.state == Serving) {
+	switch {
+	case c.closing || c.left:
+	case c.state == Reading || c.state == Serving:
 		t.logCut(c, reasonServer)
+	case !c.state.hasRequest() && c.hasUnread():
+		t.logCut(c, reasonCrossed)
 	}
 	linger := c.unread && !c.closing && !c.left && !t.cut
 	c.closing = true
--- a/internal/clientconns/tracker.go
+++ b/internal/clientconns/tracker.go
@@ -39,6 +39,9 @@
 	return [States]string{"accepted", "idle", "reading", "serving", "flushing"}[s]
 }
 
+// hasRequest reports whether a connection in the state has a request of which something has been read.
+func (s State) hasRequest() bool { return s != Accepted && s != Idle }
+
 // Counts is the number of connections in each state.
 type Counts [States]int
 
@@ -51,6 +54,9 @@
 // reasonServer is the reason of a close that nothing in this package has asked for.
 const reasonServer = "the server closed it"
 
+// reasonCrossed is the reason of a close without a request, under which bytes have come.
+const reasonCrossed = "bytes came as it was closed"
+
 // Tracker tracks the connections of one server.
 type Tracker struct {
 	// Listeners are the listeners of the connections, and those that close with them.
@@ -132,7 +138,7 @@
 }
 
 // CloseIdle ends the idle connections and those that become idle, and new ones that stay silent. A request
-// of which a byte has been read is still read and answered.
+// of which a byte has been read, or waits in the socket, is still read and answered.
 func (t *Tracker) CloseIdle() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -183,8 +189,10 @@
 	counts := t.counts
 	var open []*conn
 	for c := range t.conns {
-		if c.state != Accepted && c.state != Idle {
+		if c.state.hasRequest() {
 			t.logCut(c, why)
+		} else if c.hasUnread() {
+			t.logCut(c, reasonCrossed)
 		}
 		c.closing = true
 		open = append(open, c)
--- a/internal/clientconns/tracker_test.go
+++ b/internal/clientconns/tracker_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -16,6 +17,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/damaskrudder/damaskrudder/internal/listenqueue"
 )
 
 // pipes is a listener of connections in memory, whose writes wait for the reader.
@@ -200,6 +203,60 @@
 	})
 }
 
+// socketPair is a client and its tracked connection, which is idle and has bytes that the server has not read.
+func socketPair(t *testing.T, tracker *Tracker) *conn {
+	l, err := listenqueue.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := tracker.add(accepted)
+	t.Cleanup(func() { _ = accepted.Close() })
+	tracker.observe(c, http.StateIdle)
+	if _, err := io.WriteString(client, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	for !c.readable() {
+		runtime.Gosched()
+	}
+	return c
+}
+
+// Guards against requests that wait in the socket of a kept connection when it is closed as idle.
+func TestCloseIdleReadsWhatWaits(t *testing.T) {
+	f := newFixture(t)
+	c := socketPair(t, f.Tracker)
+	f.CloseIdle()
+	if n, err := c.Read(make([]byte, 8)); n != 3 || f.Counts()[Reading] != 1 {
+		t.Errorf("read %d bytes: %v, %v", n, err, f.Counts())
+	}
+}
+
+// Guards against closes under the bytes of a request that leave no line.
+func TestCrossedCloseIsLogged(t *testing.T) {
+	for name, end := range map[string]func(*Tracker, *conn){
+		"by the server": func(_ *Tracker, c *conn) { _ = c.Close() },
+		"by the drain":  func(tracker *Tracker, _ *conn) { tracker.Cut("test") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			end(f.Tracker, socketPair(t, f.Tracker))
+			if lines := f.lines.String(); strings.Count(lines, "state=idle") != 1 || !strings.Contains(lines, reasonCrossed) {
+				t.Errorf("lines:\n%s", lines)
+			}
+		})
+	}
+}
+
 // Guards against a close with unread bytes, whose reset drops the answer on its way.
 func TestAnswerBeforeEndOfRequestIsNotReset(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/listenqueue/socket.go
+++ b/internal/listenqueue/socket.go
@@ -22,6 +22,16 @@
 	return readable, err
 }
 
+// Unread reports whether bytes wait to be read from a connection. It does not wait.
+func Unread(connection syscall.Conn) (unread bool, err error) {
+	err = control(connection, func(fd int) error {
+		n, _, err := unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = n > 0
+		return err
+	})
+	return unread, err
+}
+
 // queued returns the number of connections in the queue of a listener.
 func queued(socket syscall.Conn) (n int, err error) {
 	err = control(socket, func(fd int) error {
