relay: a second silent server keeps its chance until a third one has taken the request

Callers saw: a stream was refused, failed or was cut although the second server that it had been offered, silent for 1.2 s, would have answered.

Cause: a server that was offered the request of a silent one was given up as soon as it was silent itself, and only then was a third one looked for.

Change: an offer to a server that falls silent goes on beside one more offer.

--- a/internal/relay/contest.go
+++ b/internal/relay/contest.go
@@ -5,9 +5,7 @@
 	"errors"
 	"fmt"
 	"runtime/debug"
-	"time"
 
-	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 )
 
@@ -87,70 +85,15 @@
 	}
 }
 
-// findTaker offers the request to others, one at a time, until one has taken it. It returns nil if
-// none does.
+// findTaker offers the request to others until one has taken it. It returns nil if none does.
 func (x *exchange) findTaker(ctx context.Context, silent *target) taker {
 	x.resent, x.waitsAt = true, silent.server.ID
 	x.tried = append(x.tried, x.waitsAt)
-	defer func() { x.waitsAt, x.withoutArrival, x.forwardRefusal = "", false, nil }()
-	if !x.retryWithdrawn.Load() && !x.mayReroute(false) {
-		x.logEvent("not moved", silent, "why", "no retry left")
-		return nil
+	x.offers = newOffers(ctx, x)
+	defer func() { x.waitsAt, x.offers, x.withoutArrival, x.forwardRefusal = "", nil, false, nil }()
+	next, why := x.offers.run()
+	if next == nil {
+		x.logEvent("not moved", silent, "why", why)
 	}
-	for {
-		next, refusal := x.nextTaker(ctx)
-		if refusal != nil {
-			x.logEvent("not moved", silent, "why", refusal.Detail)
-			return nil
-		}
-		next.await()
-		outcome, taken := next.settle()
-		if taken {
-			return next
-		}
-		if why := x.mayOfferAgain(ctx, outcome); why != nil {
-			x.logEvent("not moved", silent, "last", next.name(), "why", why)
-			return nil
-		}
-	}
-}
-
-// nextTaker selects a daemon, if the servers are out of reach, or else a server, and starts to offer
-// it the request.
-func (x *exchange) nextTaker(ctx context.Context) (taker, *fault.Error) {
-	if refusal := x.checkHold(); refusal != nil {
-		return nil, refusal
-	}
-	x.withoutArrival = false
-	if daemon, found := x.pickHelper(); found {
-		x.retryWithdrawn.Store(false)
-		return x.startForward(ctx, daemon), nil
-	}
-	t, refusal := x.selectTarget(ctx)
-	if refusal != nil {
-		return nil, refusal
-	}
-	x.retryWithdrawn.Store(false)
-	x.countSend(t)
-	return x.startSend(ctx, t, contender), nil
-}
-
-// mayOfferAgain records the outcome of an offer that was not taken. It returns nil if the request may
-// be offered to another one, and otherwise the reason.
-func (x *exchange) mayOfferAgain(ctx context.Context, outcome request.SendOutcome) error {
-	if x.withoutArrival {
-		x.retryWithdrawn.Store(true) // not used yet
-	}
-	if ctx.Err() != nil {
-		x.retryState.Record(outcome)
-		return context.Cause(ctx)
-	}
-	if final := x.finalForwardRefusal(); final != nil {
-		x.retryState.Record(outcome)
-		return final
-	}
-	if refusal := x.retryState.Next(outcome, time.Now(), func() bool { return x.takeRetry(outcome) }); refusal != nil {
-		return refusal
-	}
-	return nil
+	return next
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -106,8 +106,9 @@
 	contest atomic.Pointer[contest]
 	// next has taken the call from the server of the last send.
 	next taker
-	// waitsAt is the ID of the server that the call waits for while others are offered it.
+	// waitsAt is the ID of the server that the call waits for while others are offered it by offers.
 	waitsAt string
+	offers  *offers
 }
 
 // errRerouted cancels a send whose request continues elsewhere.
@@ -270,7 +271,7 @@
 		// All servers were tried. One that was lost may respond again.
 		req.tried = nil
 		if x.waitsAt != "" {
-			req.tried = []string{x.waitsAt}
+			req.tried = append(x.offers.servers(), x.waitsAt)
 		}
 		t, err = x.relay.State.pick(&req, x.service.MaxConnections)
 	}
@@ -327,7 +328,7 @@
 	urgent := x.decideUrgency(t)
 	x.relay.Metrics.recordTransfer(&t.fetch)
 	x.logEvent("send", t, x.sendFields(t, urgent)...)
-	s := &send{x: x, target: t, parent: ctx, sentAt: time.Now(), role: role, head: reservation{held: x.held}}
+	s := &send{x: x, target: t, parent: ctx, sentAt: time.Now(), role: role, offers: x.offers, head: reservation{held: x.held}}
 	x.beginAnswer(t, s.sentAt)
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	s.timed, s.stop = context.WithDeadline(s.ctx, x.deadline)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -147,6 +147,7 @@
 	x.relay.Metrics.Forwards.Inc(1)
 	x.logEvent("forwarded", nil, "daemon", address, "out_of_reach", x.relay.State.outOfReach(x.service.Name), "unreached", x.unreached, "sends", x.retryState.Sends(), "waits_at", x.waitsAt)
 	f := &forwardAttempt{x: x, address: address, call: x.forwardedCall(), counted: 1}
+	ctx, f.cancel = context.WithCancelCause(ctx)
 	f.ctx, f.stop = context.WithDeadline(ctx, x.deadline)
 	x.open[f] = true
 	return f
@@ -170,6 +171,7 @@
 type forwardAttempt struct {
 	x       *exchange
 	ctx     context.Context
+	cancel  context.CancelCauseFunc
 	stop    context.CancelFunc
 	address string
 	call    ForwardedCall
@@ -248,6 +250,7 @@
 		f.stream.Close()
 	}
 	f.stop()
+	f.cancel(nil)
 	f.x.relay.State.endTrial(f.address)
 }
 
--- a/internal/relay/forwardtaker.go
+++ b/internal/relay/forwardtaker.go
@@ -48,6 +48,9 @@
 	return outcome, done
 }
 
+// abandon implements taker.
+func (f *forwardAttempt) abandon(cause error) { f.cancel(cause) }
+
 // drop implements taker.
 func (f *forwardAttempt) drop() {
 	f.recordEnd(request.ResponseLost)
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -37,6 +37,10 @@
 	contest *contest
 	// next has taken the request.
 	next taker
+	// offers are those that the send is one of, if it is a contender, and silent is set once its
+	// server is known to be silent.
+	offers *offers
+	silent bool
 	// awaitErr is the error of awaiting the response, and failure is the body of a server's failure.
 	awaitErr error
 	failure  *bufferedResponse
@@ -143,8 +147,10 @@
 			s.cancel(errRerouted)
 		}
 		return ended
-	case ended, s.role == contender:
-		if !x.mayReroute(ended) {
+	case s.role == contender:
+		return s.recordSilence(ended)
+	case ended:
+		if !x.mayReroute(true) {
 			return false
 		}
 		s.cancel(errRerouted)
@@ -160,6 +166,21 @@
 	return true
 }
 
+// recordSilence tells the search that a server which is offered the call is silent, so that it is
+// offered to others as well. A server that has ended loses its chance. Callers hold mu.
+func (s *send) recordSilence(ended bool) bool {
+	if ended {
+		s.cancel(errRerouted)
+		return true
+	}
+	if s.silent {
+		return false
+	}
+	s.silent = true
+	s.offers.fellSilent <- s
+	return true
+}
+
 // await implements taker.
 func (s *send) await() {
 	s.open()
@@ -190,7 +211,6 @@
 		x.arrived.Store(true)
 	}
 	x.endSend(s, outcome, false)
-	x.tried = append(x.tried, s.target.server.ID)
 	return outcome, false
 }
 
@@ -225,6 +245,9 @@
 	return s.x.finishSend(s)
 }
 
+// abandon implements taker.
+func (s *send) abandon(cause error) { s.cancel(cause) }
+
 // drop implements taker.
 func (s *send) drop() {
 	_ = s.reply.Body.Close() // cancels the run
--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -34,7 +35,11 @@
 	// hanging is the number of others that are silent from their first send on.
 	hanging int
 	hung    map[string]bool
-	first   atomic.Pointer[backend.Server]
+	// late is the response of the first of these after a silence; nil if there is none.
+	late func(BackendRequest) (*BackendResponse, error)
+	// lasts is how long the first server is silent; zero means silence.
+	lasts time.Duration
+	first atomic.Pointer[backend.Server]
 	// contexts are those of the sends.
 	contexts []context.Context
 }
@@ -43,6 +48,10 @@
 	b.mu.Lock()
 	b.contexts = append(b.contexts, ctx)
 	hangs := b.first.Load() != nil && len(b.hung) < b.hanging
+	var goesOn <-chan time.Time
+	if hangs && b.late != nil && len(b.hung) == 0 {
+		goesOn = time.After(silence)
+	}
 	if hangs {
 		b.hung[s.Server.ID] = true
 		b.sends = append(b.sends, s)
@@ -50,13 +59,17 @@
 	b.mu.Unlock()
 	switch {
 	case hangs:
-		<-ctx.Done()
-		return nil, &upstream.Error{Reason: upstream.Canceled, Sent: true, Err: context.Cause(ctx)}
+		select {
+		case <-goesOn:
+			return b.late(s)
+		case <-ctx.Done():
+			return nil, &upstream.Error{Reason: upstream.Canceled, Sent: true, Err: context.Cause(ctx)}
+		}
 	case b.first.Load() != nil:
 		return b.fakeBackend.Send(ctx, s)
 	}
 	b.first.Store(&s.Server)
-	body := &silentBody{ctx: ctx, ended: b.ended, rest: []byte("whole")}
+	body := &silentBody{ctx: ctx, ended: b.ended, lasts: cmp.Or(b.lasts, silence), rest: []byte("whole")}
 	if s.Call.Path == "/s/1" {
 		body.before, body.rest = []byte(events(1, 2)), []byte(events(3, 4))
 	}
@@ -87,11 +100,12 @@
 	ctx           context.Context
 	before, rest  []byte
 	waited, ended bool
+	lasts         time.Duration
 }
 
 func (s *silentBody) wait() error {
 	s.waited = true
-	resumes := time.After(silence)
+	resumes := time.After(s.lasts)
 	if s.ended {
 		resumes = nil
 	}
@@ -322,6 +336,44 @@
 	}
 }
 
+// Guards against giving up a second silent server, which goes on, before a third one has taken the
+// request, and against giving up a first one that goes on meanwhile.
+func TestSecondSilentServerKeepsRequestUntilThirdHasTakenIt(t *testing.T) {
+	for name, third := range map[string]func(BackendRequest) (*BackendResponse, error){
+		"full":          respondNotRun,
+		"unreachable":   failSend(upstream.Unreachable, false),
+		"loses it":      failSend(upstream.ConnectionLost, true),
+		"fails":         respond(500, "failure"),
+		"empty stream":  brokenStream,
+		"hangs":         nil,
+		"first goes on": nil,
+	} {
+		for _, begun := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " begun ", begun), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { checkSecondSilent(t, third, name == "first goes on", begun) })
+			})
+		}
+	}
+}
+
+func checkSecondSilent(t *testing.T, third func(BackendRequest) (*BackendResponse, error), firstGoesOn, begun bool) {
+	t.Helper()
+	h, b := newHarness(t, respondNotRun, third), &silentBackend{ended: true, hanging: 1, late: respondStream(95, nil, 1, 2, 3, 4), during: func(backend.Server) {}}
+	if third == nil {
+		b.hanging = 2
+	}
+	if firstGoesOn {
+		b.ended, b.late, b.lasts = false, nil, 2*(silenceTimeout+checkInterval+probeTimeout)
+	}
+	out := silentRequest{path: "/s/1", begun: begun}.serve(t, t.Context(), b, h)
+	if out.body.String() != events(1, 2, 3, 4) || out.aborted {
+		t.Errorf("got %q, aborted %t, refused with %v", out.body.String(), out.aborted, out.refusal)
+	}
+	if len(b.contexts) < 3 {
+		t.Errorf("%d sends", len(b.contexts))
+	}
+}
+
 // Guards against work at either server after the client has left.
 func TestClientThatLeavesEndsBothSends(t *testing.T) {
 	for _, r := range silentRequests {
--- a/internal/relay/taker.go
+++ b/internal/relay/taker.go
@@ -25,6 +25,8 @@
 	succeed()
 	// finish delivers the response of the holder. It returns true if the client has it.
 	finish() (outcome request.SendOutcome, done bool)
+	// abandon makes await return.
+	abandon(cause error)
 	// drop ends the work of a party that has taken the call too late.
 	drop()
 	// release ends the work of a party of which nothing more is known.
--- a/internal/request/proxy_retry_state.go
+++ b/internal/request/proxy_retry_state.go
@@ -74,10 +74,11 @@
 
 // MaySend reports whether the request may be sent to another server while it waits for one.
 func (s *ProxyRetryState) MaySend() bool {
-	return s.Repeatable && s.RemainingRuns() > 0 && s.sends < s.maxSends()
+	return s.Repeatable && s.RemainingRuns() > 0 && s.sends < s.MaxSends()
 }
 
-func (s *ProxyRetryState) maxSends() int { return max(1, s.MaxRuns) + maxRefusedSends }
+// MaxSends returns the maximum number of sends.
+func (s *ProxyRetryState) MaxSends() int { return max(1, s.MaxRuns) + maxRefusedSends }
 
 // Record records the outcome of a send after which another one goes on.
 func (s *ProxyRetryState) Record(outcome SendOutcome) {
@@ -104,7 +105,7 @@
 		return s.fail(fault.EngineFailed, "the request may not be repeated")
 	case s.RemainingRuns() <= 0:
 		return s.fail(fault.EngineFailed, "every attempt failed")
-	case s.sends >= s.maxSends():
+	case s.sends >= s.MaxSends():
 		return s.fail(fault.EngineRefused, "every server refused")
 	case !takeRetry():
 		return s.fail(fault.EngineRefused, "the retry budget is used up")
