--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
