app, listenqueue: the own interface answers requests in the queue of its listener, with TLS too

Callers saw: the same as on the users' platform: a whole request on a connection that was reset at the end of a shutdown.

Cause: net/http's Shutdown closes the listener first, and the kernel resets what nobody has accepted.

Change: both listeners, below TLS, are closed by a listenqueue.Group before net/http's Shutdown, within the drain limit; if requests take all of it, the close begins 0.5 s before its end.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -22,6 +22,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/api"
 	"github.com/damaskrudder/damaskrudder/internal/conntrack"
 	"github.com/damaskrudder/damaskrudder/internal/daemon"
+	"github.com/damaskrudder/damaskrudder/internal/listenqueue"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
 	"github.com/damaskrudder/damaskrudder/internal/recovery"
@@ -37,12 +38,17 @@
 	idleTimeout = 2 * time.Minute
 	// metricsInterval is the period between updates of the exported metrics.
 	metricsInterval = time.Second
+	// closeMargin is the time between the latest start of closing the listeners and the end of a shutdown.
+	closeMargin = 500 * time.Millisecond
+	// responseMargin is the time between the latest close of a listener and the end of a shutdown.
+	responseMargin = 100 * time.Millisecond
 )
 
 // Node is a running daemon with its caller and peer servers.
 type Node struct {
 	Daemon       *daemon.Daemon
 	logger       *log.Logger
+	listeners    *listenqueue.Group
 	clientServer *http.Server
 	// clientRequests are the requests on the connections of clientServer.
 	clientRequests *conntrack.Tracker
@@ -69,11 +75,11 @@
 
 // Start listens on the addresses in the settings and starts a daemon.
 func Start(s settings.Settings, secrets settings.Secrets, logger *log.Logger, options ...Option) (*Node, error) {
-	callerListener, err := net.Listen("tcp", s.ListenAddress)
+	callerListener, err := listenqueue.Listen("tcp", s.ListenAddress)
 	if err != nil {
 		return nil, oops.In("app").Wrapf(err, "listen: %s", s.ListenAddress)
 	}
-	peerListener, err := net.Listen("tcp", s.PeerListenAddress)
+	peerListener, err := listenqueue.Listen("tcp", s.PeerListenAddress)
 	if err != nil {
 		_ = callerListener.Close()
 		return nil, oops.In("app").Wrapf(err, "peer_listen: %s", s.PeerListenAddress)
@@ -96,7 +102,8 @@
 	if s.WeightStoreURL != "" {
 		deps.Weights = platform.NewClient(s.WeightStoreURL, platformTimeout)
 	}
-	n := &Node{logger: logger, done: make(chan struct{}), closers: []io.Closer{closer}}
+	n := &Node{logger: logger, listeners: listenqueue.NewGroup(scope, logger), done: make(chan struct{}), closers: []io.Closer{closer}}
+	callerListener, peerListener = n.listeners.Add("clients", callerListener), n.listeners.Add("peers", peerListener)
 	if s.TLS != nil {
 		certs, err := newCertReloader(*s.TLS)
 		if err != nil {
@@ -144,15 +151,20 @@
 	return scope, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), closer
 }
 
-// Shutdown drains the daemon and stops it. It ends once no request is being read or served and all
+// Shutdown drains the daemon and stops it. The listeners close once what waits in their queues is accepted. It ends once no request is being read or served and all
 // responses are flushed, or the drain limit has passed. Cancelling the context aborts the requests that
 // are still running. The error reports aborted requests and unconfirmed usage records.
 func (n *Node) Shutdown(ctx context.Context) error {
 	settings := n.Daemon.Settings()
 	end := time.Now().Add(time.Duration(settings.EndpointTTL + settings.DrainGrace + settings.DrainTimeout))
+	closeListeners := func() { n.listeners.Close(end.Add(-responseMargin)) }
+	latest := time.AfterFunc(time.Until(end.Add(-closeMargin)), closeListeners)
+	defer latest.Stop()
 	running, unconfirmed := n.Daemon.Drain(ctx)
 	closeCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	closeListeners()
+	n.listeners.Wait(closeCtx)
 	_ = n.clientServer.Shutdown(closeCtx) // the connections that it leaves are logged
 	cut := max(running, n.logOpenRequests())
 	n.Kill()
--- a/internal/app/shutdown_test.go
+++ b/internal/app/shutdown_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +20,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/daemon"
 	"github.com/damaskrudder/damaskrudder/internal/demo"
+	"github.com/damaskrudder/damaskrudder/internal/listenqueue/queuetest"
 	"github.com/damaskrudder/damaskrudder/internal/platform"
 	"github.com/damaskrudder/damaskrudder/internal/settings"
 )
@@ -112,3 +115,39 @@
 		})
 	}
 }
+
+// Guards against a listener that closes and resets the whole requests on connections in its queue.
+func TestShutdownAnswersRequestsInQueue(t *testing.T) {
+	files := newTestCA(t).issueFiles(t, t.TempDir(), 1)
+	for name, config := range map[string]*settings.TLS{"plain": nil, "TLS": &files} {
+		t.Run(name, func(t *testing.T) {
+			callers := queuetest.Listen(t)
+			s := settings.Defaults()
+			s.ID, s.TLS, s.EndpointTTL, s.DrainGrace = "d", config, 0, 0
+			n, err := StartWithListeners(s, demo.Secrets, log.New(io.Discard), callers, newPipeListener(), func(deps *daemon.Dependencies) { deps.Log = silentLog{} })
+			if err != nil {
+				t.Fatal(err)
+			}
+			var requests sync.WaitGroup
+			for range 8 {
+				client := callers.Dial(t)
+				if config != nil {
+					client = tls.Client(client, &tls.Config{InsecureSkipVerify: true})
+				}
+				requests.Go(func() {
+					if _, err := io.WriteString(client, "GET /v1/endpoints HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+						t.Error(err)
+						return
+					}
+					if resp, err := http.ReadResponse(bufio.NewReader(client), nil); err != nil || !resp.Close {
+						t.Errorf("no answer that closes the connection: %v", err)
+					}
+				})
+			}
+			if err := n.Shutdown(t.Context()); err != nil {
+				t.Error(err)
+			}
+			requests.Wait()
+		})
+	}
+}
--- a/internal/listenqueue/listener.go
+++ b/internal/listenqueue/listener.go
@@ -74,6 +74,13 @@
 	return n
 }
 
+// Wait returns when no further connection may come, or the context ends.
+func (g *Group) Wait(ctx context.Context) {
+	for g.Open() > 0 && ctx.Err() == nil {
+		time.Sleep(pollInterval)
+	}
+}
+
 // socket is a listener with a queue in the kernel.
 type socket interface {
 	net.Listener
