--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"runtime"
 	"testing"
 	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/listenqueue"
 )
 
 type numberMessage struct {
@@ -97,6 +101,31 @@
 	}
 }
 
+// Guards against requests that count as sent although the connection for them was reset in the queue of a
+// peer that ends.
+func TestStreamResetInQueueIsUnsent(t *testing.T) {
+	l, err := listenqueue.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := NewClient("d1", "right-key", nil)
+	defer client.Close()
+	failed := make(chan struct{})
+	go func() {
+		defer close(failed)
+		if _, sent, err := client.OpenStream(t.Context(), l.Addr().String(), "count", numberMessage{}); err == nil || sent {
+			t.Errorf("sent %t, %v", sent, err)
+		}
+	}()
+	for waiting := false; !waiting; runtime.Gosched() {
+		if waiting, err = listenqueue.Readable(l.(*net.TCPListener)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = l.Close() // resets the connection
+	<-failed
+}
+
 // Guards against a panic in the handler of one request that ends the daemon with all others, and is
 // reported as if the request had not been handled.
 func TestPanicOfHandlerEndsOnlyItsRequest(t *testing.T) {
