app: the listener for other daemons closes at once again

While a listener closes, it answers no handshake, so that a dial to it takes a second to fail. That protects requests which are written on a connection in its queue. A peer writes its request only after the upgrade (TestStreamResetInQueueIsUnsent), so that this would only delay it. The same holds for the listeners for control, readiness, the directory and metrics of the users' platform, which stay as they are: their calls are safe to repeat.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -38,7 +38,7 @@
 	idleTimeout = 2 * time.Minute
 	// metricsInterval is the period between updates of the exported metrics.
 	metricsInterval = time.Second
-	// closeMargin is the time between the latest start of closing the listeners and the end of a shutdown.
+	// closeMargin is the time between the latest start of closing the listener and the end of a shutdown.
 	closeMargin = 500 * time.Millisecond
 	// responseMargin is the time between the latest close of a listener and the end of a shutdown.
 	responseMargin = 100 * time.Millisecond
@@ -46,8 +46,10 @@
 
 // Node is a running daemon with its caller and peer servers.
 type Node struct {
-	Daemon       *daemon.Daemon
-	logger       *log.Logger
+	Daemon *daemon.Daemon
+	logger *log.Logger
+	// listeners holds the listener of clientServer. What waits in the queue of the other one is safe to repeat: a
+	// peer sends its request only once the connection has been upgraded.
 	listeners    *listenqueue.Group
 	clientServer *http.Server
 	// clientRequests are the requests on the connections of clientServer.
@@ -103,7 +105,7 @@
 		deps.Weights = platform.NewClient(s.WeightStoreURL, platformTimeout)
 	}
 	n := &Node{logger: logger, listeners: listenqueue.NewGroup(scope, logger), done: make(chan struct{}), closers: []io.Closer{closer}}
-	callerListener, peerListener = n.listeners.Add("clients", callerListener), n.listeners.Add("peers", peerListener)
+	callerListener = n.listeners.Add("clients", callerListener)
 	if s.TLS != nil {
 		certs, err := newCertReloader(*s.TLS)
 		if err != nil {
@@ -151,9 +153,10 @@
 	return scope, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), closer
 }
 
-// Shutdown drains the daemon and stops it. The listeners close once what waits in their queues is accepted. It ends once no request is being read or served and all
-// responses are flushed, or the drain limit has passed. Cancelling the context aborts the requests that
-// are still running. The error reports aborted requests and unconfirmed usage records.
+// Shutdown drains the daemon and stops it. The listener of clients closes once what waits in its queue is
+// accepted. Shutdown ends once no request is being read or served and all responses are flushed, or the
+// drain limit has passed. Cancelling the context aborts the requests that are still running. The error
+// reports aborted requests and unconfirmed usage records.
 func (n *Node) Shutdown(ctx context.Context) error {
 	settings := n.Daemon.Settings()
 	end := time.Now().Add(time.Duration(settings.EndpointTTL + settings.DrainGrace + settings.DrainTimeout))
