relay: a daemon that is slow to accept a call keeps it until another has taken it

Callers saw: a request of a daemon that reaches no server was refused or failed, though the daemon that it was forwarded to would have accepted it 0.4 s later.

Cause: a daemon that had not accepted a call after 0.5 s was given up, and only then was another one looked for. The same held for a daemon that was offered the call of a silent server.

Evidence: TestSilentDaemonKeepsRequestUntilAnotherHasTakenIt (virtual time; the first daemon says nothing for 0.9 s and serves the call then; the others are unable, leaving, unreachable, paused, mute, lose the call, fail or deny it; plain and stream; as the daemon's own forward and beside a silent server) failed in 32 of 32 cases before, in none now (go test ./internal/relay -run SilentDaemonKeeps). TestRequestLeavesSilentDaemonThatAnotherReplaces failed before at its second case, which ended it, and passes.

Change: what decides who holds a call is the same for sends and forwards (holder). After 0.5 s without acceptance the call is offered to others as that of a silent server is; the first one keeps it until another has taken it, it goes on itself, or the deadline passes. Meanwhile other requests pass it over, as before, until it responds. A call that may not be repeated is not offered.

A call that is held by a daemon and has no attempt left now waits for that daemon until the deadline; it was refused as possibly run after 0.5 s.

--- a/internal/relay/contest.go
+++ b/internal/relay/contest.go
@@ -9,15 +9,18 @@
 	"github.com/damaskrudder/damaskrudder/internal/request"
 )
 
-// moveRetryInterval is the pause before a request that no other server took is offered again.
+// moveRetryInterval is the pause before a request that no other party took is offered again.
 const moveRetryInterval = silenceTimeout
 
-// errServerWentOn cancels an offer beside a server that has gone on.
-var errServerWentOn = errors.New("the first server has gone on")
+// errHolderWentOn cancels an offer beside a party that has gone on.
+var errHolderWentOn = errors.New("the first one has gone on")
 
-// contest is the search for a server or daemon that takes a request from a silent server. While the
-// call waits for the silent server, the search alone uses the exchange.
+// contest is the search for a server or daemon that takes a request from a silent one. While the
+// call waits for the silent one, the search alone uses the exchange.
 type contest struct {
+	x      *exchange
+	holder *holder
+	party  heldBy
 	cancel context.CancelCauseFunc
 	// done is closed at the end.
 	done chan struct{}
@@ -33,67 +36,56 @@
 	}
 }
 
-// compete offers the request to others, and takes it from this send if one takes it.
-func (s *send) compete(ctx context.Context, c *contest) {
+// run offers the request to others, and takes it from its holder if one takes it.
+func (c *contest) run(ctx context.Context) {
 	defer close(c.done)
 	defer func() {
 		if p := recover(); p != nil {
 			c.panicked = fmt.Errorf("%v\n%s", p, debug.Stack())
-			s.cancel(errRerouted)
+			c.party.abandon(errRerouted)
 		}
 	}()
-	next := s.x.findTaker(ctx, s.target)
-	taken := next != nil && s.handOver(next)
+	next := c.findTaker(ctx)
+	taken := next != nil && c.holder.handOver(next)
 	switch {
 	case taken:
-		s.x.recordMove(s.target, next)
-		s.cancel(errRerouted)
+		c.recordMove(next)
+		c.party.abandon(errRerouted)
 	case next != nil:
-		s.x.logEvent("not moved", s.target, "to", next.name(), "why", errServerWentOn)
+		c.x.logEvent("not moved", c.party.server(), "from", c.party.name(), "to", next.name(), "why", errHolderWentOn)
 		next.drop()
-		s.x.retryState.Record(request.ResponseLost)
+		c.x.retryState.Record(request.ResponseLost)
 	}
 	if !taken {
-		s.x.relay.Metrics.MovesGivenUp.Inc(1)
+		c.x.relay.Metrics.MovesGivenUp.Inc(1)
 		c.cancel(nil)
-		s.watch.postpone(moveRetryInterval)
+		c.party.keep()
 	}
-	s.mu.Lock()
-	s.contest = nil
-	s.handover.GiveUp()
-	s.mu.Unlock()
+	c.holder.endContest()
 }
 
-// handOver passes the request to another one that has taken it, unless the server has gone on.
-func (s *send) handOver(next taker) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.handover.Take() {
-		return false
-	}
-	s.next = next
-	next.succeed()
-	return true
-}
-
-// recordMove records that another one has taken the request from a silent server.
-func (x *exchange) recordMove(silent *target, next taker) {
-	x.logEvent("moved", silent, "to", next.name(), "last_event", x.lastEvent)
-	x.relay.Metrics.SendsRerouted.Inc(1)
+// recordMove records that another party has taken the request.
+func (c *contest) recordMove(next taker) {
+	c.x.logEvent("moved", c.party.server(), "from", c.party.name(), "to", next.name(), "last_event", c.x.lastEvent)
+	c.x.relay.Metrics.SendsRerouted.Inc(1)
 	if _, forwarded := next.(*forwardAttempt); forwarded {
-		x.relay.Metrics.MovesToDaemons.Inc(1)
+		c.x.relay.Metrics.MovesToDaemons.Inc(1)
 	}
 }
 
 // findTaker offers the request to others until one has taken it. It returns nil if none does.
-func (x *exchange) findTaker(ctx context.Context, silent *target) taker {
-	x.resent, x.waitsAt = true, silent.server.ID
-	x.tried = append(x.tried, x.waitsAt)
+func (c *contest) findTaker(ctx context.Context) taker {
+	x := c.x
+	x.resent = true
+	if t := c.party.server(); t != nil {
+		x.waitsAt = t.server.ID
+		x.tried = append(x.tried, x.waitsAt)
+	}
 	x.offers = newOffers(ctx, x)
 	defer func() { x.waitsAt, x.offers, x.withoutArrival, x.forwardRefusal = "", nil, false, nil }()
 	next, why := x.offers.run()
 	if next == nil {
-		x.logEvent("not moved", silent, "why", why)
+		x.logEvent("not moved", c.party.server(), "from", c.party.name(), "why", why)
 	}
 	return next
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -100,13 +100,14 @@
 	displacedPerSecond float64
 	// retryWithdrawn is set if the budget was already charged for the retry after a reroute.
 	retryWithdrawn atomic.Bool
-	// movedOff are the servers that the call was taken off although they had not responded.
+	// movedOff are the servers and daemons that the call was taken off although they had not responded.
 	movedOff []string
-	// contest is the last search for one that takes the call from a server it waits for.
+	// contest is the last search for one that takes the call from a party it waits for.
 	contest atomic.Pointer[contest]
-	// next has taken the call from the server of the last send.
+	// next has taken the call from the last one that held it.
 	next taker
-	// waitsAt is the ID of the server that the call waits for while others are offered it by offers.
+	// waitsAt is the ID of the server that the call waits for, if any, while others are offered it by
+	// offers.
 	waitsAt string
 	offers  *offers
 }
@@ -270,7 +271,7 @@
 	if err != nil && len(x.tried) > 0 && x.retryState.Repeatable {
 		// All servers were tried. One that was lost may respond again.
 		req.tried = nil
-		if x.waitsAt != "" {
+		if x.offers != nil {
 			req.tried = append(x.offers.servers(), x.waitsAt)
 		}
 		t, err = x.relay.State.pick(&req, x.service.MaxConnections)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -22,8 +22,8 @@
 	maxForwards = 4
 	// forwardOpenTimeout bounds the wait for a connection to another daemon.
 	forwardOpenTimeout = 400 * time.Millisecond
-	// forwardAcceptTimeout bounds the wait until another daemon has accepted a call that may be
-	// repeated.
+	// forwardAcceptTimeout is how long another daemon may take to accept a call that may be repeated
+	// before that is offered to others.
 	forwardAcceptTimeout = 500 * time.Millisecond
 	// maxForwardedBody is the largest body of a call that is forwarded, in bytes. A message between
 	// daemons has room for it and the header.
@@ -136,6 +136,9 @@
 		outcome, done = f.deliver()
 	}
 	f.recordEnd(outcome)
+	if x.next = f.next; x.next != nil {
+		x.movedOff = append(x.movedOff, f.address)
+	}
 	return outcome, done
 }
 
@@ -146,7 +149,7 @@
 	x.forwardRefusal = nil
 	x.relay.Metrics.Forwards.Inc(1)
 	x.logEvent("forwarded", nil, "daemon", address, "out_of_reach", x.relay.State.outOfReach(x.service.Name), "unreached", x.unreached, "sends", x.retryState.Sends(), "waits_at", x.waitsAt)
-	f := &forwardAttempt{x: x, address: address, call: x.forwardedCall(), counted: 1}
+	f := &forwardAttempt{x: x, address: address, call: x.forwardedCall(), counted: 1, parent: ctx, offers: x.offers}
 	ctx, f.cancel = context.WithCancelCause(ctx)
 	f.ctx, f.stop = context.WithDeadline(ctx, x.deadline)
 	x.open[f] = true
@@ -169,12 +172,20 @@
 
 // forwardAttempt is the forwarding of a call to a daemon.
 type forwardAttempt struct {
-	x       *exchange
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	stop    context.CancelFunc
-	address string
-	call    ForwardedCall
+	holder
+	x *exchange
+	// parent is the context of the call. ctx ends with the forwarding, and at the deadline.
+	parent, ctx context.Context
+	cancel      context.CancelCauseFunc
+	stop        context.CancelFunc
+	address     string
+	call        ForwardedCall
+	// offers are those that the forwarding is one of; nil if it holds the call.
+	offers *offers
+	// accepted is set once the daemon has accepted the call, or has responded otherwise, and silence is
+	// the timer of its silence before that.
+	accepted bool
+	silence  *time.Timer
 	// stream is nil until the daemon has received the call.
 	stream ForwardStream
 	// sent is set unless the daemon has not received the call. err is the error before the header of
@@ -195,10 +206,7 @@
 	rest []byte
 }
 
-var (
-	errForwardAborted    = errors.New("the other daemon aborted the response")
-	errForwardNotStarted = errors.New("the other daemon did not accept the call in time")
-)
+var errForwardAborted = errors.New("the other daemon aborted the response")
 
 // open sends the call to the daemon and waits for the header of the response or a refusal.
 func (f *forwardAttempt) open() {
@@ -284,21 +292,22 @@
 	}
 }
 
-// receiveHeader returns the first frame with a response or a refusal.
+// receiveHeader returns the first frame with a response or a refusal. A call that may be repeated is
+// offered to others while the daemon does not accept it.
 func (f *forwardAttempt) receiveHeader() (ForwardFrame, error) {
-	ctx, cancel := f.ctx, context.CancelFunc(func() {})
 	if f.x.retryState.Repeatable {
-		ctx, cancel = context.WithTimeoutCause(f.ctx, forwardAcceptTimeout, errForwardNotStarted)
+		defer f.watchSilence().Stop()
 	}
-	defer func() { cancel() }()
 	for {
-		frame, err := f.receive(ctx)
-		f.x.relay.State.endTrial(f.address)
+		f.wait()
+		frame, err := f.receive(f.ctx)
+		if !f.proceed(err == nil) {
+			return frame, errRerouted
+		}
+		f.recordAccepted()
 		if err != nil || frame.Refusal != nil || frame.Status != 0 {
 			return frame, err
 		}
-		cancel() // the call was accepted
-		ctx, cancel = f.ctx, func() {}
 	}
 }
 
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -4,12 +4,10 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/request"
-	"github.com/damaskrudder/damaskrudder/internal/route"
 	"github.com/damaskrudder/damaskrudder/internal/upstream"
 )
 
@@ -30,13 +28,8 @@
 	reply   *BackendResponse
 	err     error
 
-	mu       sync.Mutex
-	handover request.Handover
-	role     sendRole
-	// contest is the search for a server that takes the request from this send; nil if there is none.
-	contest *contest
-	// next has taken the request.
-	next taker
+	holder
+	role sendRole
 	// offers are those that the send is one of, if it is a contender, and silent is set once its
 	// server is known to be silent.
 	offers *offers
@@ -104,35 +97,6 @@
 	return n, err
 }
 
-// wait records that the call waits for the server.
-func (s *send) wait() {
-	s.mu.Lock()
-	s.handover.Wait()
-	s.mu.Unlock()
-}
-
-// proceed ends the wait, and reports whether the request is still with this send. If the server has
-// failed, it waits for the end of the contest.
-func (s *send) proceed(succeeded bool) bool {
-	for {
-		s.mu.Lock()
-		c := s.contest
-		if c == nil || succeeded {
-			kept := s.handover.Proceed()
-			s.mu.Unlock()
-			if c != nil && kept {
-				c.cancel(errServerWentOn)
-			}
-			if c != nil {
-				c.join()
-			}
-			return kept
-		}
-		s.mu.Unlock()
-		c.join()
-	}
-}
-
 // reroute tries to continue the request on another server, and reports whether it leaves its server
 // or is offered to others. It leaves at once a server that is known to have ended, and any other only
 // when another has taken the request.
@@ -155,14 +119,10 @@
 		}
 		s.cancel(errRerouted)
 		return true
-	case !s.handover.Waiting() || !x.retryState.MaySend() || x.headerSent && x.route.Kind != route.Stream:
+	case !s.mayContest(x):
 		return false
 	}
-	s.handover.Contest()
-	ctx, cancel := context.WithCancelCause(s.parent)
-	s.contest = &contest{cancel: cancel, done: make(chan struct{})}
-	x.contest.Store(s.contest)
-	go s.compete(ctx, s.contest)
+	s.startContest(s.parent, x, s)
 	return true
 }
 
@@ -245,16 +205,22 @@
 	return s.x.finishSend(s)
 }
 
-// abandon implements taker.
+// abandon implements taker and heldBy.
 func (s *send) abandon(cause error) { s.cancel(cause) }
 
 // drop implements taker.
 func (s *send) drop() {
 	_ = s.reply.Body.Close() // cancels the run
 	s.x.recordSendEnd(s.target, time.Since(s.sentAt), false)
-	s.cancel(errServerWentOn)
+	s.cancel(errHolderWentOn)
 	s.x.endSend(s, request.ResponseLost, false)
 }
 
-// name implements taker.
+// name implements taker and heldBy.
 func (s *send) name() string { return s.target.server.ID }
+
+// server implements heldBy.
+func (s *send) server() *target { return s.target }
+
+// keep implements heldBy.
+func (s *send) keep() { s.watch.postpone(moveRetryInterval) }
