daemon, peer: a forwarded request does not wait for a connection that is silent for good

A caller of the own interface whose chat was forwarded got neither an answer nor a refusal when the connection between the two daemons fell silent without a reset, or the other daemon lost power: the wait for its messages had no bound but the caller's patience and TCP's.

While a message is waited for, the stream's connection is now probed every 2 s; a probe that is not answered within 5 s ends the wait. The request may then have run: it is tried again if it may be repeated, and else ends with engine_failed. A daemon that takes its time answers probes. A probe's context does not end with the wait, as the websocket would close the connection if that fell into a write.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,8 +74,10 @@
 	forwardedRequests atomic.Int64
 	// terminationChecks holds the IDs of the servers that checkTermination checks.
 	terminationChecks sync.Map
-	leaving           atomic.Bool
-	admission         *admission
+	// helperProbe is how daemons that serve forwarded requests are probed.
+	helperProbe probeTimes
+	leaving     atomic.Bool
+	admission   *admission
 }
 
 // New returns a daemon. Run starts its background work.
@@ -87,6 +89,7 @@
 		engine:      engine.NewClient(time.Duration(s.StreamIdleTimeout), deps.DialServer),
 		peers:       peer.NewClient(s.ID, secrets.PeerKey, deps.PeerTLS),
 		admission:   newAdmission(),
+		helperProbe: probeTimes{interval: helperProbeInterval, timeout: helperProbeTimeout},
 	}
 	d.keyring.Store(secrets.Keyring())
 	d.peers.OnBytes = func(n int) { d.metrics.peerBytes.Inc(int64(n)) }
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/engine"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/routing"
@@ -24,6 +25,11 @@
 	maxForwards = 3
 	// forwardOpenTimeout bounds the wait for a connection to another daemon.
 	forwardOpenTimeout = time.Second
+	// helperProbeInterval is the time without a message after which the connection to another daemon
+	// is probed, and the interval of probes. One without a response within helperProbeTimeout ends the
+	// wait, which is longer than a sound daemon is silent.
+	helperProbeInterval = 2 * time.Second
+	helperProbeTimeout  = 5 * time.Second
 	// maxForwardedRequests bounds the requests served for other daemons at a time, and thus their
 	// memory. Each occupies a connection.
 	maxForwardedRequests = 256
@@ -47,6 +53,9 @@
 	withoutHelper bool
 }
 
+// probeTimes are the times of probing a connection.
+type probeTimes struct{ interval, timeout time.Duration }
+
 // pickHelper returns the daemon to forward a request for a pool to, if it should be forwarded.
 func (d *Daemon) pickHelper(poolName string, f *forwarding) (address string, found bool) {
 	if f.forwarded || len(f.helpers) >= maxForwards {
@@ -134,7 +143,7 @@
 	for err == nil {
 		var message peer.ForwardResponse
 		var more bool
-		more, err = stream.Receive(ctx, &message)
+		more, err = d.receiveForwarded(ctx, stream, &message)
 		d.balancer.endTrial(address)
 		switch {
 		case err != nil:
@@ -158,7 +167,36 @@
 	return sent, err
 }
 
-var errForwardIncomplete = errors.New("the response of the other daemon is incomplete")
+var (
+	errForwardIncomplete = errors.New("the response of the other daemon is incomplete")
+	errHelperSilent      = errors.New("the connection to the other daemon is silent")
+)
+
+// receiveForwarded receives the next message of a response. It fails if the connection is found to be
+// silent.
+func (d *Daemon) receiveForwarded(ctx context.Context, stream *peer.Stream, message *peer.ForwardResponse) (more bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	probe := time.AfterFunc(d.helperProbe.interval, func() { d.probeHelper(ctx, stream, cancel) })
+	defer probe.Stop()
+	return stream.Receive(ctx, message)
+}
+
+// probeHelper probes the connection of a stream until the context ends, and cancels it after a probe
+// without a response.
+func (d *Daemon) probeHelper(ctx context.Context, stream *peer.Stream, cancel context.CancelCauseFunc) {
+	for ctx.Err() == nil {
+		// A context that ends during a write would close the connection.
+		probeCtx, cancelProbe := context.WithTimeout(context.WithoutCancel(ctx), d.helperProbe.timeout)
+		err := stream.Ping(probeCtx)
+		cancelProbe()
+		if err != nil {
+			cancel(errors.Join(errHelperSilent, err)) // without effect if the wait has ended
+			return
+		}
+		loop.Sleep(ctx, d.helperProbe.interval)
+	}
+}
 
 // forwardFailure returns the error for a forwarded request without a response, or nil if it may be
 // sent again.
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -91,6 +91,12 @@
 	return true, oops.In("peer").Wrapf(decMode.Unmarshal(message.Body, v), "decode message of a stream")
 }
 
+// Ping waits until the peer responds on the stream's connection. It must be called while a Receive
+// waits, which reads the response.
+func (s *Stream) Ping(ctx context.Context) error {
+	return oops.In("peer").With("peer", s.address).Wrap(s.conn.ws.Ping(ctx))
+}
+
 // Close ends the stream. If it is not complete, the peer stops handling the request.
 func (s *Stream) Close() {
 	if s.complete {
