--- a/lab/soak/silent.go
+++ b/lab/soak/silent.go
@@ -85,14 +85,17 @@
 // routeTimeouts are the timeouts that routes may have.
 var routeTimeouts = []time.Duration{3 * time.Second, 4 * time.Second, 5500 * time.Millisecond}
 
+// routeModels are the models of the streaming route: a cascade, or one model. A cascade leaves fewer retries.
+var routeModels = []string{`"small","large"`, `"large"`}
+
 const silentConfigTemplate = `{"version":%d,"routes":[
- {"name":"talk","host":"h.example","path_prefix":"/talk/","kind":"streaming","timeout_ms":%d,"latency_target_ms":1000,"priority":1,"sizes":["small","large"],"service":"lm","attempts":3,"resumable":true,"gap_target_ms":1000},
+ {"name":"talk","host":"h.example","path_prefix":"/talk/","kind":"streaming","timeout_ms":%d,"latency_target_ms":1000,"priority":1,"sizes":[%s],"service":"lm","attempts":3,"resumable":true,"gap_target_ms":1000},
  {"name":"pay","host":"h.example","path_prefix":"/pay/","kind":"non_idempotent","timeout_ms":%d,"latency_target_ms":300,"priority":2,"backends":[{"service":"app","weight":%d},{"service":"desk","weight":%d}],"attempts":1},
  {"name":"look","host":"h.example","path_prefix":"/look/","kind":"idempotent","timeout_ms":%d,"latency_target_ms":300,"priority":2,"service":"%s","attempts":2}%s],
  "services":[{"name":"lm","health_path":"/healthz","max_conns":200,"engine":{"slots":32,"kv_capacity":100000,"models":[{"name":"small","cost":0.02},{"name":"large","cost":0.3}]}},{"name":"app","health_path":"/healthz","max_conns":200},{"name":"desk","health_path":"/healthz","max_conns":200}],
  "limits":{"body_bytes":100000},"tenants":[{"name":"acme","keys":[%s]}]}`
 
-// silentConfig returns a configuration with other timeouts, weights and routes, and records its timeouts.
+// silentConfig returns a configuration with other timeouts, weights, models and routes, and records its timeouts.
 func (c *cluster) silentConfig(version int, keys string) []byte {
 	p := timeoutPeriod{from: time.Now()}
 	for kind := range p.byKind {
@@ -103,7 +106,7 @@
 	for n := range c.rng.IntN(maxAddedRoutes) {
 		fmt.Fprintf(&added, `,{"name":"more%d","host":"h.example","path_prefix":"/more%d/","kind":"idempotent","timeout_ms":4000,"latency_target_ms":300,"service":"app","attempts":2}`, n, n)
 	}
-	return fmt.Appendf(nil, silentConfigTemplate, version, p.byKind[streaming].Milliseconds(),
+	return fmt.Appendf(nil, silentConfigTemplate, version, p.byKind[streaming].Milliseconds(), routeModels[c.rng.IntN(len(routeModels))],
 		p.byKind[nonIdempotent].Milliseconds(), 1+c.rng.IntN(3), c.rng.IntN(3),
 		p.byKind[idempotent].Milliseconds(), []string{"app", "desk"}[c.rng.IntN(2)], added.String(), keys)
 }
