soak: servers fall silent at each step, beside another event

Now each step makes servers silent, and another event goes with it. Between two silences a server speaks for half a second, which leaves no doubt that it goes on.

--- a/lab/soak/silent.go
+++ b/lab/soak/silent.go
@@ -19,7 +19,7 @@
 	// minSpeech is the shortest time between two silences of a server.
 	minSilence = 600 * time.Millisecond
 	maxSilence = 1500 * time.Millisecond
-	minSpeech  = 300 * time.Millisecond
+	minSpeech  = 500 * time.Millisecond
 	// rolloutDuration is the duration of an order, and rolloutInterval the shortest time between
 	// two orders of a service.
 	rolloutDuration = 3 * time.Second
@@ -111,18 +111,17 @@
 		p.byKind[idempotent].Milliseconds(), []string{"app", "desk"}[c.rng.IntN(2)], added.String(), keys)
 }
 
-// injectSilence makes servers silent, changes the configuration, orders a roll-out, or restarts or reloads daemons.
+// injectSilence makes servers of a service silent: one, two or all. Beside it the configuration changes, a
+// roll-out is ordered, or daemons are restarted or reloaded.
 func (c *cluster) injectSilence() {
 	service := []string{"lm", "app", "desk"}[c.rng.IntN(3)]
+	silenced := []int{1, 2, len(c.servers)}[c.rng.IntN(3)]
+	c.record("silent", c.silenceServers(service, silenced))
 	some := 1 + c.rng.IntN(len(c.daemons))
 	events := []struct {
 		name  string
 		start func() string
 	}{
-		{"silent", func() string { return c.silenceServers(service, 1) }},
-		{"silent", func() string { return c.silenceServers(service, 2) }},
-		{"silent", func() string { return c.silenceServers(service, len(c.servers)) }},
-		{"silent", func() string { return c.silenceServers(service, len(c.servers)) }},
 		{"config", c.changeConfig},
 		{"config", c.changeConfig},
 		{"order", func() string { return c.orderRollout(service) }},
@@ -131,7 +130,12 @@
 		{"hup", func() string { return c.signalDaemons(syscall.SIGHUP, some) }},
 	}
 	e := events[c.rng.IntN(len(events))]
-	c.faults = append(c.faults, fmt.Sprintf("%s %s(%s)", time.Now().Format("05.000"), e.name, e.start()))
+	c.record(e.name, e.start())
+}
+
+// record notes an event and what it did.
+func (c *cluster) record(name, done string) {
+	c.faults = append(c.faults, fmt.Sprintf("%s %s(%s)", time.Now().Format("05.000"), name, done))
 }
 
 // silenceServers makes up to count servers of a service silent for one time, and returns which.
