--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -40,6 +40,8 @@
 		{"warm-ups and evacuations", 4, options{duration: 6 * time.Second, daemons: 3, warming: true}},
 		{"servers that leave or want a pause", 7, options{duration: 8 * time.Second, daemons: 3, statements: true}},
 		{"servers that state limits", 6, options{duration: 10 * time.Second, daemons: 3, limits: true}},
+		// Guards against requests that are given up because their servers are silent for a moment, or because a daemon ends.
+		{"servers that are silent for a moment", 53, options{duration: 8 * time.Second, daemons: 3, silent: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			r, err := runSeed(t.Context(), tt.seed, tt.options, binary, filepath.Join(dir, strconv.FormatUint(tt.seed, 10)))
