relay: a smaller model's answer is dropped only when a larger model has taken the request

Callers saw: a request failed although a model had begun to answer it: the daemon wanted a larger model's answer, and that could not be had.

Cause: the smaller model's run was cancelled first, and only then was a server with the larger one looked for.

Change: the call is offered to servers with the larger model as that of a silent server is. The first event of a larger model ends the smaller one's run. If all that were offered the call refuse, fail or are silent, the smaller model's answer is forwarded whole. A send that has been cancelled meanwhile, as by a hold, is not kept. escalations_given_up counts answers that were kept.

Cost: both models work on a request until the larger one's first event. What that costs at high load is not measured.

Test changed: the second part of TestRunCancelledJustBeforeServerEndIsSuspected had a larger model with a broken stream end the smaller one's run, which now goes on, so that there was no cancelled run to suspect. The larger model now takes the request with one event and breaks off then; what is asserted is the same.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -220,7 +220,7 @@
 	x.run = s.run
 	outcome, done = x.receive(s)
 	x.endSend(s, outcome, done)
-	if x.next = s.next; x.next != nil {
+	if x.next = s.next; x.next != nil && outcome != request.LowConfidence {
 		x.movedOff = append(x.movedOff, s.target.server.ID)
 	}
 	if x.succeeded {
@@ -352,7 +352,7 @@
 	if s.err != nil {
 		return x.handleSendError(s.target, s.sentAt, s.err), false
 	}
-	outcome, done := x.handleReply(s.timed, s.target, s.watch, s.reply, s.sentAt)
+	outcome, done := x.handleReply(s)
 	failed := !done && outcome != request.LowConfidence && outcome != request.NotStarted
 	x.recordSendEnd(s.target, time.Since(s.sentAt), failed)
 	return outcome, done
@@ -418,7 +418,8 @@
 }
 
 // handleReply checks the header of a reply and forwards the response.
-func (x *exchange) handleReply(ctx context.Context, t *target, a *attempt, reply *BackendResponse, sentAt time.Time) (request.SendOutcome, bool) {
+func (x *exchange) handleReply(s *send) (request.SendOutcome, bool) {
+	t, reply := s.target, s.reply
 	defer func() { _ = reply.Body.Close() }() // cancels an unfinished run; an error has no effect on the call
 	ok := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
 	x.observe(t, reply, ok && !reply.NotRun)
@@ -431,11 +432,11 @@
 		x.logEvent("unauthenticated response", t, "status", reply.Status)
 		return request.ResponseLost, false
 	case ok && x.route.Kind == route.Stream:
-		return x.forwardStream(ctx, t, a, reply, sentAt)
+		return x.forwardStream(s)
 	case x.headerSent:
 		return request.ErrorResponse, false
 	}
-	return x.forwardBuffered(t, reply, sentAt, ok)
+	return x.forwardBuffered(t, reply, s.sentAt, ok)
 }
 
 // fail ends the call with a server's error response if there is one, else with a
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -21,8 +21,9 @@
 	Retries tally.Counter
 	// RetriesDenied counts retries that the budget did not allow.
 	RetriesDenied tally.Counter
-	// Escalations counts responses that were replaced by a larger model's.
-	Escalations tally.Counter
+	// Escalations counts responses that were replaced by a larger model's, and EscalationsGivenUp those
+	// that were kept as no larger model took the request.
+	Escalations, EscalationsGivenUp tally.Counter
 	// SendsFailed counts sends without a response.
 	SendsFailed tally.Counter
 	// ResponsesAborted counts responses that were aborted after their start.
@@ -116,7 +117,7 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, latencyBuckets)
 	m := &Metrics{
 		scope: s, Requests: s.Counter("requests"), Retries: s.Counter("repeats"), RetriesDenied: s.Counter("repeats_denied"),
-		Escalations: s.Counter("escalations"), SendsFailed: s.Counter("sends_failed"),
+		Escalations: s.Counter("escalations"), EscalationsGivenUp: s.Counter("escalations_given_up"), SendsFailed: s.Counter("sends_failed"),
 		ResponsesAborted: s.Counter("answers_cut"), ClientsDisconnected: s.Counter("callers_left"),
 		Probes: s.Counter("alive_checks"), SendsRerouted: s.Counter("sends_moved"), SilentServersResumed: s.Counter("silent_servers_resumed"), MovedWithoutAnswer: s.Counter("moved_without_answer"), MovesGivenUp: s.Counter("moves_given_up"), MovesToDaemons: s.Counter("moves_to_daemons"), ServerRestarts: s.Counter("server_restarts"),
 		ServersTerminated: s.Counter("servers_ended"), RequestsHeld: s.Gauge("requests_held"),
@@ -192,6 +193,7 @@
 		"repeats":                      "Sends after the first of a request.",
 		"repeats_denied":               "Retries and escalations that the retry budget did not allow.",
 		"escalations":                  "Responses replaced by a larger model's.",
+		"escalations_given_up":         "Answers of smaller models that were kept, as no larger model took the request.",
 		"sends_failed":                 "Sends without a response.",
 		"sends_raised":                 "Sends to engines that precede others of their rank, by reason.",
 		"sends_yielded":                "Sends to engines that follow others of their rank, by reason.",
--- a/internal/relay/models.go
+++ b/internal/relay/models.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/cascade"
@@ -83,11 +84,43 @@
 	}
 }
 
-// escalate decides whether to retry the call with a larger model, and switches to it.
-func (x *exchange) escalate(t *target, confidence float64, sentAt time.Time) bool {
+// escalate offers the call of a send, whose response has begun, to a larger model if that is worth it.
+// It returns true if one has taken the call, or if the answer of the current model was lost meanwhile;
+// else that answer is kept.
+func (x *exchange) escalate(s *send) bool {
 	if !x.choosesModel() || x.headerSent {
 		return false
 	}
+	t, confidence := s.target, s.reply.Confidence
+	model, why := x.decideModel(t, confidence)
+	if model == x.modelIndex {
+		x.logEvent("answer accepted", t, why...)
+		return false
+	}
+	if !x.relay.withdrawRetry(x.service.Name, failoverReserveFraction) {
+		x.logEvent("low-confidence answer kept", t, append(why, "why", "retry budget exhausted")...)
+		return false
+	}
+	next, err := x.offerToModel(s, model)
+	switch {
+	case next == nil && s.ctx.Err() != nil:
+		x.logEvent("low-confidence answer lost", t, append(why, "why", err, "cause", context.Cause(s.ctx))...)
+		return true
+	case next == nil:
+		x.logEvent("low-confidence answer kept", t, append(why, "why", err)...)
+		x.relay.Metrics.EscalationsGivenUp.Inc(1)
+		return false
+	}
+	x.logEvent("escalated to larger model", t, append(why, "to", next.name(), "workspace", x.workspace, "over_share", x.overShare, "displaced_per_s", x.displacedPerSecond, "latency", t.comparableLatency(0))...)
+	x.relay.Metrics.Escalations.Inc(1)
+	x.relay.Rollouts.recordResponse(t, x.route.Name, false, t.comparableLatency(0))
+	s.next = next
+	next.succeed()
+	return true
+}
+
+// decideModel returns the index of the model that is to answer, and what led to it as log fields.
+func (x *exchange) decideModel(t *target, confidence float64) (model int, why []any) {
 	var verdict cascade.Decision
 	r, models, offers := x.cascadeRequest(), x.models(), x.modelOffers(x.modelIndex+1)
 	current := cascade.Estimate{Remainder: x.relay.State.remainingStreamTime(t, x.expectedEvents())}
@@ -105,20 +138,32 @@
 		verdict = v.Decide(r, models, offers, x.modelIndex, confidence, current, x.retryState.RemainingRuns())
 		delay = v.DelayCost(models[len(models)-1])
 	})
-	if verdict.Model == x.modelIndex {
-		x.logEvent("answer accepted", t, "confidence", confidence, "right", verdict.CorrectProbability, "worth", verdict.KeepValue, "worth_of_asking", verdict.EscalateValue, "delay_price", delay)
-		return false
+	return verdict.Model, []any{
+		"confidence", confidence, "right", verdict.CorrectProbability, "worth", verdict.KeepValue, "worth_of_asking", verdict.EscalateValue,
+		"delay_price", delay, "next", x.route.Models[verdict.Model],
 	}
-	if !x.relay.withdrawRetry(x.service.Name, failoverReserveFraction) {
-		x.logEvent("low-confidence answer kept", t, "confidence", confidence, "right", verdict.CorrectProbability, "why", "retry budget exhausted")
-		return false
+}
+
+// offerToModel offers the call of a send to servers with a larger model until one has taken it. It
+// returns nil and the reason if none does. What the send's server responds meanwhile is held back.
+func (x *exchange) offerToModel(s *send, model int) (taker, error) {
+	smaller, tried := x.modelIndex, x.tried
+	x.modelIndex, x.tried = model, nil
+	if x.quarantineStatus.Crashes == 0 { // else its run may still crash that server, and must not crash a second
+		x.tried = []string{s.target.server.ID}
 	}
-	x.logEvent("escalated to larger model", t, "confidence", confidence, "right", verdict.CorrectProbability, "worth", verdict.KeepValue, "worth_of_asking", verdict.EscalateValue, "delay_price", delay, "workspace", x.workspace, "over_share", x.overShare, "displaced_per_s", x.displacedPerSecond, "latency", t.comparableLatency(0), "next", x.route.Models[verdict.Model])
-	x.relay.Metrics.Escalations.Inc(1)
-	x.relay.Rollouts.recordResponse(t, x.route.Name, false, t.comparableLatency(0))
-	x.modelIndex = verdict.Model
-	x.tried = nil
-	return true
+	x.retryWithdrawn.Store(true) // by the escalation
+	s.setRole(offering)
+	defer s.setRole(current)
+	s.body.holdBack()
+	x.offers = newOffers(s.parent, x)
+	x.offers.endsSilent = true
+	next, why := x.offers.run()
+	x.offers, x.withoutArrival, x.forwardRefusal = nil, false, nil
+	if next == nil {
+		x.modelIndex, x.tried = smaller, tried
+	}
+	return next, why
 }
 
 // recordSend records a send for the estimate of the cost of delay.
--- a/internal/relay/offers.go
+++ b/internal/relay/offers.go
@@ -33,6 +33,8 @@
 	fellSilent chan taker
 	// wake ends the search for a party when an offer can be settled.
 	wake atomic.Pointer[context.CancelFunc]
+	// endsSilent makes the offers end once all parties are silent and no other can be found.
+	endsSilent bool
 	// retry is when the call may be offered again if no party could be found; nil if one was.
 	retry <-chan time.Time
 }
@@ -57,7 +59,7 @@
 		select {
 		case a := <-o.ended:
 			if _, taken := o.settle(a); taken {
-				o.endOthers(a.taker)
+				o.endOthers(errTakenByOther)
 				return a.taker, nil
 			}
 		case t := <-o.fellSilent:
@@ -66,6 +68,9 @@
 		}
 		if !o.waitsForAny() {
 			why = o.startNext()
+			if why != nil && o.endsSilent {
+				o.endOthers(why)
+			}
 		}
 	}
 	return nil, why
@@ -150,11 +155,11 @@
 	return outcome, false
 }
 
-// endOthers ends the offers beside the one that was taken.
-func (o *offers) endOthers(winner taker) {
+// endOthers ends the offers that are under way.
+func (o *offers) endOthers(why error) {
 	for t := range o.silent {
-		o.x.logEvent("offer ended", nil, "to", t.name(), "taken_by", winner.name())
-		t.abandon(errTakenByOther)
+		o.x.logEvent("offer ended", nil, "to", t.name(), "why", why)
+		t.abandon(why)
 	}
 	for len(o.silent) > 0 {
 		a := <-o.ended
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -117,7 +117,7 @@
 		}
 	})
 	synctest.Test(t, func(t *testing.T) {
-		h := newHarness(t, respondStream(0, nil, 1, 2), brokenStream)
+		h := newHarness(t, respondStream(0, nil, 1, 2), respondStream(90, errors.New("reset"), 1))
 		h.callWithBody("/s/1", "x")
 		time.Sleep(100 * time.Millisecond)
 		h.relay.Guard.Merge(quarantine.Update{Crashes: []quarantine.Crash{{
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -108,11 +108,12 @@
 }
 
 // forwardStream forwards the events of a response as they arrive.
-func (x *exchange) forwardStream(ctx context.Context, t *target, a *attempt, reply *BackendResponse, sentAt time.Time) (request.SendOutcome, bool) {
-	if x.escalate(t, reply.Confidence, sentAt) {
+func (x *exchange) forwardStream(sent *send) (request.SendOutcome, bool) {
+	if x.escalate(sent) {
 		return request.LowConfidence, false
 	}
-	s := &streamForwarder{x: x, t: t, reply: reply, sentAt: sentAt, observer: serverStream{x, t, a}, reserved: reservation{held: x.held}}
+	t := sent.target
+	s := &streamForwarder{x: x, t: t, reply: sent.reply, sentAt: sent.sentAt, observer: serverStream{x, t, sent.watch}, reserved: reservation{held: x.held}}
 	err := s.copy()
 	switch {
 	case err == nil:
@@ -122,7 +123,7 @@
 		return request.ResponseLost, false
 	}
 	x.interrupted = !errors.Is(err, errNoRoom)
-	x.logEvent("stream interrupted", t, "last_event", x.lastEvent, "err", err, "cause", context.Cause(ctx))
+	x.logEvent("stream interrupted", t, "last_event", x.lastEvent, "err", err, "cause", context.Cause(sent.timed))
 	return request.Truncated, false
 }
 
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -26,6 +26,7 @@
 	request BackendRequest
 	sentAt  time.Time
 	reply   *BackendResponse
+	body    *awaitedBody
 	err     error
 
 	holder
@@ -49,6 +50,8 @@
 	contender
 	// successor is the role of a send that has taken the call and is not current yet.
 	successor
+	// offering is the role of a send whose call is offered to a larger model.
+	offering
 )
 
 func (s *send) setRole(r sendRole) {
@@ -70,7 +73,8 @@
 	if s.err != nil {
 		return
 	}
-	s.reply.Body = &awaitedBody{s.reply.Body, s}
+	s.body = &awaitedBody{s.reply.Body, s}
+	s.reply.Body = s.body
 	s.x.relay.liveness.recordHeader(s.watch)
 	s.x.relay.recordReached(s.target)
 }
@@ -105,7 +109,7 @@
 	defer s.mu.Unlock()
 	x := s.x
 	switch {
-	case s.role == successor, s.contest != nil:
+	case s.role == successor, s.role == offering, s.contest != nil:
 		// Others use the exchange.
 		if ended {
 			s.cancel(errRerouted)
