--- a/internal/daemon/silent_engine_test.go
+++ b/internal/daemon/silent_engine_test.go
@@ -237,7 +237,8 @@
 	p.runs, p.conns, p.accept = map[string]*engineRun{}, map[string][]net.Conn{}, map[string]chan net.Conn{}
 	var servers []*http.Server
 	cfg := fleet.NewConfig()
-	cfg.Workspaces["w"] = fleet.Workspace{Models: []string{"small", "large"}, DeadlineMillis: p.deadline.Milliseconds()}
+	cfg.Services["s"] = fleet.Service{Pool: "large"}
+	cfg.Workspaces["w"] = fleet.Workspace{Models: []string{"small", "large"}, Services: []string{"s"}, DeadlineMillis: p.deadline.Milliseconds()}
 	for model, engines := range map[string]int{"small": 1, "large": 3} {
 		pool := fleet.Pool{}
 		for i := range engines {
@@ -439,3 +440,43 @@
 		time.Sleep(3 * time.Second) // cancellations arrive
 	})
 }
+
+// Guards against service calls that leave a server that is silent for a moment, and against calls that
+// may not be repeated and run twice.
+func TestCallStaysWithSilentServer(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		for _, offset := range []time.Duration{0, 350 * time.Millisecond} {
+			for _, silentLink := range []link{mute, late, hung, refused} {
+				for _, others := range []link{sound, refused, hung, mute} {
+					t.Run(fmt.Sprintf("keyed %t/after %s/%s/others %s", keyed, offset, silentLink, others), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) {
+							p := &enginePool{silence: silentLink, silentTime: shortSilence, offset: offset + time.Millisecond, others: others}
+							d, end := newDaemonWithEngines(p, time.Second, tally.NoopScope)
+							defer synctest.Wait()
+							defer end()
+							req := ServiceRequest{Workspace: "w", Service: "s", Body: []byte(`{"model":"large"}`)}
+							if keyed {
+								req.IdempotencyKey = "k"
+							}
+							cfg := d.config.current()
+							resp, err := d.dispatchCall(context.Background(), "r", req, cfg.Services["s"], cfg.Workspaces["w"])
+							stays := silentLink == mute || silentLink == late
+							if served := err == nil && strings.Contains(string(resp.Body), "stop"); stays != served && (keyed || others != sound) {
+								t.Errorf("served %t, %v", served, err)
+							}
+							if err != nil && fault.FromError(err).ExecutionState() == fault.NotRun {
+								t.Errorf("not run: %v", err)
+							}
+							time.Sleep(3 * time.Second) // checks of servers end
+							p.mu.Lock()
+							defer p.mu.Unlock()
+							if len(p.runs) != 1 && (keyed || stays) {
+								t.Errorf("%d runs", len(p.runs))
+							}
+						})
+					})
+				}
+			}
+		}
+	}
+}
