relay: a verdict on a silent server uses recent contact, and connects to few servers

A daemon that is asked about a silent server connected to up to six others to show that its own links work. If a whole service is silent, all daemons ask two others about two servers at once, so at 985 daemons that is some 24 connections at each; new connections cost the servers room. Contact with another server in the last 300 ms now shows the same, and without it four servers are connected to at most. (The figures are counted from the code, not measured.)

--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -22,6 +22,7 @@
 func (r *Relay) recordReached(t *target) {
 	now := r.State.bootTime()
 	r.State.mu.Lock()
+	r.State.lastContact = contact{t.server.ID, now}
 	regained, lostFor := r.State.reachability.Reached(t.service, now)
 	lost := len(r.State.reachability.LostServices())
 	if regained {
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -19,6 +19,11 @@
 	silenceVerdictTimeout = 250 * time.Millisecond
 	// maxServersAsked is the number of servers of a service that other daemons are asked about at once.
 	maxServersAsked = 2
+	// contactMemory is how long contact with a server shows that this daemon's links work, and
+	// silenceControls the number of servers of the same service, and of others, that are connected to
+	// without such contact.
+	contactMemory   = 300 * time.Millisecond
+	silenceControls = 2
 )
 
 // timedOut reports whether an error means that nothing responded in time.
@@ -95,10 +100,27 @@
 // silenceVerdict returns the verdict on a server that has not responded in time. Whether this daemon
 // reaches another server tells whether its own links are the cause.
 func (r *Relay) silenceVerdict(ctx context.Context, id string) reachability.Verdict {
+	if r.State.hadContactBeside(id) {
+		return reachability.Silent
+	}
 	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
-	if containment.AnyAccepts(r.State.serversBeside(id, controlServers), r.accepts(ctx)) {
+	if containment.AnyAccepts(r.State.serversBeside(id, silenceControls), r.accepts(ctx)) {
 		return reachability.Silent
 	}
 	return reachability.Unknown
 }
+
+// contact is this daemon's contact with a server.
+type contact struct {
+	server string
+	at     time.Duration
+}
+
+// hadContactBeside reports whether another server than one was the last to respond, just now.
+func (s *State) hadContactBeside(id string) bool {
+	now := s.bootTime()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastContact.server != "" && s.lastContact.server != id && now-s.lastContact.at <= contactMemory
+}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -62,6 +62,8 @@
 	gate *gate.Gate
 	// reachability holds which services this daemon reaches itself.
 	reachability *reachability.Tracker
+	// lastContact is the last contact with any server.
+	lastContact contact
 	// linkFailures holds when a server refused a connection of this daemon and was found running, by
 	// its ID.
 	linkFailures map[string]time.Duration
