relay: nothing is fetched for a request whose offer has failed

After an offer that nobody took, a further offer of an escalated request could have its server fetch a part of the prompt's KV cache from another one, unlike any other repeat. Found by reading; no test failed before.

--- a/internal/relay/offers.go
+++ b/internal/relay/offers.go
@@ -149,6 +149,7 @@
 		return outcome, true
 	}
 	x.retryState.Record(outcome)
+	x.resent = true
 	if x.withoutArrival {
 		x.retryWithdrawn.Store(true) // not used yet
 	}
