relay: the check of silent servers holds no request beyond its deadline and no answer

Callers got their refusal up to 250 ms after the deadline, and an answer of a server that had gone on up to 250 ms late.

Cause: a send that times out on a service in doubt waits on the request's own goroutine for the verdicts of other daemons, without regard to the request. An offer that fails beside a silent server waits in the same way, and the answer of that server waits for the end of the search.

Why it works: the check runs in the background, as one for all that wait for it, and the wait of a send ends with the send's own context: at the deadline, when the client leaves, or when the first server has gone on.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -350,7 +350,7 @@
 // receive handles the response to a send. It returns true if the client has the final response.
 func (x *exchange) receive(s *send) (request.SendOutcome, bool) {
 	if s.err != nil {
-		return x.handleSendError(s.target, s.sentAt, s.err), false
+		return x.handleSendError(s.timed, s.target, s.sentAt, s.err), false
 	}
 	outcome, done := x.handleReply(s.timed, s.target, s.watch, s.reply, s.sentAt)
 	failed := !done && outcome != request.LowConfidence && outcome != request.NotStarted
@@ -391,7 +391,7 @@
 }
 
 // handleSendError records a failed send and derives whether the request may have run.
-func (x *exchange) handleSendError(t *target, sentAt time.Time, err error) request.SendOutcome {
+func (x *exchange) handleSendError(ctx context.Context, t *target, sentAt time.Time, err error) request.SendOutcome {
 	var e *upstream.Error
 	if !errors.As(err, &e) {
 		e = &upstream.Error{Reason: upstream.ConnectionLost, Sent: true, Err: err}
@@ -402,7 +402,7 @@
 		x.relay.State.recordUnreachable(t)
 	}
 	if e.Reason == upstream.Unreachable || e.Reason == upstream.ConnectionLost {
-		x.relay.recordUnreached(t, e.Err)
+		x.relay.recordUnreachedFor(ctx, t, e.Err)
 		x.unreached++
 	}
 	x.withoutArrival = e.Reason == upstream.Unreachable
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -39,6 +39,11 @@
 // connected to, since the requests of a daemon may be few. A server that has terminated tells nothing
 // of this daemon's links. If the servers may only be silent, it returns once other daemons were asked.
 func (r *Relay) recordUnreached(t *target, err error) {
+	r.recordUnreachedFor(context.Background(), t, err)
+}
+
+// recordUnreachedFor is recordUnreached for a call, which does not wait beyond its context.
+func (r *Relay) recordUnreachedFor(ctx context.Context, t *target, err error) {
 	if r.State.KnowsTermination(xxhash.Sum64String(t.server.ID)) {
 		return
 	}
@@ -61,7 +66,7 @@
 	case reachability.BecameLost:
 		r.reportLost(t, err, nil)
 	case reachability.InDoubt:
-		r.checkSilence(t, err)
+		r.checkSilence(ctx, t, err)
 	}
 }
 
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -42,15 +42,26 @@
 }
 
 // checkSilence finds out through other daemons whether the servers of a service that is in doubt are
-// silent or out of this daemon's reach. Concurrent checks of a service are one.
-func (r *Relay) checkSilence(t *target, err error) {
-	done := make(chan struct{})
-	if running, joined := r.silenceChecks.LoadOrStore(t.service, done); joined {
-		<-running.(chan struct{})
-		return
+// silent or out of this daemon's reach. Concurrent checks of a service are one, which goes on if the
+// context ends the wait for it.
+func (r *Relay) checkSilence(ctx context.Context, t *target, err error) {
+	started := make(chan struct{})
+	running, joined := r.silenceChecks.LoadOrStore(t.service, started)
+	if !joined {
+		r.background.Go(func() {
+			defer close(started)
+			defer r.silenceChecks.Delete(t.service)
+			r.judgeSilence(t, err)
+		})
+	}
+	select {
+	case <-running.(chan struct{}):
+	case <-ctx.Done():
 	}
-	defer close(done)
-	defer r.silenceChecks.Delete(t.service)
+}
+
+// judgeSilence decides on a service that is in doubt.
+func (r *Relay) judgeSilence(t *target, err error) {
 	r.State.mu.Lock()
 	asked := r.State.reachability.TimedOutServers(t.service, maxServersAsked)
 	r.State.mu.Unlock()
