relay: a call that is offered beside a silent daemon is a repeat for the one that takes it

Cause: what tells a first send from a repeat was set only at the end of a forwarding. A call offered to a second daemon, or to a server, while the first daemon was silent was thus credited to the retry budget a second time, although the first daemon may have sent it.

Why it works: an offer takes its retry from the budget of this daemon, so it is a repeat whatever has become of the call elsewhere. If the first daemon has not sent it, the budgets are credited once less, never more.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -195,12 +195,16 @@
 	return t, refusal
 }
 
+// isRepeat reports whether a send or forward that begins now is a repeat for the servers. An offer is
+// one, as the party that holds the call may have sent it to a server.
+func (x *exchange) isRepeat() bool { return x.sentToServer || x.offers != nil }
+
 // countSend records that the call is about to be sent to a server.
 func (x *exchange) countSend(t *target) {
-	if !x.sentToServer {
-		x.sentToServer = true
+	if !x.isRepeat() {
 		x.relay.recordFirstSend(x.service.Name)
 	}
+	x.sentToServer = true
 	x.retryState.RecordSend()
 	x.reportRuns(x.retryState.Runs())
 	if t.warming {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -40,7 +40,7 @@
 	RemainingMillis int64 `cbor:"2,keyasint"`
 	// MaxRuns is the number of servers that may still run the call.
 	MaxRuns int `cbor:"3,keyasint"`
-	// Resent is set if the forwarding daemon has sent the call to a server before, and thus
+	// Resent is set if the call may have been sent to a server before. The forwarding daemon then
 	// accounts for it in its retry budget.
 	Resent bool `cbor:"4,keyasint,omitempty"`
 	// Model is the index of the current model in the route's models.
@@ -166,7 +166,7 @@
 	// The retry state counts the forwarding as a run, which it may become.
 	return ForwardedCall{
 		Call: call, RemainingMillis: (time.Until(x.deadline) - forwardDeadlineMargin).Milliseconds(), MaxRuns: x.retryState.RemainingRuns() + 1,
-		Resent: x.sentToServer, Model: x.modelIndex, ConfigVersion: version, ElapsedMillis: time.Since(x.call.Received).Milliseconds(),
+		Resent: x.isRepeat(), Model: x.modelIndex, ConfigVersion: version, ElapsedMillis: time.Since(x.call.Received).Milliseconds(),
 	}
 }
 
