--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -195,12 +195,16 @@
 	return t, refusal
 }
 
+// isRepeat reports whether a send or forward that begins now is a repeat for the servers. An offer is
+// one, as the party that holds the call may have sent it to a server.
+func (x *exchange) isRepeat() bool { return x.sentToServer || x.offers != nil }
+
 // countSend records that the call is about to be sent to a server.
 func (x *exchange) countSend(t *target) {
-	if !x.sentToServer {
-		x.sentToServer = true
+	if !x.isRepeat() {
 		x.relay.recordFirstSend(x.service.Name)
 	}
+	x.sentToServer = true
 	x.retryState.RecordSend()
 	x.reportRuns(x.retryState.Runs())
 	if t.warming {
@@ -350,7 +354,7 @@
 // receive handles the response to a send. It returns true if the client has the final response.
 func (x *exchange) receive(s *send) (request.SendOutcome, bool) {
 	if s.err != nil {
-		return x.handleSendError(s.target, s.sentAt, s.err), false
+		return x.handleSendError(s.timed, s.target, s.sentAt, s.err), false
 	}
 	outcome, done := x.handleReply(s)
 	failed := !done && outcome != request.LowConfidence && outcome != request.NotStarted
@@ -391,7 +395,7 @@
 }
 
 // handleSendError records a failed send and derives whether the request may have run.
-func (x *exchange) handleSendError(t *target, sentAt time.Time, err error) request.SendOutcome {
+func (x *exchange) handleSendError(ctx context.Context, t *target, sentAt time.Time, err error) request.SendOutcome {
 	var e *upstream.Error
 	if !errors.As(err, &e) {
 		e = &upstream.Error{Reason: upstream.ConnectionLost, Sent: true, Err: err}
@@ -402,7 +406,7 @@
 		x.relay.State.recordUnreachable(t)
 	}
 	if e.Reason == upstream.Unreachable || e.Reason == upstream.ConnectionLost {
-		x.relay.recordUnreached(t, e.Err)
+		x.relay.recordUnreachedFor(ctx, t, e.Err)
 		x.unreached++
 	}
 	x.withoutArrival = e.Reason == upstream.Unreachable
