relay: a retry that was taken from the budget and not used pays for the move off an ended server

Cause: a search for another server takes a retry from the budget before it finds that none can take the call. When the silent server is then known to have ended, the move took a second one, and gave up if there was none, so that requests were refused for want of a budget that was paid for.

Why it works: the function that takes the retry looks first for one that is paid for; it is used up by the next send, as before.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -381,13 +381,13 @@
 }
 
 // mayReroute reports whether the request may continue on another server, and takes
-// the retry from the budget. Without budget, only requests of a server that will not respond are
+// the retry from the budget unless one was taken and not used. Without budget, only requests of a server that will not respond are
 // rerouted; others would be aborted although it may go on.
 func (x *exchange) mayReroute(ended bool) bool {
 	if !x.retryState.Repeatable || x.retryState.RemainingRuns() <= 0 {
 		return false
 	}
-	if x.relay.withdrawRetry(x.service.Name, 0) {
+	if x.retryWithdrawn.Load() || x.relay.withdrawRetry(x.service.Name, 0) {
 		x.retryWithdrawn.Store(true)
 		return true
 	}
--- a/internal/relay/offers.go
+++ b/internal/relay/offers.go
@@ -198,7 +198,7 @@
 		return errDeadlinePassed
 	case !x.retryState.MaySend():
 		return errNoSendLeft
-	case !x.retryWithdrawn.Load() && !x.mayReroute(false):
+	case !x.mayReroute(false):
 		return errNoRetryLeft
 	}
 	return nil
