relay: a panic of a forwarded call waits for the search beside it before it releases the call

Cause: a panic while a call waits for a daemon ended the forwarding as it unwound, while the search for another party went on and used the same map. Go ends the process on such an access, and with it all requests of the daemon.

Why it works: the forwarding stays among the open parties of the call, and the recovery of the panic ends the search before it releases these.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -128,14 +128,14 @@
 // forward sends the call through another daemon. It returns true if the client has the final
 // response.
 func (x *exchange) forward(ctx context.Context, address string) (outcome request.SendOutcome, done bool) {
-	f := x.startForward(ctx, address)
-	defer f.end()
+	f := x.startForward(ctx, address) // if a panic ends it, releaseSends waits for the search first
 	f.open()
 	outcome, failed := f.recordResponse()
 	if !failed {
 		outcome, done = f.deliver()
 	}
 	f.recordEnd(outcome)
+	f.end()
 	if x.next = f.next; x.next != nil {
 		x.movedOff = append(x.movedOff, f.address)
 	}
