relay: the test of an answer beside a check of silent servers has no data race

The test read and wrote its times from two goroutines without a lock: it failed in the one run of the package with -race, and in none of 3 after. With a wait that ignores the context it still fails in 20 of 20 runs (go test ./internal/relay -count=20 -run TestSilenceCheckHoldsNo).

--- a/internal/relay/silence_wait_test.go
+++ b/internal/relay/silence_wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -47,17 +48,20 @@
 			h := newHarness(t, timeOutAfter(350*time.Millisecond), timeOutAfter(0))
 			h.useVirtualTime()
 			h.relay.Verdicts = &fixedVerdicts{verdicts: []reachability.Verdict{reachability.Silent}, delay: time.Minute}
-			b, start, answered := &silentBackend{}, time.Now(), time.Duration(0)
+			var answered atomic.Int64 // in ns after the start
+			b, start := &silentBackend{}, time.Now()
 			b.during = func(first backend.Server) {
 				h.others(first, func(_ *backend.Registry, s backend.Server, _ time.Duration) {
 					b.mu.Lock()
 					b.hung[s.ID] = true
 					b.mu.Unlock()
 				})
-				context.AfterFunc(b.contexts[0], func() { answered = time.Since(start) })
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				context.AfterFunc(b.contexts[0], func() { answered.Store(int64(time.Since(start))) })
 			}
-			if out := r.serve(t, t.Context(), b, h); out.body.String() != r.want || answered > silence {
-				t.Errorf("%s: got %q after %s, refused with %v", kind, out.body.String(), answered, out.refusal)
+			if out := r.serve(t, t.Context(), b, h); out.body.String() != r.want || time.Duration(answered.Load()) > silence {
+				t.Errorf("%s: got %q after %s, refused with %v", kind, out.body.String(), time.Duration(answered.Load()), out.refusal)
 			}
 		})
 	}
