relay: requests open no connections to servers that are silent for other daemons as well

Cause: a service whose servers time out for all daemons stays in reach since time-outs are judged by others, and with that requests went on to open connections, which a service out of reach does not do. And a request that found no open connection counted as evidence against the link.

TestNoConnectionsAreOpenedToSilentServers failed 3 of 3 without the change in exchange.go, 0 of 20 now.

Change: such a service gets requests on open connections alone, and one server of it is connected to in the background each 0.2 s, as for a service out of reach. ErrNoIdleConnection tells nothing of a server.

--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -164,6 +164,23 @@
 	return s != nil && s.lost
 }
 
+// Silent reports whether the servers of a service that is in reach were found silent.
+func (t *Tracker) Silent(name string) bool {
+	s := t.services[name]
+	return s != nil && s.silent && !s.lost
+}
+
+// SilentServices returns the services that are in reach and whose servers were found silent, in no
+// particular order.
+func (t *Tracker) SilentServices() (out []string) {
+	for name := range t.services {
+		if t.Silent(name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // LostServices returns the services that are out of reach, in no particular order.
 func (t *Tracker) LostServices() (out []string) {
 	for name, s := range t.services {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -342,8 +342,8 @@
 	s.request = BackendRequest{
 		Call: x.call, Server: t.server, Workspace: x.workspace, Model: x.modelOverride(), LastEvent: x.lastEvent,
 		FetchFrom: t.fetch.address, Timeout: time.Until(x.deadline) - deadlineMargin, Priority: urgent.Priority, MaxConnections: t.maxConnections,
-		// New connections are tried in the background while the servers are out of reach.
-		ReuseOnly: x.relay.State.outOfReach(t.service),
+		// New connections are tried in the background while the servers do not accept them.
+		ReuseOnly: x.relay.State.holdsOffConnections(t.service),
 		Admit:     func() bool { return x.relay.State.admits(t) },
 		GrowHead:  func(n int) error { return s.head.grow(int64(n) * heldPerHeadByte) },
 	}
@@ -405,7 +405,7 @@
 	if e.Reason == upstream.Unreachable {
 		x.relay.State.recordUnreachable(t)
 	}
-	if e.Reason == upstream.Unreachable || e.Reason == upstream.ConnectionLost {
+	if (e.Reason == upstream.Unreachable || e.Reason == upstream.ConnectionLost) && !errors.Is(e.Err, upstream.ErrNoIdleConnection) {
 		x.relay.recordUnreachedFor(ctx, t, e.Err)
 		x.unreached++
 	}
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -88,6 +88,14 @@
 	return s.reachability.Lost(service)
 }
 
+// holdsOffConnections reports whether requests open no connections to the servers of a service, because it is out
+// of reach or its servers are silent.
+func (s *State) holdsOffConnections(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reachability.Lost(service) || s.reachability.Silent(service)
+}
+
 // OutOfReach reports whether this daemon reaches no server of some service.
 func (s *State) OutOfReach() bool {
 	s.mu.Lock()
@@ -139,9 +147,9 @@
 	}
 }
 
-// checkReachability connects to one server of each service that is out of reach.
+// checkReachability connects to one server of each service that is out of reach or silent.
 func (r *Relay) checkReachability(ctx context.Context, _ time.Time) {
-	for _, t := range r.State.lostTargets() {
+	for _, t := range r.State.unreachedTargets() {
 		r.background.Go(func() { r.checkServer(ctx, t) })
 	}
 }
@@ -158,11 +166,11 @@
 	r.recordReached(t)
 }
 
-// lostTargets returns a random server of each service that is out of reach.
-func (s *State) lostTargets() (out []*target) {
+// unreachedTargets returns a random server of each service that is out of reach or silent.
+func (s *State) unreachedTargets() (out []*target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, name := range s.reachability.LostServices() {
+	for _, name := range slices.Concat(s.reachability.LostServices(), s.reachability.SilentServices()) {
 		if server, found := s.randomServer(name); found {
 			out = append(out, &target{server: server, service: name})
 		}
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -174,3 +174,37 @@
 		t.Errorf("no route to any: %s", got)
 	}
 }
+
+// Guards against requests that wait for connections to silent servers, and against a service that counts as out
+// of reach because requests found no open connection.
+func TestNoConnectionsAreOpenedToSilentServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		noConnection := func(BackendRequest) (*BackendResponse, error) {
+			return nil, &upstream.Error{Reason: upstream.Unreachable, Err: upstream.ErrNoIdleConnection}
+		}
+		h := newHarness(t, noConnection, noConnection, noConnection)
+		h.useVirtualTime()
+		h.relay.Verdicts = &fixedVerdicts{verdicts: []reachability.Verdict{reachability.Silent}}
+		h.relay.backend = &partialBackend{fakeBackend: h.backend}
+		for _, id := range []string{"a0", "a1"} {
+			h.relay.recordUnreached(&target{server: backend.Server{ID: id}, service: "app"}, context.DeadlineExceeded)
+		}
+		h.call("/l/1")
+		if h.relay.State.OutOfReach() {
+			t.Error("out of reach")
+		}
+		if targets := h.relay.State.unreachedTargets(); len(targets) != 1 || targets[0].service != "app" {
+			t.Errorf("connects to %d services in the background", len(targets))
+		}
+		for i, s := range h.backend.sends {
+			if !s.ReuseOnly {
+				t.Errorf("send %d opens a connection", i)
+			}
+		}
+		h.relay.recordReached(&target{service: "app"})
+		if h.relay.State.holdsOffConnections("app") {
+			t.Error("no connections after contact")
+		}
+		h.relay.background.Wait()
+	})
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -208,7 +208,8 @@
 	return defaultKeepAlive - keepAliveMargin
 }
 
-var errNoIdleConnection = errors.New("no open connection, and new ones are not opened")
+// ErrNoIdleConnection is the error of a call that may not open a connection. It tells nothing of the server.
+var ErrNoIdleConnection = errors.New("no open connection, and new ones are not opened")
 
 var errWithdrawn = errors.New("not admitted any more when a connection was open")
 
@@ -363,7 +364,7 @@
 		c.discard()
 	}
 	if call.ReuseOnly {
-		return nil, &Error{Unreachable, false, errNoIdleConnection}
+		return nil, &Error{Unreachable, false, ErrNoIdleConnection}
 	}
 	p.mu.Lock()
 	limitReached := call.MaxConnections > 0 && p.open[call.Address] >= call.MaxConnections
