--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -63,7 +64,8 @@
 				})
 				h.useVirtualTime()
 				h.relay.Verdicts = tt.others
-				b, lost := &silentBackend{}, false
+				var lost atomic.Bool
+				b := &silentBackend{}
 				b.during = func(first backend.Server) {
 					h.others(first, func(_ *backend.Registry, s backend.Server, _ time.Duration) {
 						b.mu.Lock()
@@ -71,11 +73,11 @@
 						b.mu.Unlock()
 						go h.relay.recordUnreached(&target{server: s, service: s.Service}, context.DeadlineExceeded)
 					})
-					time.AfterFunc(probeTimeout+silenceVerdictTimeout+time.Millisecond, func() { lost = h.relay.State.OutOfReach() })
+					time.AfterFunc(probeTimeout+silenceVerdictTimeout+time.Millisecond, func() { lost.Store(h.relay.State.OutOfReach()) })
 				}
 				out := r.serve(t, t.Context(), b, h)
-				if lost != tt.lost {
-					t.Errorf("%s, %s: out of reach %t", name, kind, lost)
+				if lost.Load() != tt.lost {
+					t.Errorf("%s, %s: out of reach %t", name, kind, lost.Load())
 				}
 				if !tt.lost && (out.body.String() != r.want || out.aborted) {
 					t.Errorf("%s, %s: got %q, refused with %v", name, kind, out.body.String(), out.refusal)
