app: requests that come while a daemon stops are answered

Callers of the own interface saw the end of the connection and no answer: a whole request, the first one of its connection, came as its daemon stopped. They could not tell whether it had run.

Cause: Server.Shutdown of net/http. From its start the server still reads a request that comes on an open connection, and then closes the connection without calling the handler. It also closes a kept connection whatever waits in its socket.

The daemon no longer calls Shutdown. conntrack wraps the connections below TLS and knows whether something of a request has been read. The end waits within the drain limit until all are closed. Each read gives either bytes or the end, so nothing that was read is dropped; answers close their connections, as before, because the daemon leaves.

conntrack's earlier test changes only in how it makes the tracker.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -52,8 +52,8 @@
 	// peer sends its request only once the connection has been upgraded.
 	listeners    *listenqueue.Group
 	clientServer *http.Server
-	// clientRequests are the requests on the connections of clientServer.
-	clientRequests *conntrack.Tracker
+	// clients are the connections of clientServer, with their requests.
+	clients        *conntrack.Tracker
 	peerHTTPServer *http.Server
 	peerServer     *peer.Server
 	cancel         context.CancelFunc
@@ -105,7 +105,8 @@
 		deps.Weights = platform.NewClient(s.WeightStoreURL, platformTimeout)
 	}
 	n := &Node{logger: logger, listeners: listenqueue.NewGroup(scope, logger), done: make(chan struct{}), closers: []io.Closer{closer}}
-	callerListener = n.listeners.Add("clients", callerListener)
+	n.clients = conntrack.New(logger)
+	callerListener = n.clients.Listen(n.listeners.Add("clients", callerListener))
 	if s.TLS != nil {
 		certs, err := newCertReloader(*s.TLS)
 		if err != nil {
@@ -120,8 +121,7 @@
 	n.Daemon = daemon.New(s, secrets, deps)
 	panicCounter := n.Daemon.PanicCounter()
 	n.clientServer = newServer(recovery.Handler(api.New(n.Daemon, logger, handler), panicCounter, logger))
-	n.clientRequests = &conntrack.Tracker{}
-	n.clientRequests.Attach(n.clientServer)
+	n.clients.Attach(n.clientServer)
 	serve(callerListener, n.clientServer)
 	n.peerServer = n.Daemon.PeerServer()
 	n.peerHTTPServer = newServer(recovery.Handler(n.peerServer, panicCounter, logger))
@@ -154,8 +154,8 @@
 }
 
 // Shutdown drains the daemon and stops it. The listener of clients closes once what waits in its queue is
-// accepted. Shutdown ends once no request is being read or served and all responses are flushed, or the
-// drain limit has passed. Cancelling the context aborts the requests that are still running. The error
+// accepted. Connections without a request close after that, new ones only if they stay silent. Shutdown ends
+// once no request is being read or served and all responses are flushed, or the drain limit has passed. Cancelling the context aborts the requests that are still running. The error
 // reports aborted requests and unconfirmed usage records.
 func (n *Node) Shutdown(ctx context.Context) error {
 	settings := n.Daemon.Settings()
@@ -168,7 +168,9 @@
 	defer cancel()
 	closeListeners()
 	n.listeners.Wait(closeCtx)
-	_ = n.clientServer.Shutdown(closeCtx) // the connections that it leaves are logged
+	// Shutdown of the server would drop requests that come on open connections.
+	n.clients.CloseIdle()
+	n.clients.Wait(closeCtx)
 	cut := max(running, n.logOpenRequests())
 	n.Kill()
 	if cut > 0 || unconfirmed > 0 {
@@ -179,7 +181,7 @@
 
 // logOpenRequests logs the requests on the connections that are about to be closed.
 func (n *Node) logOpenRequests() (open int) {
-	for _, r := range n.clientRequests.Requests() {
+	for _, r := range n.clients.Requests() {
 		open++
 		n.logger.Warn("connection closed with a request on it", "remote", r.Remote, "method", r.Method, "path", r.Path, "phase", r.Phase, "age_ms", time.Since(r.Since).Milliseconds())
 	}
--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -1,6 +1,6 @@
-// Package conntrack tracks the connections of an HTTP server that have a request on them: one that is
-// being read or served, or whose response is not flushed yet. Unlike clientconns it does not wrap
-// connections, since net/http must see those with TLS as they are.
+// Package conntrack tracks the connections of an HTTP server and the requests on them: those that are being
+// read or served, or whose response is not flushed yet. It closes connections without a request. Unlike
+// clientconns it is for connections with or without TLS, and wraps them below it: net/http must see TLS as it is.
 package conntrack
 
 import (
@@ -11,8 +11,13 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/charmbracelet/log"
 )
 
+// pollInterval is the time between looks at the connections that are left.
+const pollInterval = 5 * time.Millisecond
+
 // Phase is what a request waits for.
 type Phase string
 
@@ -35,13 +40,23 @@
 
 // Tracker tracks the connections of one server. It is safe for concurrent use.
 type Tracker struct {
+	log *log.Logger
+
 	mu       sync.Mutex
 	requests map[net.Conn]*Request
+	// conns are the connections of Listen that are open.
+	conns map[*conn]bool
+	// closing is set once connections without a request are closed.
+	closing bool
+}
+
+// New returns a tracker.
+func New(logger *log.Logger) *Tracker {
+	return &Tracker{log: logger, requests: map[net.Conn]*Request{}, conns: map[*conn]bool{}}
 }
 
 // Attach makes the tracker observe a server. It must be called before the server serves.
 func (t *Tracker) Attach(s *http.Server) {
-	t.requests = map[net.Conn]*Request{}
 	s.ConnState = t.observe
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	s.Handler = t.handler(s.Handler)
@@ -49,13 +64,14 @@
 
 type connKey struct{}
 
-// observe removes the request of a connection that has none any more.
+// observe applies the state of a connection, and removes its request if it has none any more.
 func (t *Tracker) observe(c net.Conn, state http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observeConn(c, state)
 	if state == http.StateActive || state == http.StateNew {
 		return
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	delete(t.requests, c)
 }
 
@@ -93,6 +109,13 @@
 	return out
 }
 
+// Wait returns when all connections of Listen are closed, or the context ends.
+func (t *Tracker) Wait(ctx context.Context) {
+	for t.Open() > 0 && ctx.Err() == nil {
+		time.Sleep(pollInterval)
+	}
+}
+
 // trackedBody calls onEnd once a body has been read to its end.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/conntrack/conntrack_test.go
+++ b/internal/conntrack/conntrack_test.go
@@ -7,11 +7,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/charmbracelet/log"
 )
 
 // Guards against connections that are closed without a log line of their request, or with a wrong phase.
 func TestRequestsOnConnectionsByPhase(t *testing.T) {
-	var tracker Tracker
+	tracker := New(log.New(io.Discard))
 	read, serving, end := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		read <- struct{}{}
