--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -155,8 +155,9 @@
 
 // Shutdown drains the daemon and stops it. The listener of clients closes once what waits in its queue is
 // accepted. Connections without a request close after that, new ones only if they stay silent. Shutdown ends
-// once no request is being read or served and all responses are flushed, or the drain limit has passed. Cancelling the context aborts the requests that are still running. The error
-// reports aborted requests and unconfirmed usage records.
+// once no request is being read or served and all responses are flushed, or the drain limit has passed.
+// Cancelling the context aborts the requests that are still running. The error reports aborted requests and
+// unconfirmed usage records.
 func (n *Node) Shutdown(ctx context.Context) error {
 	settings := n.Daemon.Settings()
 	end := time.Now().Add(time.Duration(settings.EndpointTTL + settings.DrainGrace + settings.DrainTimeout))
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -380,9 +380,9 @@
 	return append(fields, t.fetch.logFields()...)
 }
 
-// mayReroute reports whether the request may continue on another server, and takes
-// the retry from the budget unless one was taken and not used. Without budget, only requests of a server that will not respond are
-// rerouted; others would be aborted although it may go on.
+// mayReroute reports whether the request may continue on another server, and takes the retry from
+// the budget unless one was taken and not used. Without budget, only requests of a server that will
+// not respond are rerouted; others would be aborted although it may go on.
 func (x *exchange) mayReroute(ended bool) bool {
 	if !x.retryState.Repeatable || x.retryState.RemainingRuns() <= 0 {
 		return false
--- a/internal/request/windowed_retry_budget.go
+++ b/internal/request/windowed_retry_budget.go
@@ -6,12 +6,12 @@
 const budgetBuckets = 50
 
 const (
-	// retryAdvance is the time for whose first sends a daemon may retry beyond the rate of its first sends,
-	// and minRetryAdvance the least number of such retries.
+	// retryAdvance is the period whose first sends bound a burst of retries, and minRetryAdvance the
+	// least bound, as a number of retries.
 	retryAdvance    = 3 * time.Second
 	minRetryAdvance = 2
-	// startCredit is the part of a first send that pays for retries in the first window of a daemon. The rest
-	// makes up for what a daemon in whose place this one has started may have sent in advance.
+	// startCredit is the part of a first send that pays for retries in the first window of a daemon. The
+	// rest covers retries that the daemon's predecessor may have sent in advance.
 	startCredit = 0.8
 )
 
