--- a/internal/relay/offers.go
+++ b/internal/relay/offers.go
@@ -26,21 +26,21 @@
 type offers struct {
 	x   *exchange
 	ctx context.Context
-	// silent holds for each offer whether the party is known to be silent.
-	silent map[taker]bool
+	// running holds the offers under way, and whether the party is known to be silent.
+	running map[taker]bool
 	// ended receives the offers that can be settled, and fellSilent those whose party is silent.
-	ended      chan awaited
+	ended      chan endedOffer
 	fellSilent chan taker
-	// wake ends the search for a party when an offer can be settled.
-	wake atomic.Pointer[context.CancelFunc]
+	// endSearch ends the search for a party when an offer can be settled.
+	endSearch atomic.Pointer[context.CancelFunc]
 	// endsSilent makes the offers end once all parties are silent and no other can be found.
 	endsSilent bool
 	// retry is when the call may be offered again if no party could be found; nil if one was.
 	retry <-chan time.Time
 }
 
-// awaited is an offer that can be settled.
-type awaited struct {
+// endedOffer is an offer that can be settled.
+type endedOffer struct {
 	taker
 	// panicked is the value of a panic, which the search passes on.
 	panicked any
@@ -48,14 +48,14 @@
 
 func newOffers(ctx context.Context, x *exchange) *offers {
 	most := x.retryState.MaxSends()
-	return &offers{x: x, ctx: ctx, silent: map[taker]bool{}, ended: make(chan awaited, most), fellSilent: make(chan taker, most)}
+	return &offers{x: x, ctx: ctx, running: map[taker]bool{}, ended: make(chan endedOffer, most), fellSilent: make(chan taker, most)}
 }
 
 // run offers the call until a party has taken it. It returns nil and the reason if none does.
 func (o *offers) run() (taker, error) {
 	defer o.interrupt()
 	why := o.startNext()
-	for len(o.silent) > 0 {
+	for len(o.running) > 0 {
 		select {
 		case a := <-o.ended:
 			if _, taken := o.settle(a); taken {
@@ -78,7 +78,7 @@
 
 // waitsForAny reports whether a party that is not known to be silent considers the call.
 func (o *offers) waitsForAny() bool {
-	for _, silent := range o.silent {
+	for _, silent := range o.running {
 		if !silent {
 			return true
 		}
@@ -88,9 +88,9 @@
 
 // recordSilent records that a party has gone silent. It keeps its chance.
 func (o *offers) recordSilent(t taker) {
-	if _, running := o.silent[t]; running {
+	if _, running := o.running[t]; running {
 		o.x.logEvent("offered to another", nil, "silent", t.name())
-		o.silent[t] = true
+		o.running[t] = true
 	}
 }
 
@@ -106,7 +106,7 @@
 		return refusal
 	}
 	o.retry = nil
-	o.silent[next] = false
+	o.running[next] = false
 	go o.await(next)
 	return nil
 }
@@ -115,7 +115,7 @@
 // for the search for one more party.
 func (o *offers) searchContext() context.Context {
 	ctx, cancel := context.WithCancel(o.ctx)
-	if last := o.wake.Swap(&cancel); last != nil {
+	if last := o.endSearch.Swap(&cancel); last != nil {
 		(*last)()
 	}
 	if len(o.ended) > 0 {
@@ -125,20 +125,20 @@
 }
 
 func (o *offers) await(t taker) {
-	a := awaited{taker: t}
+	a := endedOffer{taker: t}
 	defer func() {
 		if p := recover(); p != nil {
 			a.panicked = fmt.Errorf("%v\n%s", p, debug.Stack())
 		}
 		o.ended <- a
-		(*o.wake.Load())()
+		(*o.endSearch.Load())()
 	}()
 	t.await()
 }
 
 // settle records the end of an offer.
-func (o *offers) settle(a awaited) (outcome request.SendOutcome, taken bool) {
-	delete(o.silent, a.taker)
+func (o *offers) settle(a endedOffer) (outcome request.SendOutcome, taken bool) {
+	delete(o.running, a.taker)
 	if a.panicked != nil {
 		panic(a.panicked)
 	}
@@ -158,11 +158,11 @@
 
 // endOthers ends the offers that are under way.
 func (o *offers) endOthers(why error) {
-	for t := range o.silent {
+	for t := range o.running {
 		o.x.logEvent("offer ended", nil, "to", t.name(), "why", why)
 		t.abandon(why)
 	}
-	for len(o.silent) > 0 {
+	for len(o.running) > 0 {
 		a := <-o.ended
 		if _, taken := o.settle(a); taken {
 			a.drop()
@@ -173,17 +173,17 @@
 
 // interrupt ends the offers that a panic has left, so that nobody uses the exchange any more.
 func (o *offers) interrupt() {
-	for t := range o.silent {
+	for t := range o.running {
 		t.abandon(errOfferInterrupted)
 	}
-	for len(o.silent) > 0 {
-		delete(o.silent, (<-o.ended).taker)
+	for len(o.running) > 0 {
+		delete(o.running, (<-o.ended).taker)
 	}
 }
 
 // servers returns the IDs of the servers that consider the call.
 func (o *offers) servers() (ids []string) {
-	for t := range o.silent {
+	for t := range o.running {
 		if s, ok := t.(*send); ok {
 			ids = append(ids, s.target.server.ID)
 		}
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -48,7 +48,7 @@
 	if r.State.KnowsTermination(xxhash.Sum64String(t.server.ID)) {
 		return
 	}
-	if connected(err) {
+	if connectedButSilent(err) {
 		r.recordReached(t)
 		return
 	}
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -32,9 +32,9 @@
 	return errors.As(err, &e) && e.Timeout()
 }
 
-// connected reports whether the error of a probe came after a connection to the server was opened: the
+// connectedButSilent reports whether the error of a probe came after a connection to the server was opened: the
 // server is silent, and its VM and the link respond.
-func connected(err error) bool {
+func connectedButSilent(err error) bool {
 	var e *upstream.Error
 	return errors.As(err, &e) && e.Sent && timedOut(err)
 }
