clientconns: a request of which the first bytes are just being read is not ended with the idle connections

Callers could see: a request whose head comes in parts is closed without an answer at the end of a drain.

Cause: closing idle connections sets a deadline in the past on a connection whose read has returned bytes, but is not recorded yet. The connection then counts as one with a request, and its next read fails.

The deadline is taken back when the read is recorded.

--- a/internal/clientconns/conn.go
+++ b/internal/clientconns/conn.go
@@ -89,6 +89,9 @@
 	if n > 0 {
 		switch c.state {
 		case Accepted, Idle:
+			if t.stopped[Idle] {
+				_ = c.SetReadDeadline(time.Time{}) // the interrupt was too late; fails only on a closed connection
+			}
 			t.set(c, Reading)
 		case Serving, Flushing:
 			c.readAhead = c.readAhead || !c.unread // else it is the rest of the request
--- a/internal/clientconns/tracker_test.go
+++ b/internal/clientconns/tracker_test.go
@@ -241,6 +241,45 @@
 	}
 }
 
+// interruptedConn calls a function after each read, before the reader knows of it.
+type interruptedConn struct {
+	net.Conn
+	afterRead func()
+}
+
+func (c *interruptedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.afterRead()
+	return n, err
+}
+
+// Guards against a request that is not read to its end because idle connections are closed just as its first
+// bytes have been read.
+func TestCloseIdleDuringReadKeepsRequest(t *testing.T) {
+	for _, state := range []State{Accepted, Idle} {
+		t.Run(state.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				client, accepted := net.Pipe()
+				defer client.Close()
+				c := f.add(&interruptedConn{accepted, func() {
+					f.CloseIdle()
+					time.Sleep(2 * firstByteTime)
+				}})
+				if state == Idle {
+					f.observe(c, http.StateIdle)
+				}
+				go func() { _, _ = io.WriteString(client, "GE") }() // a failure shows in the reads
+				for i := range 2 {
+					if n, err := c.Read(make([]byte, 1)); n != 1 {
+						t.Fatalf("read %d: %v", i+1, err)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against closes under the bytes of a request that leave no line.
 func TestCrossedCloseIsLogged(t *testing.T) {
 	for name, end := range map[string]func(*Tracker, *conn){
