relay: a daemon that accepts a call late and then refuses it ends no offer beside it

Callers saw: a request failed or was refused although a second daemon, to which it had been offered while the first was silent, would have answered 0.2 s later.

Cause: the first daemon's acceptance, or its refusal, counted as its going on. The offer to the second one was ended, and the first one then had nothing to say.

Change: a daemon goes on with the header of a response. Acceptance only ends the watch for its silence; a refusal or a loss waits for the end of the offers, as that of a server does.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -301,13 +301,14 @@
 	for {
 		f.wait()
 		frame, err := f.receive(f.ctx)
-		if !f.proceed(err == nil) {
-			return frame, errRerouted
-		}
 		f.recordAccepted()
-		if err != nil || frame.Refusal != nil || frame.Status != 0 {
-			return frame, err
+		if err == nil && frame.Refusal == nil && frame.Status == 0 {
+			continue // it has accepted the call or reports runs; it may still refuse
+		}
+		if !f.proceed(err == nil && frame.Refusal == nil) {
+			return frame, errRerouted
 		}
+		return frame, err
 	}
 }
 
--- a/internal/relay/forwardtaker_test.go
+++ b/internal/relay/forwardtaker_test.go
@@ -222,6 +222,37 @@
 	daemons.checkForwards(t, h)
 }
 
+// Guards against giving up a second daemon, which would take the request, because the first one accepts it late
+// and then refuses it or is lost.
+func TestSecondDaemonKeepsRequestThatFirstRefusesLate(t *testing.T) {
+	for name, first := range map[string]forwardScript{
+		"refuses":           {frames: refusal(fault.HelperUnable, fault.NotRun)[1:]},
+		"accepts, refuses":  {frames: refusal(fault.HelperUnable, fault.NotRun)},
+		"accepts, is lost":  {frames: []ForwardFrame{accepted()}, err: errLinkBroken},
+		"accepts, is quiet": {frames: []ForwardFrame{accepted()}, hangs: true},
+	} {
+		for _, path := range []string{"/l/1", "/s/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					want := "whole"
+					if path == "/s/1" {
+						want = events(1, 2)
+					}
+					first.mute = forwardAcceptTimeout + 200*time.Millisecond
+					unable := forwardScript{frames: refusal(fault.HelperUnable, fault.NotRun)}
+					h := newHarness(t, failSend(upstream.Unreachable, false))
+					daemons := &scriptedForwarder{script: []forwardScript{first, {frames: response(200, want), mute: 400 * time.Millisecond}, unable}}
+					h.relay.Forwarder = daemons
+					if out := h.call(path); out.status != 200 || out.body.String() != want || out.aborted {
+						t.Errorf("got %d %q, aborted %t, refused with %v", out.status, out.body.String(), out.aborted, out.refusal)
+					}
+					daemons.checkForwards(t, h)
+				})
+			})
+		}
+	}
+}
+
 // Guards against waiting for a silent daemon although another one takes the request, and against
 // answers of two daemons that are joined.
 func TestRequestLeavesSilentDaemonThatAnotherReplaces(t *testing.T) {
