--- a/internal/enginetest/link.go
+++ b/internal/enginetest/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"sync"
 	"syscall"
@@ -30,8 +29,6 @@
 // dialTimeout is how long a new connection waits on a silent link.
 const dialTimeout = 400 * time.Millisecond
 
-var errNoConnection = errors.New("no open connection")
-
 // Link is one daemon's network to the servers. It implements relay.Backend.
 type Link struct {
 	*Engines
@@ -84,7 +81,7 @@
 	case reused:
 		return nil
 	case reuseOnly:
-		return &upstream.Error{Reason: upstream.Unreachable, Err: errNoConnection}
+		return &upstream.Error{Reason: upstream.Unreachable, Err: upstream.ErrNoIdleConnection}
 	}
 	if err := dial(ctx, state); err != nil {
 		return err
