--- a/internal/daemon/reachability.go
+++ b/internal/daemon/reachability.go
@@ -57,7 +57,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	candidates := b.candidates(poolName)
-	// Silent servers are not told apart from a cut link here.
+	// Time-outs count as a cut link: other daemons are not asked whether the servers are silent.
 	becameLost := b.reachability.Unreached(poolName, server, len(candidates), reachability.Rejected, b.uptime()) == reachability.BecameLost
 	unreached := b.reachability.UnreachedServers(poolName)
 	if becameLost {
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -19,10 +19,10 @@
 	silenceVerdictTimeout = 250 * time.Millisecond
 	// maxServersAsked is the number of servers of a service that other daemons are asked about at once.
 	maxServersAsked = 2
-	// contactMemory is how long contact with a server shows that this daemon's links work, and
-	// silenceControls the number of servers of the same service, and of others, that are connected to
-	// without such contact.
-	contactMemory   = 300 * time.Millisecond
+	// contactMemory is how long contact with a server shows that this daemon's links work.
+	contactMemory = 300 * time.Millisecond
+	// silenceControls is the number of servers of the same service, and the number of servers of other
+	// services, that are connected to if there was no such contact.
 	silenceControls = 2
 )
 
--- a/internal/relay/termination_test.go
+++ b/internal/relay/termination_test.go
@@ -50,8 +50,8 @@
 		if !called || ended != tt.want {
 			t.Errorf("%s: rerouted %t, shows the end of the server: %t", name, called, ended)
 		}
-		if told := len(h.relay.State.Terminations()) > 0; told != (tt.want && tt.err == syscall.ECONNREFUSED) {
-			t.Errorf("%s: termination told to others: %t", name, told)
+		if reported := len(h.relay.State.Terminations()) > 0; reported != (tt.want && tt.err == syscall.ECONNREFUSED) {
+			t.Errorf("%s: termination reported to others: %t", name, reported)
 		}
 	}
 }
