--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -15,7 +15,7 @@
 
 // purePackages lists the packages that must not do I/O, read the clock or use global
 // randomness.
-var purePackages = []string{"fault", "fleet", "routing", "cascade", "rollout", "session", "request", "quota", "billing", "membership", "lease", "slo", "invariant", "route", "backend", "freshness", "quarantine", "slowstart", "serverlimit", "serverstatus", "gate", "reachability", "concurrencylimit", "kvtransfer", "enginespeed", "fairshare", "urgency", "flowcontrol"}
+var purePackages = []string{"fault", "fleet", "routing", "cascade", "rollout", "session", "request", "quota", "billing", "membership", "lease", "slo", "invariant", "route", "backend", "freshness", "quarantine", "slowstart", "serverlimit", "serverstatus", "gate", "reachability", "concurrencylimit", "kvtransfer", "enginespeed", "fairshare", "urgency", "flowcontrol", "httpframing", "connlimit"}
 
 // forbiddenImports lists the packages, with their subpackages, that a pure package
 // must not import.
