httplimit: heads over the limit, and lines without end, no longer end a daemon

Callers saw: all requests at the daemon broken off, and connections refused until it was started again.

Cause: the configuration's header_bytes and header_timeout_ms were carried and not enforced. net/http read heads of up to 1 MB for 20 s, at every listener, and a line of four bytes takes far more than that once it is parsed.

Change: one place bounds the servers of all listeners. A connection holds a head back until it is complete and within the limits of the configuration in force, and hands out the bytes of one request at a time. Beyond them, the client gets 431, 408 or 400, all of which state that the request has not run, with a counter by listener and reason and a bounded number of log lines. Nothing over the limit reaches the parser, so that it cannot spend memory on it. Limits are header_bytes plus 4 KiB, and twice header_timeout_ms: clients within the stated ones do not meet them.

--- a/internal/clientconns/conn.go
+++ b/internal/clientconns/conn.go
@@ -159,6 +159,14 @@
 	return n, err
 }
 
+// MarkAnswered records that what came on the connection was answered without the server, so that its close
+// cuts nothing.
+func (c *conn) MarkAnswered() {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	c.closing = true
+}
+
 // recordBody records that the whole request has been read.
 func (t *Tracker) recordBody(c *conn) {
 	t.mu.Lock()
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -34,6 +34,8 @@
 	NotFound           Kind = "not_found"
 	TooLarge           Kind = "too_large"
 	BodyTimeout        Kind = "body_timeout"
+	HeadTooLarge       Kind = "head_too_large"
+	HeadTimeout        Kind = "head_timeout"
 	RateLimited        Kind = "rate_limited"
 	Overloaded         Kind = "overloaded"
 	DeadlineExceeded   Kind = "deadline_exceeded"
@@ -90,8 +92,10 @@
 	{NotFound, http.StatusNotFound, NotRun, false, 0, "The resource does not exist."},
 	{TooLarge, http.StatusRequestEntityTooLarge, NotRun, false, 0, "The request body exceeds the configured limit."},
 	{BodyTimeout, http.StatusRequestTimeout, NotRun, false, 0, "The request body did not arrive in time; the request may be repeated on a new connection."},
+	{HeadTooLarge, http.StatusRequestHeaderFieldsTooLarge, NotRun, false, 0, "The request line and the header fields exceed the configured limit."},
+	{HeadTimeout, http.StatusRequestTimeout, NotRun, false, 0, "The header fields did not arrive in time; the request may be repeated on a new connection."},
 	{RateLimited, http.StatusTooManyRequests, NotRun, false, time.Second, "The workspace has reached its request or token limit."},
-	{Overloaded, http.StatusServiceUnavailable, NotRun, false, time.Second, "No backend server can start the request before its deadline, or this daemon has no memory left for its body."},
+	{Overloaded, http.StatusServiceUnavailable, NotRun, false, time.Second, "No backend server can start the request before its deadline, or this daemon has no memory left for it."},
 	{DeadlineExceeded, http.StatusGatewayTimeout, Unknown, false, 0, "The deadline passed before the response was complete."},
 	{NoServer, http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "No live backend server serves an allowed version."},
 	{Warming, http.StatusServiceUnavailable, NotRun, true, time.Second, "The remaining backend servers are warming up and have reached their request rate limit."},
--- /dev/null
+++ b/internal/httplimit/httplimit_test.go
@@ -0,0 +1,213 @@
+package httplimit
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+)
+
+// bounded is a bounded server with its limits.
+type bounded struct {
+	*Group
+	server  *http.Server
+	address string
+
+	mu     sync.Mutex
+	limits Limits
+	lines  bytes.Buffer
+}
+
+func newBounded(t *testing.T, h http.Handler) *bounded {
+	t.Helper()
+	b := &bounded{limits: Limits{HeadBytes: 8 << 10, HeadTimeout: time.Minute}}
+	b.Group = New(Config{
+		IDHeader: "Id", Scope: tally.NoopScope, Logger: log.New(b),
+		Limits: func() Limits {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.limits
+		},
+		Refusal: func(id string, e *fault.Error) *http.Response {
+			return &http.Response{StatusCode: fault.Lookup(e.Kind).Status, Header: http.Header{"Id": {id}}}
+		},
+	})
+	b.server = &http.Server{Handler: h}
+	b.Attach(b.server)
+	b.address = serveOn(t, b.server, func(l net.Listener) net.Listener { return b.Listen("test", l) })
+	return b
+}
+
+// Write implements io.Writer for log lines.
+func (b *bounded) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+func (b *bounded) setLimits(l Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = l
+}
+
+func serveOn(t *testing.T, s *http.Server, wrap func(net.Listener) net.Listener) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(wrap(l)) }() // ends when the server is closed
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// exchange sends the parts of a text and returns all that is answered until the connection closes.
+func exchange(t *testing.T, address string, parts ...string) string {
+	t.Helper()
+	c := dial(t, address)
+	go func() {
+		for _, p := range parts {
+			if _, err := io.WriteString(c, p); err != nil {
+				return // the server has closed the connection
+			}
+		}
+	}()
+	out, _ := io.ReadAll(c) // what was read tells
+	return string(out)
+}
+
+// echo answers with what it has read of a request.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	_, _ = fmt.Fprintf(w, "%s %s %d fields %x %v trailers %d\n", r.Method, r.RequestURI, len(r.Header), sha256.Sum256(body), err, len(r.Trailer)) // fails only if the client has left
+}
+
+// randomRequest returns a well-formed request.
+func randomRequest(rng *rand.Rand, n int) string {
+	fields := "Host: h\r\n"
+	for i := range rng.IntN(8) {
+		fields += fmt.Sprintf("F%d: %s\r\n", i, strings.Repeat("v", rng.IntN(300)))
+	}
+	body := make([]byte, rng.IntN(3)*rng.IntN(6000))
+	for i := range body {
+		body[i] = "\r\n:0aGET "[rng.IntN(9)]
+	}
+	switch rng.IntN(4) {
+	case 0:
+		return fmt.Sprintf("GET /%d HTTP/1.1\r\n%s\r\n", n, fields)
+	case 1:
+		return fmt.Sprintf("POST /%d HTTP/1.1\r\n%scontent-length:  %d \r\n\r\n%s", n, fields, len(body), body)
+	case 2:
+		return fmt.Sprintf("POST /%d HTTP/1.0\r\n%sConnection: keep-alive\r\nContent-Length: %d\r\n\r\n%s", n, fields, len(body), body)
+	}
+	out := fmt.Sprintf("PUT /%d HTTP/1.1\r\n%sTransfer-Encoding: chunked\r\n\r\n", n, fields)
+	for len(body) > 0 {
+		size := 1 + rng.IntN(len(body))
+		out += fmt.Sprintf("%x%s\r\n%s\r\n", size, []string{"", ";a=b", " "}[rng.IntN(3)], body[:size])
+		body = body[size:]
+	}
+	return out + "0\r\n" + []string{"", "T: 1\r\n"}[rng.IntN(2)] + "\r\n"
+}
+
+var dates = regexp.MustCompile(`Date: [^\r]*\r\n`)
+
+// Guards against a bounded server that finds other requests on a connection than net/http does.
+func TestBoundedServerAnswersAsAnUnboundedOne(t *testing.T) {
+	b := newBounded(t, http.HandlerFunc(echo))
+	plain := serveOn(t, &http.Server{Handler: http.HandlerFunc(echo)}, func(l net.Listener) net.Listener { return l })
+	for seed := range uint64(120) {
+		rng := rand.New(rand.NewPCG(seed, 87))
+		text := ""
+		for n := range 1 + rng.IntN(8) {
+			text += randomRequest(rng, n)
+		}
+		text += "GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+		var parts []string
+		for rest := text; len(rest) > 0; {
+			n := min(len(rest), 1+rng.IntN(1<<rng.IntN(14)))
+			parts, rest = append(parts, rest[:n]), rest[n:]
+		}
+		want, got := dates.ReplaceAllString(exchange(t, plain, text), ""), dates.ReplaceAllString(exchange(t, b.address, parts...), "")
+		if want != got || !strings.Contains(got, "GET /last") {
+			t.Fatalf("seed %d: sent %q, got\n%s\nwant\n%s", seed, text, got, want)
+		}
+	}
+}
+
+// Guards against requests that are hidden in the body of one whose end is not clear.
+func TestRequestsAfterAnUnclearEndAreNotServed(t *testing.T) {
+	b := newBounded(t, http.HandlerFunc(echo))
+	for _, fields := range []string{
+		"Content-Length: 5\r\nContent-Length: 6", "Content-Length: x", "Transfer-Encoding: gzip", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+		"Transfer-Encoding:\r\n chunked", "Content-Length: 2\r\n 3", "Transfer-Encoding: chunked", "Content-Length : 5",
+	} {
+		got := exchange(t, b.address, "POST /first HTTP/1.1\r\nHost: h\r\n"+fields+"\r\n\r\nzz\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		if strings.Contains(got, "/hidden") || strings.Count(got, "HTTP/1.1 ") > 1 {
+			t.Errorf("%q: got %q", fields, got)
+		}
+	}
+}
+
+func TestHeadsOverTheLimitsAreRefused(t *testing.T) {
+	served := 0
+	b := newBounded(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+	line := "A: " + strings.Repeat("x", 100) + "\r\n"
+	for name, tt := range map[string]struct{ text, want string }{
+		"many lines":   {"GET / HTTP/1.1\r\nId: r7\r\n" + strings.Repeat(line, 200), "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nId: r7\r\n"},
+		"one line":     {"GET /" + strings.Repeat("x", 20<<10), "HTTP/1.1 431 "},
+		"empty lines":  {strings.Repeat("\r\n", 9000), "HTTP/1.1 400 "},
+		"after others": {"\r\nGET /" + strings.Repeat("x", 20<<10), "HTTP/1.1 431 "},
+	} {
+		if got := exchange(t, b.address, tt.text); !strings.HasPrefix(got, tt.want) {
+			t.Errorf("%s: got %q", name, got)
+		}
+	}
+	if served != 0 {
+		t.Errorf("%d requests were served", served)
+	}
+}
+
+// Guards against limits that are fixed at the start.
+func TestLimitsFollowTheConfiguration(t *testing.T) {
+	b := newBounded(t, http.HandlerFunc(echo))
+	head := "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nA: " + strings.Repeat("x", 14<<10) + "\r\n\r\n"
+	if got := exchange(t, b.address, head); !strings.HasPrefix(got, "HTTP/1.1 431 ") {
+		t.Errorf("over the limit: got %q", got)
+	}
+	b.setLimits(Limits{HeadBytes: 16 << 10})
+	if got := exchange(t, b.address, head); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
+		t.Errorf("within the new limit: got %q", got)
+	}
+}
+
+func TestHeadThatComesTooSlowlyIsRefused(t *testing.T) {
+	b := newBounded(t, http.HandlerFunc(echo))
+	b.setLimits(Limits{HeadTimeout: time.Millisecond})
+	if got := exchange(t, b.address, "GET / HTTP/1.1\r\nHost: h\r\n"); !strings.HasPrefix(got, "HTTP/1.1 408 ") {
+		t.Errorf("got %q", got)
+	}
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -125,13 +125,12 @@
 
 // Limits are the limits on requests from callers.
 type Limits struct {
-	// HeaderBytes is not enforced: the HTTP server's own limit of 1 MB applies.
+	// HeaderBytes is the longest head of a request in bytes; zero is the default of httplimit.
 	HeaderBytes int
 	// BodyBytes is the longest body of a request in bytes; zero is no limit.
 	BodyBytes int64
-	// HeaderTimeout and IdleTimeout are not enforced: the server's own timeouts are fixed at its start,
-	// while these may change with each version. A connection must not be closed earlier than IdleTimeout,
-	// as callers may send a request on it until then; so it must be below the server's own.
+	// HeaderTimeout is how long a head may take, and IdleTimeout the time for which a connection without a
+	// request stays open; zero is the default of httplimit.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 }
