httplimit, flowcontrol: heads inside the limits are in the daemon's account of memory

Callers saw: the same as beside heads over the limit, from requests of legal size that are made of very many short header lines.

Cause: the ledger of held bytes counted bodies and responses. Heads were in nobody's account while they were parsed, forwarded and kept for a retry: 16 KiB hold some 4,000 lines, and each takes many times its four bytes.

Change: once a head is complete, and before net/http parses it, its bytes and 128 for each of its lines are charged to the ledger, until its response is complete. Heads take at most a quarter of the budget. One that does not fit is refused with 503, which states that it has not run.

--- a/internal/flowcontrol/ledger.go
+++ b/internal/flowcontrol/ledger.go
@@ -16,6 +16,11 @@
 	bodyFraction = 0.5
 	// smallBody is the largest small body in bytes.
 	smallBody = 16 << 10
+	// headFraction is the part of the budget that the heads of requests may take.
+	headFraction = 0.25
+	// headLineBytes is what a line of a head takes beyond its bytes: its fields parsed, forwarded and
+	// kept for a retry.
+	headLineBytes = 128
 	// pauseFraction is the part of the budget from which responses that hold more than their share
 	// of it are paused. The rest is for the others.
 	pauseFraction = 0.75
@@ -60,6 +65,9 @@
 type Ledger struct {
 	budget                 int64
 	held, bodies, reserved int64
+	// heads is what the heads of requests take. They belong to connections, not to requests: they are
+	// held before there is a request.
+	heads int64
 	// responding is the number of requests that hold bytes of a response.
 	responding int64
 	lastID     ID
@@ -105,6 +113,26 @@
 	delete(l.requests, id)
 }
 
+// HeadCost returns what the head of a request takes, of a number of bytes and lines.
+func HeadCost(size, lines int) int64 { return int64(size) + headLineBytes*int64(lines) }
+
+// GrowHeads accounts for n more bytes of the heads of requests, and reports whether there is room. It
+// cuts no responses.
+func (l *Ledger) GrowHeads(n int64) (granted bool) {
+	if l.held+n > l.budget || float64(l.heads+n) > headFraction*float64(l.budget) {
+		return false
+	}
+	l.heads += n
+	l.held += n
+	return true
+}
+
+// ReleaseHeads removes n bytes of the heads of requests.
+func (l *Ledger) ReleaseHeads(n int64) {
+	l.heads -= n
+	l.held -= n
+}
+
 // Reserve accounts for n bytes of a response that its client cannot be offered yet, and reports
 // whether there is room. It cuts no responses.
 func (l *Ledger) Reserve(id ID, n int64) (granted bool) {
--- a/internal/flowcontrol/ledger_test.go
+++ b/internal/flowcontrol/ledger_test.go
@@ -191,3 +191,14 @@
 		t.Errorf("%d bytes held at the end", l.Held())
 	}
 }
+
+// Guards against heads that take the memory of bodies and responses.
+func TestHeadsHaveTheirPart(t *testing.T) {
+	l := NewLedger(1000)
+	if !l.GrowHeads(250) || l.GrowHeads(1) {
+		t.Error("heads take another part than a quarter")
+	}
+	if l.ReleaseHeads(250); l.Held() != 0 {
+		t.Errorf("%d bytes are held afterwards", l.Held())
+	}
+}
--- a/internal/httplimit/conn.go
+++ b/internal/httplimit/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/flowcontrol"
 	"github.com/damaskrudder/damaskrudder/internal/httpframing"
 )
 
@@ -23,7 +24,7 @@
 )
 
 // conn is a connection of a client. It hands out the bytes of one request at a time, and those of a head
-// only once all of it has come. Its server reads from it in one
+// only once all of it has come and the account has room for it. Its server reads from it in one
 // goroutine at a time.
 type conn struct {
 	net.Conn
@@ -38,6 +39,8 @@
 	// unscanned ones have not been looked at.
 	pending             []byte
 	released, unscanned int
+	// charged is the number of bytes in the account.
+	charged int64
 	// serving is set from the end of a head until the response is complete.
 	serving bool
 	// upgraded is set once the connection is no longer one of requests.
@@ -141,7 +144,9 @@
 	if !c.checkHead() || !done {
 		return 0, nil
 	}
-	c.endHead(c.pending[:len(c.pending)-c.unscanned])
+	if !c.endHead(c.pending[:len(c.pending)-c.unscanned]) {
+		return 0, nil
+	}
 	c.unscanned -= c.scanBody(c.pending[len(c.pending)-c.unscanned:])
 	c.released = len(c.pending) - c.unscanned
 	return 0, nil
@@ -163,8 +168,9 @@
 	case !done:
 		c.pending = append(c.pending, p[:n]...)
 		return 0, nil
+	case !c.endHead(p[:used]):
+		return 0, nil
 	}
-	c.endHead(p[:used])
 	used += c.scanBody(p[used:n])
 	c.keep(p[used:n])
 	return used, nil
@@ -172,6 +178,10 @@
 
 // readMore reads more of a head into pending.
 func (c *conn) readMore() error {
+	if refusal := c.charge(readBytes); refusal != nil {
+		c.refuse(refusal, whyMemory)
+		return io.EOF
+	}
 	length := len(c.pending)
 	c.pending = append(c.pending, make([]byte, readBytes)...)
 	n, err := c.readWithin(c.pending[length:])
@@ -195,10 +205,32 @@
 	return false
 }
 
-// endHead ends a complete head.
-func (c *conn) endHead(head []byte) {
+// endHead charges a complete head, and reports whether there is room for it.
+func (c *conn) endHead(head []byte) bool {
 	c.limitRead(time.Time{})
+	c.release()
+	if refusal := c.charge(flowcontrol.HeadCost(c.head.Bytes, c.head.Lines)); refusal != nil {
+		c.pending = head
+		c.refuse(refusal, whyMemory)
+		return false
+	}
 	c.body, c.serving = httpframing.ParseBody(head), true
+	return true
+}
+
+// charge charges the account, or returns the refusal.
+func (c *conn) charge(n int64) *fault.Error {
+	refusal := c.group.config.Account.GrowHeads(n)
+	if refusal == nil {
+		c.charged += n
+	}
+	return refusal
+}
+
+// release ends the charge.
+func (c *conn) release() {
+	c.group.config.Account.ReleaseHeads(c.charged)
+	c.charged = 0
 }
 
 // readWithin reads bytes of a head within the time limits.
@@ -297,8 +329,12 @@
 	case http.StateIdle:
 		c.closesAfterRequest = c.closesAfterRequest || c.inBody
 		c.serving, c.answered = false, true
+		c.release()
 	case http.StateHijacked:
 		c.upgraded, c.released = true, len(c.pending)
 		c.limitRead(time.Time{})
+		c.release()
+	case http.StateClosed:
+		c.release()
 	}
 }
--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -20,9 +20,38 @@
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 )
 
+// account is an account with a limit.
+type account struct {
+	mu          sync.Mutex
+	held, limit int64
+}
+
+func (a *account) GrowHeads(n int64) *fault.Error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.held+n > a.limit {
+		return fault.New(fault.Overloaded, "no room for %d bytes", n)
+	}
+	a.held += n
+	return nil
+}
+
+func (a *account) ReleaseHeads(n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.held -= n
+}
+
+func (a *account) get() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.held
+}
+
 // bounded is a bounded server with its limits.
 type bounded struct {
 	*Group
+	account *account
 	server  *http.Server
 	address string
 
@@ -33,9 +62,9 @@
 
 func newBounded(t *testing.T, h http.Handler) *bounded {
 	t.Helper()
-	b := &bounded{limits: Limits{HeadBytes: 8 << 10, HeadTimeout: time.Minute}}
+	b := &bounded{account: &account{limit: 1 << 20}, limits: Limits{HeadBytes: 8 << 10, HeadTimeout: time.Minute}}
 	b.Group = New(Config{
-		IDHeader: "Id", Scope: tally.NoopScope, Logger: log.New(b),
+		Account: b.account, IDHeader: "Id", Scope: tally.NoopScope, Logger: log.New(b),
 		Limits: func() Limits {
 			b.mu.Lock()
 			defer b.mu.Unlock()
@@ -156,6 +185,9 @@
 			t.Fatalf("seed %d: sent %q, got\n%s\nwant\n%s", seed, text, got, want)
 		}
 	}
+	if held := b.account.get(); held != 0 {
+		t.Errorf("%d bytes are accounted for afterwards", held)
+	}
 }
 
 // Guards against requests that are hidden in the body of one whose end is not clear.
@@ -191,6 +223,30 @@
 	}
 }
 
+func TestHeadsForWhichThereIsNoMemoryAreRefused(t *testing.T) {
+	reached, release := make(chan bool), make(chan bool)
+	b := newBounded(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		reached <- true
+		<-release
+	}))
+	b.account.limit = 40 << 10
+	head := "GET / HTTP/1.1\r\nHost: h\r\nId: r9\r\nConnection: close\r\n" + strings.Repeat("a:\r\n", 200) + "\r\n"
+	first := dial(t, b.address)
+	_, _ = io.WriteString(first, head) // a failure shows below
+	<-reached
+	if got := exchange(t, b.address, head); !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, "Id: r9\r\n") {
+		t.Errorf("beside a head of the same size: got %q", got)
+	}
+	close(release)
+	if got, _ := io.ReadAll(first); !strings.HasPrefix(string(got), "HTTP/1.1 200 ") {
+		t.Errorf("the first one got %q", got)
+	}
+	go func() { <-reached }()
+	if got := exchange(t, b.address, head); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
+		t.Errorf("afterwards: got %q", got)
+	}
+}
+
 // Guards against limits that are fixed at the start.
 func TestLimitsFollowTheConfiguration(t *testing.T) {
 	b := newBounded(t, http.HandlerFunc(echo))
--- a/internal/httplimit/refusal.go
+++ b/internal/httplimit/refusal.go
@@ -22,6 +22,7 @@
 	whyHead        reason = "head_too_large"
 	whyEmptyLines  reason = "empty_lines"
 	whyHeadTimeout reason = "head_timeout"
+	whyMemory      reason = "memory"
 )
 
 const (
@@ -48,6 +49,7 @@
 	r := refusal{why, findField(c.pending, c.group.config.IDHeader), e}
 	c.group.report.refused(c, r)
 	c.refused, c.pending, c.released, c.unscanned = true, nil, 0, 0
+	c.release()
 	c.markAnswered()
 	if err := c.respond(r.id, e); err != nil {
 		return // the client reads nothing
--- a/internal/httplimit/server.go
+++ b/internal/httplimit/server.go
@@ -1,5 +1,5 @@
 // Package httplimit bounds what clients can make a daemon hold through its HTTP servers: the size of
-// request heads and the time in which a head must arrive. All listeners of a daemon share one Group, so that their bounds hold together.
+// request heads, the time in which a head must arrive, and the memory that heads take. All listeners of a daemon share one Group, so that their bounds hold together.
 package httplimit
 
 import (
@@ -60,10 +60,20 @@
 // idleTimeout is the longest time without a request.
 func (l Limits) idleTimeout() time.Duration { return max(l.IdleTimeout, minIdleTimeout) }
 
+// Account grants the memory that heads of requests take.
+type Account interface {
+	// GrowHeads accounts for n bytes, or returns the refusal.
+	GrowHeads(n int64) *fault.Error
+	// ReleaseHeads ends the account of n bytes.
+	ReleaseHeads(n int64)
+}
+
 // Config is the configuration of a Group.
 type Config struct {
 	// Limits returns the limits in force. It is called for each request.
 	Limits func() Limits
+	// Account is charged with the heads of requests.
+	Account Account
 	// IDHeader is the name of the field that identifies a request in log lines and refusals.
 	IDHeader string
 	// Refusal returns the response that refuses a request, without its framing. The ID is empty if
--- a/internal/relay/flowcontrol.go
+++ b/internal/relay/flowcontrol.go
@@ -145,6 +145,27 @@
 	return out[:n], err
 }
 
+// GrowHeads accounts for n bytes of the heads of requests, or returns the refusal.
+func (r *Relay) GrowHeads(n int64) *fault.Error {
+	f := r.flow
+	f.mu.Lock()
+	granted := f.ledger.GrowHeads(n)
+	held := f.ledger.Held()
+	f.mu.Unlock()
+	if granted {
+		return nil
+	}
+	f.metrics.RefusedForMemory.Inc(1)
+	return fault.New(fault.Overloaded, "a head that takes %d bytes does not fit beside the %d bytes that are held", n, held)
+}
+
+// ReleaseHeads ends the account of n bytes of the heads of requests.
+func (r *Relay) ReleaseHeads(n int64) {
+	r.flow.mu.Lock()
+	r.flow.ledger.ReleaseHeads(n)
+	r.flow.mu.Unlock()
+}
+
 // growBody accounts for n bytes of the body, or returns the refusal.
 func (h *HeldRequest) growBody(n int64) error {
 	f := h.flow
--- a/lab/hostile/hostile_test.go
+++ b/lab/hostile/hostile_test.go
@@ -11,6 +11,10 @@
 const (
 	// headCrowd is the number of clients whose heads do not end.
 	headCrowd = 200
+	// requestCrowd is the number of clients with requests inside the limits.
+	requestCrowd = 300
+	// pipelined is the number of requests that a client sends at once.
+	pipelined = 4
 )
 
 // listeners are the listeners of a daemon of the users' platform.
@@ -49,6 +53,34 @@
 	atEachListener(t, headCrowd, endless(nothing, "\r\n"))
 }
 
+// Guards against requests inside the limits that take many times their bytes, while their bodies are due.
+func TestLegalHeadsOfShortLinesWithoutTheirBody(t *testing.T) {
+	d := startPlatformDaemon(t)
+	playBeside(t, d, d.callers, requestCrowd, func(c net.Conn, n int) {
+		write(c, legalHead(http.MethodPost, "/look/1", n, "Content-Length: 100\r\n"))
+	})
+}
+
+// Guards against such requests while their responses are not read.
+func TestLegalHeadsOfShortLinesOfUnreadStreams(t *testing.T) {
+	d := startPlatformDaemon(t)
+	playBeside(t, d, d.callers, requestCrowd, func(c net.Conn, n int) {
+		write(c, legalHead(http.MethodGet, "/talk/1", n, ""))
+	})
+}
+
+// Guards against such requests that are sent one after the other, with responses that are not read.
+func TestLegalHeadsOfShortLinesPipelined(t *testing.T) {
+	d := startPlatformDaemon(t)
+	playBeside(t, d, d.callers, requestCrowd, func(c net.Conn, n int) {
+		for i := range pipelined {
+			if !write(c, legalHead(http.MethodGet, "/talk/1", pipelined*n+i, "")) {
+				return
+			}
+		}
+	})
+}
+
 // Guards against extensions of a chunk without end.
 func TestChunkExtensionWithoutEnd(t *testing.T) {
 	d := startPlatformDaemon(t)
