relay: heads of forwarded requests are in the account of the daemon that serves them

What could be seen: a daemon that serves requests for others, which have lost their links to the servers, held their heads without an account. 256 such requests may be served at a time.

Evidence: a forwarded request with 1,000 lines at a daemon with an account of 100 KiB; the test failed before ("refused with "", want "helper_unable"").

Change: the header is charged like the head of a client's own request until the request is answered; one that does not fit is refused as not run, and the daemon that forwards it goes on to the next one. Daemons as processes that forward beside a crowd were not played.

--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -298,3 +299,29 @@
 		}
 	}
 }
+
+// Guards against heads of forwarded requests that are in nobody's account at the daemon that serves them.
+func TestHeadOfForwardedRequestIsAccountedFor(t *testing.T) {
+	h := newHarness(t, respond(200, "ok"))
+	h.relay.flow = newFlowControl(100<<10, h.relay.Metrics, h.relay.log)
+	for lines, want := range map[int]string{10: "", 1000: string(fault.HelperUnable)} {
+		header := http.Header{}
+		for i := range lines {
+			header.Set(fmt.Sprint("A", i), "")
+		}
+		kind := ""
+		call := Call{ID: "1", Host: "h", Path: "/p/x", Target: "/p/x", Key: "k", LastEvent: NoEvent, Header: header}
+		h.relay.ServeForwarded(t.Context(), "d1", ForwardedCall{Call: call, RemainingMillis: 1000, MaxRuns: 1}, func(f ForwardFrame) error {
+			if f.Refusal != nil {
+				kind = string(f.Refusal.Kind)
+			}
+			return nil
+		})
+		if kind != want {
+			t.Errorf("%d lines: refused with %q, want %q", lines, kind, want)
+		}
+	}
+	if held := h.relay.flow.ledger.Held(); held != 0 {
+		t.Errorf("%d bytes are held afterwards", held)
+	}
+}
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/flowcontrol"
 )
 
 const (
@@ -34,6 +35,12 @@
 		return
 	}
 	defer r.endForwarded()
+	headCost := headerCost(call.Header)
+	if refusal := r.GrowHeads(headCost); refusal != nil {
+		r.Refuse(&call, out, fault.New(fault.HelperUnable, "%v", refusal))
+		return
+	}
+	defer r.ReleaseHeads(headCost)
 	call.Held = r.Hold()
 	defer call.Held.Release()
 	if err := call.Held.growBody(int64(len(call.Body))); err != nil {
@@ -46,6 +53,17 @@
 	r.serve(ctx, &call, out, func(x *exchange) *fault.Error { return x.prepareForwarded(f, out) })
 }
 
+// headerCost returns what the header of a request takes.
+func headerCost(h http.Header) int64 {
+	size, lines := 0, 0
+	for name, values := range h {
+		for _, value := range values {
+			size, lines = size+len(name)+len(value), lines+1
+		}
+	}
+	return flowcontrol.HeadCost(size, lines)
+}
+
 func (r *Relay) beginForwarded() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
