httplimit: connections beyond the descriptors give way to callers that come

Callers saw: no answer beside a crowd of silent connections, as the daemon had no descriptor left for them, for servers or for the store.

At the bound, the connection that has kept the daemon waiting for longest gives way, at the listener with the most of them: refused, silent, with a part of a head, with a body that is due (its request is answered 408 first), upgraded, with a response of which nothing is taken. A listener that only stops accepting would shut ordinary callers out as well. A request that is being handled is never ended for a new one, and one that comes as its connection is chosen is either handled or never seen by the server: the choice is an atomic step on the activity that was judged.

--- a/internal/httplimit/conn.go
+++ b/internal/httplimit/conn.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/damaskrudder/damaskrudder/internal/connlimit"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/flowcontrol"
 	"github.com/damaskrudder/damaskrudder/internal/httpframing"
@@ -30,6 +32,7 @@
 	net.Conn
 	group    *Group
 	listener string
+	activity activity
 
 	// head and body follow the present request; inBody is set between the two.
 	head   httpframing.Head
@@ -47,9 +50,11 @@
 	upgraded bool
 	// closesAfterRequest is set if it is not known where the present request ends.
 	closesAfterRequest bool
-	// answered is set once a response was complete, and refused once the client was refused: the
-	// server reads the end then.
+	// answered is set once a response was complete, and refused once the client was refused or the
+	// connection is being closed: the server reads the end then.
 	answered, refused bool
+	// givesWay is set once the request on the connection is ended for another connection.
+	givesWay atomic.Bool
 
 	// deadlines guards the fields below. The read deadline is the earlier one.
 	deadlines sync.Mutex
@@ -66,7 +71,7 @@
 		case c.released > 0:
 			return c.handOut(p), nil
 		case c.upgraded:
-			return c.Conn.Read(p)
+			return c.readUpgraded(p)
 		case c.inBody:
 			return c.readBody(p)
 		}
@@ -89,6 +94,13 @@
 	return n
 }
 
+// readUpgraded reads bytes of another protocol.
+func (c *conn) readUpgraded(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.activity.since.Store(int64(c.group.now()))
+	return n, err
+}
+
 // readBody reads bytes of the body, and keeps those of the next request.
 func (c *conn) readBody(p []byte) (int, error) {
 	p = p[:min(int64(len(p)), c.body.Ahead())]
@@ -98,6 +110,9 @@
 	}
 	used := c.scanBody(p[:n])
 	c.keep(p[used:n])
+	if c.refused {
+		return 0, io.EOF
+	}
 	return used, nil // the next read returns the error again
 }
 
@@ -107,11 +122,13 @@
 	switch {
 	case c.body.Done():
 		c.inBody, c.head = false, httpframing.Head{}
+		c.refused = !c.setActivity(connlimit.Responding)
 	case !c.body.Known():
 		c.closesAfterRequest = true
 		fallthrough
 	default:
 		c.inBody = true
+		c.refused = !c.setActivity(connlimit.Uploading)
 	}
 	return n
 }
@@ -173,6 +190,9 @@
 	}
 	used += c.scanBody(p[used:n])
 	c.keep(p[used:n])
+	if c.refused {
+		return 0, io.EOF
+	}
 	return used, nil
 }
 
@@ -249,6 +269,7 @@
 	}
 	switch {
 	case n > 0 && !began:
+		c.refused = !c.setActivity(connlimit.Receiving)
 		c.limitRead(time.Time{})
 	case n == 0 && began && c.late(err):
 		c.refuse(fault.New(fault.HeadTimeout, "the head did not arrive within %s", c.waitLimit(began)), whyHeadTimeout)
@@ -314,6 +335,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.activity.writing.Store(int64(c.group.now()))
+	defer c.activity.writing.Store(0)
+	return c.Conn.Write(p)
+}
+
 // CloseWrite closes the connection for writing. The server uses it so that unread bytes of a request do
 // not reset the connection before the client has received the response.
 func (c *conn) CloseWrite() error {
@@ -330,11 +358,19 @@
 		c.closesAfterRequest = c.closesAfterRequest || c.inBody
 		c.serving, c.answered = false, true
 		c.release()
+		c.setActivity(connlimit.Silent)
 	case http.StateHijacked:
 		c.upgraded, c.released = true, len(c.pending)
 		c.limitRead(time.Time{})
 		c.release()
+		c.setActivity(connlimit.Upgraded)
 	case http.StateClosed:
 		c.release()
 	}
 }
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.group.closed(c)
+	return c.Conn.Close()
+}
--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -60,11 +60,11 @@
 	lines  bytes.Buffer
 }
 
-func newBounded(t *testing.T, h http.Handler) *bounded {
+func newBounded(t *testing.T, maxConnections int, h http.Handler) *bounded {
 	t.Helper()
 	b := &bounded{account: &account{limit: 1 << 20}, limits: Limits{HeadBytes: 8 << 10, HeadTimeout: time.Minute}}
 	b.Group = New(Config{
-		Account: b.account, IDHeader: "Id", Scope: tally.NoopScope, Logger: log.New(b),
+		MaxConnections: maxConnections, Account: b.account, IDHeader: "Id", Scope: tally.NoopScope, Logger: log.New(b),
 		Limits: func() Limits {
 			b.mu.Lock()
 			defer b.mu.Unlock()
@@ -166,7 +166,7 @@
 
 // Guards against a bounded server that finds other requests on a connection than net/http does.
 func TestBoundedServerAnswersAsAnUnboundedOne(t *testing.T) {
-	b := newBounded(t, http.HandlerFunc(echo))
+	b := newBounded(t, 100, http.HandlerFunc(echo))
 	plain := serveOn(t, &http.Server{Handler: http.HandlerFunc(echo)}, func(l net.Listener) net.Listener { return l })
 	for seed := range uint64(120) {
 		rng := rand.New(rand.NewPCG(seed, 87))
@@ -192,7 +192,7 @@
 
 // Guards against requests that are hidden in the body of one whose end is not clear.
 func TestRequestsAfterAnUnclearEndAreNotServed(t *testing.T) {
-	b := newBounded(t, http.HandlerFunc(echo))
+	b := newBounded(t, 100, http.HandlerFunc(echo))
 	for _, fields := range []string{
 		"Content-Length: 5\r\nContent-Length: 6", "Content-Length: x", "Transfer-Encoding: gzip", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
 		"Transfer-Encoding:\r\n chunked", "Content-Length: 2\r\n 3", "Transfer-Encoding: chunked", "Content-Length : 5",
@@ -206,7 +206,7 @@
 
 func TestHeadsOverTheLimitsAreRefused(t *testing.T) {
 	served := 0
-	b := newBounded(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+	b := newBounded(t, 100, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
 	line := "A: " + strings.Repeat("x", 100) + "\r\n"
 	for name, tt := range map[string]struct{ text, want string }{
 		"many lines":   {"GET / HTTP/1.1\r\nId: r7\r\n" + strings.Repeat(line, 200), "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nId: r7\r\n"},
@@ -225,7 +225,7 @@
 
 func TestHeadsForWhichThereIsNoMemoryAreRefused(t *testing.T) {
 	reached, release := make(chan bool), make(chan bool)
-	b := newBounded(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	b := newBounded(t, 100, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		reached <- true
 		<-release
 	}))
@@ -249,7 +249,7 @@
 
 // Guards against limits that are fixed at the start.
 func TestLimitsFollowTheConfiguration(t *testing.T) {
-	b := newBounded(t, http.HandlerFunc(echo))
+	b := newBounded(t, 100, http.HandlerFunc(echo))
 	head := "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nA: " + strings.Repeat("x", 14<<10) + "\r\n\r\n"
 	if got := exchange(t, b.address, head); !strings.HasPrefix(got, "HTTP/1.1 431 ") {
 		t.Errorf("over the limit: got %q", got)
@@ -261,9 +261,100 @@
 }
 
 func TestHeadThatComesTooSlowlyIsRefused(t *testing.T) {
-	b := newBounded(t, http.HandlerFunc(echo))
+	b := newBounded(t, 100, http.HandlerFunc(echo))
 	b.setLimits(Limits{HeadTimeout: time.Millisecond})
 	if got := exchange(t, b.address, "GET / HTTP/1.1\r\nHost: h\r\n"); !strings.HasPrefix(got, "HTTP/1.1 408 ") {
 		t.Errorf("got %q", got)
 	}
 }
+
+// Guards against silent connections that shut out those with requests.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	b := newBounded(t, 20, http.HandlerFunc(echo))
+	var silent []net.Conn
+	for range 60 {
+		silent = append(silent, dial(t, b.address))
+	}
+	if got := exchange(t, b.address, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
+		t.Errorf("beside silent connections: got %q", got)
+	}
+	_ = silent[0].SetReadDeadline(time.Now().Add(time.Minute)) // fails only on a closed connection
+	if n, err := silent[0].Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Errorf("the first silent connection got %d bytes, %v", n, err)
+	}
+}
+
+// Guards against requests that are ended for new connections while they are being handled.
+func TestConnectionsWithRequestsDoNotGiveWay(t *testing.T) {
+	reached, release := make(chan bool), make(chan bool)
+	b := newBounded(t, 4, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		reached <- true
+		<-release
+	}))
+	var busy []net.Conn
+	for range 4 {
+		c := dial(t, b.address)
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n") // a failure shows below
+		<-reached
+		busy = append(busy, c)
+	}
+	if got := exchange(t, b.address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); got != "" {
+		t.Errorf("one more got %q", got)
+	}
+	close(release)
+	for i, c := range busy {
+		if got, _ := io.ReadAll(c); !strings.HasPrefix(string(got), "HTTP/1.1 200 ") {
+			t.Errorf("request %d got %q", i, got)
+		}
+	}
+}
+
+// Guards against a body that is due and shuts out others: its request is answered before its place is taken.
+func TestRequestWhoseBodyIsDueGivesWay(t *testing.T) {
+	reading := make(chan bool, 10)
+	b := newBounded(t, 2, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reading <- true
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(http.StatusRequestTimeout)
+		}
+	}))
+	var uploads []net.Conn
+	for range 2 {
+		c := dial(t, b.address)
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc") // a failure shows below
+		<-reading
+		uploads = append(uploads, c)
+	}
+	if got := exchange(t, b.address, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
+		t.Errorf("beside bodies that are due: got %q", got)
+	}
+	if got, _ := io.ReadAll(uploads[0]); !strings.HasPrefix(string(got), "HTTP/1.1 408 ") {
+		t.Errorf("the first upload got %q", got)
+	}
+}
+
+// Guards against upgraded connections that are counted after they are closed, or shut out others.
+func TestUpgradedConnectionsGiveWay(t *testing.T) {
+	upgraded := make(chan bool, 100)
+	b := newBounded(t, 4, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Upgrade") == "" {
+			echo(w, r)
+			return
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		upgraded <- true
+		_, _ = io.Copy(io.Discard, c) // ends with the connection
+		_ = c.Close()                 // it has ended
+	}))
+	for range 12 {
+		_, _ = io.WriteString(dial(t, b.address), "GET / HTTP/1.1\r\nHost: h\r\nUpgrade: x\r\n\r\n") // a failure shows below
+		<-upgraded
+	}
+	if got := exchange(t, b.address, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
+		t.Errorf("beside upgraded connections: got %q", got)
+	}
+}
--- a/internal/httplimit/refusal.go
+++ b/internal/httplimit/refusal.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/damaskrudder/damaskrudder/internal/connlimit"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/logs"
 )
@@ -19,6 +20,8 @@
 
 // All reasons. They are values of metrics.
 const (
+	whyConnections reason = "connections"
+	whyGaveWay     reason = "gave_way"
 	whyHead        reason = "head_too_large"
 	whyEmptyLines  reason = "empty_lines"
 	whyHeadTimeout reason = "head_timeout"
@@ -50,6 +53,7 @@
 	c.group.report.refused(c, r)
 	c.refused, c.pending, c.released, c.unscanned = true, nil, 0, 0
 	c.release()
+	c.setActivity(connlimit.Closing)
 	c.markAnswered()
 	if err := c.respond(r.id, e); err != nil {
 		return // the client reads nothing
@@ -81,6 +85,18 @@
 	}
 }
 
+// giveWay ends a connection for another one. The read of a body that is due fails, so that its request is
+// answered.
+func (c *conn) giveWay(answer bool) {
+	c.group.report.refused(c, refusal{why: whyGaveWay})
+	if answer {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		return
+	}
+	c.markAnswered()
+	go func() { _ = c.Conn.Close() }() // fails only if it is closed already
+}
+
 // findField returns the value of a field in a part of a head, or "".
 func findField(head []byte, name string) string {
 	for line := range bytes.Lines(head) {
--- a/internal/httplimit/server.go
+++ b/internal/httplimit/server.go
@@ -1,16 +1,20 @@
-// Package httplimit bounds what clients can make a daemon hold through its HTTP servers: the size of
-// request heads, the time in which a head must arrive, and the memory that heads take. All listeners of a daemon share one Group, so that their bounds hold together.
+// Package httplimit bounds what clients can make a daemon hold through its HTTP servers: the number of
+// their connections, the size of request heads, the time in which a head must arrive, and the memory
+// that heads take. All listeners of a daemon share one Group, so that their bounds hold together.
 package httplimit
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/damaskrudder/damaskrudder/internal/connlimit"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 )
 
@@ -70,6 +74,8 @@
 
 // Config is the configuration of a Group.
 type Config struct {
+	// MaxConnections is the largest number of open connections of all listeners.
+	MaxConnections int
 	// Limits returns the limits in force. It is called for each request.
 	Limits func() Limits
 	// Account is charged with the heads of requests.
@@ -85,15 +91,23 @@
 
 // Group is a set of servers whose bounds hold together. It is safe for concurrent use.
 type Group struct {
-	config Config
-	report *reporter
+	config  Config
+	started time.Time
+	open    tally.Gauge
+	report  *reporter
+
+	mu    sync.Mutex
+	conns map[*conn]bool
 }
 
 // New returns a group without servers.
 func New(config Config) *Group {
-	return &Group{config: config, report: newReporter(config.Scope, config.Logger)}
+	return &Group{config: config, started: time.Now(), open: config.Scope.Gauge("inbound_connections"), report: newReporter(config.Scope, config.Logger), conns: map[*conn]bool{}}
 }
 
+// now is the time of the group's clock. It is never zero.
+func (g *Group) now() time.Duration { return time.Since(g.started) + 1 }
+
 // Listen returns a listener whose connections are bounded. It must be above TLS and above other
 // listeners that wrap connections. The name is for log lines.
 func (g *Group) Listen(name string, l net.Listener) net.Listener { return &listener{l, g, name} }
@@ -140,11 +154,113 @@
 	name  string
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. The server closes a connection for which there is no room as soon as it
+// reads from it.
 func (l *listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: accepted, group: l.group, listener: l.name}, nil
+	c := &conn{Conn: accepted, group: l.group, listener: l.name}
+	c.activity.kind.Store(uint32(connlimit.Silent))
+	c.activity.since.Store(int64(l.group.now()))
+	if !l.group.admit(c) {
+		c.refused = true
+		c.markAnswered()
+		l.group.report.refused(c, refusal{why: whyConnections})
+	}
+	return c, nil
+}
+
+// admit adds a connection if there is room or another one gives way.
+func (g *Group) admit(c *conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.conns) >= g.config.MaxConnections {
+		victim, answer := g.victim()
+		if victim == nil {
+			return false
+		}
+		if !answer { // else it closes after its answer, or for the next connection
+			g.remove(victim)
+		}
+		victim.giveWay(answer)
+	}
+	g.conns[c] = true
+	g.open.Update(float64(len(g.conns)))
+	return true
+}
+
+// victim returns the connection that gives way to a new one, or nil, and whether the request on it can be
+// answered before. Callers hold mu.
+func (g *Group) victim() (victim *conn, answer bool) {
+	for {
+		conns, states := make([]*conn, 0, len(g.conns)), make([]connlimit.Connection, 0, len(g.conns))
+		for c := range g.conns {
+			conns, states = append(conns, c), append(states, c.state())
+		}
+		i := connlimit.Victim(states, g.now())
+		if i < 0 {
+			return nil, false
+		}
+		if conns[i].claim(states[i].Activity) {
+			return conns[i], states[i].Activity == connlimit.Uploading
+		}
+	}
+}
+
+// remove removes a connection that is closed. Callers hold mu.
+func (g *Group) remove(c *conn) {
+	delete(g.conns, c)
+	g.open.Update(float64(len(g.conns)))
+}
+
+func (g *Group) closed(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.remove(c)
+}
+
+// activity is what a connection is used for, and since when. It is read while the connection is used.
+type activity struct {
+	kind atomic.Uint32
+	// since is when a silent connection became silent, a head began or a body last came, and writing
+	// is when a write began that has not ended; zero if none is blocked.
+	since, writing atomic.Int64
+}
+
+// setActivity sets the activity. It returns false if the connection is being closed.
+func (c *conn) setActivity(a connlimit.Activity) bool {
+	for {
+		before := c.activity.kind.Load()
+		if before == uint32(connlimit.Closing) && a != connlimit.Closing {
+			return false
+		}
+		if c.activity.kind.CompareAndSwap(before, uint32(a)) {
+			c.activity.since.Store(int64(c.group.now()))
+			return true
+		}
+	}
+}
+
+// claim makes the connection give way unless its activity is another one by now. A request that has come
+// meanwhile is handled.
+func (c *conn) claim(a connlimit.Activity) bool {
+	if a == connlimit.Uploading {
+		c.givesWay.Store(true)
+		return true
+	}
+	return a == connlimit.Closing || c.activity.kind.CompareAndSwap(uint32(a), uint32(connlimit.Closing))
+}
+
+// state returns the connection for the choice of a victim.
+func (c *conn) state() connlimit.Connection {
+	state := connlimit.Connection{
+		Listener: c.listener, Activity: connlimit.Activity(c.activity.kind.Load()),
+		Since: time.Duration(c.activity.since.Load()), Unread: time.Duration(c.activity.writing.Load()),
+	}
+	if c.givesWay.Load() && state.Activity == connlimit.Uploading {
+		state.Activity = connlimit.Closing
+	}
+	return state
 }
--- a/lab/hostile/crowd_test.go
+++ b/lab/hostile/crowd_test.go
@@ -87,6 +87,9 @@
 	return err == nil
 }
 
+// silent sends nothing.
+func silent(net.Conn, int) {}
+
 // endless sends a start, and then a text again and again.
 func endless(start func(number int) string, repeated string) client {
 	chunk := strings.Repeat(repeated, chunkBytes/len(repeated))
--- a/lab/hostile/hostile_test.go
+++ b/lab/hostile/hostile_test.go
@@ -13,6 +13,8 @@
 	headCrowd = 200
 	// requestCrowd is the number of clients with requests inside the limits.
 	requestCrowd = 300
+	// silentCrowd is more than there are descriptors.
+	silentCrowd = 1000
 	// pipelined is the number of requests that a client sends at once.
 	pipelined = 4
 )
@@ -81,6 +83,23 @@
 	})
 }
 
+// Guards against responses that are not read and shut callers out.
+func TestUnreadStreams(t *testing.T) {
+	d := startPlatformDaemon(t)
+	playBeside(t, d, d.callers, requestCrowd, func(c net.Conn, n int) {
+		write(c, requestHead(http.MethodGet, "/talk/1", n)+"\r\n")
+	})
+}
+
+// Guards against bodies inside the limits of which the end is due.
+func TestLegalBodiesOutstanding(t *testing.T) {
+	d := startPlatformDaemon(t)
+	body := strings.Repeat("x", bodyBytes/8)
+	playBeside(t, d, d.callers, requestCrowd, func(c net.Conn, n int) {
+		write(c, requestHead(http.MethodPost, "/look/1", n)+fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes)+body)
+	})
+}
+
 // Guards against extensions of a chunk without end.
 func TestChunkExtensionWithoutEnd(t *testing.T) {
 	d := startPlatformDaemon(t)
@@ -97,6 +116,14 @@
 	}, shortLines(chunkBytes)))
 }
 
+// Guards against silent connections that shut callers out or use up the descriptors.
+func TestSilentConnections(t *testing.T) { atEachListener(t, silentCrowd, silent) }
+
+// Guards against heads of which a byte comes at a time, that shut callers out.
+func TestHeadsOfWhichOneByteComes(t *testing.T) {
+	atEachListener(t, silentCrowd, func(c net.Conn, _ int) { write(c, "G") })
+}
+
 // Guards against limits that refuse a request inside the limits although nothing else is held.
 func TestSingleLegalHeadOfShortLinesIsServed(t *testing.T) {
 	d := startPlatformDaemon(t)
