peer, flowcontrol: messages at control are in the daemon's account of memory

What could be seen: a daemon beyond the memory of its VM, from connections to its control port whose messages are long and do not end. Without a key, as on the users' platform, anybody who reaches the port may open such a connection.

Cause: a message was read whole, to 8 MB, before anything was counted, on any number of connections. A reply had no time limit where the client does not read.

Change: messages are charged as they are read, until they are handled and the reply is written; replies are charged as well. All of them take at most a quarter of the budget, and a single one always fits, so that daemons with little memory can exchange long ones. Beyond that the connection is closed, counted and logged, which daemons meet like any other broken connection. Writes of replies have the limit that streams have.

--- a/internal/flowcontrol/ledger.go
+++ b/internal/flowcontrol/ledger.go
@@ -16,8 +16,10 @@
 	bodyFraction = 0.5
 	// smallBody is the largest small body in bytes.
 	smallBody = 16 << 10
-	// headFraction is the part of the budget that the heads of requests may take.
-	headFraction = 0.25
+	// headFraction and messageFraction are the parts of the budget that the heads of requests and the
+	// messages of other daemons may take.
+	headFraction    = 0.25
+	messageFraction = 0.25
 	// headLineBytes is what a line of a head takes beyond its bytes: its fields parsed, forwarded and
 	// kept for a retry.
 	headLineBytes = 128
@@ -65,9 +67,9 @@
 type Ledger struct {
 	budget                 int64
 	held, bodies, reserved int64
-	// heads is what the heads of requests take. They belong to connections, not to requests: they are
-	// held before there is a request.
-	heads int64
+	// heads and messages are what the heads of requests and the messages of other daemons take. They
+	// belong to connections, not to requests: they are held before there is a request.
+	heads, messages int64
 	// responding is the number of requests that hold bytes of a response.
 	responding int64
 	lastID     ID
@@ -133,6 +135,24 @@
 	l.held -= n
 }
 
+// GrowMessages accounts for n more bytes of the messages of other daemons, and reports whether there is
+// room. A single message always has room, so that daemons with little memory can exchange long ones.
+func (l *Ledger) GrowMessages(n int64) (granted bool) {
+	fits := l.held+n <= l.budget && float64(l.messages+n) <= messageFraction*float64(l.budget)
+	if !fits && l.messages > 0 {
+		return false
+	}
+	l.messages += n
+	l.held += n
+	return true
+}
+
+// ReleaseMessages removes n bytes of the messages of other daemons.
+func (l *Ledger) ReleaseMessages(n int64) {
+	l.messages -= n
+	l.held -= n
+}
+
 // Reserve accounts for n bytes of a response that its client cannot be offered yet, and reports
 // whether there is room. It cuts no responses.
 func (l *Ledger) Reserve(id ID, n int64) (granted bool) {
--- a/internal/flowcontrol/ledger_test.go
+++ b/internal/flowcontrol/ledger_test.go
@@ -192,13 +192,21 @@
 	}
 }
 
-// Guards against heads that take the memory of bodies and responses.
-func TestHeadsHaveTheirPart(t *testing.T) {
+// Guards against heads and messages that take the memory of bodies and responses, or one another's.
+func TestHeadsAndMessagesHaveTheirParts(t *testing.T) {
 	l := NewLedger(1000)
 	if !l.GrowHeads(250) || l.GrowHeads(1) {
 		t.Error("heads take another part than a quarter")
 	}
-	if l.ReleaseHeads(250); l.Held() != 0 {
+	if !l.GrowMessages(250) || l.GrowMessages(1) {
+		t.Error("messages take another part than a quarter")
+	}
+	l.ReleaseHeads(250)
+	l.ReleaseMessages(250)
+	if !l.GrowMessages(5000) || l.GrowMessages(1) || l.GrowHeads(1) {
+		t.Error("a single message has no room, or others have room beside it")
+	}
+	if l.ReleaseMessages(5000); l.Held() != 0 {
 		t.Errorf("%d bytes are held afterwards", l.Held())
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gossip"
+	"github.com/damaskrudder/damaskrudder/internal/logs"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/recovery"
@@ -222,6 +223,14 @@
 	n.members.AddAddresses(config.Seeds...)
 	n.broadcast = func() { n.members.Broadcast(ctx) }
 	n.peerServer = peer.NewServer("")
+	n.peerServer.Memory = n.Relay
+	overloads := logs.NewLimiter()
+	n.peerServer.OnOverload = func(from string) {
+		deps.Metrics.RefusedForMemory.Inc(1)
+		if allowed, omitted := overloads.Allow(); allowed {
+			n.log.Warn("message of a daemon refused", "from", logs.Bounded(from), "why", "no memory", "omitted", omitted)
+		}
+	}
 	n.peerServer.OnPanic = func(kind string, recovered any) {
 		recovery.Report(recovered, n.deps.Metrics.Panics, n.log, "call", kind)
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,12 +14,20 @@
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 )
 
-// streamWriteTimeout bounds the wait for a client that does not read its stream.
-const streamWriteTimeout = 30 * time.Second
+// writeTimeout bounds the wait for a client that does not read.
+const writeTimeout = 30 * time.Second
 
 // callHandler handles a call and returns its encoded response.
 type callHandler func(ctx context.Context, from string, body []byte) ([]byte, error)
 
+// Memory grants the memory that messages take.
+type Memory interface {
+	// GrowMessages accounts for n bytes, and reports whether there is room.
+	GrowMessages(n int64) bool
+	// ReleaseMessages ends the account of n bytes.
+	ReleaseMessages(n int64)
+}
+
 // Server accepts connections from other daemons and dispatches their calls.
 type Server struct {
 	key      string
@@ -33,6 +41,10 @@
 	// OnPanic is called with the recovered panic of a handler of a kind. By default it panics again,
 	// which ends the process.
 	OnPanic func(kind string, recovered any)
+	// Memory accounts for the messages that are read, handled or written; nil if they are not bounded.
+	Memory Memory
+	// OnOverload is called for each connection that is closed because there is no room for a message.
+	OnOverload func(from string)
 
 	// streams is the number of requests whose response is a stream that has not ended.
 	streams atomic.Int64
@@ -44,7 +56,7 @@
 
 // NewServer returns a server that accepts clients with the peer key.
 func NewServer(key string) *Server {
-	return &Server{key: key, handlers: map[string]callHandler{}, streamHandlers: map[string]func(context.Context, string, []byte, func(envelope) error){}, OnRefused: func() {}, OnBytes: func(int) {}, OnPanic: func(_ string, recovered any) { panic(recovered) }, conns: map[*websocket.Conn]bool{}}
+	return &Server{key: key, handlers: map[string]callHandler{}, streamHandlers: map[string]func(context.Context, string, []byte, func(envelope) error){}, OnRefused: func() {}, OnOverload: func(string) {}, OnBytes: func(int) {}, OnPanic: func(_ string, recovered any) { panic(recovered) }, conns: map[*websocket.Conn]bool{}}
 }
 
 // Close closes all connections and rejects new ones. http.Server.Close does not close
@@ -111,26 +123,19 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, from string, conn *websocket.Conn) {
-	var writeMu sync.Mutex
 	streamCtx, cancelStreams := context.WithCancel(ctx)
 	defer cancelStreams()
-	write := func(ctx context.Context, data []byte) error {
-		writeMu.Lock()
-		defer writeMu.Unlock()
-		err := conn.Write(ctx, websocket.MessageBinary, data)
-		if err == nil {
-			s.OnBytes(len(data))
-		}
-		return err
-	}
+	c := &serverConn{server: s, from: from, ws: conn}
 	for {
-		_, data, err := conn.Read(ctx)
+		message, err := c.read(ctx)
 		if err != nil {
+			message.release()
 			return
 		}
-		s.OnBytes(len(data))
+		s.OnBytes(len(message.data))
 		var request envelope
-		if decMode.Unmarshal(data, &request) != nil {
+		if decMode.Unmarshal(message.data, &request) != nil {
+			message.release()
 			return
 		}
 		if handler := s.streamHandlers[request.Kind]; handler != nil {
@@ -139,12 +144,11 @@
 				if err != nil {
 					return err
 				}
-				writeCtx, cancel := context.WithTimeout(streamCtx, streamWriteTimeout)
-				defer cancel()
-				return write(writeCtx, data)
+				return c.write(streamCtx, data)
 			}
 			s.streams.Add(1)
 			go func() {
+				defer message.release()
 				defer s.streams.Add(-1)
 				defer s.recoverStream(request.Kind, send)
 				handler(streamCtx, from, request.Body, send)
@@ -152,7 +156,8 @@
 			continue
 		}
 		go func() {
-			_ = write(ctx, s.dispatch(ctx, from, request)) // the client has disconnected
+			defer message.release()
+			_ = c.write(ctx, s.dispatch(ctx, from, request)) // the client has disconnected
 		}()
 	}
 }
--- a/internal/relay/flowcontrol.go
+++ b/internal/relay/flowcontrol.go
@@ -166,6 +166,20 @@
 	r.flow.mu.Unlock()
 }
 
+// GrowMessages accounts for n bytes of the messages of other daemons, and reports whether there is room.
+func (r *Relay) GrowMessages(n int64) bool {
+	r.flow.mu.Lock()
+	defer r.flow.mu.Unlock()
+	return r.flow.ledger.GrowMessages(n)
+}
+
+// ReleaseMessages ends the account of n bytes of the messages of other daemons.
+func (r *Relay) ReleaseMessages(n int64) {
+	r.flow.mu.Lock()
+	r.flow.ledger.ReleaseMessages(n)
+	r.flow.mu.Unlock()
+}
+
 // growBody accounts for n bytes of the body, or returns the refusal.
 func (h *HeldRequest) growBody(n int64) error {
 	f := h.flow
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -101,7 +101,7 @@
 	BytesHeld, SlowReaders tally.Gauge
 	// ResponsesPaused counts responses whose server had to wait for the client, ResponsesCutForMemory
 	// those cut to keep within the memory budget, and ClientsStalled those cut because the client
-	// read nothing. RefusedForMemory counts heads and bodies for which there was no memory, and
+	// read nothing. RefusedForMemory counts heads, bodies and messages for which there was no memory, and
 	// ReservationsRefused the long events and heads of responses.
 	ResponsesPaused, ResponsesCutForMemory, ClientsStalled, RefusedForMemory, ReservationsRefused tally.Counter
 	// ServerMemoryBounds counts servers that ended with large bodies, which bounds others of the service.
@@ -245,7 +245,7 @@
 		"responses_cut_for_memory":     "Responses cut to keep within the memory budget.",
 		"callers_stalled":              "Responses cut because the client read nothing for the time it had given the request.",
 		"server_memory_bounds":         "Ends of servers with large bodies of this daemon, each of which bounds the bytes sent to others of the service.",
-		"refused_for_memory":           "Requests refused because there was no memory for their head or body.",
+		"refused_for_memory":           "Requests refused because there was no memory for their head or body, and messages of daemons for which there was none.",
 		"reservations_refused":         "Long events and heads of responses for which there was no memory; the send fails or the stream is interrupted.",
 		"panics":                       "Panics of handlers, each a defect; the log lines have the stack.",
 		"server_restarts":              "Servers that restarted under the same name.",
--- a/lab/hostile/events_test.go
+++ b/lab/hostile/events_test.go
@@ -77,11 +77,21 @@
 	d.check()
 }
 
+// upgradeRequest opens a WebSocket connection to control.
+const upgradeRequest = "GET /peer HTTP/1.1\r\nHost: h\r\nAuthorization: a 1 b\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
+
 // Guards against connections that become WebSocket connections at control and shut out the readiness and
 // the callers.
 func TestUpgradedConnectionsAtControl(t *testing.T) {
 	d := startPlatformDaemon(t)
 	playBeside(t, d, d.control, silentCrowd, func(c net.Conn, _ int) {
-		write(c, "GET /peer HTTP/1.1\r\nHost: h\r\nAuthorization: a 1 b\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n")
+		write(c, upgradeRequest)
 	})
 }
+
+// Guards against messages at control that are announced as long, or never end.
+func TestLongMessagesAtControl(t *testing.T) {
+	d := startPlatformDaemon(t)
+	const frame = "\x82\xff\x00\x00\x00\x00\x00\x7f\xff\xff\x00\x00\x00\x00" // binary, masked, 8 MB
+	playBeside(t, d, d.control, headCrowd, endless(func(int) string { return upgradeRequest + frame }, "x"))
+}
