routing, relay: work and estimates are kept for a bounded number of models

Callers saw: a daemon that becomes slower with each request and ends for lack of memory.

Cause: where a service's servers do not list their models, any name that a caller sends is one. The work and the latencies of each were kept for good, and each request went over the work of all of them.

Change: a service has 128 models with estimates of their own, further ones share one. Work is recorded for 128 models; negligible work gives way. Below that number nothing changes. A model beyond it gets no engines of its own until there is room.

--- a/internal/relay/latency.go
+++ b/internal/relay/latency.go
@@ -9,7 +9,8 @@
 	"github.com/damaskrudder/damaskrudder/internal/routing"
 )
 
-// modelLatencies estimates the latency of a service's models on a typical engine.
+// modelLatencies estimates the latency of a service's models on a typical engine. Models beyond
+// maxModelLatencies share the estimate of otherModels: callers may choose any name.
 type modelLatencies map[string]*modelLatency
 
 type modelLatency struct {
@@ -44,10 +45,19 @@
 	referenceTokenTime = 10 * time.Microsecond
 )
 
+const (
+	// maxModelLatencies is the number of models of a service with an estimate of their own.
+	maxModelLatencies = 128
+	otherModels       = ""
+)
+
 // sampleWeight is the weight of a new sample in a moving average.
 const sampleWeight = 0.05
 
 func (l modelLatencies) get(model string, e *route.Engine) *modelLatency {
+	if l[model] == nil && len(l) >= maxModelLatencies {
+		model = otherModels
+	}
 	latency := l[model]
 	if latency == nil {
 		perToken := time.Duration(relativeLatency(model, e) * float64(initialTokenLatency))
--- a/internal/routing/partition.go
+++ b/internal/routing/partition.go
@@ -29,6 +29,10 @@
 	rebalanceThreshold = 0.7
 	// minShare is the share of work below which a model gets no engines of its own.
 	minShare = 0.01
+	// maxPartitionModels is the number of models whose work is recorded: callers may name any.
+	maxPartitionModels = 128
+	// negligibleWork is the work in seconds below which a model gives way to another one.
+	negligibleWork = 1e-3
 )
 
 // NewPartition returns a partition for the expected work by model.
@@ -41,14 +45,25 @@
 	return p
 }
 
-// RecordWork adds engine time spent on a model.
+// RecordWork adds engine time spent on a model. Work on a further model is not recorded while
+// maxPartitionModels have more than negligible work.
 func (p *Partition) RecordWork(model string, spent time.Duration, now time.Time) {
 	decayFactor := decay(now.Sub(p.updatedAt), workHalfLife)
 	p.updatedAt = now
 	for other := range p.workByModel {
 		p.workByModel[other] *= decayFactor
 	}
-	p.workByModel[model] += spent.Seconds()
+	if _, known := p.workByModel[model]; known || p.hasRoom() {
+		p.workByModel[model] += spent.Seconds()
+	}
+}
+
+// hasRoom reports whether the work on a further model is recorded, and drops negligible work if it must.
+func (p *Partition) hasRoom() bool {
+	if len(p.workByModel) >= maxPartitionModels {
+		maps.DeleteFunc(p.workByModel, func(_ string, work float64) bool { return work < negligibleWork })
+	}
+	return len(p.workByModel) < maxPartitionModels
 }
 
 // Work returns the engine time that this daemon has recently spent on each model.
--- a/internal/routing/partition_test.go
+++ b/internal/routing/partition_test.go
@@ -126,3 +126,20 @@
 		t.Errorf("got %+v, want index 1: the preferred server exceeds the budget", d)
 	}
 }
+
+// Guards against work that is kept for every name of a model that callers send.
+func TestPartitionRecordsABoundedNumberOfModels(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewPartition(map[string]float64{"small": 1, "large": 3})
+	for i := range 20 * maxPartitionModels {
+		p.RecordWork(fmt.Sprint("model", i), time.Second, now)
+	}
+	if n := len(p.Work(now)); n != maxPartitionModels {
+		t.Errorf("work on %d models is kept", n)
+	}
+	now = now.Add(time.Hour)
+	p.RecordWork("new", time.Second, now)
+	if work := p.Work(now); work["new"] != time.Second || len(work) != 1 {
+		t.Errorf("after the work on the others has decayed: %v", work)
+	}
+}
