relay, clientconns: log lines do not grow with the values that clients choose

What an operator saw: lines of over 15 KB each, for requests inside the limits with a long ID, session or model. 2,048 of them may wait for an output that stands still, in nobody's account, and each takes longer to format than its request to serve.

Change: such values are cut to 256 bytes in log lines, and a prompt's parts to 16. What is forwarded and returned is not changed.

--- a/internal/clientconns/tracker.go
+++ b/internal/clientconns/tracker.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/damaskrudder/damaskrudder/internal/listenqueue"
+	"github.com/damaskrudder/damaskrudder/internal/logs"
 )
 
 // State is the state of a connection.
@@ -288,5 +289,5 @@
 // logCut logs and counts the close of a connection with a request. Callers hold mu.
 func (t *Tracker) logCut(c *conn, why string) {
 	t.closed[c.state].Inc(1)
-	t.log.Warn("connection closed with a request", "request", c.request, "state", c.state, "state_ms", time.Since(c.since).Milliseconds(), "client", c.RemoteAddr(), "why", why)
+	t.log.Warn("connection closed with a request", "request", logs.Bounded(c.request), "state", c.state, "state_ms", time.Since(c.since).Milliseconds(), "client", c.RemoteAddr(), "why", why)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
 	"github.com/damaskrudder/damaskrudder/internal/gate"
+	"github.com/damaskrudder/damaskrudder/internal/logs"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/request"
 	"github.com/damaskrudder/damaskrudder/internal/route"
@@ -374,8 +375,8 @@
 	fields := []any{
 		"priority", urgent.Priority, "slack_ms", urgent.Slack.Milliseconds(), "urgency", urgent.Reason,
 		"entries_age_ms", age.Milliseconds(), "entries_by", by, "expected_ms", t.expectedLatency.Milliseconds(), "uncached", t.uncached, "speed", t.loggedFactor(),
-		"warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", x.call.Session,
-		"workspace", x.workspace, "over_share", x.overShare, "fingerprint", x.identity.Request, "parts", x.identity.Parts,
+		"warming", t.warming, "fallback", t.fallback, "send", x.retryState.Sends(), "session", logs.Bounded(x.call.Session),
+		"workspace", x.workspace, "over_share", x.overShare, "fingerprint", x.identity.Request, "parts", x.identity.Parts[:min(len(x.identity.Parts), maxLoggedParts)],
 	}
 	return append(fields, t.fetch.logFields()...)
 }
@@ -476,13 +477,16 @@
 // minRetryAfter is the least Retry-After of a refusal.
 const minRetryAfter = 100 * time.Millisecond
 
+// maxLoggedParts is the largest number of a prompt's parts in a log line.
+const maxLoggedParts = 16
+
 // logEvent logs a message about the call.
 func (x *exchange) logEvent(message string, t *target, extra ...any) {
-	fields := []any{"request", x.call.ID, "route", x.route.Name, "at_ms", time.Since(x.call.Received).Milliseconds()}
+	fields := []any{"request", logs.Bounded(x.call.ID), "route", x.route.Name, "at_ms", time.Since(x.call.Received).Milliseconds()}
 	if t != nil {
 		fields = append(fields, "server", t.server.ID, "version", t.server.Version)
 		if t.model != "" {
-			fields = append(fields, "model", t.model)
+			fields = append(fields, "model", logs.Bounded(t.model))
 		}
 	}
 	x.relay.log.Info(message, append(fields, extra...)...)
--- a/internal/relay/flowcontrol.go
+++ b/internal/relay/flowcontrol.go
@@ -14,6 +14,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/flowcontrol"
+	"github.com/damaskrudder/damaskrudder/internal/logs"
 )
 
 const (
@@ -259,7 +260,7 @@
 			continue
 		}
 		h.interrupt(reason)
-		f.log.Warn("response cut", "request", h.callID(), "why", reason, "bytes", c.Bytes, "age_ms", c.Age.Milliseconds(), "unread_ms", c.Unread.Milliseconds(), "held", held)
+		f.log.Warn("response cut", "request", logs.Bounded(h.callID()), "why", reason, "bytes", c.Bytes, "age_ms", c.Age.Milliseconds(), "unread_ms", c.Unread.Milliseconds(), "held", held)
 		f.countCut(reason)
 	}
 }
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -8,6 +8,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/flowcontrol"
+	"github.com/damaskrudder/damaskrudder/internal/logs"
 )
 
 const (
@@ -28,7 +29,7 @@
 	call.minConfigVersion = f.ConfigVersion
 	call.Received = time.Now()
 	call.Timeout = time.Duration(f.RemainingMillis) * time.Millisecond
-	r.log.Info("forwarded request received", "request", call.ID, "from", from, "remaining_ms", f.RemainingMillis)
+	r.log.Info("forwarded request received", "request", logs.Bounded(call.ID), "from", from, "remaining_ms", f.RemainingMillis)
 	r.Metrics.ForwardedRequests.Inc(1)
 	if !r.beginForwarded() {
 		r.Refuse(&call, out, fault.New(fault.HelperUnable, "%d requests of other daemons are being served", maxForwardedCalls))
--- a/internal/relay/panics.go
+++ b/internal/relay/panics.go
@@ -9,6 +9,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/logs"
 	"github.com/damaskrudder/damaskrudder/internal/recovery"
 )
 
@@ -51,7 +52,7 @@
 		r.Refuse(c, out, panicRefusal(x))
 		return
 	}
-	r.log.Info("cut", "request", c.ID, "kind", fault.Internal, "why", errPanic)
+	r.log.Info("cut", "request", logs.Bounded(c.ID), "kind", fault.Internal, "why", errPanic)
 	r.Metrics.ResponsesAborted.Inc(1)
 	if x == nil || x.paced == nil {
 		out.Abort()
@@ -102,7 +103,7 @@
 
 // reportPanic counts and logs a recovered panic.
 func (r *Relay) reportPanic(c *Call, recovered any) {
-	recovery.Report(recovered, r.Metrics.Panics, r.log, "request", c.ID)
+	recovery.Report(recovered, r.Metrics.Panics, r.log, "request", logs.Bounded(c.ID))
 }
 
 func (x *exchange) reportPanic(recovered any) { x.relay.reportPanic(x.call, recovered) }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 	"github.com/damaskrudder/damaskrudder/internal/freshness"
+	"github.com/damaskrudder/damaskrudder/internal/logs"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/request"
@@ -278,7 +279,7 @@
 	if t := r.State.Table(); t != nil {
 		version = t.Version
 	}
-	r.log.Info("refused", "request", c.ID, "kind", e.Kind, "ran", e.ExecutionState(), "why", e.Detail,
+	r.log.Info("refused", "request", logs.Bounded(c.ID), "kind", e.Kind, "ran", e.ExecutionState(), "why", logs.Bounded(e.Detail),
 		"config", version, "config_known", known, "config_age_ms", age.Milliseconds(),
 		"denial", fault.Lookup(e.Kind).Final(), "withheld", withheldKind(e), "held_ms", time.Since(c.Received).Milliseconds())
 	out.Refuse(e)
