vmlimits, platform: the garbage collector knows the memory of the VM

The heap could grow to half again of what is live, whatever the VM has. The soft limit is now four fifths of memory_mb, or of the VM's memory if that is not stated. A daemon that is far below it does as before.

--- a/internal/vmlimits/vmlimits.go
+++ b/internal/vmlimits/vmlimits.go
@@ -3,6 +3,8 @@
 package vmlimits
 
 import (
+	"runtime/debug"
+
 	"golang.org/x/sys/unix"
 
 	"github.com/damaskrudder/damaskrudder/internal/connlimit"
@@ -22,6 +24,9 @@
 	reservedFiles = 200
 	// maxReservedFraction is the largest part of the descriptors that is reserved.
 	maxReservedFraction = 0.5
+	// heapFraction is the part of the memory that the heap and the stacks may take before the garbage
+	// collector runs more often.
+	heapFraction = 0.8
 )
 
 // Limits are the limits that are stated. Zero means that one is not.
@@ -59,3 +64,10 @@
 func (l Limits) sockets() int {
 	return l.Files - min(reservedFiles, int(maxReservedFraction*float64(l.Files)))
 }
+
+// LimitHeap tells the garbage collector the memory, if it is known.
+func (l Limits) LimitHeap() {
+	if l.Memory > 0 {
+		debug.SetMemoryLimit(int64(heapFraction * float64(l.Memory)))
+	}
+}
--- a/internal/vmlimits/vmlimits_test.go
+++ b/internal/vmlimits/vmlimits_test.go
@@ -1,6 +1,9 @@
 package vmlimits
 
-import "testing"
+import (
+	"runtime/debug"
+	"testing"
+)
 
 func TestLimitsThatAreStated(t *testing.T) {
 	l := Limits{Memory: 160 << 20, Files: 700}
@@ -26,3 +29,13 @@
 		t.Errorf("stated: %+v", l)
 	}
 }
+
+func TestHeapLimitFollowsTheMemory(t *testing.T) {
+	before := debug.SetMemoryLimit(-1)
+	defer debug.SetMemoryLimit(before)
+	Limits{Memory: 100 << 20}.LimitHeap()
+	Limits{}.LimitHeap()
+	if got := debug.SetMemoryLimit(-1); got != 80<<20 {
+		t.Errorf("%d bytes", got)
+	}
+}
