app: the bounds of clients hold on the own interface as well, with and without TLS

Callers saw: the same as on the users' platform; the own interface built its servers in another place, with limits of its own.

Evidence: crowds at the callers' and the peers' listener of a daemon as a process, 160 MB and 700 descriptors.

Change: both listeners of the own interface are bounded by httplimit, above TLS, so that a handshake counts as silence. New settings, checked: max_header_bytes (64 KiB), memory_mb and max_files (those of the VM and the process). Refusals have the interface's form: JSON, a request ID, and the execution state. Messages of daemons are in the account, and the garbage collector knows the memory.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -158,15 +158,28 @@
 	if c.Response().Committed {
 		return
 	}
-	h := c.Response().Header()
-	h.Set(HeaderExecutionState, string(faultErr.ExecutionState()))
-	if faultErr.ExecutionState() != fault.NotRun {
+	setExecutionState(c.Response().Header(), faultErr)
+	_ = c.JSON(fault.Lookup(faultErr.Kind).Status, newErrorResponse(requestID(c), faultErr))
+}
+
+// setExecutionState sets the fields that tell a caller whether and when to repeat a request.
+func setExecutionState(h http.Header, e *fault.Error) {
+	h.Set(HeaderExecutionState, string(e.ExecutionState()))
+	if e.ExecutionState() != fault.NotRun {
 		h.Set(headerShouldRetry, "false")
 	}
-	if retryDelay := faultErr.RetryDelay(); retryDelay > 0 {
+	if retryDelay := e.RetryDelay(); retryDelay > 0 {
 		h.Set("Retry-After", strconv.Itoa(int((retryDelay+time.Second-1)/time.Second)))
 	}
-	_ = c.JSON(fault.Lookup(faultErr.Kind).Status, newErrorResponse(requestID(c), faultErr))
+}
+
+// Refusal returns the header fields and the JSON body of a refusal of a request that was not parsed.
+func Refusal(e *fault.Error) (http.Header, any) {
+	id, h := daemon.NewRequestID(), http.Header{}
+	h.Set(HeaderRequestID, id)
+	h.Set("Content-Type", echo.MIMEApplicationJSON)
+	setExecutionState(h, e)
+	return h, newErrorResponse(id, e)
 }
 
 // authenticate returns the name of the workspace that owns the request's API key.
--- a/internal/app/command.go
+++ b/internal/app/command.go
@@ -116,6 +116,7 @@
 	if err != nil {
 		return cli.UsageError(err)
 	}
+	vmLimits(s).Detect().LimitHeap()
 	logger := NewLogger(stderr, s.ID, s.LogLevel)
 	node, err := Start(s, secrets, logger)
 	if err != nil {
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -32,10 +32,6 @@
 const (
 	// platformTimeout is the timeout of calls to platform services, including long polls.
 	platformTimeout = 5 * time.Second
-	// headerTimeout is the time a client has to send a request header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is the time after which an idle connection is closed.
-	idleTimeout = 2 * time.Minute
 	// metricsInterval is the period between updates of the exported metrics.
 	metricsInterval = time.Second
 	// closeMargin is the time between the latest start of closing the listener and the end of a shutdown.
@@ -120,12 +116,14 @@
 	}
 	n.Daemon = daemon.New(s, secrets, deps)
 	panicCounter := n.Daemon.PanicCounter()
-	n.clientServer = newServer(recovery.Handler(api.New(n.Daemon, logger, handler), panicCounter, logger))
+	inbound := newInbound(s, scope, logger)
+	n.clientServer = &http.Server{Handler: recovery.Handler(api.New(n.Daemon, logger, handler), panicCounter, logger)}
 	n.clients.Attach(n.clientServer)
-	serve(callerListener, n.clientServer)
+	inbound.serve("callers", callerListener, n.clientServer)
 	n.peerServer = n.Daemon.PeerServer()
-	n.peerHTTPServer = newServer(recovery.Handler(n.peerServer, panicCounter, logger))
-	serve(peerListener, n.peerHTTPServer)
+	n.peerServer.Memory = inbound.account
+	n.peerHTTPServer = &http.Server{Handler: recovery.Handler(n.peerServer, panicCounter, logger)}
+	inbound.serve("peers", peerListener, n.peerHTTPServer)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func() {
@@ -135,14 +133,6 @@
 	return n, nil
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-}
-
-func serve(listener net.Listener, s *http.Server) {
-	go func() { _ = s.Serve(listener) }() // returns when the server is closed
-}
-
 func newMetricsScope() (tally.Scope, http.Handler, io.Closer) {
 	registry := prometheus.NewRegistry()
 	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/containment"
 	"github.com/damaskrudder/damaskrudder/internal/engine"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/logs"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/membership"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
@@ -113,6 +114,13 @@
 func (d *Daemon) PeerServer() *peer.Server {
 	s := peer.NewServer(d.secrets.PeerKey)
 	s.OnRefused = func() { d.metrics.peerRefused.Inc(1) }
+	overloads := logs.NewLimiter()
+	s.OnOverload = func(from string) {
+		d.metrics.peerRefused.Inc(1)
+		if allowed, omitted := overloads.Allow(); allowed {
+			d.log.Warn("message of a daemon refused", "from", from, "why", "no memory", "omitted", omitted)
+		}
+	}
 	s.OnBytes = func(n int) { d.metrics.peerBytes.Inc(int64(n)) }
 	s.OnPanic = func(kind string, recovered any) { d.reportPanic(recovered, "call", kind) }
 	d.members.register(s)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,15 @@
 	SecretsFile string `json:"secrets_file"`
 	// MaxBodyBytes is the maximum size of a request body in bytes. Default 1,048,576.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// MaxHeaderBytes is the maximum size of a request line with its header fields in
+	// bytes. Default 65,536.
+	MaxHeaderBytes int `json:"max_header_bytes"`
+	// MemoryMB is the memory of the VM that the daemon may use, in MiB. Callers get
+	// a part of it. Default: the memory of the VM.
+	MemoryMB int `json:"memory_mb"`
+	// MaxFiles is the number of descriptors that the daemon may open. Callers get a
+	// part of them. Default: the limit of the process.
+	MaxFiles int `json:"max_files"`
 	// SubsetSize is the maximum number of servers of a pool that the daemon sends
 	// to, 1 to 64. Default 24.
 	SubsetSize int `json:"subset"`
@@ -110,6 +119,7 @@
 func Defaults() Settings {
 	return Settings{
 		MaxBodyBytes:      1 << 20,
+		MaxHeaderBytes:    64 << 10,
 		SubsetSize:        24,
 		EndpointTTL:       Duration(5 * time.Second),
 		DrainGrace:        Duration(3 * time.Second),
@@ -210,6 +220,12 @@
 
 const (
 	maxSubsetSize = 64
+	// minHeaderBytes has room for the fields of a request with a session token.
+	minHeaderBytes = 4 << 10
+	// minMemoryMB has room for a daemon without requests and a few of the largest ones, and minFiles
+	// for its connections to other daemons and to servers.
+	minMemoryMB = 96
+	minFiles    = 128
 	// minDrainGrace covers two heartbeat rounds.
 	minDrainGrace = Duration(2 * time.Second)
 )
@@ -226,6 +242,12 @@
 	switch {
 	case s.MaxBodyBytes <= 0:
 		return fmt.Errorf("max_body_bytes: %d must be greater than zero", s.MaxBodyBytes)
+	case s.MaxHeaderBytes < minHeaderBytes:
+		return fmt.Errorf("max_header_bytes: %d is less than %d", s.MaxHeaderBytes, minHeaderBytes)
+	case s.MemoryMB != 0 && s.MemoryMB < minMemoryMB:
+		return fmt.Errorf("memory_mb: %d is less than %d", s.MemoryMB, minMemoryMB)
+	case s.MaxFiles != 0 && s.MaxFiles < minFiles:
+		return fmt.Errorf("max_files: %d is less than %d", s.MaxFiles, minFiles)
 	case s.SubsetSize < 1 || s.SubsetSize > maxSubsetSize:
 		return fmt.Errorf("subset: %d is out of 1..%d", s.SubsetSize, maxSubsetSize)
 	case s.DrainGrace < minDrainGrace:
