app, httplimit: bodies of the own interface are in the daemon's account of memory

Callers saw: a daemon beyond the memory of its VM, from bodies inside max_body_bytes of which the end is due.

Cause: each body was read whole, without an account.

Change: bodies are charged as they are read, until the request is answered: those beyond 16 KiB take at most half of the budget. One that does not fit is refused with 503, overloaded, not run. BodyError keeps the kind of an error that has one.

--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -117,7 +117,7 @@
 	n.Daemon = daemon.New(s, secrets, deps)
 	panicCounter := n.Daemon.PanicCounter()
 	inbound := newInbound(s, scope, logger)
-	n.clientServer = &http.Server{Handler: recovery.Handler(api.New(n.Daemon, logger, handler), panicCounter, logger)}
+	n.clientServer = &http.Server{Handler: recovery.Handler(inbound.account.Handler(api.New(n.Daemon, logger, handler)), panicCounter, logger)}
 	n.clients.Attach(n.clientServer)
 	inbound.serve("callers", callerListener, n.clientServer)
 	n.peerServer = n.Daemon.PeerServer()
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -177,8 +177,13 @@
 	return &Error{Kind: kind, Field: field, Detail: fmt.Sprintf(format, args...)}
 }
 
-// BodyError returns the error for a request whose body could not be read, caused by err.
+// BodyError returns the error for a request whose body could not be read, caused by err. An err that has a
+// kind is returned as it is.
 func BodyError(err error) *Error {
+	var refusal *Error
+	if errors.As(err, &refusal) {
+		return refusal
+	}
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return New(BodyTimeout, "the body did not arrive in time").WithCause(err)
--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"strings"
 	"sync"
@@ -358,3 +359,23 @@
 		t.Errorf("beside upgraded connections: got %q", got)
 	}
 }
+
+// Guards against bodies that take more than the account has, or stay in it.
+func TestBodiesAreAccountedFor(t *testing.T) {
+	account := NewMemoryAccount(100 << 10)
+	h := account.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(fault.Lookup(fault.BodyError(err).Kind).Status)
+		}
+	}))
+	for size, want := range map[int]int{10 << 10: http.StatusOK, 40 << 10: http.StatusOK, 60 << 10: http.StatusServiceUnavailable} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", size))))
+		if w.Code != want {
+			t.Errorf("%d bytes: got %d, want %d", size, w.Code, want)
+		}
+	}
+	if held := account.ledger.Held(); held != 0 {
+		t.Errorf("%d bytes are held afterwards", held)
+	}
+}
--- a/lab/hostile/own_test.go
+++ b/lab/hostile/own_test.go
@@ -241,3 +241,12 @@
 		}
 	}
 }
+
+// Guards against bodies of the own interface that take the memory, while their ends are due.
+func TestBodiesOutstandingAtTheOwnInterface(t *testing.T) {
+	d := startOwnDaemon(t, nil)
+	const size = 1 << 20
+	d.playBeside(d.settings.ListenAddress, requestCrowd, func(c net.Conn, _ int) {
+		write(c, ownHead(http.MethodPost, "/v1/services/confirm")+fmt.Sprintf("Content-Length: %d\r\n\r\n{\"lot\":\"", size)+strings.Repeat("x", size-100))
+	})
+}
