--- a/lab/hostile/daemon_test.go
+++ b/lab/hostile/daemon_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -111,6 +112,26 @@
 	<-p.done
 }
 
+// end ends the process with a signal, and checks it.
+func (p *process) end(sig syscall.Signal) {
+	p.t.Helper()
+	p.mu.Lock()
+	p.stopping = true
+	p.mu.Unlock()
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		p.t.Fatalf("%s: %v", sig, err)
+	}
+	select {
+	case <-p.done:
+	case <-time.After(waitLimit):
+		p.t.Fatalf("the process does not end after %s", sig)
+	}
+	if code := p.cmd.ProcessState.ExitCode(); sig == syscall.SIGTERM && code != 0 {
+		p.t.Errorf("exit code %d", code)
+	}
+	p.check()
+}
+
 // watch records what the process takes until it ends, and ends it if it takes far too much.
 func (p *process) watch() {
 	tick := time.NewTicker(watchInterval)
--- a/lab/hostile/events_test.go
+++ b/lab/hostile/events_test.go
@@ -25,21 +25,7 @@
 			r := playAccepted(t, d.callers, requestCrowd, send)
 			defer r.leave()
 			d.look()
-			d.mu.Lock()
-			d.stopping = true
-			d.mu.Unlock()
-			if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-				t.Fatal(err)
-			}
-			select {
-			case <-d.done:
-			case <-time.After(waitLimit):
-				t.Fatal("the daemon does not end")
-			}
-			if code := d.cmd.ProcessState.ExitCode(); code != 0 {
-				t.Errorf("exit code %d", code)
-			}
-			d.check()
+			d.end(syscall.SIGTERM)
 		})
 	}
 }
--- a/lab/hostile/platform_test.go
+++ b/lab/hostile/platform_test.go
@@ -56,6 +56,8 @@
 type platformDaemon struct {
 	*process
 	store *standin.MetadataStore
+	// settings is the path of the settings file.
+	settings string
 
 	callers, control, ready, directory, metrics string
 }
@@ -78,10 +80,17 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	d.settings = file
+	d.start(t)
+	return d
+}
+
+// start starts the process and waits until the daemon is ready.
+func (d *platformDaemon) start(t *testing.T) {
+	t.Helper()
 	_, metricsPort, _ := net.SplitHostPort(d.metrics) // an address of freeAddresses
-	d.process = startProcess(t, []string{"DAMASKRUDDER_BOOT=" + file}, "platform", "-metrics-port", metricsPort)
+	d.process = startProcess(t, []string{"DAMASKRUDDER_BOOT=" + d.settings}, "platform", "-metrics-port", metricsPort)
 	awaitStatus(t, "http://"+d.ready+"/-/readyz", http.StatusOK)
-	return d
 }
 
 // serve serves a handler until the test ends, and returns its address.
