--- a/internal/app/inbound.go
+++ b/internal/app/inbound.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
@@ -17,6 +18,9 @@
 	"github.com/damaskrudder/damaskrudder/internal/vmlimits"
 )
 
+// idleTimeout is the time after which a connection without a request is closed.
+const idleTimeout = 2 * time.Minute
+
 // inbound bounds the listeners of a daemon.
 type inbound struct {
 	*httplimit.Group
@@ -28,7 +32,9 @@
 	account := httplimit.NewMemoryAccount(limits.MemoryBudget())
 	return inbound{account: account, Group: httplimit.New(httplimit.Config{
 		MaxConnections: limits.MaxConnections(), Account: account, IDHeader: api.HeaderIdempotencyKey, Refusal: refusal, Logger: logger, Scope: scope,
-		Limits: func() httplimit.Limits { return httplimit.Limits{HeadBytes: s.MaxHeaderBytes} },
+		Limits: func() httplimit.Limits {
+			return httplimit.Limits{HeadBytes: s.MaxHeaderBytes, IdleTimeout: idleTimeout}
+		},
 	})}
 }
 
