flowcontrol: ordinary requests have memory beside heads of very many lines

Callers saw: 503, overloaded, for ordinary requests, for as long as a few clients kept requests of very many header lines open.

Cause: all heads shared a quarter of the budget, so that large ones could leave nothing for small ones.

Change: heads that take at most 8 KiB may use all of the budget, and make room as small bodies do, by cutting responses whose clients read slowly. The number of connections bounds them. Larger ones keep to the quarter.

--- a/internal/flowcontrol/ledger.go
+++ b/internal/flowcontrol/ledger.go
@@ -17,9 +17,11 @@
 	// smallBody is the largest small body in bytes.
 	smallBody = 16 << 10
 	// headFraction and messageFraction are the parts of the budget that the heads of requests and the
-	// messages of other daemons may take.
+	// messages of other daemons may take. Small heads may take all of it.
 	headFraction    = 0.25
 	messageFraction = 0.25
+	// smallHead is what the largest small head takes.
+	smallHead = 8 << 10
 	// headLineBytes is what a line of a head takes beyond its bytes: its fields parsed, forwarded and
 	// kept for a retry.
 	headLineBytes = 128
@@ -41,6 +43,9 @@
 // ID identifies a request in a ledger.
 type ID uint64
 
+// noRequest is the ID of no request.
+const noRequest ID = 0
+
 // Verdict is the decision on bytes that a response wants to hold.
 type Verdict uint8
 
@@ -118,15 +123,19 @@
 // HeadCost returns what the head of a request takes, of a number of bytes and lines.
 func HeadCost(size, lines int) int64 { return int64(size) + headLineBytes*int64(lines) }
 
-// GrowHeads accounts for n more bytes of the heads of requests, and reports whether there is room. It
-// cuts no responses.
-func (l *Ledger) GrowHeads(n int64) (granted bool) {
-	if l.held+n > l.budget || float64(l.heads+n) > headFraction*float64(l.budget) {
-		return false
+// GrowHeads accounts for n more bytes of the heads of requests, and reports whether there is room. Only
+// a small head cuts responses: an ordinary request has room beside heads of very many lines.
+func (l *Ledger) GrowHeads(n int64, now time.Duration) (granted bool, cuts []Cut) {
+	if n > smallHead {
+		granted = l.held+n <= l.budget && float64(l.heads+n) <= headFraction*float64(l.budget)
+	} else {
+		granted, cuts = l.makeRoom(noRequest, n, now)
 	}
-	l.heads += n
-	l.held += n
-	return true
+	if granted {
+		l.heads += n
+		l.held += n
+	}
+	return granted, cuts
 }
 
 // ReleaseHeads removes n bytes of the heads of requests.
--- a/internal/httplimit/account.go
+++ b/internal/httplimit/account.go
@@ -26,7 +26,7 @@
 func (a *MemoryAccount) GrowHeads(n int64) *fault.Error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.ledger.GrowHeads(n) {
+	if granted, _ := a.ledger.GrowHeads(n, time.Since(a.started)); granted { // no response is in the account to be cut
 		return nil
 	}
 	return fault.New(fault.Overloaded, "a head that takes %d bytes does not fit beside the %d bytes that are held", n, a.ledger.Held())
--- a/internal/relay/flowcontrol.go
+++ b/internal/relay/flowcontrol.go
@@ -150,9 +150,10 @@
 func (r *Relay) GrowHeads(n int64) *fault.Error {
 	f := r.flow
 	f.mu.Lock()
-	granted := f.ledger.GrowHeads(n)
+	granted, cuts := f.ledger.GrowHeads(n, f.now())
 	held := f.ledger.Held()
 	f.mu.Unlock()
+	f.cut(cuts, errMemoryBudget)
 	if granted {
 		return nil
 	}
