hostile: daemons listen below the ephemeral port range

The test had found a free port of the ephemeral range, and an outgoing connection of another process took it before the daemon did. Ports come from a range of their own now, apart from those of lab/soak. The daemon of the own interface is started beside the demo's cluster, whose daemon runs in the test's process as in other tests, since that cluster chooses ephemeral ports as well. Crowds, bounds and checks are as before.

--- a/lab/hostile/own_test.go
+++ b/lab/hostile/own_test.go
@@ -1,7 +1,6 @@
 package hostile
 
 import (
-	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -22,44 +21,31 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/api"
+	"github.com/damaskrudder/damaskrudder/internal/app"
 	"github.com/damaskrudder/damaskrudder/internal/demo"
 	"github.com/damaskrudder/damaskrudder/internal/settings"
 )
 
-// ownDaemon is a daemon of the own interface that runs as a process, as a node of the demo's cluster.
+// ownDaemon is a daemon of the own interface that runs as a process.
 type ownDaemon struct {
 	*process
 	settings settings.Settings
 }
 
-// Shutdown implements demo.Node.
-func (d *ownDaemon) Shutdown(context.Context) error {
-	d.stop()
-	return nil
-}
-
-// Kill implements demo.Node.
-func (d *ownDaemon) Kill() { d.stop() }
-
-// startOwnDaemon starts a daemon of the own interface with the demo's stand-ins, and another one with TLS
-// beside it if certificates are given.
+// startOwnDaemon starts a daemon of the own interface beside the demo's stand-ins, with TLS if certificates are
+// given. The demo's own daemon, in this process, is its operator's.
 func startOwnDaemon(t *testing.T, certificates *settings.TLS) *ownDaemon {
 	t.Helper()
-	var daemon *ownDaemon
 	cluster, err := demo.NewCluster(1, func(s settings.Settings, secrets settings.Secrets) (demo.Node, error) {
-		daemon = runOwn(t, s, secrets)
-		return daemon, nil
+		return app.Start(s, secrets, app.NewLogger(io.Discard, s.ID, s.LogLevel))
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(cluster.Close)
-	if certificates == nil {
-		return daemon
-	}
-	s := daemon.settings
+	s := cluster.Settings[0]
 	addresses := freeAddresses(t, 2)
-	s.ID, s.ListenAddress, s.PeerListenAddress, s.Peers, s.TLS = "router-tls", addresses[0], addresses[1], nil, certificates
+	s.ID, s.ListenAddress, s.PeerListenAddress, s.Peers, s.TLS = "router-p", addresses[0], addresses[1], nil, certificates
 	return runOwn(t, s, demo.Secrets)
 }
 
--- a/lab/hostile/platform_test.go
+++ b/lab/hostile/platform_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -104,16 +105,30 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+// Daemons listen below the ephemeral port range, and apart from the ports of lab/soak. Otherwise an outgoing
+// connection could take a port before the daemon has it.
+const (
+	basePort, portCount = 30000, 2700
+	// portsPerProcess is coprime with portCount, so that test processes beside each other use other ports.
+	portsPerProcess = 83
+)
+
+// portIndex is the position of the search for a free port.
+var portIndex = os.Getpid() * portsPerProcess
+
 // freeAddresses returns loopback addresses whose ports were free when checked.
 func freeAddresses(t *testing.T, n int) (out []string) {
 	t.Helper()
-	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	for tries := 0; len(out) < n; tries++ {
+		portIndex++
+		l, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(basePort+portIndex%portCount)))
+		switch {
+		case err == nil:
+			defer func() { _ = l.Close() }() // only checks that the port is free
+			out = append(out, l.Addr().String())
+		case tries > portCount:
+			t.Fatalf("no free port: %v", err)
 		}
-		defer func() { _ = l.Close() }() // only checks that the port is free
-		out = append(out, l.Addr().String())
 	}
 	return out
 }
