flowcontrol: clients that fill the memory budget do not cut daemons off from one another

What could be seen: connections between daemons closed for lack of memory while clients that do not read hold all of the budget; daemons would then take each other for lost.

Cause: messages were granted from what the clients leave.

Evidence: a test of the ledger with a full budget; two messages at a time were refused before.

Change: the quarter for messages does not depend on what is held for clients. What messages take still counts against clients.

--- a/internal/flowcontrol/ledger.go
+++ b/internal/flowcontrol/ledger.go
@@ -145,10 +145,10 @@
 }
 
 // GrowMessages accounts for n more bytes of the messages of other daemons, and reports whether there is
-// room. A single message always has room, so that daemons with little memory can exchange long ones.
+// room. Their part does not depend on what is held for clients, which must not cut daemons off from one
+// another. A single message always has room, so that daemons with little memory can exchange long ones.
 func (l *Ledger) GrowMessages(n int64) (granted bool) {
-	fits := l.held+n <= l.budget && float64(l.messages+n) <= messageFraction*float64(l.budget)
-	if !fits && l.messages > 0 {
+	if l.messages > 0 && float64(l.messages+n) > messageFraction*float64(l.budget) {
 		return false
 	}
 	l.messages += n
--- a/internal/flowcontrol/ledger_test.go
+++ b/internal/flowcontrol/ledger_test.go
@@ -216,6 +216,20 @@
 	}
 }
 
+// Guards against clients that cut daemons off from one another.
+func TestMessagesHaveRoomBesideClients(t *testing.T) {
+	const budget = 1 << 20
+	l := NewLedger(budget)
+	for l.Held() < budget {
+		if granted, _ := l.GrowHeads(min(smallHead, budget-l.Held()), 0); !granted {
+			t.Fatal("a small head has no room")
+		}
+	}
+	if !l.GrowMessages(1000) || !l.GrowMessages(1000) {
+		t.Error("messages have no room beside a full budget")
+	}
+}
+
 // Guards against ordinary requests that are refused beside heads of very many lines, or beside responses that
 // are not read.
 func TestSmallHeadHasRoomBesideLargeOnes(t *testing.T) {
