httplimit: evict a connection in one step, so that no complete request is ended for another

What callers could see: at the bound of connections, a request that was just complete ended while a server was at work on it; or one served whose connection had been chosen for eviction.

Cause: a connection with an incomplete body was chosen by a flag that did not look whether the body had become complete meanwhile. The read deadline that ends its read then cancelled the request that was being handled.

Evidence: two tests, a body that becomes complete before and after the choice.

Change: the choice is one compare-and-swap of the activity that was judged, for every activity. After it, reads of the body fail as if it had not arrived in time, so that the request is answered 408 and is never handled. "Gave way" is now "evicted", in the metric as well.

--- a/internal/httpframing/body.go
+++ b/internal/httpframing/body.go
@@ -94,9 +94,9 @@
 // Known reports whether the end of the body can be found.
 func (b *Body) Known() bool { return b.framing != unknown }
 
-// Ahead returns the number of bytes that can be read without reading beyond the body; if that is not
-// known, the largest number.
-func (b *Body) Ahead() int64 {
+// Remaining returns the number of bytes that are left of the body; if that is not known, the largest
+// number.
+func (b *Body) Remaining() int64 {
 	if b.framing == byLength {
 		return b.remaining
 	}
--- a/internal/httpframing/httpframing_test.go
+++ b/internal/httpframing/httpframing_test.go
@@ -97,9 +97,9 @@
 	}
 }
 
-func TestAheadNeverReadsBeyondABodyWithALength(t *testing.T) {
+func TestRemainingOfABodyWithALength(t *testing.T) {
 	b := ParseBody([]byte("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n"))
-	if b.Scan([]byte("abc")); b.Ahead() != 2 {
-		t.Errorf("ahead %d", b.Ahead())
+	if b.Scan([]byte("abc")); b.Remaining() != 2 {
+		t.Errorf("remaining %d", b.Remaining())
 	}
 }
--- a/internal/httplimit/conn.go
+++ b/internal/httplimit/conn.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/connlimit"
@@ -53,8 +52,6 @@
 	// answered is set once a response was complete, and refused once the client was refused or the
 	// connection is being closed: the server reads the end then.
 	answered, refused bool
-	// givesWay is set once the request on the connection is ended for another connection.
-	givesWay atomic.Bool
 
 	// deadlines guards the fields below. The read deadline is the earlier one.
 	deadlines sync.Mutex
@@ -101,9 +98,13 @@
 	return n, err
 }
 
-// readBody reads bytes of the body, and keeps those of the next request.
+// readBody reads bytes of the body, and keeps those of the next request. On a connection that is evicted, it
+// fails as if the body did not arrive in time, so that its request is answered.
 func (c *conn) readBody(p []byte) (int, error) {
-	p = p[:min(int64(len(p)), c.body.Ahead())]
+	if c.closing() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	p = p[:min(int64(len(p)), c.body.Remaining())]
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return 0, err
@@ -111,7 +112,7 @@
 	used := c.scanBody(p[:n])
 	c.keep(p[used:n])
 	if c.refused {
-		return 0, io.EOF
+		return 0, os.ErrDeadlineExceeded
 	}
 	return used, nil // the next read returns the error again
 }
@@ -200,7 +201,7 @@
 func (c *conn) readMore() error {
 	if len(c.pending) == cap(c.pending) {
 		if refusal := c.charge(readBytes); refusal != nil {
-			c.refuse(refusal, whyMemory)
+			c.refuse(refusal, reasonMemory)
 			return io.EOF
 		}
 		c.pending = append(make([]byte, 0, len(c.pending)+readBytes), c.pending...)
@@ -213,13 +214,13 @@
 	return err
 }
 
-// checkHead refuses a head that is over the limits, and reports whether it is within them.
+// checkHead refuses a head that exceeds the limits, and reports whether it does not.
 func (c *conn) checkHead() bool {
 	switch limit := c.group.config.Limits().headBytes(); {
 	case c.head.Bytes > limit:
-		c.refuse(fault.New(fault.HeadTooLarge, "the head is longer than %d bytes", limit), whyHead)
+		c.refuse(fault.New(fault.HeadTooLarge, "the head is longer than %d bytes", limit), reasonHead)
 	case c.head.EmptyLines > maxEmptyLines:
-		c.refuse(fault.New(fault.BadRequest, "more than %d empty lines precede the request", maxEmptyLines), whyEmptyLines)
+		c.refuse(fault.New(fault.BadRequest, "more than %d empty lines precede the request", maxEmptyLines), reasonEmptyLines)
 	default:
 		return true
 	}
@@ -232,7 +233,7 @@
 	c.release()
 	if refusal := c.charge(flowcontrol.HeadCost(c.head.Bytes, c.head.Lines)); refusal != nil {
 		c.pending = head
-		c.refuse(refusal, whyMemory)
+		c.refuse(refusal, reasonMemory)
 		return false
 	}
 	c.body, c.serving = httpframing.ParseBody(head), true
@@ -273,7 +274,7 @@
 		c.refused = !c.setActivity(connlimit.Receiving)
 		c.limitRead(time.Time{})
 	case n == 0 && began && c.late(err):
-		c.refuse(fault.New(fault.HeadTimeout, "the head did not arrive within %s", c.waitLimit(began)), whyHeadTimeout)
+		c.refuse(fault.New(fault.HeadTimeout, "the head did not arrive within %s", c.waitLimit(began)), reasonHeadTimeout)
 		return 0, io.EOF
 	}
 	return n, err
--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -18,6 +18,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/damaskrudder/damaskrudder/internal/connlimit"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 )
 
@@ -389,3 +390,68 @@
 		t.Errorf("%d bytes are held afterwards", held)
 	}
 }
+
+// only returns the one connection of a group.
+func (b *bounded) only(t *testing.T) *conn {
+	t.Helper()
+	b.Group.mu.Lock()
+	defer b.Group.mu.Unlock()
+	if len(b.conns) != 1 {
+		t.Fatalf("%d connections", len(b.conns))
+	}
+	for c := range b.conns {
+		return c
+	}
+	return nil
+}
+
+// Guards against a request that is ended for another connection because its body was incomplete when that was
+// judged.
+func TestRequestThatIsCompleteMeanwhileIsNotEvicted(t *testing.T) {
+	reading, release := make(chan bool), make(chan bool)
+	b := newBounded(t, 10, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		reading <- true
+		_, _ = io.ReadAll(r.Body) // the response tells
+		reading <- true
+		<-release
+	}))
+	c := dial(t, b.address)
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 6\r\n\r\nabc") // a failure shows below
+	<-reading
+	judged := b.only(t)
+	if got := judged.state().Activity; got != connlimit.Uploading {
+		t.Fatalf("activity %d", got)
+	}
+	_, _ = io.WriteString(c, "def") // a failure shows below
+	<-reading
+	if judged.claim(connlimit.Uploading) {
+		t.Error("a request that is being handled was claimed")
+	}
+	close(release)
+	if got, _ := io.ReadAll(c); !strings.HasPrefix(string(got), "HTTP/1.1 200 ") {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Guards against a request that is handled although its connection was claimed before its body was complete.
+func TestRequestThatIsCompleteAfterItsEvictionIsRefused(t *testing.T) {
+	reading, claimed := make(chan bool), make(chan bool)
+	errs := make(chan error, 1)
+	b := newBounded(t, 10, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		reading <- true
+		<-claimed
+		_, err := io.ReadAll(r.Body)
+		errs <- err
+	}))
+	c := dial(t, b.address)
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabc") // a failure shows below
+	<-reading
+	if !b.only(t).claim(connlimit.Uploading) {
+		t.Fatal("not claimed")
+	}
+	_, _ = io.WriteString(c, "def") // a failure shows below
+	close(claimed)
+	if err := <-errs; fault.BodyError(err).Kind != fault.BodyTimeout {
+		t.Errorf("the body was read: %v", err)
+	}
+}
--- a/internal/httplimit/refusal.go
+++ b/internal/httplimit/refusal.go
@@ -20,12 +20,12 @@
 
 // All reasons. They are values of metrics.
 const (
-	whyConnections reason = "connections"
-	whyGaveWay     reason = "gave_way"
-	whyHead        reason = "head_too_large"
-	whyEmptyLines  reason = "empty_lines"
-	whyHeadTimeout reason = "head_timeout"
-	whyMemory      reason = "memory"
+	reasonConnections reason = "connections"
+	reasonEvicted     reason = "evicted"
+	reasonHead        reason = "head_too_large"
+	reasonEmptyLines  reason = "empty_lines"
+	reasonHeadTimeout reason = "head_timeout"
+	reasonMemory      reason = "memory"
 )
 
 const (
@@ -85,15 +85,16 @@
 	}
 }
 
-// giveWay ends a connection for another one. The read of a body that is due fails, so that its request is
-// answered.
-func (c *conn) giveWay(answer bool) {
-	c.group.report.refused(c, refusal{why: whyGaveWay})
-	if answer {
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+// evict ends a connection that was claimed for its eviction in an activity.
+func (c *conn) evict(activity connlimit.Activity) {
+	c.group.report.refused(c, refusal{why: reasonEvicted})
+	switch activity {
+	case connlimit.Uploading:
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // ends a read that waits; fails only on a closed connection
 		return
+	case connlimit.Silent, connlimit.Receiving:
+		c.markAnswered() // no request is lost
 	}
-	c.markAnswered()
 	go func() { _ = c.Conn.Close() }() // fails only if it is closed already
 }
 
--- a/internal/httplimit/server.go
+++ b/internal/httplimit/server.go
@@ -27,8 +27,8 @@
 }
 
 const (
-	// DefaultHeadBytes and defaultHeadTimeout are the limits where none are stated.
-	DefaultHeadBytes   = 64 << 10
+	// defaultHeadBytes and defaultHeadTimeout are the limits where none are stated.
+	defaultHeadBytes   = 64 << 10
 	defaultHeadTimeout = 10 * time.Second
 	// headBytesSlack is added to the limit of a head: clients need not count its line ends.
 	headBytesSlack = 4 << 10
@@ -48,7 +48,7 @@
 // headBytes is the longest head that is accepted.
 func (l Limits) headBytes() int {
 	if l.HeadBytes <= 0 {
-		return DefaultHeadBytes + headBytesSlack
+		return defaultHeadBytes + headBytesSlack
 	}
 	return l.HeadBytes + headBytesSlack
 }
@@ -164,36 +164,38 @@
 	c := &conn{Conn: accepted, group: l.group, listener: l.name}
 	c.activity.kind.Store(uint32(connlimit.Silent))
 	c.activity.since.Store(int64(l.group.now()))
-	if !l.group.admit(c) {
+	victim, activity, admitted := l.group.admit(c)
+	if victim != nil {
+		victim.evict(activity)
+	}
+	if !admitted {
 		c.refused = true
 		c.markAnswered()
-		l.group.report.refused(c, refusal{why: whyConnections})
+		l.group.report.refused(c, refusal{why: reasonConnections})
 	}
 	return c, nil
 }
 
-// admit adds a connection if there is room or another one gives way.
-func (g *Group) admit(c *conn) bool {
+// admit adds a connection if there is room, and returns the one that must be evicted for it and its activity.
+func (g *Group) admit(c *conn) (victim *conn, activity connlimit.Activity, admitted bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.conns) >= g.config.MaxConnections {
-		victim, answer := g.victim()
-		if victim == nil {
-			return false
+		if victim, activity = g.claimVictim(); victim == nil {
+			return nil, 0, false
 		}
-		if !answer { // else it closes after its answer, or for the next connection
+		if activity != connlimit.Uploading { // else it closes after its answer, or for the next connection
 			g.remove(victim)
 		}
-		victim.giveWay(answer)
 	}
 	g.conns[c] = true
 	g.open.Update(float64(len(g.conns)))
-	return true
+	return victim, activity, true
 }
 
-// victim returns the connection that gives way to a new one, or nil, and whether the request on it can be
-// answered before. Callers hold mu.
-func (g *Group) victim() (victim *conn, answer bool) {
+// claimVictim returns the connection to evict for a new one, or nil, and its activity. From then on, no request
+// on it is handled that was not before. Callers hold mu.
+func (g *Group) claimVictim() (*conn, connlimit.Activity) {
 	for {
 		conns, states := make([]*conn, 0, len(g.conns)), make([]connlimit.Connection, 0, len(g.conns))
 		for c := range g.conns {
@@ -201,10 +203,10 @@
 		}
 		i := connlimit.Victim(states, g.now())
 		if i < 0 {
-			return nil, false
+			return nil, 0
 		}
 		if conns[i].claim(states[i].Activity) {
-			return conns[i], states[i].Activity == connlimit.Uploading
+			return conns[i], states[i].Activity
 		}
 	}
 }
@@ -243,24 +245,19 @@
 	}
 }
 
-// claim makes the connection give way unless its activity is another one by now. A request that has come
-// meanwhile is handled.
+// claim claims the connection for its eviction, unless its activity is another one by now: a request that is
+// complete meanwhile is handled.
 func (c *conn) claim(a connlimit.Activity) bool {
-	if a == connlimit.Uploading {
-		c.givesWay.Store(true)
-		return true
-	}
-	return a == connlimit.Closing || c.activity.kind.CompareAndSwap(uint32(a), uint32(connlimit.Closing))
+	return c.activity.kind.CompareAndSwap(uint32(a), uint32(connlimit.Closing))
 }
 
+// closing reports whether the connection is refused or evicted.
+func (c *conn) closing() bool { return c.activity.kind.Load() == uint32(connlimit.Closing) }
+
 // state returns the connection for the choice of a victim.
 func (c *conn) state() connlimit.Connection {
-	state := connlimit.Connection{
+	return connlimit.Connection{
 		Listener: c.listener, Activity: connlimit.Activity(c.activity.kind.Load()),
 		Since: time.Duration(c.activity.since.Load()), Unread: time.Duration(c.activity.writing.Load()),
 	}
-	if c.givesWay.Load() && state.Activity == connlimit.Uploading {
-		state.Activity = connlimit.Closing
-	}
-	return state
 }
