flowcontrol: a large head that comes in parts counts as a large one

What callers could see: responses cut beside clients that send large heads in parts. Each part of 4 KiB was granted as a small head of its own, which may cut responses of slow readers and is not bounded by the quarter for large heads. Found by reading.

Evidence: a test of the ledger in which a head takes its largest small size already and grows by a byte beside a full quarter; it was granted before.

Change: the ledger is told what a head takes already, and decides by its whole size.

--- a/internal/flowcontrol/ledger.go
+++ b/internal/flowcontrol/ledger.go
@@ -123,10 +123,11 @@
 // HeadCost returns what the head of a request takes, of a number of bytes and lines.
 func HeadCost(size, lines int) int64 { return int64(size) + headLineBytes*int64(lines) }
 
-// GrowHeads accounts for n more bytes of the heads of requests, and reports whether there is room. Only
-// a small head cuts responses: an ordinary request has room beside heads of very many lines.
-func (l *Ledger) GrowHeads(n int64, now time.Duration) (granted bool, cuts []Cut) {
-	if n > smallHead {
+// GrowHeads accounts for n more bytes of the head of a request that takes some already, and reports
+// whether there is room. Only a small head cuts responses: an ordinary request has room beside heads of
+// very many lines.
+func (l *Ledger) GrowHeads(taken, n int64, now time.Duration) (granted bool, cuts []Cut) {
+	if taken+n > smallHead {
 		granted = l.held+n <= l.budget && float64(l.heads+n) <= headFraction*float64(l.budget)
 	} else {
 		granted, cuts = l.makeRoom(noRequest, n, now)
--- a/internal/flowcontrol/ledger_test.go
+++ b/internal/flowcontrol/ledger_test.go
@@ -197,7 +197,7 @@
 	const budget = 1 << 20
 	l := NewLedger(budget)
 	growHeads := func(n int64) bool {
-		granted, _ := l.GrowHeads(n, 0)
+		granted, _ := l.GrowHeads(0, n, 0)
 		return granted
 	}
 	if !growHeads(budget/4) || growHeads(smallHead+1) {
@@ -221,7 +221,7 @@
 	const budget = 1 << 20
 	l := NewLedger(budget)
 	for l.Held() < budget {
-		if granted, _ := l.GrowHeads(min(smallHead, budget-l.Held()), 0); !granted {
+		if granted, _ := l.GrowHeads(0, min(smallHead, budget-l.Held()), 0); !granted {
 			t.Fatal("a small head has no room")
 		}
 	}
@@ -237,8 +237,11 @@
 func TestSmallHeadHasRoomBesideLargeOnes(t *testing.T) {
 	const budget = 1 << 20
 	l := NewLedger(budget)
-	l.GrowHeads(budget/4, 0)
-	if granted, cuts := l.GrowHeads(1266, 0); !granted || len(cuts) > 0 {
+	l.GrowHeads(0, budget/4, 0)
+	if granted, _ := l.GrowHeads(smallHead, 1, 0); granted {
+		t.Error("a head has room in small parts that it does not have at once")
+	}
+	if granted, cuts := l.GrowHeads(0, 1266, 0); !granted || len(cuts) > 0 {
 		t.Errorf("beside large heads: granted %v, %d cuts", granted, len(cuts))
 	}
 	for granted := true; granted; {
@@ -249,7 +252,7 @@
 	}
 	cut := 0
 	for range 10 {
-		granted, cuts := l.GrowHeads(1266, 2*time.Second)
+		granted, cuts := l.GrowHeads(0, 1266, 2*time.Second)
 		if cut += len(cuts); !granted {
 			t.Error("refused beside responses that are not read")
 		}
--- a/internal/httplimit/account.go
+++ b/internal/httplimit/account.go
@@ -23,13 +23,13 @@
 }
 
 // GrowHeads implements Account.
-func (a *MemoryAccount) GrowHeads(n int64) *fault.Error {
+func (a *MemoryAccount) GrowHeads(charged, n int64) *fault.Error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if granted, _ := a.ledger.GrowHeads(n, time.Since(a.started)); granted { // no response is in the account to be cut
+	if granted, _ := a.ledger.GrowHeads(charged, n, time.Since(a.started)); granted { // no response is in the account to be cut
 		return nil
 	}
-	return fault.New(fault.Overloaded, "a head that takes %d bytes does not fit beside the %d bytes that are held", n, a.ledger.Held())
+	return fault.New(fault.Overloaded, "a head that takes %d bytes does not fit beside the %d bytes that are held", charged+n, a.ledger.Held())
 }
 
 // ReleaseHeads implements Account.
--- a/internal/httplimit/conn.go
+++ b/internal/httplimit/conn.go
@@ -242,7 +242,7 @@
 
 // charge charges the account, or returns the refusal.
 func (c *conn) charge(n int64) *fault.Error {
-	refusal := c.group.config.Account.GrowHeads(n)
+	refusal := c.group.config.Account.GrowHeads(c.charged, n)
 	if refusal == nil {
 		c.charged += n
 	}
--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -28,7 +28,7 @@
 	held, limit int64
 }
 
-func (a *account) GrowHeads(n int64) *fault.Error {
+func (a *account) GrowHeads(_, n int64) *fault.Error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.held+n > a.limit {
--- a/internal/httplimit/server.go
+++ b/internal/httplimit/server.go
@@ -66,8 +66,9 @@
 
 // Account grants the memory that heads of requests take.
 type Account interface {
-	// GrowHeads accounts for n bytes, or returns the refusal.
-	GrowHeads(n int64) *fault.Error
+	// GrowHeads accounts for n more bytes of a head that is charged with some already, or returns the
+	// refusal.
+	GrowHeads(charged, n int64) *fault.Error
 	// ReleaseHeads ends the account of n bytes.
 	ReleaseHeads(n int64)
 }
--- a/internal/relay/flowcontrol.go
+++ b/internal/relay/flowcontrol.go
@@ -146,11 +146,12 @@
 	return out[:n], err
 }
 
-// GrowHeads accounts for n bytes of the heads of requests, or returns the refusal.
-func (r *Relay) GrowHeads(n int64) *fault.Error {
+// GrowHeads accounts for n more bytes of the head of a request that is charged with some already, or returns
+// the refusal.
+func (r *Relay) GrowHeads(charged, n int64) *fault.Error {
 	f := r.flow
 	f.mu.Lock()
-	granted, cuts := f.ledger.GrowHeads(n, f.now())
+	granted, cuts := f.ledger.GrowHeads(charged, n, f.now())
 	held := f.ledger.Held()
 	f.mu.Unlock()
 	f.cut(cuts, errMemoryBudget)
@@ -158,7 +159,7 @@
 		return nil
 	}
 	f.metrics.RefusedForMemory.Inc(1)
-	return fault.New(fault.Overloaded, "a head that takes %d bytes does not fit beside the %d bytes that are held", n, held)
+	return fault.New(fault.Overloaded, "a head that takes %d bytes does not fit beside the %d bytes that are held", charged+n, held)
 }
 
 // ReleaseHeads ends the account of n bytes of the heads of requests.
--- a/internal/relay/forwarded.go
+++ b/internal/relay/forwarded.go
@@ -37,7 +37,7 @@
 	}
 	defer r.endForwarded()
 	headCost := headerCost(call.Header)
-	if refusal := r.GrowHeads(headCost); refusal != nil {
+	if refusal := r.GrowHeads(0, headCost); refusal != nil {
 		r.Refuse(&call, out, fault.New(fault.HelperUnable, "%v", refusal))
 		return
 	}
