daemon: the evidence of cascades is kept for a bounded number of request classes

Callers of the own interface saw: a daemon that takes more memory with each request that names another class, and goes over all of them each second.

Cause: classes are keyed by X-Request-Class as it is sent, to 64 KiB, and so are up to 20,000 samples whose rating is outstanding.

Change: a cascade of a workspace has 64 classes with names of at most 128 bytes; others are the class "other". Below that nothing changes.

--- a/internal/daemon/cascades.go
+++ b/internal/daemon/cascades.go
@@ -19,6 +19,11 @@
 	sampleSubmitTimeout = 2 * time.Second
 	// maxPendingSamples bounds the samples whose rating is outstanding.
 	maxPendingSamples = 20000
+	// maxClasses is the number of request classes of a cascade with evidence of their own: callers may
+	// name any. Others, and those with a name of more than maxClassBytes bytes, are otherClasses.
+	maxClasses    = 64
+	maxClassBytes = 128
+	otherClasses  = "other"
 )
 
 // cascadePlanner collects ratings and derives the plan of each cascade of each
@@ -58,6 +63,7 @@
 }
 
 func (s *cascadeState) class(name string) *cascade.Class {
+	name = s.boundedClass(name)
 	class := s.classes[name]
 	if class == nil {
 		class = &cascade.Class{}
@@ -66,6 +72,21 @@
 	return class
 }
 
+// boundedClass returns the name under which the evidence of a class is kept.
+func (s *cascadeState) boundedClass(name string) string {
+	if s.classes[name] == nil && (len(s.classes) >= maxClasses || len(name) > maxClassBytes) {
+		return otherClasses
+	}
+	return name
+}
+
+// boundedClass returns the name under which the evidence of a class of a cascade is kept.
+func (c *cascadePlanner) boundedClass(cascadeKey, name string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stateOf(cascadeKey).boundedClass(name)
+}
+
 // useCheapFirst reports whether a request goes to the cheap model first.
 // cheapModel is "model@version"; the collected evidence is discarded when it changes.
 func (c *cascadePlanner) useCheapFirst(cascadeKey, class, cheapModel string) bool {
--- a/internal/daemon/chat.go
+++ b/internal/daemon/chat.go
@@ -200,6 +200,7 @@
 		class = defaultClass
 	}
 	cascadeKey := req.Workspace + "/" + req.Model
+	class = d.cascades.boundedClass(cascadeKey, class)
 	first := 0
 	var kept *keptAnswer
 	if len(models) > 1 {
--- a/lab/hostile/series_test.go
+++ b/lab/hostile/series_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/api"
 )
 
 const (
@@ -87,3 +89,23 @@
 		})
 	}
 }
+
+// Guards against what the own interface keeps of requests after their answers, by values that clients choose.
+func TestSeriesAtTheOwnInterfaceOfWhichEachHasAnotherValue(t *testing.T) {
+	const body = `{"model":"desk","max_tokens":8,"messages":[{"role":"user","content":"status"}]}`
+	request := func(more string) string {
+		return ownHead(http.MethodPost, "/v1/chat/completions") + more + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	for name, send := range map[string]func(id int) string{
+		"classes":  func(id int) string { return request(api.HeaderRequestClass + ": " + unique(id) + "\r\n") },
+		"sessions": func(id int) string { return request(api.HeaderSessionID + ": " + unique(id) + "\r\n") },
+		"paths": func(id int) string {
+			return ownHead(http.MethodGet, "/v1/models/"+unique(id)) + "\r\n"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startOwnDaemon(t, nil)
+			d.playBeside(d.settings.ListenAddress, seriesCrowd, series(send))
+		})
+	}
+}
