--- a/internal/daemon/denials.go
+++ b/internal/daemon/denials.go
@@ -1,6 +1,9 @@
 package daemon
 
-import "github.com/damaskrudder/damaskrudder/internal/fault"
+import (
+	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/logs"
+)
 
 // withholdDenial returns the error of a request for its caller. Every denial by the configuration
 // passes through it: callers never repeat a request after a final error, so one of a request that did
@@ -13,7 +16,7 @@
 	if !fault.Lookup(e.Kind).Final() || e.ExecutionState() != fault.NotRun {
 		return err
 	}
-	d.log.Info("denial withheld", "withheld", e.Kind, "why", e.Detail, "config", d.config.current().Number)
+	d.log.Info("denial withheld", "withheld", e.Kind, "why", logs.Bounded(e.Detail), "config", d.config.current().Number)
 	return fault.New(fault.ConfigurationStale, "the configuration that denies the request was not confirmed lately").WithCause(e)
 }
 
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/damaskrudder/damaskrudder/internal/engine"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/logs"
 	"github.com/damaskrudder/damaskrudder/internal/loop"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/request"
@@ -218,7 +219,7 @@
 // request.
 func (d *Daemon) forwardRefusal(address, id string, refusal *fault.Encoded, state *request.RetryState) error {
 	e := refusal.Decode()
-	d.log.Info("forwarded request refused", "request", id, "daemon", address, "kind", e.Kind, "ran", e.ExecutionState(), "why", e.Detail)
+	d.log.Info("forwarded request refused", "request", id, "daemon", address, "kind", e.Kind, "ran", e.ExecutionState(), "why", logs.Bounded(e.Detail))
 	if e.ExecutionState() == fault.NotRun && helperAtFault(e.Kind) {
 		if e.Kind != fault.ServerSaturated {
 			d.balancer.recordHelper(address, false)
--- a/internal/daemon/forwarded.go
+++ b/internal/daemon/forwarded.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/logs"
 	"github.com/damaskrudder/damaskrudder/internal/peer"
 	"github.com/damaskrudder/damaskrudder/internal/quarantine"
 	"github.com/damaskrudder/damaskrudder/internal/request"
@@ -32,7 +33,7 @@
 	if err != nil {
 		e := fault.FromError(err)
 		d.RecordRefusal(string(e.Kind))
-		d.log.Info("refused", "request", id, "kind", e.Kind, "ran", e.ExecutionState(), "why", e.Detail, "from", from)
+		d.log.Info("refused", "request", id, "kind", e.Kind, "ran", e.ExecutionState(), "why", logs.Bounded(e.Detail), "from", from)
 		resp = peer.ForwardResponse{Refusal: e.Encode()}
 	}
 	_ = send(resp) // the other daemon has disconnected
