--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -17,6 +18,20 @@
 	})
 }
 
+// Guards against limits that leave a daemon no room to work.
+func TestLimitsOfTheVMAreChecked(t *testing.T) {
+	const valid = `{"id":"a","region":"r","failure_domain":"f","listen":"127.0.0.1:1","peer_listen":"127.0.0.1:2","log":"http://x",%s}`
+	for field, accepted := range map[string]bool{
+		`"max_header_bytes":4096`: true, `"max_header_bytes":4095`: false, `"max_header_bytes":0`: false,
+		`"memory_mb":96`: true, `"memory_mb":0`: true, `"memory_mb":95`: false, `"memory_mb":-1`: false,
+		`"max_files":128`: true, `"max_files":0`: true, `"max_files":127`: false,
+	} {
+		if _, err := Parse(fmt.Appendf(nil, valid, field)); (err == nil) != accepted {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
+
 func TestSecretsValidationAndRedaction(t *testing.T) {
 	validKey := strings.Repeat("k", minSecretBytes)
 	valid := Secrets{PeerKey: validKey, OperatorKey: validKey, SessionCurrent: "k1", SessionKeys: map[string]string{"k1": validKey}}
