--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -1,6 +1,7 @@
 // Package connlimit decides how many connections a daemon accepts from its clients, and which one it
-// closes when there are too many. It answers crowds of clients that open connections and send no
-// requests: those that do send one must still get in. The package does no I/O and does not read the clock.
+// evicts for a new one when there are too many. It answers crowds of clients that open connections and
+// send no requests: those that do send one must still be accepted. The package does no I/O and does not
+// read the clock.
 package connlimit
 
 import "time"
@@ -17,9 +18,9 @@
 	minConnections = 16
 )
 
-// Max returns the number of connections of clients that a daemon accepts. Descriptors are those for
+// MaxConnections returns the number of connections of clients that a daemon accepts. Descriptors are those for
 // sockets, and memory is in bytes; zero means that either is unlimited.
-func Max(descriptors int, memory int64) int {
+func MaxConnections(descriptors int, memory int64) int {
 	limit := int(^uint(0) >> 1)
 	if descriptors > 0 {
 		limit = int(inboundFraction * float64(descriptors))
@@ -36,12 +37,12 @@
 const (
 	// Closing connections are refused and about to be closed.
 	Closing Activity = iota
-	// Silent connections have sent nothing since they were accepted or the last response was complete.
-	Silent
-	// Receiving connections have sent a part of the head of a request.
-	Receiving
-	// Uploading connections have a request of whose body a part is due. It has not been passed on.
-	Uploading
+	// Idle connections have sent nothing since they were accepted or the last response was complete.
+	Idle
+	// ReadingHead connections have sent a part of the head of a request.
+	ReadingHead
+	// ReadingBody connections have a request whose body is incomplete. It has not been sent to a server.
+	ReadingBody
 	// Upgraded connections carry messages of another protocol.
 	Upgraded
 	// Responding connections have a request that is being handled.
@@ -57,8 +58,8 @@
 	// Listener is the name of the listener that has accepted it.
 	Listener string
 	Activity Activity
-	// Since is when a silent connection became silent, the head on a receiving one began, or an
-	// uploading or upgraded one last sent something.
+	// Since is when an idle connection became idle, a head began, or a body or another protocol last
+	// sent something.
 	Since time.Duration
 	// Unread is since when the client of a responding connection has taken nothing that was written;
 	// zero if nothing waits for it.
@@ -78,7 +79,7 @@
 	return c.Since
 }
 
-// Victim returns the index of the connection to close for a new one, or -1 if the new one must not be
+// Victim returns the index of the connection to evict for a new one, or -1 if the new one must not be
 // accepted. It is one at the listener that has the most connections that may be closed, so that a crowd
 // at one listener leaves those of the others open; there it is the one that has kept the daemon waiting
 // for longest, of the lowest activity.
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func TestMaxLeavesDescriptorsForServers(t *testing.T) {
+func TestMaxConnectionsLeavesDescriptorsForServers(t *testing.T) {
 	for _, tt := range []struct {
 		descriptors int
 		memory      int64
@@ -17,7 +17,7 @@
 		{10, 0, minConnections},
 		{0, 64 << 20, 1024},
 	} {
-		if got := Max(tt.descriptors, tt.memory); got != tt.want {
+		if got := MaxConnections(tt.descriptors, tt.memory); got != tt.want {
 			t.Errorf("%d descriptors, %d bytes: %d, want %d", tt.descriptors, tt.memory, got, tt.want)
 		}
 	}
@@ -33,18 +33,18 @@
 	}{
 		{"none", nil, -1},
 		{"only requests", []Connection{{"a", Responding, at(1), 0}, {"a", Responding, at(2), 0}}, -1},
-		{"longest silent", []Connection{{"a", Silent, at(3), 0}, {"a", Silent, at(2), 0}, {"a", Responding, at(1), 0}}, 1},
-		{"silent before heads", []Connection{{"a", Receiving, at(1), 0}, {"a", Silent, at(50), 0}}, 1},
-		{"heads before bodies", []Connection{{"a", Uploading, at(1), 0}, {"a", Receiving, at(50), 0}}, 1},
-		{"bodies before other protocols", []Connection{{"a", Upgraded, at(1), 0}, {"a", Uploading, at(50), 0}}, 1},
-		{"longest silent of other protocols", []Connection{{"a", Upgraded, at(3), 0}, {"a", Upgraded, at(2), 0}, {"a", Responding, at(1), 0}}, 1},
-		{"bodies before responses", []Connection{{"a", Responding, at(1), at(1)}, {"a", Uploading, at(50), 0}}, 1},
-		{"refused first", []Connection{{"a", Silent, at(1), 0}, {"a", Closing, at(50), 0}}, 1},
+		{"longest idle", []Connection{{"a", Idle, at(3), 0}, {"a", Idle, at(2), 0}, {"a", Responding, at(1), 0}}, 1},
+		{"idle before heads", []Connection{{"a", ReadingHead, at(1), 0}, {"a", Idle, at(50), 0}}, 1},
+		{"heads before bodies", []Connection{{"a", ReadingBody, at(1), 0}, {"a", ReadingHead, at(50), 0}}, 1},
+		{"bodies before other protocols", []Connection{{"a", Upgraded, at(1), 0}, {"a", ReadingBody, at(50), 0}}, 1},
+		{"longest idle of other protocols", []Connection{{"a", Upgraded, at(3), 0}, {"a", Upgraded, at(2), 0}, {"a", Responding, at(1), 0}}, 1},
+		{"bodies before responses", []Connection{{"a", Responding, at(1), at(1)}, {"a", ReadingBody, at(50), 0}}, 1},
+		{"refused first", []Connection{{"a", Idle, at(1), 0}, {"a", Closing, at(50), 0}}, 1},
 		{"longest unread response", []Connection{{"a", Responding, at(1), at(50)}, {"a", Responding, at(2), at(40)}}, 1},
 		{"a response that was just written", []Connection{{"a", Responding, at(1), now - unreadTime/2}}, -1},
-		{"crowd at another listener", []Connection{{"a", Silent, at(1), 0}, {"b", Silent, at(3), 0}, {"b", Silent, at(2), 0}}, 2},
-		{"crowd of heads at another listener", []Connection{{"a", Silent, at(1), 0}, {"b", Receiving, at(3), 0}, {"b", Receiving, at(2), 0}}, 2},
-		{"many requests are no crowd", []Connection{{"a", Responding, at(1), 0}, {"a", Responding, at(1), 0}, {"a", Silent, at(4), 0}, {"b", Silent, at(3), 0}, {"b", Silent, at(2), 0}}, 4},
+		{"crowd at another listener", []Connection{{"a", Idle, at(1), 0}, {"b", Idle, at(3), 0}, {"b", Idle, at(2), 0}}, 2},
+		{"crowd of heads at another listener", []Connection{{"a", Idle, at(1), 0}, {"b", ReadingHead, at(3), 0}, {"b", ReadingHead, at(2), 0}}, 2},
+		{"many requests are no crowd", []Connection{{"a", Responding, at(1), 0}, {"a", Responding, at(1), 0}, {"a", Idle, at(4), 0}, {"b", Idle, at(3), 0}, {"b", Idle, at(2), 0}}, 4},
 	} {
 		if got := Victim(tt.conns, now); got != tt.want {
 			t.Errorf("%s: %d, want %d", tt.name, got, tt.want)
--- a/internal/httplimit/conn.go
+++ b/internal/httplimit/conn.go
@@ -129,7 +129,7 @@
 		fallthrough
 	default:
 		c.inBody = true
-		c.refused = !c.setActivity(connlimit.Uploading)
+		c.refused = !c.setActivity(connlimit.ReadingBody)
 	}
 	return n
 }
@@ -271,7 +271,7 @@
 	}
 	switch {
 	case n > 0 && !began:
-		c.refused = !c.setActivity(connlimit.Receiving)
+		c.refused = !c.setActivity(connlimit.ReadingHead)
 		c.limitRead(time.Time{})
 	case n == 0 && began && c.late(err):
 		c.refuse(fault.New(fault.HeadTimeout, "the head did not arrive within %s", c.waitLimit(began)), reasonHeadTimeout)
@@ -289,7 +289,7 @@
 	case c.answered:
 		return limits.idleTimeout()
 	}
-	return maxSilentTime
+	return firstRequestTimeout
 }
 
 // late reports whether a read failed because of the deadline of this package.
@@ -360,7 +360,7 @@
 		c.closesAfterRequest = c.closesAfterRequest || c.inBody
 		c.serving, c.answered = false, true
 		c.release()
-		c.setActivity(connlimit.Silent)
+		c.setActivity(connlimit.Idle)
 	case http.StateHijacked:
 		c.upgraded, c.released = true, len(c.pending)
 		c.limitRead(time.Time{})
--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -280,24 +280,24 @@
 	}
 }
 
-// Guards against silent connections that shut out those with requests.
-func TestSilentConnectionsGiveWay(t *testing.T) {
+// Guards against idle connections that shut out those with requests.
+func TestIdleConnectionsAreEvicted(t *testing.T) {
 	b := newBounded(t, 20, http.HandlerFunc(echo))
-	var silent []net.Conn
+	var idle []net.Conn
 	for range 60 {
-		silent = append(silent, dial(t, b.address))
+		idle = append(idle, dial(t, b.address))
 	}
 	if got := exchange(t, b.address, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
-		t.Errorf("beside silent connections: got %q", got)
+		t.Errorf("beside idle connections: got %q", got)
 	}
-	_ = silent[0].SetReadDeadline(time.Now().Add(time.Minute)) // fails only on a closed connection
-	if n, err := silent[0].Read(make([]byte, 1)); n != 0 || err == nil {
-		t.Errorf("the first silent connection got %d bytes, %v", n, err)
+	_ = idle[0].SetReadDeadline(time.Now().Add(time.Minute)) // fails only on a closed connection
+	if n, err := idle[0].Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Errorf("the first idle connection got %d bytes, %v", n, err)
 	}
 }
 
 // Guards against requests that are ended for new connections while they are being handled.
-func TestConnectionsWithRequestsDoNotGiveWay(t *testing.T) {
+func TestConnectionsWithRequestsAreNotEvicted(t *testing.T) {
 	reached, release := make(chan bool), make(chan bool)
 	b := newBounded(t, 4, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		reached <- true
@@ -322,7 +322,7 @@
 }
 
 // Guards against a body that is due and shuts out others: its request is answered before its place is taken.
-func TestRequestWhoseBodyIsDueGivesWay(t *testing.T) {
+func TestRequestWithIncompleteBodyIsEvicted(t *testing.T) {
 	reading := make(chan bool, 10)
 	b := newBounded(t, 2, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		reading <- true
@@ -346,7 +346,7 @@
 }
 
 // Guards against upgraded connections that are counted after they are closed, or shut out others.
-func TestUpgradedConnectionsGiveWay(t *testing.T) {
+func TestUpgradedConnectionsAreEvicted(t *testing.T) {
 	upgraded := make(chan bool, 100)
 	b := newBounded(t, 4, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Upgrade") == "" {
@@ -419,12 +419,12 @@
 	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 6\r\n\r\nabc") // a failure shows below
 	<-reading
 	judged := b.only(t)
-	if got := judged.state().Activity; got != connlimit.Uploading {
+	if got := judged.state().Activity; got != connlimit.ReadingBody {
 		t.Fatalf("activity %d", got)
 	}
 	_, _ = io.WriteString(c, "def") // a failure shows below
 	<-reading
-	if judged.claim(connlimit.Uploading) {
+	if judged.claim(connlimit.ReadingBody) {
 		t.Error("a request that is being handled was claimed")
 	}
 	close(release)
@@ -446,7 +446,7 @@
 	c := dial(t, b.address)
 	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabc") // a failure shows below
 	<-reading
-	if !b.only(t).claim(connlimit.Uploading) {
+	if !b.only(t).claim(connlimit.ReadingBody) {
 		t.Fatal("not claimed")
 	}
 	_, _ = io.WriteString(c, "def") // a failure shows below
--- a/internal/httplimit/refusal.go
+++ b/internal/httplimit/refusal.go
@@ -89,10 +89,10 @@
 func (c *conn) evict(activity connlimit.Activity) {
 	c.group.report.refused(c, refusal{why: reasonEvicted})
 	switch activity {
-	case connlimit.Uploading:
+	case connlimit.ReadingBody:
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // ends a read that waits; fails only on a closed connection
 		return
-	case connlimit.Silent, connlimit.Receiving:
+	case connlimit.Idle, connlimit.ReadingHead:
 		c.markAnswered() // no request is lost
 	}
 	go func() { _ = c.Conn.Close() }() // fails only if it is closed already
--- a/internal/httplimit/server.go
+++ b/internal/httplimit/server.go
@@ -36,9 +36,9 @@
 	// be lost on the way and sent again.
 	headTimeoutFactor = 2
 	// minIdleTimeout is the least time for which a connection may be without a request, and
-	// maxSilentTime that before its first one.
-	minIdleTimeout = 90 * time.Second
-	maxSilentTime  = 20 * time.Second
+	// firstRequestTimeout how long it may be before its first one.
+	minIdleTimeout      = 90 * time.Second
+	firstRequestTimeout = 20 * time.Second
 	// serverTimeout is the limit of net/http, beyond those of this package.
 	serverTimeout = time.Hour
 	// serverHeadBytes is the limit of net/http on a head, beyond those of this package.
@@ -163,7 +163,7 @@
 		return nil, err
 	}
 	c := &conn{Conn: accepted, group: l.group, listener: l.name}
-	c.activity.kind.Store(uint32(connlimit.Silent))
+	c.activity.kind.Store(uint32(connlimit.Idle))
 	c.activity.since.Store(int64(l.group.now()))
 	victim, activity, admitted := l.group.admit(c)
 	if victim != nil {
@@ -185,7 +185,7 @@
 		if victim, activity = g.claimVictim(); victim == nil {
 			return nil, 0, false
 		}
-		if activity != connlimit.Uploading { // else it closes after its answer, or for the next connection
+		if activity != connlimit.ReadingBody { // else it closes after its answer, or for the next connection
 			g.remove(victim)
 		}
 	}
@@ -227,8 +227,8 @@
 // activity is what a connection is used for, and since when. It is read while the connection is used.
 type activity struct {
 	kind atomic.Uint32
-	// since is when a silent connection became silent, a head began or a body last came, and writing
-	// is when a write began that has not ended; zero if none is blocked.
+	// since is that of connlimit.Connection, and writing is when a write began that has not ended; zero
+	// if there is none.
 	since, writing atomic.Int64
 }
 
--- a/internal/vmlimits/vmlimits.go
+++ b/internal/vmlimits/vmlimits.go
@@ -58,7 +58,7 @@
 }
 
 // MaxConnections returns the number of connections of clients that may be open.
-func (l Limits) MaxConnections() int { return connlimit.Max(l.sockets(), l.Memory) }
+func (l Limits) MaxConnections() int { return connlimit.MaxConnections(l.sockets(), l.Memory) }
 
 // sockets returns the number of descriptors for sockets; zero if it is not known.
 func (l Limits) sockets() int {
