--- a/review/standins/caller.go
+++ b/review/standins/caller.go
@@ -13,10 +13,10 @@
 
 // request is one attempt of a consumer, what it got and who ran it.
 type request struct {
-	id, route, daemon, session string
-	sentAt, answered           time.Duration
-	status                     int
-	err                        error
+	id, route, daemon, session, key string
+	sentAt, answered                time.Duration
+	status                          int
+	err                             error
 	// sealed is set if the answer has a server's seal.
 	sealed bool
 	runs   []run
@@ -77,8 +77,8 @@
 )
 
 // send sends one request and records its answer. It is not repeated.
-func (h *history) send(client *http.Client, d *daemon, n int, method, route, session string) {
-	r := &request{id: fmt.Sprintf("%016x", 0x5eed0000+n), route: route, daemon: d.name, session: session, sentAt: h.now()}
+func (h *history) send(client *http.Client, d *daemon, n int, method, route, session, key string) {
+	r := &request{id: fmt.Sprintf("%016x", 0x5eed0000+n), route: route, daemon: d.name, session: session, key: key, sentAt: h.now()}
 	h.mu.Lock()
 	h.byID[r.id], h.all = r, append(h.all, r)
 	h.mu.Unlock()
@@ -98,7 +98,9 @@
 	if session != "" {
 		req.Header.Set("Session", session)
 	}
-	req.Header.Set("Authorization", "Bearer "+consumerKey)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := client.Do(req)
 	status, sealed := 0, false
 	if err == nil {
@@ -112,8 +114,8 @@
 }
 
 // consume sends requests at a rate until ctx ends, to all daemons, on kept channels. Half of them belong to
-// sessions.
-func (h *history) consume(ctx context.Context, daemons []*daemon, perSecond, payShare float64, sessions int) {
+// sessions, if there are any.
+func (h *history) consume(ctx context.Context, daemons []*daemon, perSecond, payShare float64, sessions int, keys ...string) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -123,13 +125,14 @@
 		time.Sleep(time.Until(next))
 		d := daemons[rand.Intn(len(daemons))]
 		session := ""
-		if i := rand.Intn(2 * sessions); i < sessions {
+		key := keys[rand.Intn(len(keys))]
+		if i := rand.Intn(2*sessions + 1); i < sessions {
 			session = fmt.Sprintf("runner-%d", i)
 		}
 		if rand.Float64() < payShare {
-			wg.Go(func() { h.send(client, d, n, http.MethodPost, "entry-pay", session) })
+			wg.Go(func() { h.send(client, d, n, http.MethodPost, "entry-pay", session, key) })
 			continue
 		}
-		wg.Go(func() { h.send(client, d, n, http.MethodGet, "bib-status", session) })
+		wg.Go(func() { h.send(client, d, n, http.MethodGet, "bib-status", session, key) })
 	}
 }
--- a/review/standins/withdrawn.go
+++ b/review/standins/withdrawn.go
@@ -32,12 +32,13 @@
 	maxMoved = 3
 )
 
-const withdrawnConfig = `{"version":7,"routes":[
+// appConfig is the configuration of one plain service, with a version and the tenants.
+const appConfig = `{"version":%d,"routes":[
 {"name":"r-pay","host":"wuny96.example","path_prefix":"/entry-pay/","kind":"non_idempotent","timeout_ms":600,"latency_target_ms":100,"priority":2,"service":"inscricao","attempts":1,"public":false},
 {"name":"r-status","host":"wuny96.example","path_prefix":"/bib-status/","kind":"idempotent","timeout_ms":600,"latency_target_ms":100,"priority":2,"service":"inscricao","attempts":2,"public":false}],
 "services":[{"name":"inscricao","health_path":"/healthz","max_conns":96,"protocol":"h1","tls":false}],
 "limits":{"header_bytes":16384,"body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"hule930","keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}`
+"tenants":%s}`
 
 // withdrawnVersion orders a bad version, which the system rolls back, and then a mended one.
 func withdrawnVersion(p *play) (broken []string, err error) {
@@ -54,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st.put(name["operator"], "config", []byte(withdrawnConfig))
+	st.put(name["operator"], "config", fmt.Appendf(nil, appConfig, 7, `[{"name":"hule930","keys":["`+consumerKey+`"],"priority":1}]`))
 	start := func(version string, share float64) (list []*server, err error) {
 		for i := range perVersion {
 			s, err := startServer(st, fmt.Sprintf("i-%s-%d", version, i), "inscricao", version, zones[i%len(zones)], "127.0.0.3", share, h.began, h.ended)
@@ -76,7 +77,7 @@
 	time.Sleep(5 * time.Second)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { h.consume(ctx, daemons, perSecond, payShare, sessions); close(done) }()
+	go func() { h.consume(ctx, daemons, perSecond, payShare, sessions, consumerKey); close(done) }()
 	defer func() { stop(); <-done }()
 	time.Sleep(4 * time.Second)
 
