--- a/review/standins/caller.go
+++ b/review/standins/caller.go
@@ -71,6 +71,7 @@
 }
 
 const (
+	resolveInterval  = 2 * time.Second
 	consumerDeadline = 600 * time.Millisecond
 	consumerHost     = "wuny96.example"
 	consumerKey      = "n2ctnfzs989anu6wsjnb"
@@ -113,17 +114,25 @@
 	r.answered, r.status, r.sealed, r.err = h.now(), status, sealed, err
 }
 
-// consume sends requests at a rate until ctx ends, to all daemons, on kept channels. Half of them belong to
+// consume sends requests at a rate until ctx ends, on kept channels, to the daemons that the directory names.
+// It asks that again every resolveInterval, and keeps what it knows if it gets none. Half of them belong to
 // sessions, if there are any.
 func (h *history) consume(ctx context.Context, daemons []*daemon, perSecond, payShare float64, sessions int, keys ...string) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	known, asked := daemons, time.Time{}
 	next := time.Now()
 	for n := 0; ctx.Err() == nil; n++ {
+		if time.Since(asked) > resolveInterval {
+			asked = time.Now()
+			if found := resolve(daemons[rand.Intn(len(daemons))], daemons); len(found) > 0 {
+				known = found
+			}
+		}
 		next = next.Add(time.Duration((0.5 + rand.Float64()) / perSecond * float64(time.Second)))
 		time.Sleep(time.Until(next))
-		d := daemons[rand.Intn(len(daemons))]
+		d := known[rand.Intn(len(known))]
 		session := ""
 		key := keys[rand.Intn(len(keys))]
 		if i := rand.Intn(2*sessions + 1); i < sessions {
--- a/review/standins/daemon.go
+++ b/review/standins/daemon.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -14,9 +16,9 @@
 
 // daemon is a process of the system, started with the command of the deploy file.
 type daemon struct {
-	name, front, ready string
-	cmd                *exec.Cmd
-	log                *os.File
+	name, front, ready, directory string
+	cmd                           *exec.Cmd
+	log                           *os.File
 }
 
 // zones are the failure domains of the deployment.
@@ -130,7 +132,7 @@
 	}
 	for i, p := range places {
 		at := func(j int) string { return fmt.Sprintf("%s:%d", p.ip, p.ports[j]) }
-		d := &daemon{name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i), front: at(0), ready: at(1)}
+		d := &daemon{name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i), front: at(0), ready: at(1), directory: at(3)}
 		file := filepath.Join(dir, d.name+".toml")
 		text := fmt.Sprintf(settingsTemplate, d.name, p.ip, zones[i%len(zones)], strings.Join(seeds, ","), at(0), at(1), at(2), at(3), storeAddress)
 		if err = os.WriteFile(file, []byte(text), 0o644); err != nil {
@@ -151,6 +153,26 @@
 	return list, awaitReady(list)
 }
 
+// resolve asks the directory of a daemon where to connect, and returns the daemons that it names.
+func resolve(d *daemon, all []*daemon) (found []*daemon) {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + d.directory + name["resolve"] + "?name=" + consumerHost + "&region=porto-alegre&zone=" + zones[0])
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }() // it has been read
+	var body struct{ Addresses []string }
+	if json.NewDecoder(resp.Body).Decode(&body) != nil {
+		return nil
+	}
+	for _, other := range all {
+		if slices.Contains(body.Addresses, other.front) {
+			found = append(found, other)
+		}
+	}
+	return found
+}
+
 // awaitReady waits until all daemons say that they are ready.
 func awaitReady(list []*daemon) error {
 	deadline := time.Now().Add(20 * time.Second)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -7,9 +7,13 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 )
 
+// The daemons end with the thread that has started them, which has to be the main one.
+func init() { runtime.LockOSThread() }
+
 // cases are the cases by name. Each returns what broke the rule, if anything did.
 var cases = map[string]func(p *play) (broken []string, err error){
 	"withdrawn-version": withdrawnVersion,
--- a/review/standins/withdrawn.go
+++ b/review/standins/withdrawn.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -222,3 +223,9 @@
 	}
 	return broken
 }
+
+// nth returns the nth smallest of some times, from 1.
+func nth(times []time.Duration, n int) time.Duration {
+	slices.Sort(times)
+	return times[n-1]
+}
