--- a/review/standins/caller.go
+++ b/review/standins/caller.go
@@ -13,10 +13,10 @@
 
 // request is one attempt of a consumer, what it got and who ran it.
 type request struct {
-	id, route, daemon, session, key string
-	sentAt, answered                time.Duration
-	status                          int
-	err                             error
+	id, route, daemon, key string
+	sentAt, answered       time.Duration
+	status                 int
+	err                    error
 	// sealed is set if the answer has a server's seal.
 	sealed bool
 	runs   []run
@@ -78,8 +78,8 @@
 )
 
 // send sends one request and records its answer. It is not repeated.
-func (h *history) send(client *http.Client, d *daemon, n int, method, route, session, key string) {
-	r := &request{id: fmt.Sprintf("%016x", 0x5eed0000+n), route: route, daemon: d.name, session: session, key: key, sentAt: h.now()}
+func (h *history) send(client *http.Client, d *daemon, n int, method, route, key string) {
+	r := &request{id: fmt.Sprintf("%016x", 0x5eed0000+n), route: route, daemon: d.name, key: key, sentAt: h.now()}
 	h.mu.Lock()
 	h.byID[r.id], h.all = r, append(h.all, r)
 	h.mu.Unlock()
@@ -96,9 +96,6 @@
 	req.Host, req.GetBody = consumerHost, nil // net/http must not repeat it
 	req.Header.Set(name["attempt"], r.id)
 	req.Header.Set(name["deadline"], fmt.Sprint(consumerDeadline.Milliseconds()))
-	if session != "" {
-		req.Header.Set("Session", session)
-	}
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
@@ -115,9 +112,8 @@
 }
 
 // consume sends requests at a rate until ctx ends, on kept channels, to the daemons that the directory names.
-// It asks that again every resolveInterval, and keeps what it knows if it gets none. Half of them belong to
-// sessions, if there are any.
-func (h *history) consume(ctx context.Context, daemons []*daemon, perSecond, payShare float64, sessions int, keys ...string) {
+// It asks that again every resolveInterval, and keeps what it knows if it gets none.
+func (h *history) consume(ctx context.Context, daemons []*daemon, perSecond, payShare float64, keys ...string) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -133,15 +129,11 @@
 		next = next.Add(time.Duration((0.5 + rand.Float64()) / perSecond * float64(time.Second)))
 		time.Sleep(time.Until(next))
 		d := known[rand.Intn(len(known))]
-		session := ""
 		key := keys[rand.Intn(len(keys))]
-		if i := rand.Intn(2*sessions + 1); i < sessions {
-			session = fmt.Sprintf("runner-%d", i)
-		}
 		if rand.Float64() < payShare {
-			wg.Go(func() { h.send(client, d, n, http.MethodPost, "entry-pay", session, key) })
+			wg.Go(func() { h.send(client, d, n, http.MethodPost, "entry-pay", key) })
 			continue
 		}
-		wg.Go(func() { h.send(client, d, n, http.MethodGet, "bib-status", session, key) })
+		wg.Go(func() { h.send(client, d, n, http.MethodGet, "bib-status", key) })
 	}
 }
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -16,8 +16,7 @@
 
 // cases are the cases by name. Each returns what broke the rule, if anything did.
 var cases = map[string]func(p *play) (broken []string, err error){
-	"withdrawn-version": withdrawnVersion,
-	"last-tenant":       lastTenant,
+	"last-tenant": lastTenant,
 }
 
 // play is what a case is given.
@@ -74,9 +73,9 @@
 	for _, line := range broken {
 		fmt.Fprintln(&b, "broken:", line)
 	}
-	fmt.Fprintln(&b, "\nsent s   request          route       session    key                  daemon               answered s status  runs: server version at s status")
+	fmt.Fprintln(&b, "\nsent s   request          route       key                  daemon               answered s status  runs: server version at s status")
 	for _, r := range h.all {
-		fmt.Fprintf(&b, "%8.3f %s %-11s %-10s %-20s %-20s %8.3f %d", r.sentAt.Seconds(), r.id, r.route, r.session, r.key, r.daemon, r.answered.Seconds(), r.status)
+		fmt.Fprintf(&b, "%8.3f %s %-11s %-20s %-20s %8.3f %d", r.sentAt.Seconds(), r.id, r.route, r.key, r.daemon, r.answered.Seconds(), r.status)
 		if r.err != nil {
 			fmt.Fprintf(&b, " (%v)", r.err)
 		}
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"math/rand"
@@ -18,17 +17,13 @@
 // number of slots, queues a few and sheds the rest.
 type server struct {
 	id, service, version, zone, address string
-	// badShare is the share of its answers that are failures.
-	badShare float64
-	store    *store
-	http     *http.Server
-	slots    chan struct{}
+	store                               *store
+	http                                *http.Server
+	slots                               chan struct{}
 
 	mu       sync.Mutex
-	state    string
 	sequence int
 	waiting  int
-	stopBeat context.CancelFunc
 	// onRun is called when a request begins to run, and onEnd with the status of its answer.
 	onRun func(id string, s *server)
 	onEnd func(id string, s *server, status int)
@@ -41,25 +36,18 @@
 )
 
 // startServer starts a server on a free port and registers it.
-func startServer(st *store, id, service, version, zone, ip string, badShare float64, onRun func(string, *server), onEnd func(string, *server, int)) (*server, error) {
+func startServer(st *store, id, service, version, zone, ip string, onRun func(string, *server), onEnd func(string, *server, int)) (*server, error) {
 	l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, service: service, version: version, zone: zone, address: l.Addr().String(), badShare: badShare, store: st, state: "ready", slots: make(chan struct{}, serverSlots), onRun: onRun, onEnd: onEnd}
+	s := &server{id: id, service: service, version: version, zone: zone, address: l.Addr().String(), store: st, slots: make(chan struct{}, serverSlots), onRun: onRun, onEnd: onEnd}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(l) }() // until the server is stopped
-	ctx, cancel := context.WithCancel(context.Background())
-	s.stopBeat = cancel
 	s.beat()
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(beatInterval):
-				s.beat()
-			}
+	go func() { // until the process ends
+		for range time.Tick(beatInterval) {
+			s.beat()
 		}
 	}()
 	return s, nil
@@ -70,23 +58,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
-	s.store.put(name["servers"], s.id, fmt.Appendf(nil, `{"service":%q,"addr":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"cold_ms":0,"sequence":%d}`,
-		s.service, s.address, s.zone, s.version, serverSlots, s.state, s.sequence))
-}
-
-// drain reports that the server leaves.
-func (s *server) drain() {
-	s.mu.Lock()
-	s.state = "draining"
-	s.mu.Unlock()
-	s.beat()
-}
-
-// stop ends the server at once and removes its entry.
-func (s *server) stop() {
-	s.stopBeat()
-	_ = s.http.Close() // it is discarded
-	s.store.put(name["servers"], s.id, nil)
+	s.store.put(name["servers"], s.id, fmt.Appendf(nil, `{"service":%q,"addr":%q,"zone":%q,"version":%q,"slots":%d,"state":"ready","cold_ms":0,"sequence":%d}`,
+		s.service, s.address, s.zone, s.version, serverSlots, s.sequence))
 }
 
 // ServeHTTP implements http.Handler.
@@ -113,12 +86,7 @@
 	s.onRun(id, s)
 	time.Sleep(time.Duration((0.5 + rand.Float64()) * float64(workMean)))
 	h.Set(name["seal"], "seal."+s.id+"."+id)
-	status := http.StatusOK
-	if rand.Float64() < s.badShare {
-		status = http.StatusInternalServerError
-	}
-	s.onEnd(id, s, status)
-	w.WriteHeader(status)
+	s.onEnd(id, s, http.StatusOK)
 	fmt.Fprintf(w, "answer of %s to %s", s.id, id)
 }
 
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -24,8 +24,6 @@
 	mu      sync.Mutex
 	topics  map[string]*topic
 	changed chan struct{}
-	// onPut is called with each record that is accepted.
-	onPut func(topic, key string, value []byte, at time.Time)
 }
 
 type topic struct {
@@ -42,7 +40,7 @@
 }
 
 func newStore() *store {
-	return &store{topics: map[string]*topic{}, changed: make(chan struct{}), onPut: func(string, string, []byte, time.Time) {}}
+	return &store{topics: map[string]*topic{}, changed: make(chan struct{})}
 }
 
 // listen serves the store on a free port of a loopback address.
@@ -88,7 +86,6 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	s.onPut(topicName, key, value, r.at)
 	return r.at
 }
 
--- a/review/standins/tenant.go
+++ b/review/standins/tenant.go
@@ -11,10 +11,22 @@
 	// secondKey is the tenant's other key, and strangeKey one that no configuration ever held.
 	secondKey  = "anfqasnmgkcuyj8pjbvk"
 	strangeKey = "zzzzzzzzzzzzzzzzzzzz"
+	// perSecond is the rate of the requests, of which payShare may not be repeated.
+	perSecond = 50
+	payShare  = 0.7
+	servers   = 4
 	// watched is how long requests are sent after the keys are taken away.
 	watched = 12 * time.Second
 )
 
+// tenantConfig is the configuration of one plain service, with a version and the tenants.
+const tenantConfig = `{"version":%d,"routes":[
+{"name":"r-pay","host":"wuny96.example","path_prefix":"/entry-pay/","kind":"non_idempotent","timeout_ms":600,"latency_target_ms":100,"priority":2,"service":"inscricao","attempts":1,"public":false},
+{"name":"r-status","host":"wuny96.example","path_prefix":"/bib-status/","kind":"idempotent","timeout_ms":600,"latency_target_ms":100,"priority":2,"service":"inscricao","attempts":2,"public":false}],
+"services":[{"name":"inscricao","health_path":"/healthz","max_conns":96,"protocol":"h1","tls":false}],
+"limits":{"header_bytes":16384,"body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":%s}`
+
 // lastTenant takes away the keys of the only tenant, which leaves.
 func lastTenant(p *play) (broken []string, err error) {
 	h, st := p.history, newStore()
@@ -23,9 +35,9 @@
 		return nil, err
 	}
 	tenants := fmt.Sprintf(`[{"name":"hule930","keys":[%q,%q],"priority":1}]`, consumerKey, secondKey)
-	st.put(name["operator"], "config", fmt.Appendf(nil, appConfig, 7, tenants))
-	for i := range perVersion {
-		if _, err := startServer(st, fmt.Sprintf("i-v1-%d", i), "inscricao", "v1", zones[i%len(zones)], "127.0.0.3", 0, h.began, h.ended); err != nil {
+	st.put(name["operator"], "config", fmt.Appendf(nil, tenantConfig, 7, tenants))
+	for i := range servers {
+		if _, err := startServer(st, fmt.Sprintf("i-v1-%d", i), "inscricao", "v1", zones[i%len(zones)], "127.0.0.3", h.began, h.ended); err != nil {
 			return nil, err
 		}
 	}
@@ -38,7 +50,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
-		h.consume(ctx, daemons, perSecond/2, payShare, 0, consumerKey, consumerKey, secondKey, secondKey, strangeKey)
+		h.consume(ctx, daemons, perSecond, payShare, consumerKey, consumerKey, secondKey, secondKey, strangeKey)
 		close(done)
 	}()
 	defer func() { stop(); <-done }()
@@ -47,7 +59,7 @@
 		tenants = "[]"
 		h.note("the operator takes away the tenant with its two keys")
 	}
-	st.put(name["operator"], "config", fmt.Appendf(nil, appConfig, 12, tenants))
+	st.put(name["operator"], "config", fmt.Appendf(nil, tenantConfig, 12, tenants))
 	acked := h.now()
 	h.note("version 12 of the configuration is acknowledged")
 	time.Sleep(watched)
