upstream, engine: a response that ends with a connection that was reset is incomplete

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and closed the connection with input unread. The caller got the part as a complete answer, on both interfaces.

Cause: the kernel reports a reset to the first system call alone. If that is the write of the upload, the read gets an end, and net/http takes it for the end of a body that has no length.

Why this works: a client's connection follows what is written and read on it (httpframing.Requests and Responses). At the end of the connection, a body of no other end is complete only if its request was written to its end: the outcome of the write is awaited, as a server may respond early, end its side and read on. A failed write, or a connection that is closed meanwhile, makes the read fail with an IncompleteRequestError, which every reader of bodies treats as truncated. The check sits below net/http, so that the pool of the platform's servers and the transport of the own interface share it.

TestServerMayRespondAndReadOn holds the sound case.

--- /dev/null
+++ b/internal/checkedconn/conn.go
@@ -0,0 +1,145 @@
+// Package checkedconn checks the responses that a client reads from an HTTP/1 connection. net/http takes the
+// end of a connection for the end of a response although the connection was reset.
+package checkedconn
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/damaskrudder/damaskrudder/internal/httpframing"
+)
+
+// Conn is a client's connection. A read fails at a malformed response, and at the end of a connection that
+// does not end its response.
+type Conn struct {
+	net.Conn
+	mu sync.Mutex
+	// progress is signaled when a write has returned and when the connection is closed.
+	progress  *sync.Cond
+	requests  httpframing.Requests
+	responses httpframing.Responses
+	// writing is set while a write has not returned.
+	writing bool
+	closed  bool
+	// readErr and writeErr are set once reading or writing has failed.
+	readErr, writeErr error
+}
+
+// New returns a connection on which nothing was sent yet.
+func New(c net.Conn) *Conn {
+	out := &Conn{Conn: c}
+	out.progress = sync.NewCond(&out.mu)
+	return out
+}
+
+// NetConn returns the underlying connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// Err returns why responses cannot be read any more: an *httpframing.MalformedError or a
+// *IncompleteRequestError.
+func (c *Conn) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readErr
+}
+
+// IncompleteRequestError means that a connection has ended, and with it a response of no other end, although
+// the request could not be written completely. The kernel reports a reset to one call only: if that is the
+// write, the read gets the end of the connection.
+type IncompleteRequestError struct {
+	// Err is why the request could not be written.
+	Err error
+}
+
+// Error implements error.
+func (e *IncompleteRequestError) Error() string {
+	return fmt.Sprintf("the response ended with a connection on which its request was not written completely: %v", e.Err)
+}
+
+// Unwrap returns the cause, and io.ErrUnexpectedEOF.
+func (e *IncompleteRequestError) Unwrap() []error { return []error{io.ErrUnexpectedEOF, e.Err} }
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.writing = true
+	if !c.responses.Switched() {
+		c.requests.Scan(p)
+	}
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	c.progress.Broadcast()
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.Err(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	valid, malformed := c.responses.Scan(p[:n], c.requests.Last())
+	switch {
+	case malformed != nil:
+		c.readErr = malformed
+	case err == io.EOF && c.responses.UntilEnd():
+		c.readErr = c.awaitRequest()
+	}
+	if c.readErr == nil {
+		return n, err
+	}
+	if valid > 0 {
+		return valid, nil // the next read returns the error
+	}
+	return 0, c.readErr
+}
+
+// awaitRequest waits until the request is written. A server may respond, end its side of the connection and
+// read on. Callers hold mu.
+func (c *Conn) awaitRequest() error {
+	for {
+		switch {
+		case c.writeErr != nil:
+			return &IncompleteRequestError{c.writeErr}
+		case !c.writing && c.requests.Complete():
+			return nil
+		case c.closed:
+			return &IncompleteRequestError{net.ErrClosed}
+		}
+		c.progress.Wait()
+	}
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.progress.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns a function that opens connections with dial and checks them.
+func Dialer(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return New(c), nil
+	}
+}
--- /dev/null
+++ b/internal/checkedconn/conn_test.go
@@ -0,0 +1,141 @@
+package checkedconn
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+)
+
+// resetConn is a connection that is reset while a request is written: the write gets the error, so that the
+// read gets the end.
+type resetConn struct {
+	net.Conn
+	response      *bytes.Reader
+	writeAccepted int
+	failed        chan struct{}
+}
+
+func (c *resetConn) Write(p []byte) (int, error) {
+	if len(p) <= c.writeAccepted {
+		c.writeAccepted -= len(p)
+		return len(p), nil
+	}
+	close(c.failed)
+	return 0, syscall.ECONNRESET
+}
+
+func (c *resetConn) Read(p []byte) (int, error) {
+	if c.response.Len() == 0 {
+		<-c.failed
+	}
+	return c.response.Read(p)
+}
+
+func (c *resetConn) Close() error { return nil }
+
+// post sends a request with a long body on a connection, and returns the body of the response.
+func post(t *testing.T, c net.Conn) ([]byte, error) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DialContext: Dialer(func(context.Context, string, string) (net.Conn, error) { return c, nil })}}
+	resp, err := client.Post("http://a/", "text/plain", bytes.NewReader(make([]byte, 8<<20)))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return io.ReadAll(resp.Body)
+}
+
+// Guards against a part of a response that is taken for the whole, since the write of the request has got
+// the error of the connection.
+func TestEndOfAResetConnectionEndsNoResponse(t *testing.T) {
+	c := &resetConn{response: bytes.NewReader([]byte("HTTP/1.1 200 OK\r\n\r\na part")), writeAccepted: 4096, failed: make(chan struct{})}
+	checked := New(c)
+	if _, err := checked.Write([]byte("POST / HTTP/1.1\r\nContent-Length: 10000\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	written := make(chan error)
+	go func() {
+		_, err := checked.Write(make([]byte, 10000))
+		written <- err
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(checked), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	var incomplete *IncompleteRequestError
+	if !errors.As(err, &incomplete) || !errors.Is(err, syscall.ECONNRESET) || !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("got %q, %v", body, err)
+	}
+	if err := <-written; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the write got %v", err)
+	}
+}
+
+// Guards against a whole response that is refused because its server responds before it has read the request.
+func TestServerMayRespondAndReadOn(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil {
+			_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		}
+		if err == nil {
+			err = c.(*net.TCPConn).CloseWrite()
+		}
+		if err == nil {
+			_, err = io.Copy(io.Discard, r.Body)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}()
+	c, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := post(t, c); err != nil || string(body) != "whole" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
+// Guards against a read that waits for the rest of a request after the connection was closed.
+func TestCloseEndsTheWaitForTheRequest(t *testing.T) {
+	client, server := net.Pipe()
+	checked := New(client)
+	go func() {
+		_, _ = server.Read(make([]byte, 4096)) // a part of the request
+		_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\n\r\na part")
+		_ = server.Close()
+	}()
+	if _, err := checked.Write([]byte("POST / HTTP/1.1\r\nContent-Length: 10000\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.ReadFull(checked, make([]byte, len("HTTP/1.1 200 OK\r\n\r\na part"))); err != nil {
+		t.Fatal(n, err)
+	}
+	ended := make(chan error)
+	go func() {
+		_, err := checked.Read(make([]byte, 1))
+		ended <- err
+	}()
+	_ = checked.Close()
+	if err := <-ended; err == nil || err == io.EOF {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -19,6 +19,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/damaskrudder/damaskrudder/internal/checkedconn"
 	"github.com/damaskrudder/damaskrudder/internal/lease"
 )
 
@@ -74,7 +75,7 @@
 var errResponseTooLong = fmt.Errorf("the response has a body of more than %d bytes", maxResponseBytes)
 
 // DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+type DialFunc = checkedconn.DialFunc
 
 // NewClient returns a client that closes streams without data for idleTimeout. If dial is nil, it
 // opens TCP connections.
@@ -82,8 +83,9 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
-	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
+	checked := checkedconn.Dialer(dial)
+	pooled := &http.Transport{DialContext: checked, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
+	unpooled := &http.Transport{DialContext: checked, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{dial: dial, pooled: &http.Client{Transport: pooled}, unpooled: &http.Client{Transport: unpooled}, idleTimeout: idleTimeout}
 }
 
--- a/internal/httpframing/body.go
+++ b/internal/httpframing/body.go
@@ -107,25 +107,34 @@
 // body cannot be found.
 func (b *Body) Scan(p []byte) (n int) {
 	for n < len(p) && !b.Done() {
-		switch {
-		case b.framing == unknown:
-			return len(p)
-		case b.framing == byLength, b.chunk == chunkData:
-			n += b.skip(len(p) - n)
-		case b.chunk == chunkTrailer:
+		if b.inTrailer() {
 			read, done := b.trailer.Scan(p[n:])
 			n += read
 			if done {
 				*b = Body{}
 			}
-		default:
-			b.scanChunk(p[n])
-			n++
+			continue
 		}
+		n += b.step(p[n:])
 	}
 	return n
 }
 
+// inTrailer reports whether the next bytes belong to the trailer.
+func (b *Body) inTrailer() bool { return b.framing == byChunks && b.chunk == chunkTrailer }
+
+// step returns the number of bytes of p, which precede the trailer, that belong to the next part of the body.
+func (b *Body) step(p []byte) int {
+	switch {
+	case b.framing == unknown:
+		return len(p)
+	case b.framing == byLength, b.chunk == chunkData:
+		return b.skip(len(p))
+	}
+	b.scanChunk(p[0])
+	return 1
+}
+
 // skip passes over at most n bytes of the body or the present chunk, and returns their number.
 func (b *Body) skip(n int) int {
 	skipped := min(int64(n), b.remaining)
--- a/internal/httpframing/head.go
+++ b/internal/httpframing/head.go
@@ -1,6 +1,6 @@
-// Package httpframing finds where the requests on an HTTP/1 connection begin and end, without parsing
-// their fields, so that their size is known before memory is spent on them. What it cannot frame,
-// net/http rejects.
+// Package httpframing finds where the messages on an HTTP/1 connection begin and end. Of a server's
+// connection it follows the requests, so that their size is known before memory is spent on them; what it
+// cannot frame there, net/http rejects. Of a client's connection it follows the requests and the responses.
 package httpframing
 
 import "bytes"
--- /dev/null
+++ b/internal/httpframing/responses.go
@@ -0,0 +1,104 @@
+package httpframing
+
+// Responses follows the responses that a client reads from a connection, and finds the first that is
+// malformed. The zero value precedes the first response.
+type Responses struct {
+	position position
+	// section collects the present head or trailer.
+	section collector
+	body    Body
+}
+
+// position is a position in the responses of a connection.
+type position uint8
+
+const (
+	inHead position = iota
+	inBody
+	inTrailer
+	// untilEnd is a body that ends with the connection.
+	untilEnd
+	// switched means that the connection is no longer one of HTTP/1.
+	switched
+)
+
+// UntilEnd reports whether the present response ends with its connection.
+func (r *Responses) UntilEnd() bool { return r.position == untilEnd }
+
+// Switched reports whether the connection is no longer one of HTTP/1.
+func (r *Responses) Switched() bool { return r.position == switched }
+
+// Scan returns the number of bytes of p that precede the end of a malformed head, chunk size or trailer,
+// and a *MalformedError if there is one. The last request written is to.
+func (r *Responses) Scan(p []byte, to Request) (n int, err error) {
+	for n < len(p) {
+		read, err := r.step(p[n:], to)
+		if err != nil {
+			return n, err
+		}
+		n += read
+	}
+	return n, nil
+}
+
+// step returns the number of bytes of p that belong to the next part of a response.
+func (r *Responses) step(p []byte, to Request) (n int, err error) {
+	switch r.position {
+	case inHead:
+		n, head := r.section.scan(p)
+		switch {
+		case head != nil:
+			return n, r.endHead(head, to)
+		case r.section.lines.Bytes > maxHeadBytes:
+			return n, malformed("a head of more than %d bytes", maxHeadBytes)
+		}
+		return n, nil
+	case inBody:
+		n = r.body.step(p)
+		return n, r.followBody()
+	case inTrailer:
+		n, trailer := r.section.scan(p)
+		switch {
+		case trailer != nil:
+			r.position = inHead
+		case r.section.lines.Bytes > maxHeadBytes:
+			return n, malformed("a trailer of more than %d bytes", maxHeadBytes)
+		}
+		return n, nil
+	}
+	return len(p), nil
+}
+
+// endHead goes on to what follows a head.
+func (r *Responses) endHead(head []byte, to Request) error {
+	h, err := parseResponseHead(head)
+	if err != nil {
+		return err
+	}
+	switch {
+	case h.status == statusSwitchingProtocols && to.Upgrade, to.Connect && h.status/100 == 2:
+		r.position = switched
+	case h.isInterim(), h.hasNoBody(), to.Head:
+		// the next head follows
+	case h.chunked:
+		r.body, r.position = Body{framing: byChunks, trailer: Head{Lines: 1}}, inBody
+	case h.length > 0:
+		r.body, r.position = Body{remaining: h.length}, inBody
+	case h.length == noLength:
+		r.position = untilEnd
+	}
+	return nil
+}
+
+// followBody goes on to what follows a part of the body.
+func (r *Responses) followBody() error {
+	switch {
+	case !r.body.Known():
+		return malformed("a chunk")
+	case r.body.Done():
+		r.position = inHead
+	case r.body.inTrailer():
+		r.section.lines, r.position = r.body.trailer, inTrailer
+	}
+	return nil
+}
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 )
@@ -37,11 +38,11 @@
 	c.head.reading = true
 	defer func() { c.head.reading = false }()
 	resp, err := http.ReadResponse(c.reader, r)
-	if err != nil && c.head.err != nil {
+	if err != nil {
 		// The parser takes what precedes an error for a whole line, and reports that line.
-		return nil, c.head.err
+		return nil, cmp.Or(c.head.err, c.Err(), err)
 	}
-	return resp, err
+	return resp, nil
 }
 
 // allow returns how many of n bytes may be read.
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strings"
 	"testing"
+
+	"github.com/damaskrudder/damaskrudder/internal/checkedconn"
 )
 
 // endlessConn is a connection that yields a prefix and then a pattern without end, up to a number of
@@ -175,7 +177,7 @@
 	}
 	f.Fuzz(func(t *testing.T, prefix, pattern string) {
 		raw := &endlessConn{prefix: prefix, pattern: pattern + "\n"}
-		c := &conn{Conn: raw, pool: NewPool()}
+		c := &conn{Conn: checkedconn.New(raw), pool: NewPool()}
 		c.reader = bufio.NewReaderSize(c, readBufferBytes)
 		for range 1000 {
 			if _, err := c.readHead(nil); err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/damaskrudder/damaskrudder/internal/checkedconn"
 )
 
 const (
@@ -104,7 +106,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*checkedconn.Conn
 	pool    *Pool
 	address string
 	reader  *bufio.Reader
@@ -324,7 +326,7 @@
 // discards it if it cannot be reused.
 func (c *conn) recycle(header http.Header) {
 	idleTimeout := keepAliveTimeout(header) - keepAliveMargin
-	if idleTimeout <= 0 || c.reader.Buffered() > 0 {
+	if idleTimeout <= 0 || c.reader.Buffered() > 0 || c.Err() != nil {
 		c.discard()
 		return
 	}
@@ -358,7 +360,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expires) && isReusable(c.Conn) {
+		if time.Now().Before(c.expires) && isReusable(c.NetConn()) {
 			return c, nil
 		}
 		c.discard()
@@ -389,7 +391,7 @@
 		p.mu.Unlock()
 		return nil, newError(ctx, Unreachable, false, err)
 	}
-	c.Conn = raw
+	c.Conn = checkedconn.New(raw)
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
