httpframing: a response whose status line is malformed is refused

What callers saw: a server answered with status 000 and a body that looked like another answer, and the caller got that as the answer, as 200.

Cause: net/http takes any three digits for a status and any version. All below 200 counted as interim responses, also those that cannot be, so that what followed was read as the head of the final response. The own interface took a 000 without a body of its own for an answer.

Why this works: the status line is checked by the grammar of RFC 9112 with a status of 100 to 599 before any byte after the head is handed out. An interim response may state no body, and 101 is one only if it was asked for. A malformed head fails the read: the pool reports InvalidResponse, and the request is answered 502 or retried, as after a broken response. Bytes after a complete response still belong to no request, and its connection is not used again.

The own interface's test took a 000 for an answer to a call and to a cancellation.

--- a/internal/checkedconn/conn.go
+++ b/internal/checkedconn/conn.go
@@ -1,5 +1,6 @@
-// Package checkedconn checks the responses that a client reads from an HTTP/1 connection. net/http takes the
-// end of a connection for the end of a response although the connection was reset.
+// Package checkedconn checks the responses that a client reads from an HTTP/1 connection. net/http accepts
+// heads that the grammar of HTTP/1.1 does not allow, and takes the end of a connection for the end of a
+// response although the connection was reset.
 package checkedconn
 
 import (
--- a/internal/checkedconn/conn_test.go
+++ b/internal/checkedconn/conn_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"syscall"
 	"testing"
+
+	"github.com/damaskrudder/damaskrudder/internal/httpframing"
 )
 
 // resetConn is a connection that is reset while a request is written: the write gets the error, so that the
@@ -139,3 +141,19 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// Guards against losing a whole response because of the bytes that follow it.
+func TestBytesAfterAResponseAreReadApart(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
+	failed := make(chan struct{})
+	close(failed)
+	c := New(&resetConn{response: bytes.NewReader([]byte(whole + "HTTP/1.1 000 OK\r\n\r\n")), failed: failed})
+	p := make([]byte, 4096)
+	if n, err := c.Read(p); err != nil || string(p[:n]) != whole || c.Err() == nil {
+		t.Errorf("got %q, %v, then %v", p[:n], err, c.Err())
+	}
+	var malformed *httpframing.MalformedError
+	if n, err := c.Read(p); n != 0 || !errors.As(err, &malformed) {
+		t.Errorf("got %d bytes, %v", n, err)
+	}
+}
--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -2,14 +2,84 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/standin"
 )
 
+// serveRaw starts a server that answers each request with bytes, and returns its address.
+func serveRaw(t *testing.T, server *standin.RawServer, answer string) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	server.Answer = func(*http.Request) string { return answer }
+	go server.Serve(l)
+	return l.Addr().String()
+}
+
+// exchanges are the exchanges with a backend server, with the body of a sound response to each.
+var exchanges = map[string]struct {
+	body string
+	do   func(c *Client, address string) error
+}{
+	"call": {"{}", func(c *Client, address string) error {
+		_, _, err := c.Call(context.Background(), address, "r", []byte("{}"))
+		return err
+	}},
+	"run": {lastEvent, func(c *Client, address string) error {
+		return readStream(c.Start(context.Background(), address, Run{ID: "r"}))
+	}},
+	"resumed run": {lastEvent, func(c *Client, address string) error {
+		return readStream(c.Resume(context.Background(), address, "r", 1))
+	}},
+	"load report": {"{}", func(c *Client, address string) error {
+		_, err := c.Load(context.Background(), address)
+		return err
+	}},
+	"cancellation": {"", func(c *Client, address string) error { return c.Cancel(address, "r") }},
+}
+
+// lastEvent is a stream that consists of the end of a run.
+const lastEvent = "id: 2\ndata: {\"run\":\"r\",\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n"
+
+// readStream reads a stream to the end of the run.
+func readStream(s *Stream, err error) error {
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for {
+		if f, err := s.Next(); err != nil || f.End {
+			return err
+		}
+	}
+}
+
+// Guards against responses with a malformed status that are taken for those of a server.
+func TestMalformedHeadsAreRefused(t *testing.T) {
+	for name, head := range map[string]string{
+		"sound":      "HTTP/1.1 200 OK\r\n",
+		"status 000": "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\n",
+	} {
+		for exchange, tt := range exchanges {
+			address := serveRaw(t, &standin.RawServer{}, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(tt.body), tt.body))
+			if err := tt.do(NewClient(time.Minute, nil), address); (err == nil) != (name == "sound") {
+				t.Errorf("%s, %s: %v", name, exchange, err)
+			}
+		}
+	}
+}
+
 // resetConn is a connection that is reset while a request is written: the write gets the error, so that the
 // read, which returns before it, gets the end.
 type resetConn struct {
--- a/internal/httpframing/responsehead.go
+++ b/internal/httpframing/responsehead.go
@@ -50,12 +50,17 @@
 	return h.status == statusNoContent || h.status == statusNotModified
 }
 
-// parseResponseHead parses a complete head as net/http does.
+// parseResponseHead parses a complete head. Its status line is checked by the grammar of RFC 9112, section 4.
 func parseResponseHead(head []byte) (responseHead, error) {
 	h := responseHead{length: noLength}
 	line, rest := cutLine(head)
-	h.parseStatusLine(line)
-	return h, eachField(rest, h.applyField)
+	if err := h.parseStatusLine(line); err != nil {
+		return h, err
+	}
+	if err := eachField(rest, h.applyField); err != nil {
+		return h, err
+	}
+	return h, h.checkFraming()
 }
 
 // cutLine cuts a line off, without its line break.
@@ -64,12 +69,23 @@
 	return bytes.TrimSuffix(line, []byte{'\r'}), rest
 }
 
-// parseStatusLine parses the first line: version, status and reason.
-func (h *responseHead) parseStatusLine(line []byte) {
+// parseStatusLine parses the first line: version, status and reason, which may be missing with the blank
+// before it.
+func (h *responseHead) parseStatusLine(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte{' '})
-	status, _, _ := bytes.Cut(rest, []byte{' '})
-	h.status, _ = strconv.Atoi(string(status)) // net/http refuses what is no number
-	h.http10 = string(version) == "HTTP/1.0"
+	status, reason, _ := bytes.Cut(rest, []byte{' '})
+	minor, isHTTP1 := bytes.CutPrefix(version, []byte("HTTP/1."))
+	switch {
+	case !isHTTP1 || len(minor) != 1 || !isDigit(minor[0]):
+		return malformed("version %.16q", version)
+	case len(status) != 3 || status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]):
+		return malformed("status %.16q", status)
+	case !isFieldValue(reason):
+		return malformed("reason %.32q", reason)
+	}
+	h.status, _ = strconv.Atoi(string(status)) // three digits
+	h.http10 = minor[0] == '0'
+	return nil
 }
 
 // eachField calls apply with the name and value of each field, and returns the first error.
@@ -105,3 +121,23 @@
 	}
 	return nil
 }
+
+// checkFraming checks that a response that has no body states none (RFC 9112, section 6).
+func (h *responseHead) checkFraming() error {
+	if (h.isInterim() || h.status == statusNoContent) && (h.chunked || h.length > 0) {
+		return malformed("a body of a response with status %d", h.status)
+	}
+	return nil
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// isFieldValue reports whether a value has no control bytes except tabs (RFC 9110, section 5.5).
+func isFieldValue(value []byte) bool {
+	for _, c := range value {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/httpframing/responses.go
+++ b/internal/httpframing/responses.go
@@ -78,6 +78,8 @@
 	switch {
 	case h.status == statusSwitchingProtocols && to.Upgrade, to.Connect && h.status/100 == 2:
 		r.position = switched
+	case h.status == statusSwitchingProtocols:
+		return malformed("another protocol, which was not asked for")
 	case h.isInterim(), h.hasNoBody(), to.Head:
 		// the next head follows
 	case h.chunked:
--- a/internal/httpframing/responses_test.go
+++ b/internal/httpframing/responses_test.go
@@ -22,6 +22,9 @@
 
 var partSizes = []int{1, 2, 7, 4096}
 
+// malformedHead is the head of a response that is found malformed where a head is due.
+const malformedHead = "HTTP/1.1 000 OK\r\n\r\n"
+
 func TestSoundResponsesAreFramed(t *testing.T) {
 	for name, tt := range map[string]struct {
 		response string
@@ -51,19 +54,43 @@
 			if err != nil || r.position != tt.position || !r.section.empty() {
 				t.Errorf("%s, parts of %d bytes: %+v, %v", name, size, r, err)
 			}
+			if _, err := scanResponses(tt.response+malformedHead, size, tt.to); (err == nil) != (tt.position != inHead) {
+				t.Errorf("%s, parts of %d bytes, and another head: %v", name, size, err)
+			}
 		}
 	}
 }
 
 // Guards against heads, chunks and trailers outside the grammar that are taken for those of a response.
 func TestMalformedResponsesAreFound(t *testing.T) {
-	const head, chunks = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const head, length, chunks = "HTTP/1.1 200 OK\r\n", "Content-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for name, response := range map[string]string{
-		"head without end":       head + "A: " + strings.Repeat("b", maxHeadBytes),
-		"lengths that differ":    head + "Content-Length: 1\r\nContent-Length: 0\r\n\r\n",
-		"chunk size":             chunks + "x\r\n",
-		"chunk longer than said": chunks + "1\r\nab\r\n",
-		"trailer without end":    chunks + "0\r\nA: " + strings.Repeat("b", maxHeadBytes),
+		"status 000":                 "HTTP/1.1 000 OK\r\n\r\n",
+		"status 099":                 "HTTP/1.1 099 OK\r\n\r\n",
+		"status 600":                 "HTTP/1.1 600 OK\r\n" + length,
+		"status of four digits":      "HTTP/1.1 2000 OK\r\n" + length,
+		"status that is no number":   "HTTP/1.1 2x0 OK\r\n" + length,
+		"two blanks before status":   "HTTP/1.1  200 OK\r\n" + length,
+		"version 2":                  "HTTP/2.0 200 OK\r\n" + length,
+		"version 1":                  "HTTP/1 200 OK\r\n" + length,
+		"version in lower case":      "http/1.1 200 OK\r\n" + length,
+		"other protocol":             "SSH-2.0-x\r\n\r\n",
+		"empty line first":           "\r\n" + head + length,
+		"control byte in the reason": "HTTP/1.1 200 O\x00K\r\n" + length,
+		"lengths that differ":        head + "Content-Length: 1\r\n" + length,
+		"signed length":              head + "Content-Length: +1\r\n\r\n",
+		"no length":                  head + "Content-Length:\r\n\r\n",
+		"length beyond all bounds":   head + "Content-Length: 9223372036854775808\r\n\r\n",
+		"other coding":               head + "Transfer-Encoding: gzip, chunked\r\n\r\n",
+		"coding twice":               head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"interim with a length":      "HTTP/1.1 100 Continue\r\nContent-Length: 1\r\n\r\n",
+		"no content with a length":   "HTTP/1.1 204 No Content\r\nContent-Length: 1\r\n\r\n",
+		"no content with chunks":     "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"upgrade without a request":  "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"head without end":           head + "A: " + strings.Repeat("b", maxHeadBytes),
+		"chunk size":                 chunks + "x\r\n",
+		"chunk longer than said":     chunks + "1\r\nab\r\n",
+		"trailer without end":        chunks + "0\r\nA: " + strings.Repeat("b", maxHeadBytes),
 	} {
 		for _, size := range partSizes {
 			if _, err := scanResponses(response, size, Request{}); err == nil {
