httpframing: a response with a malformed field, or framed by no rule, is refused

What callers saw: a server sent a head in which the name of a field held a blank, or was followed by one. The caller got the answer with that line passed on; in Content-Length or Transfer-Encoding, with other bytes than the server's as its body.

Cause: net/http keeps such names as they are, and then sees neither a length nor a coding in them, so that the body lasts until the connection ends. It also takes chunks beside a length, chunks in HTTP/1.0 for text, and any trailer.

Why this works: each line of a head and a trailer is checked by the grammar of RFC 9112 and 9110: names are tokens directly before the colon, values hold no control bytes but tabs, and the end of the body is stated by one rule. A value may go on in another line, as net/http joins it, but not that of a field that frames the body.

Control bytes in names and bare CR in values were 502 already; their tests stay.

--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -65,11 +65,13 @@
 	}
 }
 
-// Guards against responses with a malformed status that are taken for those of a server.
+// Guards against responses with a malformed head that are taken for those of a server.
 func TestMalformedHeadsAreRefused(t *testing.T) {
 	for name, head := range map[string]string{
-		"sound":      "HTTP/1.1 200 OK\r\n",
-		"status 000": "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"sound":                "HTTP/1.1 200 OK\r\n",
+		"status 000":           "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"blank in a name":      "HTTP/1.1 200 OK\r\nA B: c\r\n",
+		"blank before a colon": "HTTP/1.1 200 OK\r\nA : c\r\n",
 	} {
 		for exchange, tt := range exchanges {
 			address := serveRaw(t, &standin.RawServer{}, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(tt.body), tt.body))
--- a/internal/httpframing/responsehead.go
+++ b/internal/httpframing/responsehead.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 // maxHeadBytes is the largest number of bytes of a response's head or trailer.
@@ -50,7 +51,7 @@
 	return h.status == statusNoContent || h.status == statusNotModified
 }
 
-// parseResponseHead parses a complete head. Its status line is checked by the grammar of RFC 9112, section 4.
+// parseResponseHead parses a complete head by the grammar of RFC 9112, sections 2 to 6.
 func parseResponseHead(head []byte) (responseHead, error) {
 	h := responseHead{length: noLength}
 	line, rest := cutLine(head)
@@ -63,6 +64,11 @@
 	return h, h.checkFraming()
 }
 
+// checkTrailer checks a complete trailer, whose fields frame nothing.
+func checkTrailer(trailer []byte) error {
+	return eachField(trailer, func(_, _ []byte) error { return nil })
+}
+
 // cutLine cuts a line off, without its line break.
 func cutLine(b []byte) (line, rest []byte) {
 	line, rest, _ = bytes.Cut(b, []byte{'\n'})
@@ -88,12 +94,30 @@
 	return nil
 }
 
-// eachField calls apply with the name and value of each field, and returns the first error.
+// eachField calls apply with the name and value of each field, and returns the first error. A line that
+// goes on with a value must not follow a field that frames the body, since recipients differ in joining them.
 func eachField(fields []byte, apply func(name, value []byte) error) error {
+	name, line := []byte(nil), []byte(nil)
 	for len(fields) > 0 {
-		var line []byte
 		line, fields = cutLine(fields)
-		name, value, _ := bytes.Cut(line, []byte{':'})
+		switch {
+		case len(line) == 0:
+			return nil
+		case line[0] == ' ' || line[0] == '\t':
+			if name == nil || framesBody(name) || !isFieldValue(line) {
+				return malformed("a line %.32q that goes on", line)
+			}
+			continue
+		}
+		var value []byte
+		var found bool
+		name, value, found = bytes.Cut(line, []byte{':'})
+		switch {
+		case !found || !isToken(name):
+			return malformed("field name %.32q", name)
+		case !isFieldValue(value):
+			return malformed("value of field %.32q", name)
+		}
 		if err := apply(name, value); err != nil {
 			return err
 		}
@@ -101,6 +125,10 @@
 	return nil
 }
 
+func framesBody(name []byte) bool {
+	return bytes.EqualFold(name, []byte("content-length")) || bytes.EqualFold(name, []byte("transfer-encoding"))
+}
+
 // applyField applies a field that frames the body.
 func (h *responseHead) applyField(name, value []byte) error {
 	switch {
@@ -111,9 +139,6 @@
 		}
 		h.length = length
 	case bytes.EqualFold(name, []byte("transfer-encoding")):
-		if h.http10 {
-			return nil
-		}
 		if h.chunked || !bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked")) {
 			return malformed("transfer coding %.32q", value)
 		}
@@ -122,9 +147,13 @@
 	return nil
 }
 
-// checkFraming checks that a response that has no body states none (RFC 9112, section 6).
+// checkFraming checks that the end of the body is stated once, and only where there may be one (RFC 9112,
+// section 6).
 func (h *responseHead) checkFraming() error {
-	if (h.isInterim() || h.status == statusNoContent) && (h.chunked || h.length > 0) {
+	switch {
+	case h.chunked && (h.length != noLength || h.http10):
+		return malformed("chunks beside a length, or in HTTP/1.0")
+	case (h.isInterim() || h.status == statusNoContent) && (h.chunked || h.length > 0):
 		return malformed("a body of a response with status %d", h.status)
 	}
 	return nil
@@ -132,6 +161,16 @@
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
+// isToken reports whether a name is a token (RFC 9110, section 5.6.2).
+func isToken(name []byte) bool {
+	for _, c := range name {
+		if !isDigit(c) && (c|0x20 < 'a' || c|0x20 > 'z') && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
 // isFieldValue reports whether a value has no control bytes except tabs (RFC 9110, section 5.5).
 func isFieldValue(value []byte) bool {
 	for _, c := range value {
--- a/internal/httpframing/responses.go
+++ b/internal/httpframing/responses.go
@@ -61,6 +61,7 @@
 		switch {
 		case trailer != nil:
 			r.position = inHead
+			return n, checkTrailer(trailer)
 		case r.section.lines.Bytes > maxHeadBytes:
 			return n, malformed("a trailer of more than %d bytes", maxHeadBytes)
 		}
