checkedconn: the store, the platform's client, rudderctl and links between daemons check responses

What callers saw: nothing yet; by reading, these four took responses with malformed heads too.

Cause: each built its own client of net/http.

Why this works: all clients of the product open their connections through checkedconn, above TLS where it is used. Links between daemons use no proxy of the environment any more; with TLS they used none before.

--- a/internal/checkedconn/conn.go
+++ b/internal/checkedconn/conn.go
@@ -1,14 +1,17 @@
-// Package checkedconn checks the responses that a client reads from an HTTP/1 connection. net/http accepts
-// heads that the grammar of HTTP/1.1 does not allow, and takes the end of a connection for the end of a
-// response although the connection was reset.
+// Package checkedconn checks the responses that a client reads from an HTTP/1 connection, for all clients
+// of both interfaces. net/http accepts heads that the grammar of HTTP/1.1 does not allow, and takes the end
+// of a connection for the end of a response although the connection was reset.
 package checkedconn
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
+	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/httpframing"
 )
@@ -144,3 +147,17 @@
 		return New(c), nil
 	}
 }
+
+// Transport returns a transport that checks its connections, with the proxy and the idle timeout of net/http's
+// default one. The configuration of TLS may be nil.
+func Transport(config *tls.Config) *http.Transport {
+	return &http.Transport{
+		Proxy:           http.ProxyFromEnvironment,
+		DialContext:     Dialer((&net.Dialer{}).DialContext),
+		DialTLSContext:  Dialer((&tls.Dialer{Config: config}).DialContext),
+		IdleConnTimeout: idleTimeout,
+	}
+}
+
+// idleTimeout is how long Transport keeps a connection without a request.
+const idleTimeout = 90 * time.Second
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/api"
+	"github.com/damaskrudder/damaskrudder/internal/checkedconn"
 	"github.com/damaskrudder/damaskrudder/internal/cli"
 	"github.com/damaskrudder/damaskrudder/internal/fleet"
 )
@@ -37,7 +38,7 @@
 	if key == "" {
 		return nil, cli.UsageError(errors.New("-key is needed, or RUDDERCTL_KEY"))
 	}
-	c := &client{strings.Split(addresses, ","), key, &http.Client{Timeout: requestTimeout}}
+	c := &client{strings.Split(addresses, ","), key, &http.Client{Timeout: requestTimeout, Transport: checkedconn.Transport(nil)}}
 	if caFile == "" {
 		return c, nil
 	}
@@ -52,7 +53,7 @@
 	if !pool.AppendCertsFromPEM(data) {
 		return nil, cli.UsageError(fmt.Errorf("-ca: %s holds no certificate", caFile))
 	}
-	c.httpClient.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	c.httpClient.Transport = checkedconn.Transport(&tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12})
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/ctl/client_test.go
@@ -0,0 +1,26 @@
+package ctl
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/damaskrudder/damaskrudder/internal/standin"
+)
+
+// Guards against responses of a daemon with a malformed head, which are shown as its state.
+func TestMalformedHeadOfADaemonIsRefused(t *testing.T) {
+	for name, fields := range map[string]string{"sound": "A: b", "blank in a name": "A B: c", "blank before a colon": "A : b"} {
+		answer := "HTTP/1.1 200 OK\r\n" + fields + "\r\nContent-Length: 2\r\n\r\n{}"
+		address, err := (&standin.RawServer{Answer: func(*http.Request) string { return answer }}).Start(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := newClient(address, "k", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.config(t.Context()); (err == nil) != (name == "sound") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -14,19 +14,6 @@
 	"github.com/damaskrudder/damaskrudder/internal/standin"
 )
 
-// serveRaw starts a server that answers each request with bytes, and returns its address.
-func serveRaw(t *testing.T, server *standin.RawServer, answer string) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	server.Answer = func(*http.Request) string { return answer }
-	go server.Serve(l)
-	return l.Addr().String()
-}
-
 // exchanges are the exchanges with a backend server, with the body of a sound response to each.
 var exchanges = map[string]struct {
 	body string
@@ -74,7 +61,11 @@
 		"blank before a colon": "HTTP/1.1 200 OK\r\nA : c\r\n",
 	} {
 		for exchange, tt := range exchanges {
-			address := serveRaw(t, &standin.RawServer{}, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(tt.body), tt.body))
+			answer := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(tt.body), tt.body)
+			address, err := (&standin.RawServer{Answer: func(*http.Request) string { return answer }}).Start(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
 			if err := tt.do(NewClient(time.Minute, nil), address); (err == nil) != (name == "sound") {
 				t.Errorf("%s, %s: %v", name, exchange, err)
 			}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -83,9 +83,8 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	checked := checkedconn.Dialer(dial)
-	pooled := &http.Transport{DialContext: checked, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
-	unpooled := &http.Transport{DialContext: checked, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
+	pooled := &http.Transport{DialContext: checkedconn.Dialer(dial), MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
+	unpooled := &http.Transport{DialContext: checkedconn.Dialer(dial), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{dial: dial, pooled: &http.Client{Transport: pooled}, unpooled: &http.Client{Transport: unpooled}, idleTimeout: idleTimeout}
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"github.com/damaskrudder/damaskrudder/internal/checkedconn"
 	"github.com/damaskrudder/damaskrudder/internal/fault"
 )
 
@@ -80,9 +81,11 @@
 type Client struct {
 	self, key string
 	tls       *tls.Config
-	mu        sync.Mutex
-	conns     map[string]*clientConn
-	streams   streamPool
+	// httpClient opens connections, which are upgraded.
+	httpClient *http.Client
+	mu         sync.Mutex
+	conns      map[string]*clientConn
+	streams    streamPool
 	// OnBytes is called with the size of each message sent or received.
 	OnBytes func(n int)
 }
@@ -90,7 +93,9 @@
 // NewClient returns a client that signs with the peer key. If the TLS config is nil,
 // connections are not encrypted.
 func NewClient(self, key string, t *tls.Config) *Client {
-	return &Client{self: self, key: key, tls: t, conns: map[string]*clientConn{}, OnBytes: func(int) {}}
+	transport := checkedconn.Transport(t)
+	transport.Proxy = nil // daemons reach each other by address
+	return &Client{self: self, key: key, tls: t, httpClient: &http.Client{Transport: transport}, conns: map[string]*clientConn{}, OnBytes: func(int) {}}
 }
 
 // clientConn is a connection to one peer, shared by concurrent calls.
@@ -156,13 +161,12 @@
 
 // dial opens a connection to a peer.
 func (c *Client) dial(ctx context.Context, address string) (*websocket.Conn, error) {
-	scheme, httpClient := "ws://", &http.Client{}
+	scheme := "ws://"
 	if c.tls != nil {
 		scheme = "wss://"
-		httpClient.Transport = &http.Transport{TLSClientConfig: c.tls}
 	}
 	ws, _, err := websocket.Dial(ctx, scheme+address+endpointPath, &websocket.DialOptions{
-		HTTPClient: httpClient,
+		HTTPClient: c.httpClient,
 		HTTPHeader: http.Header{"Authorization": {sign(c.key, c.self, time.Now())}},
 	})
 	if err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha1"
+	"encoding/base64"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +13,7 @@
 	"time"
 
 	"github.com/damaskrudder/damaskrudder/internal/fault"
+	"github.com/damaskrudder/damaskrudder/internal/standin"
 )
 
 type echoMessage struct {
@@ -140,3 +143,23 @@
 		t.Fatal(resp.Status)
 	}
 }
+
+// Guards against a connection to a daemon that is upgraded by a response with a malformed head.
+func TestUpgradeByAMalformedHeadIsRefused(t *testing.T) {
+	for name, fields := range map[string]string{"sound": "A: b", "blank in a name": "A B: c", "blank before a colon": "A : b"} {
+		server := &standin.RawServer{Answer: func(r *http.Request) string {
+			accept := sha1.Sum([]byte(r.Header.Get("Sec-WebSocket-Key") + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"))
+			return "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Accept: " + base64.StdEncoding.EncodeToString(accept[:]) + "\r\n" + fields + "\r\n\r\n"
+		}}
+		address, err := server.Start(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		client := NewClient("d1", "k", nil)
+		if ws, err := client.dial(t.Context(), address); (err == nil) != (name == "sound") {
+			t.Errorf("%s: %v", name, err)
+		} else if err == nil {
+			_ = ws.CloseNow()
+		}
+	}
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/damaskrudder/damaskrudder/internal/checkedconn"
 )
 
 // maxResponseBytes bounds a response body, so that a broken service cannot exhaust memory.
@@ -27,7 +29,7 @@
 // NewClient returns a client for the service at base, such as http://10.0.0.9:7000. Each call is
 // bounded by timeout.
 func NewClient(base string, timeout time.Duration) *Client {
-	return &Client{base: base, http: &http.Client{Timeout: timeout}}
+	return &Client{base: base, http: &http.Client{Timeout: timeout, Transport: checkedconn.Transport(nil)}}
 }
 
 type appendRequest struct {
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"log"
@@ -19,8 +20,18 @@
 	SkipsBody bool
 }
 
-// Serve serves the connections of a listener until it is closed.
-func (s *RawServer) Serve(l net.Listener) {
+// Start starts the server and returns its address. It runs until ctx is done.
+func (s *RawServer) Start(ctx context.Context) (address string, err error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	context.AfterFunc(ctx, func() { _ = l.Close() }) // an error has no consequence
+	go s.accept(l)
+	return l.Addr().String(), nil
+}
+
+func (s *RawServer) accept(l net.Listener) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
