relay: broken responses are evidence on the version that sends them

What callers saw: nothing yet; by reading, a version that answers with malformed heads or cut bodies was advanced, as only complete answers and streams that broke off counted for a roll-out.

Cause: a send whose response was none, or whose buffered body was cut, ended without a record for its version. Its server was avoided and the request retried, as after a lost connection; that stays.

Why this works: both count as failures of the version, with the exceptions that streams have: servers that leave, links of this daemon that failed, a caller that left, no memory of ours to read the response. A connection lost before a response tells nothing of a version, as before.

Evidence: on the code before, TestBrokenResponsesAreEvidenceOnTheirVersion counted 0 failures for both.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -51,7 +51,7 @@
 	// it begins.
 	open     map[taker]bool
 	selected *target
-	// interrupted is set if the stream of the last send broke off.
+	// interrupted is set if the response to the last send broke off or was none.
 	interrupted bool
 	// succeeded is set once a server has sent a complete, successful response.
 	succeeded bool
@@ -317,7 +317,7 @@
 	s.cancel(nil)
 }
 
-// recordInterruption counts a stream that broke off as evidence against the version of its server.
+// recordInterruption counts a broken response as evidence against the version of its server.
 // It is none if the server leaves or if the daemon's own links are the cause.
 func (x *exchange) recordInterruption(ctx context.Context, t *target) {
 	if !x.interrupted {
@@ -411,6 +411,7 @@
 		x.unreached++
 	}
 	x.withoutArrival = e.Reason == upstream.Unreachable
+	x.interrupted = e.Reason == upstream.InvalidResponse && !errors.Is(err, errNoRoom)
 	if errors.Is(e.Err, syscall.ECONNREFUSED) {
 		x.relay.checkTermination(t)
 	}
@@ -441,7 +442,7 @@
 	case x.headerSent:
 		return request.ErrorResponse, false
 	}
-	return x.forwardBuffered(t, reply, s.sentAt, ok)
+	return x.forwardBuffered(s, ok)
 }
 
 // fail ends the call with a server's error response if there is one, else with a
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -25,16 +25,18 @@
 // forwardBuffered reads a response completely before any of it is forwarded. If the
 // server fails meanwhile, the request can be retried, and the client never
 // receives a truncated response.
-func (x *exchange) forwardBuffered(t *target, reply *BackendResponse, sentAt time.Time, ok bool) (request.SendOutcome, bool) {
+func (x *exchange) forwardBuffered(s *send, ok bool) (request.SendOutcome, bool) {
+	t, reply := s.target, s.reply
 	body, err := x.readResponse(reply.Body, reply.ContentLength)
 	if errors.Is(err, errNotBuffered) {
 		return x.forwardUnbuffered(t, reply, body)
 	}
 	if err != nil || reply.ContentLength >= 0 && int64(len(body)) != reply.ContentLength {
 		x.logEvent("response truncated", t, "status", reply.Status, "bytes", len(body), "err", err)
+		x.interrupted = s.timed.Err() == nil && !errors.Is(err, errNoRoom)
 		return request.ResponseLost, false
 	}
-	elapsed := time.Since(sentAt)
+	elapsed := time.Since(s.sentAt)
 	resp := &bufferedResponse{reply.Status, reply.Header, body}
 	failed := reply.Status >= http.StatusInternalServerError
 	latency := t.comparableLatency(0)
--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/damaskrudder/damaskrudder/internal/backend"
 	"github.com/damaskrudder/damaskrudder/internal/feed"
 	"github.com/damaskrudder/damaskrudder/internal/rollout"
+	"github.com/damaskrudder/damaskrudder/internal/upstream"
 )
 
 func testRollouts() *Rollouts {
@@ -210,3 +213,43 @@
 		t.Errorf("due after the order was completed: %+v", due)
 	}
 }
+
+// Guards against a version whose responses are broken and that is advanced, since they are no evidence on it.
+func TestBrokenResponsesAreEvidenceOnTheirVersion(t *testing.T) {
+	cut := func(err error) func(BackendRequest) (*BackendResponse, error) {
+		return func(BackendRequest) (*BackendResponse, error) {
+			return &BackendResponse{Status: 200, Header: http.Header{}, Authenticated: true, ContentLength: -1, Body: io.NopCloser(failingReader{err})}, nil
+		}
+	}
+	for name, tt := range map[string]struct {
+		respond func(BackendRequest) (*BackendResponse, error)
+		errors  int64
+	}{
+		"sound":               {respond(200, "x"), 0},
+		"malformed":           {failSend(upstream.InvalidResponse, true), 1},
+		"cut":                 {cut(io.ErrUnexpectedEOF), 1},
+		"not read":            {cut(errNoRoom), 0},
+		"connection lost":     {failSend(upstream.ConnectionLost, true), 0},
+		"ended by the client": {cut(context.Canceled), 0},
+	} {
+		ctx, disconnect := context.WithCancel(t.Context())
+		h := newHarness(t, func(r BackendRequest) (*BackendResponse, error) {
+			if name == "ended by the client" {
+				disconnect()
+			}
+			return tt.respond(r)
+		})
+		h.relay.Rollouts.AddOrder(rollout.Order{Service: "app", Target: "v2", Duration: 24 * time.Second, Offset: 7})
+		call := &Call{ID: "id1", Host: "h", Method: "POST", Target: "/p/1", Path: "/p/1", Key: "k", LastEvent: NoEvent, Received: time.Now(), Held: h.relay.Hold()}
+		h.relay.Serve(ctx, call, &fakeResponseWriter{})
+		call.Held.Release()
+		disconnect()
+		errors := int64(0)
+		for _, counts := range h.relay.Rollouts.orders["app"].ownEvidence {
+			errors += counts.Counts.Errors
+		}
+		if errors != tt.errors {
+			t.Errorf("%s: %d errors", name, errors)
+		}
+	}
+}
