platform: odd entries of the VM list are left out, the others apply

An entry that is nested very deeply, or has a value of another type or out of range, made the whole list of the own interface unreadable. Daemons stopped following it without a log line, and sent requests to servers that leave.

Cause: the list was decoded at once, and the error dropped.

Why this works: the list is split into its entries without decoding them, at any depth and with no memory for it, and each is decoded by itself. What cannot be read is left out and logged when that changes.

The users' platform decodes entries of servers, daemons, the operator and statuses one by one already; its tests (TestDecodeServerRejectsInvalidEntries, FuzzDecodeDaemon and others) stay.

--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -47,6 +47,9 @@
 	leaving map[string]bool
 	// leavingReadAt is when leaving was read from the platform, in Unix milliseconds.
 	leavingReadAt int64
+	// listProblem is why the VM list could not be read as a whole; empty if it could. Only the reader of
+	// the list uses it.
+	listProblem string
 	// serversUpdatedAt is when the VM list was last read, received from a peer, or
 	// found to be unavailable.
 	serversUpdatedAt time.Time
@@ -332,7 +335,8 @@
 	defer cancel()
 	vms, err := b.d.deps.VMs.List(ctx)
 	b.markServersUpdated()
-	if err != nil {
+	b.logListProblem(err)
+	if unreadable := new(platform.UnreadableEntriesError); err != nil && !errors.As(err, &unreadable) {
 		return
 	}
 	var ids []string
@@ -344,6 +348,18 @@
 	b.applyLeaving(at, ids)
 }
 
+// logListProblem logs why the VM list, or a part of it, could not be read, when that changes.
+func (b *balancer) logListProblem(err error) {
+	problem := ""
+	if err != nil {
+		problem = err.Error()
+	}
+	if problem != b.listProblem {
+		b.listProblem = problem
+		b.d.log.Warn("VM list read", "problem", problem)
+	}
+}
+
 func (b *balancer) markServersUpdated() {
 	b.mu.Lock()
 	b.serversUpdatedAt = time.Now()
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -61,9 +61,12 @@
 
 // List implements VMList.
 func (c *Client) List(ctx context.Context) ([]VM, error) {
-	var vms []VM
-	err := c.call(ctx, http.MethodGet, "/vms", nil, &vms)
-	return vms, err
+	data, err := c.fetch(ctx, http.MethodGet, "/vms", nil)
+	if err != nil {
+		return nil, err
+	}
+	vms, err := decodeEntries[VM](data)
+	return vms, oops.In("platform").Wrapf(err, "decode the list of VMs")
 }
 
 // Submit implements RatingService.
@@ -92,33 +95,40 @@
 	return granted, err
 }
 
+// call sends a request and decodes the response into out unless it is nil.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	data, err := c.fetch(ctx, method, path, in)
+	if err != nil || out == nil {
+		return err
+	}
+	return oops.In("platform").Wrapf(json.Unmarshal(data, out), "decode %s %s", method, path)
+}
+
+// fetch sends a request and returns the body of the response.
+func (c *Client) fetch(ctx context.Context, method, path string, in any) ([]byte, error) {
 	var body io.Reader
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
-			return oops.In("platform").Wrapf(err, "encode %s %s", method, path)
+			return nil, oops.In("platform").Wrapf(err, "encode %s %s", method, path)
 		}
 		body = bytes.NewReader(data)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
-		return oops.In("platform").Wrapf(err, "build %s %s", method, path)
+		return nil, oops.In("platform").Wrapf(err, "build %s %s", method, path)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return oops.In("platform").Wrapf(err, "%s %s", method, path)
+		return nil, oops.In("platform").Wrapf(err, "%s %s", method, path)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
-		return oops.In("platform").Wrapf(err, "read %s %s", method, path)
+		return nil, oops.In("platform").Wrapf(err, "read %s %s", method, path)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return oops.In("platform").With("status", resp.StatusCode).Wrap(fmt.Errorf("%s %s returned %s", method, path, resp.Status))
+		return nil, oops.In("platform").With("status", resp.StatusCode).Wrap(fmt.Errorf("%s %s returned %s", method, path, resp.Status))
 	}
-	if out == nil {
-		return nil
-	}
-	return oops.In("platform").Wrapf(json.Unmarshal(data, out), "decode %s %s", method, path)
+	return data, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -51,6 +51,7 @@
 
 // VMList lists the platform's VMs. The list may be outdated or unavailable.
 type VMList interface {
+	// List returns the entries that can be read, with an *UnreadableEntriesError if there are others.
 	List(ctx context.Context) ([]VM, error)
 }
 
