--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -37,11 +37,12 @@
 		if err != nil {
 			return
 		}
-		go s.serve(c)
+		go s.Serve(c)
 	}
 }
 
-func (s *RawServer) serve(c net.Conn) {
+// Serve answers the request on a connection and closes it.
+func (s *RawServer) Serve(c net.Conn) {
 	defer func() { _ = c.Close() }() // an error has no consequence
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
--- a/lab/soak/cluster.go
+++ b/lab/soak/cluster.go
@@ -62,6 +62,8 @@
 	evacuations []evacuation
 	// restarting is the set of servers, by index, that are down until their next start.
 	restarting map[int]bool
+	// broken counts the requests that got broken answers.
+	broken brokenRequests
 	// warmupCounts is the number of warm-ups started, by server.
 	warmupCounts [6]atomic.Int64
 }
@@ -95,19 +97,23 @@
 
 // runSeed runs the scenario of one seed and checks the guarantees.
 func runSeed(ctx context.Context, seed uint64, opts options, binary, dir string) (*result, error) {
-	cl := &cluster{rng: rand.New(rand.NewPCG(seed, 77)), store: standin.NewMetadataStore(), keys: []string{"k0", "k1", "k2"}, revoked: map[string]time.Time{}, restarting: map[int]bool{}, specs: opts.servers(), renderConfig: standardConfig}
+	cl := &cluster{rng: rand.New(rand.NewPCG(seed, 77)), store: standin.NewMetadataStore(), keys: []string{"k0", "k1", "k2"}, revoked: map[string]time.Time{}, restarting: map[int]bool{}, broken: brokenRequests{runs: map[string]int{}}, specs: opts.servers(), renderConfig: standardConfig}
 	cl.silence = silenceState{silencer: silencer{map[string]time.Time{}}, orders: map[string]*orderState{}}
-	if opts.silent {
+	switch {
+	case opts.silent:
 		cl.renderConfig = cl.silentConfig
+	case opts.broken:
+		cl.renderConfig = longUploadConfig
 	}
 	defer cl.close()
 	if err := cl.setUp(opts, binary, dir); err != nil {
 		return nil, err
 	}
+	cl.breakable()
 	if err := cl.awaitReady(ctx); err != nil {
 		return nil, err
 	}
-	gen := &loadGenerator{crashingParts: opts.crashingParts, newConnections: opts.silent}
+	gen := &loadGenerator{crashingParts: opts.crashingParts, newConnections: opts.silent, longUploads: opts.broken}
 	for _, d := range cl.daemons {
 		gen.clientAddrs = append(gen.clientAddrs, d.clientAddr)
 	}
@@ -266,7 +272,7 @@
 }
 
 func (c *cluster) executions(id string) int {
-	n := 0
+	n := c.broken.count(id)
 	for _, s := range c.servers {
 		n += s.RunCount(id)
 	}
@@ -290,6 +296,8 @@
 			c.injectStatementFault()
 		case opts.silent:
 			c.injectSilence()
+		case opts.broken:
+			c.injectBrokenAnswers()
 		default:
 			c.injectFault(time.Duration(c.rng.Int64N(int64(maxFaultDuration))))
 		}
--- a/lab/soak/loadgen.go
+++ b/lab/soak/loadgen.go
@@ -27,6 +27,9 @@
 // normalBody is the body of every request that does not crash its server.
 const normalBody = "x"
 
+// longUpload is the body of a long upload.
+var longUpload = strings.Repeat("x", longUploadBytes)
+
 var routePaths = [routeKindCount]string{"/talk/1", "/pay/1", "/look/1"}
 
 // streamEvents is the number of events in a complete stream.
@@ -67,6 +70,8 @@
 	lastID      int
 	// crashingParts makes crashing requests unlike, with one part of their prompts in common.
 	crashingParts bool
+	// longUploads makes one in longUploadInterval requests a long upload.
+	longUploads bool
 	// newConnections makes every second client open a connection for each request.
 	newConnections bool
 }
@@ -81,7 +86,11 @@
 		wg.Go(func() {
 			for ctx.Err() == nil {
 				keys := clientKeys()
-				g.sendNormal(client, g.clientAddrs[rng.IntN(len(g.clientAddrs))], routeKind(rng.IntN(int(routeKindCount))), keys[rng.IntN(len(keys))])
+				body := normalBody
+				if g.longUploads && rng.IntN(longUploadInterval) == 0 {
+					body = longUpload
+				}
+				g.send(client, g.clientAddrs[rng.IntN(len(g.clientAddrs))], routeKind(rng.IntN(int(routeKindCount))), keys[rng.IntN(len(keys))], body)
 				time.Sleep(time.Duration(5+rng.IntN(40)) * time.Millisecond)
 			}
 			client.CloseIdleConnections()
@@ -112,14 +121,10 @@
 // crashingRandStream is the PCG stream used by sendCrashing.
 const crashingRandStream = 1 << 32
 
-func (g *loadGenerator) sendNormal(client *http.Client, frontAddr string, kind routeKind, key string) call {
-	return g.send(client, frontAddr, kind, key, normalBody)
-}
-
 func (g *loadGenerator) send(client *http.Client, frontAddr string, kind routeKind, key, payload string) call {
 	g.mu.Lock()
 	g.lastID++
-	rec := call{id: fmt.Sprintf("%08x", g.lastID), clientAddr: frontAddr, kind: kind, key: key, sentAt: time.Now(), crashing: payload != normalBody}
+	rec := call{id: fmt.Sprintf("%08x", g.lastID), clientAddr: frontAddr, kind: kind, key: key, sentAt: time.Now(), crashing: strings.HasPrefix(payload, standin.CrashMarker)}
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -27,9 +27,10 @@
 	limits := flag.Bool("limits", false, "servers state limits on their requests per second, beside daemons, servers and a store that fail, in place of all other faults")
 	statements := flag.Bool("statements", false, "servers state that they leave or want a pause, beside daemons, servers and a store that fail, in place of all other faults")
 	silent := flag.Bool("silent", false, "sound servers fall silent for a moment and go on, beside restarts and reloads of daemons, roll-outs and changes of the configuration, in place of all faults")
+	broken := flag.Bool("broken", false, "servers and the store send broken answers, beside daemons that stop and start, in place of all other faults")
 	own := flag.Bool("own", false, "with silent: the daemons of the own interface")
 	flag.Parse()
-	if err := run(*firstSeed, *seeds, options{*duration, *daemons, *restarts, *deadly || *deadlyParts, *deadlyParts, *storeRestores, *warming, *limits, *statements, *silent, *own}, *keep, os.Stdout); err != nil {
+	if err := run(*firstSeed, *seeds, options{*duration, *daemons, *restarts, *deadly || *deadlyParts, *deadlyParts, *storeRestores, *warming, *limits, *statements, *silent, *own, *broken}, *keep, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -61,6 +62,9 @@
 	silent bool
 	// own plays silent servers with the daemons of the own interface.
 	own bool
+	// broken injects broken answers of servers and the store, and daemon restarts, instead of the default
+	// faults.
+	broken bool
 }
 
 var errViolations = errors.New("promises were broken")
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/damaskrudder/damaskrudder/internal/standin"
 )
 
 // proxyMode selects how a proxy handles connections.
@@ -25,6 +27,8 @@
 	// modeSilent accepts connections and holds data in both directions until the mode changes.
 	// The data is then forwarded. It is no fault, so it is not among the modeCount modes of faults.
 	modeSilent
+	// modeBroken answers requests on new connections with broken answers, and resets existing ones.
+	modeBroken
 )
 
 const forwardDelay = 150 * time.Millisecond
@@ -37,6 +41,8 @@
 	mu     sync.Mutex
 	mode   proxyMode
 	closed bool
+	// broken answers requests in modeBroken.
+	broken *standin.RawServer
 	conns  map[net.Conn]bool
 	// modeChanged is signaled, under mu, when the mode changes.
 	modeChanged *sync.Cond
@@ -67,7 +73,7 @@
 	defer p.mu.Unlock()
 	p.mode = mode
 	p.modeChanged.Broadcast()
-	if mode != modeReset {
+	if mode != modeReset && mode != modeBroken {
 		return
 	}
 	for c := range p.conns {
@@ -105,11 +111,14 @@
 		if err != nil {
 			return
 		}
-		if p.currentMode() == modeReset {
+		switch p.currentMode() {
+		case modeReset:
 			resetConn(client)
-			continue
+		case modeBroken:
+			go p.broken.Serve(client)
+		default:
+			go p.relay(client)
 		}
-		go p.relay(client)
 	}
 }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -40,6 +40,8 @@
 		{"warm-ups and evacuations", 4, options{duration: 6 * time.Second, daemons: 3, warming: true}},
 		{"servers that leave or want a pause", 7, options{duration: 8 * time.Second, daemons: 3, statements: true}},
 		{"servers that state limits", 6, options{duration: 10 * time.Second, daemons: 3, limits: true}},
+		// Guards against answers that are malformed or cut and reach a client, and against lists of the store that are.
+		{"broken answers", 9, options{duration: 8 * time.Second, daemons: 3, broken: true}},
 		// Guards against requests that are given up because their servers are silent for a moment, or because a daemon ends.
 		{"servers that are silent for a moment", 53, options{duration: 8 * time.Second, daemons: 3, silent: true}},
 	} {
