checkedconn: bytes that no request asked for are taken for no response

What callers saw: not seen; by reading. A server of the own interface that answers a request twice on a kept connection had its second response taken for that to the next request, a load report or a cancellation, and so would the store's be.

Cause: net/http offers a connection for the next request before it has looked whether bytes are left on it.

Why this works: the connection counts requests and final responses. On the connections of net/http's transport, which get one response each, further bytes are handed to nobody, and the next request is not written there; net/http then sends it on another connection, as nothing of it was written. The pool of the platform's servers tells late responses apart by their request and is unchanged. Of a response scanned in parts, Next replaces Scan.

TestUnsolicitedResponseIsTakenForNoOther holds the decision itself.

--- a/internal/checkedconn/conn.go
+++ b/internal/checkedconn/conn.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -28,6 +29,8 @@
 	// writing is set while a write has not returned.
 	writing bool
 	closed  bool
+	// oneEach is set if each request gets one response, so that bytes after it are an error.
+	oneEach bool
 	// readErr and writeErr are set once reading or writing has failed.
 	readErr, writeErr error
 }
@@ -42,8 +45,11 @@
 // NetConn returns the underlying connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// Err returns why responses cannot be read any more: an *httpframing.MalformedError or a
-// *IncompleteRequestError.
+// ErrUnsolicited means that a server has sent bytes after the responses to all requests.
+var ErrUnsolicited = errors.New("bytes after the responses to all requests")
+
+// Err returns why responses cannot be read any more: an *httpframing.MalformedError, an
+// *IncompleteRequestError or ErrUnsolicited.
 func (c *Conn) Err() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -69,6 +75,10 @@
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	if c.readErr != nil {
+		defer c.mu.Unlock()
+		return 0, c.readErr // net/http sends a request of which nothing was written on another connection
+	}
 	c.writing = true
 	if !c.responses.Switched() {
 		c.requests.Scan(p)
@@ -93,7 +103,7 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	valid, malformed := c.responses.Scan(p[:n], c.requests.Last())
+	valid, malformed := c.scan(p[:n])
 	switch {
 	case malformed != nil:
 		c.readErr = malformed
@@ -109,6 +119,21 @@
 	return 0, c.readErr
 }
 
+// scan returns the number of bytes of p that may be handed out, and an error if it is not all. Callers hold mu.
+func (c *Conn) scan(p []byte) (valid int, err error) {
+	for valid < len(p) {
+		if c.oneEach && c.responses.Unsolicited(&c.requests) {
+			return valid, ErrUnsolicited
+		}
+		n, err := c.responses.Next(p[valid:], c.requests.Last())
+		if err != nil {
+			return valid, err
+		}
+		valid += n
+	}
+	return valid, nil
+}
+
 // awaitRequest waits until the request is written. A server may respond, end its side of the connection and
 // read on. Callers hold mu.
 func (c *Conn) awaitRequest() error {
@@ -137,14 +162,17 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dialer returns a function that opens connections with dial and checks them.
+// Dialer returns a function that opens connections with dial and checks them, for net/http's transport. That
+// may take bytes after a response for the response to the next request, so that they are an error.
 func Dialer(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return New(c), nil
+		checked := New(c)
+		checked.oneEach = true
+		return checked, nil
 	}
 }
 
--- a/internal/checkedconn/conn_test.go
+++ b/internal/checkedconn/conn_test.go
@@ -157,3 +157,38 @@
 		t.Errorf("got %d bytes, %v", n, err)
 	}
 }
+
+// Guards against bytes after a response that are taken for the response to the next request.
+func TestUnsolicitedResponseIsTakenForNoOther(t *testing.T) {
+	const response, request = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, tt := range map[string]struct {
+		responses string
+		oneEach   bool
+		err       error
+	}{
+		"one":                   {response, true, nil},
+		"after an interim one":  {"HTTP/1.1 100 Continue\r\n\r\n" + response, true, nil},
+		"two":                   {response + response, true, ErrUnsolicited},
+		"two, to be told apart": {response + response, false, nil},
+		"one and other bytes":   {response + "a", true, ErrUnsolicited},
+	} {
+		client, server := net.Pipe()
+		c := New(client)
+		c.oneEach = tt.oneEach
+		go func() {
+			_, _ = io.ReadFull(server, make([]byte, len(request)))
+			_, _ = io.WriteString(server, tt.responses)
+			_, _ = io.Copy(io.Discard, server)
+		}()
+		if _, err := io.WriteString(c, request); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if _, err := io.WriteString(c, request); !errors.Is(err, tt.err) || !errors.Is(c.Err(), tt.err) {
+			t.Errorf("%s: a further request is written with %v, %v", name, err, c.Err())
+		}
+		_, _ = server.Close(), c.Close()
+	}
+}
--- a/internal/httpframing/requests.go
+++ b/internal/httpframing/requests.go
@@ -8,6 +8,8 @@
 	body   Body
 	inBody bool
 	last   Request
+	// heads is the number of complete heads.
+	heads int
 }
 
 // Request is the part of a request that decides how the response to it is framed.
@@ -27,7 +29,7 @@
 		n, head := r.head.scan(p)
 		p = p[n:]
 		if head != nil {
-			r.last = parseRequest(head)
+			r.last, r.heads = parseRequest(head), r.heads+1
 			r.body = ParseBody(head)
 			r.inBody = !r.body.Done()
 		}
--- a/internal/httpframing/responses.go
+++ b/internal/httpframing/responses.go
@@ -7,6 +7,8 @@
 	// section collects the present head or trailer.
 	section collector
 	body    Body
+	// finals is the number of heads that are not those of interim responses.
+	finals int
 }
 
 // position is a position in the responses of a connection.
@@ -25,24 +27,17 @@
 // UntilEnd reports whether the present response ends with its connection.
 func (r *Responses) UntilEnd() bool { return r.position == untilEnd }
 
+// Unsolicited reports whether all responses to the requests have come, so that further bytes are part of none.
+func (r *Responses) Unsolicited(to *Requests) bool {
+	return r.position == inHead && r.section.empty() && r.finals >= to.heads && to.head.empty()
+}
+
 // Switched reports whether the connection is no longer one of HTTP/1.
 func (r *Responses) Switched() bool { return r.position == switched }
 
-// Scan returns the number of bytes of p that precede the end of a malformed head, chunk size or trailer,
-// and a *MalformedError if there is one. The last request written is to.
-func (r *Responses) Scan(p []byte, to Request) (n int, err error) {
-	for n < len(p) {
-		read, err := r.step(p[n:], to)
-		if err != nil {
-			return n, err
-		}
-		n += read
-	}
-	return n, nil
-}
-
-// step returns the number of bytes of p that belong to the next part of a response.
-func (r *Responses) step(p []byte, to Request) (n int, err error) {
+// Next returns the number of bytes of p that belong to the next part of a response, and a *MalformedError if
+// they end a head, chunk size or trailer that is malformed. The last request written is to.
+func (r *Responses) Next(p []byte, to Request) (n int, err error) {
 	switch r.position {
 	case inHead:
 		n, head := r.section.scan(p)
@@ -76,6 +71,9 @@
 	if err != nil {
 		return err
 	}
+	if !h.isInterim() {
+		r.finals++
+	}
 	switch {
 	case h.status == statusSwitchingProtocols && to.Upgrade, to.Connect && h.status/100 == 2:
 		r.position = switched
--- a/internal/httpframing/responses_test.go
+++ b/internal/httpframing/responses_test.go
@@ -13,11 +13,15 @@
 // scanResponses scans data in parts of a size, and returns the responses' state and the first error.
 func scanResponses(data string, partSize int, to Request) (r Responses, err error) {
 	for part := range slices.Chunk([]byte(data), partSize) {
-		if _, err = r.Scan(part, to); err != nil {
-			break
+		for n := 0; n < len(part); {
+			read, err := r.Next(part[n:], to)
+			if err != nil {
+				return r, err
+			}
+			n += read
 		}
 	}
-	return r, err
+	return r, nil
 }
 
 var partSizes = []int{1, 2, 7, 4096}
@@ -134,7 +138,7 @@
 		want := len(data) - source.Len() - buffered.Buffered()
 		var r Responses
 		for n := 0; n < want; {
-			read, err := r.step(data[n:], Request{})
+			read, err := r.Next(data[n:], Request{})
 			if err != nil {
 				return
 			}
