relay: as much memory is reserved for a head as it takes

What callers saw: not seen; another operator's report of servers that send bytes without end. Heads end at 32 KiB and their memory is in the daemon's account, with 8 bytes for each byte. A head of short fields takes twice that, so that many of them could take twice what is accounted for.

Cause: the fields of a head cost more than their text if they are short, and the text itself is kept while the head is read, also for its check.

--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -2,9 +2,9 @@
 
 import "errors"
 
-// heldPerHeadByte is the number of bytes that are reserved for each byte of a response's head. The
-// fields of a head take more memory than its text if they are short.
-const heldPerHeadByte = 8
+// heldPerHeadByte is the number of bytes that are reserved for each byte of a response's head: for its
+// fields, which take more memory than their text if they are short, and for the text while it is read.
+const heldPerHeadByte = 18
 
 // errNoRoom means that there is no memory for a part of a response that must be read before any of it
 // is forwarded.
