--- a/internal/checkedconn/conn.go
+++ b/internal/checkedconn/conn.go
@@ -29,8 +29,8 @@
 	// writing is set while a write has not returned.
 	writing bool
 	closed  bool
-	// oneEach is set if each request gets one response, so that bytes after it are an error.
-	oneEach bool
+	// rejectsUnsolicited is set if bytes after the responses to all requests are an error.
+	rejectsUnsolicited bool
 	// readErr and writeErr are set once reading or writing has failed.
 	readErr, writeErr error
 }
@@ -75,9 +75,9 @@
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	if c.readErr != nil {
-		defer c.mu.Unlock()
-		return 0, c.readErr // net/http sends a request of which nothing was written on another connection
+	if err := c.readErr; err != nil {
+		c.mu.Unlock()
+		return 0, err // net/http sends a request of which nothing was written on another connection
 	}
 	c.writing = true
 	if !c.responses.Switched() {
@@ -122,7 +122,7 @@
 // scan returns the number of bytes of p that may be handed out, and an error if it is not all. Callers hold mu.
 func (c *Conn) scan(p []byte) (valid int, err error) {
 	for valid < len(p) {
-		if c.oneEach && c.responses.Unsolicited(&c.requests) {
+		if c.rejectsUnsolicited && c.responses.Unsolicited(&c.requests) {
 			return valid, ErrUnsolicited
 		}
 		n, err := c.responses.Next(p[valid:], c.requests.Last())
@@ -171,7 +171,7 @@
 			return nil, err
 		}
 		checked := New(c)
-		checked.oneEach = true
+		checked.rejectsUnsolicited = true
 		return checked, nil
 	}
 }
--- a/internal/checkedconn/conn_test.go
+++ b/internal/checkedconn/conn_test.go
@@ -163,18 +163,18 @@
 	const response, request = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	for name, tt := range map[string]struct {
 		responses string
-		oneEach   bool
+		rejects   bool
 		err       error
 	}{
-		"one":                   {response, true, nil},
-		"after an interim one":  {"HTTP/1.1 100 Continue\r\n\r\n" + response, true, nil},
-		"two":                   {response + response, true, ErrUnsolicited},
-		"two, to be told apart": {response + response, false, nil},
-		"one and other bytes":   {response + "a", true, ErrUnsolicited},
+		"one":                  {response, true, nil},
+		"after an interim one": {"HTTP/1.1 100 Continue\r\n\r\n" + response, true, nil},
+		"two":                  {response + response, true, ErrUnsolicited},
+		"two, for the pool":    {response + response, false, nil},
+		"one and other bytes":  {response + "a", true, ErrUnsolicited},
 	} {
 		client, server := net.Pipe()
 		c := New(client)
-		c.oneEach = tt.oneEach
+		c.rejectsUnsolicited = tt.rejects
 		go func() {
 			_, _ = io.ReadFull(server, make([]byte, len(request)))
 			_, _ = io.WriteString(server, tt.responses)
--- a/internal/httpframing/collector.go
+++ b/internal/httpframing/collector.go
@@ -3,7 +3,7 @@
 // collector collects the bytes of a head or a trailer.
 type collector struct {
 	lines Head
-	// partial holds the bytes so far of one that did not come at once.
+	// partial holds the bytes of a head that is not complete.
 	partial []byte
 }
 
