httplimit: the test of heads without memory waits until the memory is given back

The charge of a head ends when net/http reports its connection closed, just after the client has read the end; refusing until then is right, as the memory is still in use. The test was wrong to ask at once. It now waits until nothing is held, as the test beside it does, and then expects the same 200.

--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -50,6 +50,14 @@
 	return a.held
 }
 
+// awaitRelease waits until nothing is held: the server has then seen the last connection close. The test's
+// timeout bounds it.
+func (a *account) awaitRelease() {
+	for a.get() != 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // bounded is a bounded server with its limits.
 type bounded struct {
 	*Group
@@ -187,9 +195,7 @@
 			t.Fatalf("seed %d: sent %q, got\n%s\nwant\n%s", seed, text, got, want)
 		}
 	}
-	for b.account.get() != 0 { // ends once the server has seen the last connection close; bounded by the test's timeout
-		time.Sleep(time.Millisecond)
-	}
+	b.account.awaitRelease()
 }
 
 // Guards against requests that are hidden in the body of one whose end is not clear.
@@ -243,6 +249,7 @@
 	if got, _ := io.ReadAll(first); !strings.HasPrefix(string(got), "HTTP/1.1 200 ") {
 		t.Errorf("the first one got %q", got)
 	}
+	b.account.awaitRelease()
 	go func() { <-reached }()
 	if got := exchange(t, b.address, head); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
 		t.Errorf("afterwards: got %q", got)
