httplimit, clientconns: a request of which a part was read ahead is not closed with the idle connections

What callers saw: at a planned stop, a request whose first bytes had come while the response before it on the connection was still being completed got no answer: the connection was closed as an idle one. With TLS on the own interface also the first request of a connection, if its rest came a second later.

Cause: both trackers of client connections learn of a request from reads of the socket. Bytes that were read before the connection became idle, by the server's look for the next request or with the request before, or that TLS holds, start a request of which they see nothing. The idle connections' deadline then ends the read of its rest.

Why this works: httplimit reads above TLS and above the trackers and knows where each request begins. It now reports a connection as active with the first byte of a request, and again after idle if that byte was read before; the trackers then take back an interrupt. Such a connection is not evicted as idle either.

--- a/internal/app/shutdown_connections_test.go
+++ b/internal/app/shutdown_connections_test.go
@@ -118,6 +118,55 @@
 	}
 }
 
+// Guards against requests that are dropped with an idle connection because nothing was read from its socket since
+// they began: their first bytes came before the response to the request before was complete, or in a TLS record
+// that was read before.
+func TestShutdownAnswersRequestReadAhead(t *testing.T) {
+	const post = "POST /operator/v1/explain HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 2\r\n\r\n"
+	files := newTestCA(t).issueFiles(t, t.TempDir(), 1)
+	for name, tt := range map[string]struct {
+		tls  *settings.TLS
+		sent []string
+	}{
+		"with the request before":          {nil, []string{wholeRequest + wholeRequest[:8]}},
+		"before the response is read":      {nil, []string{wholeRequest, wholeRequest[:8]}},
+		"with the body before":             {nil, []string{fmt.Sprintf(post, demo.Secrets.OperatorKey), "{}" + wholeRequest[:8]}},
+		"TLS, with the request before":     {&files, []string{wholeRequest + wholeRequest[:8]}},
+		"TLS, before the response is read": {&files, []string{wholeRequest, wholeRequest[:8]}},
+		"TLS, with the body before":        {&files, []string{fmt.Sprintf(post, demo.Secrets.OperatorKey), "{}" + wholeRequest[:8]}},
+		"first, in parts":                  {nil, []string{wholeRequest[:8]}},
+		"TLS, first, in parts":             {&files, []string{wholeRequest[:8]}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				callers := newPipeListener()
+				n := startOn(t, callers, tt.tls)
+				client := encrypt(t, callers.dial(), tt.tls)
+				var sender sync.WaitGroup
+				sender.Go(func() {
+					for _, part := range tt.sent {
+						send(t, client, part)
+					}
+				})
+				synctest.Wait()
+				if tt.sent[0] != wholeRequest[:8] {
+					expectAnswer(t, "request before", client, false)
+				}
+				sender.Wait()
+				synctest.Wait()
+				stopped := make(chan error)
+				go func() { stopped <- n.Shutdown(context.Background()) }()
+				time.Sleep(2 * time.Second)
+				send(t, client, wholeRequest[8:])
+				expectAnswer(t, "request in parts", client, true)
+				if err := <-stopped; err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
 // Guards against the same over TCP, where requests come at any moment of the shutdown. A request is only sent on a
 // connection that the daemon has not closed.
 func TestShutdownAnswersRequestsOnOpenSockets(t *testing.T) {
--- a/internal/clientconns/conn.go
+++ b/internal/clientconns/conn.go
@@ -89,10 +89,7 @@
 	if n > 0 {
 		switch c.state {
 		case Accepted, Idle:
-			if t.stopped[Idle] {
-				_ = c.SetReadDeadline(time.Time{}) // the interrupt was too late; fails only on a closed connection
-			}
-			t.set(c, Reading)
+			t.beginRequest(c)
 		case Serving, Flushing:
 			c.readAhead = c.readAhead || !c.unread // else it is the rest of the request
 		}
--- a/internal/clientconns/tracker.go
+++ b/internal/clientconns/tracker.go
@@ -211,9 +211,7 @@
 	defer t.mu.Unlock()
 	switch state {
 	case http.StateActive:
-		if c.state == Accepted || c.state == Idle {
-			t.set(c, Reading)
-		}
+		t.beginRequest(c)
 	case http.StateIdle:
 		next := Idle
 		if c.readAhead {
@@ -229,6 +227,17 @@
 	}
 }
 
+// beginRequest records that a part of a request has been read. Callers hold mu.
+func (t *Tracker) beginRequest(c *conn) {
+	if c.state.hasRequest() {
+		return
+	}
+	if t.stopped[Idle] {
+		_ = c.SetReadDeadline(time.Time{}) // the interrupt was too late; fails only on a closed connection
+	}
+	t.set(c, Reading)
+}
+
 // set changes the state of a connection. Callers hold mu.
 func (t *Tracker) set(c *conn, s State) {
 	if t.conns[c] {
--- a/internal/httplimit/conn.go
+++ b/internal/httplimit/conn.go
@@ -32,6 +32,8 @@
 	group    *Group
 	listener string
 	activity activity
+	// hook is that of the server for its connections' states.
+	hook func(net.Conn, http.ConnState)
 
 	// head and body follow the present request; inBody is set between the two.
 	head   httpframing.Head
@@ -271,7 +273,7 @@
 	}
 	switch {
 	case n > 0 && !began:
-		c.refused = !c.setActivity(connlimit.ReadingHead)
+		c.beginRequest()
 		c.limitRead(time.Time{})
 	case n == 0 && began && c.late(err):
 		c.refuse(fault.New(fault.HeadTimeout, "the head did not arrive within %s", c.waitLimit(began)), reasonHeadTimeout)
@@ -280,6 +282,17 @@
 	return n, err
 }
 
+// beginRequest records that a part of a request has been read.
+func (c *conn) beginRequest() {
+	c.refused = !c.setActivity(connlimit.ReadingHead)
+	c.hook(c.Conn, http.StateActive)
+}
+
+// readAhead reports whether a part of the next request has been read.
+func (c *conn) readAhead() bool {
+	return !c.closesAfterRequest && (c.head.Bytes > 0 || len(c.pending) > 0)
+}
+
 // waitLimit is how long the client may take for a head that has begun, or to begin one.
 func (c *conn) waitLimit(began bool) time.Duration {
 	limits := c.group.config.Limits()
@@ -360,7 +373,9 @@
 		c.closesAfterRequest = c.closesAfterRequest || c.inBody
 		c.serving, c.answered = false, true
 		c.release()
-		c.setActivity(connlimit.Idle)
+		if !c.readAhead() { // else a new connection could evict the request
+			c.setActivity(connlimit.Idle)
+		}
 	case http.StateHijacked:
 		c.upgraded, c.released = true, len(c.pending)
 		c.limitRead(time.Time{})
--- a/internal/httplimit/server.go
+++ b/internal/httplimit/server.go
@@ -114,18 +114,27 @@
 func (g *Group) Listen(name string, l net.Listener) net.Listener { return &listener{l, g, name} }
 
 // Attach bounds a server, which must serve listeners of Listen. Hooks that the server has already get
-// the connections below those of Listen.
+// the connections below those of Listen. Their connections are active from the first byte of a request on, also
+// if it was read before the response to the request before was complete.
 func (g *Group) Attach(s *http.Server) {
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = serverTimeout, serverTimeout, serverHeadBytes
 	observe, withConn, handler := s.ConnState, s.ConnContext, s.Handler
+	if observe == nil {
+		observe = func(net.Conn, http.ConnState) {}
+	}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		bounded, ok := c.(*conn)
-		if ok {
-			bounded.observe(state)
-			c = bounded.Conn
-		}
-		if observe != nil {
+		if !ok {
 			observe(c, state)
+			return
+		}
+		bounded.observe(state)
+		if state == http.StateNew {
+			bounded.hook = observe
+		}
+		observe(bounded.Conn, state)
+		if state == http.StateIdle && bounded.readAhead() {
+			bounded.beginRequest()
 		}
 	}
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
