relay: responses too long to be buffered are evidence on their version

What callers saw: by reading, nothing yet beyond the response that broke off. A version that cut its long responses was advanced in a roll-out, and one whose clients read slowly could be taken for slow.

Cause: only buffered responses and streams were recorded for the roll-out. A long response stayed pending until its client had read it, and counted with that time.

Why this works: once a long response is forwarded, its time is not observed any more. Its end is recorded without a latency: as sound, or as a failure if its server cut it or its status says so. A client that left, or a deadline, is no evidence, as for buffered responses. Sound ones are counted too, so that the share of cut ones is true.

Evidence: TestUnbufferedResponsesAreEvidenceOnTheirVersion failed on the code before in all four cases (0 responses and 0 errors counted, the time of the client counted); the tests of internal/relay pass.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -325,7 +325,7 @@
 	}
 	x.interrupted = false
 	if !x.relay.State.isLeaving(t.server.ID) && !x.relay.State.linkFailed(t) {
-		x.relay.Rollouts.recordResponse(t, x.route.Name, ctx.Err() == nil, 0)
+		x.relay.Rollouts.recordResponse(t, x.route.Name, ctx.Err() == nil, unknownLatency)
 	}
 }
 
--- a/internal/relay/pendinganswers.go
+++ b/internal/relay/pendinganswers.go
@@ -60,6 +60,15 @@
 	}
 }
 
+// dropPending ends the observation of a send whose latency no longer depends on its server alone.
+func (r *Rollouts) dropPending(t *target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if order := r.orders[t.service]; order != nil {
+		delete(order.pending, t)
+	}
+}
+
 // overdue returns the comparable latency of an answer that is not complete, and whether it is slower than
 // most of the running version's.
 func (o *orderState) overdue(p *pendingAnswer, now time.Time) (latency float64, slow bool) {
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -29,7 +29,7 @@
 	t, reply := s.target, s.reply
 	body, err := x.readResponse(reply.Body, reply.ContentLength)
 	if errors.Is(err, errNotBuffered) {
-		return x.forwardUnbuffered(t, reply, body)
+		return x.forwardUnbuffered(s, reply, body)
 	}
 	if err != nil || reply.ContentLength >= 0 && int64(len(body)) != reply.ContentLength {
 		x.logEvent("response truncated", t, "status", reply.Status, "bytes", len(body), "err", err)
@@ -61,19 +61,29 @@
 }
 
 // forwardUnbuffered forwards a response that is not buffered, of which prefix has been read. It
-// aborts the response if the server fails.
-func (x *exchange) forwardUnbuffered(t *target, reply *BackendResponse, prefix []byte) (request.SendOutcome, bool) {
+// aborts the response if the server fails. The send is nil if another daemon has sent the request.
+func (x *exchange) forwardUnbuffered(s *send, reply *BackendResponse, prefix []byte) (request.SendOutcome, bool) {
+	var t *target
+	if s != nil {
+		t = s.target
+		x.relay.Rollouts.dropPending(t) // how long the rest takes depends on the client
+	}
 	x.begin(responseHeader{reply.Status, reply.Header, reply.ContentLength}, prefix)
-	n, err := io.CopyBuffer(bodyWriter{x.paced}, reply.Body, make([]byte, writeChunkBytes))
+	out := &bodyWriter{out: x.paced}
+	n, err := io.CopyBuffer(out, reply.Body, make([]byte, writeChunkBytes))
 	n += int64(len(prefix))
 	if err == nil && reply.ContentLength >= 0 && n != reply.ContentLength {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
 		x.logEvent("unbuffered response truncated", t, "status", reply.Status, "bytes", n, "err", err)
+		x.interrupted = s != nil && out.err == nil && s.timed.Err() == nil
 		x.partlySent = true
 		return request.ResponseLost, false
 	}
+	if s != nil {
+		x.relay.Rollouts.recordResponse(t, x.route.Name, reply.Status >= http.StatusInternalServerError, unknownLatency)
+	}
 	x.succeeded = true
 	x.logEvent("answered", t, "status", reply.Status, "bytes", n)
 	x.relay.Metrics.Responses(true).Inc(1)
@@ -81,12 +91,16 @@
 }
 
 // bodyWriter implements io.Writer on a pacedWriter.
-type bodyWriter struct{ out *pacedWriter }
+type bodyWriter struct {
+	out *pacedWriter
+	// err is why the client gets no more.
+	err error
+}
 
 // Write implements io.Writer.
-func (w bodyWriter) Write(p []byte) (int, error) {
-	if err := w.out.WriteBody(p); err != nil {
-		return 0, err
+func (w *bodyWriter) Write(p []byte) (int, error) {
+	if w.err = w.out.WriteBody(p); w.err != nil {
+		return 0, w.err
 	}
 	return len(p), nil
 }
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -219,7 +219,7 @@
 }
 
 // recordResponse adds a response to a request of a route to the evidence on a version. Latency is in
-// seconds or as a ratio to the expected one, the same for all responses of the route; 0 if it is unknown.
+// seconds or as a ratio to the expected one, the same for all responses of the route, or unknownLatency.
 func (r *Rollouts) recordResponse(t *target, route string, failed bool, latency float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -241,6 +241,9 @@
 	}
 }
 
+// unknownLatency is the latency of a response that is not comparable with others.
+const unknownLatency = 0
+
 // recordLatency adds the latency of an answer, and reports whether it is slower than most of the running
 // version's.
 func (o *orderState) recordLatency(counts *rollout.ServerCounts, latency float64) (slow bool) {
--- a/internal/relay/rollouts_test.go
+++ b/internal/relay/rollouts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -253,3 +254,54 @@
 		}
 	}
 }
+
+// readerFunc implements io.Reader.
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Guards against responses too long to be buffered that are no evidence on their version, and against a client that
+// reads slowly or leaves and is evidence on it.
+func TestUnbufferedResponsesAreEvidenceOnTheirVersion(t *testing.T) {
+	long := strings.Repeat("x", maxBufferedBody+10)
+	for name, tt := range map[string]struct {
+		status           int
+		end              error
+		clientLeaves     bool
+		requests, errors int64
+	}{
+		"sound":            {200, io.EOF, false, 1, 0},
+		"cut":              {200, io.ErrUnexpectedEOF, false, 1, 1},
+		"failed":           {503, io.EOF, false, 1, 1},
+		"left by a client": {200, context.Canceled, true, 0, 0},
+	} {
+		ctx, disconnect := context.WithCancel(t.Context())
+		pending := -1
+		h := newHarness(t, nil)
+		h.backend.script[0] = func(BackendRequest) (*BackendResponse, error) {
+			end := readerFunc(func([]byte) (int, error) {
+				pending = len(h.relay.Rollouts.orders["app"].pending)
+				if tt.clientLeaves {
+					disconnect()
+				}
+				return 0, tt.end
+			})
+			return &BackendResponse{Status: tt.status, Header: http.Header{}, Authenticated: true, ContentLength: -1, Body: io.NopCloser(io.MultiReader(strings.NewReader(long), end))}, nil
+		}
+		h.relay.Rollouts.AddOrder(rollout.Order{Service: "app", Target: "v2", Duration: 24 * time.Second, Offset: 7})
+		call := &Call{ID: "id1", Host: "h", Method: "POST", Target: "/p/1", Path: "/p/1", Key: "k", LastEvent: NoEvent, Received: time.Now(), Held: h.relay.Hold()}
+		h.relay.Serve(ctx, call, &fakeResponseWriter{})
+		call.Held.Release()
+		disconnect()
+		var got rollout.Counts
+		for _, counts := range h.relay.Rollouts.orders["app"].ownEvidence {
+			got = got.Add(counts.Counts)
+		}
+		if got.Requests != tt.requests || got.Errors != tt.errors || got.Latencies.Total() != 0 {
+			t.Errorf("%s: %d responses, %d errors, %d latencies", name, got.Requests, got.Errors, got.Latencies.Total())
+		}
+		if pending != 0 {
+			t.Errorf("%s: the time until the client had it counts", name)
+		}
+	}
+}
