ctl: a response without end is refused

What callers saw: by reading, an operator's rudderctl kept all that a daemon, or whatever stands at its address, sent until the time limit.

Cause: the body was read without a bound, the only reader of responses left with none.

Why this works: at most 64 MiB are kept; a longer response is refused with an error and the next address is asked, as for one that broke off.

Evidence: on the code before, TestLongResponseOfADaemonIsRefused took 135 MB and no error.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -27,7 +27,13 @@
 	httpClient *http.Client
 }
 
-const requestTimeout = 15 * time.Second
+const (
+	requestTimeout = 15 * time.Second
+	// maxResponseBytes bounds the body of a response.
+	maxResponseBytes = 64 << 20
+)
+
+var errResponseTooLong = fmt.Errorf("the response is longer than %d bytes", maxResponseBytes)
 
 // newClient returns a client for a comma-separated list of daemon addresses. The CA
 // certificates in caFile, if set, are trusted in addition to those of the system.
@@ -100,7 +106,10 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && len(data) > maxResponseBytes {
+		err = errResponseTooLong
+	}
 	return resp.StatusCode, data, err
 }
 
--- a/internal/ctl/client_test.go
+++ b/internal/ctl/client_test.go
@@ -1,7 +1,11 @@
 package ctl
 
 import (
+	"bytes"
+	"errors"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/damaskrudder/damaskrudder/internal/standin"
@@ -24,3 +28,25 @@
 		}
 	}
 }
+
+// Guards against a response without end, of which all is kept until memory ends.
+func TestLongResponseOfADaemonIsRefused(t *testing.T) {
+	sent := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "{}") // a failure shows below
+		for space := bytes.Repeat([]byte(" "), 1<<20); sent <= 2*maxResponseBytes; sent += len(space) {
+			if _, err := w.Write(space); err != nil {
+				return // the client has closed the connection
+			}
+		}
+	}))
+	c, err := newClient(server.URL, "k", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = c.config(t.Context())
+	server.Close() // waits for the handler
+	if !errors.Is(err, errResponseTooLong) || sent > 2*maxResponseBytes {
+		t.Errorf("%d bytes sent: %v", sent, err)
+	}
+}
