--- a/internal/app/shutdown_connections_test.go
+++ b/internal/app/shutdown_connections_test.go
@@ -123,19 +123,20 @@
 // that was read before.
 func TestShutdownAnswersRequestReadAhead(t *testing.T) {
 	const post = "POST /operator/v1/explain HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 2\r\n\r\n"
+	begun, rest := wholeRequest[:8], wholeRequest[8:]
 	files := newTestCA(t).issueFiles(t, t.TempDir(), 1)
 	for name, tt := range map[string]struct {
 		tls  *settings.TLS
 		sent []string
 	}{
-		"with the request before":          {nil, []string{wholeRequest + wholeRequest[:8]}},
-		"before the response is read":      {nil, []string{wholeRequest, wholeRequest[:8]}},
-		"with the body before":             {nil, []string{fmt.Sprintf(post, demo.Secrets.OperatorKey), "{}" + wholeRequest[:8]}},
-		"TLS, with the request before":     {&files, []string{wholeRequest + wholeRequest[:8]}},
-		"TLS, before the response is read": {&files, []string{wholeRequest, wholeRequest[:8]}},
-		"TLS, with the body before":        {&files, []string{fmt.Sprintf(post, demo.Secrets.OperatorKey), "{}" + wholeRequest[:8]}},
-		"first, in parts":                  {nil, []string{wholeRequest[:8]}},
-		"TLS, first, in parts":             {&files, []string{wholeRequest[:8]}},
+		"with the request before":          {nil, []string{wholeRequest + begun}},
+		"before the response is read":      {nil, []string{wholeRequest, begun}},
+		"with the body before":             {nil, []string{fmt.Sprintf(post, demo.Secrets.OperatorKey), "{}" + begun}},
+		"TLS, with the request before":     {&files, []string{wholeRequest + begun}},
+		"TLS, before the response is read": {&files, []string{wholeRequest, begun}},
+		"TLS, with the body before":        {&files, []string{fmt.Sprintf(post, demo.Secrets.OperatorKey), "{}" + begun}},
+		"first, in parts":                  {nil, []string{begun}},
+		"TLS, first, in parts":             {&files, []string{begun}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -149,7 +150,7 @@
 					}
 				})
 				synctest.Wait()
-				if tt.sent[0] != wholeRequest[:8] {
+				if tt.sent[0] != begun {
 					expectAnswer(t, "request before", client, false)
 				}
 				sender.Wait()
@@ -157,7 +158,7 @@
 				stopped := make(chan error)
 				go func() { stopped <- n.Shutdown(context.Background()) }()
 				time.Sleep(2 * time.Second)
-				send(t, client, wholeRequest[8:])
+				send(t, client, rest)
 				expectAnswer(t, "request in parts", client, true)
 				if err := <-stopped; err != nil {
 					t.Error(err)
